--- /dev/null
+++ b/cmd/primroseloom/main.go
@@ -0,0 +1,4 @@
+// Command primroseloom is wired in main.
+package main
+
+func main() {}
--- /dev/null
+++ b/cmd/primroseloomd/main.go
@@ -0,0 +1,4 @@
+// Command primroseloomd is wired in main.
+package main
+
+func main() {}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,2 @@
+// Package entry is the root of its module.
+package entry
--- /dev/null
+++ b/operator/doc.go
@@ -0,0 +1,2 @@
+// Package operator is the root of its module.
+package operator
--- /dev/null
+++ b/standin/doc.go
@@ -0,0 +1,2 @@
+// Package standin is the root of its module.
+package standin
