Add an in-memory network with faults for tests

Cause: proxy, peer and configuration tests need sockets in virtual time. Change: standin/memnet with hosts, delays, one-way blocks, silent connections and resets, usable under testing/synctest.

--- /dev/null
+++ b/standin/memnet/network.go
@@ -0,0 +1,239 @@
+package memnet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// BufferBytes is the capacity of one direction of a connection.
+const BufferBytes = 64 << 10
+
+// direction is an ordered pair of IP addresses.
+type direction struct {
+	from, to string
+}
+
+// Network is a set of hosts that can reach one another.
+type Network struct {
+	mu        sync.Mutex
+	changed   *sync.Cond
+	listeners map[string]*listener
+	blocked   map[direction]bool
+	delays    map[direction]time.Duration
+	conns     map[*Conn]struct{}
+	nextPort  int
+}
+
+// New returns an empty network without faults.
+func New() *Network {
+	n := &Network{
+		listeners: make(map[string]*listener),
+		blocked:   make(map[direction]bool),
+		delays:    make(map[direction]time.Duration),
+		conns:     make(map[*Conn]struct{}),
+		nextPort:  40000,
+	}
+	n.changed = sync.NewCond(&n.mu)
+	return n
+}
+
+// Host is one machine of the network; it listens on and dials from its IP.
+type Host struct {
+	network *Network
+	ip      string
+}
+
+// Host returns the machine with an IP address.
+func (n *Network) Host(ip string) *Host {
+	return &Host{network: n, ip: ip}
+}
+
+// Block stops delivery from one IP to another until Unblock.
+func (n *Network) Block(from, to string) { n.setBlocked(from, to, true) }
+
+// Unblock resumes delivery; what was sent meanwhile arrives.
+func (n *Network) Unblock(from, to string) { n.setBlocked(from, to, false) }
+
+func (n *Network) setBlocked(from, to string, blocked bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.blocked[direction{from, to}] = blocked
+	n.changed.Broadcast()
+}
+
+// SetDelay sets the one-way delay from one IP to another.
+func (n *Network) SetDelay(from, to string, delay time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.delays[direction{from, to}] = delay
+}
+
+// Silence makes all present connections between two IPs deliver nothing ever
+// again, in either direction. Connections opened later work.
+func (n *Network) Silence(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for conn := range n.conns {
+		if conn.joins(a, b) {
+			conn.silent = true
+		}
+	}
+	n.changed.Broadcast()
+}
+
+// Kill closes the listeners of an IP and resets its connections.
+func (n *Network) Kill(ip string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for address, l := range n.listeners {
+		if hostOf(address) == ip {
+			l.closeLocked()
+		}
+	}
+	for conn := range n.conns {
+		if conn.localIP() == ip || conn.remoteIP() == ip {
+			conn.resetLocked()
+		}
+	}
+	n.changed.Broadcast()
+}
+
+// Listen binds a listener to an address of this host.
+func (h *Host) Listen(_ context.Context, address string) (net.Listener, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	if parsed.Addr().String() != h.ip {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRNOTAVAIL}
+	}
+	n := h.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, taken := n.listeners[address]; taken {
+		return nil, &net.OpError{Op: "listen", Net: "tcp", Err: syscall.EADDRINUSE}
+	}
+	l := &listener{network: n, address: net.TCPAddrFromAddrPort(parsed)}
+	n.listeners[address] = l
+	return l, nil
+}
+
+// DialContext connects to an address. A blocked direction makes it hang until
+// the context ends; a port without a listener refuses.
+func (h *Host) DialContext(ctx context.Context, _, address string) (net.Conn, error) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, fmt.Errorf("dial %s: %w", address, err)
+	}
+	n := h.network
+	to := parsed.Addr().String()
+	stop := context.AfterFunc(ctx, func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.changed.Broadcast()
+	})
+	defer stop()
+	if err := n.handshakeDelay(ctx, h.ip, to); err != nil {
+		return nil, dialError(err)
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for n.blocked[direction{h.ip, to}] || n.blocked[direction{to, h.ip}] {
+		if ctx.Err() != nil {
+			return nil, dialError(ctx.Err())
+		}
+		n.changed.Wait()
+	}
+	if ctx.Err() != nil {
+		return nil, dialError(ctx.Err())
+	}
+	l, ok := n.listeners[address]
+	if !ok {
+		return nil, dialError(syscall.ECONNREFUSED)
+	}
+	n.nextPort++
+	local := &net.TCPAddr{IP: net.ParseIP(h.ip), Port: n.nextPort}
+	client, server := n.pair(local, l.address)
+	l.pending = append(l.pending, server)
+	n.changed.Broadcast()
+	return client, nil
+}
+
+// handshakeDelay waits for one round trip between two IPs.
+func (n *Network) handshakeDelay(ctx context.Context, from, to string) error {
+	n.mu.Lock()
+	delay := n.delays[direction{from, to}] + n.delays[direction{to, from}]
+	n.mu.Unlock()
+	if delay == 0 {
+		return nil
+	}
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(delay):
+		return nil
+	}
+}
+
+func dialError(err error) error {
+	return &net.OpError{Op: "dial", Net: "tcp", Err: err}
+}
+
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// listener accepts the connections dialled to one address.
+type listener struct {
+	network *Network
+	address *net.TCPAddr
+	pending []*Conn
+	closed  bool
+}
+
+// Accept waits for the next connection.
+func (l *listener) Accept() (net.Conn, error) {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	for len(l.pending) == 0 && !l.closed {
+		l.network.changed.Wait()
+	}
+	if l.closed {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Addr: l.address, Err: net.ErrClosed}
+	}
+	conn := l.pending[0]
+	l.pending = l.pending[1:]
+	return conn, nil
+}
+
+// Close stops the listener and resets connections not yet accepted.
+func (l *listener) Close() error {
+	l.network.mu.Lock()
+	defer l.network.mu.Unlock()
+	l.closeLocked()
+	return nil
+}
+
+func (l *listener) closeLocked() {
+	if l.closed {
+		return
+	}
+	l.closed = true
+	delete(l.network.listeners, l.address.String())
+	for _, conn := range l.pending {
+		conn.resetLocked()
+	}
+	l.network.changed.Broadcast()
+}
+
+// Addr returns the address listened on.
+func (l *listener) Addr() net.Addr { return l.address }
