--- /dev/null
+++ b/entry/daemon/daemon.go
@@ -0,0 +1,214 @@
+// Package daemon assembles the supervisor tree of one instance.
+//
+// The children are the directories beside this one: platform, config, peer,
+// targets, proxy, directory and admin. fx builds them from the settings; the
+// supervisor runs those that have work of their own; the listeners hand
+// requests to the others.
+package daemon
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+
+	"crypto/rand"
+
+	"github.com/charmbracelet/log"
+	"github.com/gin-gonic/gin"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/primroseloom/primroseloom/entry/admin"
+	"github.com/primroseloom/primroseloom/entry/config"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/directory"
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/peer"
+	"github.com/primroseloom/primroseloom/entry/platform"
+	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/supervisor"
+	"github.com/primroseloom/primroseloom/entry/targets"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+// Daemon is one instance.
+type Daemon struct {
+	settings  settings.Settings
+	network   contract.Network
+	logger    *log.Logger
+	metrics   *metrics.Metrics
+	config    *config.Manager
+	peers     *peer.Manager
+	targets   *targets.Manager
+	proxy     *proxy.Proxy
+	directory *directory.Directory
+	admin     *admin.Admin
+}
+
+// New builds an instance; nothing runs before Run.
+func New(set settings.Settings, network contract.Network, logger *log.Logger) (*Daemon, error) {
+	built := &Daemon{settings: set, network: network, logger: logger}
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(logger),
+		fx.Provide(
+			func() contract.Network { return network },
+			func() contract.Platform { return platform.New(set.Platform, network) },
+			metrics.New,
+			config.New,
+			func(m *config.Manager) contract.Configuration { return m },
+			func() *peer.Manager {
+				return peer.New(set.Fleet, self(set), set.FirstPeers, network, logger)
+			},
+			func(m *peer.Manager) contract.Members { return m },
+			targets.New,
+			func(m *targets.Manager) contract.Targets { return m },
+			proxy.New,
+			directory.New,
+			newAdmin,
+		),
+		fx.Populate(&built.metrics, &built.config, &built.peers, &built.targets, &built.proxy, &built.directory, &built.admin),
+	)
+	if err := app.Err(); err != nil {
+		return nil, fmt.Errorf("assemble instance %s: %w", set.VM, err)
+	}
+	return built, nil
+}
+
+func newAdmin(members contract.Members, configuration contract.Configuration, m *metrics.Metrics) *admin.Admin {
+	return admin.New(members, configuration, nil, m.Handler())
+}
+
+// self describes this instance to its peers.
+func self(set settings.Settings) *primroseloomv1.Member {
+	var id [8]byte
+	_, _ = rand.Read(id[:])
+	return &primroseloomv1.Member{
+		Vm:             set.VM,
+		Instance:       binary.BigEndian.Uint64(id[:]),
+		Status:         primroseloomv1.MemberStatus_MEMBER_STATUS_ALIVE,
+		Region:         set.Region,
+		Zone:           set.Zone,
+		CallersAddress: set.Listen.Callers,
+		PeersAddress:   set.Listen.Peers,
+	}
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	listeners, err := d.listen(ctx)
+	if err != nil {
+		return err
+	}
+	tree := supervisor.New("primroseloomd", d.logger)
+	tree.Add("config", d.config)
+	tree.Add("peer", d.peers)
+	treeContext, stopTree := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopTree()
+	treeDone := make(chan error, 1)
+	go func() { treeDone <- tree.Run(treeContext) }()
+
+	callers := d.callerServer()
+	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
+	go serve(callers, listeners.callers)
+	go serve(operators, listeners.admin)
+	go func() { _ = d.peers.Serve(listeners.peers) }()
+	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
+
+	<-ctx.Done()
+	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
+	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Stop.Grace.Std())
+	defer cancel()
+	err = callers.Shutdown(grace)
+	_ = operators.Shutdown(grace)
+	stopTree()
+	<-treeDone
+	_ = listeners.peers.Close()
+	events.DaemonStopped.Log(d.logger, "vm", d.settings.VM)
+	return err
+}
+
+type listenerSet struct {
+	callers, peers, admin net.Listener
+}
+
+func (d *Daemon) listen(ctx context.Context) (listenerSet, error) {
+	var set listenerSet
+	var failures []error
+	for _, entry := range []struct {
+		address string
+		into    *net.Listener
+	}{
+		{d.settings.Listen.Callers, &set.callers},
+		{d.settings.Listen.Peers, &set.peers},
+		{d.settings.Listen.Admin, &set.admin},
+	} {
+		listener, err := d.network.Listen(ctx, entry.address)
+		failures = append(failures, err)
+		*entry.into = listener
+	}
+	if err := errors.Join(failures...); err != nil {
+		return set, fmt.Errorf("start instance %s: %w", d.settings.VM, err)
+	}
+	return set, nil
+}
+
+func serve(server *http.Server, listener net.Listener) {
+	_ = server.Serve(listener)
+}
+
+func (d *Daemon) callerServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           d.callerHandler(),
+		Protocols:         protocols,
+		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
+		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std(),
+		IdleTimeout:       d.settings.Limits.IdleTimeout.Std(),
+	}
+}
+
+// callerHandler sends requests for an IP address to the directory and all
+// others to the proxy.
+func (d *Daemon) callerHandler() http.Handler {
+	own := newEngine()
+	d.directory.Mount(own)
+	proxied := newEngine()
+	proxied.NoRoute(d.proxy.Handle)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if isIPHost(r.Host) {
+			own.ServeHTTP(w, r)
+			return
+		}
+		proxied.ServeHTTP(w, r)
+	})
+}
+
+func (d *Daemon) adminEngine() http.Handler {
+	engine := newEngine()
+	d.admin.Mount(engine)
+	return engine
+}
+
+func newEngine() *gin.Engine {
+	gin.SetMode(gin.ReleaseMode)
+	engine := gin.New()
+	engine.RedirectTrailingSlash = false
+	return engine
+}
+
+func isIPHost(host string) bool {
+	if _, err := netip.ParseAddrPort(host); err == nil {
+		return true
+	}
+	_, err := netip.ParseAddr(host)
+	return err == nil
+}
