--- a/config/document/document.go
+++ b/config/document/document.go
@@ -40,88 +40,88 @@
 
 // Deployment is everything an operator publishes.
 type Deployment struct {
-	Services  []Service  `json:"services"`
-	Routes    []Route    `json:"routes"`
-	Templates []Template `json:"templates"`
-	Customers []Customer `json:"customers"`
+	Services  []Service  `json:"services" validate:"required,min=1,dive"`
+	Routes    []Route    `json:"routes" validate:"required,min=1,dive"`
+	Templates []Template `json:"templates" validate:"dive"`
+	Customers []Customer `json:"customers" validate:"dive"`
 }
 
 // Service is a group of targets that run the same requests.
 type Service struct {
-	Name string `json:"name"`
+	Name string `json:"name" validate:"name"`
 	// Slots is the number of requests a target runs at a time.
-	Slots int `json:"slots"`
+	Slots int `json:"slots" validate:"min=1,max=100000"`
 	// MaxConnections is the number of connections a target accepts from the whole fleet.
-	MaxConnections int `json:"max_connections"`
+	MaxConnections int `json:"max_connections" validate:"min=1,max=1000000,gtefield=Slots"`
 	// FloorSlots is the healthy capacity that ejection must leave, in slots.
-	FloorSlots int `json:"floor_slots"`
+	FloorSlots int `json:"floor_slots" validate:"min=0"`
 	// Deadline bounds a request whose caller and template state none.
-	Deadline Duration `json:"deadline"`
+	Deadline Duration `json:"deadline" validate:"deadline"`
 	// Idempotent lists the requests that may run twice.
-	Idempotent []RequestRule `json:"idempotent"`
+	Idempotent []RequestRule `json:"idempotent" validate:"dive"`
 	// Shed is how a target says that it did not run a request.
 	Shed Signal `json:"shed"`
 	// Drain is how a target says that it is leaving.
 	Drain Signal `json:"drain"`
 	// HealthPath answers 200 while a target believes itself healthy; empty for none.
-	HealthPath string `json:"health_path,omitempty"`
+	HealthPath string `json:"health_path,omitempty" validate:"omitempty,startswith=/"`
 	// LoadPath answers the target's load report; empty for none.
-	LoadPath string `json:"load_path,omitempty"`
+	LoadPath string `json:"load_path,omitempty" validate:"omitempty,startswith=/"`
 	// Detection trades detection time against false ejections.
 	Detection Detection `json:"detection"`
-	Targets   []Target  `json:"targets"`
+	Targets   []Target  `json:"targets" validate:"required,min=1,dive"`
 }
 
 // Detection sets the trade between detection time and false ejections.
 type Detection struct {
 	// FalseEjectionsPerTargetMonth is the accepted rate of ejections of a healthy target.
-	FalseEjectionsPerTargetMonth float64 `json:"false_ejections_per_target_month"`
+	FalseEjectionsPerTargetMonth float64 `json:"false_ejections_per_target_month" validate:"gt=0,lte=1000"`
 }
 
 // RequestRule matches requests by method and path prefix.
 type RequestRule struct {
-	Method     string `json:"method"`
-	PathPrefix string `json:"path_prefix"`
+	Method     string `json:"method" validate:"oneof=GET HEAD OPTIONS PUT DELETE POST PATCH"`
+	PathPrefix string `json:"path_prefix" validate:"startswith=/"`
 }
 
 // Signal is a status together with a header field that must be present.
 type Signal struct {
-	Status int    `json:"status"`
-	Header string `json:"header"`
+	Status int    `json:"status" validate:"min=400,max=599"`
+	Header string `json:"header" validate:"headername"`
 }
 
 // Target is one upstream process.
 type Target struct {
-	Name string `json:"name"`
+	Name string `json:"name" validate:"name"`
 	// Address is "IP:port".
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
+	Address string `json:"address" validate:"ipport"`
+	Zone    string `json:"zone" validate:"name"`
 	// Leaving tells that the target is being taken away.
 	Leaving bool `json:"leaving,omitempty"`
 }
 
 // Route sends the requests of a host under a path prefix to a service.
 type Route struct {
-	Host       string `json:"host"`
-	PathPrefix string `json:"path_prefix"`
-	Service    string `json:"service"`
+	Host       string `json:"host" validate:"routehost"`
+	PathPrefix string `json:"path_prefix" validate:"startswith=/"`
+	Service    string `json:"service" validate:"required"`
 }
 
 // Template states what the fleet promises to each customer that uses it.
 type Template struct {
-	Name       string      `json:"name"`
-	Parameters []Parameter `json:"parameters"`
+	Name       string      `json:"name" validate:"name"`
+	Parameters []Parameter `json:"parameters" validate:"dive"`
 	// Services lists the services that its customers may use.
-	Services []string `json:"services"`
+	Services []string `json:"services" validate:"required,min=1,unique"`
 	// Limits holds a number, or a reference such as "${rate}", for each limit.
 	Limits TemplateLimits `json:"limits"`
 }
 
 // Parameter is a typed value that each customer may set.
 type Parameter struct {
-	Name string `json:"name"`
+	Name string `json:"name" validate:"parametername"`
 	// Type is "number", "integer" or "duration".
-	Type string `json:"type"`
+	Type string `json:"type" validate:"oneof=number integer duration"`
 	// Default applies when a customer does not set the parameter; required when nil.
 	Default json.RawMessage `json:"default,omitempty"`
 	Minimum json.RawMessage `json:"minimum,omitempty"`
@@ -131,94 +131,37 @@
 // TemplateLimits are the limits of a template before its parameters are filled in.
 type TemplateLimits struct {
 	// Rate is in requests a second over the whole fleet.
-	Rate json.RawMessage `json:"rate"`
+	Rate json.RawMessage `json:"rate" validate:"required"`
 	// Burst is in requests.
-	Burst json.RawMessage `json:"burst"`
+	Burst json.RawMessage `json:"burst" validate:"required"`
 	// Concurrency is the number of requests in progress over the whole fleet.
-	Concurrency json.RawMessage `json:"concurrency"`
+	Concurrency json.RawMessage `json:"concurrency" validate:"required"`
 	// Queue is the number of requests that may wait on one VM.
-	Queue json.RawMessage `json:"queue"`
+	Queue json.RawMessage `json:"queue" validate:"required"`
 	// Deadline bounds a request whose caller states none.
-	Deadline json.RawMessage `json:"deadline"`
+	Deadline json.RawMessage `json:"deadline" validate:"required"`
 	// RetryRatio is the number of retries allowed for each request.
-	RetryRatio json.RawMessage `json:"retry_ratio"`
+	RetryRatio json.RawMessage `json:"retry_ratio" validate:"required"`
 	// Weight is the customer's share when customers compete.
-	Weight json.RawMessage `json:"weight"`
+	Weight json.RawMessage `json:"weight" validate:"required"`
 }
 
 // Customer is one customer of a template.
 type Customer struct {
-	Name       string                     `json:"name"`
-	Template   string                     `json:"template"`
+	Name       string                     `json:"name" validate:"name"`
+	Template   string                     `json:"template" validate:"required"`
 	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
 	// CredentialDigests are the SHA-256 digests, in hex, of the customer's credentials.
-	CredentialDigests []string `json:"credential_digests"`
+	CredentialDigests []string `json:"credential_digests" validate:"required,min=1,max=16,unique,dive,sha256"`
 }
 
 // Limits are the limits of one customer after its parameters are filled in.
 type Limits struct {
-	Rate        float64  `json:"rate"`
-	Burst       float64  `json:"burst"`
-	Concurrency int      `json:"concurrency"`
-	Queue       int      `json:"queue"`
-	Deadline    Duration `json:"deadline"`
-	RetryRatio  float64  `json:"retry_ratio"`
-	Weight      float64  `json:"weight"`
-}
-
-// Root names everything that is in force at a generation.
-type Root struct {
-	// Generation grows with each publication and never repeats.
-	Generation uint64     `json:"generation"`
-	Shards     []ShardRef `json:"shards"`
-}
-
-// ShardRef names a shard by the SHA-256 digest of its content.
-type ShardRef struct {
-	Kind   ShardKind `json:"kind"`
-	Index  int       `json:"index"`
-	Digest string    `json:"digest"`
-	// Size is in bytes.
-	Size int `json:"size"`
-}
-
-// ShardKind tells what a shard holds.
-type ShardKind string
-
-// The kinds of shards.
-const (
-	ShardServices  ShardKind = "services"
-	ShardRoutes    ShardKind = "routes"
-	ShardTemplates ShardKind = "templates"
-	ShardCustomers ShardKind = "customers"
-)
-
-// Shard is the content of one published shard; one field is set, by its kind.
-type Shard struct {
-	Services  []Service  `json:"services,omitempty"`
-	Routes    []Route    `json:"routes,omitempty"`
-	Templates []Template `json:"templates,omitempty"`
-	Customers []Customer `json:"customers,omitempty"`
-}
-
-// MaxValueBytes is the largest value the platform holds.
-const MaxValueBytes = 1 << 20
-
-// Keys of the platform's values. A shard's key is ShardKeyPrefix and its digest.
-const (
-	RootKey        = "primroseloom/root"
-	ShardKeyPrefix = "primroseloom/shard/"
-	VMListKey      = "primroseloom/vms"
-)
-
-// VMList is the platform's lagging list of VMs.
-type VMList struct {
-	Entries []VMEntry `json:"entries"`
-}
-
-// VMEntry is one row of the VM list, for an entry VM or a target's VM.
-type VMEntry struct {
-	Name    string `json:"name"`
-	Address string `json:"address"`
-	Leaving bool   `json:"leaving,omitempty"`
+	Rate        float64  `json:"rate" validate:"gt=0,lte=1000000"`
+	Burst       float64  `json:"burst" validate:"gte=1,lte=1000000"`
+	Concurrency int      `json:"concurrency" validate:"min=1,max=1000000"`
+	Queue       int      `json:"queue" validate:"min=0,max=100000"`
+	Deadline    Duration `json:"deadline" validate:"deadline"`
+	RetryRatio  float64  `json:"retry_ratio" validate:"gte=0,lte=1"`
+	Weight      float64  `json:"weight" validate:"gt=0,lte=1000"`
 }
