--- a/config/render/render_test.go
+++ b/config/render/render_test.go
@@ -68,7 +68,7 @@
 
 func TestRenderRefusesAnOversizedValue(t *testing.T) {
 	deployment := examples.SoojaVee()
-	for range 12000 {
+	for range 20000 {
 		deployment.Services[0].Targets = append(deployment.Services[0].Targets, deployment.Services[0].Targets[0])
 	}
 	_, _, err := Render(deployment, 1)
