--- /dev/null
+++ b/config/template/template.go
@@ -0,0 +1,156 @@
+// Package template fills a customer template's limits with a customer's
+// parameters.
+//
+// A limit is a JSON value or a reference such as "${rate}" to a declared
+// parameter. A parameter's value comes from the customer, or else from the
+// parameter's default; it must have the declared type and lie in the declared
+// range. Both the check before publishing and the daemons resolve customers
+// through this package, so they agree on every customer.
+package template
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/primroseloom/primroseloom/config/document"
+)
+
+// Problem tells what is wrong with one value.
+type Problem struct {
+	// Path is relative to the customer or template, such as "parameters.rate".
+	Path string
+	// Value is the offending value as written.
+	Value string
+	// Allowed tells what the value may be.
+	Allowed string
+}
+
+// Error renders the problem in one line.
+func (p Problem) Error() string {
+	return fmt.Sprintf("%s: value %s: %s", p.Path, p.Value, p.Allowed)
+}
+
+// Join turns problems into one error, or nil when there are none.
+func Join(problems []Problem) error {
+	errs := make([]error, 0, len(problems))
+	for _, problem := range problems {
+		errs = append(errs, problem)
+	}
+	return errors.Join(errs...)
+}
+
+// Resolve returns the limits of a customer, or every problem found.
+func Resolve(customer document.Customer, template document.Template) (document.Limits, []Problem) {
+	resolver := resolver{set: customer.Parameters, declared: template.Parameters}
+	resolver.checkParameters()
+	var limits document.Limits
+	if len(resolver.problems) > 0 {
+		return limits, resolver.problems
+	}
+	for _, field := range Fields(&template.Limits, &limits) {
+		resolver.fill(field)
+	}
+	if len(resolver.problems) == 0 {
+		resolver.problems = CheckLimits(limits)
+	}
+	return limits, resolver.problems
+}
+
+// Field is one limit: its name, its value in the template and its place.
+type Field struct {
+	Name  string
+	Value json.RawMessage
+	into  any
+}
+
+// Fields lists the limits of a template in the order of the reference page.
+func Fields(raw *document.TemplateLimits, limits *document.Limits) []Field {
+	return []Field{
+		{"rate", raw.Rate, &limits.Rate},
+		{"burst", raw.Burst, &limits.Burst},
+		{"concurrency", raw.Concurrency, &limits.Concurrency},
+		{"queue", raw.Queue, &limits.Queue},
+		{"deadline", raw.Deadline, &limits.Deadline},
+		{"retry_ratio", raw.RetryRatio, &limits.RetryRatio},
+		{"weight", raw.Weight, &limits.Weight},
+	}
+}
+
+// Reference returns the parameter that a limit refers to.
+func Reference(value json.RawMessage) (string, bool) {
+	if len(value) == 0 || value[0] != '"' {
+		return "", false
+	}
+	var text string
+	if json.Unmarshal(value, &text) != nil {
+		return "", false
+	}
+	name, opened := strings.CutPrefix(text, "${")
+	name, closed := strings.CutSuffix(name, "}")
+	return name, opened && closed
+}
+
+type resolver struct {
+	set      map[string]json.RawMessage
+	declared []document.Parameter
+	problems []Problem
+}
+
+func (r *resolver) add(path string, value json.RawMessage, allowed string) {
+	r.problems = append(r.problems, Problem{Path: path, Value: string(value), Allowed: allowed})
+}
+
+// checkParameters checks the customer's values in order of name.
+func (r *resolver) checkParameters() {
+	names := make([]string, 0, len(r.set))
+	for name := range r.set {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		path := "parameters." + name
+		parameter, ok := r.find(name)
+		if !ok {
+			r.add(path, r.set[name], "the template declares no such parameter")
+			continue
+		}
+		if err := CheckValue(parameter, r.set[name]); err != nil {
+			r.add(path, r.set[name], err.Error())
+		}
+	}
+}
+
+func (r *resolver) find(name string) (document.Parameter, bool) {
+	at := slices.IndexFunc(r.declared, func(p document.Parameter) bool { return p.Name == name })
+	if at < 0 {
+		return document.Parameter{}, false
+	}
+	return r.declared[at], true
+}
+
+func (r *resolver) fill(field Field) {
+	value := field.Value
+	path := "limits." + field.Name
+	if name, ok := Reference(value); ok {
+		parameter, declared := r.find(name)
+		if !declared {
+			r.add(path, value, "the template declares no such parameter")
+			return
+		}
+		given, set := r.set[name]
+		value = given
+		if !set {
+			value = parameter.Default
+		}
+		if value == nil {
+			r.add("parameters."+name, nil, "required: the template gives no default")
+			return
+		}
+	}
+	if err := json.Unmarshal(value, field.into); err != nil {
+		r.add(path, value, fmt.Sprintf("wrong type: %v", err))
+	}
+}
--- /dev/null
+++ b/config/template/value.go
@@ -0,0 +1,78 @@
+package template
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+
+	"github.com/go-playground/validator/v10"
+
+	"github.com/primroseloom/primroseloom/config/document"
+)
+
+// ErrType is the cause of every problem with a parameter's type.
+var ErrType = errors.New("wrong type")
+
+// CheckValue checks a value against the type and range of a parameter.
+func CheckValue(parameter document.Parameter, value json.RawMessage) error {
+	number, err := measure(parameter.Type, value)
+	if err != nil {
+		return err
+	}
+	if parameter.Minimum != nil {
+		if minimum, err := measure(parameter.Type, parameter.Minimum); err == nil && number < minimum {
+			return fmt.Errorf("at least %s", parameter.Minimum)
+		}
+	}
+	if parameter.Maximum != nil {
+		if maximum, err := measure(parameter.Type, parameter.Maximum); err == nil && number > maximum {
+			return fmt.Errorf("at most %s", parameter.Maximum)
+		}
+	}
+	return nil
+}
+
+// measure reads a value of a type as a number; durations are in nanoseconds.
+func measure(kind string, value json.RawMessage) (float64, error) {
+	if kind == "duration" {
+		var duration document.Duration
+		if json.Unmarshal(value, &duration) != nil {
+			return 0, fmt.Errorf("%w: want a duration such as \"250ms\"", ErrType)
+		}
+		return float64(duration), nil
+	}
+	var number *float64
+	if json.Unmarshal(value, &number) != nil || number == nil {
+		return 0, fmt.Errorf("%w: want a %s", ErrType, kind)
+	}
+	if kind == "integer" && *number != math.Trunc(*number) {
+		return 0, fmt.Errorf("%w: want a whole number", ErrType)
+	}
+	return *number, nil
+}
+
+var limitsValidator = NewValidator()
+
+// CheckLimits checks filled-in limits against the bounds of each limit.
+func CheckLimits(limits document.Limits) []Problem {
+	return CheckStruct(limitsValidator, limits, "limits")
+}
+
+// CheckStruct runs the validator's rules; paths begin with the given prefix.
+func CheckStruct(check *validator.Validate, value any, prefix string) []Problem {
+	err := check.Struct(value)
+	var failed validator.ValidationErrors
+	if !errors.As(err, &failed) {
+		return nil
+	}
+	problems := make([]Problem, 0, len(failed))
+	for _, field := range failed {
+		problems = append(problems, Problem{
+			Path:    path(prefix, field.Namespace()),
+			Value:   fmt.Sprint(field.Value()),
+			Allowed: allowed(field),
+		})
+	}
+	return problems
+}
