Run the whole thin path: two binaries, callers, stand-ins and the demo

Conclusion: the path stands; health decisions, pooled connections and at most once follow in the packages behind entry/contract.

--- /dev/null
+++ b/cmd/primroseloom/check.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/primroseloom/primroseloom/config/check"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/operator/exit"
+)
+
+// checked is the machine-readable result for one file.
+type checked struct {
+	File     string          `json:"file"`
+	OK       bool            `json:"ok"`
+	Problems []check.Problem `json:"problems"`
+}
+
+func newCheck() *cobra.Command {
+	var asJSON, asSettings bool
+	command := &cobra.Command{
+		Use:   "check FILE...",
+		Short: "Check deployments, or settings of VMs, before they are published",
+		Long:  "Check deployments (services, routes, templates and customers), or with\n--settings the settings of VMs. All problems are told at once; exits with 1 if there are any.",
+		Example: "  primroseloom check deployment.json\n" +
+			"  primroseloom check --settings vm-1.json vm-2.json --json",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(command *cobra.Command, files []string) error {
+			failed := 0
+			for _, file := range files {
+				result, err := checkFile(file, asSettings)
+				if err != nil {
+					return err
+				}
+				if !result.OK {
+					failed++
+				}
+				if err := writeChecked(command, result, asJSON); err != nil {
+					return err
+				}
+			}
+			if failed > 0 {
+				return exit.FellShort("%d of %d files are not fit to publish", failed, len(files))
+			}
+			return nil
+		},
+	}
+	command.Flags().BoolVar(&asJSON, "json", false, "print one line of JSON a file")
+	command.Flags().BoolVar(&asSettings, "settings", false, "the files are settings of VMs")
+	return command
+}
+
+func checkFile(file string, asSettings bool) (checked, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return checked{}, fmt.Errorf("read %s: %w", file, err)
+	}
+	result := checked{File: file, Problems: []check.Problem{}}
+	if asSettings {
+		result.Problems = append(result.Problems, settingsProblems(content)...)
+	} else {
+		_, problems := check.Parse(content)
+		result.Problems = append(result.Problems, problems...)
+	}
+	result.OK = len(result.Problems) == 0
+	return result, nil
+}
+
+// settingsProblems renders the faults of settings as problems.
+func settingsProblems(content []byte) []check.Problem {
+	_, err := settings.Parse(content)
+	if err == nil {
+		return nil
+	}
+	faults, ok := err.(settings.Faults)
+	if !ok {
+		return []check.Problem{{Path: "", Value: "", Allowed: err.Error()}}
+	}
+	var problems []check.Problem
+	for _, fault := range faults {
+		problems = append(problems, check.Problem(fault))
+	}
+	return problems
+}
+
+func writeChecked(command *cobra.Command, result checked, asJSON bool) error {
+	out := command.OutOrStdout()
+	if asJSON {
+		return writeJSON(out, result)
+	}
+	if result.OK {
+		_, err := fmt.Fprintf(out, "%s: ok\n", result.File)
+		return err
+	}
+	for _, problem := range result.Problems {
+		if _, err := fmt.Fprintf(out, "%s: %v\n", result.File, problem); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/primroseloom/demo.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/primroseloom/primroseloom/operator/demo"
+	"github.com/primroseloom/primroseloom/operator/exit"
+)
+
+func newDemo() *cobra.Command {
+	const defaultDuration = 20 * time.Second
+	var duration time.Duration
+	var asJSON bool
+	command := &cobra.Command{
+		Use:   "demo",
+		Short: "Run the whole path in one process and check its promises",
+		Long:  "Run entry VMs, stand-ins and callers in one process, turn one target gray,\nreplace one entry VM, and compare what callers were told with what ran.\nExits with 1 when something promised was broken.",
+		Example: "  primroseloom demo\n" +
+			"  primroseloom demo --duration 60s --json",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options := demo.Options{Duration: duration}
+			if !asJSON {
+				options.Narration = command.OutOrStdout()
+			}
+			report, err := demo.Run(command.Context(), options)
+			if err != nil {
+				return err
+			}
+			if err := writeDemo(command.OutOrStdout(), report, asJSON); err != nil {
+				return err
+			}
+			if len(report.Broken) > 0 {
+				return exit.FellShort("broken: %s", strings.Join(report.Broken, "; "))
+			}
+			return nil
+		},
+	}
+	command.Flags().DurationVar(&duration, "duration", defaultDuration, "time under load")
+	command.Flags().BoolVar(&asJSON, "json", false, "print only the result, as one line of JSON")
+	return command
+}
+
+func writeDemo(out io.Writer, report demo.Report, asJSON bool) error {
+	if asJSON {
+		return writeJSON(out, report)
+	}
+	_, err := fmt.Fprintf(out, `
+requests        %d: %d answered, %d not run, %d may have run
+broken          %d wrong, %d truncated, %d ran twice, %d told not run but ran, %d unanswered
+gray target     last request of the first burst after %.0f ms, %d false ejections
+added latency   p50 %.2f ms, p99 %.2f ms
+configuration   in force everywhere after %.0f ms, %.1f platform calls/s
+`,
+		report.Requests, report.Answered, report.NotRun, report.MayHaveRun,
+		report.WrongAnswers, report.Truncated, report.RanTwice, report.NotRunButRan, report.Unanswered,
+		report.DetectionMs, report.FalseEjections,
+		report.AddedMs.P50, report.AddedMs.P99,
+		report.ConfigInForceMs, report.PlatformCallsPerS)
+	return err
+}
--- a/cmd/primroseloom/main.go
+++ b/cmd/primroseloom/main.go
@@ -1,4 +1,10 @@
-// Command primroseloom is wired in main.
+// Command primroseloom is the operators' tool.
 package main
 
-func main() {}
+import (
+	"github.com/primroseloom/primroseloom/operator/exit"
+)
+
+func main() {
+	exit.Main(newRoot().Execute)
+}
--- /dev/null
+++ b/cmd/primroseloom/standin.go
@@ -0,0 +1,117 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/primroseloom/primroseloom/standin/platform"
+	"github.com/primroseloom/primroseloom/standin/publisher"
+	"github.com/primroseloom/primroseloom/standin/target"
+)
+
+func newStandin() *cobra.Command {
+	command := &cobra.Command{
+		Use:     "standin",
+		Short:   "Run a stand-in of the platform or of targets",
+		Example: "  primroseloom standin platform --help\n  primroseloom standin target --help",
+		Args:    cobra.NoArgs,
+		RunE:    func(command *cobra.Command, _ []string) error { return command.Help() },
+	}
+	command.AddCommand(newStandinPlatform(), newStandinTarget())
+	return command
+}
+
+func newStandinPlatform() *cobra.Command {
+	var listen, file string
+	command := &cobra.Command{
+		Use:     "platform --listen IP:PORT --deployment FILE",
+		Short:   "Publish a deployment for reading and watching",
+		Long:    "Publish a deployment for reading and watching. The file is published again, as\nthe next generation, whenever it changes; a deployment that does not pass check\nis not published.",
+		Example: "  primroseloom standin platform --listen 127.0.0.1:7000 --deployment deployment.json",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, stop := untilSignal(command.Context())
+			defer stop()
+			store := platform.New()
+			go publisher.New(store, file, command.ErrOrStderr()).Run(ctx)
+			return listenAndServe(ctx, listen, store.Handler())
+		},
+	}
+	command.Flags().StringVar(&listen, "listen", "", "address to listen on")
+	command.Flags().StringVar(&file, "deployment", "", "deployment file to publish")
+	_ = command.MarkFlagRequired("listen")
+	_ = command.MarkFlagRequired("deployment")
+	return command
+}
+
+func newStandinTarget() *cobra.Command {
+	var listen []string
+	var name, control string
+	var options target.Options
+	var took time.Duration
+	command := &cobra.Command{
+		Use:   "target --listen IP:PORT...",
+		Short: "Run stand-ins of targets, with faults on demand",
+		Long:  "Run one stand-in of a target for each address. Faults are read and set with GET\nand PUT of /faults on the control address; see docs/STANDINS.md.",
+		Example: "  primroseloom standin target --listen 127.0.0.1:7101 --listen 127.0.0.1:7102 --control 127.0.0.1:7100\n" +
+			"  curl -X PUT 'http://127.0.0.1:7100/faults?target=target-1' -d '{\"slow_factor\":10}'",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, stop := untilSignal(command.Context())
+			defer stop()
+			options.ServiceTime = func() time.Duration { return took }
+			group := target.NewGroup()
+			for i, address := range listen {
+				each := options
+				each.Name = fmt.Sprintf("%s-%d", name, i+1)
+				if err := group.Start(ctx, each, address); err != nil {
+					return err
+				}
+			}
+			if control == "" {
+				<-ctx.Done()
+				return nil
+			}
+			return listenAndServe(ctx, control, group.Handler())
+		},
+	}
+	flags := command.Flags()
+	flags.StringSliceVar(&listen, "listen", nil, "address of one target; may be repeated")
+	flags.StringVar(&control, "control", "", "address for faults and records")
+	flags.StringVar(&name, "name", "target", "start of the targets' names")
+	flags.IntVar(&options.Slots, "slots", 3, "requests a target runs at a time")
+	flags.IntVar(&options.Queue, "queue", 3, "requests that may wait at a target")
+	flags.IntVar(&options.MaxConnections, "max-connections", 330, "connections a target accepts")
+	flags.DurationVar(&took, "service-time", 5*time.Millisecond, "time a request takes")
+	flags.DurationVar(&options.ColdFor, "cold-for", 0, "time after the start during which a target is slow")
+	flags.Float64Var(&options.ColdFactor, "cold-factor", 1, "factor on the service time of a cold target")
+	_ = command.MarkFlagRequired("listen")
+	return command
+}
+
+// untilSignal returns a context that ends with SIGTERM or SIGINT.
+func untilSignal(ctx context.Context) (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+}
+
+// listenAndServe serves a handler until the context ends.
+func listenAndServe(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen on %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler}
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	if err := server.Serve(listener); ctx.Err() == nil {
+		return fmt.Errorf("serve on %s: %w", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/primroseloomd/commands.go
@@ -0,0 +1,148 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/charmbracelet/log"
+	"github.com/spf13/cobra"
+
+	"github.com/primroseloom/primroseloom/entry/daemon"
+	"github.com/primroseloom/primroseloom/entry/network"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/operator/exit"
+)
+
+func newRoot() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "primroseloomd",
+		Short:         "The primroseloom daemon of one entry VM",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(newServe(), newCheck(), newVersion())
+	return root
+}
+
+func newServe() *cobra.Command {
+	var file string
+	command := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Serve callers until told to stop",
+		Long:    "Serve callers until told to stop.\n\nSIGTERM or SIGINT begins a planned stop, which finishes every request in progress.\nA second signal stops at once.",
+		Example: "  primroseloomd serve --settings vm-1.json",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			set, err := readSettings(file)
+			if err != nil {
+				return err
+			}
+			return serve(command.Context(), set)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "", "settings file of this VM (JSON)")
+	_ = command.MarkFlagRequired("settings")
+	return command
+}
+
+func newCheck() *cobra.Command {
+	var file string
+	var asJSON bool
+	command := &cobra.Command{
+		Use:     "check --settings FILE",
+		Short:   "Check a settings file without serving",
+		Example: "  primroseloomd check --settings vm-1.json\n  primroseloomd check --settings vm-1.json --json",
+		Args:    cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			_, err := readSettings(file)
+			return reportCheck(command.OutOrStdout(), file, asJSON, err)
+		},
+	}
+	command.Flags().StringVar(&file, "settings", "", "settings file to check (JSON)")
+	command.Flags().BoolVar(&asJSON, "json", false, "print the result as JSON")
+	_ = command.MarkFlagRequired("settings")
+	return command
+}
+
+// checkResult is the machine-readable result of check.
+type checkResult struct {
+	File   string          `json:"file"`
+	OK     bool            `json:"ok"`
+	Faults settings.Faults `json:"faults"`
+}
+
+func reportCheck(out io.Writer, file string, asJSON bool, err error) error {
+	if asJSON {
+		result := checkResult{File: file, OK: err == nil, Faults: settings.Faults{}}
+		errors.As(err, &result.Faults)
+		if encodeErr := json.NewEncoder(out).Encode(result); encodeErr != nil {
+			return encodeErr
+		}
+		return err
+	}
+	if err == nil {
+		_, _ = fmt.Fprintf(out, "%s: ok\n", file)
+	}
+	return err
+}
+
+func newVersion() *cobra.Command {
+	return &cobra.Command{
+		Use:   "version",
+		Short: "Print the version",
+		Args:  cobra.NoArgs,
+		Run: func(command *cobra.Command, _ []string) {
+			_, _ = fmt.Fprintln(command.OutOrStdout(), "primroseloomd", version())
+		},
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version + " " + info.GoVersion
+}
+
+func readSettings(file string) (settings.Settings, error) {
+	content, err := os.ReadFile(file)
+	if err != nil {
+		return settings.Settings{}, fmt.Errorf("read settings: %w", err)
+	}
+	set, err := settings.Parse(content)
+	if err != nil {
+		return settings.Settings{}, fmt.Errorf("settings %s:\n%w", file, err)
+	}
+	return set, nil
+}
+
+// serve runs the instance; the first signal stops it as planned and a second
+// one ends the process at once.
+func serve(ctx context.Context, set settings.Settings) error {
+	level, err := log.ParseLevel(set.LogLevel)
+	if err != nil {
+		return fmt.Errorf("log level: %w", err)
+	}
+	logger := log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	instance, err := daemon.New(set, network.OS{}, logger)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	context.AfterFunc(ctx, func() {
+		stop()
+		signal.Reset(syscall.SIGTERM, os.Interrupt)
+	})
+	if err := instance.Run(ctx); err != nil {
+		return exit.FellShort("serve: %w", err)
+	}
+	return nil
+}
--- a/cmd/primroseloomd/main.go
+++ b/cmd/primroseloomd/main.go
@@ -1,4 +1,10 @@
-// Command primroseloomd is wired in main.
+// Command primroseloomd is the daemon that runs on each entry VM.
 package main
 
-func main() {}
+import (
+	"github.com/primroseloom/primroseloom/operator/exit"
+)
+
+func main() {
+	exit.Main(newRoot().Execute)
+}
--- /dev/null
+++ b/operator/fleetview/fleetview.go
@@ -0,0 +1,68 @@
+// Package fleetview reads an instance's admin listener for operators.
+package fleetview
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/admin"
+	"github.com/primroseloom/primroseloom/entry/contract"
+)
+
+// timeout bounds one query of an instance.
+const timeout = 5 * time.Second
+
+// Status asks an instance what it knows of the fleet; address is "IP:port" of
+// its admin listener.
+func Status(ctx context.Context, address string) (admin.Status, error) {
+	var status admin.Status
+	err := get(ctx, address, "/v1/status", &status)
+	return status, err
+}
+
+// Explain asks an instance for its findings about a subject.
+func Explain(ctx context.Context, address, subject string) ([]contract.Finding, error) {
+	var findings []contract.Finding
+	err := get(ctx, address, "/v1/explain?subject="+url.QueryEscape(subject), &findings)
+	return findings, err
+}
+
+// Behind returns the members whose generation is older than the newest, newest
+// generation first known to the instance asked.
+func Behind(status admin.Status) (newest uint64, behind []admin.MemberStatus) {
+	newest = status.Generation
+	for _, member := range status.Members {
+		newest = max(newest, member.Generation)
+	}
+	for _, member := range status.Members {
+		if member.Generation < newest {
+			behind = append(behind, member)
+		}
+	}
+	return newest, behind
+}
+
+func get(ctx context.Context, address, path string, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("ask %s: %w", address, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("ask %s for %s: status %d", address, path, response.StatusCode)
+	}
+	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
+		return fmt.Errorf("read answer of %s: %w", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/standin/publisher/publisher.go
@@ -0,0 +1,92 @@
+// Package publisher renders a deployment file into the platform stand-in, and
+// again whenever the file changes.
+package publisher
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/check"
+	"github.com/primroseloom/primroseloom/config/render"
+)
+
+// pollInterval is how often the file is looked at.
+const pollInterval = 200 * time.Millisecond
+
+// Store takes the values of one generation.
+type Store interface {
+	Publish(shards map[string][]byte, root []byte)
+}
+
+// Publisher watches one file.
+type Publisher struct {
+	store  Store
+	file   string
+	report io.Writer
+
+	content    []byte
+	generation uint64
+}
+
+// New returns a publisher that reports to a person on report.
+func New(store Store, file string, report io.Writer) *Publisher {
+	return &Publisher{store: store, file: file, report: report}
+}
+
+// Run publishes until the context ends.
+func (p *Publisher) Run(ctx context.Context) {
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	for {
+		if err := p.publishIfChanged(); err != nil {
+			_, _ = fmt.Fprintln(p.report, "not published:", err)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Publisher) publishIfChanged() error {
+	content, err := os.ReadFile(p.file)
+	if err != nil {
+		return fmt.Errorf("read %s: %w", p.file, err)
+	}
+	if bytes.Equal(content, p.content) {
+		return nil
+	}
+	p.content = content
+	return p.publish(content)
+}
+
+func (p *Publisher) publish(content []byte) error {
+	deployment, problems := check.Parse(content)
+	if len(problems) > 0 {
+		failures := make([]error, 0, len(problems))
+		for _, problem := range problems {
+			failures = append(failures, problem)
+		}
+		return fmt.Errorf("%s:\n%w", p.file, errors.Join(failures...))
+	}
+	generation := max(p.generation+1, uint64(time.Now().UnixMilli()))
+	root, shards, err := render.Render(deployment, generation)
+	if err != nil {
+		return fmt.Errorf("render %s: %w", p.file, err)
+	}
+	rootContent, err := json.Marshal(root)
+	if err != nil {
+		return fmt.Errorf("write root of %s: %w", p.file, err)
+	}
+	p.generation = generation
+	p.store.Publish(shards, rootContent)
+	_, _ = fmt.Fprintf(p.report, "published generation %d of %s\n", generation, p.file)
+	return nil
+}
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -31,6 +31,9 @@
 }
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
+	if t.onRequest != nil {
+		t.onRequest()
+	}
 	faults := t.activeFaults()
 	if t.refuseDraining(w) {
 		return
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -54,6 +54,8 @@
 	kept     []keptAnswer
 	conns    map[connection]struct{}
 	reported loadReport
+	// onRequest is called when a request arrives, before anything else.
+	onRequest func()
 }
 
 // loadReport is what the load endpoint last told.
@@ -87,6 +89,10 @@
 // Name returns the target's name.
 func (t *Target) Name() string { return t.options.Name }
 
+// OnRequest sets a function that is called at the arrival of each request; it
+// is set before the target serves.
+func (t *Target) OnRequest(notify func()) { t.onRequest = notify }
+
 // Drain makes the target refuse new work and say that it leaves.
 func (t *Target) Drain() {
 	t.mu.Lock()
