--- a/config/check/check.go
+++ b/config/check/check.go
@@ -68,6 +68,11 @@
 	return convert(template.CheckStruct(structure, route, ""))
 }
 
+// Customer judges the fields of one customer; paths are relative to it.
+func Customer(customer document.Customer) []Problem {
+	return convert(template.CheckStruct(structure, customer, ""))
+}
+
 func fields(deployment document.Deployment) []Problem {
 	return convert(template.CheckStruct(structure, deployment, ""))
 }
--- a/config/document/document.go
+++ b/config/document/document.go
@@ -59,16 +59,16 @@
 	Deadline Duration `json:"deadline" validate:"deadline"`
 	// Idempotent lists the requests that may run twice.
 	Idempotent []RequestRule `json:"idempotent" validate:"dive"`
-	// Shed is how a target says that it did not run a request.
-	Shed Signal `json:"shed"`
-	// Drain is how a target says that it is leaving.
-	Drain Signal `json:"drain"`
+	// Shed is how a target says that it did not run a request; zero for never.
+	Shed Signal `json:"shed" validate:"omitempty"`
+	// Drain is how a target says that it is leaving; zero for never.
+	Drain Signal `json:"drain" validate:"omitempty"`
 	// HealthPath answers 200 while a target believes itself healthy; empty for none.
 	HealthPath string `json:"health_path,omitempty" validate:"omitempty,startswith=/"`
 	// LoadPath answers the target's load report; empty for none.
 	LoadPath string `json:"load_path,omitempty" validate:"omitempty,startswith=/"`
-	// Detection trades detection time against false ejections.
-	Detection Detection `json:"detection"`
+	// Detection trades detection time against false ejections; zero for the default.
+	Detection Detection `json:"detection" validate:"omitempty"`
 	Targets   []Target  `json:"targets" validate:"required,min=1,dive"`
 }
 
--- /dev/null
+++ b/config/snapshot/customers.go
@@ -0,0 +1,347 @@
+package snapshot
+
+import (
+	"cmp"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/primroseloom/primroseloom/config/check"
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/config/template"
+)
+
+var (
+	errUnknownTemplate = errors.New("names a template that does not exist")
+	errCredentialTaken = errors.New("a credential belongs to another customer")
+	errBadCredential   = errors.New("a credential digest is no SHA-256 in hex")
+)
+
+// compiledTemplate is a template with what its customers share.
+type compiledTemplate struct {
+	document.Template
+	digest   string
+	services map[string]bool
+}
+
+// templates takes over each template; its customers are validated one by one.
+func (c *compiler) templates() {
+	if !c.changed[document.ShardTemplates] {
+		c.next.templates = c.previous.templates
+		c.next.rejected[document.ShardTemplates] = c.previous.rejected[document.ShardTemplates]
+		return
+	}
+	for _, shard := range c.parsed {
+		for _, definition := range shard.Templates {
+			c.addTemplate(definition)
+		}
+	}
+}
+
+func (c *compiler) addTemplate(definition document.Template) {
+	if _, ok := c.next.templates[definition.Name]; ok {
+		c.reject(document.ShardTemplates, definition.Name, errDuplicate, false)
+		return
+	}
+	compiled := compileTemplate(definition)
+	if last, ok := c.previous.templates[definition.Name]; ok && last.digest == compiled.digest {
+		compiled = last
+	}
+	c.next.templates[definition.Name] = compiled
+}
+
+func compileTemplate(definition document.Template) *compiledTemplate {
+	content, err := json.Marshal(definition)
+	if err != nil {
+		content = nil
+	}
+	services := make(map[string]bool, len(definition.Services))
+	for _, service := range definition.Services {
+		services[service] = true
+	}
+	return &compiledTemplate{Template: definition, digest: document.Digest(content), services: services}
+}
+
+// customers applies the customers that differ from the snapshot before.
+func (c *compiler) customers() error {
+	if !c.changed[document.ShardCustomers] && !c.changed[document.ShardTemplates] {
+		c.takeOverCustomers()
+		return nil
+	}
+	removed, err := c.removedNames()
+	if err != nil {
+		return err
+	}
+	definitions, err := c.changedCustomers(removed)
+	if err != nil {
+		return err
+	}
+	edit := &customerEdit{
+		compiler:     c,
+		customers:    c.previous.customers.edit(),
+		byCredential: c.previous.byCredential.edit(),
+		applied:      make(map[string]bool, len(definitions)),
+		removed:      removed,
+	}
+	edit.release(removed, definitions)
+	for _, definition := range definitions {
+		edit.apply(definition)
+	}
+	c.next.customers = edit.customers.next
+	c.next.byCredential = edit.byCredential.next
+	return nil
+}
+
+func (c *compiler) takeOverCustomers() {
+	c.next.customers = c.previous.customers
+	c.next.byCredential = c.previous.byCredential
+	c.next.refused = c.previous.refused
+	c.next.duplicates = c.previous.duplicates
+	c.next.rejected[document.ShardCustomers] = c.previous.rejected[document.ShardCustomers]
+}
+
+// removedNames returns the customers of the shards that are no longer named.
+func (c *compiler) removedNames() (map[string]bool, error) {
+	removed := make(map[string]bool)
+	for digest, held := range c.previous.parts {
+		_, kept := c.next.parts[digest]
+		if held.ref.Kind != document.ShardCustomers || (kept && !c.rebuildCustomers()) {
+			continue
+		}
+		shard, err := document.ParseShard(held.ref, held.content)
+		if err != nil {
+			return nil, err
+		}
+		for _, customer := range shard.Customers {
+			removed[customer.Name] = true
+		}
+	}
+	return removed, nil
+}
+
+// changedCustomers returns, in order of name, the customers of new shards,
+// those whose template changed and those refused before.
+func (c *compiler) changedCustomers(removed map[string]bool) ([]document.Customer, error) {
+	var definitions []document.Customer
+	for _, shard := range c.parsed {
+		definitions = append(definitions, shard.Customers...)
+	}
+	if c.rebuildCustomers() {
+		return sortByName(definitions), nil
+	}
+	if c.templatesChanged() {
+		affected, err := c.customersOfChangedTemplates()
+		if err != nil {
+			return nil, err
+		}
+		definitions = append(definitions, affected...)
+	} else {
+		for name, definition := range c.previous.refused {
+			if !removed[name] {
+				definitions = append(definitions, definition)
+			}
+		}
+	}
+	return sortByName(definitions), nil
+}
+
+// rebuildCustomers tells that all customers are applied anew, since a name
+// that two shards define cannot be followed shard by shard.
+func (c *compiler) rebuildCustomers() bool {
+	return c.previous.duplicates && c.changed[document.ShardCustomers]
+}
+
+func sortByName(definitions []document.Customer) []document.Customer {
+	byName := func(a, b document.Customer) int { return cmp.Compare(a.Name, b.Name) }
+	slices.SortStableFunc(definitions, byName)
+	return definitions
+}
+
+func (c *compiler) templatesChanged() bool {
+	return !maps.Equal(c.previous.templates, c.next.templates)
+}
+
+func (c *compiler) customersOfChangedTemplates() ([]document.Customer, error) {
+	var affected []document.Customer
+	for digest, held := range c.next.parts {
+		_, kept := c.previous.parts[digest]
+		if !kept || held.ref.Kind != document.ShardCustomers {
+			continue
+		}
+		shard, err := document.ParseShard(held.ref, held.content)
+		if err != nil {
+			return nil, err
+		}
+		for _, customer := range shard.Customers {
+			_, refused := c.previous.refused[customer.Name]
+			if refused || c.previous.templates[customer.Template] != c.next.templates[customer.Template] {
+				affected = append(affected, customer)
+			}
+		}
+	}
+	return affected, nil
+}
+
+// customerEdit changes the tables of customers and credentials.
+type customerEdit struct {
+	compiler     *compiler
+	customers    *tableEditor[string, *Customer]
+	byCredential *tableEditor[credential, *Customer]
+	applied      map[string]bool
+	removed      map[string]bool
+}
+
+// release takes out the customers that are gone, and the credentials that
+// stand no longer in their customers' definitions, so that others may use them.
+func (e *customerEdit) release(removed map[string]bool, definitions []document.Customer) {
+	stays := make(map[string]document.Customer, len(definitions))
+	for _, definition := range definitions {
+		stays[definition.Name] = definition
+	}
+	for name := range removed {
+		customer, held := e.customers.get(name)
+		definition, defined := stays[name]
+		if !held {
+			continue
+		}
+		keep, err := parseCredentials(definition.CredentialDigests)
+		if !defined || err == nil {
+			e.revoke(customer, keep)
+		}
+		if !defined {
+			e.customers.remove(name)
+		}
+	}
+}
+
+// revoke frees the credentials of a customer that are not among those kept.
+func (e *customerEdit) revoke(customer *Customer, keep []credential) {
+	for _, held := range customer.credentials {
+		owner, ok := e.byCredential.get(held)
+		if ok && owner.Name == customer.Name && !slices.Contains(keep, held) {
+			e.byCredential.remove(held)
+		}
+	}
+}
+
+// apply validates a definition and puts it in force, or lists its rejection.
+func (e *customerEdit) apply(definition document.Customer) {
+	last, held := e.customers.get(definition.Name)
+	if e.applied[definition.Name] || e.standsElsewhere(definition.Name, held) {
+		e.compiler.next.duplicates = true
+		e.compiler.reject(document.ShardCustomers, definition.Name, errDuplicate, held)
+		return
+	}
+	e.applied[definition.Name] = true
+	credentials, credentialErr := e.credentials(definition)
+	customer, limitsErr := e.resolve(definition)
+	err := errors.Join(limitsErr, credentialErr)
+	if err != nil {
+		e.compiler.next.refused[definition.Name] = definition
+		e.compiler.reject(document.ShardCustomers, definition.Name, err, held)
+		if !held {
+			return
+		}
+		kept := *last
+		customer = &kept
+	}
+	customer.credentials = credentials
+	if credentialErr != nil {
+		customer.credentials = e.stillOwned(last, customer)
+	}
+	e.install(last, customer)
+}
+
+// standsElsewhere tells that a shard which has not changed holds the name too.
+func (e *customerEdit) standsElsewhere(name string, held bool) bool {
+	if !held || e.removed[name] {
+		return false
+	}
+	if _, refused := e.compiler.previous.refused[name]; refused {
+		return false
+	}
+	return !e.compiler.templatesChanged()
+}
+
+func (e *customerEdit) stillOwned(last, customer *Customer) []credential {
+	owned := make([]credential, 0)
+	if last == nil {
+		return owned
+	}
+	for _, key := range last.credentials {
+		owner, ok := e.byCredential.get(key)
+		if ok && owner.Name == customer.Name {
+			owned = append(owned, key)
+		}
+	}
+	return owned
+}
+
+// install puts a customer in force; an equal one keeps its identity.
+func (e *customerEdit) install(last, customer *Customer) {
+	if last != nil && equalCustomers(last, customer) {
+		customer = last
+	}
+	if last != customer {
+		e.customers.set(customer.Name, customer)
+	}
+	for _, key := range customer.credentials {
+		if owner, ok := e.byCredential.get(key); !ok || owner != customer {
+			e.byCredential.set(key, customer)
+		}
+	}
+}
+
+func equalCustomers(a, b *Customer) bool {
+	return a.Template == b.Template && a.Limits == b.Limits &&
+		maps.Equal(a.Services, b.Services) && slices.Equal(a.credentials, b.credentials)
+}
+
+// resolve fills in the limits of a customer.
+func (e *customerEdit) resolve(definition document.Customer) (*Customer, error) {
+	compiled, ok := e.compiler.next.templates[definition.Template]
+	if !ok {
+		return nil, fmt.Errorf("%w: %s", errUnknownTemplate, definition.Template)
+	}
+	if err := joinProblems(check.Customer(definition)); err != nil {
+		return nil, err
+	}
+	limits, problems := template.Resolve(definition, compiled.Template)
+	if len(problems) > 0 {
+		return nil, template.Join(problems)
+	}
+	customer := &Customer{Name: definition.Name, Template: compiled.Name, Limits: limits, Services: compiled.services}
+	return customer, nil
+}
+
+// credentials reads the digests of a definition; each must be free or its own.
+func (e *customerEdit) credentials(definition document.Customer) ([]credential, error) {
+	keys, err := parseCredentials(definition.CredentialDigests)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range keys {
+		if owner, ok := e.byCredential.get(key); ok && owner.Name != definition.Name {
+			return nil, fmt.Errorf("%w: %s", errCredentialTaken, owner.Name)
+		}
+	}
+	return keys, nil
+}
+
+func parseCredentials(digests []string) ([]credential, error) {
+	keys := make([]credential, 0, len(digests))
+	for _, digest := range digests {
+		var key credential
+		if len(digest) != hex.EncodedLen(len(key)) {
+			return nil, errBadCredential
+		}
+		if _, err := hex.Decode(key[:], []byte(digest)); err != nil {
+			return nil, errBadCredential
+		}
+		keys = append(keys, key)
+	}
+	return keys, nil
+}
--- a/config/snapshot/snapshot.go
+++ b/config/snapshot/snapshot.go
@@ -1,26 +1,44 @@
-// Package snapshot compiles the published shards into an immutable index that
-// requests are looked up in.
 package snapshot
 
 import (
 	"cmp"
 	"crypto/sha256"
-	"encoding/hex"
+	"encoding/binary"
+	"net"
 	"slices"
 	"strings"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/primroseloom/primroseloom/config/document"
 )
 
 // Snapshot is the configuration of one generation. It is never changed after
 // it is built; a request keeps the snapshot that it started with.
 type Snapshot struct {
-	Generation   uint64
+	Generation uint64
+	// Digest is the SHA-256 digest of the root, in hex.
+	Digest       string
+	parts        map[string]*part
 	services     map[string]*document.Service
 	routes       map[string][]document.Route
-	customers    map[string]*Customer
-	byCredential map[string]*Customer
-	rejections   []Rejection
+	templates    map[string]*compiledTemplate
+	customers    *table[string, *Customer]
+	byCredential *table[credential, *Customer]
+	// refused holds the customers' definitions that did not pass, by name.
+	refused map[string]document.Customer
+	// duplicates is true when a customer is defined by two shards.
+	duplicates bool
+	rejected   map[document.ShardKind][]Rejection
+}
+
+// credential is the SHA-256 digest of a customer's secret.
+type credential [sha256.Size]byte
+
+// part is one shard with its content as published.
+type part struct {
+	ref     document.ShardRef
+	content []byte
 }
 
 // Customer is a customer with its limits filled in.
@@ -29,16 +47,17 @@
 	Template string
 	Limits   document.Limits
 	// Services is the set of services that the customer may use.
-	Services map[string]bool
+	Services    map[string]bool
+	credentials []credential
 }
 
 // Rejection tells that a definition was not taken over and why.
 type Rejection struct {
-	// Path names the definition, such as "customers[tallinn].parameters.rate".
-	Path   string
-	Reason string
+	// Path names the definition, such as "customers[tallinn]".
+	Path   string `json:"path"`
+	Reason string `json:"reason"`
 	// KeptLastGood is true when the previous definition stays in force.
-	KeptLastGood bool
+	KeptLastGood bool `json:"kept_last_good"`
 }
 
 // Service returns a service by name.
@@ -58,26 +77,21 @@
 }
 
 // Customer returns a customer by name.
-func (s *Snapshot) Customer(name string) (*Customer, bool) {
-	customer, ok := s.customers[name]
-	return customer, ok
-}
+func (s *Snapshot) Customer(name string) (*Customer, bool) { return s.customers.get(name) }
 
 // Customers returns the number of customers.
-func (s *Snapshot) Customers() int { return len(s.customers) }
+func (s *Snapshot) Customers() int { return s.customers.size }
 
 // Identify returns the customer whose credential the caller presented.
-func (s *Snapshot) Identify(credential string) (*Customer, bool) {
-	sum := sha256.Sum256([]byte(credential))
-	customer, ok := s.byCredential[hex.EncodeToString(sum[:])]
-	return customer, ok
+func (s *Snapshot) Identify(secret string) (*Customer, bool) {
+	return s.byCredential.get(sha256.Sum256([]byte(secret)))
 }
 
 // Route returns the route with the longest path prefix for a host and path.
 // The host is compared without its port and without regard to case.
 func (s *Snapshot) Route(host, path string) (document.Route, bool) {
-	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
-		host = host[:colon]
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
 	}
 	for _, route := range s.routes[strings.ToLower(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
@@ -87,68 +101,35 @@
 	return document.Route{}, false
 }
 
-// Rejections returns the definitions that were not taken over.
-func (s *Snapshot) Rejections() []Rejection { return s.rejections }
-
-// Build compiles shards into a snapshot. A definition that does not pass is
-// left out, or kept as it stands in previous, and listed in Rejections.
-func Build(generation uint64, shards []document.Shard, previous *Snapshot) *Snapshot {
-	snap := &Snapshot{
-		Generation:   generation,
-		services:     make(map[string]*document.Service),
-		routes:       make(map[string][]document.Route),
-		customers:    make(map[string]*Customer),
-		byCredential: make(map[string]*Customer),
-	}
-	templates := make(map[string]document.Template)
-	for _, shard := range shards {
-		for i := range shard.Services {
-			snap.services[shard.Services[i].Name] = &shard.Services[i]
-		}
-		for _, route := range shard.Routes {
-			host := strings.ToLower(route.Host)
-			snap.routes[host] = append(snap.routes[host], route)
-		}
-		for _, template := range shard.Templates {
-			templates[template.Name] = template
-		}
-	}
-	for host := range snap.routes {
-		slices.SortFunc(snap.routes[host], func(a, b document.Route) int {
-			return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix))
-		})
-	}
-	for _, shard := range shards {
-		for _, customer := range shard.Customers {
-			snap.addCustomer(customer, templates, previous)
-		}
+// Rejections returns the definitions that were not taken over, in order of path.
+func (s *Snapshot) Rejections() []Rejection {
+	var all []Rejection
+	for _, rejections := range s.rejected {
+		all = append(all, rejections...)
 	}
-	return snap
+	slices.SortStableFunc(all, func(a, b Rejection) int { return cmp.Compare(a.Path, b.Path) })
+	return all
 }
 
-func (s *Snapshot) addCustomer(definition document.Customer, templates map[string]document.Template, previous *Snapshot) {
-	customer, err := resolve(definition, templates)
-	if err != nil {
-		s.reject(definition, err, previous)
-		return
+// RejectedCount returns the number of definitions that were not taken over.
+func (s *Snapshot) RejectedCount() int {
+	count := 0
+	for _, rejections := range s.rejected {
+		count += len(rejections)
 	}
-	s.install(customer, definition.CredentialDigests)
+	return count
 }
 
-func (s *Snapshot) install(customer *Customer, digests []string) {
-	s.customers[customer.Name] = customer
-	for _, digest := range digests {
-		s.byCredential[strings.ToLower(digest)] = customer
+// Shard returns the content of a shard as published.
+func (s *Snapshot) Shard(digest string) ([]byte, bool) {
+	part, ok := s.parts[digest]
+	if !ok {
+		return nil, false
 	}
+	return part.content, true
 }
 
-func (s *Snapshot) reject(definition document.Customer, cause error, previous *Snapshot) {
-	rejection := Rejection{Path: "customers[" + definition.Name + "]", Reason: cause.Error()}
-	if previous != nil {
-		if last, ok := previous.customers[definition.Name]; ok {
-			rejection.KeptLastGood = true
-			s.install(last, definition.CredentialDigests)
-		}
-	}
-	s.rejections = append(s.rejections, rejection)
-}
+func hashName(name string) uint64 { return xxhash.Sum64String(name) }
+
+// hashCredential takes bytes of the digest, which is evenly spread already.
+func hashCredential(key credential) uint64 { return binary.LittleEndian.Uint64(key[:]) }
