Add the event loop of the policy bench with its baselines

Cause: the deciders need one place where they are fed and compared. Change: operator/measure runs scenarios in virtual time behind the interfaces Chooser, Health, Admission and Retrier; naive and outlier baselines; scenarios as JSON files.

--- /dev/null
+++ b/operator/measure/engine_test.go
@@ -0,0 +1,80 @@
+package measure
+
+import (
+	"context"
+	"reflect"
+	"testing"
+)
+
+// shippedScenario returns a shipped scenario by name.
+func shippedScenario(t *testing.T, name string) *Scenario {
+	t.Helper()
+	scenarios, err := Shipped()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, scenario := range scenarios {
+		if scenario.Name == name {
+			return scenario
+		}
+	}
+	t.Fatalf("no scenario %q", name)
+	return nil
+}
+
+// quickRun measures one service of a shipped scenario.
+func quickRun(t *testing.T, name, service string) Report {
+	t.Helper()
+	scenario := shippedScenario(t, name)
+	scenario.Services = []string{service}
+	scenario.Loads = []float64{0.7}
+	report, err := Run(context.Background(), Options{Scenarios: []*Scenario{scenario}, Quick: true, Parallel: 2})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func TestRunIsRepeatable(t *testing.T) {
+	first, second := quickRun(t, "errors", "berth"), quickRun(t, "errors", "berth")
+	if !reflect.DeepEqual(first, second) {
+		t.Fatal("the same scenario and seed gave another result")
+	}
+}
+
+func TestEveryRequestEndsOnce(t *testing.T) {
+	scenario := shippedScenario(t, "hung")
+	scenario.size, _ = sizeOf("booking")
+	scenario.load = 0.7
+	for _, policy := range Policies() {
+		e := newEngine(scenario, policy, 7, scenario.Duration.Std())
+		e.warm = 0
+		if err := e.run(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		ended := e.record.answeredCount
+		for _, count := range e.record.refusals {
+			ended += count
+		}
+		// Requests still in progress at the end are bounded by the deadline.
+		inProgress := e.record.arrivedCount - ended
+		bound := uint64(e.capacity() * scenario.load * requestDeadline.Seconds() * 1.2)
+		if inProgress > bound {
+			t.Errorf("%s: %d of %d requests have not ended, bound %d", policy.Name, inProgress, e.record.arrivedCount, bound)
+		}
+	}
+}
+
+func TestParseScenarioRefusesNonsense(t *testing.T) {
+	for name, content := range map[string]string{
+		"unknown field":   `{"name":"x","duration":"1s","colour":"red"}`,
+		"no duration":     `{"name":"x"}`,
+		"unknown service": `{"name":"x","duration":"1s","services":["tea"]}`,
+		"unknown fault":   `{"name":"x","duration":"1s","faults":[{"kind":"rain"}]}`,
+		"load of zero":    `{"name":"x","duration":"1s","loads":[0]}`,
+	} {
+		if _, err := ParseScenario([]byte(content)); err == nil {
+			t.Errorf("%s: accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/operator/measure/faults.go
@@ -0,0 +1,152 @@
+package measure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
+)
+
+// FaultKind names what goes wrong.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	// FaultDead refuses connections and resets what is in progress.
+	FaultDead FaultKind = "dead"
+	// FaultHung answers nothing.
+	FaultHung FaultKind = "hung"
+	// FaultSlow multiplies the service time of a share of the requests.
+	FaultSlow FaultKind = "slow"
+	// FaultErrors answers a share of the requests with an error.
+	FaultErrors FaultKind = "errors"
+	// FaultWrong answers every request with a wrong answer, at full speed.
+	FaultWrong FaultKind = "wrong"
+	// FaultProbeSick makes the health endpoint say sick.
+	FaultProbeSick FaultKind = "probe_sick"
+	// FaultProbeDishonest makes the health endpoint say healthy whatever happens.
+	FaultProbeDishonest FaultKind = "probe_healthy"
+	// FaultPartitionVM loses the answers of all targets towards some VMs, news included.
+	FaultPartitionVM FaultKind = "partition_vm"
+	// FaultPartitionZone loses the answers of one zone's targets towards another zone's VMs.
+	FaultPartitionZone FaultKind = "partition_zone"
+	// FaultVMDies stops VMs for good; callers go elsewhere.
+	FaultVMDies FaultKind = "vm_dies"
+	// FaultVMPauses stops VMs until the fault's end; they wake believing what they knew.
+	FaultVMPauses FaultKind = "vm_pauses"
+	// FaultDrain takes targets away gracefully; they start cold at the fault's end.
+	FaultDrain FaultKind = "drain"
+	// FaultCustomerSurge multiplies a customer's rate.
+	FaultCustomerSurge FaultKind = "customer_surge"
+	// FaultCustomerErrors makes a share of a customer's requests fail on every target.
+	FaultCustomerErrors FaultKind = "customer_errors"
+	// FaultReconfigure changes the customers' parameters again and again.
+	FaultReconfigure FaultKind = "reconfigure"
+)
+
+// Fault is one entry of the timeline.
+type Fault struct {
+	Kind FaultKind `json:"kind"`
+	// At and Until are times after the warm-up; Until 0 lasts to the end.
+	At    document.Duration `json:"at"`
+	Until document.Duration `json:"until"`
+	// Count or Fraction says how many targets or VMs are affected, chosen at random.
+	Count    int     `json:"count"`
+	Fraction float64 `json:"fraction"`
+	// Factor multiplies service times or rates.
+	Factor float64 `json:"factor"`
+	// Share of the requests concerned; 0 means all.
+	Share float64 `json:"share"`
+	// Period toggles the fault on and off, half a period each.
+	Period document.Duration `json:"period"`
+	// FromZone and ToZone name the zones of a partition: answers of FromZone's
+	// targets do not reach ToZone's VMs.
+	FromZone int `json:"from_zone"`
+	ToZone   int `json:"to_zone"`
+	// Customer is the index of the customer concerned.
+	Customer int `json:"customer"`
+}
+
+func (f *Fault) validate() error {
+	switch f.Kind {
+	case FaultDead, FaultHung, FaultSlow, FaultErrors, FaultWrong, FaultProbeSick, FaultProbeDishonest,
+		FaultPartitionVM, FaultPartitionZone, FaultVMDies, FaultVMPauses, FaultDrain,
+		FaultCustomerSurge, FaultCustomerErrors, FaultReconfigure:
+	default:
+		return fmt.Errorf("kind %q is unknown", f.Kind)
+	}
+	if f.Until != 0 && f.Until <= f.At {
+		return fmt.Errorf("until %s: want more than at %s", f.Until.Std(), f.At.Std())
+	}
+	if f.Share < 0 || f.Share > 1 || f.Fraction < 0 || f.Fraction > 1 {
+		return fmt.Errorf("share %g and fraction %g: want 0 to 1", f.Share, f.Fraction)
+	}
+	needsFactor := f.Kind == FaultSlow || f.Kind == FaultCustomerSurge
+	if needsFactor && f.Factor <= 0 {
+		return fmt.Errorf("factor %g: want more than 0", f.Factor)
+	}
+	return nil
+}
+
+// share returns the share of requests concerned.
+func (f *Fault) share() float64 {
+	if f.Share == 0 {
+		return 1
+	}
+	return f.Share
+}
+
+// sickens reports whether the fault makes a target unfit for work.
+func (f *Fault) sickens() bool {
+	switch f.Kind {
+	case FaultDead, FaultHung, FaultSlow, FaultErrors, FaultWrong:
+		return true
+	}
+	return false
+}
+
+// activeFault is a fault with the targets or VMs that it has chosen.
+type activeFault struct {
+	*Fault
+	members []bool
+	on      bool
+	start   time.Duration
+	end     time.Duration
+}
+
+// plan chooses the members of each fault.
+func plan(s *Scenario, end time.Duration, random *rand.Rand) []*activeFault {
+	var faults []*activeFault
+	for i := range s.Faults {
+		fault := &s.Faults[i]
+		population := s.size.Targets
+		switch fault.Kind {
+		case FaultPartitionVM, FaultVMDies, FaultVMPauses:
+			population = s.size.VMs
+		}
+		active := &activeFault{Fault: fault, members: pick(fault, population, random), end: end}
+		active.start = s.Warmup.Std() + fault.At.Std()
+		if fault.Until != 0 {
+			active.end = min(end, s.Warmup.Std()+fault.Until.Std())
+		}
+		faults = append(faults, active)
+	}
+	return faults
+}
+
+// pick chooses which of a population a fault affects.
+func pick(f *Fault, population int, random *rand.Rand) []bool {
+	count := f.Count
+	if f.Fraction > 0 {
+		count = max(1, int(f.Fraction*float64(population)))
+	}
+	if count == 0 {
+		count = 1
+	}
+	members := make([]bool, population)
+	for _, i := range random.Perm(population)[:min(count, population)] {
+		members[i] = true
+	}
+	return members
+}
--- /dev/null
+++ b/operator/measure/report.go
@@ -0,0 +1,211 @@
+package measure
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/primroseloom/primroseloom/config/document"
+)
+
+// Report is the result of an experiment.
+type Report struct {
+	Results []Result `json:"results"`
+}
+
+// Result is what one scenario gave for one service, load and policy.
+type Result struct {
+	Scenario string  `json:"scenario"`
+	Service  string  `json:"service"`
+	Load     float64 `json:"load"`
+	Policy   string  `json:"policy"`
+	Seeds    int     `json:"seeds"`
+
+	Requests  uint64            `json:"requests"`
+	Answered  uint64            `json:"answered"`
+	Refusals  map[string]uint64 `json:"refusals"`
+	Attempts  float64           `json:"attempts_per_request"`
+	Trials    uint64            `json:"trials"`
+	SickShare float64           `json:"attempts_to_sick_share"`
+
+	Detections   int               `json:"detections"`
+	DetectionP50 document.Duration `json:"detection_p50"`
+	DetectionP99 document.Duration `json:"detection_p99"`
+	Ahead        float64           `json:"times_ahead_of_better_baseline,omitempty"`
+	// LimitP50 is the least median detection time that the number of requests allows.
+	LimitP50 document.Duration `json:"information_limit_p50,omitempty"`
+
+	Ejections      int     `json:"ejections"`
+	FalseEjections int     `json:"false_ejections"`
+	TargetMonths   float64 `json:"target_months"`
+	Avoidances     int     `json:"path_avoidances"`
+	FloorSlots     int     `json:"floor_slots"`
+	FloorBreaks    int     `json:"floor_breaks"`
+	LeastSlots     int     `json:"least_slots"`
+	LeastUnion     int     `json:"least_slots_not_ejected_by_any_vm"`
+
+	LatencyP50   document.Duration `json:"latency_p50"`
+	LatencyP99   document.Duration `json:"latency_p99"`
+	IdealP50     document.Duration `json:"ideal_p50"`
+	IdealP99     document.Duration `json:"ideal_p99"`
+	SmallP99     document.Duration `json:"small_p99,omitempty"`
+	SmallAlone   document.Duration `json:"small_p99_alone,omitempty"`
+	SmallRefused uint64            `json:"small_refused"`
+	// BytesPerVMSecond is the news that a VM receives.
+	BytesPerVMSecond float64 `json:"bytes_per_vm_second"`
+
+	// Missed lists the bounds that the result does not meet.
+	Missed []string  `json:"missed,omitempty"`
+	Series [][]Point `json:"series,omitempty"`
+}
+
+// newReport sums up the runs of every cell.
+func newReport(cells []cell, records [][]*recorder) Report {
+	var report Report
+	for i := range cells {
+		report.Results = append(report.Results, summarize(&cells[i], records[i]))
+	}
+	for i := range cells {
+		judge(&cells[i], report.Results, i)
+	}
+	return report
+}
+
+// summarize adds up the seeds of one cell.
+func summarize(c *cell, records []*recorder) Result {
+	result := Result{Scenario: c.scenario.Name, Service: c.scenario.size.Name, Load: c.scenario.load,
+		Policy: c.policy.Name, Seeds: len(records), Refusals: make(map[string]uint64)}
+	latency := hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits)
+	small := hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits)
+	var detection []time.Duration
+	var attempts, sick, bytes uint64
+	result.LeastSlots, result.LeastUnion = records[0].leastSlots, records[0].leastUnion
+	for _, r := range records {
+		result.add(r)
+		latency.Merge(r.latency)
+		small.Merge(r.small)
+		detection = append(detection, r.detection...)
+		attempts += r.attempts
+		sick += r.sickAttempts
+		bytes += r.messageBytes
+	}
+	result.Attempts = share(attempts, result.Requests)
+	result.SickShare = share(sick, attempts)
+	size := c.scenario.size
+	seconds := c.duration.Seconds() * float64(len(records))
+	result.TargetMonths = seconds * float64(size.Targets) / month.Seconds()
+	result.BytesPerVMSecond = float64(bytes) / seconds / float64(size.VMs)
+	result.LatencyP50, result.LatencyP99 = quantile(latency, 50), quantile(latency, 99)
+	result.SmallP99 = quantile(small, 99)
+	result.detect(detection)
+	result.ideal(c)
+	return result
+}
+
+// month is the span that false ejections are stated for.
+const month = 30 * 24 * time.Hour
+
+// add adds one seed's counts.
+func (r *Result) add(record *recorder) {
+	r.Requests += record.arrivedCount
+	r.Answered += record.answeredCount
+	for reason, count := range record.refusals {
+		r.Refusals[reason] += count
+	}
+	r.Trials += record.trials
+	r.Ejections += record.ejections
+	r.FalseEjections += record.falseOnes
+	r.Avoidances += record.avoidances
+	r.FloorBreaks += record.floorBreaks
+	r.FloorSlots = record.floorSlots
+	r.LeastSlots = min(r.LeastSlots, record.leastSlots)
+	r.LeastUnion = min(r.LeastUnion, record.leastUnion)
+	r.SmallRefused += record.smallRefused
+	if record.series != nil {
+		r.Series = append(r.Series, record.series)
+	}
+}
+
+// detect fills in the quantiles of the detection times.
+func (r *Result) detect(times []time.Duration) {
+	r.Detections = len(times)
+	if len(times) == 0 {
+		return
+	}
+	slices.Sort(times)
+	at := func(q float64) document.Duration {
+		return document.Duration(times[min(len(times)-1, int(q*float64(len(times))))])
+	}
+	r.DetectionP50, r.DetectionP99 = at(0.5), at(0.99)
+}
+
+func quantile(h *hdrhistogram.Histogram, percent float64) document.Duration {
+	return document.Duration(time.Duration(h.ValueAtQuantile(percent)) * time.Microsecond)
+}
+
+func share(part, whole uint64) float64 {
+	if whole == 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// Fell returns a line for each bound that was not met.
+func (r Report) Fell() []string {
+	var lines []string
+	for _, result := range r.Results {
+		for _, missed := range result.Missed {
+			lines = append(lines, fmt.Sprintf("%s %s %.0f%%: %s", result.Scenario, result.Service, 100*result.Load, missed))
+		}
+	}
+	return lines
+}
+
+// JSON returns the report as indented JSON.
+func (r Report) JSON() ([]byte, error) {
+	content, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("encode report: %w", err)
+	}
+	return content, nil
+}
+
+// Table writes the report for people.
+func (r Report) Table(w io.Writer) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(table, "scenario\tservice\tload\tpolicy\tdetect p50\tp99\tlimit p50\tahead\teject\tfalse\tavoid\tfloor\tp50\tp99\tideal p99\tanswered\tattempts\tnews B/s\tmissed")
+	for _, result := range r.Results {
+		result.row(table)
+	}
+	if err := table.Flush(); err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	return nil
+}
+
+// row writes one result.
+func (r *Result) row(w io.Writer) {
+	detection, detection99, limit, ahead := "-", "-", "-", "-"
+	if r.Detections > 0 {
+		detection, detection99 = short(r.DetectionP50), short(r.DetectionP99)
+	}
+	if r.LimitP50 > 0 {
+		limit = short(r.LimitP50)
+	}
+	if r.Ahead > 0 {
+		ahead = fmt.Sprintf("%.1fx", r.Ahead)
+	}
+	fmt.Fprintf(w, "%s\t%s\t%.0f%%\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.4f\t%.3f\t%.0f\t%s\n",
+		r.Scenario, r.Service, 100*r.Load, r.Policy, detection, detection99, limit, ahead,
+		r.Ejections, r.FalseEjections, r.Avoidances, r.FloorBreaks, short(r.LatencyP50), short(r.LatencyP99),
+		short(r.IdealP99), share(r.Answered, r.Requests), r.Attempts, r.BytesPerVMSecond, strings.Join(r.Missed, "; "))
+}
+
+// short renders a duration to the millisecond.
+func short(d document.Duration) string { return d.Std().Round(time.Millisecond).String() }
