Add the membership state machine

Cause: an instance has to know which others live, without a store of the project's own and without evicting a member that is heard but cannot hear. Change: policy/membership, a pure state machine: constant-degree probing on hash rings, rounds of fresh direct and relayed pings before a suspicion, refutation by incarnation, hold-down after repeated suspicions, challenges when partitions merge, local marks while cut off, bounded tables.

--- /dev/null
+++ b/policy/membership/measure_test.go
@@ -0,0 +1,99 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// BenchmarkDetection measures how long a dead VM stays in any instance's offers.
+func BenchmarkDetection(b *testing.B) {
+	for _, size := range []struct {
+		count int
+		loss  float64
+	}{{12, 0}, {36, 0}, {36, 0.02}, {36, 0.2}, {100, 0}, {200, 0}} {
+		b.Run(fmt.Sprintf("instances=%d/loss=%.2f", size.count, size.loss), func(b *testing.B) {
+			var last []time.Duration
+			for i := range b.N {
+				last = append(last, detect(b, uint64(i), size.count, size.loss, max(20, 400/size.count))...)
+			}
+			slices.Sort(last)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(last[len(last)/2].Seconds()*1000, "p50-ms")
+			b.ReportMetric(last[len(last)*99/100].Seconds()*1000, "p99-ms")
+			b.ReportMetric(last[len(last)-1].Seconds()*1000, "max-ms")
+			b.ReportMetric(float64(len(last)), "deaths")
+		})
+	}
+}
+
+// detect stops one VM after another and returns when the last survivor had
+// ceased to offer it. Each VM is replaced before the next one stops.
+func detect(b *testing.B, seed uint64, count int, loss float64, deaths int) []time.Duration {
+	s := newSimulation(seed)
+	fleet := convergedFleet(b, s, count)
+	s.loss = loss
+	var times []time.Duration
+	for i := range deaths {
+		victim := i%(count-1) + 1
+		fleet[victim].stopped = true
+		died := s.now
+		s.run(time.Duration(s.random.Int64N(int64(time.Second))))
+		for slices.ContainsFunc(fleet, func(in *instance) bool { return !in.stopped && s.offers(in, vmName(victim)) }) {
+			s.run(10 * time.Millisecond)
+		}
+		times = append(times, s.now-died)
+		fleet[victim] = s.start(victim)
+		s.run(5 * time.Second)
+	}
+	return times
+}
+
+// BenchmarkFalseSuspicion counts suspicions and removals of live members.
+func BenchmarkFalseSuspicion(b *testing.B) {
+	for _, loss := range []float64{0.02, 0.1, 0.2, 0.3} {
+		b.Run(fmt.Sprintf("instances=36/loss=%.2f", loss), func(b *testing.B) {
+			var raised, dead, hours float64
+			for i := range b.N {
+				s := newSimulation(uint64(i))
+				convergedFleet(b, s, 36)
+				s.loss = loss
+				s.onEvent = func(_ *instance, e Event) {
+					if e.Kind == EventSuspected && e.Raised {
+						raised++
+					}
+					if e.Kind == EventDead {
+						dead++
+					}
+				}
+				s.run(time.Hour)
+				hours++
+			}
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(raised/hours, "suspicions/h")
+			b.ReportMetric(dead/hours, "removals/h")
+		})
+	}
+}
+
+// BenchmarkTick measures the processor time of an instance's state machine for
+// a second of fleet time, and the messages that reach it.
+func BenchmarkTick(b *testing.B) {
+	for _, count := range []int{12, 36, 100, 200, 840} {
+		b.Run(fmt.Sprintf("instances=%d", count), func(b *testing.B) {
+			s := newSimulation(1)
+			convergedFleet(b, s, count)
+			s.delivered = 0
+			begin := s.now
+			b.ResetTimer()
+			for range b.N {
+				s.run(time.Second)
+			}
+			b.StopTimer()
+			seconds := (s.now - begin).Seconds()
+			b.ReportMetric(float64(b.Elapsed().Microseconds())/seconds/float64(count), "us/instance-s")
+			b.ReportMetric(float64(s.delivered)/seconds/float64(count), "messages/instance-s")
+		})
+	}
+}
--- /dev/null
+++ b/policy/membership/membership_test.go
@@ -0,0 +1,245 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// convergedFleet starts a fleet and lets it find itself.
+func convergedFleet(t testing.TB, s *simulation, count int) []*instance {
+	t.Helper()
+	fleet := s.startFleet(count)
+	s.run(15 * time.Second)
+	expectOffered(t, s, fleet, count)
+	return fleet
+}
+
+func expectOffered(t testing.TB, s *simulation, fleet []*instance, want int) {
+	t.Helper()
+	for _, in := range fleet {
+		if got := s.offered(in); got != want {
+			t.Fatalf("at %s: %s offers %d members, want %d", s.now, in.vm, got, want)
+		}
+	}
+}
+
+func TestNewcomerJoinsByOnePeer(t *testing.T) {
+	s := newSimulation(1)
+	fleet := convergedFleet(t, s, 12)
+	fleet = append(fleet, s.start(12))
+	s.run(3 * time.Second)
+	expectOffered(t, s, fleet, 13)
+}
+
+func TestDeadMemberLeavesAllAnswersInThreeSeconds(t *testing.T) {
+	s := newSimulation(2)
+	fleet := convergedFleet(t, s, 36)
+	fleet[7].stopped = true
+	s.run(3 * time.Second)
+	expectOffered(t, s, append(fleet[:7:7], fleet[8:]...), 35)
+	s.run(10 * time.Second)
+	if _, ok := fleet[0].state.Lookup(s.clock(fleet[0]), vmName(7)); ok {
+		t.Error("the dead member is still a member after its suspicion ended")
+	}
+}
+
+func TestNoSuspicionInQuietTimeWithSmallLoss(t *testing.T) {
+	s := newSimulation(3)
+	convergedFleet(t, s, 12)
+	s.loss = 0.02
+	s.onEvent = func(at *instance, e Event) { t.Errorf("at %s: %s saw %s of %s", s.now, at.vm, e.Kind, e.VM) }
+	s.run(20 * time.Minute)
+}
+
+func TestLeavingMemberIsNotOffered(t *testing.T) {
+	s := newSimulation(4)
+	fleet := convergedFleet(t, s, 12)
+	fleet[3].state.Leave()
+	s.run(time.Second)
+	expectOffered(t, s, fleet, 11)
+	if m, ok := fleet[0].state.Lookup(s.clock(fleet[0]), vmName(3)); !ok || m.Status != Leaving {
+		t.Errorf("the leaving member stands as %v, %v; want it known as leaving", m.Status, ok)
+	}
+	fleet[3].state.Depart()
+	s.run(time.Second)
+	fleet[3].stopped = true
+	if _, ok := fleet[0].state.Lookup(s.clock(fleet[0]), vmName(3)); ok {
+		t.Error("the departed member is still known")
+	}
+}
+
+func TestRestartSupersedesOldProcess(t *testing.T) {
+	s := newSimulation(5)
+	fleet := convergedFleet(t, s, 12)
+	fleet[5].stopped = true
+	fleet[5] = s.start(5)
+	s.run(3 * time.Second)
+	expectOffered(t, s, fleet, 12)
+	for _, in := range fleet {
+		m, _ := in.state.Lookup(s.clock(in), vmName(5))
+		if m.Instance != fleet[5].state.self.Instance {
+			t.Errorf("%s still knows the old process", in.vm)
+		}
+	}
+}
+
+func TestOlderProcessYieldsToYounger(t *testing.T) {
+	s := newSimulation(6)
+	fleet := convergedFleet(t, s, 6)
+	old := fleet[5].state
+	now := s.clock(fleet[5])
+	rival := old.Self(now)
+	rival.Instance, rival.Incarnation, rival.Uptime = 77, rival.Incarnation+1, time.Second
+	old.apply(now, rival, vmName(0), false)
+	if !old.Superseded() || old.Members(now)[0].Offered {
+		t.Error("the older process goes on offering itself")
+	}
+}
+
+// TestDeafMemberLosesCallersWithoutFlapping cuts the way towards one VM, which
+// is still heard by all others.
+func TestDeafMemberLosesCallersWithoutFlapping(t *testing.T) {
+	s := newSimulation(7)
+	fleet := convergedFleet(t, s, 36)
+	deaf := vmName(9)
+	changes := make(map[string]int)
+	s.onEvent = func(at *instance, e Event) {
+		if at.vm != deaf {
+			changes[e.VM]++
+		}
+	}
+	s.cut = func(_, to string) bool { return to == deaf }
+	s.run(3 * time.Second)
+	others := append(fleet[:9:9], fleet[10:]...)
+	expectOffered(t, s, others, 35)
+	s.run(2 * time.Minute)
+	expectOffered(t, s, others, 35)
+	if len(changes) != 1 || changes[deaf] != 2*35 {
+		t.Errorf("changes seen by the others: %v, want only two by each about %s", changes, deaf)
+	}
+	s.cut = func(string, string) bool { return false }
+	s.run(15 * time.Second)
+	expectOffered(t, s, fleet, 36)
+}
+
+// TestPartlyDeafMemberIsHeldDown lets one VM hear only a single other one.
+func TestPartlyDeafMemberIsHeldDown(t *testing.T) {
+	s := newSimulation(8)
+	fleet := convergedFleet(t, s, 36)
+	deaf := vmName(9)
+	s.cut = func(from, to string) bool { return to == deaf && from != vmName(1) }
+	s.run(30 * time.Second)
+	offered := 0
+	for range 600 {
+		s.run(100 * time.Millisecond)
+		if s.offers(fleet[0], deaf) {
+			offered++
+		}
+	}
+	if offered > 60 {
+		t.Errorf("a VM that hears one other only was offered in %d of 600 samples, want at most 60", offered)
+	}
+}
+
+func TestSidesOfPartitionGoOnAndMerge(t *testing.T) {
+	s := newSimulation(9)
+	fleet := convergedFleet(t, s, 36)
+	side := func(vm string) bool { return vm < vmName(12) }
+	s.cut = func(from, to string) bool { return side(from) != side(to) }
+	s.run(30 * time.Second)
+	expectOffered(t, s, fleet[:12], 12)
+	expectOffered(t, s, fleet[12:], 24)
+	s.cut = func(string, string) bool { return false }
+	for range 400 {
+		s.run(50 * time.Millisecond)
+		for i, in := range fleet {
+			if got, least := s.offered(in), 12+12*min(1, i/12); got < least {
+				t.Fatalf("at %s: %s offers %d members during the merge, want at least its side's %d", s.now, in.vm, got, least)
+			}
+		}
+	}
+	expectOffered(t, s, fleet, 36)
+}
+
+func TestZoneHeardButDeafIsRemovedAndOthersStay(t *testing.T) {
+	s := newSimulation(10)
+	fleet := convergedFleet(t, s, 36)
+	deaf := func(vm string) bool { return vm < vmName(12) }
+	s.cut = func(from, to string) bool { return deaf(to) && !deaf(from) }
+	s.run(4 * time.Second)
+	expectOffered(t, s, fleet[12:], 24)
+	s.run(time.Minute)
+	expectOffered(t, s, fleet[12:], 24)
+}
+
+func TestPausedProcessDrawsNoConclusions(t *testing.T) {
+	s := newSimulation(11)
+	fleet := convergedFleet(t, s, 12)
+	s.pause(fleet[4], 20*time.Second)
+	s.run(20*time.Second + time.Millisecond)
+	if !fleet[4].state.Revalidating() {
+		t.Error("a process that woke late does not revalidate")
+	}
+	s.onEvent = func(at *instance, e Event) {
+		if e.Kind == EventSuspected {
+			t.Errorf("at %s: %s suspects %s", s.now, at.vm, e.VM)
+		}
+	}
+	s.run(10 * time.Second)
+	if fleet[4].state.Revalidating() {
+		t.Error("the process still revalidates after it was answered")
+	}
+	expectOffered(t, s, fleet, 12)
+}
+
+func TestIsolatedMemberTellsNobody(t *testing.T) {
+	s := newSimulation(12)
+	fleet := convergedFleet(t, s, 6)
+	s.cut = func(from, to string) bool { return from == vmName(2) || to == vmName(2) }
+	s.run(10 * time.Second)
+	if !fleet[2].state.Isolated(s.clock(fleet[2])) || len(fleet[2].state.members) != 5 {
+		t.Error("an instance that nobody answers must keep its members")
+	}
+}
+
+func TestForgedMembersCostBoundedMemory(t *testing.T) {
+	s := newSimulation(13)
+	fleet := convergedFleet(t, s, 3)
+	random := rand.New(rand.NewPCG(13, 13))
+	victim := fleet[0].state
+	for i := range 100_000 {
+		m := Member{VM: vmName(1000 + i), Instance: random.Uint64(), Incarnation: 1, Status: Status(1 + i%4),
+			CallersAddress: address(i), PeersAddress: address(i)}
+		victim.apply(s.clock(fleet[0]), m, vmName(1), i%2 == 0)
+	}
+	limit := s.settings.MaxMembers
+	if len(victim.members) > limit || len(victim.graves) > limit || len(victim.queue) > 2*limit+1 || len(victim.events) > 4096 {
+		t.Errorf("members %d, tombstones %d, queue %d, events %d after a flood; limit %d",
+			len(victim.members), len(victim.graves), len(victim.queue), len(victim.events), limit)
+	}
+	if _, ok := victim.members[vmName(1)]; !ok || victim.Dropped() == 0 {
+		t.Error("a flood must neither displace members nor go uncounted")
+	}
+}
+
+func TestMalformedStatementsAreDropped(t *testing.T) {
+	good := Member{VM: "vm1", Incarnation: 1, Status: Alive, CallersAddress: address(1), PeersAddress: address(1)}
+	cases := map[string]func(*Member){
+		"name":        func(m *Member) { m.VM = "VM 1" },
+		"status":      func(m *Member) { m.Status = 9 },
+		"address":     func(m *Member) { m.PeersAddress = "example:1" },
+		"incarnation": func(m *Member) { m.Incarnation = 1 << 60 },
+		"zone":        func(m *Member) { m.Zone = string(make([]byte, 100)) },
+	}
+	for name, spoil := range cases {
+		m := good
+		spoil(&m)
+		if validate(&m) == nil {
+			t.Errorf("%s: malformed statement passed", name)
+		}
+	}
+	if err := validate(&good); err != nil {
+		t.Errorf("well-formed statement refused: %v", err)
+	}
+}
--- /dev/null
+++ b/policy/membership/probe.go
@@ -0,0 +1,231 @@
+package membership
+
+import (
+	"time"
+)
+
+// edge is a member that this instance probes.
+type edge struct {
+	vm   string
+	next time.Duration
+	// attempt is nil between probes.
+	attempt *attempt
+}
+
+// attempt is one probe with its repetitions.
+type attempt struct {
+	id        uint64
+	round     int
+	nextRound time.Duration
+}
+
+// Tick advances the state to now and returns what is to be done. Calls are
+// expected at least every few tens of milliseconds.
+func (s *State) Tick(now time.Duration) []Action {
+	s.expire(now)
+	s.chooseOverlay(now)
+	actions := s.probe(now)
+	actions = append(actions, s.push(now)...)
+	return append(actions, s.rejoin(now)...)
+}
+
+// chooseOverlay selects the members to probe and to push to.
+func (s *State) chooseOverlay(now time.Duration) {
+	if s.overlayVersion == s.version {
+		return
+	}
+	s.overlayVersion = s.version
+	wanted := make(map[string]bool)
+	for ring := range s.settings.Rings {
+		s.successors(ring, wanted)
+	}
+	for vm, e := range s.edges {
+		if !wanted[vm] {
+			s.dropAttempt(vm)
+			delete(s.edges, e.vm)
+		}
+	}
+	s.neighbors = s.neighbors[:0]
+	for _, vm := range sortedKeys(wanted) {
+		s.neighbors = append(s.neighbors, vm)
+		if s.edges[vm] == nil {
+			offset := time.Duration(s.random.Int64N(int64(s.settings.ProbeInterval)))
+			s.edges[vm] = &edge{vm: vm, next: now + offset}
+		}
+	}
+	for ring := range s.settings.Rings {
+		if vm := s.nearest(ring, wanted, true); vm != "" {
+			wanted[vm] = true
+			s.neighbors = append(s.neighbors, vm)
+		}
+	}
+}
+
+// successors adds the next member on a ring, and while that one is not alive
+// the next alive one too.
+func (s *State) successors(ring int, wanted map[string]bool) {
+	for range 3 {
+		vm := s.nearest(ring, wanted, false)
+		if vm == "" {
+			return
+		}
+		wanted[vm] = true
+		if s.members[vm].Status == Alive && !s.members[vm].unreachable {
+			return
+		}
+	}
+}
+
+// nearest returns the member closest to this one on a ring that is not in
+// taken, clockwise or counter-clockwise; empty when there is none.
+func (s *State) nearest(ring int, taken map[string]bool, backward bool) string {
+	var best string
+	var bestDistance uint64
+	for vm, r := range s.members {
+		if taken[vm] {
+			continue
+		}
+		distance := r.positions[ring] - s.self.positions[ring]
+		if backward {
+			distance = -distance
+		}
+		if best == "" || distance < bestDistance || (distance == bestDistance && vm < best) {
+			best, bestDistance = vm, distance
+		}
+	}
+	return best
+}
+
+func (s *State) probe(now time.Duration) []Action {
+	var actions []Action
+	for _, vm := range sortedKeys(s.edges) {
+		e := s.edges[vm]
+		r, ok := s.members[vm]
+		if !ok {
+			continue
+		}
+		switch {
+		case e.attempt == nil && now >= e.next:
+			actions = append(actions, s.begin(now, e, r))
+		case e.attempt != nil && now >= e.attempt.nextRound:
+			actions = append(actions, s.repeat(now, e, r)...)
+		}
+	}
+	return actions
+}
+
+func (s *State) begin(now time.Duration, e *edge, r *record) Action {
+	s.nextProbe++
+	e.attempt = &attempt{id: s.nextProbe, nextRound: now + s.settings.ProbeTimeout}
+	e.next += s.settings.ProbeInterval
+	if e.next < now {
+		e.next = now + s.settings.ProbeInterval
+	}
+	s.byProbe[s.nextProbe] = e
+	return s.ping(now, e.attempt.id, r, false)
+}
+
+func (s *State) ping(now time.Duration, id uint64, r *record, fresh bool) Action {
+	return Action{Kind: ActionPing, Probe: id, To: r.at(now), Fresh: fresh,
+		Timeout: s.settings.ProbeTimeout, Message: s.message(now, r.VM)}
+}
+
+// repeat starts the next round of a probe, or ends the probe without success.
+func (s *State) repeat(now time.Duration, e *edge, r *record) []Action {
+	a := e.attempt
+	if a.round >= s.settings.Rounds {
+		s.dropAttempt(e.vm)
+		s.failed(now, r)
+		return nil
+	}
+	a.round++
+	a.nextRound = now + s.settings.RoundInterval
+	if a.round == s.settings.Rounds {
+		a.nextRound = now + s.settings.ProbeTimeout
+	}
+	actions := []Action{s.ping(now, a.id, r, true)}
+	for _, relay := range s.relays(e.vm) {
+		actions = append(actions, Action{Kind: ActionPingIndirect, Probe: a.id, To: relay.at(now),
+			Target: r.at(now), Timeout: s.settings.ProbeTimeout, Message: Message{From: s.Self(now)}})
+	}
+	return actions
+}
+
+// relays picks neighbors, or any members when there are few neighbors.
+func (s *State) relays(target string) []*record {
+	var candidates []*record
+	for _, vm := range s.neighbors {
+		if r, ok := s.members[vm]; ok && vm != target && r.Status == Alive && !r.unreachable {
+			candidates = append(candidates, r)
+		}
+	}
+	s.random.Shuffle(len(candidates), func(i, j int) { candidates[i], candidates[j] = candidates[j], candidates[i] })
+	return candidates[:min(len(candidates), s.settings.Relays)]
+}
+
+// failed draws the conclusion from a probe of which no round got through.
+func (s *State) failed(now time.Duration, r *record) {
+	if s.Isolated(now) {
+		if !r.unreachable {
+			r.unreachable = true
+			s.emit(EventUnreachable, r.VM, true)
+		}
+		return
+	}
+	switch r.Status {
+	case Alive:
+		s.transition(now, r, Suspect, true)
+	case Leaving:
+		s.transition(now, r, Dead, true)
+	}
+}
+
+// transition changes a member's status by this instance's own conclusion.
+func (s *State) transition(now time.Duration, r *record, to Status, raised bool) {
+	s.digest ^= summary(&r.Member)
+	r.Status = to
+	s.digest ^= summary(&r.Member)
+	s.enqueue(r.VM, nil, true, "")
+	if to == Dead {
+		s.bury(now, r)
+		return
+	}
+	r.suspectUntil = now + s.settings.SuspectTimeout
+	r.challengedUntil = 0
+	s.emit(EventSuspected, r.VM, raised)
+}
+
+func (s *State) dropAttempt(vm string) {
+	e, ok := s.edges[vm]
+	if !ok || e.attempt == nil {
+		return
+	}
+	delete(s.byProbe, e.attempt.id)
+	e.attempt = nil
+}
+
+// expire ends suspicions, challenges, hold-downs, tombstones and revalidation.
+func (s *State) expire(now time.Duration) {
+	for _, vm := range sortedKeys(s.members) {
+		r := s.members[vm]
+		if r.heldUntil > 0 && now >= r.heldUntil {
+			r.heldUntil = 0
+			s.version++
+		}
+		switch {
+		case r.Status == Suspect && now >= r.suspectUntil && !s.Isolated(now):
+			s.transition(now, r, Dead, true)
+		case r.challengedUntil > 0 && now >= r.challengedUntil:
+			s.transition(now, r, Suspect, false)
+		}
+	}
+	for vm, r := range s.graves {
+		if now-r.died > s.settings.TombstoneMemory {
+			delete(s.graves, vm)
+			delete(s.queue, vm)
+		}
+	}
+	if s.revalidating && (now >= s.revalidateEnd || len(s.members) == 0) {
+		s.revalidating = false
+	}
+}
--- /dev/null
+++ b/policy/membership/rejoin.go
@@ -0,0 +1,101 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// firstJoinInterval is the time between two tries while no member is known.
+const firstJoinInterval = 500 * time.Millisecond
+
+// Listed is one row of the platform's lagging VM list.
+type Listed struct {
+	VM string
+	// PeersAddress is "IP:port"; rows without one serve no joins.
+	PeersAddress string
+	Leaving      bool
+}
+
+// Hint takes over the platform's VM list. It gives addresses to try and marks
+// members that the platform takes away; it adds and removes no member.
+func (s *State) Hint(rows []Listed) {
+	s.listed = make(map[string]bool)
+	var addresses []string
+	for _, row := range rows[:min(len(rows), 8*s.settings.MaxMembers)] {
+		if row.Leaving {
+			s.listed[row.VM] = true
+		}
+		_, err := netip.ParseAddrPort(row.PeersAddress)
+		if err == nil && !row.Leaving && len(addresses) < s.settings.MaxMembers {
+			addresses = append(addresses, row.PeersAddress)
+		}
+	}
+	s.hints = addresses
+	s.version++
+}
+
+// rejoin tries an address outside the view, and exchanges lists when views differ.
+func (s *State) rejoin(now time.Duration) []Action {
+	var actions []Action
+	if s.mismatches >= mismatchesBeforeSync && now-s.lastSync >= s.settings.SyncInterval {
+		s.mismatches = 0
+		s.lastSync = now
+		if vm := s.randomNeighbor(); vm != "" {
+			actions = append(actions, s.join(now, s.members[vm].PeersAddress))
+		}
+	}
+	if now < s.nextRejoin {
+		return actions
+	}
+	interval := s.settings.RejoinInterval
+	if len(s.members) == 0 || s.revalidating {
+		interval = firstJoinInterval
+	}
+	s.nextRejoin = now + interval/2 + time.Duration(s.random.Int64N(int64(interval)))
+	if address := s.addressOutside(); address != "" {
+		actions = append(actions, s.join(now, address))
+	}
+	return actions
+}
+
+func (s *State) join(now time.Duration, address string) Action {
+	return Action{Kind: ActionJoin, Address: address, Timeout: 4 * s.settings.ProbeTimeout,
+		Message: Message{From: s.Self(now)}}
+}
+
+func (s *State) randomNeighbor() string {
+	var alive []string
+	for _, vm := range s.neighbors {
+		if r, ok := s.members[vm]; ok && r.Status == Alive {
+			alive = append(alive, vm)
+		}
+	}
+	if len(alive) == 0 {
+		return ""
+	}
+	return alive[s.random.IntN(len(alive))]
+}
+
+// addressOutside picks a seed, a listed VM or a tombstone that is no member.
+func (s *State) addressOutside() string {
+	inside := map[string]bool{s.self.PeersAddress: true}
+	for _, r := range s.members {
+		inside[r.PeersAddress] = true
+	}
+	var outside []string
+	for _, address := range slices.Concat(s.seeds, s.hints) {
+		if !inside[address] {
+			outside = append(outside, address)
+		}
+	}
+	for _, vm := range sortedKeys(s.graves) {
+		if address := s.graves[vm].PeersAddress; !inside[address] {
+			outside = append(outside, address)
+		}
+	}
+	if len(outside) == 0 {
+		return ""
+	}
+	return outside[s.random.IntN(len(outside))]
+}
