Add deciders for retries, admission and target choice

Cause: requests need limits by customer, a fair order of waiting, retry budgets and a choice of target for slots shared by many VMs.

Change: policy/retry (rules and two budgets), policy/admission (token buckets, accounts, start-time fair queue, wait estimate, shares that follow use), policy/balance (two random choices, AIMD window, slot leases from a keeper, share of a target's connections).

--- /dev/null
+++ b/policy/balance/balance_test.go
@@ -0,0 +1,236 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func testTargets(count int) []Target {
+	targets := make([]Target, count)
+	for i := range targets {
+		targets[i] = Target{Name: fmt.Sprintf("t%03d", i), Zone: fmt.Sprint("z", i%3), Limit: 3, Slots: 3}
+	}
+	return targets
+}
+
+func newRNG(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 7)) }
+
+// TestBalancerAgainstNaive runs random operations beside a scan of all targets.
+func TestBalancerAgainstNaive(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := newRNG(seed)
+		b := NewBalancer()
+		b.Configure(testTargets(8))
+		inFlight := map[string]int{}
+		weights := map[string]float64{}
+		trials := map[string]bool{}
+		count := 8
+		for _, target := range testTargets(8) {
+			weights[target.Name] = 1
+		}
+		for step := range 400 {
+			name := fmt.Sprintf("t%03d", rng.IntN(count))
+			switch rng.IntN(8) {
+			case 0:
+				weights[name] = float64(rng.IntN(3)) / 2
+				trials[name] = rng.IntN(2) == 0
+				b.SetCondition(name, Condition{Weight: weights[name], TrialsOnly: trials[name]})
+			case 1:
+				b.Configure(testTargets(count))
+			case 2, 3:
+				if inFlight[name] > 0 {
+					inFlight[name]--
+					b.Return(name)
+				}
+			default:
+				want := Want{Zone: "z0", Exclude: []string{name}, Idempotent: rng.IntN(2) == 0}
+				possible := 0
+				for other, weight := range weights {
+					if other != name && weight > 0 && inFlight[other] < 3 && (want.Idempotent || !trials[other]) {
+						possible++
+					}
+				}
+				got, ok := b.Take(rng, want)
+				if ok != (possible > 0) {
+					t.Fatalf("seed %d step %d: got %v with %d possible", seed, step, ok, possible)
+				}
+				if !ok {
+					break
+				}
+				if got == name || weights[got] == 0 || inFlight[got] >= 3 || trials[got] && !want.Idempotent {
+					t.Fatalf("seed %d step %d: chose %s", seed, step, got)
+				}
+				inFlight[got]++
+			}
+		}
+	}
+}
+
+func TestConfigureKeepsRequestsInProgress(t *testing.T) {
+	b, rng := NewBalancer(), newRNG(1)
+	b.Configure(testTargets(1))
+	for range 3 {
+		b.Take(rng, Want{})
+	}
+	b.Configure(testTargets(1))
+	if _, ok := b.Take(rng, Want{}); ok {
+		t.Fatal("a new configuration forgot the requests in progress")
+	}
+}
+
+func TestNearZoneIsPreferredAndNotOverloaded(t *testing.T) {
+	rng := newRNG(2)
+	b := NewBalancer()
+	b.Configure(testTargets(21))
+	near := 0
+	for range 21 {
+		name, _ := b.Take(rng, Want{Zone: "z0"})
+		if b.targets[b.byName[name]].Zone == "z0" {
+			near++
+		}
+	}
+	if near <= 7 || near >= 14 {
+		t.Fatalf("%d of 21 requests in the near zone", near)
+	}
+}
+
+func TestConnectionShareNeverExceedsTheLimit(t *testing.T) {
+	for vms := 1; vms <= 840; vms++ {
+		if total := ConnectionShare(330, vms) * vms * restartAllowance; total > 330 {
+			t.Fatalf("%d VMs may open %d connections", vms, total)
+		}
+	}
+	if got := ConnectionShare(330, 36); got < 4 {
+		t.Fatalf("36 VMs have %d connections each, fewer than slots and a probe", got)
+	}
+}
+
+func TestWindowFindsItsShare(t *testing.T) {
+	now := time.Unix(0, 0)
+	w := NewWindow(2, 60)
+	for range 1000 {
+		now = now.Add(10 * time.Millisecond)
+		if w.Size() > 15 {
+			w.Shed(now, time.Millisecond)
+		} else {
+			w.Succeeded(int(w.Size()))
+		}
+	}
+	if w.Size() < 11 || w.Size() > 16 {
+		t.Fatalf("window %v, want about 15", w.Size())
+	}
+}
+
+func newKeeper(now time.Time, targets int) *Keeper {
+	k := NewKeeper(now, newRNG(3))
+	k.Configure(testTargets(targets))
+	return k
+}
+
+func TestKeeperWaitsOutEarlierLeases(t *testing.T) {
+	now := time.Unix(0, 0)
+	k := newKeeper(now, 1)
+	if grants := k.Ask(now, Ask{VM: "a", ID: 1}); len(grants) > 0 {
+		t.Fatal("granted while leases of an earlier keeper may be in force")
+	}
+	k.Adopt(now, "b", 9, "t000")
+	k.Heard(now.Add(LeaseTerm), "b")
+	k.Heard(now.Add(LeaseTerm), "a")
+	if grants := k.Expire(now.Add(LeaseTerm)); len(grants) != 1 || k.Leased("t000") != 2 {
+		t.Fatalf("%d grants, %d leased", len(grants), k.Leased("t000"))
+	}
+}
+
+func TestKeeperEndsLeasesOfSilentVM(t *testing.T) {
+	now := time.Unix(0, 0)
+	k := newKeeper(now, 1)
+	now = now.Add(LeaseTerm)
+	for id := range uint64(3) {
+		k.Ask(now, Ask{VM: "a", ID: id})
+	}
+	if grants := k.Ask(now, Ask{VM: "b", ID: 1}); len(grants) > 0 {
+		t.Fatal("a fourth slot was granted")
+	}
+	now = now.Add(LeaseTerm)
+	k.Heard(now, "b")
+	grants := k.Expire(now)
+	if len(grants) != 1 || grants[0].VM != "b" {
+		t.Fatalf("got %+v", grants)
+	}
+	k.Return(now, "a", 0)
+	if k.Leased("t000") != 1 {
+		t.Fatalf("%d leased after a late return", k.Leased("t000"))
+	}
+}
+
+// TestKeeperNeverLeasesASlotTwice runs random messages, lost ones included.
+func TestKeeperNeverLeasesASlotTwice(t *testing.T) {
+	for seed := range uint64(100) {
+		rng := newRNG(seed)
+		now := time.Unix(0, 0)
+		k := newKeeper(now, 4)
+		now = now.Add(LeaseTerm)
+		for id := range uint64(300) {
+			now = now.Add(time.Duration(rng.IntN(50)) * time.Millisecond)
+			vm := fmt.Sprint(rng.IntN(3))
+			switch rng.IntN(4) {
+			case 0:
+				k.Return(now, vm, uint64(rng.IntN(int(id)+1)))
+			case 1:
+				k.Expire(now)
+			default:
+				k.Ask(now, Ask{VM: vm, ID: id, Customer: vm, Weight: 1, Deadline: now.Add(time.Second)})
+			}
+			leased := map[string]int{}
+			for _, h := range k.leases {
+				for _, target := range h.targets {
+					leased[target]++
+				}
+			}
+			for target, count := range leased {
+				if count > 3 || count != k.Leased(target) {
+					t.Fatalf("seed %d: %s has %d leases, counted %d", seed, target, count, k.Leased(target))
+				}
+			}
+			if len(k.pending) != k.Waiting() {
+				t.Fatalf("seed %d: %d pending, %d waiting", seed, len(k.pending), k.Waiting())
+			}
+		}
+	}
+}
+
+func BenchmarkTake(b *testing.B) {
+	for _, count := range []int{20, 360} {
+		b.Run(fmt.Sprint("targets=", count), func(b *testing.B) {
+			balancer, rng := NewBalancer(), newRNG(1)
+			balancer.Configure(testTargets(count))
+			for range count * 2 {
+				balancer.Take(rng, Want{Zone: "z0"})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				name, _ := balancer.Take(rng, Want{Zone: "z1"})
+				balancer.Return(name)
+			}
+		})
+	}
+}
+
+func BenchmarkKeeper(b *testing.B) {
+	for _, count := range []int{20, 360} {
+		b.Run(fmt.Sprint("targets=", count), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			k := newKeeper(now, count)
+			now = now.Add(LeaseTerm)
+			id := uint64(0)
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				k.Ask(now, Ask{VM: "a", ID: id, Customer: "c", Weight: 1})
+				k.Return(now, "a", id)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/policy/balance/balancer.go
@@ -0,0 +1,234 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+const (
+	// remotePenalty is added to the load of a target in another zone, in parts
+	// of a target's capacity. It bounds the extra load of the near zone.
+	remotePenalty = 0.1
+	// choices is the number of targets compared for each attempt.
+	choices = 2
+	// draws bounds the targets drawn at random before all are looked at.
+	draws = 8
+)
+
+// Target is what a Balancer needs to know of one target.
+type Target struct {
+	Name string
+	Zone string
+	// Limit is the number of requests that this VM may have in progress there.
+	Limit int
+	// Slots is the number of requests that the target runs at a time.
+	Slots int
+}
+
+// Condition is the state of a target's health.
+type Condition struct {
+	// Weight is between 0, no requests, and 1, a full share.
+	Weight float64
+	// TrialsOnly admits only requests that may run twice.
+	TrialsOnly bool
+}
+
+// Want describes an attempt that needs a target.
+type Want struct {
+	// Zone is the zone to prefer.
+	Zone string
+	// Exclude names targets not to use.
+	Exclude []string
+	// Idempotent is true when the request may run twice.
+	Idempotent bool
+}
+
+// Balancer chooses targets for one VM. It keeps the targets with room in a
+// list of their own, so the cost of a choice does not grow with their number.
+type Balancer struct {
+	targets []slot
+	byName  map[string]int
+	// open holds the indexes of the targets with room.
+	open []int
+}
+
+type slot struct {
+	Target
+	condition Condition
+	inFlight  int
+	// others is the number of requests in progress from other VMs, as reported.
+	others float64
+	// held keeps a target that shed out of the choice.
+	held bool
+	// place is the index in the list of open targets; -1 when not there.
+	place int
+}
+
+// NewBalancer returns a balancer without targets.
+func NewBalancer() *Balancer {
+	return &Balancer{byName: make(map[string]int)}
+}
+
+// Configure replaces the targets. Those that stay keep their state; a new one
+// begins healthy and idle.
+func (b *Balancer) Configure(targets []Target) {
+	old := *b
+	b.targets = make([]slot, 0, len(targets))
+	b.byName = make(map[string]int, len(targets))
+	b.open = b.open[:0:0]
+	for i, target := range targets {
+		next := slot{Target: target, condition: Condition{Weight: 1}}
+		if at, ok := old.byName[target.Name]; ok {
+			next = old.targets[at]
+			next.Target = target
+		}
+		next.place = -1
+		b.targets = append(b.targets, next)
+		b.byName[target.Name] = i
+		b.update(i)
+	}
+}
+
+// SetCondition changes a target's weight.
+func (b *Balancer) SetCondition(name string, condition Condition) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].condition = condition
+		b.update(at)
+	}
+}
+
+// SetOthers sets the number of requests that other VMs have in progress.
+func (b *Balancer) SetOthers(name string, inFlight float64) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].others = max(inFlight, 0)
+	}
+}
+
+// Hold takes a target out of the choice, or puts it back, without regard to
+// its health; it follows a shed request.
+func (b *Balancer) Hold(name string, held bool) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].held = held
+		b.update(at)
+	}
+}
+
+// InFlight returns the number of requests in progress at a target.
+func (b *Balancer) InFlight(name string) int {
+	if at, ok := b.byName[name]; ok {
+		return b.targets[at].inFlight
+	}
+	return 0
+}
+
+// Usable returns the number of targets that an attempt could ever use, busy
+// ones included.
+func (b *Balancer) Usable(want Want) int {
+	count := 0
+	for i := range b.targets {
+		if b.targets[i].condition.Weight > 0 && b.targets[i].Limit > 0 && b.targets[i].admits(want) {
+			count++
+		}
+	}
+	return count
+}
+
+// Take chooses a target with room and counts the attempt against it.
+func (b *Balancer) Take(rng *rand.Rand, want Want) (string, bool) {
+	at := b.choose(rng, want)
+	if at < 0 {
+		return "", false
+	}
+	b.targets[at].inFlight++
+	b.update(at)
+	return b.targets[at].Name, true
+}
+
+// TakeNamed counts an attempt against a given target.
+func (b *Balancer) TakeNamed(name string) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].inFlight++
+		b.update(at)
+	}
+}
+
+// Return ends an attempt.
+func (b *Balancer) Return(name string) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].inFlight = max(b.targets[at].inFlight-1, 0)
+		b.update(at)
+	}
+}
+
+// choose compares a few of the open targets drawn at random. When none of them
+// will do, it looks at all.
+func (b *Balancer) choose(rng *rand.Rand, want Want) int {
+	best, seen := -1, 0
+	if len(b.open) > choices {
+		for draw := 0; draw < draws && seen < choices; draw++ {
+			at := b.open[rng.IntN(len(b.open))]
+			if at == best || !b.targets[at].admits(want) {
+				continue
+			}
+			seen++
+			best = b.better(best, at, want)
+		}
+	}
+	if best >= 0 {
+		return best
+	}
+	offset := 0
+	if len(b.open) > 0 {
+		offset = rng.IntN(len(b.open))
+	}
+	for i := range b.open {
+		at := b.open[(i+offset)%len(b.open)]
+		if b.targets[at].admits(want) {
+			best = b.better(best, at, want)
+		}
+	}
+	return best
+}
+
+func (b *Balancer) better(best, at int, want Want) int {
+	if best < 0 || b.targets[at].load(want) < b.targets[best].load(want) {
+		return at
+	}
+	return best
+}
+
+func (s *slot) admits(want Want) bool {
+	if s.condition.TrialsOnly && !want.Idempotent {
+		return false
+	}
+	return !slices.Contains(want.Exclude, s.Name)
+}
+
+// load is the part of the target's weighted capacity in use after one more
+// request.
+func (s *slot) load(want Want) float64 {
+	capacity := float64(max(s.Slots, 1)) * s.condition.Weight
+	load := (float64(s.inFlight) + s.others + 1) / capacity
+	if s.Zone != want.Zone {
+		load += remotePenalty
+	}
+	return load
+}
+
+// update puts a target into the list of open targets or takes it out.
+func (b *Balancer) update(at int) {
+	s := &b.targets[at]
+	room := s.inFlight < s.Limit && s.condition.Weight > 0 && !s.held
+	switch {
+	case room && s.place < 0:
+		s.place = len(b.open)
+		b.open = append(b.open, at)
+	case !room && s.place >= 0:
+		last := len(b.open) - 1
+		moved := b.open[last]
+		b.open[s.place] = moved
+		b.targets[moved].place = s.place
+		b.open = b.open[:last]
+		s.place = -1
+	}
+}
--- /dev/null
+++ b/policy/balance/keeper.go
@@ -0,0 +1,204 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/admission"
+)
+
+// LeaseTerm is how long a VM may be silent before its leases end.
+const LeaseTerm = time.Second
+
+// Ask is one request for a slot, sent by a VM to the keeper.
+type Ask struct {
+	VM string
+	// ID names the request among the VM's own; the grant carries it.
+	ID       uint64
+	Customer string
+	// Weight is the customer's weight in the fair queue.
+	Weight float64
+	Zone   string
+	// Idempotent requests may go to targets under trial.
+	Idempotent bool
+	Exclude    []string
+	// Deadline is the time at which the ask is dropped.
+	Deadline time.Time
+}
+
+// Grant gives a slot of a target to an ask.
+type Grant struct {
+	VM     string
+	ID     uint64
+	Target string
+}
+
+// Keeper leases the slots of one service's targets. Asks that find no slot
+// wait in a fair queue over customers. A VM that is silent for LeaseTerm loses
+// its leases.
+type Keeper struct {
+	slots *Balancer
+	queue *admission.FairQueue[Ask]
+	// leases holds the targets leased to each VM by the ask's number.
+	leases map[string]*holder
+	// opensAt is when the leases of an earlier keeper have ended.
+	opensAt time.Time
+	pending map[pendingKey]*admission.Entry[Ask]
+	rng     *rand.Rand
+}
+
+type holder struct {
+	heard   time.Time
+	targets map[uint64]string
+}
+
+type pendingKey struct {
+	vm string
+	id uint64
+}
+
+// NewKeeper returns a keeper that grants nothing until the leases of an
+// earlier keeper have ended.
+func NewKeeper(now time.Time, rng *rand.Rand) *Keeper {
+	return &Keeper{
+		slots:   NewBalancer(),
+		queue:   admission.NewFairQueue[Ask](),
+		leases:  make(map[string]*holder),
+		pending: make(map[pendingKey]*admission.Entry[Ask]),
+		opensAt: now.Add(LeaseTerm),
+		rng:     rng,
+	}
+}
+
+// Configure replaces the targets; each has as many leases as slots.
+func (k *Keeper) Configure(targets []Target) {
+	targets = slices.Clone(targets)
+	for i := range targets {
+		targets[i].Limit = targets[i].Slots
+	}
+	k.slots.Configure(targets)
+}
+
+// SetCondition changes a target's weight.
+func (k *Keeper) SetCondition(name string, condition Condition) {
+	k.slots.SetCondition(name, condition)
+}
+
+// Waiting returns the number of asks without a slot.
+func (k *Keeper) Waiting() int { return k.queue.Len() }
+
+// Leased returns the number of slots of a target that are leased.
+func (k *Keeper) Leased(target string) int { return k.slots.InFlight(target) }
+
+// Heard records a message of a VM, which renews its leases.
+func (k *Keeper) Heard(now time.Time, vm string) {
+	k.holder(vm).heard = now
+}
+
+// Adopt records a lease that a VM holds from an earlier keeper.
+func (k *Keeper) Adopt(now time.Time, vm string, id uint64, target string) {
+	h := k.holder(vm)
+	h.heard = now
+	if _, ok := h.targets[id]; ok {
+		return
+	}
+	h.targets[id] = target
+	k.slots.TakeNamed(target)
+}
+
+// Ask queues a request for a slot and returns the grants that can be made.
+func (k *Keeper) Ask(now time.Time, ask Ask) []Grant {
+	k.Heard(now, ask.VM)
+	key := pendingKey{ask.VM, ask.ID}
+	if _, ok := k.pending[key]; ok {
+		return nil
+	}
+	k.pending[key] = k.queue.Push(ask.Customer, ask.Weight, ask)
+	return k.grant(now)
+}
+
+// Return ends an ask or a lease and returns the grants that can be made.
+func (k *Keeper) Return(now time.Time, vm string, id uint64) []Grant {
+	k.Heard(now, vm)
+	key := pendingKey{vm, id}
+	if entry, ok := k.pending[key]; ok {
+		k.queue.Remove(entry)
+		delete(k.pending, key)
+	}
+	k.release(k.leases[vm], id)
+	return k.grant(now)
+}
+
+// Expire ends the leases of silent VMs and returns the grants that can be made.
+func (k *Keeper) Expire(now time.Time) []Grant {
+	for vm, h := range k.leases {
+		if now.Sub(h.heard) < LeaseTerm {
+			continue
+		}
+		for id := range h.targets {
+			k.release(h, id)
+		}
+		delete(k.leases, vm)
+	}
+	return k.grant(now)
+}
+
+func (k *Keeper) holder(vm string) *holder {
+	h, ok := k.leases[vm]
+	if !ok {
+		h = &holder{targets: make(map[uint64]string)}
+		k.leases[vm] = h
+	}
+	return h
+}
+
+func (k *Keeper) release(h *holder, id uint64) {
+	if h == nil {
+		return
+	}
+	if target, ok := h.targets[id]; ok {
+		k.slots.Return(target)
+		delete(h.targets, id)
+	}
+}
+
+// grant serves the queue while slots are free. An ask whose own exclusions
+// leave it no free slot is passed over until the next call.
+func (k *Keeper) grant(now time.Time) []Grant {
+	if now.Before(k.opensAt) {
+		return nil
+	}
+	var grants []Grant
+	var passed []Ask
+	for len(k.slots.open) > 0 && len(passed) < maxPassed {
+		entry, ok := k.queue.Pop()
+		if !ok {
+			break
+		}
+		ask := entry.Item
+		key := pendingKey{ask.VM, ask.ID}
+		delete(k.pending, key)
+		if !ask.Deadline.IsZero() && !now.Before(ask.Deadline) {
+			continue
+		}
+		target, ok := k.slots.Take(k.rng, ask.want())
+		if !ok {
+			passed = append(passed, ask)
+			continue
+		}
+		k.holder(ask.VM).targets[ask.ID] = target
+		grants = append(grants, Grant{VM: ask.VM, ID: ask.ID, Target: target})
+	}
+	for _, ask := range passed {
+		k.pending[pendingKey{ask.VM, ask.ID}] = k.queue.Push(ask.Customer, ask.Weight, ask)
+	}
+	return grants
+}
+
+// maxPassed bounds the asks passed over in one call.
+const maxPassed = 8
+
+func (a Ask) want() Want {
+	return Want{Zone: a.Zone, Exclude: a.Exclude, Idempotent: a.Idempotent}
+}
--- /dev/null
+++ b/policy/retry/budget.go
@@ -0,0 +1,38 @@
+package retry
+
+// ServiceRatio is the number of retries that a service earns with each request.
+const ServiceRatio = 0.09
+
+// MaxTokens bounds the retries that a budget can save up.
+const MaxTokens = 10.0
+
+// Budget limits retries to a fraction of the requests. The zero value holds no
+// tokens and is ready for use.
+type Budget struct {
+	tokens float64
+}
+
+// NewBudget returns a budget that holds the given number of tokens.
+func NewBudget(tokens float64) Budget { return Budget{tokens: min(tokens, MaxTokens)} }
+
+// Earn credits one request at a ratio in retries for each request.
+func (b *Budget) Earn(ratio float64) {
+	if ratio > 0 {
+		b.tokens = min(b.tokens+ratio, MaxTokens)
+	}
+}
+
+// Available reports whether the budget can pay one retry.
+func (b *Budget) Available() bool { return b.tokens >= 1 }
+
+// Spend pays one retry and reports whether the budget could.
+func (b *Budget) Spend() bool {
+	if !b.Available() {
+		return false
+	}
+	b.tokens--
+	return true
+}
+
+// Tokens returns the number of retries saved up.
+func (b *Budget) Tokens() float64 { return b.tokens }
