Admit requests, queue them fairly and hold counted connections to targets

Cause: the thin child took targets in turn over a Transport that resends by itself, without limits, queue or health.

Change: entry/targets admits by customer, waits in the fair queue, chooses by two random choices with the near zone preferred, and sends each request once over an http.ClientConn. Connections are counted with probes and restarts and are reused only after a whole answer in turn. Targets that drain by their own word, the VM list, the configuration or a peer get no new work.

Conclusion: replaces the thin child.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -109,6 +109,7 @@
 	tree := supervisor.New("primroseloomd", d.logger)
 	tree.Add("config", d.config)
 	tree.Add("peer", d.peers)
+	tree.Add("targets", d.targets)
 	treeContext, stopTree := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopTree()
 	treeDone := make(chan error, 1)
--- /dev/null
+++ b/entry/targets/acquire.go
@@ -0,0 +1,144 @@
+package targets
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/retry"
+)
+
+// noTargetRetryAfter is what a caller is told when no target takes work.
+const noTargetRetryAfter = time.Second
+
+// Acquire admits a request and waits for a slot of a target. Its error is an
+// *outcome.Refusal, and the request has then not run.
+func (m *Manager) Acquire(ctx context.Context, request contract.AcquireRequest) (contract.Grant, error) {
+	snap := m.configuration.Current()
+	if snap == nil {
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoConfiguration, outcome.StepAdmission, m.vm, nil)
+	}
+	s := m.service(request.Service)
+	customer, known := snap.Customer(request.Customer)
+	switch {
+	case s == nil:
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, nil)
+	case !known:
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonUnknownCustomer, outcome.StepAdmission, m.vm, nil)
+	}
+	if refusal := m.admit(s, customer, request); refusal != nil {
+		s.metrics.refused(refusal.Reason)
+		return nil, refusal
+	}
+	name, refusal := s.acquire(ctx, request, customer.Limits.Weight)
+	if refusal != nil {
+		m.finish(request.Customer)
+		refusal.Peer = m.vm
+		s.metrics.refused(refusal.Reason)
+		return nil, refusal
+	}
+	return m.grant(s, name, request)
+}
+
+func (m *Manager) grant(s *service, name string, request contract.AcquireRequest) (contract.Grant, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.targets[name]
+	if !ok {
+		s.returned(time.Now(), name)
+		m.finish(request.Customer)
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
+	}
+	s.nextID++
+	s.judge.Started(time.Now(), name, s.nextID, request.Idempotent)
+	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: s.nextID}, nil
+}
+
+var errRemoved = errors.New("target was removed from the configuration")
+
+// acquire takes a slot at once or waits for one in the fair queue.
+func (s *service) acquire(ctx context.Context, request contract.AcquireRequest, weight float64) (string, *outcome.Refusal) {
+	began := time.Now()
+	w, name, refusal := s.enqueue(began, request, weight)
+	if refusal != nil || name != "" {
+		return name, refusal
+	}
+	timer := time.NewTimer(time.Until(request.Deadline))
+	defer timer.Stop()
+	select {
+	case name, ok := <-w.Item.granted:
+		if !ok {
+			return "", refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+		}
+		s.metrics.waited(time.Since(began))
+		return name, nil
+	case <-ctx.Done():
+		s.abandon(w)
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			return "", refuse(outcome.ReasonDeadlineExceeded, 0, ctx.Err())
+		}
+		return "", refuse(outcome.ReasonCallerGone, 0, context.Cause(ctx))
+	case <-timer.C:
+		s.abandon(w)
+		return "", refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+	}
+}
+
+// enqueue takes a slot when one is free and nobody waits, and queues the
+// request otherwise unless it would wait past its deadline.
+func (s *service) enqueue(now time.Time, request contract.AcquireRequest, weight float64) (*waitEntry, string, *outcome.Refusal) {
+	want := balance.Want{Zone: s.zone, Exclude: slices.Clone(request.Exclude), Idempotent: request.Idempotent}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.balancer.Usable(want) == 0 {
+		return nil, "", refuse(outcome.ReasonNoTarget, noTargetRetryAfter, nil)
+	}
+	if s.queue.Len() == 0 {
+		if name, ok := s.balancer.Take(s.rng, want); ok {
+			s.inFlight++
+			return nil, name, nil
+		}
+		s.drain.Began(now)
+	}
+	wait := s.drain.Wait(s.queue.Ahead(request.Customer, weight) + 1)
+	if now.Add(wait).After(request.Deadline) {
+		return nil, "", refuse(outcome.ReasonDeadlineTooShort, wait, fmt.Errorf("wait of %v expected", wait.Round(time.Millisecond)))
+	}
+	w := &waiter{want: want, deadline: request.Deadline, granted: make(chan string, 1)}
+	return s.queue.Push(request.Customer, weight, w), "", nil
+}
+
+// abandon takes a request out of the queue, or gives back the slot that it was
+// granted meanwhile.
+func (s *service) abandon(entry *waitEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.queue.Remove(entry)
+	select {
+	case name, ok := <-entry.Item.granted:
+		if ok {
+			s.returned(time.Now(), name)
+		}
+	default:
+	}
+}
+
+func refuse(reason outcome.Reason, retryAfter time.Duration, cause error) *outcome.Refusal {
+	step := outcome.StepAdmission
+	if reason == outcome.ReasonNoTarget {
+		step = outcome.StepChoose
+	}
+	return &outcome.Refusal{Outcome: outcome.NotRun, Reason: reason, Step: step, RetryAfter: retryAfter, Cause: cause}
+}
+
+// retryRefusal is the refusal of an attempt that the budgets do not allow.
+func retryRefusal(vm string, reason retry.Reason) *outcome.Refusal {
+	refusal := refuse(outcome.ReasonRetryBudget, 0, fmt.Errorf("retry budget: %s", reason))
+	refusal.Peer = vm
+	return refusal
+}
--- /dev/null
+++ b/entry/targets/explain.go
@@ -0,0 +1,106 @@
+package targets
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/outcome"
+)
+
+// refusalsKept bounds the refusals that are remembered for explanations.
+const refusalsKept = 512
+
+// refusalLog remembers the latest refusals, oldest first.
+type refusalLog struct {
+	entries []refusalEntry
+}
+
+type refusalEntry struct {
+	at       time.Time
+	customer string
+	service  string
+	refusal  *outcome.Refusal
+}
+
+func (l *refusalLog) add(at time.Time, customer, service string, refusal *outcome.Refusal) {
+	if len(l.entries) >= refusalsKept {
+		l.entries = append(l.entries[:0], l.entries[refusalsKept/2:]...)
+	}
+	l.entries = append(l.entries, refusalEntry{at: at, customer: customer, service: service, refusal: refusal})
+}
+
+// Explain answers for "target <service>/<target>" and "customer <name>".
+func (m *Manager) Explain(subject string) []contract.Finding {
+	kind, name, _ := strings.Cut(subject, " ")
+	switch kind {
+	case "target":
+		return m.explainTarget(subject, name)
+	case "customer":
+		return m.explainCustomer(subject, name)
+	}
+	return nil
+}
+
+func (m *Manager) explainTarget(subject, name string) []contract.Finding {
+	serviceName, targetName, _ := strings.Cut(name, "/")
+	s := m.service(serviceName)
+	if s == nil {
+		return nil
+	}
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.targets[targetName]
+	if !ok {
+		return nil
+	}
+	finding := s.judge.Explain(now, targetName)
+	finding.Subject = subject
+	finding.SeenBy = append(finding.SeenBy, m.vm)
+	finding.Evidence = append(finding.Evidence,
+		fmt.Sprintf("%d attempts in progress", s.balancer.InFlight(targetName)),
+		fmt.Sprintf("%d connections open", t.pool.size()))
+	findings := []contract.Finding{finding}
+	if t.leaving.now(now) {
+		findings = append(findings, contract.Finding{
+			Subject: subject, Decision: "no new work", Rule: "the target is leaving", SeenBy: []string{m.vm},
+			Evidence: t.leaving.evidence(now), Since: t.leaving.since, Next: "requests in progress are finished",
+		})
+	}
+	return findings
+}
+
+// evidence lists who said that the target leaves.
+func (l *leaving) evidence(now time.Time) []string {
+	var said []string
+	if l.byConfiguration {
+		said = append(said, "configuration")
+	}
+	if l.byVMList {
+		said = append(said, "platform's VM list")
+	}
+	if now.Before(l.until) {
+		said = append(said, "the target's own answers")
+	}
+	return said
+}
+
+func (m *Manager) explainCustomer(subject, name string) []contract.Finding {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var findings []contract.Finding
+	for i := len(m.refusals.entries) - 1; i >= 0; i-- {
+		entry := m.refusals.entries[i]
+		if entry.customer != name {
+			continue
+		}
+		findings = append(findings, contract.Finding{
+			Subject: subject, Decision: "refused", Rule: string(entry.refusal.Reason), SeenBy: []string{m.vm},
+			Evidence: []string{"service " + entry.service, entry.refusal.Error()}, Since: entry.at,
+			Next: "retry after " + entry.refusal.RetryAfter.Round(time.Millisecond).String(),
+		})
+	}
+	return findings
+}
--- /dev/null
+++ b/entry/targets/probe.go
@@ -0,0 +1,176 @@
+package targets
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/subset"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+const (
+	// probersPerTarget is the number of VMs that probe each target.
+	probersPerTarget = 3
+	// probeInterval is the time between two probes of a target by one VM.
+	probeInterval = time.Second
+	probeTimeout  = time.Second
+	// maxProbeBytes bounds the answer of a health or load endpoint.
+	maxProbeBytes = 4 << 10
+)
+
+// probeState tells when this VM probes a target next.
+type probeState struct {
+	next    time.Time
+	running bool
+}
+
+// loadReport is the answer of a target's load endpoint.
+type loadReport struct {
+	InFlight int `json:"in_flight"`
+	Slots    int `json:"slots"`
+	Queued   int `json:"queued"`
+}
+
+// probe starts the probes that are due on this VM.
+func (m *Manager) probe(ctx context.Context, s *service, members []*primroseloomv1.Member) {
+	for _, t := range s.probesDue(time.Now(), m.vm, members) {
+		go func() {
+			m.probeTarget(ctx, s, t)
+			s.mu.Lock()
+			t.probes.running = false
+			s.mu.Unlock()
+		}()
+	}
+}
+
+// probesDue returns the targets that this VM is to probe now.
+func (s *service) probesDue(now time.Time, vm string, members []*primroseloomv1.Member) []*target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.definition.HealthPath == "" && s.definition.LoadPath == "" {
+		return nil
+	}
+	var due []*target
+	for name, t := range s.targets {
+		if t.probes.running || now.Before(t.probes.next) {
+			continue
+		}
+		t.probes.next = now.Add(probeInterval)
+		if isProber(s.name+"/"+name, vm, members) {
+			t.probes.running = true
+			due = append(due, t)
+		}
+	}
+	return due
+}
+
+func isProber(key, vm string, members []*primroseloomv1.Member) bool {
+	candidates := make([]subset.VM, 0, len(members))
+	for _, member := range members {
+		candidates = append(candidates, subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region})
+	}
+	for _, chosen := range subset.Choose("probe/"+key, candidates, probersPerTarget) {
+		if chosen.Name == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// probeTarget asks the health endpoint and the load endpoint of a target.
+func (m *Manager) probeTarget(ctx context.Context, s *service, t *target) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	s.mu.Lock()
+	definition := s.definition
+	s.mu.Unlock()
+	if definition.HealthPath != "" {
+		m.probeHealth(ctx, s, t, definition)
+	}
+	if definition.LoadPath != "" {
+		s.probeLoad(ctx, t, definition.LoadPath)
+	}
+}
+
+func (m *Manager) probeHealth(ctx context.Context, s *service, t *target, definition *document.Service) {
+	response, _, err := fetch(ctx, t, definition.HealthPath)
+	if err != nil && ctx.Err() == nil && isConnectionLimit(err) {
+		s.metrics.probed("skipped")
+		return
+	}
+	name := t.definition.Name
+	leaves := err == nil && response.Header.Get(definition.Drain.Header) != "" && definition.Drain.Header != ""
+	if leaves {
+		s.metrics.probed("leaving")
+		m.leaves(s, name)
+		return
+	}
+	healthy := err == nil && response.StatusCode == http.StatusOK
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if healthy {
+		t.leaving.stayed(now)
+	}
+	s.judge.Probed(now, name, healthy)
+	s.refreshTarget(now, name)
+	s.pump(now)
+	s.metrics.probed(map[bool]string{true: "healthy", false: "unhealthy"}[healthy])
+}
+
+// leaves records a target's word that it leaves and tells the other VMs.
+func (m *Manager) leaves(s *service, name string) {
+	if !s.told(time.Now(), name) {
+		return
+	}
+	events.TargetLeaving.Log(m.logger, "service", s.name, "target", name)
+	m.mu.Lock()
+	news := m.news
+	m.mu.Unlock()
+	if news != nil {
+		body := &primroseloomv1.NewsItem_Leaving{Leaving: &primroseloomv1.TargetLeaving{Target: name}}
+		news.Publish(&primroseloomv1.NewsItem{Service: s.name, Body: body}, true)
+	}
+}
+
+func (s *service) probeLoad(ctx context.Context, t *target, path string) {
+	response, content, err := fetch(ctx, t, path)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return
+	}
+	var report loadReport
+	if json.Unmarshal(content, &report) != nil {
+		s.metrics.probed("load_unreadable")
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	own := s.balancer.InFlight(t.definition.Name)
+	s.balancer.SetOthers(t.definition.Name, float64(report.InFlight+report.Queued-own))
+}
+
+// fetch reads a small answer from a target over its pool.
+func fetch(ctx context.Context, t *target, path string) (*http.Response, []byte, error) {
+	name := t.definition.Name
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.definition.Address+path, nil)
+	if err != nil {
+		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
+	}
+	x, response, err := send(t.pool, name, request)
+	if err != nil {
+		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
+	}
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
+	_ = response.Body.Close()
+	x.finish(err == nil)
+	if err != nil {
+		return nil, nil, fmt.Errorf("read probe of target %s: %w", name, err)
+	}
+	return response, content, nil
+}
--- /dev/null
+++ b/entry/targets/service.go
@@ -0,0 +1,269 @@
+package targets
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/admission"
+	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/policy/retry"
+)
+
+const (
+	// maxPassed bounds the waiting requests that are passed over because the
+	// targets with room are not for them.
+	maxPassed = 8
+	// timeSmoothing is the weight of a new service time in the moving average.
+	timeSmoothing = 0.05
+	// shortestHold and longestHold bound how long a target that shed rests.
+	shortestHold = 5 * time.Millisecond
+	longestHold  = 100 * time.Millisecond
+	// probeConnections is the part of a connection share kept for probes.
+	probeConnections = 1
+)
+
+// service holds the state of one service on this VM.
+type service struct {
+	name    string
+	zone    string
+	network contract.Network
+	metrics serviceMetrics
+
+	mu         sync.Mutex
+	vms        int
+	definition *document.Service
+	balancer   *balance.Balancer
+	queue      *admission.FairQueue[*waiter]
+	drain      admission.Drain
+	retries    retry.Budget
+	judge      judge
+	targets    map[string]*target
+	rng        *rand.Rand
+	nextID     uint64
+	// inFlight counts the attempts in progress at all targets.
+	inFlight int
+	// typical is the average service time.
+	typical time.Duration
+}
+
+// target holds the state of one target of a service.
+type target struct {
+	definition document.Target
+	pool       *pool
+	leaving    leaving
+	// probes holds the state of this VM's probes.
+	probes probeState
+}
+
+// waiter is a request that waits for a slot.
+type waiter struct {
+	want     balance.Want
+	deadline time.Time
+	// granted receives the target, or is closed when the deadline passed.
+	granted chan string
+}
+
+func newService(name, zone string, network contract.Network, metrics serviceMetrics, rng *rand.Rand) *service {
+	return &service{
+		name: name, zone: zone, network: network, metrics: metrics, rng: rng,
+		balancer: balance.NewBalancer(),
+		queue:    admission.NewFairQueue[*waiter](),
+		judge:    newNaiveJudge(),
+		targets:  make(map[string]*target),
+	}
+}
+
+// configure applies a definition; targets that stay keep their state. Vms is
+// the number of VMs that may connect to the targets.
+func (s *service) configure(now time.Time, definition *document.Service, vms int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.definition, s.vms = definition, vms
+	share := balance.ConnectionShare(definition.MaxConnections, vms)
+	limit := min(definition.Slots, max(share-probeConnections, min(share, 1)))
+	old := s.targets
+	s.targets = make(map[string]*target, len(definition.Targets))
+	var names []string
+	var balanced []balance.Target
+	for _, d := range definition.Targets {
+		s.targets[d.Name] = s.carryOver(now, old[d.Name], d, share)
+		names = append(names, d.Name)
+		balanced = append(balanced, balance.Target{Name: d.Name, Zone: d.Zone, Limit: limit, Slots: definition.Slots})
+	}
+	for name, t := range old {
+		if s.targets[name] == nil || s.targets[name].pool != t.pool {
+			t.pool.close()
+		}
+	}
+	s.balancer.Configure(balanced)
+	s.judge.Configure(now, names)
+	s.refresh(now)
+}
+
+// carryOver keeps a target's state unless it moved to another address.
+func (s *service) carryOver(now time.Time, t *target, definition document.Target, share int) *target {
+	if t == nil || t.definition.Address != definition.Address {
+		t = &target{pool: newPool(definition.Address, s.network, share)}
+	}
+	t.pool.setLimit(share)
+	t.definition = definition
+	t.leaving.configured(now, definition.Leaving)
+	return t
+}
+
+// tick does periodic work: judgements age, idle connections are closed and the
+// share of connections follows the number of VMs.
+func (s *service) tick(now time.Time, vms int) {
+	if s.outgrown(vms) {
+		s.configure(now, s.definition, vms)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.judge.Tick(now)
+	s.refresh(now)
+	connections := 0
+	for _, t := range s.targets {
+		t.pool.sweep()
+		connections += t.pool.size()
+	}
+	s.metrics.gauges(s.queue.Len(), s.inFlight, connections)
+}
+
+func (s *service) outgrown(vms int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.vms != vms
+}
+
+// told records that a target leaves, and reports whether the other VMs are to
+// be told, which is when the word is new or would expire soon.
+func (s *service) told(now time.Time, name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.targets[name]
+	if !ok {
+		return false
+	}
+	tell := t.leaving.until.Sub(now) < leavingFor/2
+	t.leaving.told(now)
+	s.refreshTarget(now, name)
+	return tell
+}
+
+// listed takes over which names and IP addresses the VM list calls leaving.
+func (s *service) listed(now time.Time, gone map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, t := range s.targets {
+		t.leaving.listed(now, gone[name] || gone[hostOf(t.definition.Address)])
+	}
+	s.refresh(now)
+}
+
+// close releases the connections of a service that was removed.
+func (s *service) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.targets {
+		t.pool.close()
+	}
+}
+
+// refresh hands the judge's decisions to the balancer and serves the queue;
+// the lock is held.
+func (s *service) refresh(now time.Time) {
+	for name := range s.targets {
+		s.refreshTarget(now, name)
+	}
+	s.pump(now)
+}
+
+func (s *service) refreshTarget(now time.Time, name string) {
+	t, ok := s.targets[name]
+	if !ok {
+		return
+	}
+	condition := s.judge.Condition(name)
+	if t.leaving.now(now) {
+		condition = balance.Condition{}
+	}
+	s.balancer.SetCondition(name, condition)
+}
+
+// pump gives free slots to the requests that wait; the lock is held.
+func (s *service) pump(now time.Time) {
+	var passed []*admission.Entry[*waiter]
+	for len(passed) < maxPassed {
+		entry, ok := s.queue.Peek()
+		if !ok {
+			break
+		}
+		if !now.Before(entry.Item.deadline) {
+			s.queue.Remove(entry)
+			close(entry.Item.granted)
+			continue
+		}
+		name, ok := s.balancer.Take(s.rng, entry.Item.want)
+		if !ok && !s.balancer.HasRoom() {
+			break
+		}
+		s.queue.Pop()
+		if !ok {
+			passed = append(passed, entry)
+			continue
+		}
+		s.inFlight++
+		s.drain.Left(now, s.queue.Len() > 0)
+		entry.Item.granted <- name
+	}
+	for _, entry := range passed {
+		s.queue.Restore(entry)
+	}
+}
+
+// returned ends an attempt at a target; the lock is held.
+func (s *service) returned(now time.Time, name string) {
+	s.balancer.Return(name)
+	s.inFlight--
+	s.pump(now)
+}
+
+// observed takes the result of an attempt as evidence.
+func (s *service) observed(now time.Time, name string, attempt uint64, result contract.AttemptResult) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.judge.Ended(now, name, attempt, result)
+	switch result.Kind {
+	case contract.AttemptSucceeded:
+		s.learnTime(result.Total)
+	case contract.AttemptShed:
+		s.hold(name)
+	}
+	s.refreshTarget(now, name)
+	s.returned(now, name)
+}
+
+func (s *service) learnTime(total time.Duration) {
+	if s.typical == 0 {
+		s.typical = total
+		return
+	}
+	s.typical += time.Duration(timeSmoothing * float64(total-s.typical))
+}
+
+// hold rests a target that shed for about the time in which one of its slots
+// becomes free; the lock is held.
+func (s *service) hold(name string) {
+	rest := s.typical / time.Duration(max(s.definition.Slots, 1))
+	rest = min(max(rest, shortestHold), longestHold)
+	s.balancer.Hold(name, true)
+	time.AfterFunc(rest, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.balancer.Hold(name, false)
+		s.pump(time.Now())
+	})
+}
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -24,6 +24,8 @@
 // Entry is one waiting item.
 type Entry[T any] struct {
 	Item       T
+	customer   string
+	weight     float64
 	flow       *flow[T]
 	prev, next *Entry[T]
 	start      float64
@@ -61,7 +63,7 @@
 func (q *FairQueue[T]) Push(customer string, weight float64, item T) *Entry[T] {
 	f := q.flow(customer)
 	q.reweigh(f, max(weight, minWeight))
-	entry := &Entry[T]{Item: item, flow: f, start: max(q.virtual, f.finish)}
+	entry := &Entry[T]{Item: item, customer: customer, weight: f.weight, flow: f, start: max(q.virtual, f.finish)}
 	f.finish = entry.start + 1/f.weight
 	q.latest = max(q.latest, f.finish)
 	f.append(entry)
@@ -91,6 +93,23 @@
 	return entry, true
 }
 
+// Restore puts back an item that Pop returned, in front of its customer's
+// backlog.
+func (q *FairQueue[T]) Restore(entry *Entry[T]) {
+	f := q.flow(entry.customer)
+	if f.index < 0 {
+		q.reweigh(f, entry.weight)
+	}
+	f.prepend(entry)
+	q.length++
+	if f.index >= 0 {
+		heap.Fix(&q.waiting, f.index)
+		return
+	}
+	f.finish = max(f.finish, entry.start+1/entry.weight)
+	heap.Push(&q.waiting, f)
+}
+
 // Remove takes out an item that no longer waits; a second call does nothing.
 func (q *FairQueue[T]) Remove(entry *Entry[T]) {
 	if entry.flow == nil {
@@ -184,6 +203,17 @@
 	f.length++
 }
 
+func (f *flow[T]) prepend(entry *Entry[T]) {
+	entry.flow, entry.next = f, f.head
+	if f.head == nil {
+		f.tail = entry
+	} else {
+		f.head.prev = entry
+	}
+	f.head = entry
+	f.length++
+}
+
 func (f *flow[T]) remove(entry *Entry[T]) {
 	if entry.prev == nil {
 		f.head = entry.next
--- a/policy/admission/queue_test.go
+++ b/policy/admission/queue_test.go
@@ -74,6 +74,10 @@
 						t.Fatalf("seed %d: item %d passed item %d", seed, entry.Item, candidate.n)
 					}
 				}
+				if rng.IntN(4) == 0 {
+					q.Restore(entry)
+					break
+				}
 				naive = append(naive[:at], naive[at+1:]...)
 			case len(naive) > 0:
 				at := rng.IntN(len(naive))
--- a/policy/balance/balancer.go
+++ b/policy/balance/balancer.go
@@ -121,6 +121,9 @@
 	return 0
 }
 
+// HasRoom reports whether any target has room for any attempt.
+func (b *Balancer) HasRoom() bool { return len(b.open) > 0 }
+
 // Usable returns the number of targets that an attempt could ever use, busy
 // ones included.
 func (b *Balancer) Usable(want Want) int {
--- a/policy/balance/keeper.go
+++ b/policy/balance/keeper.go
@@ -170,7 +170,7 @@
 		return nil
 	}
 	var grants []Grant
-	var passed []Ask
+	var passed []*admission.Entry[Ask]
 	for len(k.slots.open) > 0 && len(passed) < maxPassed {
 		entry, ok := k.queue.Pop()
 		if !ok {
@@ -184,14 +184,15 @@
 		}
 		target, ok := k.slots.Take(k.rng, ask.want())
 		if !ok {
-			passed = append(passed, ask)
+			passed = append(passed, entry)
 			continue
 		}
 		k.holder(ask.VM).targets[ask.ID] = target
 		grants = append(grants, Grant{VM: ask.VM, ID: ask.ID, Target: target})
 	}
-	for _, ask := range passed {
-		k.pending[pendingKey{ask.VM, ask.ID}] = k.queue.Push(ask.Customer, ask.Weight, ask)
+	for _, entry := range passed {
+		k.pending[pendingKey{entry.Item.VM, entry.Item.ID}] = entry
+		k.queue.Restore(entry)
 	}
 	return grants
 }
