Decide outcomes, dispatch records and quarantines as pure state machines

Cause: what callers are told must be true, and no key may run twice. Change: policy/dispatch parses keys, judges windows on the instance's own uptime, keeps bounded records and judges failed attempts; policy/quarantine keeps requests that crash targets from crashing more than two. Conclusion: 50 seeds of 2000 steps agree with a naive table that forgets nothing.

--- /dev/null
+++ b/policy/dispatch/dispatch_test.go
@@ -0,0 +1,222 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/outcome"
+)
+
+func TestParseKey(t *testing.T) {
+	key, err := ParseKey("vm-3.ff01.12.order.77")
+	want := Key{VM: "vm-3", Instance: 0xff01, Window: 12, Own: "order.77"}
+	if err != nil || key != want || key.String() != "vm-3.ff01.12.order.77" {
+		t.Errorf("got %+v, %v", key, err)
+	}
+	for _, text := range []string{"", "a.b.c", "VM.1.2.x", "vm.xyz.2.x", "vm.1.-2.x", "vm.1.2.", "vm.1.99999999999999999999.x"} {
+		if _, err := ParseKey(text); err == nil {
+			t.Errorf("key %q was accepted", text)
+		}
+	}
+}
+
+func TestJudgeWindow(t *testing.T) {
+	cases := []struct {
+		window uint64
+		uptime time.Duration
+		want   WindowState
+	}{
+		{0, 0, WindowOpen},
+		{0, 2*WindowLength - 1, WindowOpen},
+		{0, 2 * WindowLength, WindowClosed},
+		{1, 0, WindowOpen},
+		{2, 0, WindowUnknown},
+		{^uint64(0), time.Hour, WindowUnknown},
+	}
+	for _, c := range cases {
+		if got := JudgeWindow(c.window, c.uptime); got != c.want {
+			t.Errorf("window %d at %s: %d, want %d", c.window, c.uptime, got, c.want)
+		}
+	}
+}
+
+func TestJudgeFailures(t *testing.T) {
+	base := Facts{Replayable: true, Attempts: 1, Remaining: time.Second}
+	with := func(change func(*Facts)) Facts { f := base; change(&f); return f }
+	cases := []struct {
+		name    string
+		facts   Facts
+		outcome outcome.Outcome
+		retry   bool
+	}{
+		{"connect refused", with(func(f *Facts) { f.Failure = FailureConnect }), outcome.NotRun, true},
+		{"reset booking", with(func(f *Facts) { f.Failure, f.Written = FailureReset, true }), outcome.MayHaveRun, false},
+		{"reset lookup", with(func(f *Facts) { f.Failure, f.Written, f.Idempotent = FailureReset, true, true }), outcome.MayHaveRun, true},
+		{"crash lookup", with(func(f *Facts) { f.Failure, f.Written, f.Idempotent = FailureCrash, true, true }), outcome.MayHaveRun, false},
+		{"shed booking", with(func(f *Facts) { f.Failure, f.Written = FailureShed, true }), outcome.NotRun, true},
+		{"shed, body gone", with(func(f *Facts) { f.Failure, f.Written, f.Replayable = FailureShed, true, false }), outcome.NotRun, false},
+		{"last attempt", with(func(f *Facts) { f.Attempts = MaxAttempts }), outcome.NotRun, false},
+		{"no time", with(func(f *Facts) { f.Remaining = 0 }), outcome.NotRun, false},
+		{"deadline before write", with(func(f *Facts) { f.Failure = FailureDeadline }), outcome.NotRun, false},
+		{"wrong answer to a booking", with(func(f *Facts) { f.Failure, f.Written = FailureWrong, true }), outcome.MayHaveRun, false},
+	}
+	for _, c := range cases {
+		got := Rules{}.Judge(c.facts)
+		if got.Outcome != c.outcome || got.Retry != c.retry {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+	}
+	stall := Rules{}.Judge(Facts{Failure: FailureStall, Written: true, Reused: true, Idempotent: true, Replayable: true, Attempts: 1, Remaining: time.Second})
+	if !stall.SameTarget || !stall.Blameless {
+		t.Errorf("stall on a reused connection: %+v", stall)
+	}
+}
+
+func TestCheckWriteAfterSuspension(t *testing.T) {
+	key := &Key{Window: 1}
+	check := Rules{}.CheckWrite
+	if err := check(key, 70*time.Second, 65*time.Second); err != nil {
+		t.Errorf("in time: %v", err)
+	}
+	if check(nil, 70*time.Second, 95*time.Second) == nil {
+		t.Error("deadline passed while suspended, but the write was allowed")
+	}
+	if check(key, time.Hour, 3*WindowLength) == nil {
+		t.Error("window closed while suspended, but the write was allowed")
+	}
+}
+
+func testID(customer, own string, window uint64) ID {
+	return ID{Customer: customer, Service: "booking", Key: Key{VM: "a", Instance: 1, Window: window, Own: own}}
+}
+
+func TestRecordsAtTheBoundRefuseAndForgetNothing(t *testing.T) {
+	records := NewRecords(Limits{Records: 3, CustomerRecords: 2, KeptBytes: 10, CustomerKeptBytes: 10, AnswerBytes: 10})
+	for _, own := range []string{"1", "2"} {
+		records.Begin(testID("large", own, 0), Digest{}, 0)
+	}
+	if d := records.Begin(testID("large", "3", 0), Digest{}, 0); d.Reason != outcome.ReasonKeyRecordsFull || d.Outcome != outcome.NotRun {
+		t.Errorf("customer at its bound: %+v", d)
+	}
+	if d := records.Begin(testID("small", "1", 0), Digest{}, 0); d.Action != ActionRun {
+		t.Errorf("another customer: %+v", d)
+	}
+	if d := records.Begin(testID("third", "1", 0), Digest{}, 0); d.Reason != outcome.ReasonKeyRecordsFull {
+		t.Errorf("table at its bound: %+v", d)
+	}
+	if d := records.Begin(testID("large", "1", 0), Digest{}, 0); d.Action != ActionJoin {
+		t.Errorf("known key at the bound: %+v", d)
+	}
+	records.Begin(testID("x", "1", 2), Digest{}, 2*WindowLength)
+	if records.Len() != 1 {
+		t.Errorf("%d records after the window closed, want 1", records.Len())
+	}
+}
+
+// naive keeps everything for ever in one map.
+type naive struct {
+	runs map[ID]*naiveRun
+}
+
+type naiveRun struct {
+	digest, body Digest
+	sealed       bool
+	ending       *Ending
+}
+
+func (n *naive) Begin(id ID, digest Digest, uptime time.Duration) Decision {
+	now := uint64(uptime / WindowLength)
+	if id.Key.Window+2 <= now {
+		return refuse(outcome.MayHaveRun, outcome.ReasonKeyWindowClosed)
+	}
+	if id.Key.Window > now+1 {
+		return refuse(outcome.NotRun, outcome.ReasonKeyMalformed)
+	}
+	run := n.runs[id]
+	switch {
+	case run == nil:
+		n.runs[id] = &naiveRun{digest: digest}
+		return Decision{Action: ActionRun}
+	case run.digest != digest:
+		return refuse(outcome.NotRun, outcome.ReasonKeyReused)
+	case run.ending == nil:
+		return Decision{Action: ActionJoin}
+	case run.ending.Outcome == outcome.NotRun:
+		run.ending = nil
+		return Decision{Action: ActionRun}
+	case run.ending.Answer != nil:
+		return Decision{Action: ActionAnswer, Answer: run.ending.Answer}
+	}
+	return refuse(outcome.MayHaveRun, outcome.ReasonAlreadyRan)
+}
+
+func (n *naive) End(id ID, ending Ending) {
+	if run := n.runs[id]; run != nil && run.ending == nil {
+		n.runs[id].ending = &ending
+	}
+}
+
+func (n *naive) SealBody(id ID, body Digest) {
+	if run := n.runs[id]; run != nil {
+		run.body, run.sealed = body, true
+	}
+}
+
+func (n *naive) SameBody(id ID, body Digest) bool {
+	run := n.runs[id]
+	return run == nil || !run.sealed || run.body == body
+}
+
+// TestRecordsAgreeWithNaiveTable compares the records with one map that
+// forgets nothing, over random requests, endings and times.
+func TestRecordsAgreeWithNaiveTable(t *testing.T) {
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		records, plain := NewRecords(DefaultLimits()), &naive{runs: make(map[ID]*naiveRun)}
+		uptime := time.Duration(0)
+		endings := []outcome.Outcome{outcome.NotRun, outcome.Answered, outcome.MayHaveRun}
+		for step := range 2000 {
+			uptime += time.Duration(rng.IntN(400)) * time.Millisecond
+			if rng.IntN(500) == 0 {
+				uptime += 30 * time.Second
+			}
+			window := uint64(max(0, int(WindowAt(uptime))+rng.IntN(5)-3))
+			id := testID([]string{"a", "b"}[rng.IntN(2)], string(rune('0'+rng.IntN(8))), window)
+			if rng.IntN(2) == 0 {
+				digest := Digest{byte(rng.IntN(10) / 9)}
+				got, want := records.Begin(id, digest, uptime), plain.Begin(id, digest, uptime)
+				if got != want {
+					t.Fatalf("seed %d step %d: records %+v, naive %+v", seed, step, got, want)
+				}
+				if open := JudgeWindow(window, uptime) == WindowOpen; open && records.SameBody(id, digest) != plain.SameBody(id, digest) {
+					t.Fatalf("seed %d step %d: bodies compared differently", seed, step)
+				}
+				continue
+			}
+			if rng.IntN(4) == 0 {
+				body := Digest{byte(rng.IntN(2))}
+				records.SealBody(id, body)
+				plain.SealBody(id, body)
+			}
+			ending := Ending{Outcome: endings[rng.IntN(3)]}
+			if ending.Outcome == outcome.Answered && rng.IntN(2) == 0 {
+				ending.Answer = &Answer{Status: step}
+			}
+			records.End(id, ending, uptime)
+			plain.End(id, ending)
+		}
+	}
+}
+
+func BenchmarkRecords(b *testing.B) {
+	records := NewRecords(DefaultLimits())
+	answer := &Answer{Status: 200, Body: make([]byte, 100)}
+	b.ReportAllocs()
+	for i := range b.N {
+		uptime := time.Duration(i) * 5 * time.Millisecond
+		id := testID("a", time.Duration(i).String(), WindowAt(uptime))
+		records.Begin(id, Digest{}, uptime)
+		records.End(id, Ending{Outcome: outcome.Answered, Answer: answer}, uptime)
+	}
+}
--- /dev/null
+++ b/policy/quarantine/table.go
@@ -0,0 +1,223 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// QuarantineTime is how long a quarantined request is refused.
+const QuarantineTime = 10 * time.Minute
+
+// SuspectTime is how long a suspect is remembered without a second crash.
+const SuspectTime = 10 * time.Minute
+
+// RemoteAttemptTime bounds how long another VM's attempt is taken to run when
+// its end is not heard of.
+const RemoteAttemptTime = 5 * time.Second
+
+// CrashesToQuarantine is the number of crashed targets that judges a request.
+const CrashesToQuarantine = 2
+
+// Limits bound the table's memory.
+const (
+	MaxSuspects    = 4096
+	MaxQuarantines = 1024
+)
+
+// Fingerprint identifies a request.
+type Fingerprint uint64
+
+// Action tells what to do with a request.
+type Action int
+
+// The actions.
+const (
+	// ActionRun allows the attempt.
+	ActionRun Action = iota
+	// ActionWait means that another attempt of the suspect runs now.
+	ActionWait
+	// ActionRefuse means that the request is quarantined.
+	ActionRefuse
+)
+
+// Decision is the table's word on a request.
+type Decision struct {
+	Action Action
+	// Suspect is true when the attempt must be reported with Ended.
+	Suspect bool
+	// RetryAfter is the rest of the quarantine for ActionRefuse, and for
+	// ActionWait the longest useful wait.
+	RetryAfter time.Duration
+}
+
+// Entry is one row of the list for operators.
+type Entry struct {
+	Fingerprint Fingerprint
+	Service     string
+	// Targets are the crashed targets.
+	Targets []string
+	// Quarantined is false for a suspect.
+	Quarantined bool
+	// Ends is the time at which the row is dropped, on the caller's clock.
+	Ends time.Duration
+}
+
+type entry struct {
+	Entry
+	// running is the time until which an attempt is taken to run.
+	running time.Duration
+}
+
+// Judge is what the proxy needs of a table.
+type Judge interface {
+	// Admit decides about an attempt of a request.
+	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
+	// Crashed records that a target crashed while it ran the request.
+	Crashed(fingerprint Fingerprint, service, target string, now time.Duration)
+	// Answered records a whole answer and reports whether it cleared a suspect.
+	Answered(fingerprint Fingerprint) bool
+	// Ended records the end of a suspect's attempt without crash or answer.
+	Ended(fingerprint Fingerprint)
+}
+
+// Table holds the suspects and quarantines. It is not safe for concurrent use.
+type Table struct {
+	entries     map[Fingerprint]*entry
+	quarantines int
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table { return &Table{entries: make(map[Fingerprint]*entry)} }
+
+// Admit decides about an attempt of a request that ends by the deadline at the
+// latest. Times are the instance's uptime.
+func (t *Table) Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision {
+	e, ok := t.lookup(fingerprint, now)
+	if !ok {
+		return Decision{Action: ActionRun}
+	}
+	if e.Quarantined {
+		return Decision{Action: ActionRefuse, RetryAfter: e.Ends - now}
+	}
+	if now < e.running {
+		return Decision{Action: ActionWait, RetryAfter: e.running - now}
+	}
+	e.running = deadline
+	return Decision{Action: ActionRun, Suspect: true}
+}
+
+// lookup returns the entry of a fingerprint unless its time has passed.
+func (t *Table) lookup(fingerprint Fingerprint, now time.Duration) (*entry, bool) {
+	e, ok := t.entries[fingerprint]
+	if ok && now >= e.Ends {
+		t.remove(e)
+		return nil, false
+	}
+	return e, ok
+}
+
+// Crashed records that a target crashed while it ran the request.
+func (t *Table) Crashed(fingerprint Fingerprint, service, target string, now time.Duration) {
+	e, ok := t.lookup(fingerprint, now)
+	if !ok {
+		e = t.add(fingerprint, service, now)
+	}
+	e.running = 0
+	if slices.Contains(e.Targets, target) {
+		return
+	}
+	if len(e.Targets) < CrashesToQuarantine {
+		e.Targets = append(e.Targets, target)
+	}
+	if len(e.Targets) >= CrashesToQuarantine && !e.Quarantined {
+		t.quarantine(e, now)
+	}
+}
+
+func (t *Table) add(fingerprint Fingerprint, service string, now time.Duration) *entry {
+	if len(t.entries)-t.quarantines >= MaxSuspects {
+		t.dropFirst(false)
+	}
+	e := &entry{Entry: Entry{Fingerprint: fingerprint, Service: service, Ends: now + SuspectTime}}
+	t.entries[fingerprint] = e
+	return e
+}
+
+func (t *Table) quarantine(e *entry, now time.Duration) {
+	if t.quarantines >= MaxQuarantines {
+		t.dropFirst(true)
+	}
+	e.Quarantined = true
+	e.Ends = now + QuarantineTime
+	t.quarantines++
+}
+
+// dropFirst removes the suspect or quarantine that ends first.
+func (t *Table) dropFirst(quarantined bool) {
+	var first *entry
+	for _, e := range t.entries {
+		if e.Quarantined == quarantined && (first == nil || e.Ends < first.Ends) {
+			first = e
+		}
+	}
+	if first != nil {
+		t.remove(first)
+	}
+}
+
+func (t *Table) remove(e *entry) {
+	if e.Quarantined {
+		t.quarantines--
+	}
+	delete(t.entries, e.Fingerprint)
+}
+
+// Answered records a whole answer to the request; it clears a suspect and
+// reports whether there was one. A quarantine stays until it ends or is lifted.
+func (t *Table) Answered(fingerprint Fingerprint) bool {
+	e, ok := t.entries[fingerprint]
+	if !ok || e.Quarantined {
+		return false
+	}
+	t.remove(e)
+	return true
+}
+
+// Ended records the end of a suspect's attempt without crash or answer.
+func (t *Table) Ended(fingerprint Fingerprint) {
+	if e, ok := t.entries[fingerprint]; ok {
+		e.running = 0
+	}
+}
+
+// RemoteAttempt records that another VM runs a suspect now.
+func (t *Table) RemoteAttempt(fingerprint Fingerprint, now time.Duration) {
+	if e, ok := t.lookup(fingerprint, now); ok {
+		e.running = now + RemoteAttemptTime
+	}
+}
+
+// Lift ends a quarantine or suspicion and reports whether there was one.
+func (t *Table) Lift(fingerprint Fingerprint) bool {
+	e, ok := t.entries[fingerprint]
+	if ok {
+		t.remove(e)
+	}
+	return ok
+}
+
+// List returns the suspects and quarantines in order of fingerprint.
+func (t *Table) List(now time.Duration) []Entry {
+	rows := make([]Entry, 0, len(t.entries))
+	for _, e := range t.entries {
+		if now >= e.Ends {
+			continue
+		}
+		row := e.Entry
+		row.Targets = slices.Clone(e.Targets)
+		rows = append(rows, row)
+	}
+	slices.SortFunc(rows, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return rows
+}
