Serve callers with whole answers, keyed dispatch, forwarding and quarantines

Cause: the thin proxy sent each request once, believed any end of an answer and knew no keys. Change: entry/proxy holds answers until whole, judges failures by policy/dispatch, keeps dispatch records, forwards keyed requests to their dispatcher, and drains. entry/uptime is a clock that counts suspension.

--- a/entry/contract/roundtrip.go
+++ b/entry/contract/roundtrip.go
@@ -16,8 +16,10 @@
 	// Fresh asks for a new connection in place of one from the pool.
 	Fresh bool
 	// StallLimit bounds the time from the write of the request to the answer's
-	// first byte; zero for no bound besides the context.
+	// first byte on a new connection; zero for no bound besides the context.
 	StallLimit time.Duration
+	// ReusedStallLimit is the same bound on a connection used before.
+	ReusedStallLimit time.Duration
 
 	written atomic.Bool
 	reused  atomic.Bool
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -34,6 +34,7 @@
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targets"
+	"github.com/primroseloom/primroseloom/entry/uptime"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -69,7 +70,10 @@
 			func(m *peer.Manager) contract.Members { return m },
 			targets.New,
 			func(m *targets.Manager) contract.Targets { return m },
-			proxy.New,
+			uptime.NewBootClock,
+			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, t contract.Targets, clock *uptime.BootClock) *proxy.Proxy {
+				return newProxy(built, m, c, members, t, clock)
+			},
 			directory.New,
 			newAdmin,
 		),
@@ -81,6 +85,23 @@
 	return built, nil
 }
 
+func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
+	limits := proxy.DefaultLimits()
+	limits.BodyBytes = d.settings.Limits.BodyBytes
+	limits.HeldAnswerBytes = d.settings.Limits.HeldAnswerBytes
+	return proxy.New(proxy.Options{
+		Fleet:         d.settings.Fleet,
+		Configuration: c,
+		Targets:       t,
+		Members:       members,
+		Network:       d.network,
+		Clock:         clock,
+		Logger:        d.logger,
+		Scope:         m.Scope(),
+		Limits:        limits,
+	})
+}
+
 func newAdmin(members contract.Members, configuration contract.Configuration, m *metrics.Metrics) *admin.Admin {
 	return admin.New(members, configuration, nil, m.Handler())
 }
@@ -116,7 +137,7 @@
 
 	callers := d.callerServer()
 	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
-	go serve(callers, listeners.callers)
+	go serve(callers, proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections))
 	go serve(operators, listeners.admin)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
@@ -125,7 +146,7 @@
 	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Stop.Grace.Std())
 	defer cancel()
-	err = callers.Shutdown(grace)
+	err = d.proxy.Drain(grace, callers, d.settings.Stop.Linger.Std())
 	_ = operators.Shutdown(grace)
 	stopTree()
 	<-treeDone
@@ -164,16 +185,13 @@
 }
 
 func (d *Daemon) callerServer() *http.Server {
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
-		Handler:           d.callerHandler(),
-		Protocols:         protocols,
-		MaxHeaderBytes:    d.settings.Limits.HeaderBytes,
-		ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std(),
-		IdleTimeout:       d.settings.Limits.IdleTimeout.Std(),
-	}
+	limits := d.settings.Limits
+	return proxy.NewServer(d.callerHandler(), proxy.ServerLimits{
+		Connections:   limits.CallerConnections,
+		HeaderBytes:   limits.HeaderBytes,
+		HeaderTimeout: limits.HeaderTimeout.Std(),
+		IdleTimeout:   limits.IdleTimeout.Std(),
+	})
 }
 
 // callerHandler sends requests for an IP address to the directory and all
--- /dev/null
+++ b/entry/events/proxy.go
@@ -0,0 +1,15 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of the proxy and the dispatch records.
+var (
+	RequestRefused = define(5001, log.DebugLevel, "request refused",
+		"A request was refused and no target ran it; the reason's counter tells how often.")
+	RequestUncertain = define(5002, log.InfoLevel, "request may have run",
+		"A request ended without an answer and a target may have run it.")
+	TargetCrashed = define(5003, log.WarnLevel, "target crashed on a request",
+		"A target closed its connection and accepts no new ones; the request's fingerprint is a suspect.")
+	ProxyDraining = define(5004, log.InfoLevel, "proxy draining",
+		"New callers are sent elsewhere; requests in progress are finished.")
+)
--- /dev/null
+++ b/entry/proxy/request.go
@@ -0,0 +1,149 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/config/snapshot"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/dispatch"
+	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
+)
+
+// Bounds on deadlines.
+const (
+	// defaultDeadline applies when caller, template and service state none.
+	defaultDeadline = 30 * time.Second
+	// maxDeadline bounds what a caller may ask for.
+	maxDeadline = 10 * time.Minute
+)
+
+// call is one request on its way.
+type call struct {
+	request    *http.Request
+	customer   string
+	service    *document.Service
+	idempotent bool
+	// key is nil for a request without an idempotency key.
+	key *dispatch.Key
+	// deadline is the time by which the request must have ended, and expires
+	// the same on the instance's clock that counts suspension.
+	deadline time.Time
+	expires  time.Duration
+	// ctx ends with the caller or at the deadline.
+	ctx         context.Context
+	cancel      context.CancelFunc
+	upload      *upload
+	fingerprint quarantine.Fingerprint
+}
+
+// admit reads a request's head and refuses what cannot be served.
+func (p *Proxy) admit(r *http.Request) (*call, error) {
+	if err := checkHead(r); err != nil {
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonBadRequest, outcome.StepParse, r.RemoteAddr, err)
+	}
+	snap := p.options.Configuration.Current()
+	if snap == nil {
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoConfiguration, outcome.StepRoute, "", nil)
+	}
+	customer, service, err := identify(snap, r)
+	if err != nil {
+		return nil, err
+	}
+	limit, err := timeLimit(r, customer, service)
+	if err != nil {
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonBadRequest, outcome.StepParse, r.RemoteAddr, err)
+	}
+	return p.newCall(r, customer.Name, service, limit)
+}
+
+// newCall prepares a request whose customer and service are known.
+func (p *Proxy) newCall(r *http.Request, customer string, service *document.Service, limit time.Duration) (*call, error) {
+	if p.limits.BodyBytes > 0 && r.ContentLength > p.limits.BodyBytes {
+		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonBodyTooLarge, outcome.StepParse, r.RemoteAddr, nil)
+	}
+	c := &call{request: r, customer: customer, service: service, idempotent: isIdempotent(service, r)}
+	if text := r.Header.Get(KeyHeader); text != "" && !c.idempotent {
+		key, err := dispatch.ParseKey(text)
+		if err != nil {
+			return nil, contract.Refuse(outcome.NotRun, outcome.ReasonKeyMalformed, outcome.StepKey, r.RemoteAddr, err)
+		}
+		c.key = &key
+	}
+	c.deadline = time.Now().Add(limit)
+	c.expires = p.options.Clock.Uptime() + limit
+	c.ctx, c.cancel = context.WithDeadline(r.Context(), c.deadline)
+	c.upload = newUpload(r, p.limits, c.deadline)
+	return c, nil
+}
+
+// checkHead refuses requests that a proxy cannot pass on unambiguously.
+func checkHead(r *http.Request) error {
+	if r.Method == http.MethodConnect {
+		return fmt.Errorf("method %s is not served", r.Method)
+	}
+	if r.URL.Path == "" || r.URL.Path[0] != '/' {
+		return fmt.Errorf("request target %q: want a path", r.RequestURI)
+	}
+	for _, name := range []string{CredentialHeader, KeyHeader, TimeoutHeader} {
+		if len(r.Header.Values(name)) > 1 {
+			return fmt.Errorf("header %s is given more than once", name)
+		}
+	}
+	return nil
+}
+
+// identify finds the customer by its credential and the service by the route.
+func identify(snap *snapshot.Snapshot, r *http.Request) (*snapshot.Customer, *document.Service, error) {
+	customer, ok := snap.Identify(r.Header.Get(CredentialHeader))
+	if !ok {
+		return nil, nil, contract.Refuse(outcome.NotRun, outcome.ReasonUnknownCustomer, outcome.StepIdentify, r.RemoteAddr, nil)
+	}
+	route, ok := snap.Route(r.Host, r.URL.Path)
+	if !ok {
+		return nil, nil, contract.Refuse(outcome.NotRun, outcome.ReasonUnknownHost, outcome.StepRoute, r.RemoteAddr, nil)
+	}
+	service, ok := snap.Service(route.Service)
+	if !ok || !customer.Services[route.Service] {
+		return nil, nil, contract.Refuse(outcome.NotRun, outcome.ReasonRouteNotAllowed, outcome.StepRoute, route.Service, nil)
+	}
+	return customer, service, nil
+}
+
+// timeLimit returns how long the request may take.
+func timeLimit(r *http.Request, customer *snapshot.Customer, service *document.Service) (time.Duration, error) {
+	text := r.Header.Get(TimeoutHeader)
+	if text == "" {
+		return defaultLimit(customer, service), nil
+	}
+	millis, err := strconv.ParseInt(text, 10, 32)
+	if err != nil || millis <= 0 {
+		return 0, fmt.Errorf("header %s: %q: want milliseconds above 0", TimeoutHeader, text)
+	}
+	return min(time.Duration(millis)*time.Millisecond, maxDeadline), nil
+}
+
+func defaultLimit(customer *snapshot.Customer, service *document.Service) time.Duration {
+	if limit := customer.Limits.Deadline.Std(); limit > 0 {
+		return limit
+	}
+	if limit := service.Deadline.Std(); limit > 0 {
+		return limit
+	}
+	return defaultDeadline
+}
+
+func isIdempotent(service *document.Service, r *http.Request) bool {
+	for _, rule := range service.Idempotent {
+		if rule.Method == r.Method && strings.HasPrefix(r.URL.Path, rule.PathPrefix) {
+			return true
+		}
+	}
+	return false
+}
--- a/policy/dispatch/attempt.go
+++ b/policy/dispatch/attempt.go
@@ -44,6 +44,9 @@
 	Reused bool
 	// Replayable is true when the whole body can be sent again.
 	Replayable bool
+	// Resets is the number of attempts that ended in a reset on a fresh
+	// connection, this one included.
+	Resets int
 	// Attempts is the number of attempts made, this one included.
 	Attempts int
 	// Remaining is the time until the deadline.
@@ -53,6 +56,10 @@
 // MaxAttempts bounds the attempts of one request.
 const MaxAttempts = 3
 
+// MaxResets bounds the targets that one request may reset, since each reset
+// may have been a crash.
+const MaxResets = 2
+
 // MinRetryTime is the least time before the deadline at which a retry is useful.
 const MinRetryTime = 5 * time.Millisecond
 
@@ -70,9 +77,16 @@
 	Blameless bool
 }
 
-// Decider judges failed attempts.
+// Decider judges attempts.
 type Decider interface {
+	// Judge decides what a failed attempt means.
 	Judge(facts Facts) Verdict
+	// Combine returns the outcome of a request whose last attempt had the given
+	// one, and whose earlier attempts may have run.
+	Combine(earlierMayHaveRun bool, last outcome.Outcome) outcome.Outcome
+	// Correlates reports whether an answer belongs to the request by the
+	// correlation identifiers sent and echoed.
+	Correlates(sent string, echoed []string) bool
 }
 
 // Rules is the Decider in use.
@@ -101,6 +115,9 @@
 	if facts.Attempts >= MaxAttempts || facts.Remaining < MinRetryTime || !facts.Replayable {
 		return false
 	}
+	if facts.Resets >= MaxResets {
+		return false
+	}
 	switch facts.Failure {
 	case FailureCanceled, FailureDeadline, FailureCrash:
 		return false
@@ -154,3 +171,16 @@
 	}
 	return outcome.StepRead
 }
+
+// Combine implements Decider.
+func (Rules) Combine(earlierMayHaveRun bool, last outcome.Outcome) outcome.Outcome {
+	if earlierMayHaveRun && last == outcome.NotRun {
+		return outcome.MayHaveRun
+	}
+	return last
+}
+
+// Correlates implements Decider.
+func (Rules) Correlates(sent string, echoed []string) bool {
+	return len(echoed) == 1 && echoed[0] == sent
+}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -16,9 +16,14 @@
 // its end is not heard of.
 const RemoteAttemptTime = 5 * time.Second
 
-// CrashesToQuarantine is the number of crashed targets that judges a request.
+// CrashesToQuarantine is the number of crashes that judges a request; one
+// target that crashes twice counts twice.
 const CrashesToQuarantine = 2
 
+// SameCrashTime is how long reports about one target are taken to mean the
+// same crash.
+const SameCrashTime = 500 * time.Millisecond
+
 // Limits bound the table's memory.
 const (
 	MaxSuspects    = 4096
@@ -55,7 +60,7 @@
 type Entry struct {
 	Fingerprint Fingerprint
 	Service     string
-	// Targets are the crashed targets.
+	// Targets are the crashed targets, one a crash.
 	Targets []string
 	// Quarantined is false for a suspect.
 	Quarantined bool
@@ -65,20 +70,43 @@
 
 type entry struct {
 	Entry
-	// running is the time until which an attempt is taken to run.
-	running time.Duration
+	// local and remote are the times until which an attempt of this VM or of
+	// another one is taken to run.
+	local, remote time.Duration
+	// crashes holds the time of each crash in Targets.
+	crashes []time.Duration
+}
+
+// knows reports whether a crash of a target is counted already.
+func (e *entry) knows(target string, now time.Duration) bool {
+	for i, crashed := range e.Targets {
+		if crashed == target && now < e.crashes[i]+SameCrashTime {
+			return true
+		}
+	}
+	return false
 }
 
 // Judge is what the proxy needs of a table.
 type Judge interface {
-	// Admit decides about an attempt of a request.
+	// Admit decides about an attempt that ends by the deadline at the latest.
 	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
 	// Crashed records that a target crashed while it ran the request.
 	Crashed(fingerprint Fingerprint, service, target string, now time.Duration)
 	// Answered records a whole answer and reports whether it cleared a suspect.
 	Answered(fingerprint Fingerprint) bool
-	// Ended records the end of a suspect's attempt without crash or answer.
+	// Ended records the end of a suspect's attempt on this VM.
 	Ended(fingerprint Fingerprint)
+	// RemoteAttempt records that another VM runs a suspect now.
+	RemoteAttempt(fingerprint Fingerprint, now time.Duration)
+	// RemoteEnded records that another VM's attempt of a suspect has ended.
+	RemoteEnded(fingerprint Fingerprint)
+	// Lift ends a quarantine or suspicion and reports whether there was one.
+	Lift(fingerprint Fingerprint) bool
+	// List returns the suspects and quarantines.
+	List(now time.Duration) []Entry
+	// Len returns the number of suspects and quarantines.
+	Len() int
 }
 
 // Table holds the suspects and quarantines. It is not safe for concurrent use.
@@ -90,6 +118,9 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: make(map[Fingerprint]*entry)} }
 
+// Len returns the number of suspects and quarantines.
+func (t *Table) Len() int { return len(t.entries) }
+
 // Admit decides about an attempt of a request that ends by the deadline at the
 // latest. Times are the instance's uptime.
 func (t *Table) Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision {
@@ -100,10 +131,10 @@
 	if e.Quarantined {
 		return Decision{Action: ActionRefuse, RetryAfter: e.Ends - now}
 	}
-	if now < e.running {
-		return Decision{Action: ActionWait, RetryAfter: e.running - now}
+	if running := max(e.local, e.remote); now < running {
+		return Decision{Action: ActionWait, RetryAfter: running - now}
 	}
-	e.running = deadline
+	e.local = deadline
 	return Decision{Action: ActionRun, Suspect: true}
 }
 
@@ -123,12 +154,12 @@
 	if !ok {
 		e = t.add(fingerprint, service, now)
 	}
-	e.running = 0
-	if slices.Contains(e.Targets, target) {
+	if e.knows(target, now) {
 		return
 	}
 	if len(e.Targets) < CrashesToQuarantine {
 		e.Targets = append(e.Targets, target)
+		e.crashes = append(e.crashes, now)
 	}
 	if len(e.Targets) >= CrashesToQuarantine && !e.Quarantined {
 		t.quarantine(e, now)
@@ -184,17 +215,24 @@
 	return true
 }
 
-// Ended records the end of a suspect's attempt without crash or answer.
+// Ended records the end of a suspect's attempt on this VM.
 func (t *Table) Ended(fingerprint Fingerprint) {
 	if e, ok := t.entries[fingerprint]; ok {
-		e.running = 0
+		e.local = 0
 	}
 }
 
 // RemoteAttempt records that another VM runs a suspect now.
 func (t *Table) RemoteAttempt(fingerprint Fingerprint, now time.Duration) {
 	if e, ok := t.lookup(fingerprint, now); ok {
-		e.running = now + RemoteAttemptTime
+		e.remote = now + RemoteAttemptTime
+	}
+}
+
+// RemoteEnded records that another VM's attempt of a suspect has ended.
+func (t *Table) RemoteEnded(fingerprint Fingerprint) {
+	if e, ok := t.entries[fingerprint]; ok {
+		e.remote = 0
 	}
 }
 
--- a/policy/quarantine/table_test.go
+++ b/policy/quarantine/table_test.go
@@ -19,6 +19,7 @@
 	if d := table.Admit(7, 3*time.Second, time.Second); d.Action != ActionWait || d.RetryAfter != 2*time.Second {
 		t.Fatalf("second attempt of a suspect: %+v", d)
 	}
+	table.Ended(7)
 	table.Crashed(7, "booking", "t2", 2*time.Second)
 	if d := table.Admit(7, 9*time.Second, 2*time.Second); d.Action != ActionRefuse || d.RetryAfter != QuarantineTime {
 		t.Fatalf("after two targets: %+v", d)
@@ -51,7 +52,7 @@
 	if d := table.Admit(9, time.Second, 0); d.Action != ActionWait {
 		t.Errorf("while another VM runs it: %+v", d)
 	}
-	table.Ended(9)
+	table.RemoteEnded(9)
 	if d := table.Admit(9, time.Second, 0); d.Action != ActionRun {
 		t.Errorf("after the other VM's attempt: %+v", d)
 	}
