Follow the stricter validation and the bound on reused connections

Change: the test service is complete and a rejection fails the fixture; the reused connection's own bound applies.

--- a/entry/targets/roundtrip.go
+++ b/entry/targets/roundtrip.go
@@ -32,6 +32,7 @@
 	limit := trip.StallLimit
 	if conn.used {
 		trip.MarkReused()
+		limit = trip.ReusedStallLimit
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
 	x := &exchange{pool: p, target: target, conn: conn, cancel: cancel, ctx: ctx}
--- a/entry/targets/targets_test.go
+++ b/entry/targets/targets_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -65,6 +67,9 @@
 		f.targets = append(f.targets, document.Target{Name: fmt.Sprint("t", i), Address: address, Zone: "a"})
 	}
 	f.configuration = &fixedConfiguration{current: f.snapshot(1)}
+	if rejections := f.configuration.current.Rejections(); len(rejections) > 0 {
+		t.Fatal(rejections)
+	}
 	m := metrics.New()
 	f.Manager = New(f.configuration, f.network.Host("10.0.0.1"), lone{}, m, log.New(io.Discard))
 	ctx, cancel := context.WithCancel(t.Context())
@@ -82,15 +87,21 @@
 func (f *fixture) snapshot(generation uint64) *snapshot.Snapshot {
 	service := document.Service{
 		Name: "booking", Slots: f.slots, MaxConnections: 330, Targets: f.targets,
+		FloorSlots: 1, Deadline: document.Duration(time.Second),
 		Drain: document.Signal{Status: 503, Header: "Primroseloom-Draining"}, HealthPath: "/health",
 	}
 	return snapshot.Build(generation, []document.Shard{
 		{Services: []document.Service{service}},
 		{Templates: []document.Template{{Name: "plain", Services: []string{"booking"}, Limits: f.limits}}},
-		{Customers: []document.Customer{{Name: "small", Template: "plain"}, {Name: "large", Template: "plain"}}},
+		{Customers: []document.Customer{plainCustomer("small"), plainCustomer("large")}},
 	}, nil)
 }
 
+func plainCustomer(name string) document.Customer {
+	digest := sha256.Sum256([]byte(name))
+	return document.Customer{Name: name, Template: "plain", CredentialDigests: []string{hex.EncodeToString(digest[:])}}
+}
+
 func (f *fixture) reconfigure() {
 	f.configuration.current = f.snapshot(f.configuration.current.Generation + 1)
 	f.ApplyConfig(f.configuration.current)
