--- a/operator/measure/ours.go
+++ b/operator/measure/ours.go
@@ -1,12 +1,99 @@
 package measure
 
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/health"
+)
+
 // Ours is the policy that the daemon runs.
 func Ours() Policy {
 	return Policy{
 		Name:      "primroseloom",
 		Chooser:   NewTwoChoices,
-		Health:    NewNaive,
+		Health:    NewTracked,
 		Admission: NewOpenAdmission,
 		Retrier:   NewBudgetRetrier,
 	}
 }
+
+// evidenceBytes is about the size of one target's evidence on the wire.
+const evidenceBytes = 64
+
+// tracked feeds a health.Tracker.
+type tracked struct {
+	tracker  *health.Tracker
+	attempts map[uint64]*health.Attempt
+}
+
+// NewTracked builds the health judge that the daemon uses.
+func NewTracked(s *Setting) Health {
+	var zones []string
+	for zone := range s.Zones {
+		zones = append(zones, zoneName(zone))
+	}
+	tracker := health.New(health.Config{
+		VM: fmt.Sprintf("vm%02d", s.VM), Zone: zoneName(s.VMZone(s.VM)), Zones: zones, VMs: s.VMs,
+		FloorSlots:          FloorSlots(s.Scenario),
+		FalsePerTargetMonth: s.Scenario.size.FalseEjectionsPerTargetMonth,
+		Random:              rand.New(rand.NewPCG(s.Random.Uint64(), s.Random.Uint64())),
+	})
+	targets := make([]health.Target, 0, s.Targets)
+	for i := range s.Targets {
+		targets = append(targets, health.Target{Name: fmt.Sprintf("t%03d", i), Slots: s.Slots})
+	}
+	tracker.Configure(0, targets)
+	return &tracked{tracker: tracker, attempts: make(map[uint64]*health.Attempt)}
+}
+
+func zoneName(zone int) string { return fmt.Sprintf("z%d", zone) }
+
+// Started implements Health.
+func (h *tracked) Started(now time.Duration, attempt Attempt) {
+	h.attempts[attempt.ID] = h.tracker.Start(now, attempt.Target, attempt.Trial)
+}
+
+// Ended implements Health.
+func (h *tracked) Ended(now time.Duration, attempt Attempt, kind health.Kind, elapsed time.Duration) {
+	h.tracker.End(now, h.attempts[attempt.ID], kind, elapsed)
+	delete(h.attempts, attempt.ID)
+}
+
+// Probed implements Health.
+func (h *tracked) Probed(now time.Duration, target int, healthy bool) {
+	h.tracker.Probe(now, target, healthy)
+}
+
+// Tick implements Health.
+func (h *tracked) Tick(now time.Duration) { h.tracker.Tick(now) }
+
+// Weights implements Health.
+func (h *tracked) Weights(idempotent bool) []float64 { return h.tracker.Weights(idempotent) }
+
+// Trial implements Health.
+func (h *tracked) Trial(now time.Duration) (int, bool) { return h.tracker.Trial(now) }
+
+// State implements Health.
+func (h *tracked) State(target int) health.State { return h.tracker.State(target) }
+
+// Outbox implements Messenger.
+func (h *tracked) Outbox(now time.Duration) []Message {
+	news := h.tracker.News(now)
+	if len(news) == 0 {
+		return nil
+	}
+	return []Message{{To: Everyone, Body: news, Bytes: evidenceBytes * len(news)}}
+}
+
+// Receive implements Messenger.
+func (h *tracked) Receive(now time.Duration, _ int, body any) {
+	news, ok := body.([]health.Evidence)
+	if !ok {
+		return
+	}
+	for i := range news {
+		h.tracker.Receive(now, &news[i])
+	}
+}
--- a/policy/health/kinds.go
+++ b/policy/health/kinds.go
@@ -42,4 +42,8 @@
 	Avoided State = "avoided"
 	// Ramping targets return, or start cold, with a growing share.
 	Ramping State = "ramping"
+	// Held targets take no new work while old attempts hold all their slots.
+	Held State = "held"
+	// Leaving targets drain.
+	Leaving State = "leaving"
 )
--- /dev/null
+++ b/policy/health/news.go
@@ -0,0 +1,123 @@
+package health
+
+import "time"
+
+// Evidence is what one VM tells the others about one target.
+type Evidence struct {
+	Target string
+	VM     string
+	Zone   string
+	// Increments are the scores gained or lost since the VM's last word, in nats.
+	Increments Scores
+	// Old is the number of the VM's attempts that are older than 99 in 100.
+	Old int
+	// Trials is the number of good trials since the last word.
+	Trials   int
+	Ejected  bool
+	// Returned tells that trials ended well.
+	Returned bool
+	ProbeBad bool
+}
+
+const (
+	// newsStep is the change of a score, in nats, that is worth a message.
+	newsStep = 1.0
+	// renewInterval is the time after which a standing fact is told again.
+	renewInterval = time.Second
+)
+
+// pend keeps increments for the next message. While nobody holds evidence
+// against a target, what speaks for it would not change any score.
+func (e *target) pend(increments *Scores) {
+	e.pending.plus(increments)
+	if e.verdict.out() {
+		return
+	}
+	for i := range e.pending {
+		if e.pending[i] < 0 && e.tally.all[i] == 0 {
+			e.pending[i] = 0
+		}
+	}
+}
+
+// worthTelling reports whether the others should hear of a target now.
+func (e *target) worthTelling() bool {
+	if e.changed || e.oldTold != e.oldOwn {
+		return true
+	}
+	for _, score := range e.pending {
+		if score >= newsStep || score <= -newsStep {
+			return true
+		}
+	}
+	return false
+}
+
+// standing reports whether there is a fact that must be renewed.
+func (e *target) standing() bool {
+	return e.oldOwn > 0 || e.verdict.ejected && e.verdict.convicted || e.probeBad
+}
+
+// News returns what the other VMs of the service should hear now, and takes it
+// as told. It is to be called after each event; mostly there is nothing.
+func (t *Tracker) News(now time.Duration) []Evidence {
+	renew := now-t.lastNews >= renewInterval
+	if renew {
+		t.lastNews = now
+	}
+	var news []Evidence
+	for _, entry := range t.targets {
+		if entry.worthTelling() || renew && entry.standing() {
+			news = append(news, t.tell(entry))
+		}
+	}
+	return news
+}
+
+func (t *Tracker) tell(entry *target) Evidence {
+	evidence := Evidence{Target: entry.Name, VM: t.config.VM, Zone: t.config.Zone, Increments: entry.pending,
+		Old: entry.oldOwn, Trials: entry.trialsUntold, ProbeBad: entry.probeBad}
+	evidence.Ejected = entry.verdict.ejected && entry.verdict.convicted
+	entry.pending = Scores{}
+	entry.oldTold = entry.oldOwn
+	entry.trialsUntold = 0
+	evidence.Returned = entry.returned
+	entry.returned = false
+	entry.changed = false
+	return evidence
+}
+
+// Receive takes another VM's evidence.
+func (t *Tracker) Receive(now time.Duration, evidence *Evidence) {
+	entry, ok := t.byName[evidence.Target]
+	if !ok || evidence.VM == t.config.VM {
+		return
+	}
+	zone := t.zoneIndex(evidence.Zone)
+	entry.peers[evidence.VM] = &peerView{zone: zone, at: now, old: evidence.Old,
+		ejected: evidence.Ejected, probeBad: evidence.ProbeBad}
+	entry.trialOK += evidence.Trials
+	t.hold(now, entry)
+	increments := evidence.Increments
+	clampAll(&increments)
+	t.absorb(now, entry, zone, false, &increments)
+	if evidence.Returned && entry.verdict.trying && entry.verdict.tried[entry.verdict.rule] <= 0 {
+		t.reinstate(now, entry, true)
+	}
+	if evidence.Ejected {
+		t.judge(now, entry)
+	}
+	if t.dirty {
+		t.dirty = false
+		t.reconcile(now)
+	}
+}
+
+// messageLimit bounds what one message can prove, in nats.
+const messageLimit = 4 * evidenceLimit
+
+func clampAll(increments *Scores) {
+	for i := range increments {
+		increments[i] = min(messageLimit, max(-messageLimit, increments[i]))
+	}
+}
--- /dev/null
+++ b/policy/health/reference.go
@@ -0,0 +1,225 @@
+package health
+
+import (
+	"math"
+	"time"
+)
+
+// The reference keeps service times in buckets of a quarter of an octave.
+const (
+	bucketsPerOctave = 4
+	bucketCount      = 96
+	shortestTime     = 50 * time.Microsecond
+)
+
+const (
+	// referenceLearned is the number of observations before times are judged.
+	referenceLearned = 200.0
+	// referenceWindow is the number of observations after which old ones weigh half.
+	referenceWindow = 8192.0
+	// referenceRefresh is the number of observations between two tables.
+	referenceRefresh = 64
+	// loadStep moves the common factor towards each observation, in log units.
+	loadStep = 0.02
+	// commonStep is the factor, in log units, taken up when all slow down at once.
+	commonStep = 0.35
+	// loadLimit bounds the common factor, in log units.
+	loadLimit = 4.0
+)
+
+// reference learns how long a request takes on the service's targets and
+// derives, for each hypothesis, what a time says for or against it.
+type reference struct {
+	counts [bucketCount]float64
+	total  float64
+	fresh  int
+	median int
+	// old is the bucket from which an attempt is old: 99 in 100 are shorter.
+	old int
+	// load is the logarithm of the factor by which all targets are slower now.
+	load float64
+	// ended and running hold the evidence of an attempt that ended within a
+	// bucket, or still runs at that age.
+	ended   [bucketCount]Scores
+	running [bucketCount]Scores
+}
+
+// bucket returns the bucket of a time after removal of the common factor.
+func (r *reference) bucket(taken time.Duration) int {
+	if taken <= shortestTime {
+		return 0
+	}
+	octaves := math.Log2(float64(taken)/float64(shortestTime)) - r.load*math.Log2E
+	return min(bucketCount-1, max(0, int(octaves*bucketsPerOctave)))
+}
+
+// learned reports whether there is enough to judge by.
+func (r *reference) learned() bool { return r.total >= referenceLearned }
+
+// observe takes the time of a succeeded attempt on a target that is not suspect.
+func (r *reference) observe(taken time.Duration) {
+	at := r.bucket(taken)
+	r.follow(at)
+	r.counts[at]++
+	r.total++
+	r.fresh++
+	if r.fresh < referenceRefresh && r.total > referenceLearned {
+		return
+	}
+	if r.total >= referenceWindow {
+		r.halve()
+	}
+	r.fresh = 0
+	r.rebuild()
+}
+
+// follow moves the common factor so that half of the times lie on each side.
+func (r *reference) follow(at int) {
+	if !r.learned() {
+		return
+	}
+	switch {
+	case at > r.median:
+		r.load = min(loadLimit, r.load+loadStep)
+	case at < r.median:
+		r.load = max(-loadLimit, r.load-loadStep)
+	}
+}
+
+// slowAll takes up that all targets have become slower together.
+func (r *reference) slowAll() { r.load = min(loadLimit, r.load+commonStep) }
+
+func (r *reference) halve() {
+	for i := range r.counts {
+		r.counts[i] /= 2
+	}
+	r.total /= 2
+}
+
+// rebuild derives the tables from the counts.
+func (r *reference) rebuild() {
+	density := r.density()
+	survival := survivalOf(&density)
+	r.findQuantiles(&survival)
+	for _, h := range hypotheses {
+		for i := range bucketCount {
+			r.ended[i][h.rule] = clampEvidence(math.Log(h.density(&density, i) / density[i]))
+			r.running[i][h.rule] = clampEvidence(math.Log(h.survival(&survival, i) / survival[i]))
+		}
+	}
+}
+
+// density returns the smoothed share of each bucket.
+func (r *reference) density() [bucketCount]float64 {
+	kernel := [...]float64{1, 2, 3, 2, 1}
+	const kernelSum = 9
+	const pseudoCount = 0.02
+	var density [bucketCount]float64
+	sum := 0.0
+	for i := range density {
+		density[i] = pseudoCount
+		for k, weight := range kernel {
+			if j := i + k - len(kernel)/2; j >= 0 && j < bucketCount {
+				density[i] += weight / kernelSum * r.counts[j]
+			}
+		}
+		sum += density[i]
+	}
+	for i := range density {
+		density[i] /= sum
+	}
+	return density
+}
+
+// survivalOf returns the share of times that are longer than each bucket's start.
+func survivalOf(density *[bucketCount]float64) [bucketCount]float64 {
+	var survival [bucketCount]float64
+	left := 0.0
+	for i := bucketCount - 1; i >= 0; i-- {
+		left += density[i]
+		survival[i] = left
+	}
+	return survival
+}
+
+func (r *reference) findQuantiles(survival *[bucketCount]float64) {
+	const middle, rare = 0.5, 0.01
+	r.median, r.old = 0, bucketCount-1
+	for i, left := range survival {
+		if left >= middle {
+			r.median = i
+		}
+		if left < rare {
+			r.old = i
+			return
+		}
+	}
+}
+
+// density returns the share of a bucket under the hypothesis.
+func (h *hypothesis) density(usual *[bucketCount]float64, i int) float64 {
+	if h.stalled {
+		return (1 - h.share) * usual[i]
+	}
+	return (1-h.share)*usual[i] + h.share*usual[max(0, i-h.shift)]
+}
+
+// survival returns the share of longer times under the hypothesis.
+func (h *hypothesis) survival(usual *[bucketCount]float64, i int) float64 {
+	if h.stalled {
+		return h.share + (1-h.share)*usual[i]
+	}
+	return (1-h.share)*usual[i] + h.share*usual[max(0, i-h.shift)]
+}
+
+func clampEvidence(score float64) float64 {
+	return min(evidenceLimit, max(-evidenceLimit, score))
+}
+
+// failures learns the usual share of failed attempts.
+type failures struct {
+	failed, total float64
+	onFailure     float64
+	onSuccess     float64
+}
+
+const (
+	// failuresPrior is the number of good attempts taken as seen beforehand.
+	failuresPrior = 2000.0
+	// failuresWindow is the number of attempts after which old ones weigh half.
+	failuresWindow = 8000.0
+)
+
+func newFailures() failures {
+	f := failures{failed: 1, total: failuresPrior}
+	f.rebuild()
+	return f
+}
+
+// observe takes the end of an attempt on a target that is not suspect.
+func (f *failures) observe(failed bool) {
+	f.total++
+	if failed {
+		f.failed++
+	}
+	if f.total >= failuresWindow {
+		f.failed = max(1, f.failed/2)
+		f.total /= 2
+	}
+	f.rebuild()
+}
+
+// failAll takes up that all targets fail more often together.
+func (f *failures) failAll() {
+	const growth = 1.5
+	f.failed = min(f.total/2, f.failed*growth)
+	f.rebuild()
+}
+
+func (f *failures) rebuild() {
+	const most = 0.9
+	usual := f.failed / f.total
+	supposed := min(most, max(failingShare, failingRatio*usual))
+	f.onFailure = math.Log(supposed / usual)
+	f.onSuccess = math.Log((1 - supposed) / (1 - usual))
+}
--- /dev/null
+++ b/policy/health/tracker.go
@@ -0,0 +1,303 @@
+package health
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Config sets up the tracker of one service on one VM.
+type Config struct {
+	// VM and Zone name the VM that the tracker works on.
+	VM   string
+	Zone string
+	// Zones are the zones of the VMs that serve the service.
+	Zones []string
+	// VMs is the number of VMs that serve the service.
+	VMs int
+	// FloorSlots is the healthy capacity that ejections must leave.
+	FloorSlots int
+	// FalsePerTargetMonth is the accepted number of false ejections of a target in a month.
+	FalsePerTargetMonth float64
+	// Random spreads trials over the VMs.
+	Random *rand.Rand
+}
+
+// Target describes a target of the service.
+type Target struct {
+	Name    string
+	Slots   int
+	Leaving bool
+}
+
+// Attempt is an attempt in progress.
+type Attempt struct {
+	target *target
+	start  time.Duration
+	trial  bool
+	old    bool
+	seated bool
+	// void attempts are no evidence, because the VM itself paused.
+	void bool
+	// counted is what the attempt has contributed so far.
+	counted Scores
+}
+
+// target is what the tracker knows about one target.
+type target struct {
+	Target
+	index    int
+	tally    tally
+	verdict  verdict
+	inFlight int
+	// own increments that the other VMs do not know yet.
+	pending Scores
+	// seen counts this VM's attempts by kind, for findings and news.
+	seen map[Kind]uint64
+	// peers holds what other VMs said last.
+	peers    map[string]*peerView
+	oldOwn   int
+	oldTold  int
+	probeBad bool
+	trialOK  int
+	// trialsUntold are good trials that the other VMs do not know yet.
+	trialsUntold int
+	// returned is set until the other VMs know that trials ended well.
+	returned bool
+	changed      bool
+	leaveEnd     time.Duration
+}
+
+// peerView is the last word of another VM about a target.
+type peerView struct {
+	zone     int
+	at       time.Duration
+	old      int
+	ejected  bool
+	probeBad bool
+}
+
+// Tracker judges the targets of one service. It is not safe for concurrent
+// use. All times are durations on one monotonic clock of the instance.
+type Tracker struct {
+	config    Config
+	threshold float64
+	zone      int
+	zones     []string
+	targets   []*target
+	byName    map[string]*target
+	reference reference
+	failures  failures
+	attempts  map[*Attempt]struct{}
+	lastTick  time.Duration
+	ticked    bool
+	lastFade  time.Duration
+	lastNews  time.Duration
+	weights   [2][]float64
+	dirty     bool
+	findings  []Finding
+}
+
+// New returns a tracker without targets.
+func New(config Config) *Tracker {
+	t := &Tracker{config: config, byName: make(map[string]*target), attempts: make(map[*Attempt]struct{})}
+	t.failures = newFailures()
+	t.zones = slices.Clone(config.Zones)
+	t.zone = t.zoneIndex(config.Zone)
+	return t
+}
+
+// zoneIndex returns a zone's index; zones that appear later are added.
+func (t *Tracker) zoneIndex(zone string) int {
+	if i := slices.Index(t.zones, zone); i >= 0 {
+		return i
+	}
+	t.zones = append(t.zones, zone)
+	for _, target := range t.targets {
+		target.tally.zones = append(target.tally.zones, Scores{})
+		target.tally.without = append(target.tally.without, target.tally.all)
+	}
+	return len(t.zones) - 1
+}
+
+// Configure sets the service's targets; what is known of those that stay is
+// kept. A target that was not there before starts cold, except at the start.
+func (t *Tracker) Configure(now time.Duration, targets []Target) {
+	first := len(t.targets) == 0
+	known := t.byName
+	t.byName = make(map[string]*target, len(targets))
+	t.targets = make([]*target, 0, len(targets))
+	for i, description := range targets {
+		entry, ok := known[description.Name]
+		if !ok {
+			entry = t.newTarget(now, !first)
+		}
+		if entry.Leaving && !description.Leaving {
+			entry.verdict.ramp(now)
+		}
+		entry.Target, entry.index = description, i
+		t.byName[description.Name] = entry
+		t.targets = append(t.targets, entry)
+	}
+	t.weights = [2][]float64{make([]float64, len(targets)), make([]float64, len(targets))}
+	t.setThreshold()
+	t.reconcile(now)
+}
+
+func (t *Tracker) newTarget(now time.Duration, cold bool) *target {
+	entry := &target{tally: newTally(len(t.zones)), seen: make(map[Kind]uint64), peers: make(map[string]*peerView)}
+	if cold {
+		entry.verdict.ramp(now)
+	}
+	return entry
+}
+
+// SetFleet tells how many VMs serve the service.
+func (t *Tracker) SetFleet(vms int) { t.config.VMs = vms }
+
+// SetFloor changes the floor and the accepted rate of false ejections.
+func (t *Tracker) SetFloor(now time.Duration, floorSlots int, falsePerTargetMonth float64) {
+	t.config.FloorSlots = floorSlots
+	t.config.FalsePerTargetMonth = falsePerTargetMonth
+	t.setThreshold()
+	t.reconcile(now)
+}
+
+// Index returns a target's index in the order of Configure.
+func (t *Tracker) Index(name string) (int, bool) {
+	entry, ok := t.byName[name]
+	if !ok {
+		return 0, false
+	}
+	return entry.index, true
+}
+
+// Start notes that an attempt is sent.
+func (t *Tracker) Start(now time.Duration, index int, trial bool) *Attempt {
+	attempt := &Attempt{target: t.targets[index], start: now, trial: trial}
+	attempt.target.inFlight++
+	t.attempts[attempt] = struct{}{}
+	return attempt
+}
+
+// End notes how an attempt ended after a time.
+func (t *Tracker) End(now time.Duration, attempt *Attempt, kind Kind, taken time.Duration) {
+	t.notePause(now)
+	if _, ok := t.attempts[attempt]; !ok {
+		return
+	}
+	delete(t.attempts, attempt)
+	entry := attempt.target
+	entry.inFlight--
+	entry.seen[kind]++
+	t.unseat(attempt)
+	if kind == Draining {
+		t.drains(now, entry)
+	}
+	if kind == Draining || kind == Shed || kind == Canceled || attempt.void {
+		t.withdraw(now, attempt)
+		return
+	}
+	t.weigh(now, attempt, kind, taken)
+}
+
+// weigh turns the end of an attempt into evidence.
+func (t *Tracker) weigh(now time.Duration, attempt *Attempt, kind Kind, taken time.Duration) {
+	entry := attempt.target
+	suspect := entry.verdict.suspect(entry, &attempt.counted, t.threshold)
+	final := attempt.counted
+	failed := kind.Failed()
+	final[RuleFailing] = t.failures.onSuccess
+	if failed {
+		final[RuleFailing] = min(evidenceLimit, t.failures.onFailure)
+	}
+	if !failed && t.reference.learned() {
+		t.weighTime(attempt, &final, taken)
+	}
+	t.contribute(now, attempt, &final)
+	if attempt.trial {
+		t.trialEnded(now, entry, !failed)
+	}
+	if suspect {
+		return
+	}
+	t.failures.observe(failed)
+	if !failed {
+		t.reference.observe(taken)
+		t.setThreshold()
+	}
+}
+
+// weighTime sets the time rules' evidence. An attempt that grew old while the
+// target's slots were held by other old ones proves nothing against it.
+func (t *Tracker) weighTime(attempt *Attempt, final *Scores, taken time.Duration) {
+	evidence := &t.reference.ended[t.reference.bucket(taken)]
+	for _, h := range hypotheses {
+		final[h.rule] = evidence[h.rule]
+		if attempt.old && !attempt.seated {
+			final[h.rule] = min(0, final[h.rule])
+		}
+	}
+}
+
+// contribute replaces what an attempt has contributed so far.
+func (t *Tracker) contribute(now time.Duration, attempt *Attempt, total *Scores) {
+	var increments Scores
+	for i := range total {
+		increments[i] = total[i] - attempt.counted[i]
+	}
+	if increments.zero() {
+		return
+	}
+	attempt.counted = *total
+	entry := attempt.target
+	t.absorb(now, entry, t.zone, true, &increments)
+	entry.pend(&increments)
+}
+
+// withdraw takes back what an attempt has contributed.
+func (t *Tracker) withdraw(now time.Duration, attempt *Attempt) {
+	t.contribute(now, attempt, &Scores{})
+}
+
+// absorb adds increments to a target's scores and judges it when they are high.
+func (t *Tracker) absorb(now time.Duration, entry *target, zone int, own bool, increments *Scores) {
+	entry.tally.add(zone, own, increments)
+	entry.verdict.tried.plus(increments)
+	_, score := entry.tally.all.strongest()
+	if score >= reducedShare*t.threshold || entry.verdict.out() || entry.verdict.reduced {
+		t.judge(now, entry)
+	}
+}
+
+// setThreshold follows the rate of observations that the service times allow.
+func (t *Tracker) setThreshold() {
+	const unknownRate = 60.0
+	rate := unknownRate
+	if t.reference.learned() && len(t.targets) > 0 {
+		middle := float64(shortestTime) * pow2(float64(t.reference.median)/bucketsPerOctave)
+		rate = float64(t.targets[0].Slots) * float64(time.Second) / middle
+	}
+	t.threshold = Threshold(t.config.FalsePerTargetMonth, rate)
+}
+
+// Probe notes a probe's result. A probe is a hint: it never convicts or clears.
+func (t *Tracker) Probe(now time.Duration, index int, healthy bool) {
+	entry := t.targets[index]
+	if entry.probeBad != !healthy {
+		entry.probeBad = !healthy
+		entry.changed = true
+	}
+	if entry.probeBad {
+		t.judge(now, entry)
+	}
+}
+
+// drains notes that a target said that it is leaving.
+func (t *Tracker) drains(now time.Duration, entry *target) {
+	entry.leaveEnd = now + leavingHold
+	t.reconcile(now)
+}
+
+// leavingHold is the time for which a target's word that it drains is believed.
+const leavingHold = 2 * time.Second
--- /dev/null
+++ b/policy/health/trials.go
@@ -0,0 +1,82 @@
+package health
+
+import "time"
+
+// beginTrials lets requests that may run twice test a target after its
+// back-off; failing probes put it off.
+func (t *Tracker) beginTrials(now time.Duration, entry *target) {
+	v := &entry.verdict
+	if entry.probeBad && now-v.since < probeDistrust*(v.until-v.since) {
+		return
+	}
+	v.trying = true
+	v.tried = Scores{}
+	entry.trialOK = 0
+	v.nextTrial = now + t.trialWait()
+}
+
+// trialWait spreads the fleet's trials over its VMs.
+func (t *Tracker) trialWait() time.Duration {
+	mean := float64(max(1, t.config.VMs)) / trialsPerSecond
+	return time.Duration(t.config.Random.ExpFloat64() * mean * float64(time.Second))
+}
+
+// Trial returns a target that is due for a trial by a request that may run
+// twice. One trial of this VM is in progress at a time for each target.
+func (t *Tracker) Trial(now time.Duration) (index int, ok bool) {
+	for _, entry := range t.targets {
+		v := &entry.verdict
+		due := v.trying && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
+		if due {
+			v.nextTrial = now + t.trialWait()
+			return entry.index, true
+		}
+	}
+	return 0, false
+}
+
+// trialEnded counts a trial of this VM.
+func (t *Tracker) trialEnded(now time.Duration, entry *target, good bool) {
+	if !entry.verdict.trying {
+		return
+	}
+	if good {
+		entry.trialOK++
+		entry.trialsUntold++
+		entry.changed = true
+	}
+	t.judgeTrials(now, entry)
+}
+
+// judgeTrials ends the trials once their evidence is clear.
+func (t *Tracker) judgeTrials(now time.Duration, entry *target) {
+	v := &entry.verdict
+	_, worst := v.tried.strongest()
+	switch {
+	case worst >= trialsFailed:
+		v.severity = max(v.severity, worst)
+		t.putOut(now, entry, v.rule, v.severity)
+	case v.tried[v.rule] <= trialsCleared && entry.trialOK >= trialsNeeded:
+		t.reinstate(now, entry, true)
+		entry.returned = true
+	}
+}
+
+// reinstate returns a target to service; one that was out returns by a ramp.
+func (t *Tracker) reinstate(now time.Duration, entry *target, ramp bool) {
+	v := &entry.verdict
+	v.convicted, v.avoided, v.trying, v.ejected = false, false, false, false
+	v.since = now
+	entry.tally.reset()
+	entry.changed = true
+	if ramp {
+		v.ramp(now)
+		// A target that came back is convicted again on less evidence.
+		var start Scores
+		start[v.rule] = reducedShare * t.threshold
+		entry.tally.each(func(s *Scores) { *s = start })
+	}
+	t.reconcile(now)
+	t.note(now, Finding{Target: entry.Name, Decision: "reinstated", Rule: v.rule.String(),
+		Evidence: []string{"good trials pooled over the VMs"}, Next: "full share after the ramp"})
+}
--- /dev/null
+++ b/policy/health/verdict.go
@@ -0,0 +1,244 @@
+package health
+
+import "time"
+
+// The shares of the threshold at which work is reduced, limited to requests
+// that may run twice, or shifted away, and what must remain without the zone
+// that proves most.
+const (
+	reducedShare   = 0.35
+	probationShare = 0.7
+	withoutShare   = 0.55
+	agreedShare    = 0.4
+	clearedShare   = 0.2
+	// probeBonus is what failing probes of several VMs add, in nats.
+	probeBonus = 2.0
+)
+
+// Times of ejection and return.
+const (
+	firstBackOff   = 5 * time.Second
+	longestBackOff = 5 * time.Minute
+	// offenceMemory is the time in service after which back-off starts anew.
+	offenceMemory = 10 * time.Minute
+	// rampTime is the time over which a target gets back its full share.
+	rampTime = 10 * time.Second
+	// rampStart is the share at the beginning of a ramp.
+	rampStart = 0.1
+)
+
+// Returning to service takes a number of good trials and a score that speaks
+// against the rule; a score that speaks for it prolongs the ejection.
+const (
+	trialsNeeded  = 8
+	trialsCleared = -4.5
+	trialsFailed  = 4.0
+	// trialsPerSecond is the rate of trials of one target by the whole fleet.
+	trialsPerSecond = 10.0
+	// probeDistrust multiplies the back-off while probes fail.
+	probeDistrust = 3
+)
+
+// verdict is what a VM has decided about a target.
+type verdict struct {
+	state State
+	// convicted targets are to be out; at the floor they may stay in.
+	convicted bool
+	avoided   bool
+	held      bool
+	reduced   bool
+	ejected   bool
+	rule      Rule
+	// severity orders targets at the floor; it is frozen at conviction.
+	severity float64
+	since    time.Duration
+	until    time.Duration
+	offences int
+	// tried sums up the evidence since trials began.
+	tried     Scores
+	trying    bool
+	nextTrial time.Duration
+	rampFrom  time.Duration
+	ramping   bool
+}
+
+// out reports whether the target is to be out of service.
+func (v *verdict) out() bool { return v.convicted || v.avoided }
+
+// suspect reports whether a target's times and failures are unfit as reference,
+// by what others than the attempt in hand have shown.
+func (v *verdict) suspect(entry *target, attempt *Scores, threshold float64) bool {
+	const suspectShare = 0.25
+	others := entry.tally.all
+	for i := range others {
+		others[i] -= max(0, attempt[i])
+	}
+	_, score := others.strongest()
+	return v.out() || v.ramping || score > suspectShare*threshold
+}
+
+// ramp starts a growing share of work.
+func (v *verdict) ramp(now time.Duration) {
+	v.ramping = true
+	v.rampFrom = now
+}
+
+// judge compares a target's scores with the thresholds.
+func (t *Tracker) judge(now time.Duration, entry *target) {
+	v := &entry.verdict
+	if v.trying {
+		t.judgeTrials(now, entry)
+		return
+	}
+	if v.out() {
+		t.judgeOut(now, entry)
+		return
+	}
+	rule, score := entry.tally.all.strongest()
+	score += entry.bonus(now)
+	switch {
+	case score >= t.threshold && entry.tally.least(rule) >= t.withoutNeeded():
+		t.convict(now, entry, rule, score)
+	case score >= agreedShare*t.threshold && t.peersAgree(now, entry):
+		t.convict(now, entry, rule, score)
+	default:
+		t.judgePath(now, entry)
+	}
+	wasReduced := v.reduced
+	v.reduced = score >= reducedShare*t.threshold
+	if wasReduced != v.reduced {
+		t.dirty = true
+	}
+}
+
+// withoutNeeded is the score that must remain without any one zone.
+func (t *Tracker) withoutNeeded() float64 {
+	if len(t.zones) < 2 {
+		return 0
+	}
+	return withoutShare * t.threshold
+}
+
+// bonus returns what failing probes add to other evidence.
+func (e *target) bonus(now time.Duration) float64 {
+	if !e.probeBad {
+		return 0
+	}
+	for _, peer := range e.peers {
+		if peer.probeBad && now-peer.at <= peerMemory {
+			return probeBonus
+		}
+	}
+	return 0
+}
+
+// peersAgree reports whether VMs of two zones have ejected the target.
+func (t *Tracker) peersAgree(now time.Duration, entry *target) bool {
+	first := -1
+	for _, peer := range entry.peers {
+		if !peer.ejected || now-peer.at > peerMemory {
+			continue
+		}
+		if first >= 0 && peer.zone != first {
+			return true
+		}
+		first = peer.zone
+	}
+	return false
+}
+
+// judgePath avoids a target that only this VM or its zone sees failing.
+func (t *Tracker) judgePath(now time.Duration, entry *target) {
+	zoneRule, zoneScore := entry.tally.zones[t.zone].strongest()
+	ownRule, ownScore := entry.tally.own.strongest()
+	switch {
+	case zoneScore >= t.threshold && len(t.zones) > 1:
+		t.avoid(now, entry, zoneRule, zoneScore)
+	case ownScore >= t.threshold:
+		t.avoid(now, entry, ownRule, ownScore)
+	}
+}
+
+// convict decides that the target itself is unfit.
+func (t *Tracker) convict(now time.Duration, entry *target, rule Rule, score float64) {
+	v := &entry.verdict
+	v.convicted, v.avoided = true, false
+	t.putOut(now, entry, rule, score)
+}
+
+// avoid decides that the path to the target is unfit.
+func (t *Tracker) avoid(now time.Duration, entry *target, rule Rule, score float64) {
+	entry.verdict.avoided = true
+	t.putOut(now, entry, rule, score)
+}
+
+// putOut starts the back-off, longer for each offence.
+func (t *Tracker) putOut(now time.Duration, entry *target, rule Rule, score float64) {
+	v := &entry.verdict
+	v.rule, v.severity, v.since = rule, score, now
+	v.ramping = false
+	v.trying = false
+	v.offences++
+	v.until = now + backOff(v.offences)
+	entry.changed = true
+	t.reconcile(now)
+	t.noteOut(now, entry)
+}
+
+// backOff returns how long a target stays out at least.
+func backOff(offences int) time.Duration {
+	wait := firstBackOff
+	for i := 1; i < offences && wait < longestBackOff; i++ {
+		wait *= 2
+	}
+	return min(wait, longestBackOff)
+}
+
+// judgeOut clears a convicted target that stayed in service at the floor, and
+// turns a path's fault into the target's when others see it too.
+func (t *Tracker) judgeOut(now time.Duration, entry *target) {
+	v := &entry.verdict
+	score := entry.tally.all[v.rule]
+	if v.avoided && !v.convicted {
+		proven := score >= t.threshold && entry.tally.least(v.rule) >= t.withoutNeeded()
+		if proven || t.peersAgree(now, entry) {
+			t.convict(now, entry, v.rule, score)
+		}
+		return
+	}
+	if !v.ejected && score < clearedShare*t.threshold {
+		t.reinstate(now, entry, false)
+	}
+}
+
+// advance moves a target through back-off, trials and ramp as time passes.
+func (t *Tracker) advance(now time.Duration, entry *target) {
+	v := &entry.verdict
+	if v.ramping && now-v.rampFrom >= rampTime {
+		v.ramping = false
+		t.dirty = true
+	}
+	t.hold(now, entry)
+	if v.out() && !v.trying && now >= v.until {
+		t.beginTrials(now, entry)
+	}
+	if !v.out() && v.offences > 0 && now-v.since > offenceMemory+backOff(v.offences) {
+		v.offences = 0
+	}
+	if entry.leaveEnd != 0 && now >= entry.leaveEnd {
+		entry.leaveEnd = 0
+		v.ramp(now)
+	}
+}
+
+// hold stops new work while every slot is held by an old attempt and VMs of
+// two zones see it; a slot that comes free ends it.
+func (t *Tracker) hold(now time.Duration, entry *target) {
+	v := &entry.verdict
+	needed := min(2, len(t.zones))
+	held := entry.oldCount(now) >= max(1, entry.Slots) && entry.oldZones(now, t.zone) >= needed
+	if held != v.held {
+		v.held = held
+		t.dirty = true
+	}
+}
