Replace the thin peer child and directory by the fleet's own

Cause: the thin child pinged every member twice a second and dropped a member after three silences, whoever was deaf; the directory hashed each customer over the whole fleet, so every VM would have needed every target. Change: entry/peer drives policy/membership over HTTP/2, with mutual TLS, fleet check, fresh connections for repeated probes, bounded news batches (policy/news) and delegates for configuration and forwarding. policy/subset gives each service numbered positions and customers choose positions; entry/assign applies it to members and configuration; the directory answers from it with problem documents.

--- /dev/null
+++ b/entry/assign/assign.go
@@ -0,0 +1,64 @@
+// Package assign works out which VMs serve a service, from the members and the
+// configuration in force.
+//
+// Each region has a set of its own for each service; a caller uses the set of
+// the region whose VM it asks.
+package assign
+
+import (
+	"slices"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/policy/subset"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+// Demand returns what a service needs of its set.
+func Demand(service *document.Service) subset.Demand {
+	return subset.Demand{Targets: len(service.Targets), Slots: service.Slots, MaxConnections: service.MaxConnections}
+}
+
+// InRegion returns a service's set among the members of a region that pass the filter.
+func InRegion(service *document.Service, members []*primroseloomv1.Member, region string, accept func(*primroseloomv1.Member) bool) subset.Set {
+	var candidates []subset.VM
+	for _, member := range members {
+		if member.Region == region && accept(member) {
+			candidates = append(candidates, subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region})
+		}
+	}
+	size := subset.DefaultLimits().Size(Demand(service), len(Regions(members)))
+	return subset.NewSet(service.Name, candidates, size)
+}
+
+// Serving returns the names of the VMs in the service's sets of all regions:
+// those that the directory names now, and those that it would name if no
+// member were suspected or leaving, for callers that hold an older answer.
+func Serving(service *document.Service, members []*primroseloomv1.Member) []string {
+	var names []string
+	for _, region := range Regions(members) {
+		for _, accept := range []func(*primroseloomv1.Member) bool{Offered, anyMember} {
+			for _, vm := range InRegion(service, members, region, accept).VMs() {
+				names = append(names, vm.Name)
+			}
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Offered tells whether the directory may name a member.
+func Offered(member *primroseloomv1.Member) bool {
+	return member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_ALIVE
+}
+
+func anyMember(*primroseloomv1.Member) bool { return true }
+
+// Regions returns the regions that have members, in order of name.
+func Regions(members []*primroseloomv1.Member) []string {
+	var regions []string
+	for _, member := range members {
+		regions = append(regions, member.Region)
+	}
+	slices.Sort(regions)
+	return slices.Compact(regions)
+}
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -14,6 +14,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"time"
 
 	"crypto/rand"
 
@@ -35,7 +36,6 @@
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targets"
 	"github.com/primroseloom/primroseloom/entry/uptime"
-	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
 // Daemon is one instance.
@@ -64,17 +64,19 @@
 			metrics.New,
 			config.New,
 			func(m *config.Manager) contract.Configuration { return m },
-			func() *peer.Manager {
-				return peer.New(set.Fleet, self(set), set.FirstPeers, network, logger)
+			func(m *metrics.Metrics, clock *uptime.BootClock) (*peer.Manager, error) {
+				return peer.New(peerSettings(set, clock), network, logger, m.Scope())
 			},
+			func(m *peer.Manager) directory.Readiness { return m },
 			func(m *peer.Manager) contract.Members { return m },
+			func(m *peer.Manager) contract.News { return m },
 			targets.New,
 			func(m *targets.Manager) contract.Targets { return m },
 			uptime.NewBootClock,
-			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, t contract.Targets, clock *uptime.BootClock) *proxy.Proxy {
-				return newProxy(built, m, c, members, t, clock)
+			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock *uptime.BootClock) *proxy.Proxy {
+				return newProxy(built, m, c, members, news, t, clock)
 			},
-			directory.New,
+			newDirectory,
 			newAdmin,
 		),
 		fx.Populate(&built.metrics, &built.config, &built.peers, &built.targets, &built.proxy, &built.directory, &built.admin),
@@ -85,7 +87,7 @@
 	return built, nil
 }
 
-func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
+func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
 	limits := proxy.DefaultLimits()
 	limits.BodyBytes = d.settings.Limits.BodyBytes
 	limits.HeldAnswerBytes = d.settings.Limits.HeldAnswerBytes
@@ -94,6 +96,7 @@
 		Configuration: c,
 		Targets:       t,
 		Members:       members,
+		News:          news,
 		Network:       d.network,
 		Clock:         clock,
 		Logger:        d.logger,
@@ -106,18 +109,31 @@
 	return admin.New(members, configuration, nil, m.Handler())
 }
 
-// self describes this instance to its peers.
-func self(set settings.Settings) *primroseloomv1.Member {
-	var id [8]byte
-	_, _ = rand.Read(id[:])
-	return &primroseloomv1.Member{
-		Vm:             set.VM,
-		Instance:       binary.BigEndian.Uint64(id[:]),
-		Status:         primroseloomv1.MemberStatus_MEMBER_STATUS_ALIVE,
+func newDirectory(members contract.Members, configuration contract.Configuration, readiness directory.Readiness, logger *log.Logger, m *metrics.Metrics) *directory.Directory {
+	return directory.New(directory.DefaultSettings(), members, configuration, readiness, logger, m.Scope())
+}
+
+// peerSettings describes this instance to the peer child.
+func peerSettings(set settings.Settings, clock uptime.Clock) peer.Settings {
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return peer.Settings{
+		Fleet:          set.Fleet,
+		VM:             set.VM,
 		Region:         set.Region,
 		Zone:           set.Zone,
+		Instance:       binary.BigEndian.Uint64(random[:8]),
+		Seed:           binary.BigEndian.Uint64(random[8:]),
 		CallersAddress: set.Listen.Callers,
 		PeersAddress:   set.Listen.Peers,
+		FirstPeers:     set.FirstPeers,
+		Clock:          clock.Uptime,
+		TLS: peer.TLSFiles{
+			Off:             set.TLS.Off,
+			CertificateFile: set.TLS.CertificateFile,
+			KeyFile:         set.TLS.KeyFile,
+			AuthorityFile:   set.TLS.AuthorityFile,
+		},
 	}
 }
 
@@ -127,6 +143,9 @@
 	if err != nil {
 		return err
 	}
+	d.peers.UseConfiguration(d.config)
+	d.peers.UseForwarder(d.proxy)
+	d.targets.SetNews(d.peers)
 	tree := supervisor.New("primroseloomd", d.logger)
 	tree.Add("config", d.config)
 	tree.Add("peer", d.peers)
@@ -145,10 +164,12 @@
 
 	<-ctx.Done()
 	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
+	d.peers.Leave()
 	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Stop.Grace.Std())
 	defer cancel()
 	err = d.proxy.Drain(grace, callers, d.settings.Stop.Linger.Std())
 	_ = operators.Shutdown(grace)
+	d.depart()
 	stopTree()
 	<-treeDone
 	_ = listeners.peers.Close()
@@ -156,6 +177,14 @@
 	return err
 }
 
+// depart tells the other instances that this one is gone.
+func (d *Daemon) depart() {
+	const patience = time.Second
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	d.peers.Depart(ctx)
+}
+
 type listenerSet struct {
 	callers, peers, admin net.Listener
 }
--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -1,33 +1,68 @@
 // Package directory tells callers which VMs to use.
+//
+// The answer lists VMs in order of preference, how long it may be kept, and
+// the prefix with which an Idempotency-Key for each VM begins. Any VM answers
+// for any service and customer, so a caller whose VMs are all gone can ask any
+// address it knows.
 package directory
 
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/config/snapshot"
+	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
-const (
-	keepFor       = 5 * time.Second
-	vmsPerAnswer  = 3
-	windowLength  = 60 * time.Second
-	directoryPath = "/v1/directory"
-)
+const directoryPath = "/v1/directory"
+
+// Settings are the parameters of the directory.
+type Settings struct {
+	// KeepFor is how long a caller may use an answer.
+	KeepFor time.Duration
+	// WindowLength is the length of a dispatch window.
+	WindowLength time.Duration
+	// VMsPerCustomer is the number of VMs in an answer.
+	VMsPerCustomer int
+}
+
+// DefaultSettings returns the parameters that are in use.
+func DefaultSettings() Settings {
+	return Settings{KeepFor: 10 * time.Second, WindowLength: time.Minute, VMsPerCustomer: 3}
+}
+
+// Readiness tells whether the instance's view of the fleet can be relied on.
+type Readiness interface {
+	// Revalidating is true after a pause, until another instance has answered.
+	Revalidating() bool
+}
 
 // Answer tells a caller which VMs serve a customer of a service.
 type Answer struct {
-	Service    string `json:"service"`
-	Customer   string `json:"customer"`
+	Service  string `json:"service"`
+	Customer string `json:"customer"`
+	// Generation is the configuration that the answer rests on.
 	Generation uint64 `json:"generation"`
 	// KeepForMs is how long the answer may be used.
 	KeepForMs int64 `json:"keep_for_ms"`
-	VMs       []VM  `json:"vms"`
+	// WindowMs is the length of a dispatch window. A key is accepted in the
+	// window that it names and in the next one.
+	WindowMs int64 `json:"window_ms"`
+	// VMs are in order of preference.
+	VMs []VM `json:"vms"`
+	// AnsweredBy is the VM that answered.
+	AnsweredBy string `json:"answered_by"`
 }
 
 // VM is one address to use.
@@ -41,61 +76,140 @@
 
 // Directory answers directory queries.
 type Directory struct {
+	settings      Settings
 	members       contract.Members
 	configuration contract.Configuration
+	readiness     Readiness
+	logger        *log.Logger
+	scope         tally.Scope
+
+	mu   sync.Mutex
+	sets sets
+}
+
+// sets caches the services' sets for one view and one snapshot.
+type sets struct {
+	members   []*primroseloomv1.Member
+	snapshot  *snapshot.Snapshot
+	byService map[string]subset.Set
+	byName    map[string]*primroseloomv1.Member
 }
 
 // New returns a directory over the live members.
-func New(members contract.Members, configuration contract.Configuration) *Directory {
-	return &Directory{members: members, configuration: configuration}
+func New(settings Settings, members contract.Members, configuration contract.Configuration, readiness Readiness, logger *log.Logger, scope tally.Scope) *Directory {
+	return &Directory{settings: settings, members: members, configuration: configuration,
+		readiness: readiness, logger: logger, scope: scope.SubScope("directory")}
 }
 
 // Mount adds the directory's path to an engine.
 func (d *Directory) Mount(engine gin.IRoutes) {
-	engine.GET(directoryPath, d.answer)
+	engine.GET(directoryPath, d.handle)
 }
 
-func (d *Directory) answer(c *gin.Context) {
-	snap := d.configuration.Current()
-	if snap == nil {
-		c.JSON(http.StatusServiceUnavailable, gin.H{"reason": "no_configuration"})
+func (d *Directory) handle(c *gin.Context) {
+	answer, refusal := d.Answer(c.Query("service"), c.Query("customer"))
+	if refusal != nil {
+		d.refuse(c, refusal)
 		return
 	}
-	service, customer := c.Query("service"), c.Query("customer")
-	if _, ok := snap.Service(service); !ok {
-		c.JSON(http.StatusNotFound, gin.H{"reason": "unknown_service", "service": service})
-		return
+	d.scope.Counter("answers").Inc(1)
+	c.Header("Cache-Control", "no-store")
+	c.JSON(http.StatusOK, answer)
+}
+
+// Answer returns the VMs that serve a customer of a service.
+func (d *Directory) Answer(service, customer string) (*Answer, *Refusal) {
+	snap := d.configuration.Current()
+	if refusal := d.check(snap, service, customer); refusal != nil {
+		return nil, refusal
+	}
+	answer := &Answer{
+		Service: service, Customer: customer, Generation: snap.Generation,
+		KeepForMs: d.settings.KeepFor.Milliseconds(), WindowMs: d.settings.WindowLength.Milliseconds(),
+		AnsweredBy: d.members.Self().Vm,
 	}
-	answer := Answer{Service: service, Customer: customer, Generation: snap.Generation, KeepForMs: keepFor.Milliseconds()}
-	for _, member := range d.choose(service + "/" + customer) {
+	for _, member := range d.choose(snap, service, customer) {
 		answer.VMs = append(answer.VMs, VM{
-			Name:      member.Vm,
-			Zone:      member.Zone,
-			Address:   member.CallersAddress,
-			KeyPrefix: keyPrefix(member),
+			Name: member.Vm, Zone: member.Zone, Address: member.CallersAddress, KeyPrefix: d.keyPrefix(member),
 		})
 	}
-	c.JSON(http.StatusOK, answer)
+	if len(answer.VMs) == 0 {
+		return nil, refuseNoVM(service)
+	}
+	return answer, nil
 }
 
-func keyPrefix(member *primroseloomv1.Member) string {
-	window := time.Duration(member.UptimeMs) * time.Millisecond / windowLength
+// check refuses what cannot be answered.
+func (d *Directory) check(snap *snapshot.Snapshot, service, customer string) *Refusal {
+	if service == "" || customer == "" {
+		return refuseBadRequest()
+	}
+	if snap == nil {
+		return refuseNoConfiguration()
+	}
+	if d.readiness.Revalidating() {
+		return refusePaused()
+	}
+	if _, ok := snap.Service(service); !ok {
+		return refuseUnknownService(service)
+	}
+	known, ok := snap.Customer(customer)
+	if !ok {
+		return refuseUnknownCustomer(customer)
+	}
+	if !known.Services[service] {
+		return refuseServiceNotAllowed(service, customer)
+	}
+	return nil
+}
+
+func (d *Directory) keyPrefix(member *primroseloomv1.Member) string {
+	window := time.Duration(member.UptimeMs) * time.Millisecond / d.settings.WindowLength
 	return fmt.Sprintf("%s.%x.%d.", member.Vm, member.Instance, window)
 }
 
-func (d *Directory) choose(key string) []*primroseloomv1.Member {
-	byName := make(map[string]*primroseloomv1.Member)
-	var candidates []subset.VM
-	for _, member := range d.members.Members() {
-		if member.Status != primroseloomv1.MemberStatus_MEMBER_STATUS_ALIVE {
-			continue
-		}
-		byName[member.Vm] = member
-		candidates = append(candidates, subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region})
+// choose returns the customer's VMs.
+func (d *Directory) choose(snap *snapshot.Snapshot, service, customer string) []*primroseloomv1.Member {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.refresh(snap)
+	set, ok := d.sets.byService[service]
+	if !ok {
+		definition, _ := snap.Service(service)
+		set = d.build(definition)
+		d.sets.byService[service] = set
 	}
 	var chosen []*primroseloomv1.Member
-	for _, vm := range subset.Choose(key, candidates, vmsPerAnswer) {
-		chosen = append(chosen, byName[vm.Name])
+	for _, vm := range set.Choose(customer, d.settings.VMsPerCustomer) {
+		chosen = append(chosen, d.sets.byName[vm.Name])
 	}
 	return chosen
 }
+
+// refresh empties the cache when the members or the configuration have changed.
+// The members' slice is replaced as a whole whenever something in it changes.
+func (d *Directory) refresh(snap *snapshot.Snapshot) {
+	members := d.members.Members()
+	if d.sets.snapshot == snap && slices.Equal(d.sets.members, members) {
+		return
+	}
+	d.sets = sets{members: members, snapshot: snap,
+		byService: make(map[string]subset.Set), byName: make(map[string]*primroseloomv1.Member)}
+	for _, member := range members {
+		d.sets.byName[member.Vm] = member
+	}
+}
+
+// build chooses a service's set in this instance's region, or in the first
+// region that has any member to offer.
+func (d *Directory) build(service *document.Service) subset.Set {
+	own := d.members.Self().Region
+	set := assign.InRegion(service, d.sets.members, own, assign.Offered)
+	for _, region := range assign.Regions(d.sets.members) {
+		if len(set.VMs()) > 0 {
+			break
+		}
+		set = assign.InRegion(service, d.sets.members, region, assign.Offered)
+	}
+	return set
+}
--- /dev/null
+++ b/entry/peer/pool.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
+)
+
+// pool holds one HTTP/2 transport for each peer address in use.
+type pool struct {
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	keys *keys
+
+	mu        sync.Mutex
+	links     map[string]*link
+	nextPrune time.Duration
+}
+
+// link is the transport to one address.
+type link struct {
+	transport *http.Transport
+	client    primroseloomv1connect.PeerServiceClient
+	used      time.Time
+}
+
+func newPool(dial func(context.Context, string, string) (net.Conn, error), keys *keys) *pool {
+	return &pool{dial: dial, keys: keys, links: make(map[string]*link)}
+}
+
+func (p *pool) newLink(address string) *link {
+	transport := &http.Transport{
+		DialContext:     p.dial,
+		Protocols:       new(http.Protocols),
+		IdleConnTimeout: idleTimeout,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterSilence, PingTimeout: pingTimeout},
+	}
+	scheme := "http://"
+	if p.keys.off {
+		transport.Protocols.SetUnencryptedHTTP2(true)
+	} else {
+		scheme = "https://"
+		transport.Protocols.SetHTTP2(true)
+		transport.TLSClientConfig = p.keys.clientConfig()
+		transport.TLSHandshakeTimeout = dialTimeout
+	}
+	client := primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, scheme+address,
+		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+	return &link{transport: transport, client: client, used: time.Now()}
+}
+
+// client returns the client of an address, over the connection in use.
+func (p *pool) client(address string) primroseloomv1connect.PeerServiceClient {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.links[address]
+	if !ok {
+		l = p.newLink(address)
+		p.links[address] = l
+	}
+	l.used = time.Now()
+	return l.client
+}
+
+// fresh returns a client that opens a new connection. The function returned is
+// called once when the call has ended; after a success the new connection takes
+// the place of the old one, whose calls in progress go on.
+func (p *pool) fresh(address string) (primroseloomv1connect.PeerServiceClient, func(worked bool)) {
+	l := p.newLink(address)
+	keep := func(worked bool) {
+		if !worked {
+			l.transport.CloseIdleConnections()
+			return
+		}
+		p.mu.Lock()
+		old := p.links[address]
+		p.links[address] = l
+		p.mu.Unlock()
+		if old != nil {
+			old.transport.CloseIdleConnections()
+		}
+	}
+	return l.client, keep
+}
+
+// prune forgets addresses that have not been used for a while.
+func (p *pool) prune(now time.Duration) {
+	if now < p.nextPrune {
+		return
+	}
+	p.nextPrune = now + idleTimeout/4
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, l := range p.links {
+		if time.Since(l.used) > idleTimeout {
+			l.transport.CloseIdleConnections()
+			delete(p.links, address)
+		}
+	}
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.transport.CloseIdleConnections()
+	}
+}
--- /dev/null
+++ b/policy/news/queue.go
@@ -0,0 +1,106 @@
+// Package news orders the facts that wait for one peer.
+//
+// Urgent items go first, in the order of their arrival. The others go by
+// weight: an item's strength, halved with each HalfLife of its age. A full
+// queue drops the item of least weight, and an urgent one only when nothing
+// else is left. Items older than MaxAge are dropped.
+package news
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+// Limits bound a queue.
+type Limits struct {
+	// MaxItems is the number of items that wait.
+	MaxItems int
+	// HalfLife is the age at which an item's weight has halved.
+	HalfLife time.Duration
+	// MaxAge is the age at which an item is dropped.
+	MaxAge time.Duration
+}
+
+// DefaultLimits returns the limits that are in use.
+func DefaultLimits() Limits {
+	return Limits{MaxItems: 256, HalfLife: 2 * time.Second, MaxAge: 15 * time.Second}
+}
+
+// Entry is one waiting item.
+type Entry[T any] struct {
+	Item   T
+	Urgent bool
+	// Strength is the item's weight when it is new; not negative.
+	Strength float64
+	// At is the time at which the item was new.
+	At time.Duration
+	// Attempts counts how often the item was sent without success.
+	Attempts int
+}
+
+// Queue holds the items for one peer. It is not safe for concurrent use.
+type Queue[T any] struct {
+	limits  Limits
+	entries []Entry[T]
+}
+
+// NewQueue returns an empty queue.
+func NewQueue[T any](limits Limits) *Queue[T] { return &Queue[T]{limits: limits} }
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return len(q.entries) }
+
+// Urgent tells whether an urgent item waits.
+func (q *Queue[T]) Urgent() bool {
+	return slices.ContainsFunc(q.entries, func(e Entry[T]) bool { return e.Urgent })
+}
+
+// Push adds an item and returns the number of items dropped for it.
+func (q *Queue[T]) Push(now time.Duration, entry Entry[T]) int {
+	q.entries = append(q.entries, entry)
+	dropped := q.dropOld(now)
+	if len(q.entries) > q.limits.MaxItems {
+		q.sort(now)
+		dropped += len(q.entries) - q.limits.MaxItems
+		clear(q.entries[q.limits.MaxItems:])
+		q.entries = q.entries[:q.limits.MaxItems]
+	}
+	return dropped
+}
+
+// Take removes and returns up to count items, the most important first.
+func (q *Queue[T]) Take(now time.Duration, count int) []Entry[T] {
+	q.dropOld(now)
+	q.sort(now)
+	taken := slices.Clone(q.entries[:min(count, len(q.entries))])
+	q.entries = slices.Delete(q.entries, 0, len(taken))
+	return taken
+}
+
+func (q *Queue[T]) dropOld(now time.Duration) int {
+	before := len(q.entries)
+	q.entries = slices.DeleteFunc(q.entries, func(e Entry[T]) bool { return now-e.At > q.limits.MaxAge })
+	return before - len(q.entries)
+}
+
+func (q *Queue[T]) sort(now time.Duration) {
+	slices.SortStableFunc(q.entries, func(a, b Entry[T]) int {
+		if a.Urgent != b.Urgent {
+			if a.Urgent {
+				return -1
+			}
+			return 1
+		}
+		if a.Urgent {
+			return cmp.Compare(a.At, b.At)
+		}
+		return cmp.Compare(q.weight(now, b), q.weight(now, a))
+	})
+}
+
+func (q *Queue[T]) weight(now time.Duration, e Entry[T]) float64 {
+	halvings := (now - e.At).Seconds() / q.limits.HalfLife.Seconds()
+	return e.Strength * math.Exp2(-halvings)
+}
--- a/policy/subset/subset.go
+++ b/policy/subset/subset.go
@@ -1,12 +1,8 @@
-// Package subset chooses which VMs serve a key, by rendezvous hashing.
-//
-// Each VM scores the key by a hash of both; the highest scores win. A VM that
-// comes or goes moves only the keys that it wins or loses. Zone diversity is
-// kept by taking the best VM of each zone in turn.
 package subset
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -19,43 +15,144 @@
 	Region string
 }
 
-// Score is the rendezvous weight of a VM for a key.
-func Score(key, vm string) uint64 {
+// Demand is what a service needs.
+type Demand struct {
+	Targets int
+	// Slots is the number of requests a target runs at a time.
+	Slots int
+	// MaxConnections is the number of connections that a target accepts.
+	MaxConnections int
+}
+
+// Limits size the sets.
+type Limits struct {
+	// SlotsPerVM is the number of target slots that one VM is to serve.
+	SlotsPerVM int
+	// MinVMs is the least size of a set.
+	MinVMs int
+	// SpareConnections is what a VM may open to a target beyond one for each slot.
+	SpareConnections int
+	// ConnectionShare is the part of a target's connections that the sets may
+	// fill; the rest is for VMs that have left a set and for differing views.
+	ConnectionShare float64
+}
+
+// DefaultLimits returns the limits that are in use.
+func DefaultLimits() Limits {
+	return Limits{SlotsPerVM: 6, MinVMs: 6, SpareConnections: 2, ConnectionShare: 0.5}
+}
+
+// Size returns the number of VMs of a service's set in one of several regions.
+func (l Limits) Size(d Demand, regions int) int {
+	perRegion := l.SlotsPerVM * max(regions, 1)
+	size := max((d.Targets*d.Slots+perRegion-1)/perRegion, l.MinVMs)
+	if d.MaxConnections > 0 {
+		size = min(size, l.connectionCap(d)/max(regions, 1))
+	}
+	return max(size, 1)
+}
+
+func (l Limits) connectionCap(d Demand) int {
+	return int(l.ConnectionShare*float64(d.MaxConnections)) / (d.Slots + l.SpareConnections)
+}
+
+// Set is the VMs of one service, by position.
+type Set struct {
+	service   string
+	positions []VM
+}
+
+// NewSet fills the positions of a service's set from the candidates.
+func NewSet(service string, candidates []VM, size int) Set {
+	byZone := make(map[string][]VM)
+	for _, vm := range candidates {
+		byZone[vm.Zone] = append(byZone[vm.Zone], vm)
+	}
+	used := make(map[string]int)
+	set := Set{service: service}
+	for position := range min(size, len(candidates)) {
+		zone := chooseZone(service, position, byZone, used)
+		used[zone]++
+		set.positions = append(set.positions, takeBest(service, position, byZone, zone))
+	}
+	return set
+}
+
+// chooseZone returns the zone for a position: one of those used least, by score.
+func chooseZone(service string, position int, byZone map[string][]VM, used map[string]int) string {
+	var best string
+	var bestScore uint64
+	for zone, left := range byZone {
+		if len(left) == 0 {
+			continue
+		}
+		score := positionScore(service, zone, position)
+		if best == "" || used[zone] < used[best] || (used[zone] == used[best] && score > bestScore) {
+			best, bestScore = zone, score
+		}
+	}
+	return best
+}
+
+// takeBest removes the VM with the highest score for a position from its zone.
+func takeBest(service string, position int, byZone map[string][]VM, zone string) VM {
+	var best int
+	var bestScore uint64
+	for i, vm := range byZone[zone] {
+		score := positionScore(service, vm.Name, position)
+		if i == 0 || score > bestScore || (score == bestScore && vm.Name < byZone[zone][best].Name) {
+			best, bestScore = i, score
+		}
+	}
+	vm := byZone[zone][best]
+	byZone[zone] = slices.Delete(slices.Clone(byZone[zone]), best, best+1)
+	return vm
+}
+
+func positionScore(service, name string, position int) uint64 {
+	var number [8]byte
+	binary.BigEndian.PutUint64(number[:], uint64(position))
 	digest := xxhash.New()
-	_, _ = digest.WriteString(key)
+	_, _ = digest.WriteString(service)
 	_, _ = digest.Write([]byte{0})
-	_, _ = digest.WriteString(vm)
+	_, _ = digest.WriteString(name)
+	_, _ = digest.Write(number[:])
 	return digest.Sum64()
 }
 
-// Choose returns up to count VMs for a key in order of preference, one of each
-// zone before the second of any.
+// Choose returns up to count VMs for a key, one of each zone before the second
+// of any.
 func Choose(key string, candidates []VM, count int) []VM {
-	type scored struct {
+	return NewSet(key, candidates, count).VMs()
+}
+
+// VMs returns the set by position.
+func (s Set) VMs() []VM { return s.positions }
+
+// Choose returns up to count VMs for a customer in order of preference, one of
+// each zone before the second of any.
+func (s Set) Choose(customer string, count int) []VM {
+	type ranked struct {
 		vm    VM
 		score uint64
 		round int
 	}
-	ranked := make([]scored, 0, len(candidates))
-	for _, vm := range candidates {
-		ranked = append(ranked, scored{vm: vm, score: Score(key, vm.Name)})
-	}
-	byScore := func(a, b scored) int {
-		if c := cmp.Compare(b.score, a.score); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.vm.Name, b.vm.Name)
+	key := s.service + "/" + customer
+	order := make([]ranked, len(s.positions))
+	for position, vm := range s.positions {
+		order[position] = ranked{vm: vm, score: positionScore(key, "", position)}
 	}
-	slices.SortFunc(ranked, byScore)
+	slices.SortFunc(order, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.vm.Name, b.vm.Name))
+	})
 	seen := make(map[string]int)
-	for i := range ranked {
-		zone := ranked[i].vm.Zone
-		ranked[i].round = seen[zone]
-		seen[zone]++
+	for i := range order {
+		order[i].round = seen[order[i].vm.Zone]
+		seen[order[i].vm.Zone]++
 	}
-	slices.SortStableFunc(ranked, func(a, b scored) int { return cmp.Compare(a.round, b.round) })
+	slices.SortStableFunc(order, func(a, b ranked) int { return cmp.Compare(a.round, b.round) })
 	chosen := make([]VM, 0, count)
-	for _, candidate := range ranked[:min(count, len(ranked))] {
+	for _, candidate := range order[:min(count, len(order))] {
 		chosen = append(chosen, candidate.vm)
 	}
 	return chosen
--- a/policy/subset/subset_test.go
+++ b/policy/subset/subset_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -14,17 +15,103 @@
 }
 
 func TestChooseSpreadsOverZones(t *testing.T) {
-	zones := make(map[string]bool)
-	for _, vm := range Choose("booking", fleet(36, 3), 3) {
-		zones[vm.Zone] = true
-	}
-	if len(zones) != 3 {
-		t.Errorf("three VMs stand in %d zones, want 3", len(zones))
+	for customer := range 200 {
+		zones := make(map[string]bool)
+		for _, vm := range NewSet("booking", fleet(36, 3), 10).Choose(fmt.Sprint(customer), 3) {
+			zones[vm.Zone] = true
+		}
+		if len(zones) != 3 {
+			t.Errorf("customer %d has VMs in %d zones, want 3", customer, len(zones))
+		}
 	}
 }
 
 func TestChooseTakesAllWhenFewerThanAsked(t *testing.T) {
-	if got := len(Choose("booking", fleet(2, 2), 5)); got != 2 {
+	if got := len(NewSet("booking", fleet(2, 2), 6).Choose("tallinn", 5)); got != 2 {
 		t.Errorf("chose %d VMs, want 2", got)
 	}
 }
+
+func TestSetDoesNotDependOnOrder(t *testing.T) {
+	vms := fleet(36, 3)
+	forward := NewSet("berth", vms, 8).VMs()
+	slices.Reverse(vms)
+	if backward := NewSet("berth", vms, 8).VMs(); !slices.Equal(forward, backward) {
+		t.Errorf("set %v changes to %v with the order of the candidates", forward, backward)
+	}
+}
+
+func TestConnectionsStayWithinLimit(t *testing.T) {
+	limits := DefaultLimits()
+	for _, d := range []Demand{{20, 3, 330}, {6, 3, 330}, {23, 2, 330}, {36, 3, 330}, {9300, 3, 330}, {500, 40, 330}, {1, 3, 1}} {
+		for _, regions := range []int{1, 3} {
+			size := limits.Size(d, regions)
+			connections := regions * size * (d.Slots + limits.SpareConnections)
+			if connections > d.MaxConnections && size > 1 {
+				t.Errorf("%+v in %d regions: set of %d opens %d connections to a target", d, regions, size, connections)
+			}
+		}
+	}
+}
+
+// moved returns the part of (customer, VM) pairs that change when one VM goes,
+// and the part that must change because the VM had them.
+func moved(service string, vms []VM, size, customers int, gone VM) (changed, least float64) {
+	before := NewSet(service, vms, size)
+	rest := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm == gone })
+	after := NewSet(service, rest, size)
+	const count = 3
+	for customer := range customers {
+		old := before.Choose(fmt.Sprint(customer), count)
+		fresh := after.Choose(fmt.Sprint(customer), count)
+		for _, vm := range old {
+			if !slices.Contains(fresh, vm) {
+				changed++
+			}
+			if vm == gone {
+				least++
+			}
+		}
+	}
+	pairs := float64(customers * count)
+	return changed / pairs, least / pairs
+}
+
+func TestLeavingVMMovesLittleMoreThanItsOwnCustomers(t *testing.T) {
+	vms := fleet(36, 3)
+	var changed, least float64
+	for _, gone := range vms {
+		c, l := moved("booking", vms, 10, 300, gone)
+		changed, least = changed+c, least+l
+	}
+	if changed > 1.5*least {
+		t.Errorf("VMs leaving move %.4f of the pairs, %.4f must move", changed, least)
+	}
+}
+
+// BenchmarkMoved measures the share of (customer, VM) pairs that one leaving VM moves.
+func BenchmarkMoved(b *testing.B) {
+	for _, c := range []struct{ vms, zones, size int }{{36, 3, 10}, {36, 3, 6}, {280, 4, 8}, {840, 10, 15}} {
+		b.Run(fmt.Sprintf("vms=%d/size=%d", c.vms, c.size), func(b *testing.B) {
+			vms := fleet(c.vms, c.zones)
+			var changed, least, leavers float64
+			for i := range b.N {
+				service := fmt.Sprintf("service%d", i)
+				for _, gone := range NewSet(service, vms, c.size).VMs() {
+					moves, own := moved(service, vms, c.size, 1000, gone)
+					changed, least, leavers = changed+moves, least+own, leavers+1
+				}
+			}
+			b.ReportMetric(100*changed/leavers, "moved-%")
+			b.ReportMetric(100*least/leavers, "least-%")
+		})
+	}
+}
+
+// BenchmarkNewSet measures the time to choose a service's set.
+func BenchmarkNewSet(b *testing.B) {
+	vms := fleet(840, 10)
+	for b.Loop() {
+		NewSet("booking", vms, 15)
+	}
+}
