Test the proxy over the in-memory network

Change: framings, refusals, smuggling, slow callers, keyed requests through any VM, silent connections, poison requests, suspension and draining; a shed or draining answer of the stand-in echoes the correlation identifier, as the agreement asks, because the proxy believes no other. Conclusion: a retry that finds no target now keeps the first attempt's reason, and a resend of a key that has run is compared with the run's body.

--- /dev/null
+++ b/entry/proxy/fake_test.go
@@ -0,0 +1,371 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/config/snapshot"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/standin/memnet"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
+)
+
+// fakeClock is the uptime of one VM; jump adds suspended time.
+type fakeClock struct {
+	start time.Time
+	jump  atomic.Int64
+}
+
+func newFakeClock() *fakeClock { return &fakeClock{start: time.Now()} }
+
+func (c *fakeClock) Uptime() time.Duration {
+	return time.Since(c.start) + time.Duration(c.jump.Load())
+}
+
+// fixedConfiguration hands out one snapshot.
+type fixedConfiguration struct{ snap *snapshot.Snapshot }
+
+func (c fixedConfiguration) Current() *snapshot.Snapshot          { return c.snap }
+func (c fixedConfiguration) Subscribe(f func(*snapshot.Snapshot)) { f(c.snap) }
+
+func hexDigest(credential string) string {
+	sum := sha256.Sum256([]byte(credential))
+	return hex.EncodeToString(sum[:])
+}
+
+// testSnapshot has customers "a" and "b" with credentials "secret-a" and "secret-b".
+func testSnapshot(targets []document.Target) *snapshot.Snapshot {
+	service := document.Service{
+		Name:       "booking",
+		Slots:      3,
+		Deadline:   document.Duration(30 * time.Second),
+		Idempotent: []document.RequestRule{{Method: "GET", PathPrefix: "/"}, {Method: "HEAD", PathPrefix: "/"}},
+		Shed:       document.Signal{Status: 503, Header: "Primroseloom-Shed"},
+		Drain:      document.Signal{Status: 503, Header: "Primroseloom-Draining"},
+		Targets:    targets,
+	}
+	template := document.Template{Name: "plain", Services: []string{"booking"}, Limits: document.TemplateLimits{
+		Rate: []byte("1000"), Burst: []byte("1000"), Concurrency: []byte("1000"), Queue: []byte("1000"),
+		Deadline: []byte(`"10s"`), RetryRatio: []byte("1"), Weight: []byte("1"),
+	}}
+	shard := document.Shard{
+		Services:  []document.Service{service},
+		Routes:    []document.Route{{Host: "booking.test", PathPrefix: "/", Service: "booking"}},
+		Templates: []document.Template{template},
+		Customers: []document.Customer{
+			{Name: "a", Template: "plain", CredentialDigests: []string{hexDigest("secret-a")}},
+			{Name: "b", Template: "plain", CredentialDigests: []string{hexDigest("secret-b")}},
+		},
+	}
+	return snapshot.Build(1, []document.Shard{shard}, nil)
+}
+
+// fakeTargets grants targets in turn, after a delay, without limits. It holds
+// one idle connection a target.
+type fakeTargets struct {
+	host    *memnet.Host
+	targets []document.Target
+	// lenient takes a broken answer for a whole one.
+	lenient bool
+	// admission returns how long an Acquire waits; nil for not at all.
+	admission func() time.Duration
+
+	mu      sync.Mutex
+	next    int
+	idle    map[string]*fakeConn
+	results []contract.AttemptResult
+}
+
+type fakeConn struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (f *fakeTargets) Acquire(ctx context.Context, request contract.AcquireRequest) (contract.Grant, error) {
+	if f.admission != nil {
+		select {
+		case <-time.After(f.admission()):
+		case <-ctx.Done():
+			return nil, contract.Refuse(outcome.NotRun, outcome.ReasonDeadlineExceeded, outcome.StepAdmission, "", ctx.Err())
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for range f.targets {
+		f.next++
+		target := f.targets[f.next%len(f.targets)]
+		used := false
+		for _, name := range request.Exclude {
+			used = used || name == target.Name
+		}
+		if !used {
+			return &fakeGrant{pool: f, target: target}, nil
+		}
+	}
+	return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, "", nil)
+}
+
+type fakeGrant struct {
+	pool   *fakeTargets
+	target document.Target
+	conn   *fakeConn
+	body   *fakeBody
+}
+
+func (g *fakeGrant) Target() document.Target { return g.target }
+
+func (g *fakeGrant) fail(kind contract.AttemptKind, err error) error {
+	return &contract.RoundTripError{Kind: kind, Target: g.target.Name, Cause: err}
+}
+
+// take returns the idle connection or a new one.
+func (g *fakeGrant) take(ctx context.Context, trip *contract.RoundTrip) error {
+	g.pool.mu.Lock()
+	conn, ok := g.pool.idle[g.target.Name]
+	delete(g.pool.idle, g.target.Name)
+	g.pool.mu.Unlock()
+	if ok && !trip.Fresh {
+		trip.MarkReused()
+		g.conn = conn
+		return nil
+	}
+	dialed, err := g.pool.host.DialContext(ctx, "tcp", g.target.Address)
+	if err != nil {
+		return g.fail(contract.AttemptRefused, err)
+	}
+	g.conn = &fakeConn{Conn: dialed, reader: bufio.NewReader(dialed)}
+	return nil
+}
+
+func (g *fakeGrant) RoundTrip(request *http.Request) (*http.Response, error) {
+	ctx := request.Context()
+	trip := contract.RoundTripFrom(ctx)
+	if err := g.take(ctx, trip); err != nil {
+		return nil, err
+	}
+	conn := g.conn
+	context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if err := trip.BeforeWrite(); err != nil {
+		return nil, g.fail(contract.AttemptCanceled, err)
+	}
+	trip.MarkWritten()
+	limit := trip.StallLimit
+	if trip.Reused() {
+		limit = trip.ReusedStallLimit
+	}
+	if limit > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(limit))
+	}
+	go func() { _ = request.Write(conn) }()
+	response, err := http.ReadResponse(conn.reader, request)
+	var timeout net.Error
+	switch {
+	case errors.As(err, &timeout) && timeout.Timeout():
+		return nil, g.fail(contract.AttemptTimedOut, err)
+	case err != nil && strings.Contains(err.Error(), "malformed"):
+		return nil, g.fail(contract.AttemptWrong, err)
+	case err != nil:
+		return nil, g.fail(contract.AttemptReset, err)
+	}
+	if ctx.Err() == nil {
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+	g.body = &fakeBody{ReadCloser: response.Body, grant: g}
+	response.Body = g.body
+	return response, nil
+}
+
+type fakeBody struct {
+	io.ReadCloser
+	grant *fakeGrant
+	whole bool
+}
+
+func (b *fakeBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		b.whole = true
+	} else if err != nil && b.grant.pool.lenient {
+		err = io.EOF
+	}
+	return n, err
+}
+
+func (g *fakeGrant) Done(result contract.AttemptResult) {
+	p := g.pool
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.results = append(p.results, result)
+	if g.conn == nil {
+		return
+	}
+	if result.Kind == contract.AttemptSucceeded && g.body != nil && g.body.whole && p.idle[g.target.Name] == nil {
+		p.idle[g.target.Name] = g.conn
+		return
+	}
+	_ = g.conn.Close()
+}
+
+// close ends the idle connections.
+func (f *fakeTargets) close() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, conn := range f.idle {
+		_ = conn.Close()
+	}
+}
+
+// fleet is a set of VMs over one in-memory network.
+type fleet struct {
+	network *memnet.Network
+	snap    *snapshot.Snapshot
+	targets []document.Target
+	vms     []*vm
+	cancel  context.CancelFunc
+	ctx     context.Context
+	// options alters a VM's options before its proxy is built.
+	options func(*Options)
+	// sameInstance keeps a replaced VM's instance identifier.
+	sameInstance bool
+	instances    uint64
+}
+
+// vm is one instance of the fleet; it is its own view of the members.
+type vm struct {
+	fleet   *fleet
+	index   int
+	self    *primroseloomv1.Member
+	clock   *fakeClock
+	proxy   *Proxy
+	targets *fakeTargets
+	servers []*http.Server
+	hear    func(*primroseloomv1.NewsItem)
+	alive   bool
+}
+
+func vmIP(index int) string { return "10.0.1." + strconv.Itoa(index+1) }
+
+func newFleet(ctx context.Context, vms int, targets []document.Target, options func(*Options)) *fleet {
+	f := &fleet{network: memnet.New(), targets: targets, snap: testSnapshot(targets), options: options}
+	f.ctx, f.cancel = context.WithCancel(ctx)
+	for i := range vms {
+		f.vms = append(f.vms, nil)
+		f.start(i)
+	}
+	return f
+}
+
+// start runs a new instance on a VM.
+func (f *fleet) start(index int) {
+	instance := uint64(index + 1)
+	if !f.sameInstance {
+		f.instances++
+		instance = 1000 + f.instances
+	}
+	v := &vm{fleet: f, index: index, clock: newFakeClock(), alive: true}
+	v.self = &primroseloomv1.Member{Vm: "vm-" + strconv.Itoa(index), Instance: instance}
+	host := f.network.Host(vmIP(index))
+	v.targets = &fakeTargets{host: host, targets: f.targets, idle: make(map[string]*fakeConn)}
+	options := Options{
+		Fleet: "test", Configuration: fixedConfiguration{f.snap}, Targets: v.targets,
+		Members: v, News: v, Network: host, Clock: v.clock, Limits: DefaultLimits(),
+	}
+	if f.options != nil {
+		f.options(&options)
+	}
+	v.proxy = New(options)
+	f.vms[index] = v
+	mux := http.NewServeMux()
+	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(peerService{proxy: v.proxy}))
+	limits := ServerLimits{HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
+	v.listen(host, ":80", NewServer(v.proxy, limits))
+	v.listen(host, ":81", NewServer(mux, limits))
+}
+
+func (v *vm) listen(host *memnet.Host, port string, server *http.Server) {
+	listener, err := host.Listen(v.fleet.ctx, vmIP(v.index)+port)
+	if err != nil {
+		panic(err)
+	}
+	v.servers = append(v.servers, server)
+	go func() { _ = server.Serve(listener) }()
+}
+
+// kill ends a VM at once, as a power failure would.
+func (f *fleet) kill(index int) {
+	v := f.vms[index]
+	v.alive = false
+	for _, server := range v.servers {
+		_ = server.Close()
+	}
+	f.network.Kill(vmIP(index))
+	v.targets.close()
+}
+
+// close ends the fleet.
+func (f *fleet) close() {
+	f.cancel()
+	for i := range f.vms {
+		f.kill(i)
+	}
+}
+
+type peerService struct {
+	primroseloomv1connect.UnimplementedPeerServiceHandler
+	proxy *Proxy
+}
+
+func (s peerService) Forward(ctx context.Context, stream *connect.BidiStream[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]) error {
+	return s.proxy.Forward(ctx, stream)
+}
+
+func (v *vm) Self() *primroseloomv1.Member { return v.self }
+
+func (v *vm) Members() []*primroseloomv1.Member {
+	var members []*primroseloomv1.Member
+	for _, other := range v.fleet.vms {
+		if other != nil {
+			members = append(members, other.self)
+		}
+	}
+	return members
+}
+
+func (v *vm) Client(name string) (primroseloomv1connect.PeerServiceClient, bool) {
+	for _, other := range v.fleet.vms {
+		if other.self.Vm == name {
+			protocols := new(http.Protocols)
+			protocols.SetUnencryptedHTTP2(true)
+			transport := &http.Transport{DialContext: v.fleet.network.Host(vmIP(v.index)).DialContext, Protocols: protocols, IdleConnTimeout: time.Second}
+			return primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, "http://"+vmIP(other.index)+":81"), true
+		}
+	}
+	return nil, false
+}
+
+// Publish reaches every other VM at once.
+func (v *vm) Publish(item *primroseloomv1.NewsItem, _ bool) {
+	for _, other := range v.fleet.vms {
+		if other != v && other.alive && other.hear != nil {
+			other.hear(item)
+		}
+	}
+}
+
+func (v *vm) Subscribe(f func(*primroseloomv1.NewsItem)) { v.hear = f }
--- a/entry/proxy/keyed.go
+++ b/entry/proxy/keyed.go
@@ -84,7 +84,7 @@
 	case dispatch.ActionRun:
 		return p.runKeyed(c, w, id, f)
 	case dispatch.ActionRefuse:
-		return keyRefusal(decision, c)
+		return p.refuseKeyed(c, id, decision)
 	case dispatch.ActionJoin:
 		p.counters.joined.Inc(1)
 		return p.join(c, w, id, f)
@@ -96,7 +96,14 @@
 	return reply(w, decision.Answer, c.request.Method, outcome.Answered)
 }
 
-func keyRefusal(decision dispatch.Decision, c *call) error {
+// refuseKeyed tells why a keyed request is not run. One whose key has run is
+// first compared with that run.
+func (p *Proxy) refuseKeyed(c *call, id dispatch.ID, decision dispatch.Decision) error {
+	if decision.Reason == outcome.ReasonAlreadyRan {
+		if err := p.compareBody(c, id); err != nil {
+			return err
+		}
+	}
 	refusal := contract.Refuse(decision.Outcome, decision.Reason, outcome.StepKey, c.key.VM, nil)
 	refusal.RetryAfter = decision.RetryAfter
 	return refusal
--- /dev/null
+++ b/entry/proxy/proxy_test.go
@@ -0,0 +1,437 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/dispatch"
+)
+
+func targetIP(index int) string { return "10.0.2." + strconv.Itoa(index+1) }
+
+// scripted starts targets that answer each request as the script says. The
+// script gets the head and returns the bytes to send; an empty answer closes
+// the connection.
+func scripted(t *testing.T, f *fleet, script func(r *http.Request) string) {
+	t.Helper()
+	for _, target := range f.targets {
+		ip, _, _ := net.SplitHostPort(target.Address)
+		listener, err := f.network.Host(ip).Listen(f.ctx, target.Address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		context.AfterFunc(f.ctx, func() { _ = listener.Close() })
+		go func() {
+			for {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				go answerBy(conn, script)
+			}
+		}()
+	}
+}
+
+func answerBy(conn net.Conn, script func(r *http.Request) string) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		text := script(request)
+		if text == "" {
+			return
+		}
+		text = strings.ReplaceAll(text, "$C", request.Header.Get(CorrelationHeader))
+		if _, err := io.WriteString(conn, text); err != nil || strings.Contains(text, "!close") {
+			return
+		}
+	}
+}
+
+func oneTarget() []document.Target {
+	return []document.Target{{Name: "t0", Address: targetIP(0) + ":80"}}
+}
+
+func twoTargets() []document.Target {
+	return append(oneTarget(), document.Target{Name: "t1", Address: targetIP(1) + ":80"})
+}
+
+// inFleet runs a test over a fleet in virtual time.
+func inFleet(t *testing.T, vms int, targets []document.Target, test func(t *testing.T, f *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t.Context(), vms, targets, nil)
+		defer func() {
+			f.close()
+			time.Sleep(time.Minute)
+		}()
+		test(t, f)
+	})
+}
+
+// reply is what a caller saw.
+type seen struct {
+	status  int
+	header  http.Header
+	body    string
+	trailer http.Header
+	err     error
+}
+
+// raw sends bytes on a new connection and reads one reply.
+func (f *fleet) raw(vm int, method, text string) seen {
+	conn, err := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(vm)+":80")
+	if err != nil {
+		return seen{err: err}
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Minute))
+	go func() { _, _ = io.WriteString(conn, text) }()
+	response, err := http.ReadResponse(bufio.NewReader(conn), &http.Request{Method: method})
+	if err != nil {
+		return seen{err: err}
+	}
+	body, err := io.ReadAll(response.Body)
+	return seen{response.StatusCode, response.Header, string(body), response.Trailer, err}
+}
+
+// ask sends one request with customer a's credential and more header lines.
+func (f *fleet) ask(vm int, method, path, body string, lines ...string) seen {
+	head := method + " " + path + " HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n"
+	if body != "" {
+		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
+	}
+	for _, line := range lines {
+		head += line + "\r\n"
+	}
+	return f.raw(vm, method, head+"\r\n"+body)
+}
+
+func (v *vm) key(own string) string {
+	return "Idempotency-Key: " + dispatch.Prefix(v.self.Vm, v.self.Instance, dispatch.WindowAt(v.clock.Uptime())) + own
+}
+
+const whole = "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 5\r\n\r\nwhole"
+
+func TestAnswersOfEveryFraming(t *testing.T) {
+	cases := []struct {
+		name, method, answer string
+		status               int
+		body                 string
+		broken               bool
+	}{
+		{"length", "GET", whole, 200, "whole", false},
+		{"chunked", "GET", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", 200, "whole", false},
+		{"no length", "GET", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nConnection: close\r\n\r\nhalf!close", 502, "target_truncated", false},
+		{"head", "HEAD", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 5\r\n\r\n", 200, "", false},
+		{"no content", "GET", "HTTP/1.1 204 No Content\r\nPrimroseloom-Correlation: $C\r\n\r\n", 204, "", false},
+		{"not modified", "GET", "HTTP/1.1 304 Not Modified\r\nPrimroseloom-Correlation: $C\r\n\r\n", 304, "", false},
+		{"empty 404", "GET", "HTTP/1.1 404 Not Found\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 0\r\n\r\n", 404, "", false},
+		{"truncated", "POST", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 99\r\n\r\n!close", 502, "target_truncated", false},
+		{"truncated chunks", "POST", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nTransfer-Encoding: chunked\r\n\r\n9\r\n!close", 502, "target_truncated", false},
+		{"foreign", "POST", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: other\r\nContent-Length: 2\r\n\r\nno", 502, "target_wrong_answer", false},
+		{"doubled identifier", "POST", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 2\r\n\r\nno", 502, "target_wrong_answer", false},
+		{"two lengths", "POST", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nno", 502, "", false},
+		{"not HTTP", "POST", "garbage\r\n\r\n", 502, "target_wrong_answer", false},
+		{"shed", "POST", "HTTP/1.1 503 Shed\r\nPrimroseloom-Correlation: $C\r\nPrimroseloom-Shed: 1\r\nContent-Length: 0\r\n\r\n", 503, "target_shed", false},
+		{"long", "GET", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 300000\r\n\r\n" + strings.Repeat("x", 300000), 200, strings.Repeat("x", 300000), false},
+		{"long and broken", "GET", "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" + strings.Repeat("x", 300000) + "\r\n!close", 200, "", true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+				scripted(t, f, func(*http.Request) string { return c.answer })
+				got := f.ask(0, c.method, "/", "")
+				if got.status != c.status || (got.err != nil) != c.broken {
+					t.Fatalf("status %d, error %v, body %.80q", got.status, got.err, got.body)
+				}
+				if !c.broken && c.status < 500 && got.body != c.body || !strings.Contains(got.body, c.body) {
+					t.Errorf("body %.80q", got.body)
+				}
+			})
+		})
+	}
+}
+
+func TestRefusalsBeforeDispatch(t *testing.T) {
+	cases := []struct{ name, request, want string }{
+		{"no credential", "GET / HTTP/1.1\r\nHost: booking.test\r\n\r\n", "unknown_customer"},
+		{"unknown host", "GET / HTTP/1.1\r\nHost: x.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n", "unknown_host"},
+		{"bad timeout", "GET / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nPrimroseloom-Timeout-Ms: 1s\r\n\r\n", "bad_request"},
+		{"two keys", "POST / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nIdempotency-Key: a\r\nIdempotency-Key: b\r\n\r\n", "bad_request"},
+		{"bad key", "POST / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nIdempotency-Key: order-1\r\n\r\n", "key_malformed"},
+		{"large body", "POST / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nContent-Length: 9999999999\r\n\r\n", "body_too_large"},
+		{"broken chunking", "POST / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "bad_request"},
+		{"two lengths", "POST / HTTP/1.1\r\nHost: booking.test\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "400 Bad Request"},
+		{"two codings", "POST / HTTP/1.1\r\nHost: booking.test\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n", "nsupported transfer encoding"},
+		{"large header", "GET / HTTP/1.1\r\nHost: booking.test\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", "431"},
+		{"connect", "CONNECT booking.test:443 HTTP/1.1\r\nHost: booking.test\r\n\r\n", "bad_request"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+				got := f.raw(0, "GET", c.request)
+				clear := got.status >= 400 && got.status < 500 || got.status == http.StatusNotImplemented
+				if !clear || !strings.Contains(got.body, c.want) {
+					t.Errorf("got %d %q %v, want a 4xx or 501 with %q", got.status, got.body, got.err, c.want)
+				}
+				if again := f.ask(0, "GET", "/", ""); again.status != 503 {
+					t.Errorf("next request: %+v", again)
+				}
+			})
+		})
+	}
+}
+
+func TestSmuggledRequestIsNotRun(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		var paths []string
+		scripted(t, f, func(r *http.Request) string {
+			paths = append(paths, r.URL.Path)
+			_, _ = io.Copy(io.Discard, r.Body)
+			return whole
+		})
+		smuggled := "GET /smuggled HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n"
+		f.ask(0, "POST", "/outer", "", "Content-Length: 4", "Transfer-Encoding: chunked", "\r\n0\r\n\r\n"+smuggled)
+		time.Sleep(time.Second)
+		if len(paths) != 1 || paths[0] != "/outer" {
+			t.Errorf("the target saw %v", paths)
+		}
+	})
+}
+
+func TestSlowHeaderIsCutOff(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		conn, err := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: ")
+		start := time.Now()
+		_ = conn.SetReadDeadline(start.Add(time.Minute))
+		_, _ = io.ReadAll(conn)
+		if waited := time.Since(start); waited > 6*time.Second {
+			t.Errorf("a slow header was tolerated for %s", waited)
+		}
+	})
+}
+
+func TestStalledUploadIsRefused(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		got := f.ask(0, "POST", "/", "", "Content-Length: 10", "Primroseloom-Timeout-Ms: 60000", "\r\nhalf")
+		if got.status != 400 || got.header.Get(OutcomeHeader) != "not_run" {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
+func TestHeadersOfOneHopAndOfTheFleetAreNotPassedOn(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		var got string
+		scripted(t, f, func(r *http.Request) string {
+			dump, _ := httputil.DumpRequest(r, true)
+			got = string(dump)
+			return "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nConnection: X-Hop\r\nX-Hop: 1\r\nTransfer-Encoding: chunked\r\nTrailer: X-Sum\r\n\r\n2\r\nok\r\n0\r\nX-Sum: 7\r\n\r\n"
+		})
+		answer := f.ask(0, "POST", "/p?q=%2F", "body", "Connection: X-Mine", "X-Mine: 1", "X-End: 1", "Primroseloom-Correlation: forged", "Upgrade: x")
+		for _, absent := range []string{"secret-a", "X-Mine", "forged", "Upgrade"} {
+			if strings.Contains(got, absent) {
+				t.Errorf("%s reached the target: %s", absent, got)
+			}
+		}
+		for _, present := range []string{"POST /p?q=%2F HTTP/1.1", "X-End: 1", "Content-Length: 4", "\r\n\r\nbody", "Primroseloom-Timeout-Ms: 9"} {
+			if !strings.Contains(got, present) {
+				t.Errorf("%s did not reach the target: %s", present, got)
+			}
+		}
+		if answer.header.Get("X-Hop") != "" || answer.header.Get(CorrelationHeader) != "" || answer.trailer.Get("X-Sum") != "7" {
+			t.Errorf("answer %+v", answer)
+		}
+	})
+}
+
+func TestKeyedRequestRunsOnceThroughAnyVM(t *testing.T) {
+	inFleet(t, 3, twoTargets(), func(t *testing.T, f *fleet) {
+		runs := 0
+		scripted(t, f, func(r *http.Request) string {
+			_, _ = io.Copy(io.Discard, r.Body)
+			runs++
+			time.Sleep(time.Second)
+			return whole
+		})
+		key := f.vms[1].key("order-1")
+		results := make(chan seen, 3)
+		for vm := range 3 {
+			go func() { results <- f.ask(vm, "POST", "/book", "x", key) }()
+		}
+		for range 3 {
+			if got := <-results; got.status != 200 || got.body != "whole" || got.header.Get(OutcomeHeader) != "answered" {
+				t.Errorf("got %+v", got)
+			}
+		}
+		if got := f.ask(2, "POST", "/book", "y", key); !strings.Contains(got.body, "key_reused") {
+			t.Errorf("another body: %+v", got)
+		}
+		if runs != 1 {
+			t.Errorf("the key ran %d times", runs)
+		}
+		f.kill(1)
+		f.start(1)
+		if got := f.ask(2, "POST", "/book", "x", key); got.header.Get(OutcomeHeader) != "may_have_run" || !strings.Contains(got.body, "dispatcher_gone") {
+			t.Errorf("after the dispatcher was replaced: %+v", got)
+		}
+	})
+}
+
+func TestKeyedLongBodyAndAnswerAreForwarded(t *testing.T) {
+	inFleet(t, 2, oneTarget(), func(t *testing.T, f *fleet) {
+		long := strings.Repeat("u", 500_000)
+		scripted(t, f, func(r *http.Request) string {
+			n, _ := io.Copy(io.Discard, r.Body)
+			size := strconv.FormatInt(n, 10)
+			return "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: " + size + "\r\n\r\n" + long
+		})
+		key := f.vms[1].key("upload")
+		if got := f.ask(0, "POST", "/up", long, key); got.body != long || got.err != nil {
+			t.Errorf("got %d %d bytes %v", got.status, len(got.body), got.err)
+		}
+		if got := f.ask(0, "POST", "/up", long, key); !strings.Contains(got.body, "already_ran") {
+			t.Errorf("resend of a long answer: %d %.100s", got.status, got.body)
+		}
+		if got := f.ask(0, "POST", "/up", long[1:]+"v", key); !strings.Contains(got.body, "key_reused") {
+			t.Errorf("resend with another end: %d %.100s", got.status, got.body)
+		}
+	})
+}
+
+func TestStallOnReusedConnectionIsTriedOnAFreshOne(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(*http.Request) string { return whole })
+		f.ask(0, "GET", "/", "")
+		f.network.Silence(vmIP(0), targetIP(0))
+		if got := f.ask(0, "GET", "/", "", "Primroseloom-Timeout-Ms: 3000"); got.status != 200 {
+			t.Errorf("idempotent request: %+v", got)
+		}
+		for _, result := range f.vms[0].targets.results {
+			if result.Kind != contract.AttemptSucceeded {
+				t.Errorf("evidence against the target: %+v", result)
+			}
+		}
+		f.network.Silence(vmIP(0), targetIP(0))
+		start := time.Now()
+		got := f.ask(0, "POST", "/", "x", "Primroseloom-Timeout-Ms: 3000")
+		if got.header.Get(OutcomeHeader) != "may_have_run" || time.Since(start) > 3*time.Second+replyGrace {
+			t.Errorf("booking: %+v after %s", got, time.Since(start))
+		}
+	})
+}
+
+func TestPoisonRequestCrashesTwoTargetsAtMost(t *testing.T) {
+	targets := append(twoTargets(), document.Target{Name: "t2", Address: targetIP(2) + ":80"}, document.Target{Name: "t3", Address: targetIP(3) + ":80"})
+	inFleet(t, 3, targets, func(t *testing.T, f *fleet) {
+		crashes := 0
+		scripted(t, f, func(r *http.Request) string {
+			if r.URL.Path != "/poison" {
+				return whole
+			}
+			crashes++
+			return ""
+		})
+		var last seen
+		for i := range 20 {
+			last = f.ask(i%3, "GET", "/poison", "")
+			if got := f.ask(i%3, "GET", "/fine", ""); got.status != 200 {
+				t.Errorf("ordinary request: %+v", got)
+			}
+			time.Sleep(time.Second)
+		}
+		if crashes > 2 {
+			t.Errorf("%d crashes", crashes)
+		}
+		if !strings.Contains(last.body, "quarantined") || last.header.Get("Retry-After") == "" {
+			t.Errorf("last: %+v", last)
+		}
+		rows := f.vms[2].proxy.QuarantineList()
+		if len(rows) != 1 || !f.vms[2].proxy.QuarantineLift(rows[0].Fingerprint) || len(f.vms[0].proxy.QuarantineList()) != 0 {
+			t.Errorf("list and lift: %+v", rows)
+		}
+	})
+}
+
+func TestSuspendedProcessWritesNothingLate(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		runs := 0
+		scripted(t, f, func(*http.Request) string { runs++; return whole })
+		v := f.vms[0]
+		v.targets.admission = func() time.Duration {
+			v.clock.jump.Add(int64(30 * time.Second))
+			return 0
+		}
+		got := f.ask(0, "POST", "/", "x", v.key("late"))
+		if runs != 0 || got.header.Get(OutcomeHeader) != "not_run" || !strings.Contains(got.body, "deadline_exceeded") {
+			t.Errorf("%d runs, told %+v", runs, got)
+		}
+	})
+}
+
+func TestDrainFinishesUploads(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(r *http.Request) string {
+			_, _ = io.Copy(io.Discard, r.Body)
+			return whole
+		})
+		v := f.vms[0]
+		reader, writer := io.Pipe()
+		request, _ := http.NewRequestWithContext(f.ctx, "PUT", "http://"+vmIP(0)+":80/up", reader)
+		request.Host = "booking.test"
+		request.ContentLength = 200_000
+		request.Header.Set(CredentialHeader, "secret-a")
+		request.Header.Set(TimeoutHeader, "120000")
+		done := make(chan string, 1)
+		go func() {
+			response, err := (&http.Transport{DialContext: f.network.Host("10.0.0.8").DialContext}).RoundTrip(request)
+			if err != nil {
+				done <- err.Error()
+				return
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, _ := io.ReadAll(response.Body)
+			done <- string(body)
+		}()
+		_, _ = writer.Write(make([]byte, 100_000))
+		stopped := make(chan error, 1)
+		go func() { stopped <- v.proxy.Drain(f.ctx, v.servers[0], 10*time.Second) }()
+		time.Sleep(5 * time.Second)
+		if got := f.ask(0, "GET", "/", ""); got.status != 200 {
+			t.Errorf("caller with an old directory answer: %+v", got)
+		}
+		_, _ = writer.Write(make([]byte, 50_000))
+		time.Sleep(9 * time.Second)
+		if got := f.ask(0, "GET", "/", ""); got.err == nil {
+			t.Errorf("after the linger time: %+v", got)
+		}
+		_, _ = writer.Write(make([]byte, 50_000))
+		_ = writer.Close()
+		if body := <-done; body != "whole" {
+			t.Errorf("upload: %s", body)
+		}
+		if err := <-stopped; err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/entry/proxy/run.go
+++ b/entry/proxy/run.go
@@ -25,6 +25,7 @@
 			return answer, nil
 		}
 		failed = history.settle(failed)
+		history.last = failed
 		if !verdict.Retry || w.begun {
 			return nil, failed
 		}
@@ -42,6 +43,16 @@
 	resets []string
 	// uncertain is true when an earlier attempt may have run.
 	uncertain bool
+	// last is the refusal of the attempt before, if there was one.
+	last error
+}
+
+// explain prefers the reason of an attempt to that of a retry that found no target.
+func (h *history) explain(err error) error {
+	if h.last != nil {
+		return h.last
+	}
+	return err
 }
 
 // settle makes a refusal tell of all attempts, not only of the last one.
@@ -67,7 +78,7 @@
 		Retry:      h.attempts > 0,
 	})
 	if err != nil {
-		return nil, dispatch.Verdict{}, acquireRefusal(err)
+		return nil, dispatch.Verdict{}, h.explain(acquireRefusal(err))
 	}
 	a := &attempt{proxy: p, call: c, grant: grant, history: h}
 	defer a.finish()
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -34,6 +34,7 @@
 	if t.onRequest != nil {
 		t.onRequest()
 	}
+	w.Header().Set(CorrelationHeader, r.Header.Get(CorrelationHeader))
 	faults := t.activeFaults()
 	if t.refuseDraining(w) {
 		return
