--- a/config/document/published.go
+++ b/config/document/published.go
@@ -156,3 +156,8 @@
 	}
 	return nil
 }
+
+// Empty reports whether the shard holds nothing.
+func (s Shard) Empty() bool {
+	return len(s.Services)+len(s.Routes)+len(s.Templates)+len(s.Customers) == 0
+}
--- a/config/snapshot/compile.go
+++ b/config/snapshot/compile.go
@@ -44,11 +44,12 @@
 	return compiler.next, nil
 }
 
-// Build compiles shards that were never published, such as those of a test.
+// Build compiles shards that were never published, such as those of a test. A
+// shard may hold several kinds.
 func Build(generation uint64, shards []document.Shard, previous *Snapshot) *Snapshot {
 	root := document.Root{Generation: generation}
 	contents := make(map[string][]byte)
-	for i, shard := range shards {
+	for i, shard := range split(shards) {
 		content, err := json.Marshal(shard)
 		if err != nil {
 			panic(fmt.Sprintf("shard %d: %v", i, err))
@@ -64,6 +65,24 @@
 	return snap
 }
 
+// split returns shards of one kind each.
+func split(shards []document.Shard) []document.Shard {
+	var single []document.Shard
+	for _, shard := range shards {
+		for _, part := range []document.Shard{
+			{Services: shard.Services},
+			{Routes: shard.Routes},
+			{Templates: shard.Templates},
+			{Customers: shard.Customers},
+		} {
+			if !part.Empty() {
+				single = append(single, part)
+			}
+		}
+	}
+	return single
+}
+
 func kindOf(shard document.Shard) document.ShardKind {
 	switch {
 	case len(shard.Services) > 0:
