--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -12,8 +12,8 @@
 	// Old is the number of the VM's attempts that are older than 99 in 100.
 	Old int
 	// Trials is the number of good trials since the last word.
-	Trials   int
-	Ejected  bool
+	Trials  int
+	Ejected bool
 	// Returned tells that trials ended well.
 	Returned bool
 	ProbeBad bool
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -64,8 +64,8 @@
 	trialsUntold int
 	// returned is set until the other VMs know that trials ended well.
 	returned bool
-	changed      bool
-	leaveEnd     time.Duration
+	changed  bool
+	leaveEnd time.Duration
 }
 
 // peerView is the last word of another VM about a target.
