Share service times between VMs and calibrate the limits

Cause: each VM's own reference was too small, and queued answers are not independent. Change: VMs tell each other their service times; limits are stretched by the height of the excursions of healthy targets' scores; VMs follow convictions of two zones.

--- a/policy/health/finding.go
+++ b/policy/health/finding.go
@@ -41,6 +41,8 @@
 
 // noteOut notes a conviction or an avoidance.
 func (t *Tracker) noteOut(now time.Duration, entry *target) {
+	if t.config.VM == "vm05" {
+	}
 	v := &entry.verdict
 	decision := "ejected"
 	switch {
@@ -50,7 +52,7 @@
 		decision = "path avoided"
 	}
 	t.note(now, Finding{Target: entry.Name, Decision: decision, Rule: v.rule.String(),
-		Evidence: t.evidenceOf(now, entry), SeenBy: t.seenBy(entry, v.rule),
+		Evidence: t.evidenceOf(entry), SeenBy: t.seenBy(entry, v.rule),
 		Next: fmt.Sprintf("trials after %s", v.until-now)})
 }
 
@@ -68,16 +70,16 @@
 }
 
 // evidenceOf lists what speaks against a target.
-func (t *Tracker) evidenceOf(now time.Duration, entry *target) []string {
+func (t *Tracker) evidenceOf(entry *target) []string {
 	lines := []string{fmt.Sprintf("score %.1f of %.1f nats, %.1f without the zone that proves most",
-		entry.tally.all[entry.verdict.rule], t.threshold, entry.tally.least(entry.verdict.rule))}
+		entry.tally.all[entry.verdict.rule], t.limits[entry.verdict.rule], entry.tally.least(entry.verdict.rule))}
 	var kinds []string
 	for kind, count := range entry.seen {
 		kinds = append(kinds, fmt.Sprintf("%s %d", kind, count))
 	}
 	slices.Sort(kinds)
 	lines = append(lines, "own attempts: "+strings.Join(kinds, ", "))
-	if old := entry.oldCount(now); old > 0 {
+	if old := entry.oldCount(); old > 0 {
 		lines = append(lines, fmt.Sprintf("%d attempts older than 99 in 100", old))
 	}
 	if entry.probeBad {
--- a/policy/health/floor.go
+++ b/policy/health/floor.go
@@ -138,8 +138,7 @@
 // reducedWeight lowers the share as the evidence grows.
 func (t *Tracker) reducedWeight(entry *target) float64 {
 	v := &entry.verdict
-	_, score := entry.tally.all.strongest()
-	part := score / t.threshold
+	_, part := t.level(&entry.tally.all)
 	switch {
 	case part < reducedShare:
 		v.state = Healthy
--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -12,16 +12,29 @@
 	// Old is the number of the VM's attempts that are older than 99 in 100.
 	Old int
 	// Trials is the number of good trials since the last word.
-	Trials   int
-	Ejected  bool
+	Trials  int
+	Ejected bool
 	// Returned tells that trials ended well.
 	Returned bool
 	ProbeBad bool
 }
 
+// News is what one VM tells the others of its service at a time.
+type News struct {
+	Evidence []Evidence
+	// Times are service times of targets that are not suspect.
+	Times []TimeCount
+}
+
 const (
+	// timesInterval is the time between two words about service times.
+	timesInterval = 5 * time.Second
 	// newsStep is the change of a score, in nats, that is worth a message.
 	newsStep = 1.0
+	// newsInterval is the time between two words about targets not suspected.
+	newsInterval = 250 * time.Millisecond
+	// urgentShare is the share of a limit from which news of a target goes at once.
+	urgentShare = 0.2
 	// renewInterval is the time after which a standing fact is told again.
 	renewInterval = time.Second
 )
@@ -41,8 +54,14 @@
 }
 
 // worthTelling reports whether the others should hear of a target now.
-func (e *target) worthTelling() bool {
-	if e.changed || e.oldTold != e.oldOwn {
+func (t *Tracker) worthTelling(e *target, regular bool) bool {
+	if e.changed {
+		return true
+	}
+	if _, part := t.level(&e.tally.all); !regular && part < urgentShare {
+		return false
+	}
+	if e.oldTold != e.oldOwn {
 		return true
 	}
 	for _, score := range e.pending {
@@ -60,18 +79,25 @@
 
 // News returns what the other VMs of the service should hear now, and takes it
 // as told. It is to be called after each event; mostly there is nothing.
-func (t *Tracker) News(now time.Duration) []Evidence {
+func (t *Tracker) News(now time.Duration) (news News, ok bool) {
 	renew := now-t.lastNews >= renewInterval
 	if renew {
 		t.lastNews = now
 	}
-	var news []Evidence
+	regular := now-t.lastRegular >= newsInterval
+	if regular {
+		t.lastRegular = now
+	}
 	for _, entry := range t.targets {
-		if entry.worthTelling() || renew && entry.standing() {
-			news = append(news, t.tell(entry))
+		if t.worthTelling(entry, regular) || renew && entry.standing() {
+			news.Evidence = append(news.Evidence, t.tell(entry))
 		}
 	}
-	return news
+	if now-t.lastTimes >= timesInterval {
+		t.lastTimes = now
+		news.Times = t.reference.tell()
+	}
+	return news, len(news.Evidence)+len(news.Times) > 0
 }
 
 func (t *Tracker) tell(entry *target) Evidence {
@@ -87,15 +113,25 @@
 	return evidence
 }
 
-// Receive takes another VM's evidence.
-func (t *Tracker) Receive(now time.Duration, evidence *Evidence) {
+// Receive takes another VM's news.
+func (t *Tracker) Receive(now time.Duration, news *News) {
+	if len(news.Times) > 0 {
+		t.reference.hear(news.Times)
+		t.staleTimes = true
+	}
+	for i := range news.Evidence {
+		t.receive(now, &news.Evidence[i])
+	}
+}
+
+func (t *Tracker) receive(now time.Duration, evidence *Evidence) {
 	entry, ok := t.byName[evidence.Target]
 	if !ok || evidence.VM == t.config.VM {
 		return
 	}
 	zone := t.zoneIndex(evidence.Zone)
-	entry.peers[evidence.VM] = &peerView{zone: zone, at: now, old: evidence.Old,
-		ejected: evidence.Ejected, probeBad: evidence.ProbeBad}
+	entry.hear(evidence.VM, peerView{zone: zone, at: now, old: evidence.Old,
+		ejected: evidence.Ejected, probeBad: evidence.ProbeBad})
 	entry.trialOK += evidence.Trials
 	t.hold(now, entry)
 	increments := evidence.Increments
--- a/policy/health/reference.go
+++ b/policy/health/reference.go
@@ -14,13 +14,16 @@
 
 const (
 	// referenceLearned is the number of observations before times are judged.
-	referenceLearned = 200.0
+	referenceLearned = 2000.0
 	// referenceWindow is the number of observations after which old ones weigh half.
-	referenceWindow = 8192.0
-	// referenceRefresh is the number of observations between two tables.
-	referenceRefresh = 64
+	referenceWindow = 65536.0
+	// referenceRefresh is the number of own observations between two tables.
+	referenceRefresh = 256
 	// loadStep moves the common factor towards each observation, in log units.
-	loadStep = 0.02
+	loadStep = 0.01
+	// loadDecay draws the common factor back to 1 with each observation, since
+	// the reference itself learns what lasts.
+	loadDecay = 0.999
 	// commonStep is the factor, in log units, taken up when all slow down at once.
 	commonStep = 0.35
 	// loadLimit bounds the common factor, in log units.
@@ -33,6 +36,8 @@
 	counts [bucketCount]float64
 	total  float64
 	fresh  int
+	// untold holds the observations that the other VMs do not know yet.
+	untold [bucketCount]uint32
 	median int
 	// old is the bucket from which an attempt is old: 99 in 100 are shorter.
 	old int
@@ -60,19 +65,53 @@
 func (r *reference) observe(taken time.Duration) {
 	at := r.bucket(taken)
 	r.follow(at)
-	r.counts[at]++
-	r.total++
+	r.untold[at]++
+	r.add(at, 1)
 	r.fresh++
-	if r.fresh < referenceRefresh && r.total > referenceLearned {
-		return
+	if r.fresh >= referenceRefresh {
+		r.rebuild()
 	}
+}
+
+// add counts observations of a bucket.
+func (r *reference) add(at int, count float64) {
+	r.counts[at] += count
+	r.total += count
 	if r.total >= referenceWindow {
 		r.halve()
 	}
-	r.fresh = 0
-	r.rebuild()
 }
 
+// TimeCount is a number of observations in one bucket of service times.
+type TimeCount struct {
+	Bucket int
+	Count  uint32
+}
+
+// tell returns the observations since the last word.
+func (r *reference) tell() []TimeCount {
+	var times []TimeCount
+	for i, count := range r.untold {
+		if count > 0 {
+			times = append(times, TimeCount{Bucket: i, Count: count})
+		}
+	}
+	r.untold = [bucketCount]uint32{}
+	return times
+}
+
+// hear takes the observations of another VM.
+func (r *reference) hear(times []TimeCount) {
+	for _, t := range times {
+		if t.Bucket >= 0 && t.Bucket < bucketCount {
+			r.add(t.Bucket, float64(min(t.Count, heardLimit)))
+		}
+	}
+}
+
+// heardLimit bounds the observations of one bucket that a message may add.
+const heardLimit = 4096
+
 // follow moves the common factor so that half of the times lie on each side.
 func (r *reference) follow(at int) {
 	if !r.learned() {
@@ -84,6 +123,7 @@
 	case at < r.median:
 		r.load = max(-loadLimit, r.load-loadStep)
 	}
+	r.load *= loadDecay
 }
 
 // slowAll takes up that all targets have become slower together.
@@ -98,6 +138,7 @@
 
 // rebuild derives the tables from the counts.
 func (r *reference) rebuild() {
+	r.fresh = 0
 	density := r.density()
 	survival := survivalOf(&density)
 	r.findQuantiles(&survival)
--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -30,7 +30,7 @@
 	t.removeCommon(now)
 	if now-t.lastFade >= fadeInterval {
 		t.lastFade = now
-		t.fade()
+		t.fade(now)
 	}
 	for _, entry := range t.targets {
 		t.advance(now, entry)
@@ -66,8 +66,7 @@
 		if !attempt.old {
 			attempt.old = true
 			entry.oldOwn++
-			attempt.seated = entry.oldCount(now) <= max(1, entry.Slots)
-			entry.changed = true
+			attempt.seated = entry.oldCount() <= max(1, entry.Slots)
 		}
 		if !attempt.seated {
 			continue
@@ -101,47 +100,55 @@
 		return
 	}
 	attempt.target.oldOwn--
-	attempt.target.changed = true
 	if attempt.void {
 		attempt.old = false
 	}
 }
 
+// hear keeps the last word of another VM.
+func (e *target) hear(vm string, view peerView) {
+	before := e.peers[vm]
+	e.peerOld[before.zone] -= before.old
+	e.peerOld[view.zone] += view.old
+	e.peers[vm] = view
+}
+
+// forget drops the words of VMs that have not been heard for a while.
+func (e *target) forget(now time.Duration) {
+	for vm, view := range e.peers {
+		if now-view.at > peerMemory {
+			e.peerOld[view.zone] -= view.old
+			delete(e.peers, vm)
+		}
+	}
+}
+
 // oldCount returns the old attempts of all VMs on the target.
-func (e *target) oldCount(now time.Duration) int {
+func (e *target) oldCount() int {
 	count := e.oldOwn
-	for _, peer := range e.peers {
-		if now-peer.at <= peerMemory {
-			count += peer.old
-		}
+	for _, old := range e.peerOld {
+		count += old
 	}
 	return count
 }
 
 // oldZones returns the number of zones that see old attempts.
-func (e *target) oldZones(now time.Duration, zone int) int {
-	var seen [64]bool
+func (e *target) oldZones(ownZone int) int {
 	count := 0
-	mark := func(zone int) {
-		if !seen[zone%len(seen)] {
-			seen[zone%len(seen)] = true
+	for zone, old := range e.peerOld {
+		if old > 0 || zone == ownZone && e.oldOwn > 0 {
 			count++
 		}
 	}
-	if e.oldOwn > 0 {
-		mark(zone)
-	}
-	for _, peer := range e.peers {
-		if peer.old > 0 && now-peer.at <= peerMemory {
-			mark(peer.zone)
-		}
-	}
 	return count
 }
 
 // removeCommon takes off the evidence that most targets share: overload, or
 // requests that fail everywhere.
 func (t *Tracker) removeCommon(now time.Duration) {
+	if !t.maybeCommon() {
+		return
+	}
 	common := t.common()
 	if !slices.ContainsFunc(common[:], func(s float64) bool { return s > commonLimit }) {
 		return
@@ -165,6 +172,17 @@
 	t.note(now, Finding{Decision: "none ejected", Rule: "common cause", Next: "the usual times and failures are learned anew"})
 }
 
+// maybeCommon reports whether enough targets have a score above the limit.
+func (t *Tracker) maybeCommon() bool {
+	high := 0
+	for _, entry := range t.targets {
+		if _, score := entry.tally.all.strongest(); score > commonLimit {
+			high++
+		}
+	}
+	return float64(high) >= (1-commonQuantile)*float64(len(t.targets))
+}
+
 // common returns each rule's score at the quantile of the targets.
 func (t *Tracker) common() Scores {
 	var common Scores
@@ -183,11 +201,17 @@
 	return common
 }
 
-// fade lets evidence of targets in service lose weight with time.
-func (t *Tracker) fade() {
+// fade lets evidence lose weight with time and drops old words of other VMs.
+func (t *Tracker) fade(now time.Duration) {
 	for _, entry := range t.targets {
+		entry.forget(now)
 		if !entry.verdict.out() {
 			entry.tally.fade(fadeFactor)
 		}
 	}
+	if t.staleTimes {
+		t.staleTimes = false
+		t.reference.rebuild()
+		t.setThreshold()
+	}
 }
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -46,8 +46,10 @@
 // target is what the tracker knows about one target.
 type target struct {
 	Target
-	index    int
-	tally    tally
+	index int
+	tally tally
+	// peaks are the heights of the excursions in progress.
+	peaks    Scores
 	verdict  verdict
 	inFlight int
 	// own increments that the other VMs do not know yet.
@@ -55,7 +57,9 @@
 	// seen counts this VM's attempts by kind, for findings and news.
 	seen map[Kind]uint64
 	// peers holds what other VMs said last.
-	peers    map[string]*peerView
+	peers map[string]peerView
+	// peerOld counts the other VMs' old attempts by zone.
+	peerOld  []int
 	oldOwn   int
 	oldTold  int
 	probeBad bool
@@ -64,8 +68,8 @@
 	trialsUntold int
 	// returned is set until the other VMs know that trials ended well.
 	returned bool
-	changed      bool
-	leaveEnd     time.Duration
+	changed  bool
+	leaveEnd time.Duration
 }
 
 // peerView is the last word of another VM about a target.
@@ -82,26 +86,34 @@
 type Tracker struct {
 	config    Config
 	threshold float64
-	zone      int
-	zones     []string
-	targets   []*target
-	byName    map[string]*target
-	reference reference
-	failures  failures
-	attempts  map[*Attempt]struct{}
-	lastTick  time.Duration
-	ticked    bool
-	lastFade  time.Duration
-	lastNews  time.Duration
-	weights   [2][]float64
-	dirty     bool
-	findings  []Finding
+	// limits are the scores at which each rule convicts.
+	limits      Scores
+	calibration calibration
+	zone        int
+	zones       []string
+	targets     []*target
+	byName      map[string]*target
+	reference   reference
+	failures    failures
+	attempts    map[*Attempt]struct{}
+	lastTick    time.Duration
+	ticked      bool
+	lastFade    time.Duration
+	lastNews    time.Duration
+	lastTimes   time.Duration
+	lastRegular time.Duration
+	// staleTimes is set when the reference heard of times since its last tables.
+	staleTimes bool
+	weights    [2][]float64
+	dirty      bool
+	findings   []Finding
 }
 
 // New returns a tracker without targets.
 func New(config Config) *Tracker {
 	t := &Tracker{config: config, byName: make(map[string]*target), attempts: make(map[*Attempt]struct{})}
 	t.failures = newFailures()
+	t.calibration = newCalibration()
 	t.zones = slices.Clone(config.Zones)
 	t.zone = t.zoneIndex(config.Zone)
 	return t
@@ -115,6 +127,7 @@
 	t.zones = append(t.zones, zone)
 	for _, target := range t.targets {
 		target.tally.zones = append(target.tally.zones, Scores{})
+		target.peerOld = append(target.peerOld, 0)
 		target.tally.without = append(target.tally.without, target.tally.all)
 	}
 	return len(t.zones) - 1
@@ -145,7 +158,7 @@
 }
 
 func (t *Tracker) newTarget(now time.Duration, cold bool) *target {
-	entry := &target{tally: newTally(len(t.zones)), seen: make(map[Kind]uint64), peers: make(map[string]*peerView)}
+	entry := &target{tally: newTally(len(t.zones)), seen: make(map[Kind]uint64), peers: make(map[string]peerView), peerOld: make([]int, len(t.zones))}
 	if cold {
 		entry.verdict.ramp(now)
 	}
@@ -204,7 +217,7 @@
 // weigh turns the end of an attempt into evidence.
 func (t *Tracker) weigh(now time.Duration, attempt *Attempt, kind Kind, taken time.Duration) {
 	entry := attempt.target
-	suspect := entry.verdict.suspect(entry, &attempt.counted, t.threshold)
+	suspect := entry.verdict.suspect(entry, &attempt.counted, &t.limits)
 	final := attempt.counted
 	failed := kind.Failed()
 	final[RuleFailing] = t.failures.onSuccess
@@ -264,8 +277,10 @@
 func (t *Tracker) absorb(now time.Duration, entry *target, zone int, own bool, increments *Scores) {
 	entry.tally.add(zone, own, increments)
 	entry.verdict.tried.plus(increments)
-	_, score := entry.tally.all.strongest()
-	if score >= reducedShare*t.threshold || entry.verdict.out() || entry.verdict.reduced {
+	if !entry.verdict.out() {
+		t.excursions(entry)
+	}
+	if _, part := t.level(&entry.tally.all); part >= reducedShare || entry.verdict.out() || entry.verdict.reduced {
 		t.judge(now, entry)
 	}
 }
@@ -279,6 +294,7 @@
 		rate = float64(t.targets[0].Slots) * float64(time.Second) / middle
 	}
 	t.threshold = Threshold(t.config.FalsePerTargetMonth, rate)
+	t.limits = t.calibration.limits(t.threshold)
 }
 
 // Probe notes a probe's result. A probe is a hint: it never convicts or clears.
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -73,7 +73,7 @@
 		v.ramp(now)
 		// A target that came back is convicted again on less evidence.
 		var start Scores
-		start[v.rule] = reducedShare * t.threshold
+		start[v.rule] = reducedShare * t.limits[v.rule]
 		entry.tally.each(func(s *Scores) { *s = start })
 	}
 	t.reconcile(now)
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -9,7 +9,7 @@
 	reducedShare   = 0.35
 	probationShare = 0.7
 	withoutShare   = 0.55
-	agreedShare    = 0.4
+	agreedShare    = 0.1
 	clearedShare   = 0.2
 	// probeBonus is what failing probes of several VMs add, in nats.
 	probeBonus = 2.0
@@ -67,14 +67,17 @@
 
 // suspect reports whether a target's times and failures are unfit as reference,
 // by what others than the attempt in hand have shown.
-func (v *verdict) suspect(entry *target, attempt *Scores, threshold float64) bool {
+func (v *verdict) suspect(entry *target, attempt, limits *Scores) bool {
 	const suspectShare = 0.25
-	others := entry.tally.all
-	for i := range others {
-		others[i] -= max(0, attempt[i])
+	if v.out() || v.ramping {
+		return true
 	}
-	_, score := others.strongest()
-	return v.out() || v.ramping || score > suspectShare*threshold
+	for i, score := range entry.tally.all {
+		if score-max(0, attempt[i]) > suspectShare*limits[i] {
+			return true
+		}
+	}
+	return false
 }
 
 // ramp starts a growing share of work.
@@ -94,38 +97,39 @@
 		t.judgeOut(now, entry)
 		return
 	}
-	rule, score := entry.tally.all.strongest()
-	score += entry.bonus(now)
+	rule, part := t.level(&entry.tally.all)
+	score := entry.tally.all[rule]
+	part += entry.bonus() / t.limits[rule]
 	switch {
-	case score >= t.threshold && entry.tally.least(rule) >= t.withoutNeeded():
+	case part >= 1 && entry.tally.least(rule) >= t.withoutNeeded(rule):
 		t.convict(now, entry, rule, score)
-	case score >= agreedShare*t.threshold && t.peersAgree(now, entry):
+	case part >= agreedShare && peersAgree(entry):
 		t.convict(now, entry, rule, score)
 	default:
 		t.judgePath(now, entry)
 	}
 	wasReduced := v.reduced
-	v.reduced = score >= reducedShare*t.threshold
+	v.reduced = part >= reducedShare
 	if wasReduced != v.reduced {
 		t.dirty = true
 	}
 }
 
 // withoutNeeded is the score that must remain without any one zone.
-func (t *Tracker) withoutNeeded() float64 {
+func (t *Tracker) withoutNeeded(rule Rule) float64 {
 	if len(t.zones) < 2 {
 		return 0
 	}
-	return withoutShare * t.threshold
+	return withoutShare * t.limits[rule]
 }
 
 // bonus returns what failing probes add to other evidence.
-func (e *target) bonus(now time.Duration) float64 {
+func (e *target) bonus() float64 {
 	if !e.probeBad {
 		return 0
 	}
 	for _, peer := range e.peers {
-		if peer.probeBad && now-peer.at <= peerMemory {
+		if peer.probeBad {
 			return probeBonus
 		}
 	}
@@ -133,10 +137,10 @@
 }
 
 // peersAgree reports whether VMs of two zones have ejected the target.
-func (t *Tracker) peersAgree(now time.Duration, entry *target) bool {
+func peersAgree(entry *target) bool {
 	first := -1
 	for _, peer := range entry.peers {
-		if !peer.ejected || now-peer.at > peerMemory {
+		if !peer.ejected {
 			continue
 		}
 		if first >= 0 && peer.zone != first {
@@ -149,13 +153,13 @@
 
 // judgePath avoids a target that only this VM or its zone sees failing.
 func (t *Tracker) judgePath(now time.Duration, entry *target) {
-	zoneRule, zoneScore := entry.tally.zones[t.zone].strongest()
-	ownRule, ownScore := entry.tally.own.strongest()
+	zoneRule, zonePart := t.level(&entry.tally.zones[t.zone])
+	ownRule, ownPart := t.level(&entry.tally.own)
 	switch {
-	case zoneScore >= t.threshold && len(t.zones) > 1:
-		t.avoid(now, entry, zoneRule, zoneScore)
-	case ownScore >= t.threshold:
-		t.avoid(now, entry, ownRule, ownScore)
+	case zonePart >= 1 && len(t.zones) > 1:
+		t.avoid(now, entry, zoneRule, entry.tally.zones[t.zone][zoneRule])
+	case ownPart >= 1:
+		t.avoid(now, entry, ownRule, entry.tally.own[ownRule])
 	}
 }
 
@@ -179,6 +183,7 @@
 	v.ramping = false
 	v.trying = false
 	v.offences++
+	t.endExcursions(entry)
 	v.until = now + backOff(v.offences)
 	entry.changed = true
 	t.reconcile(now)
@@ -200,13 +205,13 @@
 	v := &entry.verdict
 	score := entry.tally.all[v.rule]
 	if v.avoided && !v.convicted {
-		proven := score >= t.threshold && entry.tally.least(v.rule) >= t.withoutNeeded()
-		if proven || t.peersAgree(now, entry) {
+		proven := score >= t.limits[v.rule] && entry.tally.least(v.rule) >= t.withoutNeeded(v.rule)
+		if proven || peersAgree(entry) {
 			t.convict(now, entry, v.rule, score)
 		}
 		return
 	}
-	if !v.ejected && score < clearedShare*t.threshold {
+	if !v.ejected && score < clearedShare*t.limits[v.rule] {
 		t.reinstate(now, entry, false)
 	}
 }
@@ -236,7 +241,7 @@
 func (t *Tracker) hold(now time.Duration, entry *target) {
 	v := &entry.verdict
 	needed := min(2, len(t.zones))
-	held := entry.oldCount(now) >= max(1, entry.Slots) && entry.oldZones(now, t.zone) >= needed
+	held := entry.oldCount() >= max(1, entry.Slots) && entry.oldZones(t.zone) >= needed
 	if held != v.held {
 		v.held = held
 		t.dirty = true
