--- /dev/null
+++ b/operator/measure/customers.go
@@ -0,0 +1,148 @@
+package measure
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/admission"
+	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/policy/health"
+	"github.com/primroseloom/primroseloom/policy/retry"
+)
+
+// slotAdmission implements Admission over the shared state.
+type slotAdmission struct{ *slots }
+
+// Arrived implements Admission.
+func (a slotAdmission) Arrived(now time.Duration, request *Request) bool {
+	customer := a.settings[request.Customer]
+	waiting := a.queue.Waiting(customer.Name)
+	if !a.admit(now, customer, waiting) {
+		return false
+	}
+	ahead := a.queue.Ahead(customer.Name, customer.Weight) + 1
+	if a.queue.Len() == 0 {
+		a.drain.Began(at(now))
+	} else if now+a.drain.Wait(ahead) > request.Deadline {
+		a.finish(customer)
+		return false
+	}
+	entry := a.queue.Push(customer.Name, customer.Weight, request)
+	a.waiting[request.ID] = &waitingRequest{request: request, entry: entry}
+	if a.lessee != nil {
+		var exclude []string
+		for target, weight := range a.weights {
+			if weight <= 0 {
+				exclude = append(exclude, targetName(target))
+			}
+		}
+		if !a.lessee.Optimistic(at(now)) {
+			a.lessee.Ask(balance.Ask{ID: request.ID, Customer: customer.Name, Weight: customer.Weight,
+				Zone: fmt.Sprint(a.setting.VMZone(a.setting.VM)), Idempotent: true, Exclude: exclude, Deadline: at(request.Deadline)})
+		}
+	}
+	return true
+}
+
+// admit applies the customer's limits, divided over its VMs.
+func (a slotAdmission) admit(now time.Duration, customer Customer, waiting int) bool {
+	if customer.Rate <= 0 {
+		return true
+	}
+	limits := admission.Limits{Rate: customer.Rate, Burst: customer.Burst, Concurrency: customer.Concurrency, Queue: customer.Queue}
+	vms := customer.VMs
+	if vms == 0 {
+		vms = a.setting.VMs
+	}
+	decision := a.customers.Admit(at(now), customer.Name, limits.Scale(admission.Divide(vms, 1, nil)), waiting)
+	return decision.Admitted
+}
+
+func (a slotAdmission) finish(customer Customer) {
+	if customer.Rate > 0 {
+		a.customers.Finish(customer.Name)
+	}
+}
+
+// Peek implements Admission.
+func (a slotAdmission) Peek(now time.Duration) *Request {
+	for len(a.ready) > 0 {
+		if _, ok := a.granted[a.ready[0].ID]; ok {
+			return a.ready[0]
+		}
+		a.ready = a.ready[1:]
+	}
+	entry, ok := a.queue.Peek()
+	if !ok || !a.local(now) && now < entry.Item.Deadline {
+		return nil
+	}
+	return entry.Item
+}
+
+// Pop implements Admission.
+func (a slotAdmission) Pop(now time.Duration) {
+	if len(a.ready) > 0 {
+		delete(a.waiting, a.ready[0].ID)
+		a.slots.ready = a.ready[1:]
+	} else if entry, ok := a.queue.Pop(); ok {
+		delete(a.waiting, entry.Item.ID)
+		if a.lessee != nil && entry.Item.Deadline <= now {
+			a.lessee.Finish(entry.Item.ID)
+		}
+	}
+	a.drain.Left(at(now), a.queue.Len() > 0)
+}
+
+// Ended implements Admission.
+func (a slotAdmission) Ended(_ time.Duration, request *Request, _ bool) {
+	a.finish(a.settings[request.Customer])
+	if a.lessee != nil {
+		a.lessee.Finish(request.ID)
+	}
+}
+
+// Configure implements Configurer.
+func (a slotAdmission) Configure(_ time.Duration, customers []Customer) {
+	a.slots.settings = customers
+}
+
+// retrier implements Retrier with the service's budget of a VM and a budget for
+// each customer.
+type retrier struct {
+	service   retry.Budget
+	customers []retry.Budget
+}
+
+// NewRetrier builds the retrier that the daemon uses.
+func NewRetrier(s *Setting) Retrier {
+	r := &retrier{customers: make([]retry.Budget, len(s.Scenario.Customers))}
+	for i := range r.customers {
+		r.customers[i] = retry.NewBudget(1)
+	}
+	return r
+}
+
+// customerRetryRatio is the number of retries a customer earns with a request.
+const customerRetryRatio = 0.1
+
+// Sent implements Retrier.
+func (r *retrier) Sent(_ time.Duration, request *Request) {
+	r.service.Earn(retry.ServiceRatio)
+	r.customers[request.Customer].Earn(customerRetryRatio)
+}
+
+// Retry implements Retrier.
+func (r *retrier) Retry(now time.Duration, request *Request, kind health.Kind) bool {
+	failure := retry.Failure{
+		Attempts:     request.Attempts,
+		NotRun:       kind == health.Refused || kind == health.Shed || kind == health.Draining,
+		Idempotent:   request.Idempotent,
+		Replayable:   true,
+		Remaining:    request.Deadline - now,
+		OtherTargets: 1,
+	}
+	if retry.Decide(failure) != retry.Allowed {
+		return false
+	}
+	return retry.Pay(&r.customers[request.Customer], &r.service) == retry.Allowed
+}
--- a/operator/measure/engine.go
+++ b/operator/measure/engine.go
@@ -188,6 +188,7 @@
 		e.probe(v)
 	case eventMessage:
 		v.facets[next.message.facet].Receive(e.now, next.message.from, next.message.body)
+		e.pump(v)
 	}
 	e.deliver(v)
 }
--- a/operator/measure/interfaces.go
+++ b/operator/measure/interfaces.go
@@ -134,6 +134,8 @@
 	Scenario *Scenario
 	// Random is the decider's own seeded source.
 	Random *rand.Rand
+	// Shared holds state that the deciders of one VM share.
+	Shared any
 }
 
 // VMZone returns the zone of a VM.
--- a/policy/balance/balancer.go
+++ b/policy/balance/balancer.go
@@ -23,6 +23,9 @@
 	Limit int
 	// Slots is the number of requests that the target runs at a time.
 	Slots int
+	// Extra is the number of requests beyond Limit that may wait at the target
+	// when no other target is below its limit.
+	Extra int
 }
 
 // Condition is the state of a target's health.
@@ -41,15 +44,28 @@
 	Exclude []string
 	// Idempotent is true when the request may run twice.
 	Idempotent bool
+	// Extra allows targets at their limit when none is below it.
+	Extra bool
 }
 
-// Balancer chooses targets for one VM. It keeps the targets with room in a
-// list of their own, so the cost of a choice does not grow with their number.
+// tier tells how much room a target has.
+type tier int8
+
+// The tiers; a target in the first or second is in the list of that tier.
+const (
+	tierFree tier = iota
+	tierExtra
+	tierClosed
+)
+
+// Balancer chooses targets for one VM. It keeps the targets with room in
+// lists of their own, so the cost of a choice does not grow with their number.
 type Balancer struct {
 	targets []slot
 	byName  map[string]int
-	// open holds the indexes of the targets with room.
-	open []int
+	// open holds the indexes of the targets below their limit, and of those
+	// that may take extra requests.
+	open [tierClosed][]int
 }
 
 type slot struct {
@@ -60,7 +76,9 @@
 	others float64
 	// held keeps a target that shed out of the choice.
 	held bool
-	// place is the index in the list of open targets; -1 when not there.
+	// tier names the list of open targets that the target is in, place its
+	// index there.
+	tier  tier
 	place int
 }
 
@@ -75,14 +93,14 @@
 	old := *b
 	b.targets = make([]slot, 0, len(targets))
 	b.byName = make(map[string]int, len(targets))
-	b.open = b.open[:0:0]
+	b.open = [tierClosed][]int{}
 	for i, target := range targets {
 		next := slot{Target: target, condition: Condition{Weight: 1}}
 		if at, ok := old.byName[target.Name]; ok {
 			next = old.targets[at]
 			next.Target = target
 		}
-		next.place = -1
+		next.tier = tierClosed
 		b.targets = append(b.targets, next)
 		b.byName[target.Name] = i
 		b.update(i)
@@ -122,7 +140,18 @@
 }
 
 // HasRoom reports whether any target has room for any attempt.
-func (b *Balancer) HasRoom() bool { return len(b.open) > 0 }
+func (b *Balancer) HasRoom() bool { return len(b.open[tierFree]) > 0 }
+
+// HasExtraRoom reports whether any target may take an extra request.
+func (b *Balancer) HasExtraRoom() bool { return len(b.open[tierExtra]) > 0 }
+
+// SetExtra changes the number of extra requests that a target may take.
+func (b *Balancer) SetExtra(name string, extra int) {
+	if at, ok := b.byName[name]; ok {
+		b.targets[at].Extra = extra
+		b.update(at)
+	}
+}
 
 // Usable returns the number of targets that an attempt could ever use, busy
 // ones included.
@@ -138,7 +167,10 @@
 
 // Take chooses a target with room and counts the attempt against it.
 func (b *Balancer) Take(rng *rand.Rand, want Want) (string, bool) {
-	at := b.choose(rng, want)
+	at := b.choose(rng, want, b.open[tierFree])
+	if at < 0 && want.Extra {
+		at = b.choose(rng, want, b.open[tierExtra])
+	}
 	if at < 0 {
 		return "", false
 	}
@@ -163,13 +195,31 @@
 	}
 }
 
+// busy returns the part of the usable targets' slots that is in use.
+func (b *Balancer) busy() float64 {
+	used, slots := 0, 0
+	for i := range b.targets {
+		if s := &b.targets[i]; s.condition.Weight > 0 {
+			used += s.inFlight
+			slots += s.Slots
+		}
+	}
+	if slots == 0 {
+		return 1
+	}
+	return float64(used) / float64(slots)
+}
+
 // choose compares a few of the open targets drawn at random. When none of them
 // will do, it looks at all.
-func (b *Balancer) choose(rng *rand.Rand, want Want) int {
+func (b *Balancer) choose(rng *rand.Rand, want Want, open []int) int {
+	if len(open) == 0 {
+		return -1
+	}
 	best, seen := -1, 0
-	if len(b.open) > choices {
+	if len(open) > choices {
 		for draw := 0; draw < draws && seen < choices; draw++ {
-			at := b.open[rng.IntN(len(b.open))]
+			at := open[rng.IntN(len(open))]
 			if at == best || !b.targets[at].admits(want) {
 				continue
 			}
@@ -180,12 +230,9 @@
 	if best >= 0 {
 		return best
 	}
-	offset := 0
-	if len(b.open) > 0 {
-		offset = rng.IntN(len(b.open))
-	}
-	for i := range b.open {
-		at := b.open[(i+offset)%len(b.open)]
+	offset := rng.IntN(len(open))
+	for i := range open {
+		at := open[(i+offset)%len(open)]
 		if b.targets[at].admits(want) {
 			best = b.better(best, at, want)
 		}
@@ -218,20 +265,35 @@
 	return load
 }
 
-// update puts a target into the list of open targets or takes it out.
+// update moves a target to the list of its tier.
 func (b *Balancer) update(at int) {
 	s := &b.targets[at]
-	room := s.inFlight < s.Limit && s.condition.Weight > 0 && !s.held
+	next := s.room()
+	if next == s.tier {
+		return
+	}
+	if s.tier != tierClosed {
+		list := b.open[s.tier]
+		last := len(list) - 1
+		list[s.place] = list[last]
+		b.targets[list[last]].place = s.place
+		b.open[s.tier] = list[:last]
+	}
+	s.tier = next
+	if next != tierClosed {
+		s.place = len(b.open[next])
+		b.open[next] = append(b.open[next], at)
+	}
+}
+
+func (s *slot) room() tier {
 	switch {
-	case room && s.place < 0:
-		s.place = len(b.open)
-		b.open = append(b.open, at)
-	case !room && s.place >= 0:
-		last := len(b.open) - 1
-		moved := b.open[last]
-		b.open[s.place] = moved
-		b.targets[moved].place = s.place
-		b.open = b.open[:last]
-		s.place = -1
+	case s.condition.Weight <= 0, s.held, s.Limit <= 0:
+		return tierClosed
+	case s.inFlight < s.Limit:
+		return tierFree
+	case s.inFlight < s.Limit+s.Extra:
+		return tierExtra
 	}
+	return tierClosed
 }
--- a/policy/balance/keeper.go
+++ b/policy/balance/keeper.go
@@ -8,6 +8,15 @@
 	"github.com/primroseloom/primroseloom/policy/admission"
 )
 
+const (
+	// extraPerTarget is the number of requests that may wait at a target while
+	// others wait for a slot. It fills the time in which a slot's return and
+	// the next grant travel.
+	extraPerTarget = 1
+	// noExtraFor is how long a target that shed gets no extra requests.
+	noExtraFor = 10 * time.Second
+)
+
 // LeaseTerm is how long a VM may be silent before its leases end.
 const LeaseTerm = time.Second
 
@@ -45,6 +54,8 @@
 	// opensAt is when the leases of an earlier keeper have ended.
 	opensAt time.Time
 	pending map[pendingKey]*admission.Entry[Ask]
+	// noExtra holds until when targets that shed get no extra requests.
+	noExtra map[string]time.Time
 	rng     *rand.Rand
 }
 
@@ -66,6 +77,7 @@
 		queue:   admission.NewFairQueue[Ask](),
 		leases:  make(map[string]*holder),
 		pending: make(map[pendingKey]*admission.Entry[Ask]),
+		noExtra: make(map[string]time.Time),
 		opensAt: now.Add(LeaseTerm),
 		rng:     rng,
 	}
@@ -76,6 +88,10 @@
 	targets = slices.Clone(targets)
 	for i := range targets {
 		targets[i].Limit = targets[i].Slots
+		targets[i].Extra = extraPerTarget
+		if _, shed := k.noExtra[targets[i].Name]; shed {
+			targets[i].Extra = 0
+		}
 	}
 	k.slots.Configure(targets)
 }
@@ -103,6 +119,7 @@
 	if _, ok := h.targets[id]; ok {
 		return
 	}
+	k.end(vm, id)
 	h.targets[id] = target
 	k.slots.TakeNamed(target)
 }
@@ -110,28 +127,51 @@
 // Ask queues a request for a slot and returns the grants that can be made.
 func (k *Keeper) Ask(now time.Time, ask Ask) []Grant {
 	k.Heard(now, ask.VM)
-	key := pendingKey{ask.VM, ask.ID}
-	if _, ok := k.pending[key]; ok {
-		return nil
-	}
-	k.pending[key] = k.queue.Push(ask.Customer, ask.Weight, ask)
+	k.enqueue(ask)
 	return k.grant(now)
 }
 
+// Shed records that a target turned a request away.
+func (k *Keeper) Shed(now time.Time, target string) {
+	k.noExtra[target] = now.Add(noExtraFor)
+	k.slots.SetExtra(target, 0)
+}
+
 // Return ends an ask or a lease and returns the grants that can be made.
 func (k *Keeper) Return(now time.Time, vm string, id uint64) []Grant {
 	k.Heard(now, vm)
+	k.end(vm, id)
+	return k.grant(now)
+}
+
+func (k *Keeper) enqueue(ask Ask) {
+	key := pendingKey{ask.VM, ask.ID}
+	if _, ok := k.pending[key]; ok {
+		return
+	}
+	if _, ok := k.holder(ask.VM).targets[ask.ID]; ok {
+		return
+	}
+	k.pending[key] = k.queue.Push(ask.Customer, ask.Weight, ask)
+}
+
+func (k *Keeper) end(vm string, id uint64) {
 	key := pendingKey{vm, id}
 	if entry, ok := k.pending[key]; ok {
 		k.queue.Remove(entry)
 		delete(k.pending, key)
 	}
 	k.release(k.leases[vm], id)
-	return k.grant(now)
 }
 
 // Expire ends the leases of silent VMs and returns the grants that can be made.
 func (k *Keeper) Expire(now time.Time) []Grant {
+	for target, until := range k.noExtra {
+		if !now.Before(until) {
+			delete(k.noExtra, target)
+			k.slots.SetExtra(target, extraPerTarget)
+		}
+	}
 	for vm, h := range k.leases {
 		if now.Sub(h.heard) < LeaseTerm {
 			continue
@@ -171,7 +211,7 @@
 	}
 	var grants []Grant
 	var passed []*admission.Entry[Ask]
-	for len(k.slots.open) > 0 && len(passed) < maxPassed {
+	for (k.slots.HasRoom() || k.slots.HasExtraRoom()) && len(passed) < maxPassed {
 		entry, ok := k.queue.Pop()
 		if !ok {
 			break
@@ -201,5 +241,5 @@
 const maxPassed = 8
 
 func (a Ask) want() Want {
-	return Want{Zone: a.Zone, Exclude: a.Exclude, Idempotent: a.Idempotent}
+	return Want{Zone: a.Zone, Exclude: a.Exclude, Idempotent: a.Idempotent, Extra: true}
 }
