--- a/operator/measure/leases.go
+++ b/operator/measure/leases.go
@@ -127,4 +127,3 @@
 		c.ready = append(c.ready, waiting.request)
 	}
 }
-
--- a/operator/measure/slots.go
+++ b/operator/measure/slots.go
@@ -37,7 +37,6 @@
 	keeper   *balance.Keeper
 	weights  []float64
 	inFlight int
-	typical  time.Duration
 	// chosen holds the target that Choose counted and Started has yet to confirm.
 	chosen map[uint64]bool
 	preset int
