--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -70,7 +71,10 @@
 
 // Write takes one line of the server.
 func (h *handshakeErrors) Write(line []byte) (int, error) {
-	h.m.logSeldom(events.ForeignPeerRefused, "error", string(line))
+	if bytes.Contains(line, []byte("TLS handshake error")) {
+		h.m.scope.Counter("handshakes_failed").Inc(1)
+		h.m.logSeldom(events.ForeignPeerRefused, "error", string(bytes.TrimSpace(line)))
+	}
 	return len(line), nil
 }
 
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -261,3 +261,7 @@
 		t.Errorf("%d items received and %d origins kept, want %d and at most %d", received, len(room.origins), 3*maxOrigins, maxOrigins)
 	}
 }
+
+func contextFor(length time.Duration) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(context.Background(), length)
+}
