List and lift quarantines from the admin listener and the command line

Cause: operators must see and lift quarantines, and explain had no source. Change: /v1/quarantines, primroseloom quarantine list and lift, the targets child as explainer; the daemon's assembly and listeners have files of their own.

--- a/cmd/primroseloom/root.go
+++ b/cmd/primroseloom/root.go
@@ -23,6 +23,7 @@
 		newLoad(),
 		newStandin(),
 		newDemo(),
+		newQuarantine(),
 		newVersion(),
 	)
 	return root
--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -3,11 +3,14 @@
 
 import (
 	"net/http"
+	"strconv"
+	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // Status is what an instance knows of the fleet.
@@ -33,33 +36,90 @@
 	UptimeMs       uint64 `json:"uptime_ms"`
 }
 
+// Quarantine is one request fingerprint that is refused, or watched.
+type Quarantine struct {
+	// Fingerprint is in hexadecimal, as lift takes it.
+	Fingerprint string   `json:"fingerprint"`
+	Service     string   `json:"service"`
+	Targets     []string `json:"crashed_targets"`
+	// Refused is false for a suspect, which runs one attempt at a time.
+	Refused bool `json:"refused"`
+	// EndsInMs is the time until the entry is dropped.
+	EndsInMs int64 `json:"ends_in_ms"`
+}
+
+// Quarantines lists and lifts quarantined requests.
+type Quarantines interface {
+	// QuarantineList returns the fingerprints held.
+	QuarantineList() []quarantine.Entry
+	// QuarantineLift drops a fingerprint everywhere; false when it is not held.
+	QuarantineLift(fingerprint quarantine.Fingerprint) bool
+}
+
+// Options are what the admin listener shows.
+type Options struct {
+	Members       contract.Members
+	Configuration contract.Configuration
+	Explainers    []contract.Explainer
+	Quarantines   Quarantines
+	// Now is the clock of the quarantines' ends.
+	Now func() time.Duration
+	// Metrics serves the scraper.
+	Metrics http.Handler
+}
+
 // Admin serves the admin listener.
 type Admin struct {
-	members       contract.Members
-	configuration contract.Configuration
-	explainers    []contract.Explainer
-	metrics       http.Handler
+	options Options
 }
 
-// New returns an admin handler; metrics serves the scraper.
-func New(members contract.Members, configuration contract.Configuration, explainers []contract.Explainer, metrics http.Handler) *Admin {
-	return &Admin{members: members, configuration: configuration, explainers: explainers, metrics: metrics}
-}
+// New returns an admin handler.
+func New(options Options) *Admin { return &Admin{options: options} }
 
 // Mount adds the admin paths to an engine.
 func (a *Admin) Mount(engine gin.IRoutes) {
-	engine.GET("/metrics", gin.WrapH(a.metrics))
+	engine.GET("/metrics", gin.WrapH(a.options.Metrics))
 	engine.GET("/v1/status", a.status)
 	engine.GET("/v1/explain", a.explain)
+	engine.GET("/v1/quarantines", a.quarantines)
+	engine.DELETE("/v1/quarantines/:fingerprint", a.lift)
+}
+
+func (a *Admin) quarantines(c *gin.Context) {
+	now := a.options.Now()
+	rows := []Quarantine{}
+	for _, entry := range a.options.Quarantines.QuarantineList() {
+		rows = append(rows, Quarantine{
+			Fingerprint: strconv.FormatUint(uint64(entry.Fingerprint), 16),
+			Service:     entry.Service,
+			Targets:     entry.Targets,
+			Refused:     entry.Quarantined,
+			EndsInMs:    max(0, (entry.Ends - now).Milliseconds()),
+		})
+	}
+	c.JSON(http.StatusOK, rows)
+}
+
+func (a *Admin) lift(c *gin.Context) {
+	fingerprint, err := strconv.ParseUint(c.Param("fingerprint"), 16, 64)
+	if err != nil {
+		c.JSON(http.StatusBadRequest, gin.H{"error": "fingerprint: want up to 16 hexadecimal digits"})
+		return
+	}
+	if !a.options.Quarantines.QuarantineLift(quarantine.Fingerprint(fingerprint)) {
+		c.JSON(http.StatusNotFound, gin.H{"error": "fingerprint is not held"})
+		return
+	}
+	c.Status(http.StatusNoContent)
 }
 
 func (a *Admin) status(c *gin.Context) {
-	status := Status{VM: a.members.Self().Vm}
-	if snap := a.configuration.Current(); snap != nil {
+	status := Status{VM: a.options.Members.Self().Vm}
+	if snap := a.options.Configuration.Current(); snap != nil {
 		status.Generation = snap.Generation
 		status.Rejections = snap.Rejections()
 	}
-	for _, member := range a.members.Members() {
+	for _, member := range a.options.Members.Members() {
 		status.Members = append(status.Members, MemberStatus{
 			VM:             member.Vm,
 			Instance:       member.Instance,
@@ -79,7 +139,7 @@
 
 func (a *Admin) explain(c *gin.Context) {
 	findings := []contract.Finding{}
-	for _, explainer := range a.explainers {
+	for _, explainer := range a.options.Explainers {
 		findings = append(findings, explainer.Explain(c.Query("subject"))...)
 	}
 	c.JSON(http.StatusOK, findings)
--- /dev/null
+++ b/entry/daemon/assemble.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/primroseloom/primroseloom/entry/admin"
+	"github.com/primroseloom/primroseloom/entry/config"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/directory"
+	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/peer"
+	"github.com/primroseloom/primroseloom/entry/platform"
+	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/targets"
+	"github.com/primroseloom/primroseloom/entry/uptime"
+)
+
+// New builds an instance; nothing runs before Run.
+func New(set settings.Settings, network contract.Network, logger *log.Logger) (*Daemon, error) {
+	built := &Daemon{settings: set, network: network, logger: logger}
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(logger),
+		fx.Provide(
+			func() contract.Network { return network },
+			func() contract.Platform { return platform.New(set.Platform, network) },
+			metrics.New,
+			config.New,
+			func(m *config.Manager) contract.Configuration { return m },
+			func(m *metrics.Metrics, clock *uptime.BootClock) (*peer.Manager, error) {
+				return peer.New(peerSettings(set, clock), network, logger, m.Scope())
+			},
+			func(m *peer.Manager) directory.Readiness { return m },
+			func(m *peer.Manager) contract.Members { return m },
+			func(m *peer.Manager) contract.News { return m },
+			targets.New,
+			func(m *targets.Manager) contract.Targets { return m },
+			uptime.NewBootClock,
+			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock *uptime.BootClock) *proxy.Proxy {
+				return newProxy(built, m, c, members, news, t, clock)
+			},
+			newDirectory,
+			newAdmin,
+		),
+		fx.Populate(&built.metrics, &built.config, &built.peers, &built.targets, &built.proxy, &built.directory, &built.admin),
+	)
+	if err := app.Err(); err != nil {
+		return nil, fmt.Errorf("assemble instance %s: %w", set.VM, err)
+	}
+	return built, nil
+}
+
+func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
+	limits := proxy.DefaultLimits()
+	limits.BodyBytes = d.settings.Limits.BodyBytes
+	limits.HeldAnswerBytes = d.settings.Limits.HeldAnswerBytes
+	return proxy.New(proxy.Options{
+		Fleet:         d.settings.Fleet,
+		Configuration: c,
+		Targets:       t,
+		Members:       members,
+		News:          news,
+		Network:       d.network,
+		Clock:         clock,
+		Logger:        d.logger,
+		Scope:         m.Scope(),
+		Limits:        limits,
+	})
+}
+
+func newAdmin(members contract.Members, configuration contract.Configuration, m *metrics.Metrics, t *targets.Manager, p *proxy.Proxy, clock *uptime.BootClock) *admin.Admin {
+	return admin.New(admin.Options{
+		Members:       members,
+		Configuration: configuration,
+		Explainers:    []contract.Explainer{t},
+		Quarantines:   p,
+		Now:           clock.Uptime,
+		Metrics:       m.Handler(),
+	})
+}
+
+func newDirectory(members contract.Members, configuration contract.Configuration, readiness directory.Readiness, logger *log.Logger, m *metrics.Metrics) *directory.Directory {
+	return directory.New(directory.DefaultSettings(), members, configuration, readiness, logger, m.Scope())
+}
+
+// peerSettings describes this instance to the peer child.
+func peerSettings(set settings.Settings, clock uptime.Clock) peer.Settings {
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return peer.Settings{
+		Fleet:          set.Fleet,
+		VM:             set.VM,
+		Region:         set.Region,
+		Zone:           set.Zone,
+		Instance:       binary.BigEndian.Uint64(random[:8]),
+		Seed:           binary.BigEndian.Uint64(random[8:]),
+		CallersAddress: set.Listen.Callers,
+		PeersAddress:   set.Listen.Peers,
+		FirstPeers:     set.FirstPeers,
+		Clock:          clock.Uptime,
+		TLS: peer.TLSFiles{
+			Off:             set.TLS.Off,
+			CertificateFile: set.TLS.CertificateFile,
+			KeyFile:         set.TLS.KeyFile,
+			AuthorityFile:   set.TLS.AuthorityFile,
+		},
+	}
+}
--- a/operator/fleetview/fleetview.go
+++ b/operator/fleetview/fleetview.go
@@ -46,10 +46,27 @@
 	return newest, behind
 }
 
+// Quarantines asks an instance for the requests that are refused or watched.
+func Quarantines(ctx context.Context, address string) ([]admin.Quarantine, error) {
+	var rows []admin.Quarantine
+	err := get(ctx, address, "/v1/quarantines", &rows)
+	return rows, err
+}
+
+// LiftQuarantine drops a fingerprint, in hexadecimal, on every instance.
+func LiftQuarantine(ctx context.Context, address, fingerprint string) error {
+	return ask(ctx, http.MethodDelete, address, "/v1/quarantines/"+url.PathEscape(fingerprint), nil)
+}
+
 func get(ctx context.Context, address, path string, into any) error {
+	return ask(ctx, http.MethodGet, address, path, into)
+}
+
+// ask sends a request to an admin listener; into is nil when no content is due.
+func ask(ctx context.Context, method, address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, nil)
 	if err != nil {
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
@@ -58,9 +75,12 @@
 		return fmt.Errorf("ask %s: %w", address, err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
+	if response.StatusCode >= http.StatusMultipleChoices {
 		return fmt.Errorf("ask %s for %s: status %d", address, path, response.StatusCode)
 	}
+	if into == nil {
+		return nil
+	}
 	if err := json.NewDecoder(response.Body).Decode(into); err != nil {
 		return fmt.Errorf("read answer of %s: %w", address, err)
 	}
