--- a/entry/proxy/classify.go
+++ b/entry/proxy/classify.go
@@ -76,9 +76,8 @@
 // looksCrashed reports whether the target is gone after it took the request:
 // its connection was lost, and a new one is refused or closed at once.
 func (a *attempt) looksCrashed(failed *failure) bool {
-	lost := failed.kind == dispatch.FailureReset || failed.kind == dispatch.FailureTruncated
 	network := a.proxy.options.Network
-	if !lost || !a.trip.Written() || network == nil {
+	if !connectionLost(failed.kind) || !a.trip.Written() || network == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.call.ctx), crashCheckTime)
@@ -92,3 +91,12 @@
 	_, err = conn.Read(make([]byte, 1))
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
+
+// connectionLost reports failures that a crash of the target may lie behind.
+func connectionLost(kind dispatch.Failure) bool {
+	switch kind {
+	case dispatch.FailureReset, dispatch.FailureTruncated, dispatch.FailureStall:
+		return true
+	}
+	return false
+}
--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -126,6 +127,8 @@
 	target document.Target
 	conn   *fakeConn
 	body   *fakeBody
+	// release ends the connection's tie to the attempt's context.
+	release func() bool
 }
 
 func (g *fakeGrant) Target() document.Target { return g.target }
@@ -160,7 +163,7 @@
 		return nil, err
 	}
 	conn := g.conn
-	context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	g.release = context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if err := trip.BeforeWrite(); err != nil {
 		return nil, g.fail(contract.AttemptCanceled, err)
 	}
@@ -200,7 +203,7 @@
 func (b *fakeBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.whole = true
+		b.whole = b.grant.release()
 	} else if err != nil && b.grant.pool.lenient {
 		err = io.EOF
 	}
@@ -236,6 +239,7 @@
 	network *memnet.Network
 	snap    *snapshot.Snapshot
 	targets []document.Target
+	mu      sync.Mutex
 	vms     []*vm
 	cancel  context.CancelFunc
 	ctx     context.Context
@@ -256,7 +260,8 @@
 	targets *fakeTargets
 	servers []*http.Server
 	hear    func(*primroseloomv1.NewsItem)
-	alive   bool
+	alive   atomic.Bool
+	stop    context.CancelFunc
 }
 
 func vmIP(index int) string { return "10.0.1." + strconv.Itoa(index+1) }
@@ -278,7 +283,8 @@
 		f.instances++
 		instance = 1000 + f.instances
 	}
-	v := &vm{fleet: f, index: index, clock: newFakeClock(), alive: true}
+	v := &vm{fleet: f, index: index, clock: newFakeClock()}
+	v.alive.Store(true)
 	v.self = &primroseloomv1.Member{Vm: "vm-" + strconv.Itoa(index), Instance: instance}
 	host := f.network.Host(vmIP(index))
 	v.targets = &fakeTargets{host: host, targets: f.targets, idle: make(map[string]*fakeConn)}
@@ -290,7 +296,12 @@
 		f.options(&options)
 	}
 	v.proxy = New(options)
+	f.mu.Lock()
 	f.vms[index] = v
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(f.ctx)
+	v.stop = cancel
+	go func() { _ = v.proxy.Run(ctx) }()
 	mux := http.NewServeMux()
 	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(peerService{proxy: v.proxy}))
 	limits := ServerLimits{HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
@@ -310,7 +321,8 @@
 // kill ends a VM at once, as a power failure would.
 func (f *fleet) kill(index int) {
 	v := f.vms[index]
-	v.alive = false
+	v.alive.Store(false)
+	v.stop()
 	for _, server := range v.servers {
 		_ = server.Close()
 	}
@@ -318,6 +330,13 @@
 	v.targets.close()
 }
 
+// all returns the present instances.
+func (f *fleet) all() []*vm {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.vms)
+}
+
 // close ends the fleet.
 func (f *fleet) close() {
 	f.cancel()
@@ -339,7 +358,7 @@
 
 func (v *vm) Members() []*primroseloomv1.Member {
 	var members []*primroseloomv1.Member
-	for _, other := range v.fleet.vms {
+	for _, other := range v.fleet.all() {
 		if other != nil {
 			members = append(members, other.self)
 		}
@@ -348,7 +367,7 @@
 }
 
 func (v *vm) Client(name string) (primroseloomv1connect.PeerServiceClient, bool) {
-	for _, other := range v.fleet.vms {
+	for _, other := range v.fleet.all() {
 		if other.self.Vm == name {
 			protocols := new(http.Protocols)
 			protocols.SetUnencryptedHTTP2(true)
@@ -361,8 +380,8 @@
 
 // Publish reaches every other VM at once.
 func (v *vm) Publish(item *primroseloomv1.NewsItem, _ bool) {
-	for _, other := range v.fleet.vms {
-		if other != v && other.alive && other.hear != nil {
+	for _, other := range v.fleet.all() {
+		if other != v && other.alive.Load() && other.hear != nil {
 			other.hear(item)
 		}
 	}
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -92,13 +92,22 @@
 
 // crashed records that a target crashed on a request.
 func (s *suspects) crashed(c *call, target string) {
-	s.change(func() { s.judge.Crashed(c.fingerprint, c.service.Name, target, s.options.Clock.Uptime()) })
 	s.publish(c.service.Name, crashNews(c.fingerprint, target))
+	s.count(c.fingerprint, c.service.Name, target)
 	if s.options.Logger != nil {
 		events.TargetCrashed.Log(s.options.Logger, "target", target, "service", c.service.Name, "fingerprint", uint64(c.fingerprint))
 	}
 }
 
+// count adds a crash to the table and tells a verdict that follows from it.
+func (s *suspects) count(fingerprint quarantine.Fingerprint, service, target string) {
+	judged := false
+	s.change(func() { judged = s.judge.Crashed(fingerprint, service, target, s.options.Clock.Uptime()) })
+	if judged {
+		s.publish(service, verdictNews(fingerprint, quarantine.QuarantineTime))
+	}
+}
+
 // answered clears a suspect that was answered whole.
 func (s *suspects) answered(c *call) {
 	if s.known.Load() == 0 {
@@ -145,8 +154,7 @@
 	now := s.options.Clock.Uptime()
 	switch body := item.GetBody().(type) {
 	case *primroseloomv1.NewsItem_Crash:
-		fingerprint := quarantine.Fingerprint(body.Crash.GetFingerprint())
-		s.change(func() { s.judge.Crashed(fingerprint, item.GetService(), body.Crash.GetTarget(), now) })
+		s.hearCrash(item.GetService(), body.Crash, now)
 	case *primroseloomv1.NewsItem_Lift:
 		s.change(func() { s.judge.Lift(quarantine.Fingerprint(body.Lift.GetFingerprint())) })
 	case *primroseloomv1.NewsItem_Attempt:
@@ -154,6 +162,16 @@
 	}
 }
 
+func (s *suspects) hearCrash(service string, crash *primroseloomv1.FingerprintCrash, now time.Duration) {
+	fingerprint := quarantine.Fingerprint(crash.GetFingerprint())
+	rest := time.Duration(crash.GetQuarantinedMs()) * time.Millisecond
+	if rest == 0 {
+		s.count(fingerprint, service, crash.GetTarget())
+		return
+	}
+	s.change(func() { s.judge.Quarantine(fingerprint, service, rest, now) })
+}
+
 func (s *suspects) hearAttempt(attempt *primroseloomv1.FingerprintAttempt, now time.Duration) {
 	fingerprint := quarantine.Fingerprint(attempt.GetFingerprint())
 	s.change(func() {
@@ -178,6 +196,11 @@
 	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
 }
 
+func verdictNews(fingerprint quarantine.Fingerprint, rest time.Duration) *primroseloomv1.NewsItem {
+	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), QuarantinedMs: uint64(rest.Milliseconds())}
+	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
+}
+
 func liftNews(fingerprint quarantine.Fingerprint) *primroseloomv1.NewsItem {
 	lift := &primroseloomv1.QuarantineLift{Fingerprint: uint64(fingerprint)}
 	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Lift{Lift: lift}}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -91,8 +91,11 @@
 type Judge interface {
 	// Admit decides about an attempt that ends by the deadline at the latest.
 	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
-	// Crashed records that a target crashed while it ran the request.
-	Crashed(fingerprint Fingerprint, service, target string, now time.Duration)
+	// Crashed records that a target crashed while it ran the request, and
+	// reports whether that quarantined it.
+	Crashed(fingerprint Fingerprint, service, target string, now time.Duration) bool
+	// Quarantine takes over another VM's quarantine with its remaining time.
+	Quarantine(fingerprint Fingerprint, service string, rest, now time.Duration)
 	// Answered records a whole answer and reports whether it cleared a suspect.
 	Answered(fingerprint Fingerprint) bool
 	// Ended records the end of a suspect's attempt on this VM.
@@ -148,21 +151,35 @@
 	return e, ok
 }
 
-// Crashed records that a target crashed while it ran the request.
-func (t *Table) Crashed(fingerprint Fingerprint, service, target string, now time.Duration) {
+// Crashed records that a target crashed while it ran the request, and reports
+// whether that quarantined it.
+func (t *Table) Crashed(fingerprint Fingerprint, service, target string, now time.Duration) bool {
 	e, ok := t.lookup(fingerprint, now)
 	if !ok {
 		e = t.add(fingerprint, service, now)
 	}
 	if e.knows(target, now) {
-		return
+		return false
 	}
 	if len(e.Targets) < CrashesToQuarantine {
 		e.Targets = append(e.Targets, target)
 		e.crashes = append(e.crashes, now)
 	}
-	if len(e.Targets) >= CrashesToQuarantine && !e.Quarantined {
-		t.quarantine(e, now)
+	if len(e.Targets) < CrashesToQuarantine || e.Quarantined {
+		return false
+	}
+	t.quarantine(e, now+QuarantineTime)
+	return true
+}
+
+// Quarantine takes over another VM's quarantine with its remaining time.
+func (t *Table) Quarantine(fingerprint Fingerprint, service string, rest, now time.Duration) {
+	e, ok := t.lookup(fingerprint, now)
+	if !ok {
+		e = t.add(fingerprint, service, now)
+	}
+	if !e.Quarantined {
+		t.quarantine(e, now+min(rest, QuarantineTime))
 	}
 }
 
@@ -175,12 +192,12 @@
 	return e
 }
 
-func (t *Table) quarantine(e *entry, now time.Duration) {
+func (t *Table) quarantine(e *entry, ends time.Duration) {
 	if t.quarantines >= MaxQuarantines {
 		t.dropFirst(true)
 	}
 	e.Quarantined = true
-	e.Ends = now + QuarantineTime
+	e.Ends = ends
 	t.quarantines++
 }
 
--- a/policy/quarantine/table_test.go
+++ b/policy/quarantine/table_test.go
@@ -58,6 +58,18 @@
 	}
 }
 
+func TestQuarantineOfAnotherVMIsTakenOverForItsRest(t *testing.T) {
+	table := NewTable()
+	table.Quarantine(7, "booking", time.Minute, 0)
+	table.Quarantine(7, "booking", time.Hour, 0)
+	if d := table.Admit(7, 0, 30*time.Second); d.Action != ActionRefuse || d.RetryAfter != 30*time.Second {
+		t.Errorf("within its rest: %+v", d)
+	}
+	if d := table.Admit(7, 0, time.Minute); d.Action != ActionRun {
+		t.Errorf("after its rest: %+v", d)
+	}
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	table := NewTable()
 	for i := range Fingerprint(2 * MaxSuspects) {
