Fuzz the proxy with faults against an oracle, and break each promise on purpose

Cause: what callers are told has to hold under every fault, single and paired. Change: gopter command sequences drive the real proxy over the in-memory network in virtual time; the oracle knows only what targets ran and what callers were told.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -6,6 +6,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -53,28 +54,35 @@
 // testSnapshot has customers "a" and "b" with credentials "secret-a" and "secret-b".
 func testSnapshot(targets []document.Target) *snapshot.Snapshot {
 	service := document.Service{
-		Name:       "booking",
-		Slots:      3,
-		Deadline:   document.Duration(30 * time.Second),
-		Idempotent: []document.RequestRule{{Method: "GET", PathPrefix: "/"}, {Method: "HEAD", PathPrefix: "/"}},
-		Shed:       document.Signal{Status: 503, Header: "Primroseloom-Shed"},
-		Drain:      document.Signal{Status: 503, Header: "Primroseloom-Draining"},
-		Targets:    targets,
+		Name:           "booking",
+		Slots:          3,
+		MaxConnections: 330,
+		FloorSlots:     1,
+		HealthPath:     "/health",
+		Deadline:       document.Duration(30 * time.Second),
+		Idempotent:     []document.RequestRule{{Method: "GET", PathPrefix: "/"}, {Method: "HEAD", PathPrefix: "/"}},
+		Shed:           document.Signal{Status: 503, Header: "Primroseloom-Shed"},
+		Drain:          document.Signal{Status: 503, Header: "Primroseloom-Draining"},
+		Targets:        targets,
 	}
 	template := document.Template{Name: "plain", Services: []string{"booking"}, Limits: document.TemplateLimits{
 		Rate: []byte("1000"), Burst: []byte("1000"), Concurrency: []byte("1000"), Queue: []byte("1000"),
 		Deadline: []byte(`"10s"`), RetryRatio: []byte("1"), Weight: []byte("1"),
 	}}
-	shard := document.Shard{
-		Services:  []document.Service{service},
-		Routes:    []document.Route{{Host: "booking.test", PathPrefix: "/", Service: "booking"}},
-		Templates: []document.Template{template},
-		Customers: []document.Customer{
-			{Name: "a", Template: "plain", CredentialDigests: []string{hexDigest("secret-a")}},
-			{Name: "b", Template: "plain", CredentialDigests: []string{hexDigest("secret-b")}},
-		},
+	customers := []document.Customer{
+		{Name: "a", Template: "plain", CredentialDigests: []string{hexDigest("secret-a")}},
+		{Name: "b", Template: "plain", CredentialDigests: []string{hexDigest("secret-b")}},
 	}
-	return snapshot.Build(1, []document.Shard{shard}, nil)
+	snap := snapshot.Build(1, []document.Shard{
+		{Services: []document.Service{service}},
+		{Routes: []document.Route{{Host: "booking.test", PathPrefix: "/", Service: "booking"}}},
+		{Templates: []document.Template{template}},
+		{Customers: customers},
+	}, nil)
+	if rejected := snap.Rejections(); len(rejected) > 0 {
+		panic(fmt.Sprint("the test's configuration is rejected: ", rejected))
+	}
+	return snap
 }
 
 // fakeTargets grants targets in turn, after a delay, without limits. It holds
--- a/entry/proxy/fuzz_oracle_test.go
+++ b/entry/proxy/fuzz_oracle_test.go
@@ -128,3 +128,17 @@
 	}
 	return count
 }
+
+// count adds up what callers were told.
+func (o *oracle) count(tally map[string]int) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for _, a := range o.asks {
+		told := a.told.header.Get(OutcomeHeader)
+		if told == "" {
+			told = "nothing"
+		}
+		tally[told]++
+	}
+	tally["runs"] += len(o.runs)
+}
--- a/entry/proxy/fuzz_target_test.go
+++ b/entry/proxy/fuzz_target_test.go
@@ -127,31 +127,25 @@
 		if err != nil {
 			return
 		}
-		text := t.answer(conn, request, string(body))
-		if text == "" {
-			return
-		}
-		if _, err := io.WriteString(conn, text); err != nil {
-			return
-		}
-		if strings.HasSuffix(text, "\n!") {
+		text, last := t.answer(conn, request, string(body))
+		if _, err := io.WriteString(conn, text); err != nil || last {
 			return
 		}
 	}
 }
 
-// answer runs a request as the mode says; empty closes the connection.
-func (t *fuzzTarget) answer(conn net.Conn, request *http.Request, id string) string {
+// answer runs a request as the mode says; last closes the connection.
+func (t *fuzzTarget) answer(conn net.Conn, request *http.Request, id string) (text string, last bool) {
 	m := t.next()
 	correlation := request.Header.Get(CorrelationHeader)
 	if m == modeShedding {
-		return head(503, correlation) + "Primroseloom-Shed: 1\r\nContent-Length: 0\r\n\r\n"
+		return head(503, correlation) + "Primroseloom-Shed: 1\r\nContent-Length: 0\r\n\r\n", false
 	}
 	t.world.oracle.ran(request, id, conn.RemoteAddr())
 	if request.URL.Path == poisonPath {
 		t.world.oracle.crashed(id, t.index, conn.RemoteAddr())
 		t.down(true)
-		return ""
+		return "", true
 	}
 	content := expected(request.URL.Path, id)
 	good := fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head(200, correlation), len(content), content)
@@ -162,21 +156,21 @@
 		time.Sleep(5 * time.Second)
 	case modeHung:
 		time.Sleep(time.Minute)
-		return ""
+		return "", true
 	case modeWrong:
-		return head(200, "other") + "Content-Length: 5\r\n\r\nwrong"
+		return head(200, "other") + "Content-Length: 5\r\n\r\nwrong", false
 	case modeTruncating:
-		return good[:len(good)-1] + "\n!"
+		return good[:len(good)-1], true
 	case modeResetting:
-		return ""
+		return "", true
 	case modeSwapping:
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		t.earlier, good = good, t.earlier
 	case modeDoubling:
-		return good + good
+		return good + good, false
 	}
-	return good
+	return good, good == ""
 }
 
 func head(status int, correlation string) string {
--- a/entry/proxy/fuzz_test.go
+++ b/entry/proxy/fuzz_test.go
@@ -58,7 +58,7 @@
 	w := &world{keyOf: make(map[string]string), cut: make(map[[2]int]bool), noDeadline: broken.noDeadline}
 	var definitions []document.Target
 	for i := range fuzzTargets {
-		definitions = append(definitions, document.Target{Name: "t" + strconv.Itoa(i), Address: targetIP(i) + ":80"})
+		definitions = append(definitions, document.Target{Name: "t" + strconv.Itoa(i), Address: targetIP(i) + ":80", Zone: "z"})
 	}
 	w.oracle = &oracle{world: w, perAsk: make(map[int]int), crashes: make(map[string]int)}
 	w.fleet = newFleet(context.Background(), 0, definitions, func(o *Options) {
@@ -259,13 +259,15 @@
 }
 
 // fuzz runs command sequences and returns the number of steps and the violations.
-func fuzz(t *testing.T, seed int64, runs int, broken mutation) (steps int, violations []string) {
+func fuzz(t *testing.T, seed int64, runs int, broken mutation) (steps int, tally map[string]int, violations []string) {
+	tally = make(map[string]int)
 	synctest.Test(t, func(*testing.T) {
 		proto := &commands.ProtoCommands{
 			NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld(broken) },
 			DestroySystemUnderTestFunc: func(sut commands.SystemUnderTest) {
 				steps += sut.(*world).steps
 				violations = append(violations, sut.(*world).settle()...)
+				sut.(*world).oracle.count(tally)
 			},
 			InitialStateGen: gen.Const(0),
 			GenCommandFunc:  genStep,
@@ -276,16 +278,19 @@
 		parameters.MaxShrinkCount = 0
 		result := commands.Prop(proto).Check(parameters)
 		if !result.Passed() {
-			violations = append(violations, strings.TrimSpace(fmt.Sprint(result.Labels, result.Args)))
+			violations = append(violations, fmt.Sprint(result.Labels, result.Error, result.Args))
 		}
 	})
-	return steps, violations
+	return steps, tally, violations
 }
 
 // TestPromisesHoldUnderFaults is the stateful fuzz.
 func TestPromisesHoldUnderFaults(t *testing.T) {
-	steps, violations := fuzz(t, *fuzzSeed, *fuzzRuns, mutation{})
-	t.Logf("%d steps in %d sequences, seed %d", steps, *fuzzRuns, *fuzzSeed)
+	steps, tally, violations := fuzz(t, *fuzzSeed, *fuzzRuns, mutation{})
+	t.Logf("%d steps in %d sequences, seed %d: %v", steps, *fuzzRuns, *fuzzSeed, tally)
+	if tally["answered"]*4 < steps/4 {
+		t.Errorf("only %d requests were answered", tally["answered"])
+	}
 	for _, violation := range violations {
 		t.Error(violation)
 	}
--- a/entry/proxy/mutation_test.go
+++ b/entry/proxy/mutation_test.go
@@ -96,7 +96,7 @@
 	for _, broken := range mutations {
 		t.Run(broken.name, func(t *testing.T) {
 			for seed := range int64(rounds) {
-				if _, violations := fuzz(t, 100+seed, runs, broken); len(violations) > 0 {
+				if _, _, violations := fuzz(t, 100+seed, runs, broken); len(violations) > 0 {
 					t.Logf("seed %d: %s", 100+seed, violations[0])
 					return
 				}
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -64,11 +64,11 @@
 }
 
 func oneTarget() []document.Target {
-	return []document.Target{{Name: "t0", Address: targetIP(0) + ":80"}}
+	return []document.Target{{Name: "t0", Address: targetIP(0) + ":80", Zone: "z"}}
 }
 
 func twoTargets() []document.Target {
-	return append(oneTarget(), document.Target{Name: "t1", Address: targetIP(1) + ":80"})
+	return append(oneTarget(), document.Target{Name: "t1", Address: targetIP(1) + ":80", Zone: "z"})
 }
 
 // inFleet runs a test over a fleet in virtual time.
@@ -342,7 +342,7 @@
 }
 
 func TestPoisonRequestCrashesTwoTargetsAtMost(t *testing.T) {
-	targets := append(twoTargets(), document.Target{Name: "t2", Address: targetIP(2) + ":80"}, document.Target{Name: "t3", Address: targetIP(3) + ":80"})
+	targets := append(twoTargets(), document.Target{Name: "t2", Address: targetIP(2) + ":80", Zone: "z"}, document.Target{Name: "t3", Address: targetIP(3) + ":80", Zone: "z"})
 	inFleet(t, 3, targets, func(t *testing.T, f *fleet) {
 		crashes := 0
 		scripted(t, f, func(r *http.Request) string {
