--- a/cmd/primroseloom/root.go
+++ b/cmd/primroseloom/root.go
@@ -21,6 +21,7 @@
 		newStatus(),
 		newExplain(),
 		newLoad(),
+		newMeasure(),
 		newStandin(),
 		newDemo(),
 		newQuarantine(),
