Tell wrong answers from missing ones and slow paths from silent ones

Cause: with few requests a target, proof from a second zone took longest. Change: own rule for wrong answers; less proof from other zones where answers arrive or probes of two zones fail; timed-out attempts keep holding their slots.

--- a/operator/measure/engine.go
+++ b/operator/measure/engine.go
@@ -233,8 +233,7 @@
 		if !wanted || to == v.index || e.cutOff[to] {
 			continue
 		}
-		e.record.messages++
-		e.record.messageBytes += uint64(message.Bytes)
+		e.record.told(e, message.Bytes)
 		e.queue.add(event{at: e.now + e.scenario.size.Delay, kind: eventMessage, index: to,
 			message: &delivery{from: v.index, facet: facet, body: message.Body, toward: to}})
 	}
--- a/operator/measure/recorder.go
+++ b/operator/measure/recorder.go
@@ -29,7 +29,6 @@
 	attempts      uint64
 	sickAttempts  uint64
 	trials        uint64
-	messages      uint64
 	messageBytes  uint64
 	refusals      map[string]uint64
 	latency       *hdrhistogram.Histogram
@@ -108,6 +107,13 @@
 // counts reports whether the warm-up is over.
 func (r *recorder) counts(e *engine) bool { return e.now >= e.warm }
 
+// told counts a message that a VM receives.
+func (r *recorder) told(e *engine, bytes int) {
+	if r.counts(e) {
+		r.messageBytes += uint64(bytes)
+	}
+}
+
 func (r *recorder) arrived(e *engine, _ *Request) {
 	if r.counts(e) {
 		r.arrivedCount++
--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -12,8 +12,10 @@
 	excursionMean = 1.0
 	// excursionDoubt is the mean height taken for service times before any is seen.
 	excursionDoubt = 5.0
-	// excursionWeight is the part of the estimate that each excursion replaces.
-	excursionWeight = 1.0 / 48
+	// excursionPrior is the number of excursions that the first estimate counts for.
+	excursionPrior = 8.0
+	// excursionMemory is the number of excursions that the estimate goes back.
+	excursionMemory = 64.0
 	// excursionClip bounds one excursion, in multiples of the estimate, so that
 	// a sick target hardly counts.
 	excursionClip = 4.0
@@ -24,21 +26,24 @@
 // calibration estimates, for each rule, how far healthy targets' scores wander.
 type calibration struct {
 	mean [ruleCount]float64
+	seen [ruleCount]float64
 }
 
 func newCalibration() calibration {
 	var c calibration
 	for i := range c.mean {
 		c.mean[i] = excursionDoubt
+		c.seen[i] = excursionPrior
 	}
-	c.mean[RuleFailing] = excursionMean
+	c.mean[RuleFailing], c.mean[RuleWrong] = excursionMean, excursionMean
 	return c
 }
 
 // ended takes the peak of an excursion that is over.
 func (c *calibration) ended(rule Rule, peak float64) {
 	excess := min(peak-excursionBase, excursionClip*c.mean[rule])
-	c.mean[rule] += excursionWeight * (excess - c.mean[rule])
+	c.seen[rule] = min(excursionMemory, c.seen[rule]+1)
+	c.mean[rule] += (excess - c.mean[rule]) / c.seen[rule]
 }
 
 // limits returns the score at which each rule convicts.
--- a/policy/health/reference.go
+++ b/policy/health/reference.go
@@ -144,8 +144,8 @@
 	r.findQuantiles(&survival)
 	for _, h := range hypotheses {
 		for i := range bucketCount {
-			r.ended[i][h.rule] = clampEvidence(math.Log(h.density(&density, i) / density[i]))
-			r.running[i][h.rule] = clampEvidence(math.Log(h.survival(&survival, i) / survival[i]))
+			r.ended[i][h.rule] = h.clamp(math.Log(h.density(&density, i) / density[i]))
+			r.running[i][h.rule] = h.clamp(math.Log(h.survival(&survival, i) / survival[i]))
 		}
 	}
 }
@@ -184,7 +184,7 @@
 }
 
 func (r *reference) findQuantiles(survival *[bucketCount]float64) {
-	const middle, rare = 0.5, 0.01
+	const middle, rare = 0.5, 0.02
 	r.median, r.old = 0, bucketCount-1
 	for i, left := range survival {
 		if left >= middle {
@@ -213,8 +213,13 @@
 	return (1-h.share)*usual[i] + h.share*usual[max(0, i-h.shift)]
 }
 
-func clampEvidence(score float64) float64 {
-	return min(evidenceLimit, max(-evidenceLimit, score))
+// clamp bounds what one attempt can prove.
+func (h *hypothesis) clamp(score float64) float64 {
+	limit := evidenceLimit
+	if h.stalled {
+		limit = stalledLimit
+	}
+	return min(limit, max(-limit, score))
 }
 
 // failures learns the usual share of failed attempts.
@@ -250,6 +255,14 @@
 	f.rebuild()
 }
 
+// evidence returns what the end of an attempt says, in nats.
+func (f *failures) evidence(failed bool) float64 {
+	if failed {
+		return min(evidenceLimit, f.onFailure)
+	}
+	return f.onSuccess
+}
+
 // failAll takes up that all targets fail more often together.
 func (f *failures) failAll() {
 	const growth = 1.5
--- a/policy/health/rules.go
+++ b/policy/health/rules.go
@@ -11,8 +11,10 @@
 
 // The rules.
 const (
-	// RuleFailing supposes that a fifth of the attempts fails.
+	// RuleFailing supposes that a fifth of the attempts gets no whole answer.
 	RuleFailing Rule = iota
+	// RuleWrong supposes that a fifth of the attempts gets a wrong answer.
+	RuleWrong
 	// RuleStalled supposes that attempts do not end.
 	RuleStalled
 	// RuleSlow supposes service times of about three times the others'.
@@ -22,12 +24,12 @@
 	// RuleSometimesSlow supposes that one request in five takes ten times as long.
 	RuleSometimesSlow
 
-	ruleCount = 5
+	ruleCount = 6
 )
 
 // String names the rule for findings.
 func (r Rule) String() string {
-	names := [ruleCount]string{"failing", "stalled", "slow", "very_slow", "sometimes_slow"}
+	names := [ruleCount]string{"failing", "wrong", "stalled", "slow", "very_slow", "sometimes_slow"}
 	if r < 0 || int(r) >= len(names) {
 		return "unknown"
 	}
@@ -85,12 +87,17 @@
 }
 
 const (
-	// failingShare is the share of failures that RuleFailing supposes at least.
+	// failingShare is the share of failures that the rules suppose at least.
 	failingShare = 0.2
 	// failingRatio is its least distance from the usual share of failures.
 	failingRatio = 3.0
 	// evidenceLimit bounds what a single attempt can prove, in nats.
-	evidenceLimit = 6.0
+	evidenceLimit = 8.0
+	// stalledLimit bounds what one attempt that does not end can prove, in nats.
+	stalledLimit = 11.0
+	// overshoot is by how much, in nats, a CUSUM of steps as large as these
+	// passes its threshold later than the bound e^h says.
+	overshoot = 1.5
 )
 
 // month is the span over which false ejections are stated.
@@ -106,5 +113,5 @@
 	if falsePerTargetMonth <= 0 || observations <= 0 {
 		return lowest
 	}
-	return max(lowest, math.Log(observations/falsePerTargetMonth))
+	return max(lowest, math.Log(observations/falsePerTargetMonth)-overshoot)
 }
--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -105,6 +105,28 @@
 	}
 }
 
+// silentMemory is the time for which an attempt that timed out still counts as
+// holding a slot, unless the target answers.
+const silentMemory = 2 * time.Second
+
+// noteSilence keeps an old attempt that timed out among the old ones.
+func (e *target) noteSilence(now time.Duration, attempt *Attempt, kind Kind) {
+	switch {
+	case kind == TimedOut && attempt.old:
+		e.silent++
+		e.oldOwn++
+		e.silentEnd = now + silentMemory
+	case kind == Succeeded:
+		e.endSilence()
+	}
+}
+
+// endSilence drops the attempts that timed out.
+func (e *target) endSilence() {
+	e.oldOwn -= e.silent
+	e.silent = 0
+}
+
 // hear keeps the last word of another VM.
 func (e *target) hear(vm string, view peerView) {
 	before := e.peers[vm]
@@ -166,6 +188,9 @@
 	if common[RuleFailing] > 0 {
 		t.failures.failAll()
 	}
+	if common[RuleWrong] > 0 {
+		t.wrong.failAll()
+	}
 	if common[RuleSlow]+common[RuleVerySlow]+common[RuleStalled]+common[RuleSometimesSlow] > 0 {
 		t.reference.slowAll()
 	}
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -59,11 +59,15 @@
 	// peers holds what other VMs said last.
 	peers map[string]peerView
 	// peerOld counts the other VMs' old attempts by zone.
-	peerOld  []int
-	oldOwn   int
-	oldTold  int
-	probeBad bool
-	trialOK  int
+	peerOld []int
+	oldOwn  int
+	// silent counts old attempts that timed out since the target last answered,
+	// until silentEnd.
+	silent    int
+	silentEnd time.Duration
+	oldTold   int
+	probeBad  bool
+	trialOK   int
 	// trialsUntold are good trials that the other VMs do not know yet.
 	trialsUntold int
 	// returned is set until the other VMs know that trials ended well.
@@ -95,6 +99,7 @@
 	byName      map[string]*target
 	reference   reference
 	failures    failures
+	wrong       failures
 	attempts    map[*Attempt]struct{}
 	lastTick    time.Duration
 	ticked      bool
@@ -113,6 +118,7 @@
 func New(config Config) *Tracker {
 	t := &Tracker{config: config, byName: make(map[string]*target), attempts: make(map[*Attempt]struct{})}
 	t.failures = newFailures()
+	t.wrong = newFailures()
 	t.calibration = newCalibration()
 	t.zones = slices.Clone(config.Zones)
 	t.zone = t.zoneIndex(config.Zone)
@@ -204,6 +210,7 @@
 	entry.inFlight--
 	entry.seen[kind]++
 	t.unseat(attempt)
+	entry.noteSilence(now, attempt, kind)
 	if kind == Draining {
 		t.drains(now, entry)
 	}
@@ -220,10 +227,8 @@
 	suspect := entry.verdict.suspect(entry, &attempt.counted, &t.limits)
 	final := attempt.counted
 	failed := kind.Failed()
-	final[RuleFailing] = t.failures.onSuccess
-	if failed {
-		final[RuleFailing] = min(evidenceLimit, t.failures.onFailure)
-	}
+	final[RuleFailing] = t.failures.evidence(failed && kind != Wrong)
+	final[RuleWrong] = t.wrong.evidence(kind == Wrong)
 	if !failed && t.reference.learned() {
 		t.weighTime(attempt, &final, taken)
 	}
@@ -234,7 +239,8 @@
 	if suspect {
 		return
 	}
-	t.failures.observe(failed)
+	t.failures.observe(failed && kind != Wrong)
+	t.wrong.observe(kind == Wrong)
 	if !failed {
 		t.reference.observe(taken)
 		t.setThreshold()
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -8,9 +8,12 @@
 const (
 	reducedShare   = 0.35
 	probationShare = 0.7
-	withoutShare   = 0.55
+	withoutShare   = 0.5
+	answeredShare  = 0.2
 	agreedShare    = 0.1
 	clearedShare   = 0.2
+	// answeredLead is by how much, in nats, slow answers must outweigh silence.
+	answeredLead = 6.0
 	// probeBonus is what failing probes of several VMs add, in nats.
 	probeBonus = 2.0
 )
@@ -99,9 +102,9 @@
 	}
 	rule, part := t.level(&entry.tally.all)
 	score := entry.tally.all[rule]
-	part += entry.bonus() / t.limits[rule]
+	part += t.bonus(entry) / t.limits[rule]
 	switch {
-	case part >= 1 && entry.tally.least(rule) >= t.withoutNeeded(rule):
+	case part >= 1 && entry.tally.least(rule) >= t.withoutNeeded(entry, rule):
 		t.convict(now, entry, rule, score)
 	case part >= agreedShare && peersAgree(entry):
 		t.convict(now, entry, rule, score)
@@ -115,24 +118,50 @@
 	}
 }
 
-// withoutNeeded is the score that must remain without any one zone.
-func (t *Tracker) withoutNeeded(rule Rule) float64 {
+// withoutNeeded is the score that must remain without any one zone. Less is
+// needed when answers arrive, though slowly or wrongly, and when probes from
+// two zones fail, since no path explains these.
+func (t *Tracker) withoutNeeded(entry *target, rule Rule) float64 {
 	if len(t.zones) < 2 {
 		return 0
 	}
-	return withoutShare * t.limits[rule]
+	share := withoutShare
+	if entry.answers(rule) || entry.probesFail(t.zone) {
+		share = answeredShare
+	}
+	return share * t.limits[rule]
 }
 
-// bonus returns what failing probes add to other evidence.
-func (e *target) bonus() float64 {
+// answers reports whether the evidence for a rule comes from answers rather
+// than from silence.
+func (e *target) answers(rule Rule) bool {
+	switch rule {
+	case RuleWrong:
+		return true
+	case RuleSlow, RuleVerySlow, RuleSometimesSlow:
+		return e.tally.all[rule] > e.tally.all[RuleStalled]+answeredLead
+	}
+	return false
+}
+
+// probesFail reports whether the probes of VMs of two zones fail.
+func (e *target) probesFail(ownZone int) bool {
 	if !e.probeBad {
-		return 0
+		return false
 	}
 	for _, peer := range e.peers {
-		if peer.probeBad {
-			return probeBonus
+		if peer.probeBad && peer.zone != ownZone {
+			return true
 		}
 	}
+	return false
+}
+
+// bonus returns what failing probes add to other evidence.
+func (t *Tracker) bonus(entry *target) float64 {
+	if entry.probesFail(t.zone) {
+		return probeBonus
+	}
 	return 0
 }
 
@@ -205,7 +234,7 @@
 	v := &entry.verdict
 	score := entry.tally.all[v.rule]
 	if v.avoided && !v.convicted {
-		proven := score >= t.limits[v.rule] && entry.tally.least(v.rule) >= t.withoutNeeded(v.rule)
+		proven := score >= t.limits[v.rule] && entry.tally.least(v.rule) >= t.withoutNeeded(entry, v.rule)
 		if proven || peersAgree(entry) {
 			t.convict(now, entry, v.rule, score)
 		}
@@ -219,6 +248,9 @@
 // advance moves a target through back-off, trials and ramp as time passes.
 func (t *Tracker) advance(now time.Duration, entry *target) {
 	v := &entry.verdict
+	if entry.silent > 0 && now >= entry.silentEnd {
+		entry.endSilence()
+	}
 	if v.ramping && now-v.rampFrom >= rampTime {
 		v.ramping = false
 		t.dirty = true
