Fuzz the membership with random histories and try listed VMs as hints

Change: random stops, restarts, pauses, deaf and mute VMs, splits and losses are played against the oracle of what runs; the platform's VM list, seeds and tombstones are tried with the same chance each.

--- a/entry/peer/manager.go
+++ b/entry/peer/manager.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
@@ -115,8 +117,21 @@
 	m.publish(m.settings.Clock())
 }
 
-// UseVMList passes the platform's VM list on as a hint.
-func (m *Manager) UseVMList(rows []membership.Listed) {
+// ApplyVMList passes the platform's VM list on as a hint. Its addresses are
+// tried on this instance's peer port.
+func (m *Manager) ApplyVMList(list document.VMList) {
+	own, err := netip.ParseAddrPort(m.settings.PeersAddress)
+	if err != nil {
+		return
+	}
+	var rows []membership.Listed
+	for _, entry := range list.Entries {
+		row := membership.Listed{VM: entry.Name, Leaving: entry.Leaving}
+		if address, err := netip.ParseAddrPort(entry.Address); err == nil {
+			row.PeersAddress = netip.AddrPortFrom(address.Addr(), own.Port()).String()
+		}
+		rows = append(rows, row)
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state.Hint(rows)
--- /dev/null
+++ b/policy/membership/fuzz_test.go
@@ -0,0 +1,130 @@
+package membership
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/gen"
+	"github.com/leanovate/gopter/prop"
+)
+
+const fuzzInstances = 8
+
+// fault is one step of a random history.
+type fault int
+
+const (
+	faultStop fault = iota
+	faultRestart
+	faultPause
+	faultDeafen
+	faultMute
+	faultSplit
+	faultLoss
+	faultHeal
+	faultKinds
+)
+
+// history plays random faults and watches each instance's view.
+type history struct {
+	*simulation
+	fleet []*instance
+	// newest is the greatest incarnation that an instance has held of a VM.
+	newest map[string]uint64
+	broken string
+}
+
+func newHistory(seed uint64) *history {
+	h := &history{simulation: newSimulation(seed), newest: make(map[string]uint64)}
+	h.fleet = h.startFleet(fuzzInstances)
+	h.run(10 * time.Second)
+	return h
+}
+
+func (h *history) play(step int) {
+	i := step / int(faultKinds) % fuzzInstances
+	vm := vmName(i)
+	switch fault(step % int(faultKinds)) {
+	case faultStop:
+		h.fleet[i].stopped = true
+	case faultRestart:
+		h.fleet[i].stopped = true
+		h.fleet[i] = h.start(i)
+	case faultPause:
+		if !h.fleet[i].paused {
+			h.pause(h.fleet[i], time.Duration(2+i)*time.Second)
+		}
+	case faultDeafen:
+		h.cut = func(_, to string) bool { return to == vm }
+	case faultMute:
+		h.cut = func(from, _ string) bool { return from == vm }
+	case faultSplit:
+		h.cut = func(from, to string) bool { return (from < vm) != (to < vm) }
+	case faultLoss:
+		h.loss = 0.2
+	case faultHeal:
+		h.cut, h.loss = func(string, string) bool { return false }, 0
+	}
+	for range 6 {
+		h.run(time.Second)
+		h.check()
+	}
+}
+
+// check holds each view against what it held before: statements never go back.
+func (h *history) check() {
+	for _, in := range h.fleet {
+		for _, view := range in.state.Members(h.clock(in)) {
+			key := fmt.Sprintf("%s/%x/%s", in.vm, in.state.self.Instance, view.VM)
+			if view.Incarnation < h.newest[key] {
+				h.broken = fmt.Sprintf("at %s: %s went back to incarnation %d of %s", h.now, in.vm, view.Incarnation, view.VM)
+			}
+			h.newest[key] = view.Incarnation
+		}
+	}
+}
+
+// settle ends all faults and returns what is still wrong after a while.
+func (h *history) settle() string {
+	h.cut, h.loss = func(string, string) bool { return false }, 0
+	live := make(map[string]*instance)
+	for _, in := range h.fleet {
+		if !in.stopped {
+			live[in.vm] = in
+		}
+	}
+	h.run(3 * time.Minute)
+	for _, in := range live {
+		for _, other := range h.fleet {
+			if h.offers(in, other.vm) != (live[other.vm] != nil) {
+				return fmt.Sprintf("%s offers %s: %t, live: %t", in.vm, other.vm, h.offers(in, other.vm), live[other.vm] != nil)
+			}
+		}
+		for _, view := range in.state.Members(h.clock(in)) {
+			if view.Instance != live[view.VM].state.self.Instance {
+				return fmt.Sprintf("%s knows an old process of %s", in.vm, view.VM)
+			}
+		}
+	}
+	return h.broken
+}
+
+// TestViewsAgreeAfterRandomFaults plays random histories against the oracle of
+// which instances run.
+func TestViewsAgreeAfterRandomFaults(t *testing.T) {
+	parameters := gopter.DefaultTestParametersWithSeed(1)
+	parameters.MinSuccessfulTests = 40
+	properties := gopter.NewProperties(parameters)
+	steps := gen.SliceOfN(10, gen.IntRange(0, fuzzInstances*int(faultKinds)-1))
+	properties.Property("views agree with what runs, and never go back", prop.ForAll(
+		func(steps []int) string {
+			h := newHistory(uint64(len(steps)))
+			for _, step := range steps {
+				h.play(step)
+			}
+			return h.settle()
+		}, steps))
+	properties.TestingRun(t)
+}
--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -223,6 +223,17 @@
 	}
 }
 
+func TestListedVMIsAHintOnly(t *testing.T) {
+	s := newSimulation(14)
+	fleet := convergedFleet(t, s, 3)
+	stranger := s.start(7)
+	stranger.state.seeds = nil
+	rows := []Listed{{VM: vmName(7), PeersAddress: address(7)}, {VM: vmName(1), Leaving: true}, {VM: "absent", PeersAddress: "10.9.9.9:1"}}
+	fleet[0].state.Hint(rows)
+	s.run(30 * time.Second)
+	expectOffered(t, s, append(fleet, stranger), 4)
+}
+
 func TestMalformedStatementsAreDropped(t *testing.T) {
 	good := Member{VM: "vm1", Incarnation: 1, Status: Alive, CallersAddress: address(1), PeersAddress: address(1)}
 	cases := map[string]func(*Member){
--- a/policy/membership/rejoin.go
+++ b/policy/membership/rejoin.go
@@ -77,25 +77,27 @@
 	return alive[s.random.IntN(len(alive))]
 }
 
-// addressOutside picks a seed, a listed VM or a tombstone that is no member.
+// addressOutside picks an address that is no member's: of a seed, a tombstone
+// or a listed VM, each kind with the same chance.
 func (s *State) addressOutside() string {
 	inside := map[string]bool{s.self.PeersAddress: true}
 	for _, r := range s.members {
 		inside[r.PeersAddress] = true
 	}
-	var outside []string
-	for _, address := range slices.Concat(s.seeds, s.hints) {
-		if !inside[address] {
-			outside = append(outside, address)
-		}
-	}
+	var buried []string
 	for _, vm := range sortedKeys(s.graves) {
-		if address := s.graves[vm].PeersAddress; !inside[address] {
-			outside = append(outside, address)
+		buried = append(buried, s.graves[vm].PeersAddress)
+	}
+	var kinds [][]string
+	for _, addresses := range [][]string{s.seeds, buried, s.hints} {
+		outside := slices.DeleteFunc(slices.Clone(addresses), func(address string) bool { return inside[address] })
+		if len(outside) > 0 {
+			kinds = append(kinds, outside)
 		}
 	}
-	if len(outside) == 0 {
+	if len(kinds) == 0 {
 		return ""
 	}
-	return outside[s.random.IntN(len(outside))]
+	kind := kinds[s.random.IntN(len(kinds))]
+	return kind[s.random.IntN(len(kind))]
 }
