Test the whole instance in virtual time and stop peers gracefully

Cause: the daemon had no test of its own, its peer connections were cut at a stop, and the boot clock kept it out of virtual time.

--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -132,7 +132,7 @@
 		return fmt.Errorf("log level: %w", err)
 	}
 	logger := log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true, Formatter: log.LogfmtFormatter})
-	instance, err := daemon.New(set, network.OS{}, logger)
+	instance, err := daemon.New(daemon.Options{Settings: set, Network: network.OS{}, Logger: logger})
 	if err != nil {
 		return err
 	}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -23,7 +23,8 @@
 )
 
 // New builds an instance; nothing runs before Run.
-func New(set settings.Settings, network contract.Network, logger *log.Logger) (*Daemon, error) {
+func New(options Options) (*Daemon, error) {
+	set, network, logger := options.Settings, options.Network, options.Logger
 	built := &Daemon{settings: set, network: network, logger: logger}
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
@@ -34,7 +35,7 @@
 			metrics.New,
 			config.New,
 			func(m *config.Manager) contract.Configuration { return m },
-			func(m *metrics.Metrics, clock *uptime.BootClock) (*peer.Manager, error) {
+			func(m *metrics.Metrics, clock uptime.Clock) (*peer.Manager, error) {
 				return peer.New(peerSettings(set, clock), network, logger, m.Scope())
 			},
 			func(m *peer.Manager) directory.Readiness { return m },
@@ -42,8 +43,8 @@
 			func(m *peer.Manager) contract.News { return m },
 			targets.New,
 			func(m *targets.Manager) contract.Targets { return m },
-			uptime.NewBootClock,
-			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock *uptime.BootClock) *proxy.Proxy {
+			func() uptime.Clock { return clockOf(options) },
+			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
 				return newProxy(built, m, c, members, news, t, clock)
 			},
 			newDirectory,
@@ -57,6 +58,14 @@
 	return built, nil
 }
 
+// clockOf returns the clock given, or the boot clock.
+func clockOf(options Options) uptime.Clock {
+	if options.Clock != nil {
+		return options.Clock
+	}
+	return uptime.NewBootClock()
+}
+
 func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
 	limits := proxy.DefaultLimits()
 	limits.BodyBytes = d.settings.Limits.BodyBytes
@@ -75,7 +84,7 @@
 	})
 }
 
-func newAdmin(members contract.Members, configuration contract.Configuration, m *metrics.Metrics, t *targets.Manager, p *proxy.Proxy, clock *uptime.BootClock) *admin.Admin {
+func newAdmin(members contract.Members, configuration contract.Configuration, m *metrics.Metrics, t *targets.Manager, p *proxy.Proxy, clock uptime.Clock) *admin.Admin {
 	return admin.New(admin.Options{
 		Members:       members,
 		Configuration: configuration,
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -24,8 +25,18 @@
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targets"
+	"github.com/primroseloom/primroseloom/entry/uptime"
 )
 
+// Options are what an instance is built from.
+type Options struct {
+	Settings settings.Settings
+	Network  contract.Network
+	Logger   *log.Logger
+	// Clock counts suspension; nil means the operating system's boot clock.
+	Clock uptime.Clock
+}
+
 // Daemon is one instance.
 type Daemon struct {
 	settings  settings.Settings
@@ -46,18 +57,10 @@
 	if err != nil {
 		return err
 	}
-	d.peers.UseConfiguration(d.config)
-	d.peers.UseForwarder(d.proxy)
-	d.targets.SetNews(d.peers)
-	tree := supervisor.New("primroseloomd", d.logger)
-	tree.Add("config", d.config)
-	tree.Add("peer", d.peers)
-	tree.Add("targets", d.targets)
-	treeContext, stopTree := context.WithCancel(context.WithoutCancel(ctx))
+	defer func() { _ = d.metrics.Close() }()
+	d.join()
+	stopTree := d.startTree(ctx)
 	defer stopTree()
-	treeDone := make(chan error, 1)
-	go func() { treeDone <- tree.Run(treeContext) }()
-
 	callers := d.callerServer()
 	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
 	go serve(callers, proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections))
@@ -66,24 +69,54 @@
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
 
 	<-ctx.Done()
+	return d.stop(context.WithoutCancel(ctx), callers, operators)
+}
+
+// join hands the children to one another where they need each other.
+func (d *Daemon) join() {
+	d.peers.UseConfiguration(d.config)
+	d.peers.UseForwarder(d.proxy)
+	d.targets.SetNews(d.peers)
+}
+
+// startTree runs the children that have work of their own; the function
+// returned stops them and waits until they have returned.
+func (d *Daemon) startTree(ctx context.Context) (stop func()) {
+	tree := supervisor.New("primroseloomd", d.logger)
+	tree.Add("config", d.config)
+	tree.Add("peer", d.peers)
+	tree.Add("targets", d.targets)
+	tree.Add("proxy", d.proxy)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tree.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// stop is the planned stop: it leaves the directory's answers, serves callers
+// that hold an old one, finishes what is in progress and tells the peers.
+func (d *Daemon) stop(ctx context.Context, callers, operators *http.Server) error {
 	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
 	d.peers.Leave()
-	grace, cancel := context.WithTimeout(context.WithoutCancel(ctx), d.settings.Stop.Grace.Std())
+	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Grace.Std())
 	defer cancel()
-	err = d.proxy.Drain(grace, callers, d.settings.Stop.Linger.Std())
-	_ = operators.Shutdown(grace)
-	d.depart()
-	stopTree()
-	<-treeDone
-	_ = listeners.peers.Close()
+	err := d.proxy.Drain(ctx, callers, d.settings.Stop.Linger.Std())
+	d.depart(ctx)
+	err = errors.Join(err, d.peers.Stop(ctx), operators.Shutdown(ctx))
 	events.DaemonStopped.Log(d.logger, "vm", d.settings.VM)
 	return err
 }
 
 // depart tells the other instances that this one is gone.
-func (d *Daemon) depart() {
+func (d *Daemon) depart(ctx context.Context) {
 	const patience = time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
 	d.peers.Depart(ctx)
 }
--- /dev/null
+++ b/entry/daemon/daemon_test.go
@@ -0,0 +1,118 @@
+package daemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/admin"
+	"github.com/primroseloom/primroseloom/standin/target"
+)
+
+func TestRequestIsAnsweredThroughTheDirectory(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		answer := w.ask(1)
+		if len(answer.VMs) != 3 {
+			t.Fatalf("directory names %d VMs, want 3", len(answer.VMs))
+		}
+		told := w.send(1, http.MethodGet, "/availability", "r1", "", nil)
+		var got target.Answer
+		if told.status != http.StatusOK || told.outcome != "answered" || json.Unmarshal(told.body, &got) != nil || got.RequestID != "r1" {
+			t.Errorf("told %d %s %s", told.status, told.outcome, told.body)
+		}
+	})
+}
+
+func TestKeyedBookingRunsOnceWhateverVMGetsTheResend(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		key := w.ask(0).VMs[0].KeyPrefix + "b1"
+		for i := range 3 {
+			told := w.send(i, http.MethodPost, "/bookings", "b1", key, strings.NewReader("{}"))
+			if told.status != http.StatusOK || told.outcome != "answered" {
+				t.Errorf("%s told %d %s %s", vmName(i), told.status, told.outcome, told.body)
+			}
+		}
+		if got := w.runs("b1"); got != 1 {
+			t.Errorf("the booking ran %d times", got)
+		}
+	})
+}
+
+func TestPlannedStopFinishesAnUpload(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		const chunks = 40
+		told := make(chan result, 1)
+		go func() {
+			body := &slowBody{chunks: chunks, pause: 50 * time.Millisecond}
+			told <- w.send(1, http.MethodPost, "/photos", "u1", "", body)
+		}()
+		time.Sleep(200 * time.Millisecond)
+		w.stopVM(vmName(1))
+		got := <-told
+		var answer target.Answer
+		if got.status != http.StatusOK || json.Unmarshal(got.body, &answer) != nil || answer.BodyBytes != chunks*1024 {
+			t.Errorf("told %d %s %s", got.status, got.outcome, got.body)
+		}
+	})
+}
+
+func TestStoppingVMLeavesTheDirectory(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.stops[vmName(2)]()
+		time.Sleep(3 * time.Second)
+		for _, vm := range w.ask(0).VMs {
+			if vm.Name == vmName(2) {
+				t.Error("the answer still names the stopping VM")
+			}
+		}
+		told := w.send(2, http.MethodGet, "/availability", "r1", "", nil)
+		if told.outcome != "answered" {
+			t.Errorf("a caller with an old answer was told %d %s", told.status, told.body)
+		}
+	})
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.deployment.Customers[0].Parameters = map[string]json.RawMessage{"rate": json.RawMessage("600")}
+		w.publish()
+		time.Sleep(4 * time.Second)
+		for i := range 3 {
+			if status := w.status(i); status.Generation != w.generation {
+				t.Errorf("%s has generation %d, want %d", vmName(i), status.Generation, w.generation)
+			}
+		}
+	})
+}
+
+func TestStatusShowsTheFleetFromAnyVM(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		for i := range 3 {
+			status := w.status(i)
+			if len(status.Members) != 3 {
+				t.Errorf("%s shows %d members", vmName(i), len(status.Members))
+			}
+			for _, member := range status.Members {
+				if member.Generation != w.generation {
+					t.Errorf("%s shows %s on generation %d", vmName(i), member.VM, member.Generation)
+				}
+			}
+		}
+	})
+}
+
+func (w *world) status(i int) admin.Status {
+	w.t.Helper()
+	response, err := w.client.Get("http://" + vmIP(i) + ":82/v1/status")
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status admin.Status
+	if err := json.NewDecoder(response.Body).Decode(&status); err != nil {
+		w.t.Fatal(err)
+	}
+	return status
+}
--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -39,7 +39,21 @@
 // UseForwarder sets the delegate for forwarded requests, before Serve.
 func (m *Manager) UseForwarder(forwarder Forwarder) { m.forwarder = forwarder }
 
-// Serve answers peers on a listener until it closes.
+// Stop finishes the peers' calls in progress and closes the listener that
+// Serve answers on; when the context ends first, it cuts them.
+func (m *Manager) Stop(ctx context.Context) error {
+	server := m.server.Load()
+	if server == nil {
+		return nil
+	}
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+		return fmt.Errorf("finish the calls of peers: %w", err)
+	}
+	return nil
+}
+
+// Serve answers peers on a listener until Stop.
 func (m *Manager) Serve(listener net.Listener) error {
 	mux := http.NewServeMux()
 	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(&handler{m: m},
@@ -54,6 +68,7 @@
 			SendPingTimeout: 2 * pingAfterSilence, PingTimeout: pingTimeout},
 		ErrorLog: stdlog.New(&handshakeErrors{m: m}, "", 0),
 	}
+	m.server.Store(server)
 	bounded := netutil.LimitListener(&countedListener{Listener: listener, traffic: m.traffic}, maxConnections)
 	if m.keys.off {
 		server.Protocols.SetUnencryptedHTTP2(true)
--- a/entry/peer/manager.go
+++ b/entry/peer/manager.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -34,6 +35,7 @@
 	news     *newsroom
 	wake     chan struct{}
 	running  chan struct{}
+	server   atomic.Pointer[http.Server]
 
 	view atomic.Pointer[view]
 	snap atomic.Pointer[snapshot.Snapshot]
--- a/operator/demo/scene.go
+++ b/operator/demo/scene.go
@@ -183,7 +183,7 @@
 	}
 	s.mu.Unlock()
 	logger := log.NewWithOptions(vmLog{observer: s.observer, vm: name}, log.Options{Formatter: log.JSONFormatter})
-	instance, err := daemon.New(set, network.OS{}, logger)
+	instance, err := daemon.New(daemon.Options{Settings: set, Network: network.OS{}, Logger: logger})
 	if err != nil {
 		return err
 	}
