Settle suspicion by trials in a short probation

Cause: a suspected target got less work, so proof came slowly while requests still met it. Change: from half the limit on, only requests that may run twice test it, at a bounded rate.

--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -4,14 +4,15 @@
 // healthy targets wander further than the test assumes. The height of their
 // excursions shows how much further, and the limits are stretched by it.
 const (
-	// excursionBase is the score, in nats, above which an excursion is measured.
-	excursionBase = 4.0
+	// excursionBase is the score, in nats, above which an excursion is measured;
+	// a single attempt does not get there.
+	excursionBase = evidenceLimit
 	// excursionEnd is the score at which an excursion is over.
 	excursionEnd = 1.0
 	// excursionMean is the mean height above the base of independent evidence.
 	excursionMean = 1.0
 	// excursionDoubt is the mean height taken for service times before any is seen.
-	excursionDoubt = 5.0
+	excursionDoubt = 2.0
 	// excursionPrior is the number of excursions that the first estimate counts for.
 	excursionPrior = 8.0
 	// excursionMemory is the number of excursions that the estimate goes back.
--- a/policy/health/floor.go
+++ b/policy/health/floor.go
@@ -26,10 +26,11 @@
 	available := 0
 	wanted := make([]*target, 0, len(t.targets))
 	for _, entry := range t.targets {
+		entry.verdict.withheld = false
 		if entry.counts(now) {
 			available += entry.Slots
 		}
-		if entry.verdict.out() || entry.verdict.held {
+		if entry.verdict.out() || entry.verdict.held || entry.verdict.tested {
 			wanted = append(wanted, entry)
 		}
 	}
@@ -53,8 +54,8 @@
 		entry.changed = true
 		t.noteFloor(now, entry, allowed)
 	}
+	v.withheld = allowed && (v.held || v.tested)
 	if !allowed {
-		v.held = false
 		return available
 	}
 	return left
@@ -88,19 +89,9 @@
 // fillWeights sets each target's share for requests that may run twice and for others.
 func (t *Tracker) fillWeights(now time.Duration) {
 	once, twice := t.weights[0], t.weights[1]
-	careful := 0
 	for i, entry := range t.targets {
 		twice[i] = t.weight(now, entry)
 		once[i] = twice[i]
-		if entry.verdict.state == Probation {
-			once[i] = 0
-		}
-		if once[i] > 0 {
-			careful += entry.Slots
-		}
-	}
-	if careful < t.config.FloorSlots || careful == 0 {
-		copy(once, twice)
 	}
 }
 
@@ -120,9 +111,12 @@
 	case v.out():
 		v.state = Probation
 		return floorWeight
-	case v.held:
+	case v.withheld && v.held:
 		v.state = Held
 		return 0
+	case v.withheld:
+		v.state = Probation
+		return 0
 	case v.ramping:
 		v.state = Ramping
 		return t.rampWeight(now, v)
@@ -139,15 +133,11 @@
 func (t *Tracker) reducedWeight(entry *target) float64 {
 	v := &entry.verdict
 	_, part := t.level(&entry.tally.all)
-	switch {
-	case part < reducedShare:
+	if part < reducedShare {
 		v.state = Healthy
 		return 1
-	case part < probationShare:
-		v.state = Reduced
-	default:
-		v.state = Probation
 	}
+	v.state = Reduced
 	return max(leastReduced, 1-(part-reducedShare))
 }
 
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -26,7 +26,8 @@
 func (t *Tracker) Trial(now time.Duration) (index int, ok bool) {
 	for _, entry := range t.targets {
 		v := &entry.verdict
-		due := v.trying && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
+		wanted := v.trying || v.tested && v.withheld && !v.held
+		due := wanted && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
 		if due {
 			v.nextTrial = now + t.trialWait()
 			return entry.index, true
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -7,7 +7,7 @@
 // that proves most.
 const (
 	reducedShare   = 0.35
-	probationShare = 0.7
+	probationShare = 0.5
 	withoutShare   = 0.5
 	answeredShare  = 0.2
 	agreedShare    = 0.1
@@ -24,6 +24,10 @@
 	longestBackOff = 5 * time.Minute
 	// offenceMemory is the time in service after which back-off starts anew.
 	offenceMemory = 10 * time.Minute
+	// testLimit bounds a probation, in case no request may serve as a trial, and
+	// testPause is the time before the next one.
+	testLimit = 4 * time.Second
+	testPause = time.Second
 	// rampTime is the time over which a target gets back its full share.
 	rampTime = 10 * time.Second
 	// rampStart is the share at the beginning of a ramp.
@@ -49,9 +53,14 @@
 	convicted bool
 	avoided   bool
 	held      bool
-	reduced   bool
-	ejected   bool
-	rule      Rule
+	// withheld targets get no ordinary work, as far as the floor allows.
+	withheld bool
+	reduced  bool
+	// tested targets take only trials until their evidence is clear.
+	tested     bool
+	testedFrom time.Duration
+	ejected    bool
+	rule       Rule
 	// severity orders targets at the floor; it is frozen at conviction.
 	severity float64
 	since    time.Duration
@@ -113,11 +122,29 @@
 	}
 	wasReduced := v.reduced
 	v.reduced = part >= reducedShare
+	t.test(now, entry, part)
 	if wasReduced != v.reduced {
 		t.dirty = true
 	}
 }
 
+// test starts or ends the probation of a target that is suspected. Requests
+// that may run twice then settle the matter, and all others go elsewhere.
+func (t *Tracker) test(now time.Duration, entry *target, part float64) {
+	v := &entry.verdict
+	switch {
+	case !v.tested && part >= probationShare && now-v.testedFrom >= testPause:
+		v.tested = true
+		v.testedFrom = now
+		v.nextTrial = now + t.trialWait()
+		t.dirty = true
+	case v.tested && (part < reducedShare || now-v.testedFrom >= testLimit):
+		v.tested = false
+		v.testedFrom = now
+		t.dirty = true
+	}
+}
+
 // withoutNeeded is the score that must remain without any one zone. Less is
 // needed when answers arrive, though slowly or wrongly, and when probes from
 // two zones fail, since no path explains these.
@@ -211,6 +238,7 @@
 	v.rule, v.severity, v.since = rule, score, now
 	v.ramping = false
 	v.trying = false
+	v.tested = false
 	v.offences++
 	t.endExcursions(entry)
 	v.until = now + backOff(v.offences)
@@ -256,6 +284,9 @@
 		t.dirty = true
 	}
 	t.hold(now, entry)
+	if v.tested {
+		t.judge(now, entry)
+	}
 	if v.out() && !v.trying && now >= v.until {
 		t.beginTrials(now, entry)
 	}
