Keep a starting or starved process from suspecting others

Cause: 36 instances that start at once on a loaded machine suspected one another while they were busy with handshakes; each suspicion opened new connections, and repeated ones held down 24 of 36 members for half a minute. A challenge that ran out turned a leaving member into a suspect. Change: no conclusions in the first 5 s of a process or from probes during which it ran late; calls within a second share one new connection; at most a fifth of the members are held down at a time; expiry no longer sorts all members at each tick; a challenge ends with its member's status.

--- a/entry/peer/pool.go
+++ b/entry/peer/pool.go
@@ -17,8 +17,10 @@
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 	keys *keys
 
-	mu        sync.Mutex
-	links     map[string]*link
+	mu    sync.Mutex
+	links map[string]*link
+	// trials are new connections that are not in use yet.
+	trials    map[string]*link
 	nextPrune time.Duration
 }
 
@@ -30,7 +32,7 @@
 }
 
 func newPool(dial func(context.Context, string, string) (net.Conn, error), keys *keys) *pool {
-	return &pool{dial: dial, keys: keys, links: make(map[string]*link)}
+	return &pool{dial: dial, keys: keys, links: make(map[string]*link), trials: make(map[string]*link)}
 }
 
 func (p *pool) newLink(address string) *link {
@@ -67,25 +69,45 @@
 	return l.client
 }
 
-// fresh returns a client that opens a new connection. The function returned is
-// called once when the call has ended; after a success the new connection takes
-// the place of the old one, whose calls in progress go on.
+// trialAge is the age up to which calls share a new connection. It bounds the
+// handshakes that a peer in trouble costs.
+const trialAge = time.Second
+
+// fresh returns a client over a new connection, or over one that another call
+// has just begun to open. The function returned is called once when the call
+// has ended; after a success the new connection takes the place of the old one,
+// whose calls in progress go on.
 func (p *pool) fresh(address string) (primroseloomv1connect.PeerServiceClient, func(worked bool)) {
-	l := p.newLink(address)
-	keep := func(worked bool) {
-		if !worked {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, ok := p.trials[address]
+	if !ok || time.Since(l.used) >= trialAge {
+		if ok {
 			l.transport.CloseIdleConnections()
-			return
 		}
-		p.mu.Lock()
-		old := p.links[address]
-		p.links[address] = l
-		p.mu.Unlock()
-		if old != nil {
-			old.transport.CloseIdleConnections()
+		l = p.newLink(address)
+		p.trials[address] = l
+	}
+	return l.client, func(worked bool) {
+		if worked {
+			p.adopt(address, l)
 		}
 	}
-	return l.client, keep
+}
+
+// adopt lets a new connection take the place of the old one.
+func (p *pool) adopt(address string, l *link) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.trials[address] == l {
+		delete(p.trials, address)
+	}
+	old := p.links[address]
+	l.used = time.Now()
+	p.links[address] = l
+	if old != nil && old != l {
+		old.transport.CloseIdleConnections()
+	}
 }
 
 // prune forgets addresses that have not been used for a while.
@@ -96,10 +118,12 @@
 	p.nextPrune = now + idleTimeout/4
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, l := range p.links {
-		if time.Since(l.used) > idleTimeout {
-			l.transport.CloseIdleConnections()
-			delete(p.links, address)
+	for _, links := range []map[string]*link{p.links, p.trials} {
+		for address, l := range links {
+			if time.Since(l.used) > idleTimeout {
+				l.transport.CloseIdleConnections()
+				delete(links, address)
+			}
 		}
 	}
 }
--- a/policy/membership/apply.go
+++ b/policy/membership/apply.go
@@ -63,8 +63,10 @@
 	r.started = started
 	r.Member = m
 	s.digest ^= summary(&r.Member)
-	if m.Incarnation != old.Incarnation {
+	if m.Incarnation != old.Incarnation || m.Status != Alive {
 		r.challengedUntil = 0
+	}
+	if m.Incarnation != old.Incarnation {
 		r.unreachable = false
 	}
 	changed := m.Status != old.Status || m.Instance != old.Instance || m.Incarnation != old.Incarnation
@@ -108,7 +110,7 @@
 	}
 	r.strikes++
 	r.lastStrike = now
-	if r.strikes < 2 {
+	if r.strikes < 2 || s.heldShare(now) >= s.settings.MaxHeldShare {
 		return
 	}
 	hold := s.settings.HoldDown << min(r.strikes-2, 16)
@@ -116,6 +118,19 @@
 	s.emit(EventHeldDown, r.VM, false)
 }
 
+// heldShare returns the part of the members that are held down. When it is
+// large the trouble is common to all, and holding more of them down would only
+// take away capacity.
+func (s *State) heldShare(now time.Duration) float64 {
+	held := 0
+	for _, r := range s.members {
+		if now < r.heldUntil {
+			held++
+		}
+	}
+	return float64(held) / float64(len(s.members))
+}
+
 // bury turns a member into a tombstone.
 func (s *State) bury(now time.Duration, r *record) {
 	s.digest ^= summary(&r.Member)
--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -234,6 +234,49 @@
 	expectOffered(t, s, append(fleet, stranger), 4)
 }
 
+func TestChallengeEndsWhenMemberLeaves(t *testing.T) {
+	s := newSimulation(17)
+	fleet := convergedFleet(t, s, 3)
+	state, now := fleet[0].state, s.clock(fleet[0])
+	statement, _ := state.Lookup(now, vmName(1))
+	statement.Status = Dead
+	state.apply(now, statement, vmName(2), false)
+	statement.Status = Leaving
+	state.apply(now, statement, vmName(1), true)
+	state.expire(now + 2*s.settings.ChallengeTimeout)
+	if m, _ := state.Lookup(now, vmName(1)); m.Status != Leaving {
+		t.Errorf("a leaving member became %s when a challenge ran out", m.Status)
+	}
+}
+
+func TestStarvedProcessConvictsNobody(t *testing.T) {
+	s := newSimulation(15)
+	fleet := convergedFleet(t, s, 3)
+	state, now := fleet[0].state, s.clock(fleet[0])
+	for range 100 {
+		now += lateTick
+		state.Tick(now)
+		state.contact(now)
+	}
+	for _, event := range state.Events() {
+		t.Errorf("a process that ran late saw %s of %s", event.Kind, event.VM)
+	}
+}
+
+func TestFewMembersAreHeldDownInCommonTrouble(t *testing.T) {
+	s := newSimulation(16)
+	fleet := convergedFleet(t, s, 20)
+	state, now := fleet[0].state, s.clock(fleet[0])
+	for range 3 {
+		for _, r := range state.members {
+			state.strike(now, r)
+		}
+	}
+	if got := s.offered(fleet[0]); got < 16 {
+		t.Errorf("%d of 20 members are offered after all were suspected repeatedly, want at least 16", got)
+	}
+}
+
 func TestMalformedStatementsAreDropped(t *testing.T) {
 	good := Member{VM: "vm1", Incarnation: 1, Status: Alive, CallersAddress: address(1), PeersAddress: address(1)}
 	cases := map[string]func(*Member){
--- a/policy/membership/probe.go
+++ b/policy/membership/probe.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 )
 
@@ -17,11 +18,22 @@
 	id        uint64
 	round     int
 	nextRound time.Duration
+	// disturbed is set when this process ran late during the probe, so that
+	// its silence says nothing about the member.
+	disturbed bool
 }
 
+const (
+	// lateTick is the time between two ticks from which this process counts as late.
+	lateTick = 250 * time.Millisecond
+	// startupGrace is the uptime before which this process convicts nobody.
+	startupGrace = 5 * time.Second
+)
+
 // Tick advances the state to now and returns what is to be done. Calls are
 // expected at least every few tens of milliseconds.
 func (s *State) Tick(now time.Duration) []Action {
+	s.noticeLateness(now)
 	s.expire(now)
 	s.chooseOverlay(now)
 	actions := s.probe(now)
@@ -29,6 +41,21 @@
 	return append(actions, s.rejoin(now)...)
 }
 
+// noticeLateness voids the probes in progress while this process starts and
+// when it was starved.
+func (s *State) noticeLateness(now time.Duration) {
+	late := now-s.lastTick >= lateTick || now-s.self.started < startupGrace
+	s.lastTick = now
+	if !late {
+		return
+	}
+	for _, e := range s.edges {
+		if e.attempt != nil {
+			e.attempt.disturbed = true
+		}
+	}
+}
+
 // chooseOverlay selects the members to probe and to push to.
 func (s *State) chooseOverlay(now time.Duration) {
 	if s.overlayVersion == s.version {
@@ -135,6 +162,10 @@
 	a := e.attempt
 	if a.round >= s.settings.Rounds {
 		s.dropAttempt(e.vm)
+		if a.disturbed {
+			e.next = now
+			return nil
+		}
 		s.failed(now, r)
 		return nil
 	}
@@ -206,19 +237,16 @@
 
 // expire ends suspicions, challenges, hold-downs, tombstones and revalidation.
 func (s *State) expire(now time.Duration) {
-	for _, vm := range sortedKeys(s.members) {
-		r := s.members[vm]
-		if r.heldUntil > 0 && now >= r.heldUntil {
-			r.heldUntil = 0
-			s.version++
-		}
-		switch {
-		case r.Status == Suspect && now >= r.suspectUntil && !s.Isolated(now):
-			s.transition(now, r, Dead, true)
-		case r.challengedUntil > 0 && now >= r.challengedUntil:
-			s.transition(now, r, Suspect, false)
+	var due []string
+	for vm, r := range s.members {
+		if r.due(now) {
+			due = append(due, vm)
 		}
 	}
+	slices.Sort(due)
+	for _, vm := range due {
+		s.expireMember(now, s.members[vm])
+	}
 	for vm, r := range s.graves {
 		if now-r.died > s.settings.TombstoneMemory {
 			delete(s.graves, vm)
@@ -229,3 +257,23 @@
 		s.revalidating = false
 	}
 }
+
+// due tells whether a time limit of the member has passed.
+func (r *record) due(now time.Duration) bool {
+	return (r.heldUntil > 0 && now >= r.heldUntil) ||
+		(r.Status == Suspect && now >= r.suspectUntil) ||
+		(r.challengedUntil > 0 && now >= r.challengedUntil)
+}
+
+func (s *State) expireMember(now time.Duration, r *record) {
+	if r.heldUntil > 0 && now >= r.heldUntil {
+		r.heldUntil = 0
+		s.version++
+	}
+	switch {
+	case r.Status == Suspect && now >= r.suspectUntil && !s.Isolated(now):
+		s.transition(now, r, Dead, true)
+	case r.challengedUntil > 0 && now >= r.challengedUntil:
+		s.transition(now, r, Suspect, false)
+	}
+}
--- a/policy/membership/settings.go
+++ b/policy/membership/settings.go
@@ -28,6 +28,8 @@
 	// it doubles with each further suspicion up to MaxHoldDown.
 	HoldDown    time.Duration
 	MaxHoldDown time.Duration
+	// MaxHeldShare is the part of the members that may be held down at a time.
+	MaxHeldShare float64
 	// StrikeMemory is the time after which a refuted suspicion is forgotten.
 	StrikeMemory time.Duration
 	// RejoinInterval is the time between two tries of an address outside the view.
@@ -60,6 +62,7 @@
 		IsolatedAfter:    1500 * time.Millisecond,
 		HoldDown:         5 * time.Second,
 		MaxHoldDown:      2 * time.Minute,
+		MaxHeldShare:     0.2,
 		StrikeMemory:     2 * time.Minute,
 		RejoinInterval:   5 * time.Second,
 		SyncInterval:     5 * time.Second,
--- a/policy/membership/state.go
+++ b/policy/membership/state.go
@@ -54,6 +54,7 @@
 	hints         []string
 	listed        map[string]bool
 	lastContact   time.Duration
+	lastTick      time.Duration
 	nextRejoin    time.Duration
 	lastSync      time.Duration
 	mismatches    int
