--- a/policy/membership/action.go
+++ b/policy/membership/action.go
@@ -82,6 +82,4 @@
 	Member
 	// Offered is true when the directory may name the member.
 	Offered bool
-	// ListedLeaving is true when the platform's VM list names it as leaving.
-	ListedLeaving bool
 }
--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -249,6 +249,19 @@
 	}
 }
 
+func TestSuspicionGetsItsTimeAgainAfterPause(t *testing.T) {
+	s := newSimulation(18)
+	fleet := convergedFleet(t, s, 3)
+	state, now := fleet[0].state, s.clock(fleet[0])
+	state.transition(now, state.members[vmName(1)], Suspect, true)
+	const pause = 20 * time.Second
+	state.Paused(now+pause, pause)
+	state.Tick(now + pause)
+	if m, ok := state.Lookup(now+pause, vmName(1)); !ok || m.Status != Suspect {
+		t.Errorf("the suspected member is %s, known %t, right after the pause; want it suspect", m.Status, ok)
+	}
+}
+
 func TestStarvedProcessConvictsNobody(t *testing.T) {
 	s := newSimulation(15)
 	fleet := convergedFleet(t, s, 3)
--- a/policy/membership/rejoin.go
+++ b/policy/membership/rejoin.go
@@ -17,22 +17,16 @@
 	Leaving      bool
 }
 
-// Hint takes over the platform's VM list. It gives addresses to try and marks
-// members that the platform takes away; it adds and removes no member.
+// Hint takes over the platform's VM list. It only gives addresses to try: the
+// list lags, and what a member says of itself goes before it.
 func (s *State) Hint(rows []Listed) {
-	s.listed = make(map[string]bool)
-	var addresses []string
-	for _, row := range rows[:min(len(rows), 8*s.settings.MaxMembers)] {
-		if row.Leaving {
-			s.listed[row.VM] = true
-		}
+	s.hints = s.hints[:0]
+	for _, row := range rows {
 		_, err := netip.ParseAddrPort(row.PeersAddress)
-		if err == nil && !row.Leaving && len(addresses) < s.settings.MaxMembers {
-			addresses = append(addresses, row.PeersAddress)
+		if err == nil && !row.Leaving && len(s.hints) < s.settings.MaxMembers {
+			s.hints = append(s.hints, row.PeersAddress)
 		}
 	}
-	s.hints = addresses
-	s.version++
 }
 
 // rejoin tries an address outside the view, and exchanges lists when views differ.
--- a/policy/membership/state.go
+++ b/policy/membership/state.go
@@ -52,7 +52,6 @@
 
 	seeds         []string
 	hints         []string
-	listed        map[string]bool
 	lastContact   time.Duration
 	lastTick      time.Duration
 	nextRejoin    time.Duration
@@ -73,7 +72,7 @@
 		settings: settings, random: random,
 		members: make(map[string]*record), graves: make(map[string]*record),
 		edges: make(map[string]*edge), byProbe: make(map[uint64]*edge),
-		queue: make(map[string]*queued), listed: make(map[string]bool),
+		queue: make(map[string]*queued),
 		seeds: slices.Clone(seeds), joinTokens: float64(settings.JoinsPerSecond),
 		version: 1,
 	}
@@ -145,7 +144,7 @@
 	views := make([]View, 0, len(s.members)+1)
 	views = append(views, View{Member: s.self.at(now), Offered: s.self.Status == Alive && !s.superseded})
 	for _, r := range s.members {
-		views = append(views, View{Member: r.at(now), Offered: r.offered(now), ListedLeaving: s.listed[r.VM]})
+		views = append(views, View{Member: r.at(now), Offered: r.offered(now)})
 	}
 	slices.SortFunc(views[1:], func(a, b View) int { return cmp.Compare(a.VM, b.VM) })
 	return views
