--- a/operator/caller/caller.go
+++ b/operator/caller/caller.go
@@ -151,9 +151,6 @@
 	if errors.Is(result.Err, syscall.ECONNREFUSED) {
 		return true
 	}
-	if result.Reason == string(outcome.ReasonStopping) {
-		return true
-	}
 	return request.AtMostOnce && result.Err != nil && attempt < c.options.Resends
 }
 
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -37,7 +37,6 @@
 	StepConnect   Step = "connect"
 	StepWrite     Step = "write"
 	StepRead      Step = "read"
-	StepStop      Step = "stop"
 )
 
 // Reason is the stable name of a refusal reason; each has a counter.
@@ -73,7 +72,6 @@
 	ReasonDispatcherUnreached Reason = "dispatcher_unreached"
 	ReasonBodyTooLarge        Reason = "body_too_large"
 	ReasonCallerGone          Reason = "caller_gone"
-	ReasonStopping            Reason = "stopping"
 	ReasonPaused              Reason = "paused"
 )
 
