--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -88,7 +88,7 @@
 // fakeTargets grants targets in turn, after a delay, without limits. It holds
 // one idle connection a target.
 type fakeTargets struct {
-	host    *memnet.Host
+	host    contract.Network
 	targets []document.Target
 	// lenient takes a broken answer for a whole one.
 	lenient bool
@@ -272,6 +272,19 @@
 	stop    context.CancelFunc
 }
 
+// vmHost is a VM's network; what is left of a killed instance reaches nothing.
+type vmHost struct {
+	*memnet.Host
+	vm *vm
+}
+
+func (h *vmHost) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if !h.vm.alive.Load() {
+		return nil, errors.New("the instance was killed")
+	}
+	return h.Host.DialContext(ctx, network, address)
+}
+
 func vmIP(index int) string { return "10.0.1." + strconv.Itoa(index+1) }
 
 func newFleet(ctx context.Context, vms int, targets []document.Target, options func(*Options)) *fleet {
@@ -294,7 +307,7 @@
 	v := &vm{fleet: f, index: index, clock: newFakeClock()}
 	v.alive.Store(true)
 	v.self = &primroseloomv1.Member{Vm: "vm-" + strconv.Itoa(index), Instance: instance}
-	host := f.network.Host(vmIP(index))
+	host := &vmHost{Host: f.network.Host(vmIP(index)), vm: v}
 	v.targets = &fakeTargets{host: host, targets: f.targets, idle: make(map[string]*fakeConn)}
 	options := Options{
 		Fleet: "test", Configuration: fixedConfiguration{f.snap}, Targets: v.targets,
@@ -317,7 +330,7 @@
 	v.listen(host, ":81", NewServer(mux, limits))
 }
 
-func (v *vm) listen(host *memnet.Host, port string, server *http.Server) {
+func (v *vm) listen(host contract.Network, port string, server *http.Server) {
 	listener, err := host.Listen(v.fleet.ctx, vmIP(v.index)+port)
 	if err != nil {
 		panic(err)
@@ -379,7 +392,7 @@
 		if other.self.Vm == name {
 			protocols := new(http.Protocols)
 			protocols.SetUnencryptedHTTP2(true)
-			transport := &http.Transport{DialContext: v.fleet.network.Host(vmIP(v.index)).DialContext, Protocols: protocols, IdleConnTimeout: time.Second}
+			transport := &http.Transport{DialContext: v.targets.host.DialContext, Protocols: protocols, IdleConnTimeout: time.Second}
 			return primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, "http://"+vmIP(other.index)+":81"), true
 		}
 	}
--- a/entry/proxy/fuzz_test.go
+++ b/entry/proxy/fuzz_test.go
@@ -37,10 +37,11 @@
 	oracle  *oracle
 	keyOf   map[string]string
 	cut     map[[2]int]bool
-	steps   int
+	steps   []string
 	// admissions counts the requests admitted; it varies their waits.
 	admissions atomic.Int64
 	noDeadline bool
+	started    time.Time
 	// poisoned is when the poison request was last sent.
 	poisoned time.Time
 }
@@ -55,7 +56,7 @@
 }
 
 func newWorld(broken mutation) *world {
-	w := &world{keyOf: make(map[string]string), cut: make(map[[2]int]bool), noDeadline: broken.noDeadline}
+	w := &world{keyOf: make(map[string]string), cut: make(map[[2]int]bool), noDeadline: broken.noDeadline, started: time.Now()}
 	var definitions []document.Target
 	for i := range fuzzTargets {
 		definitions = append(definitions, document.Target{Name: "t" + strconv.Itoa(i), Address: targetIP(i) + ":80", Zone: "z"})
@@ -98,6 +99,8 @@
 	return found
 }
 
+func (w *world) elapsed() time.Duration { return time.Since(w.started) }
+
 func (w *world) heal() {
 	clear(w.cut)
 	for v := range fuzzVMs {
@@ -158,7 +161,7 @@
 // Run acts on the world and returns the violations so far.
 func (s step) Run(sut commands.SystemUnderTest) commands.Result {
 	w := sut.(*world)
-	w.steps++
+	w.steps = append(w.steps, fmt.Sprintf("%s@%d", s, w.elapsed().Milliseconds()))
 	actions[s.kind](w, s)
 	synctest.Wait()
 	return w.oracle.check()
@@ -265,9 +268,12 @@
 		proto := &commands.ProtoCommands{
 			NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest { return newWorld(broken) },
 			DestroySystemUnderTestFunc: func(sut commands.SystemUnderTest) {
-				steps += sut.(*world).steps
-				violations = append(violations, sut.(*world).settle()...)
-				sut.(*world).oracle.count(tally)
+				w := sut.(*world)
+				steps += len(w.steps)
+				if found := w.settle(); len(found) > 0 {
+					violations = append(violations, fmt.Sprint(found, w.steps))
+				}
+				w.oracle.count(tally)
 			},
 			InitialStateGen: gen.Const(0),
 			GenCommandFunc:  genStep,
@@ -276,9 +282,8 @@
 		parameters.MinSuccessfulTests = runs
 		parameters.MinSize, parameters.MaxSize = fuzzLength, fuzzLength
 		parameters.MaxShrinkCount = 0
-		result := commands.Prop(proto).Check(parameters)
-		if !result.Passed() {
-			violations = append(violations, fmt.Sprint(result.Labels, result.Error, result.Args))
+		if result := commands.Prop(proto).Check(parameters); !result.Passed() {
+			violations = append(violations, fmt.Sprint("gopter: ", result.Status, result.Error))
 		}
 	})
 	return steps, tally, violations
