--- a/entry/proxy/fuzz_target_test.go
+++ b/entry/proxy/fuzz_target_test.go
@@ -29,7 +29,6 @@
 	modeCount
 )
 
-var modeNames = [modeCount]string{"well", "slow", "late", "hung", "wrong", "truncating", "resetting", "shedding", "swapping", "doubling", "flapping"}
 
 const (
 	poisonPath = "/poison"
