--- a/entry/proxy/fuzz_target_test.go
+++ b/entry/proxy/fuzz_target_test.go
@@ -29,7 +29,6 @@
 	modeCount
 )
 
-
 const (
 	poisonPath = "/poison"
 	longPath   = "/long"
