Keep poison requests to two crashes when answers are doubled

Change: a suspect is never retried once written, and a wrong answer is followed by the same crash check as a reset.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -183,6 +183,7 @@
 		Failure:    failed.kind,
 		Written:    a.trip.Written(),
 		Idempotent: c.idempotent,
+		Suspect:    c.suspect,
 		Reused:     a.trip.Reused(),
 		Replayable: c.upload.replayable(),
 		Resets:     len(a.history.resets),
--- a/entry/proxy/classify.go
+++ b/entry/proxy/classify.go
@@ -77,7 +77,7 @@
 // its connection was lost, and a new one is refused or closed at once.
 func (a *attempt) looksCrashed(failed *failure) bool {
 	network := a.proxy.options.Network
-	if !connectionLost(failed.kind) || !a.trip.Written() || network == nil {
+	if !mayHideCrash(failed.kind) || !a.trip.Written() || network == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(a.call.ctx), crashCheckTime)
@@ -92,10 +92,11 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// connectionLost reports failures that a crash of the target may lie behind.
-func connectionLost(kind dispatch.Failure) bool {
+// mayHideCrash reports failures that a crash of the target may lie behind. A
+// wrong answer is one of them: it may have been left over on the connection.
+func mayHideCrash(kind dispatch.Failure) bool {
 	switch kind {
-	case dispatch.FailureReset, dispatch.FailureTruncated, dispatch.FailureStall:
+	case dispatch.FailureReset, dispatch.FailureTruncated, dispatch.FailureStall, dispatch.FailureWrong:
 		return true
 	}
 	return false
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -41,6 +41,8 @@
 	cancel      context.CancelFunc
 	upload      *upload
 	fingerprint quarantine.Fingerprint
+	// suspect is true when the request may have crashed a target before.
+	suspect bool
 }
 
 // admit reads a request's head and refuses what cannot be served.
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -49,6 +49,7 @@
 			refusal.RetryAfter = decision.RetryAfter
 			return nil, refusal
 		case quarantine.ActionRun:
+			c.suspect = decision.Suspect
 			return s.start(c, decision.Suspect), nil
 		}
 		if err := waitTurn(c, changed, decision.RetryAfter); err != nil {
--- a/policy/dispatch/attempt.go
+++ b/policy/dispatch/attempt.go
@@ -40,6 +40,8 @@
 	Written bool
 	// Idempotent requests may run twice.
 	Idempotent bool
+	// Suspect requests may have crashed a target before.
+	Suspect bool
 	// Reused is true when the connection had carried a request before.
 	Reused bool
 	// Replayable is true when the whole body can be sent again.
@@ -115,7 +117,7 @@
 	if facts.Attempts >= MaxAttempts || facts.Remaining < MinRetryTime || !facts.Replayable {
 		return false
 	}
-	if facts.Resets >= MaxResets {
+	if facts.Resets >= MaxResets || facts.Suspect && result != outcome.NotRun {
 		return false
 	}
 	switch facts.Failure {
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -53,6 +53,7 @@
 		{"connect refused", with(func(f *Facts) { f.Failure = FailureConnect }), outcome.NotRun, true},
 		{"reset booking", with(func(f *Facts) { f.Failure, f.Written = FailureReset, true }), outcome.MayHaveRun, false},
 		{"reset lookup", with(func(f *Facts) { f.Failure, f.Written, f.Idempotent = FailureReset, true, true }), outcome.MayHaveRun, true},
+		{"suspect lookup", with(func(f *Facts) { f.Failure, f.Written, f.Idempotent, f.Suspect = FailureStall, true, true, true }), outcome.MayHaveRun, false},
 		{"crash lookup", with(func(f *Facts) { f.Failure, f.Written, f.Idempotent = FailureCrash, true, true }), outcome.MayHaveRun, false},
 		{"shed booking", with(func(f *Facts) { f.Failure, f.Written = FailureShed, true }), outcome.NotRun, true},
 		{"shed, body gone", with(func(f *Facts) { f.Failure, f.Written, f.Replayable = FailureShed, true, false }), outcome.NotRun, false},
