--- a/entry/proxy/forwarded.go
+++ b/entry/proxy/forwarded.go
@@ -22,6 +22,8 @@
 // Forward runs a request that another VM hands to its dispatcher. It refuses
 // with FailedPrecondition when this instance is not that dispatcher.
 func (p *Proxy) Forward(ctx context.Context, stream *dispatcherStream) (err error) {
+	p.forwarded.Add(1)
+	defer p.forwarded.Add(-1)
 	first, err := stream.Receive()
 	if err != nil {
 		return fmt.Errorf("receive head: %w", err)
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -83,6 +83,8 @@
 	counters counters
 	held     atomic.Int64
 	draining atomic.Bool
+	// forwarded is the number of requests in progress for other VMs.
+	forwarded atomic.Int64
 }
 
 // New returns a proxy.
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -389,6 +389,25 @@
 	})
 }
 
+func TestDrainFinishesForwardedRequests(t *testing.T) {
+	inFleet(t, 2, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(*http.Request) string {
+			time.Sleep(8 * time.Second)
+			return whole
+		})
+		done := make(chan seen, 1)
+		go func() { done <- f.ask(0, "POST", "/book", "x", f.vms[1].key("k")) }()
+		time.Sleep(time.Second)
+		if err := f.vms[1].proxy.Drain(f.ctx, f.vms[1].servers[0], time.Second); err != nil {
+			t.Fatal(err)
+		}
+		f.kill(1)
+		if got := <-done; got.status != 200 || got.body != "whole" {
+			t.Errorf("got %+v", got)
+		}
+	})
+}
+
 func TestDrainFinishesUploads(t *testing.T) {
 	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
 		scripted(t, f, func(r *http.Request) string {
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -14,6 +14,9 @@
 // maxStreams bounds the requests in progress on one HTTP/2 connection.
 const maxStreams = 128
 
+// forwardedInterval is how often a stop looks for requests of other VMs.
+const forwardedInterval = 10 * time.Millisecond
+
 // ServerLimits bound what callers' connections may take.
 type ServerLimits struct {
 	// Connections is the number of open connections; more are closed at once.
@@ -55,7 +58,8 @@
 
 // Drain stops the server for good. For the linger time it still takes new
 // connections, from callers that hold an old directory answer; then it closes
-// the listener and finishes every request in progress. An error means that the
+// the listener and finishes every request in progress, those of other VMs
+// included. An error means that the
 // context ended first.
 func (p *Proxy) Drain(ctx context.Context, server *http.Server, linger time.Duration) error {
 	if p.options.Logger != nil {
@@ -71,6 +75,20 @@
 	if err := server.Shutdown(ctx); err != nil {
 		return fmt.Errorf("finish requests in progress: %w", err)
 	}
+	return p.awaitForwarded(ctx)
+}
+
+// awaitForwarded waits until no request of another VM is in progress here.
+func (p *Proxy) awaitForwarded(ctx context.Context) error {
+	ticker := time.NewTicker(forwardedInterval)
+	defer ticker.Stop()
+	for p.forwarded.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return fmt.Errorf("finish %d requests of other VMs: %w", p.forwarded.Load(), ctx.Err())
+		}
+	}
 	return nil
 }
 
