--- a/operator/measure/run.go
+++ b/operator/measure/run.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"github.com/primroseloom/primroseloom/config/document"
 )
 
 // Options say what to measure.
@@ -90,6 +92,9 @@
 		}
 		c := cell{scenario: *scenario, policy: policy, seeds: scenario.Seeds, duration: scenario.Duration.Std()}
 		c.scenario.size, c.scenario.load = size, load
+		if scenario.Warmup == 0 {
+			c.scenario.Warmup = document.Duration(size.Warmup)
+		}
 		if options.Quick {
 			c.seeds, c.duration = scenario.QuickSeeds, scenario.QuickDuration.Std()
 		}
--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -12,7 +12,7 @@
 	// excursionMean is the mean height above the base of independent evidence.
 	excursionMean = 1.0
 	// excursionDoubt is the mean height taken for service times before any is seen.
-	excursionDoubt = 2.0
+	excursionDoubt = 4.0
 	// excursionPrior is the number of excursions that the first estimate counts for.
 	excursionPrior = 8.0
 	// excursionMemory is the number of excursions that the estimate goes back.
--- a/policy/health/floor.go
+++ b/policy/health/floor.go
@@ -25,6 +25,7 @@
 func (t *Tracker) reconcile(now time.Duration) {
 	available := 0
 	wanted := make([]*target, 0, len(t.targets))
+	t.probing = t.probing[:0]
 	for _, entry := range t.targets {
 		entry.verdict.withheld = false
 		if entry.counts(now) {
@@ -33,6 +34,9 @@
 		if entry.verdict.out() || entry.verdict.held || entry.verdict.tested {
 			wanted = append(wanted, entry)
 		}
+		if entry.verdict.trying || entry.verdict.tested {
+			t.probing = append(t.probing, entry)
+		}
 	}
 	slices.SortFunc(wanted, worstFirst)
 	for _, entry := range wanted {
@@ -51,7 +55,7 @@
 	allowed := left >= t.config.FloorSlots
 	if v.out() && v.ejected != allowed {
 		v.ejected = allowed
-		entry.changed = true
+		t.touch(entry)
 		t.noteFloor(now, entry, allowed)
 	}
 	v.withheld = allowed && (v.held || v.tested)
--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -53,15 +53,38 @@
 	}
 }
 
-// worthTelling reports whether the others should hear of a target now.
-func (t *Tracker) worthTelling(e *target, regular bool) bool {
-	if e.changed {
+// touch notes a change that the others should hear of at once.
+func (t *Tracker) touch(entry *target) {
+	entry.changed = true
+	t.mark(entry)
+}
+
+// mark lists a target of which there may be something to tell.
+func (t *Tracker) mark(entry *target) {
+	if !entry.listed {
+		entry.listed = true
+		t.listed = append(t.listed, entry)
+	}
+	if !entry.urgent && t.isUrgent(entry) {
+		entry.urgent = true
+		t.urgent = append(t.urgent, entry)
+	}
+}
+
+// isUrgent reports whether the others should hear of a target at once.
+func (t *Tracker) isUrgent(entry *target) bool {
+	if entry.changed {
 		return true
 	}
-	if _, part := t.level(&e.tally.all); !regular && part < urgentShare {
+	if _, part := t.level(&entry.tally.all); part < urgentShare {
 		return false
 	}
-	if e.oldTold != e.oldOwn {
+	return entry.worthTelling()
+}
+
+// worthTelling reports whether the others should hear of a target by and by.
+func (e *target) worthTelling() bool {
+	if e.changed || e.oldTold != e.oldOwn {
 		return true
 	}
 	for _, score := range e.pending {
@@ -80,18 +103,20 @@
 // News returns what the other VMs of the service should hear now, and takes it
 // as told. It is to be called after each event; mostly there is nothing.
 func (t *Tracker) News(now time.Duration) (news News, ok bool) {
-	renew := now-t.lastNews >= renewInterval
-	if renew {
-		t.lastNews = now
+	for _, entry := range t.urgent {
+		entry.urgent = false
+		if entry.worthTelling() {
+			news.Evidence = append(news.Evidence, t.tell(entry))
+		}
 	}
-	regular := now-t.lastRegular >= newsInterval
-	if regular {
+	t.urgent = t.urgent[:0]
+	if now-t.lastRegular >= newsInterval {
 		t.lastRegular = now
+		news.Evidence = append(news.Evidence, t.regularNews()...)
 	}
-	for _, entry := range t.targets {
-		if t.worthTelling(entry, regular) || renew && entry.standing() {
-			news.Evidence = append(news.Evidence, t.tell(entry))
-		}
+	if now-t.lastNews >= renewInterval {
+		t.lastNews = now
+		news.Evidence = append(news.Evidence, t.renewals()...)
 	}
 	if now-t.lastTimes >= timesInterval {
 		t.lastTimes = now
@@ -100,6 +125,37 @@
 	return news, len(news.Evidence)+len(news.Times) > 0
 }
 
+// regularNews tells of the listed targets and keeps those whose evidence is
+// still too little.
+func (t *Tracker) regularNews() []Evidence {
+	var news []Evidence
+	kept := t.listed[:0]
+	for _, entry := range t.listed {
+		switch {
+		case entry.worthTelling():
+			news = append(news, t.tell(entry))
+			entry.listed = false
+		case entry.pending.zero():
+			entry.listed = false
+		default:
+			kept = append(kept, entry)
+		}
+	}
+	t.listed = kept
+	return news
+}
+
+// renewals repeats facts that would otherwise be forgotten.
+func (t *Tracker) renewals() []Evidence {
+	var news []Evidence
+	for _, entry := range t.targets {
+		if entry.standing() {
+			news = append(news, t.tell(entry))
+		}
+	}
+	return news
+}
+
 func (t *Tracker) tell(entry *target) Evidence {
 	evidence := Evidence{Target: entry.Name, VM: t.config.VM, Zone: t.config.Zone, Increments: entry.pending,
 		Old: entry.oldOwn, Trials: entry.trialsUntold, ProbeBad: entry.probeBad}
--- a/policy/health/reference.go
+++ b/policy/health/reference.go
@@ -14,7 +14,7 @@
 
 const (
 	// referenceLearned is the number of observations before times are judged.
-	referenceLearned = 2000.0
+	referenceLearned = 5000.0
 	// referenceWindow is the number of observations after which old ones weigh half.
 	referenceWindow = 65536.0
 	// referenceRefresh is the number of own observations between two tables.
--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -67,6 +67,7 @@
 			attempt.old = true
 			entry.oldOwn++
 			attempt.seated = entry.oldCount() <= max(1, entry.Slots)
+			t.mark(entry)
 		}
 		if !attempt.seated {
 			continue
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -73,6 +73,8 @@
 	// returned is set until the other VMs know that trials ended well.
 	returned bool
 	changed  bool
+	listed   bool
+	urgent   bool
 	leaveEnd time.Duration
 }
 
@@ -107,6 +109,11 @@
 	lastNews    time.Duration
 	lastTimes   time.Duration
 	lastRegular time.Duration
+	// listed and urgent are the targets of which there is something to tell.
+	listed []*target
+	urgent []*target
+	// probing are the targets that want trials.
+	probing []*target
 	// staleTimes is set when the reference heard of times since its last tables.
 	staleTimes bool
 	weights    [2][]float64
@@ -211,6 +218,7 @@
 	entry.seen[kind]++
 	t.unseat(attempt)
 	entry.noteSilence(now, attempt, kind)
+	t.mark(entry)
 	if kind == Draining {
 		t.drains(now, entry)
 	}
@@ -272,6 +280,7 @@
 	entry := attempt.target
 	t.absorb(now, entry, t.zone, true, &increments)
 	entry.pend(&increments)
+	t.mark(entry)
 }
 
 // withdraw takes back what an attempt has contributed.
@@ -308,7 +317,7 @@
 	entry := t.targets[index]
 	if entry.probeBad != !healthy {
 		entry.probeBad = !healthy
-		entry.changed = true
+		t.touch(entry)
 	}
 	if entry.probeBad {
 		t.judge(now, entry)
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -39,7 +39,7 @@
 const (
 	trialsNeeded  = 8
 	trialsCleared = -4.5
-	trialsFailed  = 4.0
+	trialsFailed  = 10.0
 	// trialsPerSecond is the rate of trials of one target by the whole fleet.
 	trialsPerSecond = 10.0
 	// probeDistrust multiplies the back-off while probes fail.
@@ -242,7 +242,7 @@
 	v.offences++
 	t.endExcursions(entry)
 	v.until = now + backOff(v.offences)
-	entry.changed = true
+	t.touch(entry)
 	t.reconcile(now)
 	t.noteOut(now, entry)
 }
@@ -278,6 +278,7 @@
 	v := &entry.verdict
 	if entry.silent > 0 && now >= entry.silentEnd {
 		entry.endSilence()
+		t.mark(entry)
 	}
 	if v.ramping && now-v.rampFrom >= rampTime {
 		v.ramping = false
