--- a/entry/peer/measure_test.go
+++ b/entry/peer/measure_test.go
@@ -13,6 +13,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/network"
+	"github.com/primroseloom/primroseloom/policy/membership"
 )
 
 // BenchmarkControlCost measures what an instance spends on the membership, with
@@ -40,7 +41,7 @@
 func measureCost(b *testing.B, count int, withTLS bool, change time.Duration) {
 	const settle, window = 15 * time.Second, 20 * time.Second
 	before := heapBytes()
-	managers, stop := startLoopback(b, count, withTLS)
+	managers, stop := startLoopback(b, 1, count, withTLS)
 	defer stop()
 	time.Sleep(settle)
 	for _, m := range managers {
@@ -79,7 +80,8 @@
 	}
 }
 
-func startLoopback(b *testing.B, count int, withTLS bool) ([]*Manager, func()) {
+// startLoopback runs instances on the addresses 127.0.subnet.1 and up.
+func startLoopback(b *testing.B, subnet, count int, withTLS bool) ([]*Manager, func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	signer := newAuthority(b)
 	var managers []*Manager
@@ -89,10 +91,10 @@
 		if withTLS {
 			files = signer.issue(b.TempDir(), "spa")
 		}
-		address := fmt.Sprintf("127.0.1.%d:17000", i+1)
+		address := fmt.Sprintf("127.0.%d.%d:17000", subnet, i+1)
 		m, err := New(Settings{Fleet: "spa", VM: fmt.Sprintf("vm%d", i), Region: "region", Zone: fmt.Sprintf("zone%d", i%3),
 			Instance: uint64(i + 1), CallersAddress: address, PeersAddress: address, Seed: uint64(i),
-			FirstPeers: []string{"127.0.1.1:17000"}, TLS: files}, network.OS{}, log.New(io.Discard), tally.NoopScope)
+			FirstPeers: []string{fmt.Sprintf("127.0.%d.1:17000", subnet)}, TLS: files}, network.OS{}, log.New(io.Discard), tally.NoopScope)
 		if err != nil {
 			b.Fatal(err)
 		}
@@ -134,3 +136,36 @@
 	runtime.ReadMemStats(&stats)
 	return int64(stats.HeapInuse + stats.StackInuse)
 }
+
+// BenchmarkPing measures a ping over the connection in use and over a new one:
+// processor time of both sides and bytes of both directions.
+func BenchmarkPing(b *testing.B) {
+	for _, fresh := range []bool{false, true} {
+		b.Run(fmt.Sprintf("fresh=%t", fresh), func(b *testing.B) {
+			managers, stop := startLoopback(b, 2, 2, true)
+			defer stop()
+			time.Sleep(3 * time.Second)
+			m := managers[0]
+			to := membership.Member{VM: "vm1", PeersAddress: managers[1].settings.PeersAddress}
+			message := membership.Message{From: m.state.Self(m.settings.Clock())}
+			sent, used := sentBytes(managers), cpuTime()
+			for b.Loop() {
+				if fresh {
+					m.pool.forget(to.PeersAddress)
+				}
+				if _, err := m.exchange(b.Context(), to, message, fresh); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(sentBytes(managers)-sent)/float64(b.N), "wire-B/op")
+			b.ReportMetric(float64((cpuTime()-used).Microseconds())/float64(b.N), "cpu-us/op")
+		})
+	}
+}
+
+// forget makes the next call to an address open a new connection.
+func (p *pool) forget(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.trials, address)
+}
