--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -290,6 +290,33 @@
 	}
 }
 
+func TestOrderOfStatements(t *testing.T) {
+	base := Member{VM: "vm1", Instance: 5, Incarnation: 3, Status: Alive, Refresh: 2, Uptime: time.Minute}
+	cases := map[string]struct {
+		change func(*Member)
+		want   int
+	}{
+		"same":                    {func(*Member) {}, 0},
+		"greater incarnation":     {func(m *Member) { m.Incarnation, m.Status = 4, Alive }, 1},
+		"older incarnation, dead": {func(m *Member) { m.Incarnation, m.Status = 2, Dead }, -1},
+		"suspect":                 {func(m *Member) { m.Status = Suspect }, 1},
+		"older refresh":           {func(m *Member) { m.Refresh = 1 }, -1},
+		"suspect, older refresh":  {func(m *Member) { m.Status, m.Refresh = Suspect, 1 }, 1},
+		"younger process":         {func(m *Member) { m.Instance, m.Uptime = 4, time.Second }, 1},
+		"older process, dead":     {func(m *Member) { m.Instance, m.Uptime, m.Status = 6, time.Hour, Dead }, -1},
+	}
+	for name, c := range cases {
+		other := base
+		c.change(&other)
+		if got := order(&other, &base); got != c.want {
+			t.Errorf("%s: order %d, want %d", name, got, c.want)
+		}
+		if got := order(&base, &other); got != -c.want {
+			t.Errorf("%s, reversed: order %d, want %d", name, got, -c.want)
+		}
+	}
+}
+
 func TestMalformedStatementsAreDropped(t *testing.T) {
 	good := Member{VM: "vm1", Incarnation: 1, Status: Alive, CallersAddress: address(1), PeersAddress: address(1)}
 	cases := map[string]func(*Member){
--- a/policy/subset/subset.go
+++ b/policy/subset/subset.go
@@ -70,25 +70,30 @@
 	}
 	used := make(map[string]int)
 	set := Set{service: service}
-	for position := range min(size, len(candidates)) {
-		zone := chooseZone(service, position, byZone, used)
+	size = min(size, len(candidates))
+	for position := range size {
+		fair := (size + len(byZone) - 1) / len(byZone)
+		zone := chooseZone(service, position, byZone, used, fair)
 		used[zone]++
 		set.positions = append(set.positions, takeBest(service, position, byZone, zone))
 	}
 	return set
 }
 
-// chooseZone returns the zone for a position: one of those used least, by score.
-func chooseZone(service string, position int, byZone map[string][]VM, used map[string]int) string {
+// chooseZone returns the zone for a position: the best by score among those that
+// have not had their fair number of positions, or else among all with VMs left.
+func chooseZone(service string, position int, byZone map[string][]VM, used map[string]int, fair int) string {
 	var best string
 	var bestScore uint64
+	var bestOver bool
 	for zone, left := range byZone {
 		if len(left) == 0 {
 			continue
 		}
 		score := positionScore(service, zone, position)
-		if best == "" || used[zone] < used[best] || (used[zone] == used[best] && score > bestScore) {
-			best, bestScore = zone, score
+		over := used[zone] >= fair
+		if best == "" || (bestOver && !over) || (over == bestOver && score > bestScore) {
+			best, bestScore, bestOver = zone, score, over
 		}
 	}
 	return best
--- a/policy/subset/subset_test.go
+++ b/policy/subset/subset_test.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// moved returns the part of (customer, VM) pairs that change when one VM goes,
-// and the part that must change because the VM had them.
-func moved(service string, vms []VM, size, customers int, gone VM) (changed, least float64) {
+// moved returns the part of (customer, VM) pairs that change when some VMs go,
+// and the part that must change because these had them.
+func moved(service string, vms []VM, size, customers int, gone func(VM) bool) (changed, least float64) {
 	before := NewSet(service, vms, size)
-	rest := slices.DeleteFunc(slices.Clone(vms), func(vm VM) bool { return vm == gone })
+	rest := slices.DeleteFunc(slices.Clone(vms), gone)
 	after := NewSet(service, rest, size)
 	const count = 3
 	for customer := range customers {
@@ -68,7 +68,7 @@
 			if !slices.Contains(fresh, vm) {
 				changed++
 			}
-			if vm == gone {
+			if gone(vm) {
 				least++
 			}
 		}
@@ -81,7 +81,7 @@
 	vms := fleet(36, 3)
 	var changed, least float64
 	for _, gone := range vms {
-		c, l := moved("booking", vms, 10, 300, gone)
+		c, l := moved("booking", vms, 10, 300, func(vm VM) bool { return vm == gone })
 		changed, least = changed+c, least+l
 	}
 	if changed > 1.5*least {
@@ -98,7 +98,7 @@
 			for i := range b.N {
 				service := fmt.Sprintf("service%d", i)
 				for _, gone := range NewSet(service, vms, c.size).VMs() {
-					moves, own := moved(service, vms, c.size, 1000, gone)
+					moves, own := moved(service, vms, c.size, 1000, func(vm VM) bool { return vm == gone })
 					changed, least, leavers = changed+moves, least+own, leavers+1
 				}
 			}
@@ -108,6 +108,18 @@
 	}
 }
 
+// BenchmarkMovedByZone measures the share of pairs that a leaving zone moves.
+func BenchmarkMovedByZone(b *testing.B) {
+	vms := fleet(36, 3)
+	var changed, least float64
+	for i := range b.N {
+		moves, own := moved(fmt.Sprintf("service%d", i), vms, 10, 1000, func(vm VM) bool { return vm.Zone == "zone1" })
+		changed, least = changed+moves, least+own
+	}
+	b.ReportMetric(100*changed/float64(b.N), "moved-%")
+	b.ReportMetric(100*least/float64(b.N), "least-%")
+}
+
 // BenchmarkNewSet measures the time to choose a service's set.
 func BenchmarkNewSet(b *testing.B) {
 	vms := fleet(840, 10)
@@ -115,3 +127,68 @@
 		NewSet("booking", vms, 15)
 	}
 }
+
+// BenchmarkConnections works out the connections at today's and at the design size.
+func BenchmarkConnections(b *testing.B) {
+	for _, c := range []struct {
+		name                                   string
+		vms, zones, regions, services, targets int
+	}{{"today", 36, 3, 1, 1, 20}, {"design", 840, 10, 3, 260, 36}} {
+		b.Run(c.name, func(b *testing.B) {
+			limits := DefaultLimits()
+			d := Demand{Targets: c.targets, Slots: 3, MaxConnections: 330}
+			size := limits.Size(d, c.regions)
+			perVM := make(map[string]int)
+			for range b.N {
+				clear(perVM)
+				for service := range c.services {
+					for region := range c.regions {
+						candidates := fleet(c.vms, c.zones)[region*c.vms/c.regions : (region+1)*c.vms/c.regions]
+						for _, vm := range NewSet(fmt.Sprint(service), candidates, size).VMs() {
+							perVM[vm.Name]++
+						}
+					}
+				}
+			}
+			most, total := 0, 0
+			for _, services := range perVM {
+				most, total = max(most, services), total+services
+			}
+			b.ReportMetric(float64(size*c.regions*(d.Slots+limits.SpareConnections)), "connections/target")
+			b.ReportMetric(float64(total)/float64(c.vms), "services/vm")
+			b.ReportMetric(float64(most), "most-services/vm")
+			b.ReportMetric(float64(most*c.targets*(d.Slots+limits.SpareConnections)), "most-connections/vm")
+		})
+	}
+}
+
+// BenchmarkSharedFate measures how many customers share all VMs, and at least
+// one VM, with a given one.
+func BenchmarkSharedFate(b *testing.B) {
+	for _, size := range []int{6, 10, 18} {
+		b.Run(fmt.Sprintf("size=%d", size), func(b *testing.B) {
+			set := NewSet("booking", fleet(36, 3), size)
+			var all, some, pairs float64
+			for range b.N {
+				first := set.Choose("first", 3)
+				for customer := range 10_000 {
+					shared := 0
+					for _, vm := range set.Choose(fmt.Sprint(customer), 3) {
+						if slices.Contains(first, vm) {
+							shared++
+						}
+					}
+					pairs++
+					if shared == 3 {
+						all++
+					}
+					if shared > 0 {
+						some++
+					}
+				}
+			}
+			b.ReportMetric(100*all/pairs, "share-all-%")
+			b.ReportMetric(100*some/pairs, "share-some-%")
+		})
+	}
+}
