Build the proxy fixture's fleet without a race

Cause: the fleet grew its list of instances while the first one read it. Change: the list has its size from the start. Conclusion: the race was the fixture's.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -290,8 +290,8 @@
 func newFleet(ctx context.Context, vms int, targets []document.Target, options func(*Options)) *fleet {
 	f := &fleet{network: memnet.New(), targets: targets, snap: testSnapshot(targets), options: options}
 	f.ctx, f.cancel = context.WithCancel(ctx)
+	f.vms = make([]*vm, vms)
 	for i := range vms {
-		f.vms = append(f.vms, nil)
 		f.start(i)
 	}
 	return f
