Measure what control costs a VM at several fleet sizes

Cause: docs/CAPACITY.md needs slopes and one command that measures them again. Change: operator/localfleet holds what the demo and the measurement share; primroseloom capacity runs quiet fleets of real daemons and extends the slope.

--- a/cmd/primroseloom/root.go
+++ b/cmd/primroseloom/root.go
@@ -16,6 +16,7 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
+		newCapacity(),
 		newCheck(),
 		newRender(),
 		newStatus(),
--- a/operator/demo/demo.go
+++ b/operator/demo/demo.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"io"
 	"time"
+
+	"github.com/primroseloom/primroseloom/operator/localfleet"
 )
 
 // Options describe a demo run.
@@ -93,8 +95,8 @@
 	if err != nil {
 		return Report{}, err
 	}
-	defer scene.stop()
-	observer.say("%d entry VMs in %d zones serve %d targets", len(scene.vms), len(zones), len(scene.targets))
+	defer scene.Stop()
+	observer.say("%d entry VMs in %d zones serve %d targets", len(scene.VMs()), len(localfleet.Zones()), len(scene.Targets))
 	return scene.play(ctx, options)
 }
 
@@ -103,7 +105,7 @@
 	traffic := s.newTraffic()
 	load, stopLoad := context.WithTimeout(ctx, options.Duration)
 	defer stopLoad()
-	callsBefore := s.platform.Calls()
+	callsBefore := s.Platform.Calls()
 	started := time.Now()
 	finished := make(chan struct{})
 	go func() {
@@ -118,7 +120,7 @@
 	elapsed := time.Since(started)
 	report := traffic.report(s)
 	report.ConfigInForceMs = milliseconds(inForce)
-	report.PlatformCallsPerS = float64(s.platform.Calls()-callsBefore) / elapsed.Seconds()
+	report.PlatformCallsPerS = float64(s.Platform.Calls()-callsBefore) / elapsed.Seconds()
 	report.DetectionMs = milliseconds(s.detection())
 	report.FalseEjections = s.observer.falseEjections(grayTarget)
 	report.Broken = broken(report)
@@ -128,7 +130,7 @@
 // timeline carries out the events at their times.
 func (s *scene) timeline(ctx context.Context, started time.Time, duration time.Duration) (time.Duration, error) {
 	at := func(part float64) bool {
-		return sleep(ctx, time.Until(started.Add(time.Duration(part*float64(duration)))))
+		return localfleet.Sleep(ctx, time.Until(started.Add(time.Duration(part*float64(duration)))))
 	}
 	at(publishAt)
 	inForce, err := s.publishChange(ctx)
@@ -164,15 +166,3 @@
 func milliseconds(d time.Duration) float64 {
 	return float64(d.Microseconds()) / 1000
 }
-
-// sleep waits and reports whether the context was still good.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/operator/demo/timeline.go
+++ b/operator/demo/timeline.go
@@ -18,18 +18,18 @@
 // publishChange publishes a change of one customer and returns how long it took
 // until every VM had it in force.
 func (s *scene) publishChange(ctx context.Context) (time.Duration, error) {
-	customer := &s.deployment.Customers[0]
+	customer := &s.Deployment.Customers[0]
 	customer.Parameters = map[string]json.RawMessage{"rate": json.RawMessage(changedRate)}
 	published := time.Now()
-	if err := s.publish(); err != nil {
+	if err := s.Publish(); err != nil {
 		return 0, err
 	}
-	s.observer.say("published generation %d: rate of customer %s is now %s", s.generation, customer.Name, changedRate)
-	if err := s.awaitGeneration(ctx, readyTimeout); err != nil {
+	s.observer.say("published generation %d: rate of customer %s is now %s", s.Generation(), customer.Name, changedRate)
+	if err := s.AwaitGeneration(ctx, readyTimeout); err != nil {
 		return 0, err
 	}
 	took := time.Since(published)
-	s.observer.say("generation %d is in force on all VMs after %v", s.generation, took.Round(time.Millisecond))
+	s.observer.say("generation %d is in force on all VMs after %v", s.Generation(), took.Round(time.Millisecond))
 	return took, nil
 }
 
@@ -38,7 +38,7 @@
 	s.mu.Lock()
 	s.gray = time.Now()
 	s.mu.Unlock()
-	s.targets[grayTarget].SetFaults(target.Faults{
+	s.Targets[grayTarget].SetFaults(target.Faults{
 		SlowFactor: graySlowing,
 		ErrorShare: 0.2,
 		Health:     target.HealthAlwaysWell,
@@ -48,28 +48,18 @@
 
 // replaceVM starts a new VM and then stops an old one as planned.
 func (s *scene) replaceVM(ctx context.Context) error {
-	s.mu.Lock()
-	leaving := s.vms[len(s.vms)/2]
-	s.mu.Unlock()
+	running := s.VMs()
+	leaving := running[len(running)/2]
 	joining := fmt.Sprintf("vm-%d", vmCount+1)
-	s.observer.say("%s replaces %s", joining, leaving.settings.VM)
-	if err := s.startVM(ctx, joining, leaving.settings.Zone); err != nil {
+	s.observer.say("%s replaces %s", joining, leaving.Settings.VM)
+	if err := s.StartVM(ctx, joining, leaving.Settings.Zone); err != nil {
 		return err
 	}
-	if err := s.awaitGeneration(ctx, readyTimeout); err != nil {
+	if err := s.AwaitGeneration(ctx, readyTimeout); err != nil {
 		return err
 	}
-	s.mu.Lock()
-	for i, each := range s.vms {
-		if each == leaving {
-			s.vms = append(s.vms[:i:i], s.vms[i+1:]...)
-			break
-		}
-	}
-	s.mu.Unlock()
-	leaving.cancel()
-	err := <-leaving.done
-	s.observer.say("%s stopped", leaving.settings.VM)
+	err := s.StopVM(leaving)
+	s.observer.say("%s stopped", leaving.Settings.VM)
 	return err
 }
 
@@ -79,11 +69,8 @@
 	s.mu.Lock()
 	fault := s.gray
 	s.mu.Unlock()
-	gray := s.targets[grayTarget]
-	gray.mu.Lock()
-	defer gray.mu.Unlock()
 	last := fault
-	for _, arrival := range gray.arrivals {
+	for _, arrival := range s.Targets[grayTarget].Arrivals() {
 		if arrival.Before(fault) {
 			continue
 		}
--- a/operator/demo/traffic.go
+++ b/operator/demo/traffic.go
@@ -88,7 +88,7 @@
 
 func (t *traffic) flow(ctx context.Context, number int, flow stream) {
 	client := caller.New(caller.Options{
-		Entrances:  t.scene.entrances(),
+		Entrances:  t.scene.Entrances(),
 		Service:    flow.service,
 		Customer:   flow.customer,
 		Credential: examples.Credential(flow.customer),
@@ -120,9 +120,9 @@
 // directFlow calls targets without the fleet, for comparison.
 func (t *traffic) directFlow(ctx context.Context) {
 	var addresses []string
-	for name, running := range t.scene.targets {
+	for name, running := range t.scene.Targets {
 		if name != grayTarget {
-			addresses = append(addresses, running.address)
+			addresses = append(addresses, running.Address)
 		}
 	}
 	const directRate = 50
@@ -217,7 +217,7 @@
 // runs returns how often the targets ran each request.
 func (s *scene) runs() map[string]int {
 	total := make(map[string]int)
-	for _, running := range s.targets {
+	for _, running := range s.Targets {
 		for id, count := range running.Runs() {
 			total[id] += count
 		}
