Distribute the configuration through readers and peers

Cause: the thin manager let every instance watch the platform, followed any root and stopped when the first replica was stale.

--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -1,49 +1,137 @@
-// Package config keeps the configuration snapshot in force.
 package config
 
 import (
 	"context"
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
-	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/generation"
 )
 
-const (
-	watchWait    = 10 * time.Second
-	retryBackoff = 500 * time.Millisecond
-)
+// Source reads the replicas of the platform one by one.
+type Source interface {
+	// Replicas returns the number of replicas.
+	Replicas() int
+	// ReadAt reads a value from one replica.
+	ReadAt(ctx context.Context, replica int, key string) (contract.Value, error)
+	// WatchAt waits until a replica shows a version other than the given one.
+	WatchAt(ctx context.Context, replica int, key string, version uint64, wait time.Duration) (contract.Value, error)
+}
+
+// Reporter carries this instance's configuration state to the other members.
+type Reporter interface {
+	// SetConfiguration reports the generation in force, why a newer one is not in
+	// force (empty when none is known) and the number of rejected definitions.
+	SetConfiguration(generation uint64, problem string, rejected uint32)
+}
+
+// Options are what a manager works with.
+type Options struct {
+	Fleet   string
+	Source  Source
+	Members contract.Members
+	// Reporter may be nil.
+	Reporter Reporter
+	// ExpectsPeers is true when the settings name peers to join.
+	ExpectsPeers bool
+	// FleetSize is the largest number of instances; 0 for the default.
+	FleetSize int
+	Scope     tally.Scope
+	Logger    *log.Logger
+	// Random spreads calls in time; the manager owns it.
+	Random *rand.Rand
+}
+
+// candidate is a root that may be put in force.
+type candidate struct {
+	id      generation.Root
+	root    document.Root
+	content []byte
+	// peer is the VM that offered the root; empty for the platform.
+	peer string
+	// replica is the platform's replica that offered the root.
+	replica int
+	// failures counts the attempts to put the root in force.
+	failures int
+}
+
+// inForce is a snapshot together with the root as published.
+type inForce struct {
+	snapshot *snapshot.Snapshot
+	root     []byte
+}
 
-// Manager implements contract.Configuration.
+// Manager implements contract.Configuration and serves peers.
 type Manager struct {
-	platform contract.Platform
-	logger   *log.Logger
-	current  atomic.Pointer[snapshot.Snapshot]
+	options Options
+	metrics *counters
+	current atomic.Pointer[inForce]
 
-	mu          sync.Mutex
+	mu      sync.Mutex
+	decider *generation.Decider
+	// newest is the candidate of the decider's newest root.
+	newest    *candidate
+	budget    generation.Budget
+	confirmed time.Time
+	problem   string
+	// changed closes when another snapshot is in force.
+	changed     chan struct{}
 	subscribers []func(*snapshot.Snapshot)
+	waiting     int
+	role        generation.Role
+	roleUntil   time.Time
+
+	// wake tells the applying goroutine that there is a newer root.
+	wake chan struct{}
+	// notifying orders the calls of subscribers.
+	notifying sync.Mutex
+	// staged holds verified shards of roots not yet in force, by digest; only
+	// the applying goroutine uses it.
+	staged map[string][]byte
 }
 
 // New returns a manager without a snapshot.
-func New(platform contract.Platform, logger *log.Logger) *Manager {
-	return &Manager{platform: platform, logger: logger}
+func New(options Options) *Manager {
+	now := time.Now()
+	if options.FleetSize == 0 {
+		options.FleetSize = generation.DefaultFleetSize
+	}
+	manager := &Manager{
+		options:   options,
+		metrics:   newCounters(options.Scope),
+		decider:   generation.NewDecider(now),
+		confirmed: now,
+		changed:   make(chan struct{}),
+		wake:      make(chan struct{}, 1),
+		staged:    make(map[string][]byte),
+	}
+	if !options.ExpectsPeers {
+		manager.decider.Answered(generation.FromPeer)
+	}
+	return manager
 }
 
-// Current returns the snapshot in force, or nil.
-func (m *Manager) Current() *snapshot.Snapshot { return m.current.Load() }
+// Current returns the snapshot in force, or nil before the first one.
+func (m *Manager) Current() *snapshot.Snapshot {
+	if present := m.current.Load(); present != nil {
+		return present.snapshot
+	}
+	return nil
+}
 
-// Subscribe calls back with the present and each later snapshot.
+// Subscribe calls back with the present and each later snapshot, in order and
+// one at a time.
 func (m *Manager) Subscribe(onChange func(*snapshot.Snapshot)) {
+	m.notifying.Lock()
+	defer m.notifying.Unlock()
 	m.mu.Lock()
 	m.subscribers = append(m.subscribers, onChange)
 	m.mu.Unlock()
@@ -52,72 +140,46 @@
 	}
 }
 
-// Run watches the root until the context ends.
-func (m *Manager) Run(ctx context.Context) error {
-	var version uint64
-	for ctx.Err() == nil {
-		value, err := m.platform.Watch(ctx, document.RootKey, version, watchWait)
-		if err == nil && value.Version != version {
-			err = m.apply(ctx, value.Content)
-		}
-		if err != nil {
-			events.PlatformReadFailed.Log(m.logger, "error", err)
-			pause(ctx, retryBackoff)
-			continue
-		}
-		version = value.Version
-	}
-	return ctx.Err()
-}
-
-func (m *Manager) apply(ctx context.Context, content []byte) error {
-	var root document.Root
-	if err := json.Unmarshal(content, &root); err != nil {
-		return fmt.Errorf("parse root: %w", err)
-	}
-	previous := m.Current()
-	if previous != nil && root.Generation <= previous.Generation {
-		return nil
-	}
-	shards := make([]document.Shard, 0, len(root.Shards))
-	for _, ref := range root.Shards {
-		shard, err := m.fetch(ctx, ref)
-		if err != nil {
-			return err
-		}
-		shards = append(shards, shard)
+// ApplyConfig puts a snapshot in force that did not come from the platform,
+// such as one of a test; the generation must grow.
+func (m *Manager) ApplyConfig(root document.Root, shards map[string][]byte) error {
+	content, id, err := identify(root)
+	if err != nil {
+		return err
 	}
-	snap := snapshot.Build(root.Generation, shards, previous)
-	m.current.Store(snap)
-	events.ConfigurationInForce.Log(m.logger, "generation", snap.Generation, "customers", snap.Customers())
-	m.mu.Lock()
-	subscribers := m.subscribers
-	m.mu.Unlock()
-	for _, onChange := range subscribers {
-		onChange(snap)
+	snap, err := snapshot.Compile(root, id.Digest, shards, m.Current())
+	if err != nil {
+		return err
 	}
+	m.putInForce(&candidate{id: id, root: root, content: content}, snap)
 	return nil
 }
 
-func (m *Manager) fetch(ctx context.Context, ref document.ShardRef) (document.Shard, error) {
-	var shard document.Shard
-	value, err := m.platform.Read(ctx, document.ShardKeyPrefix+ref.Digest)
-	if err != nil {
-		return shard, fmt.Errorf("fetch shard %s: %w", ref.Digest, err)
-	}
-	sum := sha256.Sum256(value.Content)
-	if hex.EncodeToString(sum[:]) != ref.Digest {
-		return shard, fmt.Errorf("fetch shard %s: content has another digest", ref.Digest)
-	}
-	if err := json.Unmarshal(value.Content, &shard); err != nil {
-		return shard, fmt.Errorf("parse shard %s: %w", ref.Digest, err)
+// Run keeps the configuration current until the context ends.
+func (m *Manager) Run(ctx context.Context) error {
+	var group sync.WaitGroup
+	group.Go(func() { m.watchPlatform(ctx) })
+	for place := range maxParents {
+		group.Go(func() { m.pollParent(ctx, place) })
 	}
-	return shard, nil
+	group.Go(func() { m.catchUp(ctx) })
+	group.Go(func() { m.applyNewest(ctx) })
+	group.Wait()
+	return ctx.Err()
+}
+
+// jitter spreads a mean wait.
+func (m *Manager) jitter(mean time.Duration) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return generation.Jitter(m.options.Random, mean)
 }
 
 func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	select {
 	case <-ctx.Done():
-	case <-time.After(wait):
+	case <-timer.C:
 	}
 }
--- /dev/null
+++ b/entry/config/pull.go
@@ -0,0 +1,117 @@
+package config
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/policy/generation"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+const (
+	// maxParents is the number of parents that are polled side by side.
+	maxParents = 2
+	// pollWait is how long a parent may hold a poll back.
+	pollWait = 5 * time.Second
+	// pollTimeout bounds a poll on top of its wait.
+	pollTimeout = time.Second
+	// pollBackoff is the mean wait after a poll that failed or was not held back.
+	pollBackoff = 200 * time.Millisecond
+	// catchUpInterval is how often members' generations are compared.
+	catchUpInterval = 250 * time.Millisecond
+)
+
+// pollParent holds a long poll to the parent at a place of the role's list. The
+// first poll is not held back, so that a starting instance knows at once whether
+// its peers have a configuration.
+func (m *Manager) pollParent(ctx context.Context, place int) {
+	answered := false
+	for ctx.Err() == nil {
+		role := m.currentRole()
+		if place >= len(role.Parents) {
+			pause(ctx, m.jitter(pollBackoff))
+			continue
+		}
+		wait := pollWait
+		if !answered {
+			wait = 0
+		}
+		begin := time.Now()
+		err := m.askPeer(ctx, role.Parents[place], wait)
+		if err != nil {
+			m.metrics.peerFailures.Inc(1)
+		}
+		answered = answered || err == nil
+		if err != nil || time.Since(begin) < pollBackoff/2 {
+			pause(ctx, m.jitter(pollBackoff))
+		}
+	}
+}
+
+// askPeer asks a member for a root newer than the newest one known.
+func (m *Manager) askPeer(ctx context.Context, vm string, wait time.Duration) error {
+	client, ok := m.options.Members.Client(vm)
+	if !ok {
+		return fmt.Errorf("fetch root from %s: no such member", vm)
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeout)
+	defer cancel()
+	request := &primroseloomv1.FetchRootRequest{
+		Fleet:           m.options.Fleet,
+		KnownGeneration: m.newestRoot().Generation,
+		WaitMs:          uint32(wait.Milliseconds()),
+		FromVm:          m.options.Members.Self().Vm,
+	}
+	response, err := client.FetchRoot(ctx, connect.NewRequest(request))
+	if err != nil {
+		return fmt.Errorf("fetch root from %s: %w", vm, err)
+	}
+	if len(response.Msg.Root) == 0 {
+		m.heardEmpty(generation.FromPeer)
+	} else if err := m.offer(response.Msg.Root, vm, 0); err != nil {
+		return fmt.Errorf("fetch root from %s: %w", vm, err)
+	}
+	if response.Msg.Generation >= m.newestRoot().Generation {
+		m.confirm(time.Duration(response.Msg.ConfirmedAgeMs) * time.Millisecond)
+	}
+	return nil
+}
+
+// catchUp asks a member whose statement carries a newer generation, when the
+// polls have not brought it within one interval.
+func (m *Manager) catchUp(ctx context.Context) {
+	var seen uint64
+	for ctx.Err() == nil {
+		pause(ctx, catchUpInterval)
+		newest := m.newestRoot().Generation
+		ahead, vms := m.membersAhead(newest)
+		if len(vms) == 0 || seen <= newest {
+			seen = ahead
+			continue
+		}
+		m.mu.Lock()
+		vm := vms[m.options.Random.IntN(len(vms))]
+		m.mu.Unlock()
+		if err := m.askPeer(ctx, vm, 0); err != nil {
+			m.metrics.peerFailures.Inc(1)
+		}
+	}
+}
+
+// membersAhead returns the newest generation that members state and the
+// members whose generation is above the given one.
+func (m *Manager) membersAhead(known uint64) (uint64, []string) {
+	var newest uint64
+	var vms []string
+	self := m.options.Members.Self().Vm
+	for _, member := range m.options.Members.Members() {
+		newest = max(newest, member.Generation)
+		if member.Generation > known && member.Vm != self {
+			vms = append(vms, member.Vm)
+		}
+	}
+	return newest, vms
+}
--- /dev/null
+++ b/entry/config/shards.go
@@ -0,0 +1,174 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/policy/generation"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+const (
+	// shardsTimeout bounds the wait for the next shard from a peer.
+	shardsTimeout = 700 * time.Millisecond
+	// fewShards is the number of shards up to which a reader that heard of a
+	// root from the platform asks the platform for the shards, too.
+	fewShards = 16
+	// maxPeersAsked bounds the peers that are asked for the shards of a root.
+	maxPeersAsked = 3
+	// maxStaged bounds the shards kept for roots that are not in force.
+	maxStaged = 2 * document.MaxShards
+)
+
+// fetchMissing stages every shard of a root that the snapshot in force lacks.
+// It asks the peer that offered the root, other members that have it in force,
+// and the platform; a reader that has the root from the platform begins there.
+func (m *Manager) fetchMissing(ctx context.Context, next *candidate) error {
+	if len(m.staged) > maxStaged {
+		clear(m.staged)
+	}
+	sources := []func(context.Context, *candidate) error{m.fetchFromPeers, m.fetchAllFromPlatform}
+	if next.peer == "" && m.currentRole().Reader && len(m.missing(next)) <= fewShards {
+		slices.Reverse(sources)
+	}
+	var failures []error
+	for _, fetch := range sources {
+		failures = append(failures, fetch(ctx, next))
+		if len(m.missing(next)) == 0 {
+			return nil
+		}
+	}
+	return errors.Join(append(failures, errShardsLacking)...)
+}
+
+// fetchFromPeers asks members one after another until nothing is lacking.
+func (m *Manager) fetchFromPeers(ctx context.Context, next *candidate) error {
+	var failures []error
+	for _, vm := range m.shardPeers(next) {
+		missing := m.missing(next)
+		if len(missing) == 0 {
+			return nil
+		}
+		failures = append(failures, m.fetchFromPeer(ctx, vm, missing))
+	}
+	return errors.Join(failures...)
+}
+
+// fetchAllFromPlatform asks the platform for each lacking shard.
+func (m *Manager) fetchAllFromPlatform(ctx context.Context, next *candidate) error {
+	for _, ref := range m.missing(next) {
+		if err := m.fetchFromPlatform(ctx, ref, next.replica); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// shardPeers returns the members to ask, the one that offered the root first.
+func (m *Manager) shardPeers(next *candidate) []string {
+	_, vms := m.membersAhead(next.id.Generation - 1)
+	m.mu.Lock()
+	m.options.Random.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	m.mu.Unlock()
+	peers := make([]string, 0, maxPeersAsked)
+	if next.peer != "" {
+		peers = append(peers, next.peer)
+	}
+	for _, vm := range vms {
+		if vm != next.peer && len(peers) < maxPeersAsked {
+			peers = append(peers, vm)
+		}
+	}
+	return peers
+}
+
+// fetchFromPeer stages the shards that a member has among the given ones.
+func (m *Manager) fetchFromPeer(ctx context.Context, vm string, refs []document.ShardRef) error {
+	client, ok := m.options.Members.Client(vm)
+	if !ok {
+		return fmt.Errorf("fetch shards from %s: no such member", vm)
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	silence := time.AfterFunc(shardsTimeout, cancel)
+	defer silence.Stop()
+	wanted := make(map[string]document.ShardRef, len(refs))
+	request := &primroseloomv1.FetchShardsRequest{Fleet: m.options.Fleet}
+	for _, ref := range refs {
+		wanted[ref.Digest] = ref
+		request.Digests = append(request.Digests, ref.Digest)
+	}
+	stream, err := client.FetchShards(ctx, connect.NewRequest(request))
+	if err != nil {
+		return fmt.Errorf("fetch shards from %s: %w", vm, err)
+	}
+	defer func() { _ = stream.Close() }()
+	for stream.Receive() {
+		silence.Reset(shardsTimeout)
+		ref, ok := wanted[stream.Msg().Digest]
+		if !ok {
+			return fmt.Errorf("fetch shards from %s: shard %s was not asked for", vm, stream.Msg().Digest)
+		}
+		if err := m.stage(ref, stream.Msg().Content); err != nil {
+			return fmt.Errorf("fetch shards from %s: %w", vm, err)
+		}
+		m.metrics.shardsFromPeers.Inc(1)
+	}
+	if err := stream.Err(); err != nil {
+		return fmt.Errorf("fetch shards from %s: %w", vm, err)
+	}
+	return nil
+}
+
+// fetchFromPlatform stages one shard, asking the replicas in turn.
+func (m *Manager) fetchFromPlatform(ctx context.Context, ref document.ShardRef, replica int) error {
+	var failures []error
+	for i := range m.options.Source.Replicas() {
+		m.spend(ctx, m.currentRole())
+		m.metrics.shardCalls.Inc(1)
+		at := (replica + i) % m.options.Source.Replicas()
+		value, err := m.options.Source.ReadAt(ctx, at, document.ShardKeyPrefix+ref.Digest)
+		if err == nil {
+			err = m.stage(ref, value.Content)
+		}
+		if err == nil {
+			m.metrics.shardsFromPlatform.Inc(1)
+			return nil
+		}
+		m.metrics.platformFailures.Inc(1)
+		failures = append(failures, err)
+	}
+	return errors.Join(failures...)
+}
+
+// stage keeps a shard whose content has the digest of its reference.
+func (m *Manager) stage(ref document.ShardRef, content []byte) error {
+	if len(content) != ref.Size || document.Digest(content) != ref.Digest {
+		m.metrics.malformedShards.Inc(1)
+		return fmt.Errorf("shard %s: %w: content has another digest", ref.Digest, document.ErrMalformed)
+	}
+	m.staged[ref.Digest] = content
+	return nil
+}
+
+// Track tells how far the newest known generation has come in the fleet.
+func (m *Manager) Track() generation.InForce {
+	var statements []generation.Statement
+	for _, member := range m.options.Members.Members() {
+		statements = append(statements, generation.Statement{
+			VM:         member.Vm,
+			Generation: member.Generation,
+			Problem:    member.ConfigProblem,
+			Suspect:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_SUSPECT,
+			Leaving:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_LEAVING,
+			Rejected:   member.RejectedCount,
+		})
+	}
+	return generation.Track(statements)
+}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"fmt"
+	mathrand "math/rand/v2"
 
 	"github.com/charmbracelet/log"
 	"go.uber.org/fx"
@@ -30,9 +31,12 @@
 		fx.Supply(logger),
 		fx.Provide(
 			func() contract.Network { return network },
-			func() contract.Platform { return platform.New(set.Platform, network) },
+			func() *platform.Client { return platform.New(set.Platform, network) },
+			func(c *platform.Client) contract.Platform { return c },
 			metrics.New,
-			config.New,
+			func(m *metrics.Metrics, source *platform.Client, peers *peer.Manager) *config.Manager {
+				return newConfig(set, source, peers, logger, m)
+			},
 			func(m *config.Manager) contract.Configuration { return m },
 			func(m *metrics.Metrics, clock *uptime.BootClock) (*peer.Manager, error) {
 				return peer.New(peerSettings(set, clock), network, logger, m.Scope())
@@ -57,6 +61,21 @@
 	return built, nil
 }
 
+func newConfig(set settings.Settings, source *platform.Client, peers *peer.Manager, logger *log.Logger, m *metrics.Metrics) *config.Manager {
+	var random [16]byte
+	_, _ = rand.Read(random[:])
+	return config.New(config.Options{
+		Fleet:        set.Fleet,
+		Source:       source,
+		Members:      peers,
+		Reporter:     peers,
+		ExpectsPeers: len(set.FirstPeers) > 0,
+		Scope:        m.Scope(),
+		Logger:       logger,
+		Random:       mathrand.New(mathrand.NewPCG(binary.BigEndian.Uint64(random[:8]), binary.BigEndian.Uint64(random[8:]))),
+	})
+}
+
 func newProxy(d *Daemon, m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
 	limits := proxy.DefaultLimits()
 	limits.BodyBytes = d.settings.Limits.BodyBytes
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -47,6 +47,7 @@
 		return err
 	}
 	d.peers.UseConfiguration(d.config)
+	d.peers.UseConfigServer(d.config)
 	d.peers.UseForwarder(d.proxy)
 	d.targets.SetNews(d.peers)
 	tree := supervisor.New("primroseloomd", d.logger)
--- a/entry/platform/platform.go
+++ b/entry/platform/platform.go
@@ -1,4 +1,9 @@
 // Package platform reads and watches the published values over HTTP.
+//
+// The platform has several replicas, any of which may be late, silent or down.
+// A value's version grows with each change and is the same on all replicas, so
+// an answer with a smaller version than one seen before comes from a stale
+// replica. Calls have a time limit and answers a size limit.
 package platform
 
 import (
@@ -9,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
@@ -18,50 +24,122 @@
 // VersionHeader carries a value's version.
 const VersionHeader = "Primroseloom-Version"
 
-// readTimeout bounds one read, on top of a watch's wait.
-const readTimeout = 2 * time.Second
+const (
+	// readTimeout bounds one read, and a watch on top of its wait.
+	readTimeout = 2 * time.Second
+	// idleTimeout closes connections that carried no call.
+	idleTimeout = 30 * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 16 << 10
+)
+
+// Causes of failed calls.
+var (
+	// ErrNotFound tells that the replica has no value under a key.
+	ErrNotFound = errors.New("no such value")
+	// ErrStale tells that the replica shows an older version than one seen before.
+	ErrStale = errors.New("replica is stale")
+	// ErrTooLarge tells that a value exceeds the platform's limit.
+	ErrTooLarge = fmt.Errorf("value exceeds %d bytes", document.MaxValueBytes)
+)
 
-// ErrNotFound tells that the platform has no value under a key.
-var ErrNotFound = errors.New("no such value")
+// StatusError is an answer with an unexpected status.
+type StatusError struct {
+	Status int
+}
+
+// Error renders the status.
+func (e *StatusError) Error() string { return "status " + strconv.Itoa(e.Status) }
 
 // Client implements contract.Platform over a list of replicas.
 type Client struct {
 	addresses []string
 	http      *http.Client
+	// preferred is the index of the replica that answered last.
+	preferred atomic.Int64
 }
 
 // New returns a client of the replicas at the given "IP:port" addresses.
 func New(addresses []string, network contract.Network) *Client {
-	return &Client{addresses: addresses, http: &http.Client{Transport: &http.Transport{DialContext: network.DialContext}}}
+	transport := &http.Transport{
+		DialContext:            network.DialContext,
+		IdleConnTimeout:        idleTimeout,
+		MaxIdleConnsPerHost:    2,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+	refuseRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &Client{addresses: addresses, http: &http.Client{Transport: transport, CheckRedirect: refuseRedirect}}
 }
 
-// Read returns a value from the first replica that answers.
+// Replicas returns the number of replicas.
+func (c *Client) Replicas() int { return len(c.addresses) }
+
+// Read returns a value from the first replica that has it, beginning with the
+// one that answered last.
 func (c *Client) Read(ctx context.Context, key string) (contract.Value, error) {
-	return c.first(ctx, "/v1/values/"+key, readTimeout)
+	return c.first(ctx, func(replica int) (contract.Value, error) {
+		return c.ReadAt(ctx, replica, key)
+	})
 }
 
-// Watch waits until a value's version differs from the given one.
+// Watch waits until a value's version differs from the given one or the wait
+// has passed; the content is nil when the version is the given one. Stale
+// replicas are passed over.
 func (c *Client) Watch(ctx context.Context, key string, version uint64, wait time.Duration) (contract.Value, error) {
-	query := url.Values{"version": {strconv.FormatUint(version, 10)}, "wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)}}
-	return c.first(ctx, "/v1/watch/"+key+"?"+query.Encode(), wait+readTimeout)
+	return c.first(ctx, func(replica int) (contract.Value, error) {
+		return c.WatchAt(ctx, replica, key, version, wait)
+	})
+}
+
+// ReadAt reads a value from one replica.
+func (c *Client) ReadAt(ctx context.Context, replica int, key string) (contract.Value, error) {
+	value, err := c.get(ctx, replica, "/v1/values/"+key, readTimeout)
+	if err != nil {
+		return value, fmt.Errorf("read %s from platform %s: %w", key, c.addresses[replica], err)
+	}
+	return value, nil
 }
 
-func (c *Client) first(ctx context.Context, path string, timeout time.Duration) (contract.Value, error) {
+// WatchAt watches a value at one replica; version 0 is none. A replica that
+// shows a smaller version is ErrStale.
+func (c *Client) WatchAt(ctx context.Context, replica int, key string, version uint64, wait time.Duration) (contract.Value, error) {
+	query := url.Values{
+		"version": {strconv.FormatUint(version, 10)},
+		"wait_ms": {strconv.FormatInt(wait.Milliseconds(), 10)},
+	}
+	value, err := c.get(ctx, replica, "/v1/watch/"+key+"?"+query.Encode(), wait+readTimeout)
+	if err == nil && value.Version < version {
+		err = fmt.Errorf("%w: version %d, seen %d", ErrStale, value.Version, version)
+	}
+	if err != nil {
+		return value, fmt.Errorf("watch %s at platform %s: %w", key, c.addresses[replica], err)
+	}
+	return value, nil
+}
+
+// first calls the replicas in turn until one succeeds.
+func (c *Client) first(ctx context.Context, call func(replica int) (contract.Value, error)) (contract.Value, error) {
 	var failures []error
-	for _, address := range c.addresses {
-		value, err := c.get(ctx, address, path, timeout)
+	begin := int(c.preferred.Load())
+	for i := range c.addresses {
+		replica := (begin + i) % len(c.addresses)
+		value, err := call(replica)
 		if err == nil {
+			c.preferred.Store(int64(replica))
 			return value, nil
 		}
-		failures = append(failures, fmt.Errorf("read %s from platform %s: %w", path, address, err))
+		failures = append(failures, err)
+		if ctx.Err() != nil {
+			break
+		}
 	}
 	return contract.Value{}, errors.Join(failures...)
 }
 
-func (c *Client) get(ctx context.Context, address, path string, timeout time.Duration) (contract.Value, error) {
+func (c *Client) get(ctx context.Context, replica int, path string, timeout time.Duration) (contract.Value, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.addresses[replica]+path, nil)
 	if err != nil {
 		return contract.Value{}, err
 	}
@@ -70,22 +148,30 @@
 		return contract.Value{}, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode == http.StatusNotFound {
+	return decode(response)
+}
+
+func decode(response *http.Response) (contract.Value, error) {
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusNotModified:
+	case http.StatusNotFound:
 		return contract.Value{}, ErrNotFound
-	}
-	if response.StatusCode != http.StatusOK {
-		return contract.Value{}, fmt.Errorf("status %d", response.StatusCode)
+	default:
+		return contract.Value{}, &StatusError{Status: response.StatusCode}
 	}
 	version, err := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
 	if err != nil {
-		return contract.Value{}, fmt.Errorf("version header: %w", err)
+		return contract.Value{}, fmt.Errorf("header %s: %w", VersionHeader, err)
+	}
+	if response.StatusCode == http.StatusNotModified {
+		return contract.Value{Version: version}, nil
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, document.MaxValueBytes+1))
 	if err != nil {
 		return contract.Value{}, err
 	}
 	if len(content) > document.MaxValueBytes {
-		return contract.Value{}, fmt.Errorf("value exceeds %d bytes", document.MaxValueBytes)
+		return contract.Value{}, ErrTooLarge
 	}
 	return contract.Value{Version: version, Content: content}, nil
 }
--- a/standin/publisher/publisher.go
+++ b/standin/publisher/publisher.go
@@ -21,7 +21,7 @@
 
 // Store takes the values of one generation.
 type Store interface {
-	Publish(shards map[string][]byte, root []byte)
+	Publish(shards map[string][]byte, root []byte) error
 }
 
 // Publisher watches one file.
@@ -86,7 +86,9 @@
 		return fmt.Errorf("write root of %s: %w", p.file, err)
 	}
 	p.generation = generation
-	p.store.Publish(shards, rootContent)
+	if err := p.store.Publish(shards, rootContent); err != nil {
+		return fmt.Errorf("publish %s: %w", p.file, err)
+	}
 	_, _ = fmt.Fprintf(p.report, "published generation %d of %s\n", generation, p.file)
 	return nil
 }
