Fuzz the order of generations against an oracle, with caught mutations

Change: gopter commands publish, read stale replicas, ask cut-off peers, pause between choosing and putting in force, and restart; two mutations (no second look, trust in every offer) fail the same property.

--- /dev/null
+++ b/policy/generation/fuzz_test.go
@@ -0,0 +1,209 @@
+package generation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/leanovate/gopter"
+	"github.com/leanovate/gopter/commands"
+	"github.com/leanovate/gopter/gen"
+)
+
+// instances is the number of instances of the fuzzed fleet.
+const instances = 4
+
+// subject is what the fuzz drives; a mutation replaces part of it.
+type subject interface {
+	Offer(Root, Source) Verdict
+	Next(time.Time) (Root, bool)
+	Applied(Root) bool
+	InForce() Root
+}
+
+// unguarded puts any root in force that was chosen, as a process would that
+// does not look again after a pause.
+type unguarded struct{ *Decider }
+
+func (u unguarded) Applied(root Root) bool {
+	u.inForce = root
+	return true
+}
+
+// trusting takes every offer for newer.
+type trusting struct{ *Decider }
+
+func (u trusting) Offer(root Root, _ Source) Verdict {
+	u.newest, u.inForce = root, Root{}
+	return Newer
+}
+
+// world is the fuzzed system: instances, each with a root that it chose and
+// has not put in force yet, and the history of publications.
+type world struct {
+	newSubject func() subject
+	subjects   [instances]subject
+	// chosen holds two roots, since a worker that paused may wake beside the one
+	// that was started in its place.
+	chosen    [instances][2]Root
+	cut       [instances][instances]bool
+	published []Root
+	now       time.Time
+}
+
+// model is the oracle: the least root that each instance may have in force.
+type model struct {
+	floor     [instances]Root
+	published int
+}
+
+// step is one command; the numbers are taken modulo what they choose from.
+type step struct {
+	kind, who, other, age int
+}
+
+// The kinds of steps.
+const (
+	stepPublish = iota
+	stepReadPlatform
+	stepAskPeer
+	stepChoose
+	stepPutInForce
+	stepRestart
+	stepCut
+	stepWait
+	stepKinds
+)
+
+type observation struct {
+	inForce [instances]Root
+}
+
+func (s step) Run(sut commands.SystemUnderTest) commands.Result {
+	w := sut.(*world)
+	switch s.kind {
+	case stepPublish:
+		number := uint64(len(w.published) + 1)
+		w.published = append(w.published, Root{number, fmt.Sprint("d", number)})
+	case stepReadPlatform:
+		if at := len(w.published) - 1 - s.age; at >= 0 {
+			w.subjects[s.who].Offer(w.published[at], FromPlatform)
+		}
+	case stepAskPeer:
+		if root := w.subjects[s.other].InForce(); root != (Root{}) && !w.cut[s.other][s.who] {
+			w.subjects[s.who].Offer(root, FromPeer)
+		}
+	case stepChoose:
+		w.chosen[s.who][s.age%2], _ = w.subjects[s.who].Next(w.now)
+	case stepPutInForce:
+		if root := w.chosen[s.who][s.age%2]; root != (Root{}) {
+			w.subjects[s.who].Applied(root)
+		}
+	case stepRestart:
+		w.subjects[s.who] = w.newSubject()
+		w.chosen[s.who] = [2]Root{}
+	case stepCut:
+		w.cut[s.other][s.who] = !w.cut[s.other][s.who]
+	case stepWait:
+		w.now = w.now.Add(StartWait)
+	}
+	var seen observation
+	for i, each := range w.subjects {
+		seen.inForce[i] = each.InForce()
+	}
+	return seen
+}
+
+func (s step) NextState(state commands.State) commands.State {
+	next := state.(model)
+	if s.kind == stepPublish {
+		next.published++
+	}
+	if s.kind == stepRestart {
+		next.floor[s.who] = Root{}
+	}
+	return next
+}
+
+func (s step) PreCondition(commands.State) bool { return true }
+
+func (s step) PostCondition(state commands.State, result commands.Result) *gopter.PropResult {
+	oracle := state.(model)
+	seen := result.(observation)
+	for i, root := range seen.inForce {
+		fell := Compare(root, oracle.floor[i]) < 0
+		if fell || root.Generation > uint64(oracle.published) {
+			return &gopter.PropResult{Status: gopter.PropFalse}
+		}
+	}
+	return &gopter.PropResult{Status: gopter.PropTrue}
+}
+
+func (s step) String() string {
+	return fmt.Sprintf("{kind %d who %d other %d age %d}", s.kind, s.who, s.other, s.age)
+}
+
+// observed lifts the oracle's floor to what was seen before a step.
+type observed struct {
+	step
+	floors *[instances]Root
+}
+
+func (o observed) PostCondition(state commands.State, result commands.Result) *gopter.PropResult {
+	oracle := state.(model)
+	oracle.floor = *o.floors
+	if o.kind == stepRestart {
+		oracle.floor[o.who] = Root{}
+	}
+	verdict := o.step.PostCondition(oracle, result)
+	*o.floors = result.(observation).inForce
+	return verdict
+}
+
+func neverFalls(newSubject func() subject) gopter.Prop {
+	floors := new([instances]Root)
+	genStep := gopter.CombineGens(
+		gen.IntRange(0, stepKinds-1), gen.IntRange(0, instances-1), gen.IntRange(0, instances-1), gen.IntRange(0, 3),
+	).Map(func(values []interface{}) commands.Command {
+		chosen := step{kind: values[0].(int), who: values[1].(int), other: values[2].(int), age: values[3].(int)}
+		return observed{step: chosen, floors: floors}
+	})
+	return commands.Prop(&commands.ProtoCommands{
+		NewSystemUnderTestFunc: func(commands.State) commands.SystemUnderTest {
+			*floors = [instances]Root{}
+			w := &world{newSubject: newSubject, now: origin}
+			for i := range w.subjects {
+				w.subjects[i] = newSubject()
+			}
+			return w
+		},
+		InitialStateGen: gen.Const(model{}),
+		GenCommandFunc:  func(commands.State) gopter.Gen { return genStep },
+	})
+}
+
+func run(newSubject func() subject) *gopter.TestResult {
+	parameters := gopter.DefaultTestParametersWithSeed(20261204)
+	parameters.MinSuccessfulTests = 400
+	parameters.MaxSize = 200
+	return neverFalls(newSubject).Check(parameters)
+}
+
+func TestGenerationNeverFalls(t *testing.T) {
+	result := run(func() subject { return NewDecider(origin) })
+	if !result.Passed() {
+		t.Fatalf("%v", result.Labels)
+	}
+}
+
+func TestMutationsThatLetTheGenerationFallAreCaught(t *testing.T) {
+	mutations := map[string]func() subject{
+		"puts in force without looking again": func() subject { return unguarded{NewDecider(origin)} },
+		"trusts every offer":                  func() subject { return trusting{NewDecider(origin)} },
+	}
+	for name, mutation := range mutations {
+		if run(mutation).Passed() {
+			t.Errorf("the mutation that %s passes", name)
+		}
+	}
+}
