--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -75,6 +75,7 @@
 // join hands the children to one another where they need each other.
 func (d *Daemon) join() {
 	d.peers.UseConfiguration(d.config)
+	d.peers.UseConfigServer(d.config)
 	d.peers.UseForwarder(d.proxy)
 	d.targets.SetNews(d.peers)
 }
