--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -5,16 +5,16 @@
 // excursions shows how much further, and the limits are stretched by it.
 const (
 	// excursionBase is the score, in nats, above which an excursion is measured;
-	// a single attempt does not get there.
-	excursionBase = evidenceLimit
+	// a single attempt seldom gets there.
+	excursionBase = 6.0
 	// excursionEnd is the score at which an excursion is over.
 	excursionEnd = 1.0
 	// excursionMean is the mean height above the base of independent evidence.
 	excursionMean = 1.0
 	// excursionDoubt is the mean height taken for service times before any is seen.
-	excursionDoubt = 4.0
+	excursionDoubt = 2.5
 	// excursionPrior is the number of excursions that the first estimate counts for.
-	excursionPrior = 8.0
+	excursionPrior = 6.0
 	// excursionMemory is the number of excursions that the estimate goes back.
 	excursionMemory = 64.0
 	// excursionClip bounds one excursion, in multiples of the estimate, so that
