--- a/operator/measure/ours.go
+++ b/operator/measure/ours.go
@@ -58,7 +58,7 @@
 
 // Started implements Health.
 func (h *tracked) Started(now time.Duration, attempt Attempt) {
-	h.attempts[attempt.ID] = h.tracker.Start(now, attempt.Target, attempt.Trial)
+	h.attempts[attempt.ID] = h.tracker.Start(now, attempt.Target)
 }
 
 // Ended implements Health.
--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -93,3 +93,35 @@
 	}
 	return best, level
 }
+
+// othersFactor is how many times the other targets' mean score is taken off a
+// target's own. What befalls all alike then convicts none.
+const othersFactor = 1.5
+
+// pooled, ofZone and ofVM choose the scores that are compared.
+func pooled(t *tally) *Scores { return &t.all }
+
+func (t *Tracker) ofZone(tally *tally) *Scores { return &tally.zones[t.zone] }
+
+func ofVM(t *tally) *Scores { return &t.own }
+
+// relativeLevel is the level of a target's scores after removal of what the
+// other targets in service have too.
+func (t *Tracker) relativeLevel(entry *target, scores func(*tally) *Scores) (Rule, float64) {
+	relative := *scores(&entry.tally)
+	var sum Scores
+	others := 0.0
+	for _, other := range t.targets {
+		if other == entry || other.verdict.out() {
+			continue
+		}
+		sum.plus(scores(&other.tally))
+		others++
+	}
+	for i := range relative {
+		if others > 0 {
+			relative[i] = max(0, relative[i]-othersFactor*sum[i]/others)
+		}
+	}
+	return t.level(&relative)
+}
--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -193,7 +193,7 @@
 	increments := evidence.Increments
 	clampAll(&increments)
 	t.absorb(now, entry, zone, false, &increments)
-	if evidence.Returned && entry.verdict.trying && entry.verdict.tried[entry.verdict.rule] <= 0 {
+	if evidence.Returned && t.agreesToReturn(now, entry) {
 		t.reinstate(now, entry, true)
 	}
 	if evidence.Ejected {
@@ -205,6 +205,13 @@
 	}
 }
 
+// agreesToReturn reports whether this VM takes a target back because the
+// trials have ended well on another.
+func (t *Tracker) agreesToReturn(now time.Duration, entry *target) bool {
+	v := &entry.verdict
+	return v.out() && now >= v.until && (!v.trying || v.tried[v.rule] <= 0)
+}
+
 // messageLimit bounds what one message can prove, in nats.
 const messageLimit = 4 * evidenceLimit
 
--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -131,6 +131,7 @@
 // hear keeps the last word of another VM.
 func (e *target) hear(vm string, view peerView) {
 	before := e.peers[vm]
+	view.outdated = before.outdated && view.ejected
 	e.peerOld[before.zone] -= before.old
 	e.peerOld[view.zone] += view.old
 	e.peers[vm] = view
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -34,7 +34,6 @@
 type Attempt struct {
 	target *target
 	start  time.Duration
-	trial  bool
 	old    bool
 	seated bool
 	// void attempts are no evidence, because the VM itself paused.
@@ -85,6 +84,8 @@
 	old      int
 	ejected  bool
 	probeBad bool
+	// outdated ejections were decided before this VM took the target back.
+	outdated bool
 }
 
 // Tracker judges the targets of one service. It is not safe for concurrent
@@ -199,8 +200,8 @@
 }
 
 // Start notes that an attempt is sent.
-func (t *Tracker) Start(now time.Duration, index int, trial bool) *Attempt {
-	attempt := &Attempt{target: t.targets[index], start: now, trial: trial}
+func (t *Tracker) Start(now time.Duration, index int) *Attempt {
+	attempt := &Attempt{target: t.targets[index], start: now}
 	attempt.target.inFlight++
 	t.attempts[attempt] = struct{}{}
 	return attempt
@@ -241,9 +242,7 @@
 		t.weighTime(attempt, &final, taken)
 	}
 	t.contribute(now, attempt, &final)
-	if attempt.trial {
-		t.trialEnded(now, entry, !failed)
-	}
+	t.trialEnded(now, entry, !failed)
 	if suspect {
 		return
 	}
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -63,12 +63,21 @@
 	}
 }
 
+// outdatePeers makes what others decided before count no longer.
+func (e *target) outdatePeers() {
+	for vm, view := range e.peers {
+		view.outdated = view.ejected
+		e.peers[vm] = view
+	}
+}
+
 // reinstate returns a target to service; one that was out returns by a ramp.
 func (t *Tracker) reinstate(now time.Duration, entry *target, ramp bool) {
 	v := &entry.verdict
 	v.convicted, v.avoided, v.trying, v.ejected = false, false, false, false
 	v.since = now
 	entry.tally.reset()
+	entry.outdatePeers()
 	t.touch(entry)
 	if ramp {
 		v.ramp(now)
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -109,9 +109,11 @@
 		t.judgeOut(now, entry)
 		return
 	}
-	rule, part := t.level(&entry.tally.all)
+	rule, part := t.relativeLevel(entry, pooled)
 	score := entry.tally.all[rule]
-	part += t.bonus(entry) / t.limits[rule]
+	if part > 0 {
+		part += t.bonus(entry) / t.limits[rule]
+	}
 	switch {
 	case part >= 1 && entry.tally.least(rule) >= t.withoutNeeded(entry, rule):
 		t.convict(now, entry, rule, score)
@@ -196,7 +198,7 @@
 func peersAgree(entry *target) bool {
 	first := -1
 	for _, peer := range entry.peers {
-		if !peer.ejected {
+		if !peer.ejected || peer.outdated {
 			continue
 		}
 		if first >= 0 && peer.zone != first {
@@ -209,8 +211,8 @@
 
 // judgePath avoids a target that only this VM or its zone sees failing.
 func (t *Tracker) judgePath(now time.Duration, entry *target) {
-	zoneRule, zonePart := t.level(&entry.tally.zones[t.zone])
-	ownRule, ownPart := t.level(&entry.tally.own)
+	zoneRule, zonePart := t.relativeLevel(entry, t.ofZone)
+	ownRule, ownPart := t.relativeLevel(entry, ofVM)
 	switch {
 	case zonePart >= 1 && len(t.zones) > 1:
 		t.avoid(now, entry, zoneRule, entry.tally.zones[t.zone][zoneRule])
