--- a/operator/measure/ours.go
+++ b/operator/measure/ours.go
@@ -8,15 +8,12 @@
 	"github.com/primroseloom/primroseloom/policy/health"
 )
 
-// Ours is the policy that the daemon runs.
+// Ours is the project's policy: evidence pooled by health.Tracker, slots leased
+// from a keeper.
 func Ours() Policy {
-	return Policy{
-		Name:      "primroseloom",
-		Chooser:   NewTwoChoices,
-		Health:    NewTracked,
-		Admission: NewOpenAdmission,
-		Retrier:   NewBudgetRetrier,
-	}
+	policy := SlotPolicy(WayLeases)
+	policy.Name = "primroseloom"
+	return policy
 }
 
 // evidenceBytes is about the size of one target's evidence on the wire.
--- a/operator/measure/recorder.go
+++ b/operator/measure/recorder.go
@@ -39,6 +39,9 @@
 	sickUntil []time.Duration
 	lastSend  []time.Duration
 	detection []time.Duration
+	// ejectionTimes run from a fault until nine in ten VMs have ejected the target.
+	ejectionTimes []time.Duration
+	allEjected    []time.Duration
 
 	ejectedBy   [][]bool
 	ejectors    []int
@@ -85,6 +88,7 @@
 		sickUntil:  make([]time.Duration, size.Targets),
 		lastSend:   make([]time.Duration, size.Targets),
 		ejectors:   make([]int, size.Targets),
+		allEjected: make([]time.Duration, size.Targets),
 		floorSlots: FloorSlots(e.scenario),
 		leastSlots: total,
 		leastUnion: total,
@@ -174,11 +178,19 @@
 			r.lastSend[i] = e.now
 			r.sickUntil[i] = fault.end
 		case fault.Period == 0:
-			r.detection = append(r.detection, r.lastSend[i]-r.sickSince[i])
+			r.detected(i)
 		}
 	}
 }
 
+// detected notes a fault's detection times.
+func (r *recorder) detected(target int) {
+	r.detection = append(r.detection, r.lastSend[target]-r.sickSince[target])
+	if r.allEjected[target] > r.sickSince[target] {
+		r.ejectionTimes = append(r.ejectionTimes, r.allEjected[target]-r.sickSince[target])
+	}
+}
+
 // observe compares a VM's states with the truth.
 func (r *recorder) observe(e *engine, v *vm) {
 	if !r.counts(e) {
@@ -209,6 +221,9 @@
 		return
 	}
 	r.ejectors[target]++
+	if r.ejectors[target] >= len(e.vms)*9/10 && r.allEjected[target] == 0 && e.targets[target].sick() {
+		r.allEjected[target] = e.now
+	}
 	if r.ejectors[target] > 1 {
 		return
 	}
@@ -280,7 +295,7 @@
 		}
 		for i, member := range fault.members {
 			if member {
-				r.detection = append(r.detection, r.lastSend[i]-r.sickSince[i])
+				r.detected(i)
 			}
 		}
 	}
--- a/operator/measure/report.go
+++ b/operator/measure/report.go
@@ -38,8 +38,12 @@
 	DetectionP50 document.Duration `json:"detection_p50"`
 	DetectionP99 document.Duration `json:"detection_p99"`
 	Ahead        float64           `json:"times_ahead_of_better_baseline,omitempty"`
-	// LimitP50 is the least median detection time that the number of requests allows.
-	LimitP50 document.Duration `json:"information_limit_p50,omitempty"`
+	// Ejected is the time from the fault until nine in ten VMs have ejected the target.
+	EjectedP50   document.Duration `json:"ejected_p50,omitempty"`
+	EjectedP99   document.Duration `json:"ejected_p99,omitempty"`
+	NeverEjected int               `json:"never_ejected"`
+	// Limit is the least mean time to ejection that the number of requests allows.
+	Limit document.Duration `json:"information_limit,omitempty"`
 
 	Ejections      int     `json:"ejections"`
 	FalseEjections int     `json:"false_ejections"`
@@ -83,7 +87,7 @@
 		Policy: c.policy.Name, Seeds: len(records), Refusals: make(map[string]uint64)}
 	latency := hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits)
 	small := hdrhistogram.New(latencyLowest, latencyHighest, latencyDigits)
-	var detection []time.Duration
+	var detection, ejected []time.Duration
 	var attempts, sick, bytes uint64
 	result.LeastSlots, result.LeastUnion = records[0].leastSlots, records[0].leastUnion
 	for _, r := range records {
@@ -91,6 +95,7 @@
 		latency.Merge(r.latency)
 		small.Merge(r.small)
 		detection = append(detection, r.detection...)
+		ejected = append(ejected, r.ejectionTimes...)
 		attempts += r.attempts
 		sick += r.sickAttempts
 		bytes += r.messageBytes
@@ -103,8 +108,12 @@
 	result.BytesPerVMSecond = float64(bytes) / seconds / float64(size.VMs)
 	result.LatencyP50, result.LatencyP99 = quantile(latency, 50), quantile(latency, 99)
 	result.SmallP99 = quantile(small, 99)
-	result.detect(detection)
+	result.Detections = len(detection)
+	result.DetectionP50, result.DetectionP99 = middleAndTail(detection)
+	result.EjectedP50, result.EjectedP99 = middleAndTail(ejected)
+	result.NeverEjected = len(detection) - len(ejected)
 	result.ideal(c)
+	result.Limit = informationLimit(&c.scenario)
 	return result
 }
 
@@ -132,17 +141,16 @@
 	}
 }
 
-// detect fills in the quantiles of the detection times.
-func (r *Result) detect(times []time.Duration) {
-	r.Detections = len(times)
+// middleAndTail returns the 50th and the 99th percentile.
+func middleAndTail(times []time.Duration) (p50, p99 document.Duration) {
 	if len(times) == 0 {
-		return
+		return 0, 0
 	}
 	slices.Sort(times)
 	at := func(q float64) document.Duration {
 		return document.Duration(times[min(len(times)-1, int(q*float64(len(times))))])
 	}
-	r.DetectionP50, r.DetectionP99 = at(0.5), at(0.99)
+	return at(0.5), at(0.99)
 }
 
 func quantile(h *hdrhistogram.Histogram, percent float64) document.Duration {
@@ -179,7 +187,7 @@
 // Table writes the report for people.
 func (r Report) Table(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
-	fmt.Fprintln(table, "scenario\tservice\tload\tpolicy\tdetect p50\tp99\tlimit p50\tahead\teject\tfalse\tavoid\tfloor\tp50\tp99\tideal p99\tanswered\tattempts\tnews B/s\tmissed")
+	fmt.Fprintln(table, "scenario\tservice\tload\tpolicy\tlast sent p50\tp99\tahead\tejected p50\tp99\tlimit\teject\tfalse\tavoid\tfloor\tp50\tp99\tideal p99\tanswered\tattempts\tnews B/s\tmissed")
 	for _, result := range r.Results {
 		result.row(table)
 	}
@@ -191,18 +199,21 @@
 
 // row writes one result.
 func (r *Result) row(w io.Writer) {
-	detection, detection99, limit, ahead := "-", "-", "-", "-"
+	detection, detection99, ejected, ejected99, limit, ahead := "-", "-", "-", "-", "-", "-"
 	if r.Detections > 0 {
 		detection, detection99 = short(r.DetectionP50), short(r.DetectionP99)
 	}
-	if r.LimitP50 > 0 {
-		limit = short(r.LimitP50)
+	if r.EjectedP50 > 0 {
+		ejected, ejected99 = short(r.EjectedP50), short(r.EjectedP99)
+	}
+	if r.Limit > 0 {
+		limit = short(r.Limit)
 	}
 	if r.Ahead > 0 {
 		ahead = fmt.Sprintf("%.1fx", r.Ahead)
 	}
-	fmt.Fprintf(w, "%s\t%s\t%.0f%%\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.4f\t%.3f\t%.0f\t%s\n",
-		r.Scenario, r.Service, 100*r.Load, r.Policy, detection, detection99, limit, ahead,
+	fmt.Fprintf(w, "%s\t%s\t%.0f%%\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s\t%s\t%.4f\t%.3f\t%.0f\t%s\n",
+		r.Scenario, r.Service, 100*r.Load, r.Policy, detection, detection99, ahead, ejected, ejected99, limit,
 		r.Ejections, r.FalseEjections, r.Avoidances, r.FloorBreaks, short(r.LatencyP50), short(r.LatencyP99),
 		short(r.IdealP99), share(r.Answered, r.Requests), r.Attempts, r.BytesPerVMSecond, strings.Join(r.Missed, "; "))
 }
--- a/operator/measure/slots.go
+++ b/operator/measure/slots.go
@@ -243,10 +243,8 @@
 
 // SlotPolicy returns a policy that shares slots in a given way, for comparison.
 func SlotPolicy(way SlotWay) Policy {
-	policy := Ours()
-	policy.Name = string(way)
+	policy := Policy{Name: string(way), Health: NewTracked, Retrier: NewRetrier}
 	policy.Chooser = func(s *Setting) Chooser { return slotChooser{slotsOf(s, way)} }
 	policy.Admission = func(s *Setting) Admission { return slotAdmission{slotsOf(s, way)} }
-	policy.Retrier = NewRetrier
 	return policy
 }
