--- a/operator/measure/engine_test.go
+++ b/operator/measure/engine_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"path/filepath"
 	"reflect"
 	"testing"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
 )
 
 // shippedScenario returns a shipped scenario by name.
@@ -22,12 +26,16 @@
 	return nil
 }
 
+// testWarmup keeps the tests short.
+const testWarmup = document.Duration(5 * time.Second)
+
 // quickRun measures one service of a shipped scenario.
 func quickRun(t *testing.T, name, service string) Report {
 	t.Helper()
 	scenario := shippedScenario(t, name)
 	scenario.Services = []string{service}
 	scenario.Loads = []float64{0.7}
+	scenario.Warmup = testWarmup
 	report, err := Run(context.Background(), Options{Scenarios: []*Scenario{scenario}, Quick: true, Parallel: 2})
 	if err != nil {
 		t.Fatal(err)
@@ -78,3 +86,22 @@
 		}
 	}
 }
+
+func TestPlotNeedsASeries(t *testing.T) {
+	scenario := shippedScenario(t, "wrong")
+	scenario.Services, scenario.Loads, scenario.Baselines = []string{"berth"}, []float64{0.7}, false
+	scenario.Warmup = testWarmup
+	options := Options{Scenarios: []*Scenario{scenario}, Quick: true, Series: true}
+	report, err := Run(context.Background(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	result := &report.Results[0]
+	if err := result.Plot(filepath.Join(t.TempDir(), "run.svg")); err != nil {
+		t.Error(err)
+	}
+	result.Series = nil
+	if err := result.Plot(filepath.Join(t.TempDir(), "run.svg")); err == nil {
+		t.Error("a result without a series was plotted")
+	}
+}
