--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -5,16 +5,16 @@
 // excursions shows how much further, and the limits are stretched by it.
 const (
 	// excursionBase is the score, in nats, above which an excursion is measured;
-	// a single attempt does not get there.
-	excursionBase = evidenceLimit
+	// a single attempt seldom gets there.
+	excursionBase = 6.0
 	// excursionEnd is the score at which an excursion is over.
 	excursionEnd = 1.0
 	// excursionMean is the mean height above the base of independent evidence.
 	excursionMean = 1.0
 	// excursionDoubt is the mean height taken for service times before any is seen.
-	excursionDoubt = 4.0
+	excursionDoubt = 2.5
 	// excursionPrior is the number of excursions that the first estimate counts for.
-	excursionPrior = 8.0
+	excursionPrior = 6.0
 	// excursionMemory is the number of excursions that the estimate goes back.
 	excursionMemory = 64.0
 	// excursionClip bounds one excursion, in multiples of the estimate, so that
@@ -93,3 +93,35 @@
 	}
 	return best, level
 }
+
+// othersFactor is how many times the other targets' mean score is taken off a
+// target's own. What befalls all alike then convicts none.
+const othersFactor = 1.5
+
+// pooled, ofZone and ofVM choose the scores that are compared.
+func pooled(t *tally) *Scores { return &t.all }
+
+func (t *Tracker) ofZone(tally *tally) *Scores { return &tally.zones[t.zone] }
+
+func ofVM(t *tally) *Scores { return &t.own }
+
+// relativeLevel is the level of a target's scores after removal of what the
+// other targets in service have too.
+func (t *Tracker) relativeLevel(entry *target, scores func(*tally) *Scores) (Rule, float64) {
+	relative := *scores(&entry.tally)
+	var sum Scores
+	others := 0.0
+	for _, other := range t.targets {
+		if other == entry || other.verdict.out() {
+			continue
+		}
+		sum.plus(scores(&other.tally))
+		others++
+	}
+	for i := range relative {
+		if others > 0 {
+			relative[i] = max(0, relative[i]-othersFactor*sum[i]/others)
+		}
+	}
+	return t.level(&relative)
+}
