Elect the keeper by answers heard, and lease only to VMs that hear

Change: a candidate is asked only after it answered a probe; each message echoes the keeper's latest token, and leases live from the token's time; a keeper that did not run for half a term starts over; lost candidates are probed and never re-elected by unasked replies. The model is tested with random messages, a deaf VM and a paused keeper.

Conclusion: fail-over takes the silence bound and one lease term.

--- a/operator/measure/faults.go
+++ b/operator/measure/faults.go
@@ -54,6 +54,9 @@
 	// Count or Fraction says how many targets or VMs are affected, chosen at random.
 	Count    int     `json:"count"`
 	Fraction float64 `json:"fraction"`
+	// Members names the targets or VMs affected by index, in place of a random
+	// choice; VM 0 is the first candidate for keeper.
+	Members []int `json:"members,omitempty"`
 	// Factor multiplies service times or rates.
 	Factor float64 `json:"factor"`
 	// Share of the requests concerned; 0 means all.
@@ -145,6 +148,12 @@
 		count = 1
 	}
 	members := make([]bool, population)
+	if len(f.Members) > 0 {
+		for _, i := range f.Members {
+			members[i%population] = true
+		}
+		return members
+	}
 	for _, i := range random.Perm(population)[:min(count, population)] {
 		members[i] = true
 	}
--- a/operator/measure/leases.go
+++ b/operator/measure/leases.go
@@ -15,7 +15,7 @@
 	c.lessee.Tick(at(now))
 	c.keep(now)
 	if c.keeper != nil {
-		c.reply(now, -1, 0, c.keeper.Expire(at(now)))
+		c.reply(now, -1, balance.LeaseReply{}, c.keeper.Expire(at(now)))
 	}
 }
 
@@ -40,24 +40,28 @@
 	if c.lessee == nil {
 		return nil
 	}
-	for {
-		message, ok := c.lessee.Outbox(at(now))
-		if !ok {
-			break
-		}
-		if c.lessee.IsKeeper() {
-			c.handle(now, c.setting.VM, message)
-			continue
+	for pending := c.lessee.Outbox(at(now)); len(pending) > 0; pending = c.lessee.Outbox(at(now)) {
+		for _, envelope := range pending {
+			c.post(now, envelope)
 		}
-		to := slices.Index(c.names(), c.lessee.Keeper())
-		size := leaseBytes * (1 + len(message.Asks) + len(message.Returns) + len(message.Held))
-		c.outbox = append(c.outbox, Message{To: to, Body: message, Bytes: size})
 	}
 	out := c.outbox
 	c.outbox = nil
 	return out
 }
 
+// post sends a message to another VM, or handles one to this VM itself.
+func (c slotChooser) post(now time.Duration, envelope balance.LeaseEnvelope) {
+	message := envelope.Message
+	to := slices.Index(c.names(), envelope.To)
+	if to == c.setting.VM {
+		c.handle(now, to, message)
+		return
+	}
+	size := leaseBytes * (1 + len(message.Asks) + len(message.Returns) + len(message.Held))
+	c.outbox = append(c.outbox, Message{To: to, Body: message, Bytes: size})
+}
+
 func (s *slots) names() []string {
 	names := make([]string, s.setting.VMs)
 	for i := range names {
@@ -83,22 +87,24 @@
 		c.outbox = append(c.outbox, Message{To: from, Body: balance.LeaseReply{Sequence: message.Sequence}, Bytes: leaseBytes})
 		return
 	}
-	c.reply(now, from, message.Sequence, c.keeper.Handle(at(now), vmName(from), message))
+	grants, applied := c.keeper.Handle(at(now), vmName(from), message)
+	c.reply(now, from, balance.LeaseReply{Sequence: message.Sequence, Repeat: !applied}, grants)
 }
 
 // reply sends grants, and an answer to the VM that sent a message.
-func (c slotChooser) reply(now time.Duration, from int, sequence uint64, grants []balance.Grant) {
+func (c slotChooser) reply(now time.Duration, from int, answer balance.LeaseReply, grants []balance.Grant) {
 	replies := make(map[string]*balance.LeaseReply)
 	order := make([]string, 0, len(grants)+1)
 	add := func(vm string) *balance.LeaseReply {
 		if replies[vm] == nil {
-			replies[vm] = &balance.LeaseReply{Keeper: true, Open: c.keeper.Open(at(now)), Busy: c.keeper.Busy()}
+			replies[vm] = &balance.LeaseReply{Keeper: true, Token: c.keeper.Token(at(now)), Open: c.keeper.Open(at(now)), Busy: c.keeper.Busy()}
 			order = append(order, vm)
 		}
 		return replies[vm]
 	}
 	if from >= 0 {
-		add(vmName(from)).Sequence = sequence
+		reply := add(vmName(from))
+		reply.Sequence, reply.Repeat = answer.Sequence, answer.Repeat
 	}
 	for _, grant := range grants {
 		reply := add(grant.VM)
--- a/operator/measure/slots.go
+++ b/operator/measure/slots.go
@@ -105,7 +105,7 @@
 		for vm := range s.VMs {
 			order = append(order, vmName(vm))
 		}
-		shared.lessee.Configure(at(0), order)
+		shared.lessee.Configure(order)
 	}
 	s.Shared = shared
 	return shared
--- a/policy/balance/balance_test.go
+++ b/policy/balance/balance_test.go
@@ -129,60 +129,98 @@
 	return k
 }
 
+// handle passes a message of a VM that has heard the keeper just now.
+func handle(k *Keeper, now time.Time, vm string, message LeaseMessage) []Grant {
+	message.Echo = k.Token(now)
+	grants, _ := k.Handle(now, vm, message)
+	return grants
+}
+
+// open returns a keeper that has waited out earlier leases.
+func open(now time.Time, targets int) (*Keeper, time.Time) {
+	k := newKeeper(now, targets)
+	for range 4 {
+		now = now.Add(LeaseTerm / 4)
+		k.Expire(now)
+	}
+	return k, now
+}
+
 func TestKeeperWaitsOutEarlierLeases(t *testing.T) {
 	now := time.Unix(0, 0)
 	k := newKeeper(now, 1)
-	if grants := k.Ask(now, Ask{VM: "a", ID: 1}); len(grants) > 0 {
+	if grants := handle(k, now, "a", LeaseMessage{Asks: []Ask{{ID: 1}}}); len(grants) > 0 {
 		t.Fatal("granted while leases of an earlier keeper may be in force")
 	}
-	k.Adopt(now, "b", 9, "t000")
-	k.Heard(now.Add(LeaseTerm), "b")
-	k.Heard(now.Add(LeaseTerm), "a")
-	if grants := k.Expire(now.Add(LeaseTerm)); len(grants) != 1 || k.Leased("t000") != 2 {
+	handle(k, now, "b", LeaseMessage{Held: []HeldLease{{ID: 9, Target: "t000"}}})
+	for range 3 {
+		now = now.Add(LeaseTerm / 4)
+		handle(k, now, "a", LeaseMessage{})
+		handle(k, now, "b", LeaseMessage{})
+	}
+	if grants := k.Expire(now.Add(LeaseTerm / 4)); len(grants) != 1 || k.Leased("t000") != 2 {
 		t.Fatalf("%d grants, %d leased", len(grants), k.Leased("t000"))
 	}
 }
 
 func TestKeeperEndsLeasesOfSilentVM(t *testing.T) {
-	now := time.Unix(0, 0)
-	k := newKeeper(now, 1)
-	now = now.Add(LeaseTerm)
+	k, now := open(time.Unix(0, 0), 1)
 	k.Shed(now, "t000")
-	for id := range uint64(3) {
-		k.Ask(now, Ask{VM: "a", ID: id})
-	}
-	if grants := k.Ask(now, Ask{VM: "b", ID: 1}); len(grants) > 0 {
+	handle(k, now, "a", LeaseMessage{Asks: []Ask{{ID: 0}, {ID: 1}, {ID: 2}}})
+	if grants := handle(k, now, "b", LeaseMessage{Asks: []Ask{{ID: 1}}}); len(grants) > 0 {
 		t.Fatal("a fourth request was granted at a target that sheds")
 	}
-	now = now.Add(LeaseTerm)
-	k.Heard(now, "b")
-	grants := k.Expire(now)
+	for range 3 {
+		now = now.Add(LeaseTerm / 4)
+		handle(k, now, "b", LeaseMessage{})
+	}
+	grants := k.Expire(now.Add(LeaseTerm / 4))
 	if len(grants) != 1 || grants[0].VM != "b" {
 		t.Fatalf("got %+v", grants)
 	}
-	k.Return(now, "a", 0)
+	handle(k, now, "a", LeaseMessage{Returns: []uint64{0}})
 	if k.Leased("t000") != 1 {
 		t.Fatalf("%d leased after a late return", k.Leased("t000"))
 	}
 }
 
+func TestDeafVMHoldsNoLeases(t *testing.T) {
+	k, now := open(time.Unix(0, 0), 1)
+	echo := k.Token(now)
+	for id := range uint64(40) {
+		k.Handle(now, "deaf", LeaseMessage{Echo: echo, Asks: []Ask{{ID: id}}})
+		now = now.Add(LeaseTerm / 10)
+		k.Expire(now)
+	}
+	if k.Leased("t000") != 0 || k.Waiting() != 0 {
+		t.Fatalf("%d slots leased and %d asks kept for a VM that hears nothing", k.Leased("t000"), k.Waiting())
+	}
+}
+
+func TestPausedKeeperStartsOver(t *testing.T) {
+	k, now := open(time.Unix(0, 0), 1)
+	now = now.Add(30 * time.Second)
+	if grants := handle(k, now, "a", LeaseMessage{Asks: []Ask{{ID: 1}}}); len(grants) > 0 || k.Open(now) {
+		t.Fatal("a keeper that woke late grants slots at once")
+	}
+}
+
 // TestKeeperNeverLeasesASlotTwice runs random messages, lost ones included.
 func TestKeeperNeverLeasesASlotTwice(t *testing.T) {
 	for seed := range uint64(100) {
 		rng := newRNG(seed)
-		now := time.Unix(0, 0)
-		k := newKeeper(now, 4)
-		now = now.Add(LeaseTerm)
+		k, now := open(time.Unix(0, 0), 4)
 		for id := range uint64(300) {
 			now = now.Add(time.Duration(rng.IntN(50)) * time.Millisecond)
 			vm := fmt.Sprint(rng.IntN(3))
 			switch rng.IntN(4) {
 			case 0:
-				k.Return(now, vm, uint64(rng.IntN(int(id)+1)))
+				handle(k, now, vm, LeaseMessage{Returns: []uint64{uint64(rng.IntN(int(id) + 1))}})
 			case 1:
 				k.Expire(now)
 			default:
-				k.Ask(now, Ask{VM: vm, ID: id, Customer: vm, Weight: 1, Deadline: now.Add(time.Second)})
+				ask := Ask{ID: id, Customer: vm, Weight: 1, Deadline: now.Add(time.Second)}
+				handle(k, now, vm, LeaseMessage{Asks: []Ask{ask}})
 			}
 			leased := map[string]int{}
 			for _, h := range k.leases {
@@ -222,15 +260,13 @@
 func BenchmarkKeeper(b *testing.B) {
 	for _, count := range []int{20, 360} {
 		b.Run(fmt.Sprint("targets=", count), func(b *testing.B) {
-			now := time.Unix(0, 0)
-			k := newKeeper(now, count)
-			now = now.Add(LeaseTerm)
+			k, now := open(time.Unix(0, 0), count)
 			id := uint64(0)
 			b.ReportAllocs()
 			for b.Loop() {
 				id++
-				k.Ask(now, Ask{VM: "a", ID: id, Customer: "c", Weight: 1})
-				k.Return(now, "a", id)
+				handle(k, now, "a", LeaseMessage{Asks: []Ask{{ID: id, Customer: "c", Weight: 1}}})
+				handle(k, now, "a", LeaseMessage{Returns: []uint64{id}})
 			}
 		})
 	}
--- a/policy/balance/keeper.go
+++ b/policy/balance/keeper.go
@@ -53,6 +53,10 @@
 	leases map[string]*holder
 	// opensAt is when the leases of an earlier keeper have ended.
 	opensAt time.Time
+	// started is the origin of the tokens.
+	started time.Time
+	// ran is when the keeper did something last.
+	ran     time.Time
 	pending map[pendingKey]*admission.Entry[Ask]
 	// noExtra holds until when targets that shed get no extra requests.
 	noExtra map[string]time.Time
@@ -79,6 +83,8 @@
 		pending: make(map[pendingKey]*admission.Entry[Ask]),
 		noExtra: make(map[string]time.Time),
 		opensAt: now.Add(LeaseTerm),
+		ran:     now,
+		started: now,
 		rng:     rng,
 	}
 }
@@ -107,43 +113,12 @@
 // Leased returns the number of slots of a target that are leased.
 func (k *Keeper) Leased(target string) int { return k.slots.InFlight(target) }
 
-// Heard records a message of a VM, which renews its leases.
-func (k *Keeper) Heard(now time.Time, vm string) {
-	k.holder(vm).heard = now
-}
-
-// Adopt records a lease that a VM holds from an earlier keeper.
-func (k *Keeper) Adopt(now time.Time, vm string, id uint64, target string) {
-	h := k.holder(vm)
-	h.heard = now
-	if _, ok := h.targets[id]; ok {
-		return
-	}
-	k.end(vm, id)
-	h.targets[id] = target
-	k.slots.TakeNamed(target)
-}
-
-// Ask queues a request for a slot and returns the grants that can be made.
-func (k *Keeper) Ask(now time.Time, ask Ask) []Grant {
-	k.Heard(now, ask.VM)
-	k.enqueue(ask)
-	return k.grant(now)
-}
-
 // Shed records that a target turned a request away.
 func (k *Keeper) Shed(now time.Time, target string) {
 	k.noExtra[target] = now.Add(noExtraFor)
 	k.slots.SetExtra(target, 0)
 }
 
-// Return ends an ask or a lease and returns the grants that can be made.
-func (k *Keeper) Return(now time.Time, vm string, id uint64) []Grant {
-	k.Heard(now, vm)
-	k.end(vm, id)
-	return k.grant(now)
-}
-
 func (k *Keeper) enqueue(ask Ask) {
 	key := pendingKey{ask.VM, ask.ID}
 	if _, ok := k.pending[key]; ok {
@@ -166,6 +141,7 @@
 
 // Expire ends the leases of silent VMs and returns the grants that can be made.
 func (k *Keeper) Expire(now time.Time) []Grant {
+	k.noticePause(now)
 	for target, until := range k.noExtra {
 		if !now.Before(until) {
 			delete(k.noExtra, target)
--- a/policy/balance/lease.go
+++ b/policy/balance/lease.go
@@ -11,8 +11,9 @@
 	keeperCandidates = 3
 	// keeperSilence is how long a keeper may leave a message without an answer.
 	keeperSilence = 150 * time.Millisecond
-	// silentFor is how long a silent or unwilling keeper is not asked again.
-	silentFor = 500 * time.Millisecond
+	// probeLostInterval is the time between two probes of a candidate that was
+	// silent or declined.
+	probeLostInterval = 500 * time.Millisecond
 	// heartbeatInterval is the longest time between messages while leases are held.
 	heartbeatInterval = 250 * time.Millisecond
 	// optimisticBusy is the part of the slots in use below which a VM takes a
@@ -23,8 +24,11 @@
 // LeaseMessage goes from a VM to the keeper.
 type LeaseMessage struct {
 	Sequence uint64
-	Asks     []Ask
-	Returns  []uint64
+	// Echo is the token of the latest reply that the VM has received from this
+	// keeper; it proves that the VM hears. Zero when there was none.
+	Echo    uint64
+	Asks    []Ask
+	Returns []uint64
 	// Shed names targets that turned a request away.
 	Shed []string
 	// Held lists leases taken without the keeper, or from an earlier one.
@@ -41,6 +45,11 @@
 type LeaseReply struct {
 	// Sequence is that of the message answered; zero for grants made later.
 	Sequence uint64
+	// Token is the keeper's time of the reply, to be echoed.
+	Token uint64
+	// Repeat asks the VM to tell its asks and leases again, because the message
+	// answered came without a recent echo and was not applied.
+	Repeat bool
 	// Keeper is false when the receiver does not regard itself as keeper.
 	Keeper bool
 	// Open is true once the leases of an earlier keeper have ended.
@@ -55,9 +64,12 @@
 // while no keeper answers, while a new keeper waits out earlier leases, and
 // while few slots are in use.
 type Lessee struct {
-	vm     string
-	order  []string
-	silent map[string]time.Time
+	vm    string
+	order []string
+	// lost holds candidates that are not known to answer.
+	lost map[string]probe
+	// tokens holds the latest token of each candidate.
+	tokens map[string]uint64
 	keeper string
 	open   bool
 	busy   float64
@@ -71,23 +83,43 @@
 	took    []HeldLease
 	// sequence, unanswered and lastSent follow the messages to the keeper.
 	sequence   uint64
+	sent       uint64
 	unanswered time.Time
 	lastSent   time.Time
 	lastHeard  time.Time
 }
 
+// probe is a question to a candidate that is not known to answer.
+type probe struct {
+	sequence uint64
+	next     time.Time
+}
+
 // NewLessee returns a lessee that knows no keeper yet.
 func NewLessee(vm string) *Lessee {
 	return &Lessee{
-		vm: vm, silent: make(map[string]time.Time),
+		vm: vm, lost: make(map[string]probe), tokens: make(map[string]uint64),
 		asked: make(map[uint64]Ask), held: make(map[uint64]string),
 	}
 }
 
-// Configure sets the candidates for keeper, best first.
-func (l *Lessee) Configure(now time.Time, order []string) {
-	l.order = slices.Clone(order[:min(len(order), keeperCandidates)])
-	l.elect(now)
+// Configure sets the candidates for keeper, best first. A new candidate is
+// asked only after it has answered a probe.
+func (l *Lessee) Configure(order []string) {
+	order = order[:min(len(order), keeperCandidates)]
+	if slices.Equal(l.order, order) {
+		return
+	}
+	for _, candidate := range order {
+		if candidate != l.vm && !slices.Contains(l.order, candidate) {
+			l.lost[candidate] = probe{}
+		}
+	}
+	l.order = slices.Clone(order)
+	gone := func(vm string) bool { return !slices.Contains(order, vm) }
+	maps.DeleteFunc(l.lost, func(vm string, _ probe) bool { return gone(vm) })
+	maps.DeleteFunc(l.tokens, func(vm string, _ uint64) bool { return gone(vm) })
+	l.elect()
 }
 
 // Keeper returns the VM that is asked for slots; empty when there is none.
@@ -139,8 +171,31 @@
 	l.returns = append(l.returns, id)
 }
 
-// Outbox returns the message to send to the keeper now, if any.
-func (l *Lessee) Outbox(now time.Time) (LeaseMessage, bool) {
+// LeaseEnvelope is a message and the VM that it is for.
+type LeaseEnvelope struct {
+	To      string
+	Message LeaseMessage
+}
+
+// Outbox returns the messages to send now: to the keeper, and to lost
+// candidates, to learn whether they are back.
+func (l *Lessee) Outbox(now time.Time) []LeaseEnvelope {
+	var out []LeaseEnvelope
+	if message, ok := l.message(now); ok {
+		out = append(out, LeaseEnvelope{To: l.keeper, Message: message})
+	}
+	for _, candidate := range l.order {
+		pending, lost := l.lost[candidate]
+		if lost && !now.Before(pending.next) {
+			l.sequence++
+			l.lost[candidate] = probe{sequence: l.sequence, next: now.Add(probeLostInterval)}
+			out = append(out, LeaseEnvelope{To: candidate, Message: LeaseMessage{Sequence: l.sequence}})
+		}
+	}
+	return out
+}
+
+func (l *Lessee) message(now time.Time) (LeaseMessage, bool) {
 	if l.keeper == "" {
 		l.asks, l.returns, l.took, l.shed = nil, nil, nil, nil
 		return LeaseMessage{}, false
@@ -151,7 +206,8 @@
 		return LeaseMessage{}, false
 	}
 	l.sequence++
-	message := LeaseMessage{Sequence: l.sequence, Asks: l.asks, Returns: l.returns, Held: l.took, Shed: l.shed}
+	l.sent = l.sequence
+	message := LeaseMessage{Sequence: l.sequence, Echo: l.tokens[l.keeper], Asks: l.asks, Returns: l.returns, Held: l.took, Shed: l.shed}
 	l.asks, l.returns, l.took, l.shed = nil, nil, nil, nil
 	l.lastSent = now
 	if l.unanswered.IsZero() {
@@ -162,15 +218,25 @@
 
 // Receive takes a reply and returns the grants of requests that still wait.
 func (l *Lessee) Receive(now time.Time, from string, reply LeaseReply) []Grant {
-	if from != l.keeper {
+	if !reply.Keeper {
+		l.lose(now, from)
 		return nil
 	}
-	if !reply.Keeper {
-		l.avoid(now, from)
+	pending, lost := l.lost[from]
+	if lost && (pending.sequence == 0 || pending.sequence != reply.Sequence) {
+		return nil
+	}
+	delete(l.lost, from)
+	l.tokens[from] = reply.Token
+	l.elect()
+	if from != l.keeper {
 		return nil
 	}
 	l.lastHeard, l.open, l.busy = now, reply.Open, reply.Busy
-	if reply.Sequence == l.sequence {
+	if reply.Repeat && reply.Sequence == l.sent {
+		l.repeat()
+	}
+	if reply.Sequence == l.sent {
 		l.unanswered = time.Time{}
 	} else if reply.Sequence > 0 {
 		l.unanswered = now
@@ -191,38 +257,36 @@
 // Tick notices a silent keeper and the end of this VM's own silence.
 func (l *Lessee) Tick(now time.Time) {
 	if !l.unanswered.IsZero() && now.Sub(l.unanswered) >= keeperSilence {
-		l.avoid(now, l.keeper)
+		l.lose(now, l.keeper)
 		return
 	}
-	if l.keeper == "" || l.keeper != l.best(now) {
-		l.elect(now)
-	}
-	if l.keeper != "" && !l.lastHeard.IsZero() && now.Sub(l.lastHeard) >= LeaseTerm {
+	if !l.lastHeard.IsZero() && now.Sub(l.lastHeard) >= LeaseTerm {
 		l.lastHeard = now
 		l.repeat()
 	}
 }
 
-// avoid asks another candidate than the given one for a while.
-func (l *Lessee) avoid(now time.Time, keeper string) {
-	if keeper == l.vm {
+// lose turns to another candidate than the given one until it answers again.
+func (l *Lessee) lose(now time.Time, candidate string) {
+	if candidate == l.vm || !slices.Contains(l.order, candidate) {
 		return
 	}
-	l.silent[keeper] = now.Add(silentFor)
-	l.elect(now)
+	if _, lost := l.lost[candidate]; !lost {
+		l.lost[candidate] = probe{next: now.Add(probeLostInterval)}
+		delete(l.tokens, candidate)
+	}
+	l.elect()
 }
 
-func (l *Lessee) best(now time.Time) string {
+// elect takes the first candidate that is not lost.
+func (l *Lessee) elect() {
+	best := ""
 	for _, candidate := range l.order {
-		if !now.Before(l.silent[candidate]) {
-			return candidate
+		if _, lost := l.lost[candidate]; !lost {
+			best = candidate
+			break
 		}
 	}
-	return ""
-}
-
-func (l *Lessee) elect(now time.Time) {
-	best := l.best(now)
 	if best == l.keeper {
 		return
 	}
@@ -243,11 +307,15 @@
 }
 
 // Handle applies a VM's message and returns the grants that can be made now,
-// to any VM.
-func (k *Keeper) Handle(now time.Time, from string, message LeaseMessage) []Grant {
-	k.Heard(now, from)
+// to any VM. A message is applied only when its echo proves that the VM hears
+// the keeper, since it would hold slots that it does not know of.
+func (k *Keeper) Handle(now time.Time, from string, message LeaseMessage) (grants []Grant, applied bool) {
+	k.noticePause(now)
+	if !k.hears(now, from, message.Echo) {
+		return nil, false
+	}
 	for _, held := range message.Held {
-		k.Adopt(now, from, held.ID, held.Target)
+		k.adopt(from, held)
 	}
 	for _, target := range message.Shed {
 		k.Shed(now, target)
@@ -259,7 +327,50 @@
 		ask.VM = from
 		k.enqueue(ask)
 	}
-	return k.grant(now)
+	return k.grant(now), true
+}
+
+// Token returns what the replies made now carry.
+func (k *Keeper) Token(now time.Time) uint64 { return uint64(now.Sub(k.started)) + 1 }
+
+// hears renews a VM's leases as of the reply that it echoes, and reports
+// whether that is recent.
+func (k *Keeper) hears(now time.Time, vm string, echo uint64) bool {
+	echoed := k.started.Add(time.Duration(echo) - 1)
+	if echo == 0 || echo > k.Token(now) || now.Sub(echoed) >= LeaseTerm {
+		return false
+	}
+	h := k.holder(vm)
+	if echoed.After(h.heard) {
+		h.heard = echoed
+	}
+	return true
+}
+
+// adopt records a lease that a VM took by itself or from an earlier keeper.
+func (k *Keeper) adopt(vm string, held HeldLease) {
+	h := k.holder(vm)
+	if _, ok := h.targets[held.ID]; ok {
+		return
+	}
+	k.end(vm, held.ID)
+	h.targets[held.ID] = held.Target
+	k.slots.TakeNamed(held.Target)
+}
+
+// noticePause starts over when this process did not run for so long that other
+// VMs may have turned to another keeper.
+func (k *Keeper) noticePause(now time.Time) {
+	if now.Sub(k.ran) >= LeaseTerm/2 {
+		k.opensAt = now.Add(LeaseTerm)
+		for vm, h := range k.leases {
+			for id := range h.targets {
+				k.release(h, id)
+			}
+			delete(k.leases, vm)
+		}
+	}
+	k.ran = now
 }
 
 // Open reports whether the leases of an earlier keeper have ended.
