Judge targets by the tracker, pooled with the other VMs' evidence

Cause: the daemon judged targets naively and alone.

Change: the targets child feeds policy/health from attempts and probes, gives trials to first attempts that may run twice, and publishes and takes over evidence through the news (a new body, HealthNews). Connection shares and probers follow the VMs that serve the service. The protocol gains Lease, which the peer child hands to a delegate.

Conclusion: the naive judge is gone.

--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -33,6 +33,15 @@
 	Forward(ctx context.Context, stream *connect.BidiStream[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]) error
 }
 
+// Leaser leases slots of targets to other instances; the targets child is one.
+type Leaser interface {
+	// Lease serves one instance's stream.
+	Lease(ctx context.Context, stream *connect.BidiStream[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]) error
+}
+
+// UseLeaser sets the delegate for leases, before Serve.
+func (m *Manager) UseLeaser(leaser Leaser) { m.leaser = leaser }
+
 // UseConfigServer sets the delegate for configuration, before Serve.
 func (m *Manager) UseConfigServer(server ConfigServer) { m.configServer = server }
 
@@ -225,3 +234,12 @@
 	}
 	return h.m.forwarder.Forward(ctx, stream)
 }
+
+// Lease passes the stream to the targets child, which checks the fleet in each
+// message.
+func (h *handler) Lease(ctx context.Context, stream *connect.BidiStream[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]) error {
+	if h.m.leaser == nil {
+		return connect.NewError(connect.CodeUnimplemented, errNoDelegate)
+	}
+	return h.m.leaser.Lease(ctx, stream)
+}
--- a/entry/peer/manager.go
+++ b/entry/peer/manager.go
@@ -47,6 +47,7 @@
 
 	configServer ConfigServer
 	forwarder    Forwarder
+	leaser       Leaser
 	quiet        map[string]time.Time
 }
 
--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -35,17 +35,17 @@
 		s.metrics.refused(refusal.Reason)
 		return nil, refusal
 	}
-	name, refusal := s.acquire(ctx, request, customer.Limits.Weight)
+	name, trial, refusal := s.acquire(ctx, request, customer.Limits.Weight)
 	if refusal != nil {
 		m.finish(request.Customer)
 		refusal.Peer = m.vm
 		s.metrics.refused(refusal.Reason)
 		return nil, refusal
 	}
-	return m.grant(s, name, request)
+	return m.grant(s, name, trial, request)
 }
 
-func (m *Manager) grant(s *service, name string, request contract.AcquireRequest) (contract.Grant, error) {
+func (m *Manager) grant(s *service, name string, trial bool, request contract.AcquireRequest) (contract.Grant, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t, ok := s.targets[name]
@@ -55,38 +55,58 @@
 		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
 	}
 	s.nextID++
-	s.judge.Started(time.Now(), name, s.nextID, request.Idempotent)
+	s.judge.started(time.Now(), name, s.nextID, trial)
 	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: s.nextID}, nil
 }
 
 var errRemoved = errors.New("target was removed from the configuration")
 
 // acquire takes a slot at once or waits for one in the fair queue.
-func (s *service) acquire(ctx context.Context, request contract.AcquireRequest, weight float64) (string, *outcome.Refusal) {
+func (s *service) acquire(ctx context.Context, request contract.AcquireRequest, weight float64) (target string, trial bool, refusal *outcome.Refusal) {
 	began := time.Now()
+	if name, ok := s.trial(began, request); ok {
+		return name, true, nil
+	}
 	w, name, refusal := s.enqueue(began, request, weight)
 	if refusal != nil || name != "" {
-		return name, refusal
+		return name, false, refusal
 	}
 	timer := time.NewTimer(time.Until(request.Deadline))
 	defer timer.Stop()
 	select {
 	case name, ok := <-w.Item.granted:
 		if !ok {
-			return "", refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+			return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
 		}
 		s.metrics.waited(time.Since(began))
-		return name, nil
+		return name, false, nil
 	case <-ctx.Done():
 		s.abandon(w)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return "", refuse(outcome.ReasonDeadlineExceeded, 0, ctx.Err())
+			return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, ctx.Err())
 		}
-		return "", refuse(outcome.ReasonCallerGone, 0, context.Cause(ctx))
+		return "", false, refuse(outcome.ReasonCallerGone, 0, context.Cause(ctx))
 	case <-timer.C:
 		s.abandon(w)
-		return "", refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+		return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+	}
+}
+
+// trial takes a slot of a target whose health is to be tried, for a first
+// attempt that may run twice.
+func (s *service) trial(now time.Time, request contract.AcquireRequest) (string, bool) {
+	if !request.Idempotent || request.Retry {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	name, ok := s.judge.trial(now, s.names)
+	if !ok || s.targets[name].leaving.now(now) {
+		return "", false
 	}
+	s.balancer.TakeNamed(name)
+	s.inFlight++
+	return name, true
 }
 
 // enqueue takes a slot when one is free and nobody waits, and queues the
--- a/entry/targets/explain.go
+++ b/entry/targets/explain.go
@@ -56,13 +56,11 @@
 	if !ok {
 		return nil
 	}
-	finding := s.judge.Explain(now, targetName)
-	finding.Subject = subject
-	finding.SeenBy = append(finding.SeenBy, m.vm)
-	finding.Evidence = append(finding.Evidence,
+	findings := s.judge.explain(subject, targetName)
+	findings[0].SeenBy = append(findings[0].SeenBy, m.vm)
+	findings[0].Evidence = append(findings[0].Evidence,
 		fmt.Sprintf("%d attempts in progress", s.balancer.InFlight(targetName)),
 		fmt.Sprintf("%d connections open", t.pool.size()))
-	findings := []contract.Finding{finding}
 	if t.leaving.now(now) {
 		findings = append(findings, contract.Finding{
 			Subject: subject, Decision: "no new work", Rule: "the target is leaving", SeenBy: []string{m.vm},
--- a/entry/targets/grant.go
+++ b/entry/targets/grant.go
@@ -43,6 +43,7 @@
 		g.manager.leaves(g.service, g.target.definition.Name)
 	}
 	g.service.observed(time.Now(), g.target.definition.Name, g.attempt, result)
+	g.manager.tell(g.service)
 	g.service.metrics.ended(result)
 	g.manager.finish(g.customer)
 }
--- a/entry/targets/judge.go
+++ b/entry/targets/judge.go
@@ -1,117 +1,152 @@
 package targets
 
 import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/policy/health"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
-// judge decides from evidence how much work each target of a service gets.
-// The service's lock is held during each call.
-type judge interface {
-	// Configure replaces the targets; those that stay keep their evidence.
-	Configure(now time.Time, targets []string)
-	Started(now time.Time, target string, attempt uint64, idempotent bool)
-	Ended(now time.Time, target string, attempt uint64, result contract.AttemptResult)
-	// Probed hands over the answer of a target's health endpoint.
-	Probed(now time.Time, target string, healthy bool)
-	// Tick does periodic work.
-	Tick(now time.Time)
-	// Condition returns the share of work that a target gets.
-	Condition(target string) balance.Condition
-	// Explain tells why a target is in its state.
-	Explain(now time.Time, target string) contract.Finding
-}
-
-const (
-	naiveFailures = 5
-	naiveRest     = 30 * time.Second
-)
+// urgentNats is the change of a score from which news goes at once.
+const urgentNats = 1.0
 
-// naiveJudge takes a target out for naiveRest after naiveFailures in a row,
-// as long as at least half of the targets stay.
-type naiveJudge struct {
-	targets map[string]*naiveState
+// judge decides from evidence how much work each target of a service gets. The
+// service's lock is held during each call.
+type judge struct {
+	tracker  *health.Tracker
+	start    time.Time
+	zone     string
+	attempts map[uint64]*health.Attempt
 }
 
-type naiveState struct {
-	failures int
-	out      bool
-	since    time.Time
+// newJudge returns a judge without targets for a VM in a zone.
+func newJudge(vm, zone string, rng *rand.Rand) *judge {
+	config := health.Config{VM: vm, Zone: zone, Zones: []string{zone}, VMs: 1, Random: rng}
+	return &judge{
+		tracker: health.New(config), start: time.Now(), zone: zone,
+		attempts: make(map[uint64]*health.Attempt),
+	}
 }
 
-func newNaiveJudge() *naiveJudge { return &naiveJudge{targets: make(map[string]*naiveState)} }
+// since converts to the tracker's clock.
+func (j *judge) since(now time.Time) time.Duration { return now.Sub(j.start) }
 
-func (j *naiveJudge) Configure(_ time.Time, targets []string) {
-	old := j.targets
-	j.targets = make(map[string]*naiveState, len(targets))
-	for _, name := range targets {
-		j.targets[name] = &naiveState{}
-		if state, ok := old[name]; ok {
-			j.targets[name] = state
-		}
+// configure takes over a service's definition; targets that stay keep their
+// evidence.
+func (j *judge) configure(now time.Time, definition *document.Service, vms int) {
+	targets := make([]health.Target, 0, len(definition.Targets))
+	for _, t := range definition.Targets {
+		targets = append(targets, health.Target{Name: t.Name, Slots: definition.Slots, Leaving: t.Leaving})
 	}
+	j.tracker.SetFleet(vms)
+	j.tracker.Configure(j.since(now), targets)
+	j.tracker.SetFloor(j.since(now), definition.FloorSlots, definition.Detection.FalseEjectionsPerTargetMonth)
 }
 
-func (j *naiveJudge) Started(time.Time, string, uint64, bool) {}
-
-func (j *naiveJudge) Ended(now time.Time, target string, _ uint64, result contract.AttemptResult) {
-	state, ok := j.targets[target]
-	if !ok || !isEvidence(result.Kind) {
-		return
+func (j *judge) started(now time.Time, target string, attempt uint64, trial bool) {
+	if index, ok := j.tracker.Index(target); ok {
+		j.attempts[attempt] = j.tracker.Start(j.since(now), index, trial)
 	}
-	if result.Kind == contract.AttemptSucceeded {
-		state.failures = 0
-		return
+}
+
+func (j *judge) ended(now time.Time, attempt uint64, result contract.AttemptResult) {
+	if started, ok := j.attempts[attempt]; ok {
+		j.tracker.End(j.since(now), started, health.Kind(result.Kind), result.Total)
+		delete(j.attempts, attempt)
 	}
-	state.failures++
-	if state.failures >= naiveFailures && !state.out && j.spare() {
-		state.out, state.since = true, now
+}
+
+// probed hands over the answer of a target's health endpoint.
+func (j *judge) probed(now time.Time, target string, healthy bool) {
+	if index, ok := j.tracker.Index(target); ok {
+		j.tracker.Probe(j.since(now), index, healthy)
 	}
 }
 
-func (j *naiveJudge) Probed(time.Time, string, bool) {}
+func (j *judge) tick(now time.Time) { j.tracker.Tick(j.since(now)) }
 
-func (j *naiveJudge) Tick(now time.Time) {
-	for _, state := range j.targets {
-		if state.out && now.Sub(state.since) >= naiveRest {
-			*state = naiveState{}
-		}
+// conditions passes each target's share of work to a function.
+func (j *judge) conditions(names []string, apply func(name string, condition balance.Condition)) {
+	trials := j.tracker.Weights(true)
+	ordinary := j.tracker.Weights(false)
+	for i, name := range names {
+		apply(name, balance.Condition{Weight: trials[i], TrialsOnly: ordinary[i] <= 0})
 	}
 }
 
-func (j *naiveJudge) Condition(target string) balance.Condition {
-	if state, ok := j.targets[target]; ok && state.out {
-		return balance.Condition{}
+// trial returns a target that wants an idempotent request as a trial now.
+func (j *judge) trial(now time.Time, names []string) (string, bool) {
+	index, ok := j.tracker.Trial(j.since(now))
+	if !ok {
+		return "", false
 	}
-	return balance.Condition{Weight: 1}
+	return names[index], true
 }
 
-func (j *naiveJudge) Explain(_ time.Time, target string) contract.Finding {
-	finding := contract.Finding{Decision: "in service", Rule: "five failures in a row"}
-	if state, ok := j.targets[target]; ok && state.out {
-		finding.Decision, finding.Since = "ejected", state.since
-		finding.Next = "in service again " + state.since.Add(naiveRest).Format(time.RFC3339)
+// news returns what the other VMs are to hear, and whether at once.
+func (j *judge) news(now time.Time) (item *primroseloomv1.HealthNews, urgent bool) {
+	told, ok := j.tracker.News(j.since(now))
+	if !ok {
+		return nil, false
+	}
+	item = &primroseloomv1.HealthNews{}
+	for _, e := range told.Evidence {
+		item.Evidence = append(item.Evidence, &primroseloomv1.HealthEvidence{
+			Target: e.Target, Zone: e.Zone, Increments: e.Increments[:], Old: uint32(e.Old),
+			Trials: uint32(e.Trials), Ejected: e.Ejected, Returned: e.Returned, ProbeBad: e.ProbeBad,
+		})
+		urgent = urgent || e.Ejected || e.Returned || e.Old > 0 || slices.Max(e.Increments[:]) >= urgentNats
 	}
-	return finding
+	for _, c := range told.Times {
+		item.Times = append(item.Times, &primroseloomv1.TimeCount{Bucket: uint32(c.Bucket), Count: c.Count})
+	}
+	return item, urgent
 }
 
-func (j *naiveJudge) spare() bool {
-	in := 0
-	for _, state := range j.targets {
-		if !state.out {
-			in++
+// receive takes over another VM's news.
+func (j *judge) receive(now time.Time, vm string, item *primroseloomv1.HealthNews) {
+	var news health.News
+	for _, e := range item.Evidence {
+		evidence := health.Evidence{
+			Target: e.Target, VM: vm, Zone: e.Zone, Old: int(e.Old), Trials: int(e.Trials),
+			Ejected: e.Ejected, Returned: e.Returned, ProbeBad: e.ProbeBad,
 		}
+		copy(evidence.Increments[:], e.Increments)
+		news.Evidence = append(news.Evidence, evidence)
+	}
+	for _, c := range item.Times {
+		news.Times = append(news.Times, health.TimeCount{Bucket: int(c.Bucket), Count: c.Count})
 	}
-	return 2*(in-1) >= len(j.targets)
+	j.tracker.Receive(j.since(now), &news)
 }
 
-// isEvidence reports whether an attempt's end tells about the target's health.
-func isEvidence(kind contract.AttemptKind) bool {
-	switch kind {
-	case contract.AttemptShed, contract.AttemptDraining, contract.AttemptCanceled:
-		return false
+// state returns what the VM makes of a target.
+func (j *judge) state(target string) health.State {
+	if index, ok := j.tracker.Index(target); ok {
+		return j.tracker.State(index)
+	}
+	return health.Leaving
+}
+
+// explain tells why a target is in its state.
+func (j *judge) explain(subject, target string) []contract.Finding {
+	var findings []contract.Finding
+	for _, f := range j.tracker.Explain(target) {
+		findings = append(findings, contract.Finding{
+			Subject: subject, Decision: f.Decision, Rule: f.Rule, Evidence: f.Evidence, SeenBy: f.SeenBy,
+			Since: j.start.Add(f.Since), Next: f.Next,
+		})
+	}
+	if len(findings) == 0 {
+		state := strings.ReplaceAll(string(j.state(target)), "_", " ")
+		findings = append(findings, contract.Finding{Subject: subject, Decision: fmt.Sprintf("%s since start", state), Since: j.start})
 	}
-	return true
+	return findings
 }
--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -5,6 +5,7 @@
 	"maps"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,11 +13,13 @@
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
+	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/retry"
+	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -34,6 +37,9 @@
 	metrics       *metrics.Metrics
 	logger        *log.Logger
 	vm, zone      string
+	// resizing lists the services whose set of VMs is to be looked at; one is
+	// done in each round.
+	resizing []string
 
 	// applying orders the snapshots; it is taken before any other lock.
 	applying sync.Mutex
@@ -68,7 +74,7 @@
 	m.applying.Lock()
 	defer m.applying.Unlock()
 	now := time.Now()
-	vms := len(m.members.Members())
+	members := m.members.Members()
 	old := m.snapshot()
 	next := make(map[string]*service, len(old))
 	for _, definition := range snap.Services() {
@@ -78,7 +84,7 @@
 		}
 		delete(old, definition.Name)
 		next[definition.Name] = s
-		s.configure(now, definition, vms)
+		s.configure(now, definition, serving(definition, members))
 	}
 	m.mu.Lock()
 	m.services = next
@@ -97,7 +103,7 @@
 
 func (m *Manager) newService(name string) *service {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return newService(name, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), rng)
+	return newService(name, m.vm, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), rng)
 }
 
 // Run does periodic work until the context ends.
@@ -116,9 +122,23 @@
 
 func (m *Manager) tick(ctx context.Context) {
 	members := m.members.Members()
-	for _, s := range m.snapshot() {
-		s.tick(time.Now(), len(members))
-		m.probe(ctx, s, members)
+	services := m.snapshot()
+	if m.resizing == nil {
+		m.resizing = slices.Collect(maps.Keys(services))
+	}
+	if last := len(m.resizing) - 1; last >= 0 {
+		if s, ok := services[m.resizing[last]]; ok {
+			s.resize(time.Now(), members)
+		}
+		m.resizing = m.resizing[:last]
+	}
+	if len(m.resizing) == 0 {
+		m.resizing = nil
+	}
+	for _, s := range services {
+		s.tick(time.Now())
+		m.tell(s)
+		m.probe(ctx, s)
 	}
 }
 
@@ -139,6 +159,37 @@
 	if gone := item.GetLeaving(); gone != nil {
 		s.told(time.Now(), gone.Target)
 	}
+	if evidence := item.GetHealth(); evidence != nil {
+		s.heard(time.Now(), item.OriginVm, evidence)
+	}
+}
+
+// tell publishes what this VM has learned of a service's targets.
+func (m *Manager) tell(s *service) {
+	m.mu.Lock()
+	news := m.news
+	m.mu.Unlock()
+	if news == nil {
+		return
+	}
+	s.mu.Lock()
+	told, urgent := s.judge.news(time.Now())
+	s.mu.Unlock()
+	if told != nil {
+		news.Publish(&primroseloomv1.NewsItem{Service: s.name, Body: &primroseloomv1.NewsItem_Health{Health: told}}, urgent)
+	}
+}
+
+// serving returns the VMs that may connect to a service's targets.
+func serving(definition *document.Service, members []*primroseloomv1.Member) []subset.VM {
+	names := assign.Serving(definition, members)
+	vms := make([]subset.VM, 0, len(names))
+	for _, member := range members {
+		if _, ok := slices.BinarySearch(names, member.Vm); ok {
+			vms = append(vms, subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region})
+		}
+	}
+	return vms
 }
 
 func (m *Manager) service(name string) *service {
--- a/entry/targets/probe.go
+++ b/entry/targets/probe.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
@@ -38,8 +39,8 @@
 }
 
 // probe starts the probes that are due on this VM.
-func (m *Manager) probe(ctx context.Context, s *service, members []*primroseloomv1.Member) {
-	for _, t := range s.probesDue(time.Now(), m.vm, members) {
+func (m *Manager) probe(ctx context.Context, s *service) {
+	for _, t := range s.probesDue(time.Now(), m.vm) {
 		go func() {
 			m.probeTarget(ctx, s, t)
 			s.mu.Lock()
@@ -50,7 +51,7 @@
 }
 
 // probesDue returns the targets that this VM is to probe now.
-func (s *service) probesDue(now time.Time, vm string, members []*primroseloomv1.Member) []*target {
+func (s *service) probesDue(now time.Time, vm string) []*target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.definition.HealthPath == "" && s.definition.LoadPath == "" {
@@ -62,7 +63,7 @@
 			continue
 		}
 		t.probes.next = now.Add(probeInterval)
-		if isProber(s.name+"/"+name, vm, members) {
+		if isProber(s.name+"/"+name, vm, s.serving) {
 			t.probes.running = true
 			due = append(due, t)
 		}
@@ -70,17 +71,12 @@
 	return due
 }
 
-func isProber(key, vm string, members []*primroseloomv1.Member) bool {
-	candidates := make([]subset.VM, 0, len(members))
-	for _, member := range members {
-		candidates = append(candidates, subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region})
-	}
-	for _, chosen := range subset.Choose("probe/"+key, candidates, probersPerTarget) {
-		if chosen.Name == vm {
-			return true
-		}
+func isProber(key, vm string, serving []subset.VM) bool {
+	isSelf := func(candidate subset.VM) bool { return candidate.Name == vm }
+	if !slices.ContainsFunc(serving, isSelf) {
+		return false
 	}
-	return false
+	return slices.ContainsFunc(subset.Choose("probe/"+key, serving, probersPerTarget), isSelf)
 }
 
 // probeTarget asks the health endpoint and the load endpoint of a target.
@@ -118,9 +114,8 @@
 	if healthy {
 		t.leaving.stayed(now)
 	}
-	s.judge.Probed(now, name, healthy)
-	s.refreshTarget(now, name)
-	s.pump(now)
+	s.judge.probed(now, name, healthy)
+	s.refresh(now)
 	s.metrics.probed(map[bool]string{true: "healthy", false: "unhealthy"}[healthy])
 }
 
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,6 +11,8 @@
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/balance"
 	"github.com/primroseloom/primroseloom/policy/retry"
+	"github.com/primroseloom/primroseloom/policy/subset"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
 const (
@@ -33,16 +36,18 @@
 	metrics serviceMetrics
 
 	mu         sync.Mutex
-	vms        int
+	serving    []subset.VM
 	definition *document.Service
 	balancer   *balance.Balancer
 	queue      *admission.FairQueue[*waiter]
 	drain      admission.Drain
 	retries    retry.Budget
-	judge      judge
-	targets    map[string]*target
-	rng        *rand.Rand
-	nextID     uint64
+	judge      *judge
+	// names are the targets in the order of the configuration.
+	names   []string
+	targets map[string]*target
+	rng     *rand.Rand
+	nextID  uint64
 	// inFlight counts the attempts in progress at all targets.
 	inFlight int
 	// typical is the average service time.
@@ -66,31 +71,31 @@
 	granted chan string
 }
 
-func newService(name, zone string, network contract.Network, metrics serviceMetrics, rng *rand.Rand) *service {
+func newService(name, vm, zone string, network contract.Network, metrics serviceMetrics, rng *rand.Rand) *service {
 	return &service{
 		name: name, zone: zone, network: network, metrics: metrics, rng: rng,
 		balancer: balance.NewBalancer(),
 		queue:    admission.NewFairQueue[*waiter](),
-		judge:    newNaiveJudge(),
+		judge:    newJudge(vm, zone, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))),
 		targets:  make(map[string]*target),
 	}
 }
 
-// configure applies a definition; targets that stay keep their state. Vms is
-// the number of VMs that may connect to the targets.
-func (s *service) configure(now time.Time, definition *document.Service, vms int) {
+// configure applies a definition; targets that stay keep their state. Vms are
+// the VMs that may connect to the targets.
+func (s *service) configure(now time.Time, definition *document.Service, vms []subset.VM) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.definition, s.vms = definition, vms
-	share := balance.ConnectionShare(definition.MaxConnections, vms)
+	s.definition, s.serving = definition, vms
+	share := balance.ConnectionShare(definition.MaxConnections, len(vms))
 	limit := min(definition.Slots, max(share-probeConnections, min(share, 1)))
 	old := s.targets
 	s.targets = make(map[string]*target, len(definition.Targets))
-	var names []string
+	s.names = nil
 	var balanced []balance.Target
 	for _, d := range definition.Targets {
 		s.targets[d.Name] = s.carryOver(now, old[d.Name], d, share)
-		names = append(names, d.Name)
+		s.names = append(s.names, d.Name)
 		balanced = append(balanced, balance.Target{Name: d.Name, Zone: d.Zone, Limit: limit, Slots: definition.Slots})
 	}
 	for name, t := range old {
@@ -99,7 +104,7 @@
 		}
 	}
 	s.balancer.Configure(balanced)
-	s.judge.Configure(now, names)
+	s.judge.configure(now, definition, max(1, len(vms)))
 	s.refresh(now)
 }
 
@@ -114,15 +119,11 @@
 	return t
 }
 
-// tick does periodic work: judgements age, idle connections are closed and the
-// share of connections follows the number of VMs.
-func (s *service) tick(now time.Time, vms int) {
-	if s.outgrown(vms) {
-		s.configure(now, s.definition, vms)
-	}
+// tick does periodic work: judgements age and idle connections are closed.
+func (s *service) tick(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.judge.Tick(now)
+	s.judge.tick(now)
 	s.refresh(now)
 	connections := 0
 	for _, t := range s.targets {
@@ -132,10 +133,22 @@
 	s.metrics.gauges(s.queue.Len(), s.inFlight, connections)
 }
 
-func (s *service) outgrown(vms int) bool {
+// resize follows the VMs that serve the service.
+func (s *service) resize(now time.Time, members []*primroseloomv1.Member) {
+	s.mu.Lock()
+	definition, before := s.definition, s.serving
+	s.mu.Unlock()
+	if vms := serving(definition, members); !slices.Equal(vms, before) {
+		s.configure(now, definition, vms)
+	}
+}
+
+// heard takes over another VM's evidence.
+func (s *service) heard(now time.Time, vm string, news *primroseloomv1.HealthNews) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.vms != vms
+	s.judge.receive(now, vm, news)
+	s.refresh(now)
 }
 
 // told records that a target leaves, and reports whether the other VMs are to
@@ -149,7 +162,7 @@
 	}
 	tell := t.leaving.until.Sub(now) < leavingFor/2
 	t.leaving.told(now)
-	s.refreshTarget(now, name)
+	s.refresh(now)
 	return tell
 }
 
@@ -175,24 +188,15 @@
 // refresh hands the judge's decisions to the balancer and serves the queue;
 // the lock is held.
 func (s *service) refresh(now time.Time) {
-	for name := range s.targets {
-		s.refreshTarget(now, name)
-	}
+	s.judge.conditions(s.names, func(name string, condition balance.Condition) {
+		if s.targets[name].leaving.now(now) {
+			condition = balance.Condition{}
+		}
+		s.balancer.SetCondition(name, condition)
+	})
 	s.pump(now)
 }
 
-func (s *service) refreshTarget(now time.Time, name string) {
-	t, ok := s.targets[name]
-	if !ok {
-		return
-	}
-	condition := s.judge.Condition(name)
-	if t.leaving.now(now) {
-		condition = balance.Condition{}
-	}
-	s.balancer.SetCondition(name, condition)
-}
-
 // pump gives free slots to the requests that wait; the lock is held.
 func (s *service) pump(now time.Time) {
 	var passed []*admission.Entry[*waiter]
@@ -235,15 +239,15 @@
 func (s *service) observed(now time.Time, name string, attempt uint64, result contract.AttemptResult) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.judge.Ended(now, name, attempt, result)
+	s.judge.ended(now, attempt, result)
 	switch result.Kind {
 	case contract.AttemptSucceeded:
 		s.learnTime(result.Total)
 	case contract.AttemptShed:
 		s.hold(name)
 	}
-	s.refreshTarget(now, name)
 	s.returned(now, name)
+	s.refresh(now)
 }
 
 func (s *service) learnTime(total time.Duration) {
--- a/wire/primroseloomv1/primroseloomv1connect/peer.connect.go
+++ b/wire/primroseloomv1/primroseloomv1connect/peer.connect.go
@@ -49,6 +49,8 @@
 	PeerServiceFetchShardsProcedure = "/primroseloom.v1.PeerService/FetchShards"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/primroseloom.v1.PeerService/Forward"
+	// PeerServiceLeaseProcedure is the fully-qualified name of the PeerService's Lease RPC.
+	PeerServiceLeaseProcedure = "/primroseloom.v1.PeerService/Lease"
 )
 
 // PeerServiceClient is a client for the primroseloom.v1.PeerService service.
@@ -67,6 +69,8 @@
 	FetchShards(context.Context, *connect.Request[primroseloomv1.FetchShardsRequest]) (*connect.ServerStreamForClient[primroseloomv1.FetchShardsResponse], error)
 	// Forward runs a request on the instance that is its dispatcher.
 	Forward(context.Context) *connect.BidiStreamForClient[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]
+	// Lease asks the keeper of a service for slots and returns them.
+	Lease(context.Context) *connect.BidiStreamForClient[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]
 }
 
 // NewPeerServiceClient constructs a client for the primroseloom.v1.PeerService service. By default,
@@ -122,6 +126,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Forward")),
 			connect.WithClientOptions(opts...),
 		),
+		lease: connect.NewClient[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse](
+			httpClient,
+			baseURL+PeerServiceLeaseProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("Lease")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -134,6 +144,7 @@
 	fetchRoot    *connect.Client[primroseloomv1.FetchRootRequest, primroseloomv1.FetchRootResponse]
 	fetchShards  *connect.Client[primroseloomv1.FetchShardsRequest, primroseloomv1.FetchShardsResponse]
 	forward      *connect.Client[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]
+	lease        *connect.Client[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]
 }
 
 // Ping calls primroseloom.v1.PeerService.Ping.
@@ -171,6 +182,11 @@
 	return c.forward.CallBidiStream(ctx)
 }
 
+// Lease calls primroseloom.v1.PeerService.Lease.
+func (c *peerServiceClient) Lease(ctx context.Context) *connect.BidiStreamForClient[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse] {
+	return c.lease.CallBidiStream(ctx)
+}
+
 // PeerServiceHandler is an implementation of the primroseloom.v1.PeerService service.
 type PeerServiceHandler interface {
 	// Ping probes an instance and carries membership updates in both directions.
@@ -187,6 +203,8 @@
 	FetchShards(context.Context, *connect.Request[primroseloomv1.FetchShardsRequest], *connect.ServerStream[primroseloomv1.FetchShardsResponse]) error
 	// Forward runs a request on the instance that is its dispatcher.
 	Forward(context.Context, *connect.BidiStream[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]) error
+	// Lease asks the keeper of a service for slots and returns them.
+	Lease(context.Context, *connect.BidiStream[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]) error
 }
 
 // NewPeerServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -238,6 +256,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Forward")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceLeaseHandler := connect.NewBidiStreamHandler(
+		PeerServiceLeaseProcedure,
+		svc.Lease,
+		connect.WithSchema(peerServiceMethods.ByName("Lease")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/primroseloom.v1.PeerService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case PeerServicePingProcedure:
@@ -254,6 +278,8 @@
 			peerServiceFetchShardsHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
+		case PeerServiceLeaseProcedure:
+			peerServiceLeaseHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -290,3 +316,7 @@
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.BidiStream[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]) error {
 	return connect.NewError(connect.CodeUnimplemented, errors.New("primroseloom.v1.PeerService.Forward is not implemented"))
 }
+
+func (UnimplementedPeerServiceHandler) Lease(context.Context, *connect.BidiStream[primroseloomv1.LeaseRequest, primroseloomv1.LeaseResponse]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("primroseloom.v1.PeerService.Lease is not implemented"))
+}
