--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -221,3 +223,23 @@
 		records.End(id, Ending{Outcome: outcome.Answered, Answer: answer}, uptime)
 	}
 }
+
+// BenchmarkRecordMemory reports the heap that a full table takes a record.
+func BenchmarkRecordMemory(b *testing.B) {
+	limits := DefaultLimits()
+	limits.CustomerRecords = limits.Records
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		records := NewRecords(limits)
+		for i := range limits.Records {
+			id := testID("customer", "0123456789abcdef"+strconv.Itoa(i), uint64(i%3))
+			records.Begin(id, Digest{}, WindowLength)
+			records.End(id, Ending{Outcome: outcome.MayHaveRun}, WindowLength)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(records.Len()), "bytes/record")
+	}
+}
