Count a pause of the process against requests that waited through it

Cause: separate processes, SIGSTOP to a VM for 30 s: five bookings with 3 s deadlines, waiting in the socket meanwhile, ran 27 s after they were sent, since their relative deadlines began when they were read. Change: a pause detector on the uptime clock; requests read within a second after a pause have the pause taken off their time. A keyed request refused before its record was asked is told may_have_run, since an earlier copy may have run. Conclusion: the fuzz sends such requests too and notices when the detector is left out.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -255,7 +255,9 @@
 	options func(*Options)
 	// sameInstance keeps a replaced VM's instance identifier.
 	sameInstance bool
-	instances    uint64
+	// noWatch leaves out what a proxy does beside requests.
+	noWatch   bool
+	instances uint64
 }
 
 // vm is one instance of the fleet; it is its own view of the members.
@@ -322,7 +324,9 @@
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(f.ctx)
 	v.stop = cancel
-	go func() { _ = v.proxy.Run(ctx) }()
+	if !f.noWatch {
+		go func() { _ = v.proxy.Run(ctx) }()
+	}
 	mux := http.NewServeMux()
 	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(peerService{proxy: v.proxy}))
 	limits := ServerLimits{HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
--- a/entry/proxy/forwarded.go
+++ b/entry/proxy/forwarded.go
@@ -64,15 +64,15 @@
 func (p *Proxy) serveForwarded(w *replyWriter, r *http.Request, head *primroseloomv1.ForwardHead) error {
 	snap := p.options.Configuration.Current()
 	if snap == nil {
-		return contract.Refuse(outcome.NotRun, outcome.ReasonNoConfiguration, outcome.StepForward, head.GetFromVm(), nil)
+		return contract.Refuse(outcome.MayHaveRun, outcome.ReasonNoConfiguration, outcome.StepForward, head.GetFromVm(), nil)
 	}
 	service, ok := snap.Service(head.GetService())
 	if !ok {
-		return contract.Refuse(outcome.NotRun, outcome.ReasonRouteNotAllowed, outcome.StepForward, head.GetFromVm(), nil)
+		return contract.Refuse(outcome.MayHaveRun, outcome.ReasonRouteNotAllowed, outcome.StepForward, head.GetFromVm(), nil)
 	}
 	c, err := p.newCall(r, head.GetCustomer(), service, time.Duration(head.GetDeadlineMs())*time.Millisecond)
 	if err != nil {
-		return err
+		return unlessKeyed(r, err)
 	}
 	defer c.cancel()
 	defer c.upload.stop()
@@ -80,7 +80,7 @@
 		return contract.Refuse(outcome.MayHaveRun, outcome.ReasonDispatcherGone, outcome.StepForward, head.GetFromVm(), nil)
 	}
 	if err := c.upload.fill(); err != nil {
-		return uploadRefusal(err, head.GetFromVm())
+		return unlessKeyed(r, uploadRefusal(err, head.GetFromVm()))
 	}
 	return p.dispatchKeyed(c, w)
 }
--- a/entry/proxy/fuzz_oracle_test.go
+++ b/entry/proxy/fuzz_oracle_test.go
@@ -13,6 +13,7 @@
 type ask struct {
 	number   int
 	id       string
+	method   string
 	path     string
 	once     bool
 	vm       int
--- a/entry/proxy/fuzz_test.go
+++ b/entry/proxy/fuzz_test.go
@@ -53,6 +53,7 @@
 	sameInstance bool
 	lenient      bool
 	noDeadline   bool
+	noWatch      bool
 }
 
 func newWorld(broken mutation) *world {
@@ -71,6 +72,7 @@
 		}
 	})
 	w.fleet.sameInstance = broken.sameInstance
+	w.fleet.noWatch = broken.noWatch
 	w.fleet.vms = make([]*vm, fuzzVMs)
 	for i := range fuzzVMs {
 		w.fleet.start(i)
@@ -118,21 +120,30 @@
 
 // send starts an ask on a VM.
 func (w *world) send(vm int, id, method, path, key string, deadline time.Duration) {
-	v := w.fleet.vms[vm]
+	w.start(w.newAsk(vm, id, method, path, deadline), key)
+}
+
+// newAsk notes that a caller is about to send.
+func (w *world) newAsk(vm int, id, method, path string, deadline time.Duration) *ask {
 	o := w.oracle
 	o.mu.Lock()
-	a := &ask{number: len(o.asks), id: id, path: path, once: method == "POST", vm: vm, deadline: deadline, start: time.Now()}
-	a.suspended = time.Duration(v.clock.jump.Load())
+	defer o.mu.Unlock()
+	a := &ask{number: len(o.asks), id: id, method: method, path: path, once: method == "POST", vm: vm, deadline: deadline, start: time.Now()}
+	a.suspended = time.Duration(w.fleet.vms[vm].clock.jump.Load())
 	o.asks = append(o.asks, a)
-	o.mu.Unlock()
+	return a
+}
+
+// start sends an ask and waits for its end in the background.
+func (w *world) start(a *ask, key string) {
 	lines := []string{askHeader + ": " + strconv.Itoa(a.number)}
 	if !w.noDeadline {
-		lines = append(lines, TimeoutHeader+": "+strconv.FormatInt(deadline.Milliseconds(), 10))
+		lines = append(lines, TimeoutHeader+": "+strconv.FormatInt(a.deadline.Milliseconds(), 10))
 	}
 	if key != "" {
 		lines = append(lines, key)
 	}
-	go func() { o.tell(a, w.fleet.ask(vm, method, path, id, lines...)) }()
+	go func() { w.oracle.tell(a, w.fleet.ask(a.vm, a.method, a.path, a.id, lines...)) }()
 }
 
 // step is one command of the fuzz. Its numbers choose among what exists.
@@ -207,6 +218,14 @@
 		w.fleet.kill(s.a % fuzzVMs)
 		w.fleet.start(s.a % fuzzVMs)
 	},
+	"sleeper": func(w *world, s step) {
+		v := w.fleet.vms[s.a%fuzzVMs]
+		id := w.name()
+		w.keyOf[id] = v.key(id)
+		a := w.newAsk(s.a%fuzzVMs, id, "POST", w.path(s), deadlines[s.c%4])
+		v.clock.jump.Add(int64(time.Duration(1+s.b%30) * time.Second))
+		w.start(a, w.keyOf[id])
+	},
 	"suspend": func(w *world, s step) {
 		w.fleet.vms[s.a%fuzzVMs].clock.jump.Add(int64(time.Duration(1+s.b%100) * time.Second))
 	},
@@ -215,7 +234,7 @@
 // weights tell how often each kind of command is drawn.
 var weights = map[string]int{
 	"lookup": 8, "booking": 4, "keyed": 10, "resend": 10, "poison": 2, "advance": 12, "hour": 1, "mode": 8,
-	"restart": 1, "silence": 2, "deaf": 1, "cut": 1, "quiet": 1, "heal": 2, "replace": 1, "suspend": 2,
+	"restart": 1, "silence": 2, "deaf": 1, "cut": 1, "quiet": 1, "heal": 2, "replace": 1, "suspend": 2, "sleeper": 1,
 }
 
 func (w *world) name() string { return "r" + strconv.Itoa(len(w.oracle.asks)) }
--- a/entry/proxy/mutation_test.go
+++ b/entry/proxy/mutation_test.go
@@ -87,6 +87,7 @@
 	{name: "poison requests are not held", options: func(o *Options) { o.Deciders.Quarantine = lax{quarantine.NewTable()} }},
 	{name: "truncated answers are taken for whole", lenient: true},
 	{name: "deadlines are not read", noDeadline: true},
+	{name: "pauses are not noticed", noWatch: true},
 }
 
 // TestFuzzNoticesEachBrokenPromise breaks one promise at a time in the
--- a/entry/proxy/newcomers.go
+++ b/entry/proxy/newcomers.go
@@ -3,22 +3,31 @@
 import (
 	"context"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/dispatch"
 )
 
 // newcomerInterval is how often the members are looked through for new instances.
 const newcomerInterval = 250 * time.Millisecond
 
-// Run tells new instances about the quarantines in force until the context ends.
+// Run watches for pauses of the process and tells new instances about the
+// quarantines in force, until the context ends.
 func (p *Proxy) Run(ctx context.Context) error {
-	ticker := time.NewTicker(newcomerInterval)
-	defer ticker.Stop()
+	p.pause.start(p.options.Clock)
+	defer p.pause.stop()
+	newcomers := time.NewTicker(newcomerInterval)
+	defer newcomers.Stop()
+	alive := time.NewTicker(dispatch.PauseInterval)
+	defer alive.Stop()
 	known := make(map[uint64]bool)
 	for {
-		if p.meet(known) {
-			p.suspects.announce()
-		}
 		select {
-		case <-ticker.C:
+		case <-alive.C:
+			p.pause.spent()
+		case <-newcomers.C:
+			if p.meet(known) {
+				p.suspects.announce()
+			}
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -83,6 +83,7 @@
 	counters counters
 	held     atomic.Int64
 	draining atomic.Bool
+	pause    pauseWatch
 	// forwarded is the number of requests in progress for other VMs.
 	forwarded atomic.Int64
 }
@@ -127,14 +128,14 @@
 func (p *Proxy) serve(w *replyWriter, r *http.Request) error {
 	call, err := p.admit(r)
 	if err != nil {
-		return err
+		return unlessKeyed(r, err)
 	}
 	defer call.cancel()
 	defer call.upload.stop()
 	w.until = call.deadline.Add(replyGrace)
 	call.upload.attach(w)
 	if err := call.upload.fill(); err != nil {
-		return uploadRefusal(err, r.RemoteAddr)
+		return unlessKeyed(r, uploadRefusal(err, r.RemoteAddr))
 	}
 	return p.route(call, w)
 }
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -389,6 +389,31 @@
 	})
 }
 
+func TestRequestsThatWaitedThroughAPauseAreNotRun(t *testing.T) {
+	inFleet(t, 2, oneTarget(), func(t *testing.T, f *fleet) {
+		runs := 0
+		scripted(t, f, func(*http.Request) string { runs++; return whole })
+		v := f.vms[0]
+		key := v.key("k")
+		time.Sleep(time.Second)
+		v.clock.jump.Add(int64(30 * time.Second))
+		plain := f.ask(0, "POST", "/", "x", "Primroseloom-Timeout-Ms: 3000")
+		keyed := f.ask(1, "POST", "/", "x", "Primroseloom-Timeout-Ms: 3000", key)
+		long := f.ask(0, "POST", "/", "x", "Primroseloom-Timeout-Ms: 40000")
+		time.Sleep(2 * time.Second)
+		later := f.ask(0, "POST", "/", "x", "Primroseloom-Timeout-Ms: 3000")
+		if plain.header.Get(OutcomeHeader) != "not_run" || !strings.Contains(plain.body, "paused") {
+			t.Errorf("plain: %+v", plain)
+		}
+		if keyed.header.Get(OutcomeHeader) != "may_have_run" || !strings.Contains(keyed.body, "paused") {
+			t.Errorf("keyed: %+v", keyed)
+		}
+		if long.status != 200 || later.status != 200 || runs != 2 {
+			t.Errorf("%d runs, long %+v, later %+v", runs, long, later)
+		}
+	})
+}
+
 func TestDrainFinishesForwardedRequests(t *testing.T) {
 	inFleet(t, 2, oneTarget(), func(t *testing.T, f *fleet) {
 		scripted(t, f, func(*http.Request) string {
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -78,6 +78,10 @@
 		}
 		c.key = &key
 	}
+	limit, err := p.awake(limit)
+	if err != nil {
+		return nil, err
+	}
 	c.deadline = time.Now().Add(limit)
 	c.expires = p.options.Clock.Uptime() + limit
 	c.ctx, c.cancel = context.WithDeadline(r.Context(), c.deadline)
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -90,6 +90,23 @@
 	}
 }
 
+func TestPauseCountsAgainstRequestsReadAfterIt(t *testing.T) {
+	var d PauseDetector
+	steps := []struct{ uptime, want time.Duration }{
+		{time.Hour, 0},
+		{time.Hour + PauseInterval, 0},
+		{time.Hour + 30*time.Second + PauseInterval, 30 * time.Second},
+		{time.Hour + 30*time.Second + 400*time.Millisecond, 30 * time.Second},
+		{time.Hour + 30*time.Second + 800*time.Millisecond, 30 * time.Second},
+		{time.Hour + 30*time.Second + PauseInterval + WakeTime, 0},
+	}
+	for _, s := range steps {
+		if got := d.Observe(s.uptime); got != s.want {
+			t.Errorf("at %s: %s, want %s", s.uptime, got, s.want)
+		}
+	}
+}
+
 func testID(customer, own string, window uint64) ID {
 	return ID{Customer: customer, Service: "booking", Key: Key{VM: "a", Instance: 1, Window: window, Own: own}}
 }
