--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"math/rand/v2"
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -88,6 +90,23 @@
 	}
 }
 
+func TestPauseCountsAgainstRequestsReadAfterIt(t *testing.T) {
+	var d PauseDetector
+	steps := []struct{ uptime, want time.Duration }{
+		{time.Hour, 0},
+		{time.Hour + PauseInterval, 0},
+		{time.Hour + 30*time.Second + PauseInterval, 30 * time.Second},
+		{time.Hour + 30*time.Second + 400*time.Millisecond, 30 * time.Second},
+		{time.Hour + 30*time.Second + 800*time.Millisecond, 30 * time.Second},
+		{time.Hour + 30*time.Second + PauseInterval + WakeTime, 0},
+	}
+	for _, s := range steps {
+		if got := d.Observe(s.uptime); got != s.want {
+			t.Errorf("at %s: %s, want %s", s.uptime, got, s.want)
+		}
+	}
+}
+
 func testID(customer, own string, window uint64) ID {
 	return ID{Customer: customer, Service: "booking", Key: Key{VM: "a", Instance: 1, Window: window, Own: own}}
 }
@@ -221,3 +240,23 @@
 		records.End(id, Ending{Outcome: outcome.Answered, Answer: answer}, uptime)
 	}
 }
+
+// BenchmarkRecordMemory reports the heap that a full table takes a record.
+func BenchmarkRecordMemory(b *testing.B) {
+	limits := DefaultLimits()
+	limits.CustomerRecords = limits.Records
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		records := NewRecords(limits)
+		for i := range limits.Records {
+			id := testID("customer", "0123456789abcdef"+strconv.Itoa(i), uint64(i%3))
+			records.Begin(id, Digest{}, WindowLength)
+			records.End(id, Ending{Outcome: outcome.MayHaveRun}, WindowLength)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(records.Len()), "bytes/record")
+	}
+}
