Follow the tracker's attempts without a trial mark

Cause: the health tracker no longer takes the mark, and the merge did not build. Change: the targets child passes target and attempt alone. Conclusion: builds; tests of entry pass.

--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -55,7 +55,7 @@
 		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
 	}
 	s.nextID++
-	s.judge.started(time.Now(), name, s.nextID, trial)
+	s.judge.started(time.Now(), name, s.nextID)
 	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: s.nextID}, nil
 }
 
