--- a/entry/targets/judge.go
+++ b/entry/targets/judge.go
@@ -50,9 +50,9 @@
 	j.tracker.SetFloor(j.since(now), definition.FloorSlots, definition.Detection.FalseEjectionsPerTargetMonth)
 }
 
-func (j *judge) started(now time.Time, target string, attempt uint64, trial bool) {
+func (j *judge) started(now time.Time, target string, attempt uint64) {
 	if index, ok := j.tracker.Index(target); ok {
-		j.attempts[attempt] = j.tracker.Start(j.since(now), index, trial)
+		j.attempts[attempt] = j.tracker.Start(j.since(now), index)
 	}
 }
 
