--- a/entry/peer/loop.go
+++ b/entry/peer/loop.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/membership"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -49,10 +50,24 @@
 		m.start(ctx, action)
 	}
 	m.sendNews(ctx, now)
+	m.gauge()
 	m.traffic.report()
 	m.pool.prune(now)
 }
 
+// gauge reports the size of the view.
+func (m *Manager) gauge() {
+	members := m.view.Load().members
+	offered := 0
+	for _, member := range members {
+		if assign.Offered(member) {
+			offered++
+		}
+	}
+	m.scope.Gauge("members").Update(float64(len(members)))
+	m.scope.Gauge("members_offered").Update(float64(offered))
+}
+
 // now reads the clock and notices a pause of the process. The lock is held.
 func (m *Manager) now() time.Duration {
 	now := m.settings.Clock()
