Keep the services' sets when only uptimes were taken anew

Cause: the members' view is renewed twice a second; the directory then chose each queried service's set anew, 0.2 ms each at 840 members. Change: the cache is keyed by what the sets depend on.

--- a/entry/directory/directory.go
+++ b/entry/directory/directory.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/uber-go/tally/v4"
@@ -89,10 +90,12 @@
 
 // sets caches the services' sets for one view and one snapshot.
 type sets struct {
-	members   []*primroseloomv1.Member
-	snapshot  *snapshot.Snapshot
-	byService map[string]subset.Set
-	byName    map[string]*primroseloomv1.Member
+	members  []*primroseloomv1.Member
+	snapshot *snapshot.Snapshot
+	// candidates sums up what the sets depend on.
+	candidates uint64
+	byService  map[string]subset.Set
+	byName     map[string]*primroseloomv1.Member
 }
 
 // New returns a directory over the live members.
@@ -186,20 +189,38 @@
 	return chosen
 }
 
-// refresh empties the cache when the members or the configuration have changed.
-// The members' slice is replaced as a whole whenever something in it changes.
+// refresh takes over the members as they stand, and empties the cache when the
+// candidates or the configuration have changed. The members' slice is replaced
+// as a whole whenever something in it changes.
 func (d *Directory) refresh(snap *snapshot.Snapshot) {
 	members := d.members.Members()
 	if d.sets.snapshot == snap && slices.Equal(d.sets.members, members) {
 		return
 	}
-	d.sets = sets{members: members, snapshot: snap,
-		byService: make(map[string]subset.Set), byName: make(map[string]*primroseloomv1.Member)}
+	candidates := sumCandidates(members)
+	if d.sets.snapshot != snap || d.sets.candidates != candidates {
+		d.sets = sets{snapshot: snap, candidates: candidates, byService: make(map[string]subset.Set)}
+	}
+	d.sets.members = members
+	d.sets.byName = make(map[string]*primroseloomv1.Member, len(members))
 	for _, member := range members {
 		d.sets.byName[member.Vm] = member
 	}
 }
 
+// sumCandidates hashes the fields of the members that the sets depend on.
+func sumCandidates(members []*primroseloomv1.Member) uint64 {
+	digest := xxhash.New()
+	for _, member := range members {
+		for _, field := range []string{member.Vm, member.Zone, member.Region} {
+			_, _ = digest.WriteString(field)
+			_, _ = digest.Write([]byte{0})
+		}
+		_, _ = digest.Write([]byte{byte(member.Status)})
+	}
+	return digest.Sum64()
+}
+
 // build chooses a service's set in this instance's region, or in the first
 // region that has any member to offer.
 func (d *Directory) build(service *document.Service) subset.Set {
--- a/entry/directory/directory_test.go
+++ b/entry/directory/directory_test.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 	"github.com/gin-gonic/gin"
 	"github.com/uber-go/tally/v4"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/examples"
@@ -172,11 +173,22 @@
 	}
 }
 
-// BenchmarkAnswer measures one query at the design size.
+// BenchmarkAnswer measures one query at the design size, with the same view and
+// with one whose members' uptimes were taken anew.
 func BenchmarkAnswer(b *testing.B) {
+	for _, renewed := range []bool{false, true} {
+		b.Run(fmt.Sprintf("renewed=%t", renewed), func(b *testing.B) { benchmarkAnswer(b, renewed) })
+	}
+}
+
+func benchmarkAnswer(b *testing.B, renewed bool) {
 	f := newFakes(840)
 	d := newDirectory(f, tally.NoopScope)
 	for b.Loop() {
+		if renewed {
+			f.members = slices.Clone(f.members)
+			f.members[0] = proto.CloneOf(f.members[0])
+		}
 		if _, refusal := d.Answer("booking", "portal"); refusal != nil {
 			b.Fatal(refusal.Detail)
 		}
--- a/policy/membership/measure_test.go
+++ b/policy/membership/measure_test.go
@@ -97,3 +97,44 @@
 		})
 	}
 }
+
+// BenchmarkZoneOutage measures how long any VM of a zone that died at once
+// stays in any survivor's offers, and how many survivors lose theirs meanwhile.
+func BenchmarkZoneOutage(b *testing.B) {
+	for _, count := range []int{36, 200} {
+		b.Run(fmt.Sprintf("instances=%d", count), func(b *testing.B) {
+			var times []time.Duration
+			wrong := 0
+			for i := range b.N {
+				took, removed := zoneOutage(b, uint64(i), count)
+				times = append(times, took)
+				wrong += removed
+			}
+			slices.Sort(times)
+			b.ReportMetric(0, "ns/op")
+			b.ReportMetric(times[len(times)/2].Seconds()*1000, "p50-ms")
+			b.ReportMetric(times[len(times)-1].Seconds()*1000, "max-ms")
+			b.ReportMetric(float64(wrong), "survivors-suspected")
+		})
+	}
+}
+
+func zoneOutage(b *testing.B, seed uint64, count int) (took time.Duration, removed int) {
+	s := newSimulation(seed)
+	fleet := convergedFleet(b, s, count)
+	isGone := func(in *instance) bool { return in.stopped }
+	s.onEvent = func(at *instance, e Event) {
+		if e.Raised && e.Kind == EventSuspected && !s.instances[e.VM].stopped {
+			removed++
+		}
+	}
+	for i := 1; i < count; i += 3 {
+		fleet[i].stopped = true
+	}
+	died := s.now
+	survivors := slices.DeleteFunc(slices.Clone(fleet), isGone)
+	for slices.ContainsFunc(survivors, func(in *instance) bool { return s.offered(in) > len(survivors) }) {
+		s.run(20 * time.Millisecond)
+	}
+	return s.now - died, removed
+}
