Rank health news by its evidence and space ordinary batches to the budget

Change: an item's strength is the greatest evidence in it; an instance starts at most ten ordinary batches a second, so that the 95 peers of the design size are written to every 8 s at most; urgent items still go at once.

--- a/entry/peer/newsroom.go
+++ b/entry/peer/newsroom.go
@@ -22,9 +22,9 @@
 	// maxBatchItems is the number of items in one message.
 	maxBatchItems = 64
 	// batchSpacing is the time between two ordinary batches of an instance, on average.
-	batchSpacing     = 60 * time.Millisecond
+	batchSpacing     = 100 * time.Millisecond
 	minBatchInterval = 500 * time.Millisecond
-	maxBatchInterval = 4 * time.Second
+	maxBatchInterval = 8 * time.Second
 	newsTimeout      = time.Second
 	// maxNewsAttempts is how often an urgent item is sent.
 	maxNewsAttempts = 3
@@ -108,17 +108,26 @@
 	m.news.subscribers = append(m.news.subscribers, onItem)
 }
 
-// strength ranks an item among those that are not urgent.
+// strength ranks an item among those that are not urgent, by the evidence in it.
 func strength(item *primroseloomv1.NewsItem) float64 {
-	evidence := item.GetEvidence()
-	if evidence == nil {
+	var nats []float64
+	switch body := item.GetBody().(type) {
+	case *primroseloomv1.NewsItem_Evidence:
+		nats = append(nats, body.Evidence.GetScore())
+	case *primroseloomv1.NewsItem_Health:
+		for _, evidence := range body.Health.GetEvidence() {
+			nats = append(nats, evidence.GetIncrements()...)
+		}
+	default:
 		return urgentStrength
 	}
-	score := math.Abs(evidence.GetScore())
-	if math.IsNaN(score) || math.IsInf(score, 0) {
-		return 0
+	most := 1.0
+	for _, score := range nats {
+		if size := math.Abs(score); size < math.MaxFloat32 {
+			most = max(most, 1+size)
+		}
 	}
-	return 1 + score
+	return most
 }
 
 // audience returns the VMs that an item concerns. The lock is held.
--- a/entry/peer/peer_test.go
+++ b/entry/peer/peer_test.go
@@ -207,7 +207,7 @@
 			if crash := item.GetCrash(); crash != nil {
 				got = append(got, crash.Target)
 			} else {
-				got = append(got, item.GetEvidence().Target)
+				got = append(got, item.GetHealth().Evidence[0].Target)
 			}
 		})
 		for _, m := range f.managers {
@@ -215,8 +215,8 @@
 		}
 		time.Sleep(5 * time.Second)
 		evidence := func(target string, score float64) *primroseloomv1.NewsItem {
-			return &primroseloomv1.NewsItem{Service: "booking", Body: &primroseloomv1.NewsItem_Evidence{
-				Evidence: &primroseloomv1.TargetEvidence{Target: target, Score: score}}}
+			return &primroseloomv1.NewsItem{Service: "booking", Body: &primroseloomv1.NewsItem_Health{
+				Health: &primroseloomv1.HealthNews{Evidence: []*primroseloomv1.HealthEvidence{{Target: target, Increments: []float64{0, score}}}}}}
 		}
 		f.managers[0].Publish(evidence("t0", 1), false)
 		time.Sleep(100 * time.Millisecond)
