--- a/entry/peer/loop.go
+++ b/entry/peer/loop.go
@@ -6,6 +6,7 @@
 
 	"connectrpc.com/connect"
 
+	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/membership"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -31,6 +32,9 @@
 	}
 }
 
+// tick advances the membership. What arrives between two ticks is passed on by
+// the next one, which bounds the messages of an instance when many members
+// change at once.
 func (m *Manager) tick(ctx context.Context) {
 	m.mu.Lock()
 	now := m.now()
@@ -46,10 +50,24 @@
 		m.start(ctx, action)
 	}
 	m.sendNews(ctx, now)
+	m.gauge()
 	m.traffic.report()
 	m.pool.prune(now)
 }
 
+// gauge reports the size of the view.
+func (m *Manager) gauge() {
+	members := m.view.Load().members
+	offered := 0
+	for _, member := range members {
+		if assign.Offered(member) {
+			offered++
+		}
+	}
+	m.scope.Gauge("members").Update(float64(len(members)))
+	m.scope.Gauge("members_offered").Update(float64(offered))
+}
+
 // now reads the clock and notices a pause of the process. The lock is held.
 func (m *Manager) now() time.Duration {
 	now := m.settings.Clock()
@@ -94,14 +112,8 @@
 
 func (m *Manager) finished(result membership.Result) {
 	m.mu.Lock()
-	now := m.now()
-	m.state.Finished(now, result)
-	m.publish(now)
-	urgent := m.state.Urgent()
-	m.mu.Unlock()
-	if urgent {
-		m.prompt()
-	}
+	defer m.mu.Unlock()
+	m.state.Finished(m.now(), result)
 }
 
 // ping carries out one direct ping.
@@ -171,11 +183,8 @@
 	}
 	m.scope.Counter("joins_answered").Inc(1)
 	m.mu.Lock()
-	now := m.now()
-	m.state.Joined(now, response.Msg.GetFromVm(), listFromWire(response.Msg.GetMembers()))
-	m.publish(now)
-	m.mu.Unlock()
-	m.prompt()
+	defer m.mu.Unlock()
+	m.state.Joined(m.now(), response.Msg.GetFromVm(), listFromWire(response.Msg.GetMembers()))
 }
 
 // report logs and counts a change of the view.
