Ask more proof for slowness that a queue would explain

Cause: with one zone cut off, the others' slots filled and one of 23 healthy targets was ejected as three times slower.

--- a/operator/measure/engine.go
+++ b/operator/measure/engine.go
@@ -60,6 +60,8 @@
 	blocked  [][]bool
 	cutOff   []bool
 	record   *recorder
+	// overloaded tells that all targets are slow, so that none is at fault.
+	overloaded bool
 }
 
 // newEngine builds the VMs and the targets.
--- a/operator/measure/timeline.go
+++ b/operator/measure/timeline.go
@@ -64,6 +64,7 @@
 	case FaultHung:
 		e.hang(target, on)
 	case FaultSlow:
+		e.overloaded = on && fault.Fraction >= 1
 		target.slow, target.slowPart = 1, 0
 		if on {
 			target.slow, target.slowPart = fault.Factor, fault.share()
--- a/policy/health/calibrate.go
+++ b/policy/health/calibrate.go
@@ -47,11 +47,21 @@
 	c.mean[rule] += (excess - c.mean[rule]) / c.seen[rule]
 }
 
+// caution stretches the limits of the rules whose evidence resembles that of a
+// queue which is long for a while.
+func caution(rule Rule) float64 {
+	const queueLike = 1.5
+	if rule == RuleSlow || rule == RuleSometimesSlow {
+		return queueLike
+	}
+	return 1
+}
+
 // limits returns the score at which each rule convicts.
 func (c *calibration) limits(threshold float64) Scores {
 	var limits Scores
 	for i := range limits {
-		stretch := min(stretchLimit, max(excursionMean, c.mean[i]))
+		stretch := min(stretchLimit, max(excursionMean, c.mean[i])) * caution(Rule(i))
 		limits[i] = excursionBase + (threshold-excursionBase)*stretch
 	}
 	return limits
