--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -30,9 +30,9 @@
 	// timesInterval is the time between two words about service times.
 	timesInterval = 5 * time.Second
 	// newsStep is the change of a score, in nats, that is worth a message.
-	newsStep = 1.0
+	newsStep = 1.5
 	// newsInterval is the time between two words about targets not suspected.
-	newsInterval = 250 * time.Millisecond
+	newsInterval = 500 * time.Millisecond
 	// urgentShare is the share of a limit from which news of a target goes at once.
 	urgentShare = 0.2
 	// renewInterval is the time after which a standing fact is told again.
