--- a/policy/health/news.go
+++ b/policy/health/news.go
@@ -1,6 +1,10 @@
 package health
 
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 // Evidence is what one VM tells the others about one target.
 type Evidence struct {
@@ -185,10 +189,13 @@
 	if !ok || evidence.VM == t.config.VM {
 		return
 	}
-	zone := t.zoneIndex(evidence.Zone)
-	entry.hear(evidence.VM, peerView{zone: zone, at: now, old: evidence.Old,
+	zone, ok := t.knownZone(evidence.Zone)
+	if !ok {
+		return
+	}
+	entry.hear(evidence.VM, peerView{zone: zone, at: now, old: min(max(0, evidence.Old), oldLimit),
 		ejected: evidence.Ejected, probeBad: evidence.ProbeBad})
-	entry.trialOK += evidence.Trials
+	entry.trialOK += min(max(0, evidence.Trials), trialsNeeded)
 	t.hold(now, entry)
 	increments := evidence.Increments
 	clampAll(&increments)
@@ -212,11 +219,28 @@
 	return v.out() && now >= v.until && (!v.trying || v.tried[v.rule] <= 0)
 }
 
-// messageLimit bounds what one message can prove, in nats.
-const messageLimit = 4 * evidenceLimit
+const (
+	// messageLimit bounds what one message can prove, in nats.
+	messageLimit = 4 * evidenceLimit
+	// oldLimit bounds the old attempts that a VM may claim.
+	oldLimit = 64
+	// zoneLimit bounds the zones that are told apart.
+	zoneLimit = 64
+)
+
+// knownZone returns a zone's index, and false when there are too many zones.
+func (t *Tracker) knownZone(zone string) (int, bool) {
+	if len(t.zones) >= zoneLimit && !slices.Contains(t.zones, zone) {
+		return 0, false
+	}
+	return t.zoneIndex(zone), true
+}
 
 func clampAll(increments *Scores) {
 	for i := range increments {
+		if math.IsNaN(increments[i]) {
+			increments[i] = 0
+		}
 		increments[i] = min(messageLimit, max(-messageLimit, increments[i]))
 	}
 }
--- a/policy/health/tracker_test.go
+++ b/policy/health/tracker_test.go
@@ -285,3 +285,21 @@
 		t.Errorf("thresholds %g and %g", eager, careful)
 	}
 }
+
+func TestNonsenseFromAnotherVMIsBounded(t *testing.T) {
+	f := newFleet(1, 9)
+	tracker := f.trackers[0]
+	for i := range 1000 {
+		evidence := Evidence{Target: "t0", VM: "vm9", Zone: fmt.Sprintf("zone%d", i), Old: -5, Trials: -1}
+		for rule := range evidence.Increments {
+			evidence.Increments[rule] = math.NaN()
+		}
+		tracker.Receive(f.now, &News{Evidence: []Evidence{evidence}, Times: []TimeCount{{Bucket: -1, Count: 1 << 31}}})
+	}
+	if len(tracker.zones) > zoneLimit {
+		t.Errorf("%d zones are kept", len(tracker.zones))
+	}
+	if weight := tracker.Weights(true)[0]; weight != 1 {
+		t.Errorf("weight %g after nonsense", weight)
+	}
+}
