--- a/config/document/published.go
+++ b/config/document/published.go
@@ -108,9 +108,29 @@
 	if err := json.Unmarshal(content, &shard); err != nil {
 		return Shard{}, fmt.Errorf("shard %s: %w: %w", ref.Digest, ErrMalformed, err)
 	}
+	if !shard.holdsOnly(ref.Kind) {
+		return Shard{}, fmt.Errorf("shard %s: %w: holds more than %s", ref.Digest, ErrMalformed, ref.Kind)
+	}
 	return shard, nil
 }
 
+// holdsOnly reports whether a shard has no definitions of other kinds.
+func (s Shard) holdsOnly(kind ShardKind) bool {
+	counts := map[ShardKind]int{
+		ShardServices:  len(s.Services),
+		ShardRoutes:    len(s.Routes),
+		ShardTemplates: len(s.Templates),
+		ShardCustomers: len(s.Customers),
+	}
+	delete(counts, kind)
+	for _, count := range counts {
+		if count > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func (r Root) validate() error {
 	if r.Generation == 0 {
 		return fmt.Errorf("%w: generation 0, want at least 1", ErrMalformed)
