--- a/config/snapshot/bench_test.go
+++ b/config/snapshot/bench_test.go
@@ -1,6 +1,8 @@
 package snapshot
 
 import (
+	"bytes"
+	"compress/gzip"
 	"encoding/json"
 	"fmt"
 	"runtime"
@@ -10,6 +12,14 @@
 	"github.com/primroseloom/primroseloom/config/render"
 )
 
+func compressed(content []byte) int {
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	_, _ = writer.Write(content)
+	_ = writer.Close()
+	return buffer.Len()
+}
+
 // BenchmarkLoad builds the snapshot of the letter's size from nothing and
 // reports the published bytes and the memory that the snapshot keeps.
 func BenchmarkLoad(b *testing.B) {
@@ -25,20 +35,30 @@
 	}
 	var before, after runtime.MemStats
 	for b.Loop() {
+		b.StopTimer()
 		runtime.GC()
 		runtime.ReadMemStats(&before)
+		b.StartTimer()
 		snap, err := Compile(root, "", shards, nil)
+		b.StopTimer()
 		if err != nil {
 			b.Fatal(err)
 		}
 		runtime.GC()
 		runtime.ReadMemStats(&after)
 		runtime.KeepAlive(snap)
+		b.StartTimer()
 	}
 	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "index-bytes")
 	b.ReportMetric(float64(published), "shard-bytes")
 	b.ReportMetric(float64(len(rootText)), "root-bytes")
 	b.ReportMetric(float64(len(shards)), "shards")
+	b.ReportMetric(float64(compressed(rootText)), "root-gzip-bytes")
+	packed := 0
+	for _, content := range shards {
+		packed += compressed(content)
+	}
+	b.ReportMetric(float64(packed)/float64(len(shards)), "shard-gzip-bytes")
 }
 
 // BenchmarkChangeOfOneCustomer applies a change of one customer's rate.
