--- /dev/null
+++ b/entry/proxy/stream_test.go
@@ -0,0 +1,158 @@
+package proxy
+
+import (
+	"bufio"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestExpectContinueIsAnsweredOnlyWhenTheBodyIsWanted(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(r *http.Request) string {
+			if r.Header.Get("Expect") != "" {
+				t.Error("Expect reached the target")
+			}
+			_, _ = io.Copy(io.Discard, r.Body)
+			return whole
+		})
+		talk := func(credential string) (first string, rest *bufio.Reader) {
+			conn, err := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = conn.Close() })
+			_, _ = io.WriteString(conn, "PUT / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: "+credential+"\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+			reader := bufio.NewReader(conn)
+			first, _ = reader.ReadString('\n')
+			if strings.Contains(first, "100") {
+				_, _ = reader.ReadString('\n')
+				_, _ = io.WriteString(conn, "body")
+			}
+			return strings.TrimSpace(first), reader
+		}
+		first, rest := talk("secret-a")
+		final, _ := rest.ReadString('\n')
+		if first != "HTTP/1.1 100 Continue" || strings.TrimSpace(final) != "HTTP/1.1 200 OK" {
+			t.Errorf("wanted body: %q, %q", first, final)
+		}
+		if first, _ := talk("nobody"); first != "HTTP/1.1 401 Unauthorized" {
+			t.Errorf("unwanted body: %q", first)
+		}
+	})
+}
+
+func TestCallerThatGoesAwayCancelsAPlainRequestButNotAKeyedOne(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		runs := 0
+		scripted(t, f, func(r *http.Request) string {
+			_, _ = io.Copy(io.Discard, r.Body)
+			runs++
+			time.Sleep(2 * time.Second)
+			return whole
+		})
+		v := f.vms[0]
+		key := v.key("k")
+		leave := func(lines string) {
+			conn, _ := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+			_, _ = io.WriteString(conn, "POST /book HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nContent-Length: 1\r\n"+lines+"\r\nx")
+			time.Sleep(time.Second)
+			_ = conn.Close()
+		}
+		leave("")
+		time.Sleep(100 * time.Millisecond)
+		if kind := v.targets.results[0].Kind; kind != "canceled" {
+			t.Errorf("plain request ended as %s", kind)
+		}
+		leave(key + "\r\n")
+		time.Sleep(3 * time.Second)
+		if got := f.ask(0, "POST", "/book", "x", key); got.status != 200 || got.body != "whole" || runs != 2 {
+			t.Errorf("resend of the keyed request: %+v after %d runs", got, runs)
+		}
+	})
+}
+
+// TestBackPressureReachesBothEnds lets one side stop reading and counts what
+// the other one could send meanwhile.
+func TestBackPressureReachesBothEnds(t *testing.T) {
+	const total = 8 << 20
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		listener, err := f.network.Host(targetIP(0)).Listen(f.ctx, targetIP(0)+":80")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = listener.Close() }()
+		sent := 0
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			defer func() { _ = conn.Close() }()
+			request, _ := http.ReadRequest(bufio.NewReader(conn))
+			_, _ = io.WriteString(conn, head(200, request.Header.Get(CorrelationHeader))+"Content-Length: "+strconv.Itoa(total)+"\r\n\r\n")
+			for sent < total {
+				n, err := conn.Write(make([]byte, 32<<10))
+				sent += n
+				if err != nil {
+					return
+				}
+			}
+		}()
+		conn, _ := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "GET /download HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n")
+		time.Sleep(5 * time.Second)
+		if sent > 1<<20 {
+			t.Errorf("the target could send %d bytes to a caller that does not read", sent)
+		}
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, response.Body); n != total || err != nil {
+			t.Errorf("the caller read %d bytes, %v", n, err)
+		}
+	})
+}
+
+func TestCallerThatStopsReadingIsCutOff(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 4000000\r\n\r\n" + strings.Repeat("x", 4_000_000)
+		})
+		conn, _ := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nPrimroseloom-Timeout-Ms: 60000\r\n\r\n")
+		time.Sleep(15 * time.Second)
+		if results := f.vms[0].targets.results; len(results) != 1 || results[0].Kind != "canceled" {
+			t.Errorf("the slot of a stalled download is still held, or the target blamed: %+v", results)
+		}
+	})
+}
+
+func TestBrokenLongAnswerResetsTheHTTP2Stream(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nContent-Length: 400000\r\n\r\n" + strings.Repeat("x", 300_000) + "!close"
+		})
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{DialContext: f.network.Host("10.0.0.9").DialContext, Protocols: protocols}
+		defer transport.CloseIdleConnections()
+		request, _ := http.NewRequestWithContext(f.ctx, "GET", "http://"+vmIP(0)+":80/", nil)
+		request.Host = "booking.test"
+		request.Header.Set(CredentialHeader, "secret-a")
+		response, err := transport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = response.Body.Close() }()
+		if _, err := io.Copy(io.Discard, response.Body); err == nil || response.ProtoMajor != 2 {
+			t.Errorf("HTTP/%d, error %v: a broken answer ended as if whole", response.ProtoMajor, err)
+		}
+	})
+}
