Leave no end of an answer untold to HTTP/1.0 callers; digest only keyed bodies

Cause: a long chunked answer has no end but the connection's for an HTTP/1.0 caller; every upload was hashed whether keyed or not. Change: such answers are refused; plain uploads are not hashed; what is left of a killed fake reaches nothing after a late connect either.

--- a/entry/proxy/answer.go
+++ b/entry/proxy/answer.go
@@ -16,7 +16,7 @@
 // copyBytes is the size of the pieces in which long answers are passed on.
 const copyBytes = 32 << 10
 
-var errNoEnd = errors.New("the answer has neither a length nor chunks, so its end cannot be told from a truncation")
+var errNoEnd = errors.New("the end of the answer could not be told from a truncation")
 
 // callerError is a failure to write towards the caller.
 type callerError struct{ cause error }
@@ -55,6 +55,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("hold answer after %d bytes: %w", body.Len(), err)
 	}
+	if w.noChunks && response.ContentLength < 0 {
+		return nil, errNoEnd
+	}
 	return nil, stream(w, response, &body)
 }
 
--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -281,10 +281,12 @@
 }
 
 func (h *vmHost) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if !h.vm.alive.Load() {
+	conn, err := h.Host.DialContext(ctx, network, address)
+	if err == nil && !h.vm.alive.Load() {
+		_ = conn.Close()
 		return nil, errors.New("the instance was killed")
 	}
-	return h.Host.DialContext(ctx, network, address)
+	return conn, err
 }
 
 func vmIP(index int) string { return "10.0.1." + strconv.Itoa(index+1) }
--- a/entry/proxy/fuzz_test.go
+++ b/entry/proxy/fuzz_test.go
@@ -82,6 +82,7 @@
 		target.up()
 		w.targets = append(w.targets, target)
 	}
+	synctest.Wait()
 	return w
 }
 
@@ -217,6 +218,7 @@
 	"replace": func(w *world, s step) {
 		w.fleet.kill(s.a % fuzzVMs)
 		w.fleet.start(s.a % fuzzVMs)
+		synctest.Wait()
 	},
 	"sleeper": func(w *world, s step) {
 		v := w.fleet.vms[s.a%fuzzVMs]
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -115,7 +115,7 @@
 	if p.draining.Load() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	out := &replyWriter{ResponseWriter: w, progress: p.limits.Progress}
+	out := &replyWriter{ResponseWriter: w, progress: p.limits.Progress, noChunks: !r.ProtoAtLeast(1, 1)}
 	out.extend()
 	if err := p.serve(out, r); err != nil {
 		p.fail(out, r, err)
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -198,6 +198,18 @@
 	}
 }
 
+func TestOldCallerGetsNoAnswerWithoutAnEnd(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(*http.Request) string {
+			return "HTTP/1.1 200 OK\r\nPrimroseloom-Correlation: $C\r\nTransfer-Encoding: chunked\r\n\r\n493e0\r\n" + strings.Repeat("x", 300_000) + "!close"
+		})
+		got := f.raw(0, "GET", "GET / HTTP/1.0\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n")
+		if got.status != 502 || got.header.Get(OutcomeHeader) != "may_have_run" {
+			t.Errorf("got %d, %d bytes, %v", got.status, len(got.body), got.err)
+		}
+	})
+}
+
 func TestSmuggledRequestIsNotRun(t *testing.T) {
 	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
 		var paths []string
@@ -290,6 +302,10 @@
 		if runs != 1 {
 			t.Errorf("the key ran %d times", runs)
 		}
+		other := "POST /book HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-b\r\nContent-Length: 1\r\n" + key + "\r\n\r\ny"
+		if got := f.raw(0, "POST", other); got.status != 200 || runs != 2 {
+			t.Errorf("the same key of another customer: %+v after %d runs", got, runs)
+		}
 		f.kill(1)
 		f.start(1)
 		if got := f.ask(2, "POST", "/book", "x", key); got.header.Get(OutcomeHeader) != "may_have_run" || !strings.Contains(got.body, "dispatcher_gone") {
--- a/entry/proxy/reply.go
+++ b/entry/proxy/reply.go
@@ -16,6 +16,9 @@
 	// until is the latest write deadline; zero for no bound.
 	until time.Time
 	begun bool
+	// noChunks is true for a caller that sees the end of an answer without a
+	// length only by the end of the connection.
+	noChunks bool
 }
 
 // Unwrap returns the writer for http.ResponseController.
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -85,7 +85,7 @@
 	c.deadline = time.Now().Add(limit)
 	c.expires = p.options.Clock.Uptime() + limit
 	c.ctx, c.cancel = context.WithDeadline(r.Context(), c.deadline)
-	c.upload = newUpload(r, p.limits, c.deadline)
+	c.upload = newUpload(r, p.limits, c.deadline, c.key != nil)
 	return c, nil
 }
 
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -49,8 +49,13 @@
 	failure  error
 }
 
-func newUpload(r *http.Request, limits Limits, deadline time.Time) *upload {
-	u := &upload{body: r.Body, limit: limits.BodyBytes, progress: limits.Progress, deadline: deadline, digest: sha256.New()}
+// newUpload wraps a request's body. The digest of the whole body is computed
+// only for a keyed request.
+func newUpload(r *http.Request, limits Limits, deadline time.Time, keyed bool) *upload {
+	u := &upload{body: r.Body, limit: limits.BodyBytes, progress: limits.Progress, deadline: deadline}
+	if keyed {
+		u.digest = sha256.New()
+	}
 	u.setRead = func(time.Time) error { return nil }
 	return u
 }
@@ -140,7 +145,7 @@
 func (u *upload) sum() (dispatch.Digest, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if !u.ended {
+	if !u.ended || u.digest == nil {
 		return dispatch.Digest{}, false
 	}
 	return dispatch.Digest(u.digest.Sum(nil)[:16]), true
@@ -167,7 +172,9 @@
 	_ = u.setRead(earlier(time.Now().Add(u.progress), u.deadline))
 	n, err := u.body.Read(p)
 	u.total += int64(n)
-	_, _ = u.digest.Write(p[:n])
+	if u.digest != nil {
+		_, _ = u.digest.Write(p[:n])
+	}
 	return n, u.note(err)
 }
 
