Log and count changes of targets' health; mark trial requests

Cause: ejections reached neither log nor metrics, and a target could not tell a trial from work, so the demo counted trials as work after the ejection. Conclusion: the log tells why a target is out.

--- a/entry/contract/contract.go
+++ b/entry/contract/contract.go
@@ -85,6 +85,9 @@
 	Acquire(ctx context.Context, request AcquireRequest) (Grant, error)
 }
 
+// TrialHeader tells a target that a request tests whether it is well again.
+const TrialHeader = "Primroseloom-Trial"
+
 // Grant is one slot of one target, held for one attempt.
 type Grant interface {
 	Target() document.Target
--- a/entry/proxy/headers.go
+++ b/entry/proxy/headers.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"net/textproto"
 	"strings"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
 )
 
 // hopByHop fields belong to one connection and are not passed on.
@@ -33,7 +35,7 @@
 // are set here after the caller's are removed, so that no caller can choose them.
 func requestHeader(r *http.Request) http.Header {
 	header := endToEnd(r.Header)
-	for _, name := range []string{CredentialHeader, CorrelationHeader, TimeoutHeader, OutcomeHeader, "Expect", "Content-Length"} {
+	for _, name := range []string{CredentialHeader, CorrelationHeader, TimeoutHeader, OutcomeHeader, contract.TrialHeader, "Expect", "Content-Length"} {
 		header.Del(name)
 	}
 	if _, ok := header["User-Agent"]; !ok {
--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -49,6 +49,8 @@
 type slot struct {
 	id     uint64
 	target string
+	// trial marks a request that tests a target before it returns.
+	trial bool
 }
 
 func (m *Manager) grant(s *service, slot slot, request contract.AcquireRequest) (contract.Grant, error) {
@@ -61,7 +63,7 @@
 		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
 	}
 	s.judge.started(time.Now(), slot.target, slot.id)
-	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: slot.id}, nil
+	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: slot.id, trial: slot.trial}, nil
 }
 
 var errRemoved = errors.New("target was removed from the configuration")
@@ -110,7 +112,9 @@
 		return slot{}, false
 	}
 	s.balancer.TakeNamed(name)
-	return s.take(now, name), true
+	tried := s.take(now, name)
+	tried.trial = true
+	return tried, true
 }
 
 // take numbers a slot that was taken without waiting and reports it.
--- a/entry/targets/grant.go
+++ b/entry/targets/grant.go
@@ -16,6 +16,7 @@
 	customer string
 	attempt  uint64
 	exchange *exchange
+	trial    bool
 }
 
 // Target returns the target chosen.
@@ -24,6 +25,9 @@
 // RoundTrip sends the request once over a connection of the target's pool. Its
 // error is a *contract.RoundTripError.
 func (g *grant) RoundTrip(request *http.Request) (*http.Response, error) {
+	if g.trial {
+		request.Header.Set(contract.TrialHeader, "1")
+	}
 	x, response, err := send(g.target.pool, g.target.definition.Name, request)
 	if err != nil {
 		return nil, err
--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -108,7 +108,7 @@
 
 func (m *Manager) newService(name string) *service {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := newService(name, m.vm, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), rng)
+	s := newService(name, m.vm, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), m.logger, rng)
 	if m.links != nil {
 		s.useLeases(m.vm, m.postLease, m.replyLease)
 	}
--- a/entry/targets/metrics.go
+++ b/entry/targets/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/health"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/retry"
 )
@@ -44,6 +45,11 @@
 	m.scope.Tagged(map[string]string{"reason": string(reason)}).Counter("retries_total").Inc(1)
 }
 
+// entered counts the changes of targets' health states.
+func (m serviceMetrics) entered(state health.State) {
+	m.scope.Tagged(map[string]string{"state": string(state)}).Counter("health_changes_total").Inc(1)
+}
+
 func (m serviceMetrics) probed(result string) {
 	m.scope.Tagged(map[string]string{"result": result}).Counter("probes_total").Inc(1)
 }
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -6,11 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/policy/health"
 	"github.com/primroseloom/primroseloom/policy/retry"
 	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -35,6 +38,7 @@
 	zone    string
 	network contract.Network
 	metrics serviceMetrics
+	logger  *log.Logger
 
 	mu      sync.Mutex
 	serving []subset.VM
@@ -68,6 +72,8 @@
 	leaving    leaving
 	// probes holds the state of this VM's probes.
 	probes probeState
+	// state is the health state that was last logged.
+	state health.State
 }
 
 // waiter is a request that waits for a slot.
@@ -79,9 +85,9 @@
 	granted chan string
 }
 
-func newService(name, vm, zone string, network contract.Network, metrics serviceMetrics, rng *rand.Rand) *service {
+func newService(name, vm, zone string, network contract.Network, metrics serviceMetrics, logger *log.Logger, rng *rand.Rand) *service {
 	return &service{
-		name: name, zone: zone, network: network, metrics: metrics, rng: rng,
+		name: name, zone: zone, network: network, metrics: metrics, logger: logger, rng: rng,
 		balancer: balance.NewBalancer(),
 		window:   balance.NewWindow(1, 1),
 		queue:    admission.NewFairQueue[*waiter](),
@@ -226,6 +232,7 @@
 // refresh hands the judge's decisions to the balancer and serves the queue;
 // the lock is held.
 func (s *service) refresh(now time.Time) {
+	s.logStates()
 	s.judge.conditions(s.names, func(name string, condition balance.Condition) {
 		if s.targets[name].leaving.now(now) {
 			condition = balance.Condition{}
--- a/operator/localfleet/localfleet.go
+++ b/operator/localfleet/localfleet.go
@@ -141,13 +141,17 @@
 	return running.Address, nil
 }
 
-func (t *Target) arrive() {
+// arrive notes a request, unless it is a trial.
+func (t *Target) arrive(r *http.Request) {
+	if r.Header.Get(target.TrialHeader) != "" {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.arrivals = append(t.arrivals, time.Now())
 }
 
-// Arrivals returns when requests arrived at the target, oldest first.
+// Arrivals returns when requests other than trials arrived, oldest first.
 func (t *Target) Arrivals() []time.Time {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -32,7 +32,7 @@
 
 func (t *Target) serve(w http.ResponseWriter, r *http.Request) {
 	if t.onRequest != nil {
-		t.onRequest()
+		t.onRequest(r)
 	}
 	w.Header().Set(CorrelationHeader, r.Header.Get(CorrelationHeader))
 	faults := t.activeFaults()
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -17,6 +17,8 @@
 	TimeoutHeader     = "Primroseloom-Timeout-Ms"
 	ShedHeader        = "Primroseloom-Shed"
 	DrainingHeader    = "Primroseloom-Draining"
+	// TrialHeader marks a request that tests whether the target is well again.
+	TrialHeader = "Primroseloom-Trial"
 	// RequestIDHeader identifies a request for the record of runs.
 	RequestIDHeader = "Request-Id"
 )
@@ -55,7 +57,7 @@
 	conns    map[connection]struct{}
 	reported loadReport
 	// onRequest is called when a request arrives, before anything else.
-	onRequest func()
+	onRequest func(*http.Request)
 }
 
 // loadReport is what the load endpoint last told.
@@ -91,7 +93,7 @@
 
 // OnRequest sets a function that is called at the arrival of each request; it
 // is set before the target serves.
-func (t *Target) OnRequest(notify func()) { t.onRequest = notify }
+func (t *Target) OnRequest(notify func(*http.Request)) { t.onRequest = notify }
 
 // Drain makes the target refuse new work and say that it leaves.
 func (t *Target) Drain() {
