Control the stand-ins while they run

Cause: the platform's faults, its VM list and its count of calls were open to tests only, and a target's durations were written in nanoseconds.

--- a/cmd/primroseloom/standin.go
+++ b/cmd/primroseloom/standin.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/primroseloom/primroseloom/standin/platform"
 	"github.com/primroseloom/primroseloom/standin/publisher"
@@ -30,28 +31,44 @@
 }
 
 func newStandinPlatform() *cobra.Command {
-	var listen, file string
+	var file, control string
+	var listen []string
 	command := &cobra.Command{
-		Use:     "platform --listen IP:PORT --deployment FILE",
-		Short:   "Publish a deployment for reading and watching",
-		Long:    "Publish a deployment for reading and watching. The file is published again, as\nthe next generation, whenever it changes; a deployment that does not pass check\nis not published.",
-		Example: "  primroseloom standin platform --listen 127.0.0.1:7000 --deployment deployment.json",
-		Args:    cobra.NoArgs,
+		Use:   "platform --listen IP:PORT --deployment FILE",
+		Short: "Publish a deployment for reading and watching",
+		Long:  "Publish a deployment for reading and watching. The file is published again, as\nthe next generation, whenever it changes; a deployment that does not pass check\nis not published.",
+		Example: "  primroseloom standin platform --listen 127.0.0.1:7000 --deployment deployment.json\n" +
+			"  primroseloom standin platform --listen 127.0.0.1:7000,127.0.0.1:7001 --control 127.0.0.1:7002 --deployment deployment.json\n" +
+			"  curl -X PUT 'http://127.0.0.1:7002/faults?replica=1' -d '{\"frozen\":true}'",
+		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			ctx, stop := untilSignal(command.Context())
 			defer stop()
-			store := platform.New()
+			store := platform.NewReplicated(len(listen))
 			go publisher.New(store, file, command.ErrOrStderr()).Run(ctx)
-			return listenAndServe(ctx, listen, store.Handler())
+			return servePlatform(ctx, store, listen, control)
 		},
 	}
-	command.Flags().StringVar(&listen, "listen", "", "address to listen on")
+	command.Flags().StringSliceVar(&listen, "listen", nil, "address of one replica; may be repeated")
+	command.Flags().StringVar(&control, "control", "", "address for faults, the VM list and the count of calls")
 	command.Flags().StringVar(&file, "deployment", "", "deployment file to publish")
 	_ = command.MarkFlagRequired("listen")
 	_ = command.MarkFlagRequired("deployment")
 	return command
 }
 
+// servePlatform serves each replica and the control address until one ends.
+func servePlatform(ctx context.Context, store *platform.Platform, listen []string, control string) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for i, address := range listen {
+		group.Go(func() error { return listenAndServe(ctx, address, store.Replica(i).Handler()) })
+	}
+	if control != "" {
+		group.Go(func() error { return listenAndServe(ctx, control, store.ControlHandler()) })
+	}
+	return group.Wait()
+}
+
 func newStandinTarget() *cobra.Command {
 	var listen []string
 	var name, control string
--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/examples"
-	"github.com/primroseloom/primroseloom/config/render"
 	"github.com/primroseloom/primroseloom/entry/directory"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/standin/memnet"
@@ -116,15 +115,9 @@
 
 func (w *world) publish() {
 	w.generation++
-	root, shards, err := render.Render(w.deployment, w.generation)
-	if err != nil {
-		w.t.Fatal(err)
-	}
-	content, err := json.Marshal(root)
-	if err != nil {
+	if err := w.platform.PublishDeployment(w.deployment, w.generation); err != nil {
 		w.t.Fatal(err)
 	}
-	w.platform.Publish(shards, content)
 }
 
 func vmName(i int) string { return fmt.Sprintf("vm-%d", i) }
--- a/operator/localfleet/localfleet.go
+++ b/operator/localfleet/localfleet.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,7 +17,6 @@
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/examples"
-	"github.com/primroseloom/primroseloom/config/render"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/daemon"
 	"github.com/primroseloom/primroseloom/entry/network"
@@ -179,16 +177,7 @@
 // Publish renders the deployment as the next generation.
 func (f *Fleet) Publish() error {
 	f.generation++
-	root, shards, err := render.Render(f.Deployment, f.generation)
-	if err != nil {
-		return fmt.Errorf("render generation %d: %w", f.generation, err)
-	}
-	content, err := json.Marshal(root)
-	if err != nil {
-		return fmt.Errorf("write root %d: %w", f.generation, err)
-	}
-	f.Platform.Publish(shards, content)
-	return nil
+	return f.Platform.PublishDeployment(f.Deployment, f.generation)
 }
 
 // StartVM starts an instance on free loopback ports.
--- a/standin/publisher/publisher.go
+++ b/standin/publisher/publisher.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -13,7 +12,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/check"
-	"github.com/primroseloom/primroseloom/config/render"
+	"github.com/primroseloom/primroseloom/config/document"
 )
 
 // pollInterval is how often the file is looked at.
@@ -21,7 +20,7 @@
 
 // Store takes the values of one generation.
 type Store interface {
-	Publish(shards map[string][]byte, root []byte) error
+	PublishDeployment(deployment document.Deployment, generation uint64) error
 }
 
 // Publisher watches one file.
@@ -77,18 +76,10 @@
 		return fmt.Errorf("%s:\n%w", p.file, errors.Join(failures...))
 	}
 	generation := max(p.generation+1, uint64(time.Now().UnixMilli()))
-	root, shards, err := render.Render(deployment, generation)
-	if err != nil {
-		return fmt.Errorf("render %s: %w", p.file, err)
-	}
-	rootContent, err := json.Marshal(root)
-	if err != nil {
-		return fmt.Errorf("write root of %s: %w", p.file, err)
-	}
-	p.generation = generation
-	if err := p.store.Publish(shards, rootContent); err != nil {
+	if err := p.store.PublishDeployment(deployment, generation); err != nil {
 		return fmt.Errorf("publish %s: %w", p.file, err)
 	}
+	p.generation = generation
 	_, _ = fmt.Fprintf(p.report, "published generation %d of %s\n", generation, p.file)
 	return nil
 }
--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"github.com/primroseloom/primroseloom/config/document"
 )
 
 // HealthAnswer is what the health endpoint tells.
@@ -37,13 +39,13 @@
 	// CrashPath crashes the target when a request's path has this prefix.
 	CrashPath string `json:"crash_path,omitempty"`
 	// CrashedFor is how long a crashed target stays down.
-	CrashedFor time.Duration `json:"crashed_for,omitempty"`
+	CrashedFor document.Duration `json:"crashed_for,omitempty"`
 	// FlapPeriod switches the other faults on and off, each for this long.
-	FlapPeriod time.Duration `json:"flap_period,omitempty"`
+	FlapPeriod document.Duration `json:"flap_period,omitempty"`
 	// Health overrides the health endpoint's answer.
 	Health HealthAnswer `json:"health,omitempty"`
 	// LoadLag is the age up to which load reports are repeated.
-	LoadLag time.Duration `json:"load_lag,omitempty"`
+	LoadLag document.Duration `json:"load_lag,omitempty"`
 	// LoadIdle makes the load endpoint always report an idle target.
 	LoadIdle bool `json:"load_idle,omitempty"`
 }
@@ -82,7 +84,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	faults := t.faults
-	if faults.FlapPeriod > 0 && (time.Since(t.started)/faults.FlapPeriod)%2 == 1 {
+	if faults.FlapPeriod > 0 && (time.Since(t.started)/faults.FlapPeriod.Std())%2 == 1 {
 		return Faults{FlapPeriod: faults.FlapPeriod}
 	}
 	return faults
--- a/standin/target/listen.go
+++ b/standin/target/listen.go
@@ -69,7 +69,7 @@
 	for conn := range t.conns {
 		open = append(open, conn)
 	}
-	t.started = time.Now().Add(faults.CrashedFor)
+	t.started = time.Now().Add(faults.CrashedFor.Std())
 	t.mu.Unlock()
 	for _, conn := range open {
 		counted, ok := conn.(*countedConn)
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -199,7 +199,7 @@
 func (t *Target) load(w http.ResponseWriter, _ *http.Request) {
 	faults := t.activeFaults()
 	t.mu.Lock()
-	if t.reported.at.IsZero() || time.Since(t.reported.at) >= faults.LoadLag {
+	if t.reported.at.IsZero() || time.Since(t.reported.at) >= faults.LoadLag.Std() {
 		t.reported = loadReport{at: time.Now(), value: Load{InFlight: t.inFlight, Slots: t.options.Slots, Queued: t.queued}}
 	}
 	report := t.reported.value
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 )
 
@@ -82,7 +83,7 @@
 				t.Error("the request was answered")
 			}
 		}},
-		{"crash", Faults{CrashPath: "/", CrashedFor: time.Second}, func(t *testing.T, _ *http.Response, _ []byte, err error) {
+		{"crash", Faults{CrashPath: "/", CrashedFor: document.Duration(time.Second)}, func(t *testing.T, _ *http.Response, _ []byte, err error) {
 			if err == nil {
 				t.Error("the request was answered")
 			}
@@ -133,7 +134,7 @@
 func TestCrashedTargetIsDownForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target, client := start(t, Options{Name: "t1", Slots: 1})
-		target.SetFaults(Faults{CrashPath: "/poison", CrashedFor: time.Second})
+		target.SetFaults(Faults{CrashPath: "/poison", CrashedFor: document.Duration(time.Second)})
 		_, _, _ = get(t, client, "/poison", "1")
 		if _, _, err := get(t, client, "/", "2"); err == nil {
 			t.Error("a crashed target answered")
@@ -148,7 +149,7 @@
 func TestLoadReportLags(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target, client := start(t, Options{Name: "t1", Slots: 2, ServiceTime: func() time.Duration { return time.Minute }})
-		target.SetFaults(Faults{LoadLag: time.Second})
+		target.SetFaults(Faults{LoadLag: document.Duration(time.Second)})
 		_, _, _ = get(t, client, "/load", "")
 		go func() { _, _, _ = get(t, client, "/", "1") }()
 		synctest.Wait()
