Lease slots between the VMs of the daemon

Cause: the daemon's VMs chose targets by their own requests only.

Change: each service has a lessee and, on the elected VM, a keeper. Messages travel on one stream for each pair of VMs (PeerService.Lease). While no keeper answers, a VM chooses by itself within a window that sheds shrink. At most one slot is taken before it is reported.

In virtual time, three VMs with 18 requests at once keep a target of 2 slots at 3 requests or fewer, and the others go on when the keeper ends.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -77,7 +77,9 @@
 	d.peers.UseConfiguration(d.config)
 	d.peers.UseConfigServer(d.config)
 	d.peers.UseForwarder(d.proxy)
+	d.peers.UseLeaser(d.targets)
 	d.targets.SetNews(d.peers)
+	d.targets.UseLeases(d.settings.Fleet)
 }
 
 // startTree runs the children that have work of their own; the function
@@ -108,6 +110,7 @@
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Grace.Std())
 	defer cancel()
 	err := d.proxy.Drain(ctx, callers, d.settings.Stop.Linger.Std())
+	d.targets.StopLeases()
 	d.depart(ctx)
 	err = errors.Join(err, d.peers.Stop(ctx), operators.Shutdown(ctx))
 	events.DaemonStopped.Log(d.logger, "vm", d.settings.VM)
--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -35,102 +35,123 @@
 		s.metrics.refused(refusal.Reason)
 		return nil, refusal
 	}
-	name, trial, refusal := s.acquire(ctx, request, customer.Limits.Weight)
+	slot, refusal := s.acquire(ctx, request, customer.Limits.Weight)
 	if refusal != nil {
 		m.finish(request.Customer)
 		refusal.Peer = m.vm
 		s.metrics.refused(refusal.Reason)
 		return nil, refusal
 	}
-	return m.grant(s, name, trial, request)
+	return m.grant(s, slot, request)
 }
 
-func (m *Manager) grant(s *service, name string, trial bool, request contract.AcquireRequest) (contract.Grant, error) {
+// slot is a slot of a target that a request may use.
+type slot struct {
+	id     uint64
+	target string
+	trial  bool
+}
+
+func (m *Manager) grant(s *service, slot slot, request contract.AcquireRequest) (contract.Grant, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.targets[name]
+	t, ok := s.targets[slot.target]
 	if !ok {
-		s.returned(time.Now(), name)
+		s.returned(time.Now(), slot.id, slot.target)
 		m.finish(request.Customer)
 		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
 	}
-	s.nextID++
-	s.judge.started(time.Now(), name, s.nextID)
-	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: s.nextID}, nil
+	s.judge.started(time.Now(), slot.target, slot.id)
+	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: slot.id}, nil
 }
 
 var errRemoved = errors.New("target was removed from the configuration")
 
 // acquire takes a slot at once or waits for one in the fair queue.
-func (s *service) acquire(ctx context.Context, request contract.AcquireRequest, weight float64) (target string, trial bool, refusal *outcome.Refusal) {
+func (s *service) acquire(ctx context.Context, request contract.AcquireRequest, weight float64) (slot, *outcome.Refusal) {
 	began := time.Now()
-	if name, ok := s.trial(began, request); ok {
-		return name, true, nil
+	if tried, ok := s.trial(began, request); ok {
+		return tried, nil
 	}
-	w, name, refusal := s.enqueue(began, request, weight)
-	if refusal != nil || name != "" {
-		return name, false, refusal
+	entry, taken, refusal := s.enqueue(began, request, weight)
+	if refusal != nil || taken.target != "" {
+		return taken, refusal
 	}
 	timer := time.NewTimer(time.Until(request.Deadline))
 	defer timer.Stop()
 	select {
-	case name, ok := <-w.Item.granted:
+	case target, ok := <-entry.Item.granted:
 		if !ok {
-			return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+			return slot{}, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
 		}
 		s.metrics.waited(time.Since(began))
-		return name, false, nil
+		return slot{id: entry.Item.id, target: target}, nil
 	case <-ctx.Done():
-		s.abandon(w)
+		s.abandon(entry)
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, ctx.Err())
+			return slot{}, refuse(outcome.ReasonDeadlineExceeded, 0, ctx.Err())
 		}
-		return "", false, refuse(outcome.ReasonCallerGone, 0, context.Cause(ctx))
+		return slot{}, refuse(outcome.ReasonCallerGone, 0, context.Cause(ctx))
 	case <-timer.C:
-		s.abandon(w)
-		return "", false, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
+		s.abandon(entry)
+		return slot{}, refuse(outcome.ReasonDeadlineExceeded, 0, nil)
 	}
 }
 
 // trial takes a slot of a target whose health is to be tried, for a first
 // attempt that may run twice.
-func (s *service) trial(now time.Time, request contract.AcquireRequest) (string, bool) {
+func (s *service) trial(now time.Time, request contract.AcquireRequest) (slot, bool) {
 	if !request.Idempotent || request.Retry {
-		return "", false
+		return slot{}, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name, ok := s.judge.trial(now, s.names)
 	if !ok || s.targets[name].leaving.now(now) {
-		return "", false
+		return slot{}, false
 	}
 	s.balancer.TakeNamed(name)
+	taken := s.take(now, name)
+	taken.trial = true
+	return taken, true
+}
+
+// take numbers a slot that was taken without waiting and reports it.
+func (s *service) take(now time.Time, target string) slot {
+	s.nextID++
 	s.inFlight++
-	return name, true
+	s.took(s.nextID, target)
+	s.flush(now)
+	return slot{id: s.nextID, target: target}
 }
 
 // enqueue takes a slot when one is free and nobody waits, and queues the
 // request otherwise unless it would wait past its deadline.
-func (s *service) enqueue(now time.Time, request contract.AcquireRequest, weight float64) (*waitEntry, string, *outcome.Refusal) {
+func (s *service) enqueue(now time.Time, request contract.AcquireRequest, weight float64) (*waitEntry, slot, *outcome.Refusal) {
 	want := balance.Want{Zone: s.zone, Exclude: slices.Clone(request.Exclude), Idempotent: request.Idempotent}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.balancer.Usable(want) == 0 {
-		return nil, "", refuse(outcome.ReasonNoTarget, noTargetRetryAfter, nil)
+		return nil, slot{}, refuse(outcome.ReasonNoTarget, noTargetRetryAfter, nil)
 	}
 	if s.queue.Len() == 0 {
-		if name, ok := s.balancer.Take(s.rng, want); ok {
-			s.inFlight++
-			return nil, name, nil
+		if _, may := s.chooses(now); may {
+			if name, ok := s.balancer.Take(s.rng, want); ok {
+				return nil, s.take(now, name), nil
+			}
 		}
 		s.drain.Began(now)
 	}
 	wait := s.drain.Wait(s.queue.Ahead(request.Customer, weight) + 1)
 	if now.Add(wait).After(request.Deadline) {
-		return nil, "", refuse(outcome.ReasonDeadlineTooShort, wait, fmt.Errorf("wait of %v expected", wait.Round(time.Millisecond)))
+		return nil, slot{}, refuse(outcome.ReasonDeadlineTooShort, wait, fmt.Errorf("wait of %v expected", wait.Round(time.Millisecond)))
 	}
-	w := &waiter{want: want, deadline: request.Deadline, granted: make(chan string, 1)}
-	return s.queue.Push(request.Customer, weight, w), "", nil
+	s.nextID++
+	w := &waiter{id: s.nextID, want: want, deadline: request.Deadline, granted: make(chan string, 1)}
+	entry := s.queue.Push(request.Customer, weight, w)
+	s.ask(entry, request.Customer, weight)
+	s.flush(now)
+	return entry, slot{}, nil
 }
 
 // abandon takes a request out of the queue, or gives back the slot that it was
@@ -139,12 +160,15 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.queue.Remove(entry)
+	now := time.Now()
 	select {
 	case name, ok := <-entry.Item.granted:
 		if ok {
-			s.returned(time.Now(), name)
+			s.returned(now, entry.Item.id, name)
 		}
 	default:
+		s.finished(entry.Item.id)
+		s.flush(now)
 	}
 }
 
--- /dev/null
+++ b/entry/targets/convert.go
@@ -0,0 +1,66 @@
+package targets
+
+import (
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/balance"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+// maxWait bounds how long an ask of another VM is kept.
+const maxWait = time.Minute
+
+func leaseToWire(now time.Time, message balance.LeaseMessage) *primroseloomv1.LeaseRequest {
+	request := &primroseloomv1.LeaseRequest{
+		Sequence: message.Sequence, Echo: message.Echo, Returns: message.Returns, Shed: message.Shed,
+	}
+	for _, a := range message.Asks {
+		request.Asks = append(request.Asks, &primroseloomv1.LeaseAsk{
+			Id: a.ID, Customer: a.Customer, Weight: a.Weight, Zone: a.Zone, Idempotent: a.Idempotent,
+			Exclude: a.Exclude, WaitMs: uint32(max(0, a.Deadline.Sub(now).Milliseconds())),
+		})
+	}
+	for _, h := range message.Held {
+		request.Held = append(request.Held, &primroseloomv1.LeaseHeld{Id: h.ID, Target: h.Target})
+	}
+	return request
+}
+
+func leaseFromWire(now time.Time, request *primroseloomv1.LeaseRequest) balance.LeaseMessage {
+	message := balance.LeaseMessage{
+		Sequence: request.Sequence, Echo: request.Echo, Returns: request.Returns, Shed: request.Shed,
+	}
+	for _, a := range request.Asks {
+		wait := min(time.Duration(a.WaitMs)*time.Millisecond, maxWait)
+		message.Asks = append(message.Asks, balance.Ask{
+			ID: a.Id, Customer: a.Customer, Weight: a.Weight, Zone: a.Zone, Idempotent: a.Idempotent,
+			Exclude: a.Exclude, Deadline: now.Add(wait),
+		})
+	}
+	for _, h := range request.Held {
+		message.Held = append(message.Held, balance.HeldLease{ID: h.Id, Target: h.Target})
+	}
+	return message
+}
+
+func replyToWire(reply balance.LeaseReply) *primroseloomv1.LeaseResponse {
+	response := &primroseloomv1.LeaseResponse{
+		Sequence: reply.Sequence, Token: reply.Token, Repeat: reply.Repeat, Keeper: reply.Keeper,
+		Open: reply.Open, Busy: reply.Busy,
+	}
+	for _, g := range reply.Grants {
+		response.Grants = append(response.Grants, &primroseloomv1.LeaseHeld{Id: g.ID, Target: g.Target})
+	}
+	return response
+}
+
+func replyFromWire(response *primroseloomv1.LeaseResponse) balance.LeaseReply {
+	reply := balance.LeaseReply{
+		Sequence: response.Sequence, Token: response.Token, Repeat: response.Repeat, Keeper: response.Keeper,
+		Open: response.Open, Busy: response.Busy,
+	}
+	for _, g := range response.Grants {
+		reply.Grants = append(reply.Grants, balance.Grant{ID: g.Id, Target: g.Target})
+	}
+	return reply
+}
--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -37,6 +37,8 @@
 	metrics       *metrics.Metrics
 	logger        *log.Logger
 	vm, zone      string
+	// links is nil while slots are not shared with other VMs.
+	links *links
 	// resizing lists the services whose set of VMs is to be looked at; one is
 	// done in each round.
 	resizing []string
@@ -85,6 +87,7 @@
 		delete(old, definition.Name)
 		next[definition.Name] = s
 		s.configure(now, definition, serving(definition, members))
+		s.follow(members)
 	}
 	m.mu.Lock()
 	m.services = next
@@ -103,7 +106,11 @@
 
 func (m *Manager) newService(name string) *service {
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return newService(name, m.vm, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), rng)
+	s := newService(name, m.vm, m.zone, m.network, newServiceMetrics(m.metrics.Scope(), name), rng)
+	if m.links != nil {
+		s.useLeases(m.vm, m.postLease, m.replyLease)
+	}
+	return s
 }
 
 // Run does periodic work until the context ends.
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/balance"
@@ -48,6 +49,10 @@
 	targets map[string]*target
 	rng     *rand.Rand
 	nextID  uint64
+	// leases is nil while the VM chooses targets by itself.
+	leases *leases
+	// window bounds the attempts in progress while no keeper answers.
+	window *balance.Window
 	// inFlight counts the attempts in progress at all targets.
 	inFlight int
 	// typical is the average service time.
@@ -65,6 +70,7 @@
 
 // waiter is a request that waits for a slot.
 type waiter struct {
+	id       uint64
 	want     balance.Want
 	deadline time.Time
 	// granted receives the target, or is closed when the deadline passed.
@@ -75,6 +81,7 @@
 	return &service{
 		name: name, zone: zone, network: network, metrics: metrics, rng: rng,
 		balancer: balance.NewBalancer(),
+		window:   balance.NewWindow(1, 1),
 		queue:    admission.NewFairQueue[*waiter](),
 		judge:    newJudge(vm, zone, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))),
 		targets:  make(map[string]*target),
@@ -96,7 +103,8 @@
 	for _, d := range definition.Targets {
 		s.targets[d.Name] = s.carryOver(now, old[d.Name], d, share)
 		s.names = append(s.names, d.Name)
-		balanced = append(balanced, balance.Target{Name: d.Name, Zone: d.Zone, Limit: limit, Slots: definition.Slots})
+		balanced = append(balanced, balance.Target{Name: d.Name, Zone: d.Zone, Limit: limit, Slots: definition.Slots,
+			Extra: max(0, share-probeConnections-limit)})
 	}
 	for name, t := range old {
 		if s.targets[name] == nil || s.targets[name].pool != t.pool {
@@ -104,10 +112,20 @@
 		}
 	}
 	s.balancer.Configure(balanced)
+	s.resizeWindow(definition, len(vms))
+	s.configureKeeper()
 	s.judge.configure(now, definition, max(1, len(vms)))
 	s.refresh(now)
 }
 
+// resizeWindow starts the window at an even share of the slots.
+func (s *service) resizeWindow(definition *document.Service, vms int) {
+	slots := float64(len(definition.Targets) * definition.Slots)
+	if s.window.Ceiling() != max(slots, 1) {
+		s.window = balance.NewWindow(slots/float64(max(1, vms)), slots)
+	}
+}
+
 // carryOver keeps a target's state unless it moved to another address.
 func (s *service) carryOver(now time.Time, t *target, definition document.Target, share int) *target {
 	if t == nil || t.definition.Address != definition.Address {
@@ -125,6 +143,7 @@
 	defer s.mu.Unlock()
 	s.judge.tick(now)
 	s.refresh(now)
+	s.tickLeases(now)
 	connections := 0
 	for _, t := range s.targets {
 		t.pool.sweep()
@@ -141,6 +160,22 @@
 	if vms := serving(definition, members); !slices.Equal(vms, before) {
 		s.configure(now, definition, vms)
 	}
+	s.follow(members)
+}
+
+// follow takes the members that are alive and serve the service as candidates
+// for keeper.
+func (s *service) follow(members []*primroseloomv1.Member) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var alive []subset.VM
+	for _, member := range members {
+		vm := subset.VM{Name: member.Vm, Zone: member.Zone, Region: member.Region}
+		if assign.Offered(member) && slices.Contains(s.serving, vm) {
+			alive = append(alive, vm)
+		}
+	}
+	s.setKeepers(alive)
 }
 
 // heard takes over another VM's evidence.
@@ -193,11 +228,15 @@
 			condition = balance.Condition{}
 		}
 		s.balancer.SetCondition(name, condition)
+		if s.leases != nil && s.leases.keeper != nil {
+			s.leases.keeper.SetCondition(name, condition)
+		}
 	})
 	s.pump(now)
 }
 
-// pump gives free slots to the requests that wait; the lock is held.
+// pump gives free slots to the requests that wait, while the VM chooses by
+// itself; the lock is held.
 func (s *service) pump(now time.Time) {
 	var passed []*admission.Entry[*waiter]
 	for len(passed) < maxPassed {
@@ -207,9 +246,13 @@
 		}
 		if !now.Before(entry.Item.deadline) {
 			s.queue.Remove(entry)
+			s.finished(entry.Item.id)
 			close(entry.Item.granted)
 			continue
 		}
+		if _, may := s.chooses(now); !may {
+			break
+		}
 		name, ok := s.balancer.Take(s.rng, entry.Item.want)
 		if !ok && !s.balancer.HasRoom() {
 			break
@@ -219,9 +262,8 @@
 			passed = append(passed, entry)
 			continue
 		}
-		s.inFlight++
-		s.drain.Left(now, s.queue.Len() > 0)
-		entry.Item.granted <- name
+		s.took(entry.Item.id, name)
+		s.start(now, entry, name)
 	}
 	for _, entry := range passed {
 		s.queue.Restore(entry)
@@ -229,10 +271,12 @@
 }
 
 // returned ends an attempt at a target; the lock is held.
-func (s *service) returned(now time.Time, name string) {
+func (s *service) returned(now time.Time, id uint64, name string) {
+	s.finished(id)
 	s.balancer.Return(name)
 	s.inFlight--
 	s.pump(now)
+	s.flush(now)
 }
 
 // observed takes the result of an attempt as evidence.
@@ -246,7 +290,8 @@
 	case contract.AttemptShed:
 		s.hold(name)
 	}
-	s.returned(now, name)
+	s.learnSlots(now, name, result.Kind)
+	s.returned(now, attempt, name)
 	s.refresh(now)
 }
 
--- a/policy/admission/queue.go
+++ b/policy/admission/queue.go
@@ -31,6 +31,9 @@
 	start      float64
 }
 
+// Owner returns the item's customer and weight.
+func (e *Entry[T]) Owner() (customer string, weight float64) { return e.customer, e.weight }
+
 // flow is the backlog of one customer.
 type flow[T any] struct {
 	customer   string
--- a/policy/balance/balancer.go
+++ b/policy/balance/balancer.go
@@ -139,6 +139,13 @@
 	return 0
 }
 
+// Accepts reports whether a target may take one more request now, extra ones
+// included.
+func (b *Balancer) Accepts(name string) bool {
+	at, ok := b.byName[name]
+	return ok && b.targets[at].tier != tierClosed
+}
+
 // HasRoom reports whether any target has room for any attempt.
 func (b *Balancer) HasRoom() bool { return len(b.open[tierFree]) > 0 }
 
--- a/policy/balance/keeper.go
+++ b/policy/balance/keeper.go
@@ -14,7 +14,7 @@
 	// the next grant travel.
 	extraPerTarget = 1
 	// noExtraFor is how long a target that shed gets no extra requests.
-	noExtraFor = 10 * time.Second
+	noExtraFor = time.Minute
 )
 
 // LeaseTerm is how long a VM may be silent before its leases end.
--- a/policy/balance/lease.go
+++ b/policy/balance/lease.go
@@ -132,8 +132,10 @@
 func (l *Lessee) Local() bool { return l.keeper == "" || !l.open }
 
 // Optimistic reports whether the VM may take a slot first and report it later.
+// One slot at a time is taken so, until the keeper has answered.
 func (l *Lessee) Optimistic(now time.Time) bool {
-	return !l.Local() && l.busy < optimisticBusy && now.Sub(l.lastHeard) < LeaseTerm
+	current := l.unanswered.IsZero() && len(l.took) == 0 && now.Sub(l.lastHeard) < LeaseTerm
+	return !l.Local() && current && l.busy < optimisticBusy
 }
 
 // Ask requests a slot.
@@ -201,7 +203,7 @@
 		return LeaseMessage{}, false
 	}
 	silent := len(l.asks)+len(l.returns)+len(l.took) == 0
-	inactive := len(l.asked)+len(l.held) == 0
+	inactive := l.open && len(l.asked)+len(l.held) == 0
 	if silent && (inactive || now.Sub(l.lastSent) < heartbeatInterval) {
 		return LeaseMessage{}, false
 	}
--- a/policy/balance/window.go
+++ b/policy/balance/window.go
@@ -23,11 +23,8 @@
 	return &Window{size: max(size, minWindow), ceiling: max(ceiling, minWindow)}
 }
 
-// SetCeiling changes the ceiling, in requests.
-func (w *Window) SetCeiling(ceiling float64) {
-	w.ceiling = max(ceiling, minWindow)
-	w.size = min(w.size, w.ceiling)
-}
+// Ceiling returns the largest size, in requests.
+func (w *Window) Ceiling() float64 { return w.ceiling }
 
 // Allows reports whether one more request may start beside those in progress.
 func (w *Window) Allows(inFlight int) bool { return float64(inFlight) < w.size }
