Divide each customer's limits by use over the VMs that serve it

Cause: each VM held a customer to its whole rate, so that the fleet let through as many times the rate as VMs serve the customer.

Change: a VM's share of a customer's limits is a quarter divided evenly and the rest by use, as the VMs report it through the news (CustomerUse, only from a quarter of the even rate on). A VM that membership does not show alive keeps its even share. The tracker's start takes no trial mark any more.

--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -49,7 +49,6 @@
 type slot struct {
 	id     uint64
 	target string
-	trial  bool
 }
 
 func (m *Manager) grant(s *service, slot slot, request contract.AcquireRequest) (contract.Grant, error) {
@@ -111,9 +110,7 @@
 		return slot{}, false
 	}
 	s.balancer.TakeNamed(name)
-	taken := s.take(now, name)
-	taken.trial = true
-	return taken, true
+	return s.take(now, name), true
 }
 
 // take numbers a slot that was taken without waiting and reports it.
--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -36,7 +36,9 @@
 	members       contract.Members
 	metrics       *metrics.Metrics
 	logger        *log.Logger
+	shares        shares
 	vm, zone      string
+	region        string
 	// links is nil while slots are not shared with other VMs.
 	links *links
 	// resizing lists the services whose set of VMs is to be looked at; one is
@@ -59,7 +61,7 @@
 	self := members.Self()
 	manager := &Manager{
 		configuration: configuration, network: network, members: members, metrics: m, logger: logger,
-		vm: self.Vm, zone: self.Zone,
+		vm: self.Vm, zone: self.Zone, region: self.Region,
 		services:  make(map[string]*service),
 		customers: admission.NewCustomers(),
 	}
@@ -87,7 +89,7 @@
 		delete(old, definition.Name)
 		next[definition.Name] = s
 		s.configure(now, definition, serving(definition, members))
-		s.follow(members)
+		s.follow(m.region, members)
 	}
 	m.mu.Lock()
 	m.services = next
@@ -130,12 +132,13 @@
 func (m *Manager) tick(ctx context.Context) {
 	members := m.members.Members()
 	services := m.snapshot()
+	m.divideLimits(time.Now(), members)
 	if m.resizing == nil {
 		m.resizing = slices.Collect(maps.Keys(services))
 	}
 	if last := len(m.resizing) - 1; last >= 0 {
 		if s, ok := services[m.resizing[last]]; ok {
-			s.resize(time.Now(), members)
+			s.resize(time.Now(), m.region, members)
 		}
 		m.resizing = m.resizing[:last]
 	}
@@ -166,6 +169,9 @@
 	if gone := item.GetLeaving(); gone != nil {
 		s.told(time.Now(), gone.Target)
 	}
+	if use := item.GetUse(); use != nil {
+		m.shares.heard(time.Now(), item.OriginVm, use)
+	}
 	if evidence := item.GetHealth(); evidence != nil {
 		s.heard(time.Now(), item.OriginVm, evidence)
 	}
@@ -233,12 +239,18 @@
 	return refusal
 }
 
-// limits returns the part of a customer's limits that falls to this VM.
+// limits returns the part of a customer's limits that falls to this VM: an even
+// one until its use is known.
 func (m *Manager) limits(customer *snapshot.Customer) admission.Limits {
 	l := customer.Limits
-	return admission.Limits{
+	limits := admission.Limits{
 		Rate: l.Rate, Burst: l.Burst, Concurrency: l.Concurrency, Queue: l.Queue, RetryRatio: l.RetryRatio,
 	}
+	share, ok := m.shares.of(customer.Name)
+	if !ok {
+		share = admission.Divide(len(m.serversOf(customer)), 0, nil)
+	}
+	return limits.Scale(share)
 }
 
 // finish ends a request or retry of a customer.
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -36,8 +36,10 @@
 	network contract.Network
 	metrics serviceMetrics
 
-	mu         sync.Mutex
-	serving    []subset.VM
+	mu      sync.Mutex
+	serving []subset.VM
+	// set is the service's set in this VM's region.
+	set        subset.Set
 	definition *document.Service
 	balancer   *balance.Balancer
 	queue      *admission.FairQueue[*waiter]
@@ -153,19 +155,19 @@
 }
 
 // resize follows the VMs that serve the service.
-func (s *service) resize(now time.Time, members []*primroseloomv1.Member) {
+func (s *service) resize(now time.Time, region string, members []*primroseloomv1.Member) {
 	s.mu.Lock()
 	definition, before := s.definition, s.serving
 	s.mu.Unlock()
 	if vms := serving(definition, members); !slices.Equal(vms, before) {
 		s.configure(now, definition, vms)
 	}
-	s.follow(members)
+	s.follow(region, members)
 }
 
 // follow takes the members that are alive and serve the service as candidates
 // for keeper.
-func (s *service) follow(members []*primroseloomv1.Member) {
+func (s *service) follow(region string, members []*primroseloomv1.Member) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var alive []subset.VM
@@ -175,6 +177,7 @@
 			alive = append(alive, vm)
 		}
 	}
+	s.set = assign.InRegion(s.definition, members, region, assign.Offered)
 	s.setKeepers(alive)
 }
 
--- a/policy/admission/customers.go
+++ b/policy/admission/customers.go
@@ -54,6 +54,45 @@
 	inProgress int
 	limits     Limits
 	used       time.Time
+	// asked counts the requests since the demand was measured last, at measured.
+	asked    int
+	measured time.Time
+	demand   float64
+}
+
+// Demand is what one customer's callers ask of this VM.
+type Demand struct {
+	Customer string
+	// Rate is in requests a second, refused ones included.
+	Rate float64
+}
+
+// demandSmoothing is the weight of the latest interval in a demand.
+const demandSmoothing = 0.5
+
+// Demands measures what the callers of each customer that was active since a
+// time have asked since the last measurement.
+func (c *Customers) Demands(now, since time.Time) []Demand {
+	var demands []Demand
+	for element := c.recent.Front(); element != nil; element = element.Next() {
+		a := element.Value.(*account)
+		if a.used.Before(since) {
+			break
+		}
+		demands = append(demands, Demand{Customer: a.name, Rate: a.measure(now)})
+	}
+	return demands
+}
+
+func (a *account) measure(now time.Time) float64 {
+	elapsed := now.Sub(a.measured).Seconds()
+	if elapsed <= 0 {
+		return a.demand
+	}
+	rate := float64(a.asked) / elapsed
+	a.demand += demandSmoothing * (rate - a.demand)
+	a.asked, a.measured = 0, now
+	return a.demand
 }
 
 // NewCustomers returns an empty set of accounts.
@@ -76,6 +115,7 @@
 // requests that wait already. An admitted request is ended by Finish.
 func (c *Customers) Admit(now time.Time, name string, limits Limits, waiting int) Decision {
 	a := c.touch(now, name, limits)
+	a.asked++
 	if a.inProgress >= limits.Concurrency {
 		return Decision{Reason: outcome.ReasonConcurrencyLimit}
 	}
@@ -116,7 +156,7 @@
 	element, ok := c.accounts[name]
 	if !ok {
 		c.evict(now)
-		element = c.recent.PushFront(&account{name: name, retries: retry.NewBudget(initialRetries)})
+		element = c.recent.PushFront(&account{name: name, retries: retry.NewBudget(initialRetries), measured: now})
 		c.accounts[name] = element
 	}
 	c.recent.MoveToFront(element)
