Keep a copy of the target with each grant and probe

Cause: a reconfiguration wrote a target's definition while grants and probes read it. Change: they read a copy taken under the service's lock.

--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -61,7 +61,7 @@
 		return nil, contract.Refuse(outcome.NotRun, outcome.ReasonNoTarget, outcome.StepChoose, m.vm, errRemoved)
 	}
 	s.judge.started(time.Now(), slot.target, slot.id)
-	return &grant{manager: m, service: s, target: t, customer: request.Customer, attempt: slot.id}, nil
+	return &grant{manager: m, service: s, target: t.definition, pool: t.pool, customer: request.Customer, attempt: slot.id}, nil
 }
 
 var errRemoved = errors.New("target was removed from the configuration")
--- a/entry/targets/grant.go
+++ b/entry/targets/grant.go
@@ -12,19 +12,20 @@
 type grant struct {
 	manager  *Manager
 	service  *service
-	target   *target
+	target   document.Target
+	pool     *pool
 	customer string
 	attempt  uint64
 	exchange *exchange
 }
 
 // Target returns the target chosen.
-func (g *grant) Target() document.Target { return g.target.definition }
+func (g *grant) Target() document.Target { return g.target }
 
 // RoundTrip sends the request once over a connection of the target's pool. Its
 // error is a *contract.RoundTripError.
 func (g *grant) RoundTrip(request *http.Request) (*http.Response, error) {
-	x, response, err := send(g.target.pool, g.target.definition.Name, request)
+	x, response, err := send(g.pool, g.target.Name, request)
 	if err != nil {
 		return nil, err
 	}
@@ -40,9 +41,9 @@
 		g.exchange.finish(trusted)
 	}
 	if result.Kind == contract.AttemptDraining {
-		g.manager.leaves(g.service, g.target.definition.Name)
+		g.manager.leaves(g.service, g.target.Name)
 	}
-	g.service.observed(time.Now(), g.target.definition.Name, g.attempt, result)
+	g.service.observed(time.Now(), g.target.Name, g.attempt, result)
 	g.manager.tell(g.service)
 	g.service.metrics.ended(result)
 	g.manager.finish(g.customer)
--- a/entry/targets/probe.go
+++ b/entry/targets/probe.go
@@ -84,23 +84,23 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	s.mu.Lock()
-	definition := s.definition
+	definition, probed := s.definition, t.definition
 	s.mu.Unlock()
 	if definition.HealthPath != "" {
-		m.probeHealth(ctx, s, t, definition)
+		m.probeHealth(ctx, s, t, probed, definition)
 	}
 	if definition.LoadPath != "" {
-		s.probeLoad(ctx, t, definition.LoadPath)
+		s.probeLoad(ctx, t.pool, probed, definition.LoadPath)
 	}
 }
 
-func (m *Manager) probeHealth(ctx context.Context, s *service, t *target, definition *document.Service) {
-	response, _, err := fetch(ctx, t, definition.HealthPath)
+func (m *Manager) probeHealth(ctx context.Context, s *service, t *target, probed document.Target, definition *document.Service) {
+	response, _, err := fetch(ctx, t.pool, probed, definition.HealthPath)
 	if err != nil && ctx.Err() == nil && isConnectionLimit(err) {
 		s.metrics.probed("skipped")
 		return
 	}
-	name := t.definition.Name
+	name := probed.Name
 	leaves := err == nil && response.Header.Get(definition.Drain.Header) != "" && definition.Drain.Header != ""
 	if leaves {
 		s.metrics.probed("leaving")
@@ -134,8 +134,8 @@
 	}
 }
 
-func (s *service) probeLoad(ctx context.Context, t *target, path string) {
-	response, content, err := fetch(ctx, t, path)
+func (s *service) probeLoad(ctx context.Context, p *pool, probed document.Target, path string) {
+	response, content, err := fetch(ctx, p, probed, path)
 	if err != nil || response.StatusCode != http.StatusOK {
 		return
 	}
@@ -146,18 +146,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	own := s.balancer.InFlight(t.definition.Name)
-	s.balancer.SetOthers(t.definition.Name, float64(report.InFlight+report.Queued-own))
+	own := s.balancer.InFlight(probed.Name)
+	s.balancer.SetOthers(probed.Name, float64(report.InFlight+report.Queued-own))
 }
 
 // fetch reads a small answer from a target over its pool.
-func fetch(ctx context.Context, t *target, path string) (*http.Response, []byte, error) {
-	name := t.definition.Name
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+t.definition.Address+path, nil)
+func fetch(ctx context.Context, p *pool, probed document.Target, path string) (*http.Response, []byte, error) {
+	name := probed.Name
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+probed.Address+path, nil)
 	if err != nil {
 		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
 	}
-	x, response, err := send(t.pool, name, request)
+	x, response, err := send(p, name, request)
 	if err != nil {
 		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
 	}
