Log targets that go out or return, and changes of keeper

Cause: the catalogue named an ejection that nothing emitted. Change: the targets child compares the judge's states with those logged last.

--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -147,6 +147,7 @@
 	}
 	for _, s := range services {
 		s.tick(time.Now())
+		s.logChanges(m.logger)
 		m.tell(s)
 		m.probe(ctx, s)
 	}
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -52,7 +52,8 @@
 	rng     *rand.Rand
 	nextID  uint64
 	// leases is nil while the VM chooses targets by itself.
-	leases *leases
+	leases  *leases
+	changes changes
 	// window bounds the attempts in progress while no keeper answers.
 	window *balance.Window
 	// inFlight counts the attempts in progress at all targets.
