--- a/entry/targets/grant.go
+++ b/entry/targets/grant.go
@@ -12,7 +12,8 @@
 type grant struct {
 	manager  *Manager
 	service  *service
-	target   *target
+	target   document.Target
+	pool     *pool
 	customer string
 	attempt  uint64
 	exchange *exchange
@@ -20,7 +21,7 @@
 }
 
 // Target returns the target chosen.
-func (g *grant) Target() document.Target { return g.target.definition }
+func (g *grant) Target() document.Target { return g.target }
 
 // RoundTrip sends the request once over a connection of the target's pool. Its
 // error is a *contract.RoundTripError.
@@ -28,7 +29,7 @@
 	if g.trial {
 		request.Header.Set(contract.TrialHeader, "1")
 	}
-	x, response, err := send(g.target.pool, g.target.definition.Name, request)
+	x, response, err := send(g.pool, g.target.Name, request)
 	if err != nil {
 		return nil, err
 	}
@@ -44,9 +45,9 @@
 		g.exchange.finish(trusted)
 	}
 	if result.Kind == contract.AttemptDraining {
-		g.manager.leaves(g.service, g.target.definition.Name)
+		g.manager.leaves(g.service, g.target.Name)
 	}
-	g.service.observed(time.Now(), g.target.definition.Name, g.attempt, result)
+	g.service.observed(time.Now(), g.target.Name, g.attempt, result)
 	g.manager.tell(g.service)
 	g.service.metrics.ended(result)
 	g.manager.finish(g.customer)
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -6,14 +6,11 @@
 	"sync"
 	"time"
 
-	"github.com/charmbracelet/log"
-
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/balance"
-	"github.com/primroseloom/primroseloom/policy/health"
 	"github.com/primroseloom/primroseloom/policy/retry"
 	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -38,7 +35,6 @@
 	zone    string
 	network contract.Network
 	metrics serviceMetrics
-	logger  *log.Logger
 
 	mu      sync.Mutex
 	serving []subset.VM
@@ -56,7 +52,8 @@
 	rng     *rand.Rand
 	nextID  uint64
 	// leases is nil while the VM chooses targets by itself.
-	leases *leases
+	leases  *leases
+	changes changes
 	// window bounds the attempts in progress while no keeper answers.
 	window *balance.Window
 	// inFlight counts the attempts in progress at all targets.
@@ -72,8 +69,6 @@
 	leaving    leaving
 	// probes holds the state of this VM's probes.
 	probes probeState
-	// state is the health state that was last logged.
-	state health.State
 }
 
 // waiter is a request that waits for a slot.
@@ -85,9 +80,9 @@
 	granted chan string
 }
 
-func newService(name, vm, zone string, network contract.Network, metrics serviceMetrics, logger *log.Logger, rng *rand.Rand) *service {
+func newService(name, vm, zone string, network contract.Network, metrics serviceMetrics, rng *rand.Rand) *service {
 	return &service{
-		name: name, zone: zone, network: network, metrics: metrics, logger: logger, rng: rng,
+		name: name, zone: zone, network: network, metrics: metrics, rng: rng,
 		balancer: balance.NewBalancer(),
 		window:   balance.NewWindow(1, 1),
 		queue:    admission.NewFairQueue[*waiter](),
@@ -232,7 +227,6 @@
 // refresh hands the judge's decisions to the balancer and serves the queue;
 // the lock is held.
 func (s *service) refresh(now time.Time) {
-	s.logStates()
 	s.judge.conditions(s.names, func(name string, condition balance.Condition) {
 		if s.targets[name].leaving.now(now) {
 			condition = balance.Condition{}
