--- a/operator/measure/interfaces.go
+++ b/operator/measure/interfaces.go
@@ -152,4 +152,6 @@
 	Health    func(*Setting) Health
 	Admission func(*Setting) Admission
 	Retrier   func(*Setting) Retrier
+	// learnsNothing policies need only a short warm-up.
+	learnsNothing bool
 }
--- a/operator/measure/run.go
+++ b/operator/measure/run.go
@@ -31,11 +31,14 @@
 func Policies() []Policy {
 	return []Policy{
 		Ours(),
-		{Name: "naive", Chooser: NewRoundRobin, Health: NewNaive, Admission: NewOpenAdmission, Retrier: NewBudgetRetrier},
-		{Name: "outlier", Chooser: NewTwoChoices, Health: NewOutlier, Admission: NewOpenAdmission, Retrier: NewBudgetRetrier},
+		{Name: "naive", Chooser: NewRoundRobin, Health: NewNaive, Admission: NewOpenAdmission, Retrier: NewBudgetRetrier, learnsNothing: true},
+		{Name: "outlier", Chooser: NewTwoChoices, Health: NewOutlier, Admission: NewOpenAdmission, Retrier: NewBudgetRetrier, learnsNothing: true},
 	}
 }
 
+// baselineWarmup is enough for the baselines, which learn nothing.
+const baselineWarmup = document.Duration(10 * time.Second)
+
 // cell is one scenario with one service, load and policy.
 type cell struct {
 	scenario Scenario
@@ -94,6 +97,9 @@
 		c.scenario.size, c.scenario.load = size, load
 		if scenario.Warmup == 0 {
 			c.scenario.Warmup = document.Duration(size.Warmup)
+			if policy.learnsNothing {
+				c.scenario.Warmup = baselineWarmup
+			}
 		}
 		if options.Quick {
 			c.seeds, c.duration = scenario.QuickSeeds, scenario.QuickDuration.Std()
