--- a/policy/health/tracker_test.go
+++ b/policy/health/tracker_test.go
@@ -273,6 +273,21 @@
 	}
 }
 
+func TestTargetReturnsWithoutRequestsThatMayRunTwice(t *testing.T) {
+	f := newFleet(9, 9)
+	f.learn()
+	f.serve(50, func(int) (Kind, time.Duration) { return Refused, time.Millisecond })
+	if f.count(0, Ejected) == 0 {
+		t.Fatal("the target was not ejected")
+	}
+	for range 1600 {
+		f.step(50 * time.Millisecond)
+	}
+	if healthy := f.count(0, Healthy); healthy != len(f.trackers) {
+		t.Errorf("healthy on %d of %d VMs", healthy, len(f.trackers))
+	}
+}
+
 func TestBackOffGrowsToItsLimit(t *testing.T) {
 	if backOff(1) != firstBackOff || backOff(2) != 2*firstBackOff || backOff(50) != longestBackOff {
 		t.Errorf("back-off %s, %s, %s", backOff(1), backOff(2), backOff(50))
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -10,6 +10,7 @@
 		return
 	}
 	v.trying = true
+	v.triedFrom = now
 	v.tried = Scores{}
 	entry.trialOK = 0
 	v.nextTrial = now + t.trialWait()
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -28,6 +28,9 @@
 	// testPause is the time before the next one.
 	testLimit = 4 * time.Second
 	testPause = time.Second
+	// trialPatience is the time after which a target that no request could try
+	// returns by the word of its probes.
+	trialPatience = time.Minute
 	// rampTime is the time over which a target gets back its full share.
 	rampTime = 10 * time.Second
 	// rampStart is the share at the beginning of a ramp.
@@ -69,6 +72,7 @@
 	// tried sums up the evidence since trials began.
 	tried     Scores
 	trying    bool
+	triedFrom time.Duration
 	nextTrial time.Duration
 	rampFrom  time.Duration
 	ramping   bool
@@ -293,6 +297,9 @@
 	if v.out() && !v.trying && now >= v.until {
 		t.beginTrials(now, entry)
 	}
+	if v.trying && v.tried.zero() && !entry.probeBad && now-v.triedFrom >= trialPatience {
+		t.reinstate(now, entry, true)
+	}
 	if !v.out() && v.offences > 0 && now-v.since > offenceMemory+backOff(v.offences) {
 		v.offences = 0
 	}
