Send a statement once to each neighbor, and briefly when the process is known

Cause: each refresh was carried whole by six messages of every instance, whoever had it already: ten changes of generation a second cost 9.8 KB/s. Change: an entry remembers which members sent or were sent it and lives 4 s; statements about a known process leave out addresses and place, and the receiver fills them in. Conclusion: with 2% loss all 36 views held each of 20 generations 4 s after it was set.

--- a/policy/membership/apply.go
+++ b/policy/membership/apply.go
@@ -7,6 +7,9 @@
 // apply takes over a statement heard from source. Direct is true for what the
 // source says about itself.
 func (s *State) apply(now time.Duration, m Member, source string, direct bool) {
+	if !s.complete(now, &m) {
+		return
+	}
 	if err := validate(&m); err != nil {
 		s.dropped++
 		return
@@ -21,8 +24,12 @@
 		return
 	}
 	current := r.at(now)
-	if order(&m, &current) <= 0 {
+	newer := order(&m, &current)
+	if newer <= 0 {
 		s.adjustUptime(now, r, &m)
+		if newer == 0 {
+			s.noteKnown(m.VM, source)
+		}
 		return
 	}
 	if s.challenge(now, r, m, source) {
@@ -47,7 +54,7 @@
 	}
 	if r.challengedUntil == 0 {
 		r.challengedUntil = now + s.settings.ChallengeTimeout
-		s.enqueue(m.VM, &m, true, source)
+		s.enqueue(m.VM, &m, true, false, source)
 	}
 	return true
 }
@@ -71,10 +78,10 @@
 	}
 	changed := m.Status != old.Status || m.Instance != old.Instance || m.Incarnation != old.Incarnation
 	if !changed {
-		s.enqueue(m.VM, nil, false, source)
+		s.enqueue(m.VM, nil, false, false, source)
 		return
 	}
-	s.enqueue(m.VM, nil, true, source)
+	s.enqueue(m.VM, nil, true, m.Instance != old.Instance, source)
 	if m.Instance != old.Instance {
 		s.dropAttempt(m.VM)
 		r.strikes, r.heldUntil = 0, 0
@@ -183,7 +190,7 @@
 	}
 	s.members[m.VM] = r
 	s.digest ^= summary(&r.Member)
-	s.enqueue(m.VM, nil, true, source)
+	s.enqueue(m.VM, nil, true, true, source)
 	s.emit(EventJoined, m.VM, false)
 	if m.Status == Suspect {
 		r.suspectUntil = now + s.settings.SuspectTimeout
@@ -240,6 +247,6 @@
 	s.digest ^= summary(&s.self.Member)
 	s.self.Incarnation = incarnation
 	s.digest ^= summary(&s.self.Member)
-	s.enqueue(s.self.VM, nil, true, "")
+	s.enqueue(s.self.VM, nil, true, false, "")
 	s.version++
 }
--- a/policy/membership/doc.go
+++ b/policy/membership/doc.go
@@ -12,7 +12,9 @@
 // instance probes its successor on each ring, so an instance has a constant
 // number of probers and of open connections, whatever the size of the fleet.
 // Status changes are pushed at once to successors and predecessors, which push
-// them on; everything else rides on the probes, within a budget.
+// them on; everything else rides on the probes. A neighbor is sent a statement
+// once, and not when it has sent it itself. Statements about a process that is
+// known leave out its addresses and place.
 //
 // # Detection
 //
--- a/policy/membership/gossip.go
+++ b/policy/membership/gossip.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// queueLifetime is the time for which a statement is passed on; each neighbor
+// is pinged, or pings, several times in it.
+const queueLifetime = 4 * time.Second
+
 // queued is a statement waiting to be passed on. There is one for each VM.
 type queued struct {
 	vm string
@@ -13,19 +17,40 @@
 	statement *Member
 	// urgent statements are pushed at once.
 	urgent bool
-	left   int
-	order  uint64
-	// source is the member that handed the statement over.
-	source string
+	// full statements describe a process that others may not know yet.
+	full  bool
+	until time.Duration
+	order uint64
+	// knownBy are the members that have sent the statement or were sent it.
+	knownBy []string
 }
 
-func (s *State) enqueue(vm string, statement *Member, urgent bool, source string) {
+func (s *State) enqueue(vm string, statement *Member, urgent, full bool, source string) {
 	s.sequence++
 	if old, ok := s.queue[vm]; ok {
 		urgent = urgent || old.urgent
+		full = full || old.full
+	}
+	s.queue[vm] = &queued{vm: vm, statement: statement, urgent: urgent, full: full,
+		until: s.lastTick + queueLifetime, order: s.sequence, knownBy: []string{source}}
+}
+
+// noteKnown remembers that a member holds the statement about a VM.
+func (s *State) noteKnown(vm, by string) {
+	const maxKnownBy = 64
+	entry, ok := s.queue[vm]
+	if ok && len(entry.knownBy) < maxKnownBy && !slices.Contains(entry.knownBy, by) {
+		entry.knownBy = append(entry.knownBy, by)
+	}
+}
+
+// dropPassedOn forgets the statements whose time has passed.
+func (s *State) dropPassedOn(now time.Duration) {
+	for vm, entry := range s.queue {
+		if now >= entry.until {
+			delete(s.queue, vm)
+		}
 	}
-	s.queue[vm] = &queued{vm: vm, statement: statement, urgent: urgent,
-		left: s.settings.Transmissions, order: s.sequence, source: source}
 }
 
 // render returns the statement of a queue entry, or false when it is obsolete.
@@ -50,21 +75,14 @@
 	m := Message{From: s.Self(now), Digest: s.digest}
 	entries := make([]*queued, 0, len(s.queue))
 	for _, entry := range s.queue {
-		if entry.vm != to && entry.source != to {
+		if entry.vm != to && entry.vm != s.self.VM && !slices.Contains(entry.knownBy, to) {
 			entries = append(entries, entry)
 		}
 	}
-	slices.SortFunc(entries, func(a, b *queued) int {
-		return cmp.Or(cmp.Compare(b.left, a.left), cmp.Compare(b.order, a.order))
-	})
+	slices.SortFunc(entries, func(a, b *queued) int { return cmp.Compare(b.order, a.order) })
 	for _, entry := range entries[:min(len(entries), s.settings.MaxUpdates)] {
-		if entry.vm != s.self.VM {
-			s.append(&m, now, entry)
-		}
-		entry.left--
-		if entry.left <= 0 && !entry.urgent {
-			delete(s.queue, entry.vm)
-		}
+		s.append(&m, now, entry)
+		s.noteKnown(entry.vm, to)
 	}
 	if r, ok := s.known(to); ok && r.Status != Alive {
 		m.Updates = append(m.Updates, r.at(now))
@@ -73,9 +91,39 @@
 }
 
 func (s *State) append(m *Message, now time.Duration, entry *queued) {
-	if statement, ok := s.render(now, entry); ok {
-		m.Updates = append(m.Updates, statement)
+	statement, ok := s.render(now, entry)
+	if !ok {
+		return
 	}
+	if !entry.full {
+		statement = brief(statement)
+	}
+	m.Updates = append(m.Updates, statement)
+}
+
+// brief leaves out what a receiver that knows the process holds already.
+func brief(m Member) Member {
+	m.Region, m.Zone, m.CallersAddress, m.PeersAddress, m.Uptime = "", "", "", "", 0
+	return m
+}
+
+// complete fills in what a brief statement leaves out; false when the process
+// it is about is not known here.
+func (s *State) complete(now time.Duration, m *Member) bool {
+	if m.PeersAddress != "" || m.CallersAddress != "" {
+		return true
+	}
+	r, ok := s.known(m.VM)
+	if m.VM == s.self.VM {
+		r, ok = &s.self, true
+	}
+	if !ok || r.Instance != m.Instance {
+		return false
+	}
+	m.Region, m.Zone = r.Region, r.Zone
+	m.CallersAddress, m.PeersAddress = r.CallersAddress, r.PeersAddress
+	m.Uptime = now - r.started
+	return true
 }
 
 func (s *State) known(vm string) (*record, bool) {
@@ -111,7 +159,6 @@
 	}
 	for _, entry := range urgent {
 		entry.urgent = false
-		entry.left = min(entry.left, s.settings.Transmissions/2)
 	}
 	return actions
 }
@@ -119,8 +166,9 @@
 func (s *State) pushTo(now time.Duration, r *record, urgent []*queued, actions []Action) []Action {
 	m := Message{From: s.Self(now), Digest: s.digest}
 	for _, entry := range urgent {
-		if entry.source != r.VM && entry.vm != s.self.VM {
+		if entry.vm != s.self.VM && !slices.Contains(entry.knownBy, r.VM) {
 			s.append(&m, now, entry)
+			s.noteKnown(entry.vm, r.VM)
 		}
 	}
 	own := slices.ContainsFunc(urgent, func(entry *queued) bool { return entry.vm == s.self.VM })
--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -263,6 +263,25 @@
 	}
 }
 
+func TestGenerationsReachAllWithLoss(t *testing.T) {
+	s := newSimulation(19)
+	fleet := convergedFleet(t, s, 36)
+	s.loss = 0.02
+	for generation := uint64(1); generation <= 20; generation++ {
+		for _, in := range fleet {
+			in.state.SetConfiguration(generation, "", 0)
+		}
+		s.run(4 * time.Second)
+		for _, in := range fleet {
+			for _, view := range in.state.Members(s.clock(in)) {
+				if view.Generation != generation {
+					t.Errorf("%s sees %s at generation %d, want %d", in.vm, view.VM, view.Generation, generation)
+				}
+			}
+		}
+	}
+}
+
 func TestStarvedProcessConvictsNobody(t *testing.T) {
 	s := newSimulation(15)
 	fleet := convergedFleet(t, s, 3)
--- a/policy/membership/probe.go
+++ b/policy/membership/probe.go
@@ -40,6 +40,7 @@
 // expected at least every few tens of milliseconds.
 func (s *State) Tick(now time.Duration) []Action {
 	s.noticeLateness(now)
+	s.dropPassedOn(now)
 	s.expire(now)
 	s.chooseOverlay(now)
 	actions := s.probe(now)
@@ -231,7 +232,7 @@
 	s.digest ^= summary(&r.Member)
 	r.Status = to
 	s.digest ^= summary(&r.Member)
-	s.enqueue(r.VM, nil, true, "")
+	s.enqueue(r.VM, nil, true, false, "")
 	if to == Dead {
 		s.bury(now, r)
 		return
--- a/policy/membership/receive.go
+++ b/policy/membership/receive.go
@@ -169,6 +169,7 @@
 	for _, e := range s.edges {
 		e.next = now
 	}
+	s.lastTick = now
 	s.lastContact = max(s.lastContact, now-s.settings.IsolatedAfter/2)
 	s.revalidating = len(s.members) > 0
 	s.revalidateEnd = now + s.settings.IsolatedAfter
@@ -202,6 +203,6 @@
 	}
 	s.self.Generation, s.self.ConfigProblem, s.self.RejectedCount = generation, problem, rejected
 	s.self.Refresh++
-	s.enqueue(s.self.VM, nil, false, "")
+	s.enqueue(s.self.VM, nil, false, false, "")
 	s.version++
 }
--- a/policy/membership/settings.go
+++ b/policy/membership/settings.go
@@ -40,8 +40,6 @@
 	TombstoneMemory time.Duration
 	// MaxUpdates bounds the statements in one message.
 	MaxUpdates int
-	// Transmissions is the number of messages that carry a statement.
-	Transmissions int
 	// MaxMembers bounds the members remembered, and apart from these the tombstones.
 	MaxMembers int
 	// JoinsPerSecond bounds the unknown members accepted by direct contact.
@@ -68,7 +66,6 @@
 		SyncInterval:     5 * time.Second,
 		TombstoneMemory:  time.Hour,
 		MaxUpdates:       32,
-		Transmissions:    6,
 		MaxMembers:       2048,
 		JoinsPerSecond:   64,
 	}
