Let two roots of one generation end as one; state the fleet's size

Cause: a follower that had one of two roots of a generation kept it, since polls named the generation only; rates assumed 200 instances. Change: FetchRootRequest carries the known digest; settings gain fleet_size.

--- a/entry/config/config.go
+++ b/entry/config/config.go
@@ -69,6 +69,11 @@
 	root     []byte
 }
 
+// id names the root in force.
+func (f *inForce) id() generation.Root {
+	return generation.Root{Generation: f.snapshot.Generation, Digest: f.snapshot.Digest}
+}
+
 // Manager implements contract.Configuration and serves peers.
 type Manager struct {
 	options Options
--- a/entry/config/config_test.go
+++ b/entry/config/config_test.go
@@ -202,3 +202,33 @@
 		}
 	})
 }
+
+// TestTwoRootsOfOneGenerationEndAsOne shows each replica another root of one
+// generation, in both orders; all VMs take the one with the greater digest.
+func TestTwoRootsOfOneGenerationEndAsOne(t *testing.T) {
+	for _, rates := range [][2]string{{"7", "8"}, {"8", "7"}} {
+		bubble(t, func(t *testing.T) {
+			f := newFleet(t, examples.SoojaVee(), 2, 24)
+			f.publish()
+			f.startAll()
+			time.Sleep(settle)
+			f.deploy.Customers[2].Parameters = map[string]jsonRaw{"rate": jsonRaw(rates[0])}
+			f.publish()
+			time.Sleep(time.Second)
+			f.platform.Replica(0).SetFaults(standin.Faults{Frozen: true, Delay: platformDelay})
+			time.Sleep(time.Millisecond)
+			f.number--
+			f.deploy.Customers[2].Parameters = map[string]jsonRaw{"rate": jsonRaw(rates[1])}
+			f.publish()
+			time.Sleep(settle)
+			digests := make(map[string]int)
+			for _, v := range f.vms {
+				digests[v.current().Digest]++
+			}
+			if len(digests) != 1 {
+				t.Errorf("roots in force %v, want one", digests)
+			}
+			f.requireNeverFell()
+		})
+	}
+}
--- a/entry/config/pull.go
+++ b/entry/config/pull.go
@@ -59,9 +59,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+pollTimeout)
 	defer cancel()
+	known := m.newestRoot()
 	request := &primroseloomv1.FetchRootRequest{
 		Fleet:           m.options.Fleet,
-		KnownGeneration: m.newestRoot().Generation,
+		KnownGeneration: known.Generation,
+		KnownDigest:     known.Digest,
 		WaitMs:          uint32(wait.Milliseconds()),
 		FromVm:          m.options.Members.Self().Vm,
 	}
--- a/entry/config/serve.go
+++ b/entry/config/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/policy/generation"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -21,9 +22,10 @@
 // one the peer knows. Otherwise the answer is held back for the wait that the
 // peer allows.
 func (m *Manager) FetchRoot(ctx context.Context, request *primroseloomv1.FetchRootRequest) (*primroseloomv1.FetchRootResponse, error) {
+	known := generation.Root{Generation: request.KnownGeneration, Digest: request.KnownDigest}
 	wait := min(time.Duration(request.WaitMs)*time.Millisecond, maxPollWait)
 	if wait > 0 {
-		m.holdBack(ctx, request.KnownGeneration, wait)
+		m.holdBack(ctx, known, wait)
 	}
 	response := &primroseloomv1.FetchRootResponse{
 		ConfirmedAgeMs: uint64(m.confirmedAge().Milliseconds()),
@@ -34,14 +36,14 @@
 		return response, nil
 	}
 	response.Generation = present.snapshot.Generation
-	if response.Generation > request.KnownGeneration {
+	if generation.Compare(present.id(), known) > 0 {
 		response.Root = present.root
 	}
 	return response, nil
 }
 
-// holdBack waits until a generation above the known one is in force.
-func (m *Manager) holdBack(ctx context.Context, known uint64, wait time.Duration) {
+// holdBack waits until a root after the known one is in force.
+func (m *Manager) holdBack(ctx context.Context, known generation.Root, wait time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	m.mu.Lock()
@@ -53,7 +55,7 @@
 	m.waiting++
 	defer func() { m.waiting-- }()
 	for ctx.Err() == nil {
-		if present := m.current.Load(); present != nil && present.snapshot.Generation > known {
+		if present := m.current.Load(); present != nil && generation.Compare(present.id(), known) > 0 {
 			return
 		}
 		changed := m.changed
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -79,6 +79,7 @@
 		Members:      peers,
 		Reporter:     peers,
 		ExpectsPeers: len(set.FirstPeers) > 0,
+		FleetSize:    set.FleetSize,
 		Scope:        m.Scope(),
 		Logger:       logger,
 		Random:       mathrand.New(mathrand.NewPCG(binary.BigEndian.Uint64(random[:8]), binary.BigEndian.Uint64(random[8:]))),
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -25,6 +25,8 @@
 	Platform []string `json:"platform" validate:"required,min=1,max=16,unique,dive,address"`
 	// FirstPeers holds the peer addresses of some other instances, "IP:port".
 	FirstPeers []string `json:"first_peers" validate:"max=64,unique,dive,address"`
+	// FleetSize is the largest number of instances; it divides the platform calls that the fleet may make.
+	FleetSize int `json:"fleet_size" validate:"min=1,max=100000"`
 	// TLS holds the keys for the peer listener.
 	TLS TLS `json:"tls"`
 	// Limits bound what callers may use of the instance.
@@ -84,6 +86,7 @@
 // Default returns the settings that apply where a file says nothing.
 func Default() Settings {
 	return Settings{
+		FleetSize: 200,
 		Limits: Limits{
 			CallerConnections: 10_000,
 			HeaderBytes:       32 << 10,
