--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -49,6 +49,7 @@
 		HeaderBytes:   limits.HeaderBytes,
 		HeaderTimeout: limits.HeaderTimeout.Std(),
 		IdleTimeout:   limits.IdleTimeout.Std(),
+		Logger:        d.logger,
 	})
 }
 
--- a/entry/events/proxy.go
+++ b/entry/events/proxy.go
@@ -12,4 +12,8 @@
 		"A target closed its connection and accepts no new ones; the request's fingerprint is a suspect.")
 	ProxyDraining = define(5004, log.InfoLevel, "proxy draining",
 		"New callers are sent elsewhere; requests in progress are finished.")
+	CallerConnectionFailed = define(5005, log.DebugLevel, "caller connection failed",
+		"A caller's connection ended by an error of the protocol or of the caller.")
+	RequestPanicked = define(5006, log.ErrorLevel, "request panicked",
+		"A fault of the daemon ended one request; others go on. Report it with the cause.")
 )
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -1,13 +1,17 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	stdlog "log"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/charmbracelet/log"
+
 	"github.com/primroseloom/primroseloom/entry/events"
 )
 
@@ -27,6 +31,23 @@
 	HeaderTimeout time.Duration
 	// IdleTimeout is how long an idle connection is kept.
 	IdleTimeout time.Duration
+	// Logger takes the errors of connections; nil for none.
+	Logger *log.Logger
+}
+
+// errorLog turns the lines of the HTTP library's server into events.
+type errorLog struct{ logger *log.Logger }
+
+// Write logs one line.
+func (e errorLog) Write(line []byte) (int, error) {
+	event := events.CallerConnectionFailed
+	if bytes.Contains(line, []byte("panic serving")) {
+		event = events.RequestPanicked
+	}
+	if e.logger != nil {
+		event.Log(e.logger, "cause", string(bytes.TrimSpace(line)))
+	}
+	return len(line), nil
 }
 
 // NewServer returns a server of HTTP/1.1 and HTTP/2 over plain TCP.
@@ -41,6 +62,7 @@
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
+		ErrorLog:          stdlog.New(errorLog{limits.Logger}, "", 0),
 	}
 }
 
