Give up a forwarded upload at once; do not count an upload's time as the target's

Cause: a refusal in the middle of a forwarded upload waited for the next piece; the time to the first byte began before a slow caller's body. Change: a reader of its own receives the pieces; the time runs from the last byte that the attempt took. Conclusion: tests for broken forwarded uploads and for the evidence of slow ones.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -32,6 +32,7 @@
 	// fresh asks for a new connection.
 	fresh  bool
 	trip   *contract.RoundTrip
+	body   *timedBody
 	result contract.AttemptResult
 	start  time.Time
 }
@@ -73,7 +74,7 @@
 		return nil, a.classify(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	a.result.FirstByte = time.Since(a.start)
+	a.result.FirstByte = time.Since(a.body.lastRead(a.start))
 	if !a.proxy.deciders.Failures.Correlates(correlation, response.Header.Values(CorrelationHeader)) {
 		return nil, &failure{kind: dispatch.FailureWrong, cause: errors.New("the answer carries another correlation")}
 	}
@@ -105,6 +106,7 @@
 // outgoing builds the request to the target.
 func (a *attempt) outgoing(ctx context.Context, correlation string) *http.Request {
 	incoming := a.call.request
+	a.body = &timedBody{ReadCloser: a.call.upload.open()}
 	request := &http.Request{
 		Method:        incoming.Method,
 		URL:           incoming.URL,
@@ -115,7 +117,7 @@
 		Header:        requestHeader(incoming),
 		ContentLength: incoming.ContentLength,
 		Trailer:       incoming.Trailer,
-		Body:          a.call.upload.open(),
+		Body:          a.body.forRequest(),
 	}
 	target := *incoming.URL
 	target.Scheme = "http"
--- a/entry/proxy/forwarded.go
+++ b/entry/proxy/forwarded.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -76,6 +77,10 @@
 	}
 	defer c.cancel()
 	defer c.upload.stop()
+	if body, ok := r.Body.(*forwardedUpload); ok {
+		defer body.giveUp()
+		c.upload.setRead = body.setReadDeadline
+	}
 	if c.key == nil || !p.isDispatcher(c.key) {
 		return contract.Refuse(outcome.MayHaveRun, outcome.ReasonDispatcherGone, outcome.StepForward, head.GetFromVm(), nil)
 	}
@@ -102,30 +107,79 @@
 		Body:          http.NoBody,
 	}
 	if request.ContentLength != 0 {
-		request.Body = &forwardedUpload{stream: stream, length: request.ContentLength}
+		request.Body = newForwardedUpload(stream, request.ContentLength)
 	}
 	return request.WithContext(ctx), nil
 }
 
-// forwardedUpload reads the request's body from the sending VM's messages.
+// forwardedUpload reads the request's body from the sending VM's messages. A
+// reader of its own receives them, so that a read can be given up.
 type forwardedUpload struct {
-	stream  *dispatcherStream
-	length  int64
-	total   int64
-	pending []byte
+	stream   *dispatcherStream
+	length   int64
+	total    int64
+	pending  []byte
+	received chan forwardedPiece
+	once     sync.Once
+	given    chan struct{}
+	giveUp   func()
+}
+
+type forwardedPiece struct {
+	body []byte
+	err  error
+}
+
+func newForwardedUpload(stream *dispatcherStream, length int64) *forwardedUpload {
+	u := &forwardedUpload{stream: stream, length: length, received: make(chan forwardedPiece), given: make(chan struct{})}
+	u.giveUp = sync.OnceFunc(func() { close(u.given) })
+	return u
+}
+
+// setReadDeadline gives up reads at once when the time has passed.
+func (u *forwardedUpload) setReadDeadline(at time.Time) error {
+	if !at.IsZero() && at.Before(time.Now()) {
+		u.giveUp()
+	}
+	return nil
+}
+
+// receive hands over messages until the stream ends or reads are given up.
+func (u *forwardedUpload) receive() {
+	for {
+		message, err := u.stream.Receive()
+		select {
+		case u.received <- forwardedPiece{message.GetBody(), err}:
+		case <-u.given:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (u *forwardedUpload) next() forwardedPiece {
+	u.once.Do(func() { go u.receive() })
+	select {
+	case piece := <-u.received:
+		return piece
+	case <-u.given:
+		return forwardedPiece{err: errUploadStopped}
+	}
 }
 
 // Read returns io.EOF only when the sender has ended a body of the length it stated.
 func (u *forwardedUpload) Read(p []byte) (int, error) {
 	for len(u.pending) == 0 {
-		message, err := u.stream.Receive()
-		if errors.Is(err, io.EOF) && (u.length < 0 || u.total == u.length) {
+		piece := u.next()
+		if errors.Is(piece.err, io.EOF) && (u.length < 0 || u.total == u.length) {
 			return 0, io.EOF
 		}
-		if err != nil {
-			return 0, fmt.Errorf("receive body after %d bytes: %w", u.total, errors.Join(io.ErrUnexpectedEOF, err))
+		if piece.err != nil {
+			return 0, fmt.Errorf("receive body after %d bytes: %w: %v", u.total, errUploadBroken, piece.err)
 		}
-		u.pending = message.GetBody()
+		u.pending = piece.body
 	}
 	n := copy(p, u.pending)
 	u.pending = u.pending[n:]
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -335,6 +335,50 @@
 	})
 }
 
+func TestForwardedUploadThatBreaksOffIsNotRunAsWhole(t *testing.T) {
+	inFleet(t, 2, oneTarget(), func(t *testing.T, f *fleet) {
+		runs := 0
+		scripted(t, f, func(r *http.Request) string {
+			if _, err := io.Copy(io.Discard, r.Body); err == nil {
+				runs++
+			}
+			return whole
+		})
+		key := f.vms[1].key("k")
+		for _, framing := range []string{"Content-Length: 200000\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n1d4c0\r\n"} {
+			conn, _ := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+			_, _ = io.WriteString(conn, "PUT /up HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n"+key+framing[:1]+"\r\n"+framing+strings.Repeat("u", 120_000))
+			time.Sleep(time.Second)
+			_ = conn.Close()
+			time.Sleep(time.Second)
+		}
+		if runs != 0 {
+			t.Errorf("a broken upload ran as whole %d times", runs)
+		}
+	})
+}
+
+func TestTimeOfAnUploadIsNotTheTargets(t *testing.T) {
+	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+		scripted(t, f, func(r *http.Request) string {
+			_, _ = io.Copy(io.Discard, r.Body)
+			time.Sleep(100 * time.Millisecond)
+			return whole
+		})
+		conn, _ := f.network.Host("10.0.0.9").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "PUT /up HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nContent-Length: 200000\r\n\r\n")
+		for range 4 {
+			_, _ = conn.Write(make([]byte, 50_000))
+			time.Sleep(time.Second)
+		}
+		results := f.vms[0].targets.results
+		if len(results) != 1 || results[0].FirstByte > 200*time.Millisecond {
+			t.Errorf("evidence %+v", results)
+		}
+	})
+}
+
 func TestStallOnReusedConnectionIsTriedOnAFreshOne(t *testing.T) {
 	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
 		scripted(t, f, func(*http.Request) string { return whole })
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -27,6 +28,7 @@
 var (
 	errUploadTooLarge = errors.New("the body is larger than allowed")
 	errUploadStopped  = errors.New("the upload was stopped")
+	errUploadBroken   = errors.New("the upload broke off")
 )
 
 // upload is a request's body. Its beginning is kept; the rest streams through
@@ -195,6 +197,37 @@
 	return nil
 }
 
+// timedBody notes when the last byte of a body was taken, so that the time of
+// an upload is not counted as the target's.
+type timedBody struct {
+	io.ReadCloser
+	last atomic.Int64
+}
+
+// forRequest returns the body, or the library's mark for none.
+func (b *timedBody) forRequest() io.ReadCloser {
+	if b.ReadCloser == http.NoBody {
+		return http.NoBody
+	}
+	return b
+}
+
+// Read passes on the body.
+func (b *timedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.last.Store(time.Now().UnixNano())
+	return n, err
+}
+
+// lastRead returns the time of the last read, or the start when it is later.
+func (b *timedBody) lastRead(start time.Time) time.Time {
+	last := time.Unix(0, b.last.Load())
+	if last.Before(start) {
+		return start
+	}
+	return last
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
