--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -110,10 +110,11 @@
 // holding a slot, unless the target answers.
 const silentMemory = 2 * time.Second
 
-// noteSilence keeps an old attempt that timed out among the old ones.
+// noteSilence keeps an old attempt that timed out among the old ones. While a
+// target is tested it need not, since only trials are sent.
 func (e *target) noteSilence(now time.Duration, attempt *Attempt, kind Kind) {
 	switch {
-	case kind == TimedOut && attempt.old:
+	case kind == TimedOut && attempt.old && !e.verdict.tested:
 		e.silent++
 		e.oldOwn++
 		e.silentEnd = now + silentMemory
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -26,7 +26,7 @@
 	offenceMemory = 10 * time.Minute
 	// testLimit bounds a probation, in case no request may serve as a trial, and
 	// testPause is the time before the next one.
-	testLimit = 4 * time.Second
+	testLimit = 10 * time.Second
 	testPause = time.Second
 	// trialPatience is the time after which a target that no request could try
 	// returns by the word of its probes.
