Repair leases whose grants were lost, and keep idle VMs with their keeper

Cause: a random test of cuts and healing found a request that waited for good because its grant was lost, and an idle VM that took a probe's answer for a message without answer and left its keeper again and again.

Change: every 250 ms a VM tells all that it holds and asks for; the keeper drops the rest and repeats lost grants. Only messages sent count as unanswered. Leases end in a fixed order, so runs repeat.

--- a/entry/targets/convert.go
+++ b/entry/targets/convert.go
@@ -12,7 +12,7 @@
 
 func leaseToWire(now time.Time, message balance.LeaseMessage) *primroseloomv1.LeaseRequest {
 	request := &primroseloomv1.LeaseRequest{
-		Sequence: message.Sequence, Echo: message.Echo, Returns: message.Returns, Shed: message.Shed,
+		Sequence: message.Sequence, Echo: message.Echo, Full: message.Full, Returns: message.Returns, Shed: message.Shed,
 	}
 	for _, a := range message.Asks {
 		request.Asks = append(request.Asks, &primroseloomv1.LeaseAsk{
@@ -28,7 +28,7 @@
 
 func leaseFromWire(now time.Time, request *primroseloomv1.LeaseRequest) balance.LeaseMessage {
 	message := balance.LeaseMessage{
-		Sequence: request.Sequence, Echo: request.Echo, Returns: request.Returns, Shed: request.Shed,
+		Sequence: request.Sequence, Echo: request.Echo, Full: request.Full, Returns: request.Returns, Shed: request.Shed,
 	}
 	for _, a := range request.Asks {
 		wait := min(time.Duration(a.WaitMs)*time.Millisecond, maxWait)
--- a/policy/balance/keeper.go
+++ b/policy/balance/keeper.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -148,18 +149,23 @@
 			k.slots.SetExtra(target, extraPerTarget)
 		}
 	}
-	for vm, h := range k.leases {
-		if now.Sub(h.heard) < LeaseTerm {
-			continue
-		}
-		for id := range h.targets {
-			k.release(h, id)
+	for _, vm := range slices.Sorted(maps.Keys(k.leases)) {
+		if now.Sub(k.leases[vm].heard) >= LeaseTerm {
+			k.drop(vm)
 		}
-		delete(k.leases, vm)
 	}
 	return k.grant(now)
 }
 
+// drop ends all leases of a VM.
+func (k *Keeper) drop(vm string) {
+	h := k.leases[vm]
+	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
+		k.release(h, id)
+	}
+	delete(k.leases, vm)
+}
+
 func (k *Keeper) holder(vm string) *holder {
 	h, ok := k.leases[vm]
 	if !ok {
--- a/policy/balance/lease.go
+++ b/policy/balance/lease.go
@@ -14,7 +14,8 @@
 	// probeLostInterval is the time between two probes of a candidate that was
 	// silent or declined.
 	probeLostInterval = 500 * time.Millisecond
-	// heartbeatInterval is the longest time between messages while leases are held.
+	// heartbeatInterval is the time between full messages while slots are held or
+	// asked for.
 	heartbeatInterval = 250 * time.Millisecond
 	// optimisticBusy is the part of the slots in use below which a VM takes a
 	// slot first and reports it afterwards.
@@ -26,7 +27,9 @@
 	Sequence uint64
 	// Echo is the token of the latest reply that the VM has received from this
 	// keeper; it proves that the VM hears. Zero when there was none.
-	Echo    uint64
+	Echo uint64
+	// Full means that Asks and Held list all that the VM waits for and holds.
+	Full    bool
 	Asks    []Ask
 	Returns []uint64
 	// Shed names targets that turned a request away.
@@ -85,7 +88,7 @@
 	sequence   uint64
 	sent       uint64
 	unanswered time.Time
-	lastSent   time.Time
+	lastFull   time.Time
 	lastHeard  time.Time
 }
 
@@ -204,14 +207,21 @@
 	}
 	silent := len(l.asks)+len(l.returns)+len(l.took) == 0
 	inactive := l.open && len(l.asked)+len(l.held) == 0
-	if silent && (inactive || now.Sub(l.lastSent) < heartbeatInterval) {
+	full := !inactive && now.Sub(l.lastFull) >= heartbeatInterval
+	if silent && !full {
 		return LeaseMessage{}, false
 	}
+	if full {
+		l.repeat()
+		l.lastFull = now
+	}
 	l.sequence++
 	l.sent = l.sequence
-	message := LeaseMessage{Sequence: l.sequence, Echo: l.tokens[l.keeper], Asks: l.asks, Returns: l.returns, Held: l.took, Shed: l.shed}
+	message := LeaseMessage{
+		Sequence: l.sequence, Echo: l.tokens[l.keeper], Full: full,
+		Asks: l.asks, Returns: l.returns, Held: l.took, Shed: l.shed,
+	}
 	l.asks, l.returns, l.took, l.shed = nil, nil, nil, nil
-	l.lastSent = now
 	if l.unanswered.IsZero() {
 		l.unanswered = now
 	}
@@ -240,11 +250,14 @@
 	}
 	if reply.Sequence == l.sent {
 		l.unanswered = time.Time{}
-	} else if reply.Sequence > 0 {
+	} else if reply.Sequence > 0 && !l.unanswered.IsZero() {
 		l.unanswered = now
 	}
 	var granted []Grant
 	for _, grant := range reply.Grants {
+		if l.held[grant.ID] == grant.Target {
+			continue
+		}
 		if _, ok := l.asked[grant.ID]; !ok {
 			l.returns = append(l.returns, grant.ID)
 			continue
@@ -299,7 +312,7 @@
 
 // repeat tells the keeper all asks and leases anew.
 func (l *Lessee) repeat() {
-	l.asks, l.took, l.returns = nil, nil, nil
+	l.asks, l.took = nil, nil
 	for _, id := range slices.Sorted(maps.Keys(l.asked)) {
 		l.asks = append(l.asks, l.asked[id])
 	}
@@ -329,7 +342,39 @@
 		ask.VM = from
 		k.enqueue(ask)
 	}
-	return k.grant(now), true
+	if message.Full {
+		grants = k.reconcile(from, message)
+	}
+	return append(grants, k.grant(now)...), true
+}
+
+// reconcile drops what a VM no longer waits for or holds, and repeats grants
+// that did not reach it.
+func (k *Keeper) reconcile(vm string, message LeaseMessage) []Grant {
+	asked := make(map[uint64]bool, len(message.Asks))
+	for _, ask := range message.Asks {
+		asked[ask.ID] = true
+	}
+	held := make(map[uint64]bool, len(message.Held))
+	for _, lease := range message.Held {
+		held[lease.ID] = true
+	}
+	var grants []Grant
+	h := k.holder(vm)
+	for _, id := range slices.Sorted(maps.Keys(h.targets)) {
+		switch {
+		case asked[id]:
+			grants = append(grants, Grant{VM: vm, ID: id, Target: h.targets[id]})
+		case !held[id]:
+			k.release(h, id)
+		}
+	}
+	for key := range k.pending {
+		if key.vm == vm && !asked[key.id] {
+			k.end(vm, key.id)
+		}
+	}
+	return grants
 }
 
 // Token returns what the replies made now carry.
@@ -365,11 +410,8 @@
 func (k *Keeper) noticePause(now time.Time) {
 	if now.Sub(k.ran) >= LeaseTerm/2 {
 		k.opensAt = now.Add(LeaseTerm)
-		for vm, h := range k.leases {
-			for id := range h.targets {
-				k.release(h, id)
-			}
-			delete(k.leases, vm)
+		for _, vm := range slices.Sorted(maps.Keys(k.leases)) {
+			k.drop(vm)
 		}
 	}
 	k.ran = now
