Take no slot unreported while a request of the VM waits

Cause: a burst on idle VMs took a slot on each beside those leased; the test of shared slots saw 5 requests on 2 slots and failed by timing.

Change: a VM with an ask pending takes none by itself.

--- a/policy/balance/lease.go
+++ b/policy/balance/lease.go
@@ -135,9 +135,11 @@
 func (l *Lessee) Local() bool { return l.keeper == "" || !l.open }
 
 // Optimistic reports whether the VM may take a slot first and report it later.
-// One slot at a time is taken so, until the keeper has answered.
+// One slot at a time is taken so, until the keeper has answered, and none while
+// another request of the VM waits.
 func (l *Lessee) Optimistic(now time.Time) bool {
-	current := l.unanswered.IsZero() && len(l.took) == 0 && now.Sub(l.lastHeard) < LeaseTerm
+	unreported := !l.unanswered.IsZero() || len(l.took) > 0 || len(l.asked) > 0
+	current := !unreported && now.Sub(l.lastHeard) < LeaseTerm
 	return !l.Local() && current && l.busy < optimisticBusy
 }
 
