--- a/policy/retry/budget.go
+++ b/policy/retry/budget.go
@@ -4,7 +4,7 @@
 const ServiceRatio = 0.09
 
 // MaxTokens bounds the retries that a budget can save up.
-const MaxTokens = 10.0
+const MaxTokens = 3.0
 
 // Budget limits retries to a fraction of the requests. The zero value holds no
 // tokens and is ready for use.
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -62,11 +62,11 @@
 	if got := Pay(&customer, &service); got != ServiceBudget || customer.Tokens() != 1 {
 		t.Fatalf("got %s with %v tokens left", got, customer.Tokens())
 	}
-	service = NewBudget(5)
-	if got := Pay(&customer, &service); got != Allowed || service.Tokens() != 4 {
+	service = NewBudget(2)
+	if got := Pay(&customer, &service); got != Allowed || service.Tokens() != 1 {
 		t.Fatalf("got %s with %v tokens left", got, service.Tokens())
 	}
-	if got := Pay(&customer, &service); got != CustomerBudget || service.Tokens() != 4 {
+	if got := Pay(&customer, &service); got != CustomerBudget || service.Tokens() != 1 {
 		t.Fatalf("got %s with %v tokens left", got, service.Tokens())
 	}
 }
