--- a/policy/membership/gossip.go
+++ b/policy/membership/gossip.go
@@ -8,7 +8,7 @@
 
 // queueLifetime is the time for which a statement is passed on; each neighbor
 // is pinged, or pings, several times in it.
-const queueLifetime = 4 * time.Second
+const queueLifetime = 8 * time.Second
 
 // queued is a statement waiting to be passed on. There is one for each VM.
 type queued struct {
--- a/policy/membership/settings.go
+++ b/policy/membership/settings.go
@@ -65,7 +65,7 @@
 		RejoinInterval:   5 * time.Second,
 		SyncInterval:     5 * time.Second,
 		TombstoneMemory:  time.Hour,
-		MaxUpdates:       32,
+		MaxUpdates:       64,
 		MaxMembers:       2048,
 		JoinsPerSecond:   64,
 	}
