--- a/entry/config/apply.go
+++ b/entry/config/apply.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
@@ -59,7 +60,7 @@
 		return err
 	}
 	begin := time.Now()
-	snap, err := snapshot.Compile(next.root, next.id.Digest, m.staged, m.Current())
+	snap, err := m.compile(next)
 	if err != nil {
 		m.giveUp(next)
 		return err
@@ -70,6 +71,17 @@
 	return nil
 }
 
+// compile builds the snapshot; a panic over a published value becomes an error,
+// so that no value can stop the fleet.
+func (m *Manager) compile(next *candidate) (snap *snapshot.Snapshot, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			err = fmt.Errorf("compile generation %d: %v", next.id.Generation, cause)
+		}
+	}()
+	return snapshot.Compile(next.root, next.id.Digest, m.staged, m.Current())
+}
+
 // giveUp withdraws a root whose shards are what was published but cannot be
 // read, so that the publisher's next attempt is taken.
 func (m *Manager) giveUp(next *candidate) {
--- a/entry/config/config_test.go
+++ b/entry/config/config_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/examples"
+	"github.com/primroseloom/primroseloom/policy/generation"
 	standin "github.com/primroseloom/primroseloom/standin/platform"
 )
 
@@ -275,3 +276,30 @@
 		})
 	}
 }
+
+// TestOthersReadThePlatformWhenNoReaderCan cuts the readers from the platform,
+// not from their peers.
+func TestOthersReadThePlatformWhenNoReaderCan(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, examples.SoojaVee(), 1, 36)
+		f.publish()
+		f.startAll()
+		time.Sleep(settle)
+		for _, v := range f.vms {
+			if v.manager.currentRole().Reader {
+				f.network.Block("10.255.0.1", v.ip())
+				defer f.network.Unblock("10.255.0.1", v.ip())
+			}
+		}
+		published := time.Now()
+		number := f.publish()
+		before := f.platform.Calls()
+		time.Sleep(2 * time.Minute)
+		longest := slices.Max(f.inForce(number, published))
+		rate := float64(f.platform.Calls()-before) / 120
+		t.Logf("36 VMs, no reader reaches the platform: in force after %v, %.1f calls a second", longest, rate)
+		if longest > generation.ConfirmationFresh+2*generation.FallbackInterval || rate > 20 {
+			t.Errorf("in force after %v at %.1f calls a second", longest, rate)
+		}
+	})
+}
