--- a/cmd/primroseloom/status.go
+++ b/cmd/primroseloom/status.go
@@ -7,9 +7,11 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/operator/exit"
 	"github.com/primroseloom/primroseloom/operator/fleetview"
+	"github.com/primroseloom/primroseloom/policy/generation"
 )
 
 func newStatus() *cobra.Command {
@@ -56,26 +58,37 @@
 
 // inForce is the machine-readable result of status --config.
 type inForce struct {
-	Generation uint64               `json:"generation"`
-	Everywhere bool                 `json:"everywhere"`
-	Behind     []admin.MemberStatus `json:"behind"`
+	generation.InForce
+	Everywhere bool `json:"everywhere"`
+	// Rejections are those of the VM asked.
+	Rejections []snapshot.Rejection `json:"rejections"`
 }
 
 func writeInForce(out io.Writer, status admin.Status, asJSON bool) error {
-	newest, behind := fleetview.Behind(status)
-	result := inForce{Generation: newest, Everywhere: len(behind) == 0, Behind: behind}
+	track := fleetview.InForce(status)
+	result := inForce{InForce: track, Everywhere: len(track.Behind) == 0, Rejections: status.Rejections}
 	if asJSON {
 		if err := writeJSON(out, result); err != nil {
 			return err
 		}
 	} else {
-		_, _ = fmt.Fprintf(out, "generation %d on %d of %d VMs\n", newest, len(status.Members)-len(behind), len(status.Members))
-		for _, member := range behind {
-			_, _ = fmt.Fprintf(out, "%s has generation %d: %s\n", member.VM, member.Generation, member.ConfigProblem)
-		}
+		printInForce(out, result)
 	}
 	if !result.Everywhere {
-		return exit.FellShort("%d VMs are not on generation %d", len(behind), newest)
+		return exit.FellShort("%d VMs are not on generation %d", len(track.Behind), track.Generation)
 	}
 	return nil
 }
+
+func printInForce(out io.Writer, result inForce) {
+	_, _ = fmt.Fprintf(out, "generation %d on %d of %d VMs\n", result.Generation, result.Current, result.Members)
+	for _, member := range result.Behind {
+		_, _ = fmt.Fprintf(out, "%s has generation %d: %s\n", member.VM, member.Generation, member.Reason)
+	}
+	for _, member := range result.Rejecting {
+		_, _ = fmt.Fprintf(out, "%s rejects %d definitions\n", member.VM, member.Rejected)
+	}
+	for _, rejection := range result.Rejections {
+		_, _ = fmt.Fprintf(out, "rejected %s: %s\n", rejection.Path, rejection.Reason)
+	}
+}
--- a/entry/config/config_test.go
+++ b/entry/config/config_test.go
@@ -193,7 +193,7 @@
 		time.Sleep(settle)
 		f.network.Unblock("10.255.0.1", "10.1.0.2")
 		f.network.Unblock("10.255.0.1", "10.1.0.5")
-		track := f.vms[0].manager.Track()
+		track := generation.Track(f.vms[0].statements())
 		if track.Generation != 2 || track.Current != 4 || len(track.Behind) != 2 || len(track.Rejecting) != 4 {
 			t.Errorf("track %+v", track)
 		}
--- a/entry/config/fleet_test.go
+++ b/entry/config/fleet_test.go
@@ -19,6 +19,7 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/platform"
+	"github.com/primroseloom/primroseloom/policy/generation"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 	standin "github.com/primroseloom/primroseloom/standin/platform"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -238,6 +239,15 @@
 	at   time.Time
 }
 
+// statements returns what the VM's members say of their configuration.
+func (v *vm) statements() []generation.Statement {
+	var statements []generation.Statement
+	for _, m := range v.Members() {
+		statements = append(statements, generation.Statement{VM: m.Vm, Generation: m.Generation, Problem: m.ConfigProblem, Rejected: m.RejectedCount})
+	}
+	return statements
+}
+
 // Client implements contract.Members.
 func (v *vm) Client(name string) (primroseloomv1connect.PeerServiceClient, bool) {
 	for _, other := range v.fleet.vms {
--- a/entry/config/shards.go
+++ b/entry/config/shards.go
@@ -10,7 +10,6 @@
 	"connectrpc.com/connect"
 
 	"github.com/primroseloom/primroseloom/config/document"
-	"github.com/primroseloom/primroseloom/policy/generation"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -156,19 +155,3 @@
 	m.staged[ref.Digest] = content
 	return nil
 }
-
-// Track tells how far the newest known generation has come in the fleet.
-func (m *Manager) Track() generation.InForce {
-	var statements []generation.Statement
-	for _, member := range m.options.Members.Members() {
-		statements = append(statements, generation.Statement{
-			VM:         member.Vm,
-			Generation: member.Generation,
-			Problem:    member.ConfigProblem,
-			Suspect:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_SUSPECT,
-			Leaving:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_LEAVING,
-			Rejected:   member.RejectedCount,
-		})
-	}
-	return generation.Track(statements)
-}
--- a/operator/fleetview/fleetview.go
+++ b/operator/fleetview/fleetview.go
@@ -11,6 +11,8 @@
 
 	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/generation"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
 // timeout bounds one query of an instance.
@@ -31,19 +33,21 @@
 	return findings, err
 }
 
-// Behind returns the members whose generation is older than the newest, newest
-// generation first known to the instance asked.
-func Behind(status admin.Status) (newest uint64, behind []admin.MemberStatus) {
-	newest = status.Generation
+// InForce sums up how far the newest generation has come, as the instance asked
+// knows it.
+func InForce(status admin.Status) generation.InForce {
+	statements := make([]generation.Statement, 0, len(status.Members))
 	for _, member := range status.Members {
-		newest = max(newest, member.Generation)
+		statements = append(statements, generation.Statement{
+			VM:         member.VM,
+			Generation: member.Generation,
+			Problem:    member.ConfigProblem,
+			Suspect:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_SUSPECT.String(),
+			Leaving:    member.Status == primroseloomv1.MemberStatus_MEMBER_STATUS_LEAVING.String(),
+			Rejected:   member.RejectedCount,
+		})
 	}
-	for _, member := range status.Members {
-		if member.Generation < newest {
-			behind = append(behind, member)
-		}
-	}
-	return newest, behind
+	return generation.Track(statements)
 }
 
 // Quarantines asks an instance for the requests that are refused or watched.
