Tell suspects to instances that join

Change: the news of a crash can be marked as repeated; instances that join learn the suspects beside the quarantines. Tests share no variables unguarded.

--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -233,6 +233,13 @@
 	_ = g.conn.Close()
 }
 
+// ended returns the attempts that have ended.
+func (f *fakeTargets) ended() []contract.AttemptResult {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.results)
+}
+
 // close ends the idle connections.
 func (f *fakeTargets) close() {
 	f.mu.Lock()
--- a/entry/proxy/newcomers.go
+++ b/entry/proxy/newcomers.go
@@ -11,7 +11,7 @@
 const newcomerInterval = 250 * time.Millisecond
 
 // Run watches for pauses of the process and tells new instances about the
-// quarantines in force, until the context ends.
+// suspects and quarantines, until the context ends.
 func (p *Proxy) Run(ctx context.Context) error {
 	p.pause.start(p.options.Clock)
 	defer p.pause.stop()
@@ -51,12 +51,15 @@
 	return fresh
 }
 
-// announce publishes the quarantines in force with their remaining times.
+// announce publishes the suspects, and the quarantines in force with their
+// remaining times.
 func (s *suspects) announce() {
 	now := s.options.Clock.Uptime()
 	for _, row := range s.list() {
 		if row.Quarantined {
 			s.publish(row.Service, verdictNews(row.Fingerprint, row.Ends-now))
+			continue
 		}
+		s.publish(row.Service, recallNews(row.Fingerprint, row.Targets[0]))
 	}
 }
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -372,7 +372,7 @@
 			_, _ = conn.Write(make([]byte, 50_000))
 			time.Sleep(time.Second)
 		}
-		results := f.vms[0].targets.results
+		results := f.vms[0].targets.ended()
 		if len(results) != 1 || results[0].FirstByte > 200*time.Millisecond {
 			t.Errorf("evidence %+v", results)
 		}
@@ -387,7 +387,7 @@
 		if got := f.ask(0, "GET", "/", "", "Primroseloom-Timeout-Ms: 3000"); got.status != 200 {
 			t.Errorf("idempotent request: %+v", got)
 		}
-		for _, result := range f.vms[0].targets.results {
+		for _, result := range f.vms[0].targets.ended() {
 			if result.Kind != contract.AttemptSucceeded {
 				t.Errorf("evidence against the target: %+v", result)
 			}
--- a/entry/proxy/stream_test.go
+++ b/entry/proxy/stream_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -47,10 +48,10 @@
 
 func TestCallerThatGoesAwayCancelsAPlainRequestButNotAKeyedOne(t *testing.T) {
 	inFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
-		runs := 0
+		var runs atomic.Int64
 		scripted(t, f, func(r *http.Request) string {
 			_, _ = io.Copy(io.Discard, r.Body)
-			runs++
+			runs.Add(1)
 			time.Sleep(2 * time.Second)
 			return whole
 		})
@@ -64,13 +65,13 @@
 		}
 		leave("")
 		time.Sleep(100 * time.Millisecond)
-		if kind := v.targets.results[0].Kind; kind != "canceled" {
+		if kind := v.targets.ended()[0].Kind; kind != "canceled" {
 			t.Errorf("plain request ended as %s", kind)
 		}
 		leave(key + "\r\n")
 		time.Sleep(3 * time.Second)
-		if got := f.ask(0, "POST", "/book", "x", key); got.status != 200 || got.body != "whole" || runs != 2 {
-			t.Errorf("resend of the keyed request: %+v after %d runs", got, runs)
+		if got := f.ask(0, "POST", "/book", "x", key); got.status != 200 || got.body != "whole" || runs.Load() != 2 {
+			t.Errorf("resend of the keyed request: %+v after %d runs", got, runs.Load())
 		}
 	})
 }
@@ -85,7 +86,7 @@
 			t.Fatal(err)
 		}
 		defer func() { _ = listener.Close() }()
-		sent := 0
+		var sent atomic.Int64
 		go func() {
 			conn, err := listener.Accept()
 			if err != nil {
@@ -94,9 +95,9 @@
 			defer func() { _ = conn.Close() }()
 			request, _ := http.ReadRequest(bufio.NewReader(conn))
 			_, _ = io.WriteString(conn, head(200, request.Header.Get(CorrelationHeader))+"Content-Length: "+strconv.Itoa(total)+"\r\n\r\n")
-			for sent < total {
+			for sent.Load() < total {
 				n, err := conn.Write(make([]byte, 32<<10))
-				sent += n
+				sent.Add(int64(n))
 				if err != nil {
 					return
 				}
@@ -106,8 +107,8 @@
 		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, "GET /download HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n")
 		time.Sleep(5 * time.Second)
-		if sent > 1<<20 {
-			t.Errorf("the target could send %d bytes to a caller that does not read", sent)
+		if n := sent.Load(); n > 1<<20 {
+			t.Errorf("the target could send %d bytes to a caller that does not read", n)
 		}
 		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
 		if err != nil {
@@ -128,7 +129,7 @@
 		defer func() { _ = conn.Close() }()
 		_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\nPrimroseloom-Timeout-Ms: 60000\r\n\r\n")
 		time.Sleep(15 * time.Second)
-		if results := f.vms[0].targets.results; len(results) != 1 || results[0].Kind != "canceled" {
+		if results := f.vms[0].targets.ended(); len(results) != 1 || results[0].Kind != "canceled" {
 			t.Errorf("the slot of a stalled download is still held, or the target blamed: %+v", results)
 		}
 	})
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -166,6 +166,10 @@
 func (s *suspects) hearCrash(service string, crash *primroseloomv1.FingerprintCrash, now time.Duration) {
 	fingerprint := quarantine.Fingerprint(crash.GetFingerprint())
 	rest := time.Duration(crash.GetQuarantinedMs()) * time.Millisecond
+	if crash.GetRepeated() {
+		s.change(func() { s.judge.Recall(fingerprint, service, crash.GetTarget(), now) })
+		return
+	}
 	if rest == 0 {
 		s.count(fingerprint, service, crash.GetTarget())
 		return
@@ -197,6 +201,11 @@
 	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
 }
 
+func recallNews(fingerprint quarantine.Fingerprint, target string) *primroseloomv1.NewsItem {
+	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), Target: target, Repeated: true}
+	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
+}
+
 func verdictNews(fingerprint quarantine.Fingerprint, rest time.Duration) *primroseloomv1.NewsItem {
 	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), QuarantinedMs: uint64(rest.Milliseconds())}
 	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -94,6 +94,8 @@
 	// Crashed records that a target crashed while it ran the request, and
 	// reports whether that quarantined it.
 	Crashed(fingerprint Fingerprint, service, target string, now time.Duration) bool
+	// Recall takes over another VM's suspect unless the request is known.
+	Recall(fingerprint Fingerprint, service, target string, now time.Duration)
 	// Quarantine takes over another VM's quarantine with its remaining time.
 	Quarantine(fingerprint Fingerprint, service string, rest, now time.Duration)
 	// Answered records a whole answer and reports whether it cleared a suspect.
@@ -172,6 +174,13 @@
 	return true
 }
 
+// Recall takes over another VM's suspect unless the request is known.
+func (t *Table) Recall(fingerprint Fingerprint, service, target string, now time.Duration) {
+	if _, known := t.lookup(fingerprint, now); !known {
+		t.Crashed(fingerprint, service, target, now)
+	}
+}
+
 // Quarantine takes over another VM's quarantine with its remaining time.
 func (t *Table) Quarantine(fingerprint Fingerprint, service string, rest, now time.Duration) {
 	e, ok := t.lookup(fingerprint, now)
--- a/policy/quarantine/table_test.go
+++ b/policy/quarantine/table_test.go
@@ -70,6 +70,16 @@
 	}
 }
 
+func TestRecalledSuspectCountsOnce(t *testing.T) {
+	table := NewTable()
+	for i := range 3 {
+		table.Recall(7, "booking", "t1", time.Duration(i)*time.Minute)
+	}
+	if d := table.Admit(7, 0, 3*time.Minute); d.Action != ActionRun || !d.Suspect {
+		t.Errorf("recalled three times: %+v", d)
+	}
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	table := NewTable()
 	for i := range Fingerprint(2 * MaxSuspects) {
