--- a/entry/proxy/kill_test.go
+++ b/entry/proxy/kill_test.go
@@ -62,6 +62,8 @@
 			time.Sleep(time.Second / rate)
 		}
 		time.Sleep(time.Minute)
+		mu.Lock()
+		defer mu.Unlock()
 		t.Logf("told %v; %d requests in progress on the killed VM", told, atKill)
 		if told["may_have_run"] > atKill || told["answered"]+told["may_have_run"] != rate*int(duration.Seconds()) {
 			t.Errorf("told %v, %d in progress", told, atKill)
