--- a/entry/proxy/fake_test.go
+++ b/entry/proxy/fake_test.go
@@ -11,21 +11,15 @@
 	"net"
 	"net/http"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"connectrpc.com/connect"
-
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/outcome"
-	"github.com/primroseloom/primroseloom/standin/memnet"
-	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
-	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
 
 // fakeClock is the uptime of one VM; jump adds suspended time.
@@ -248,177 +242,3 @@
 		_ = conn.Close()
 	}
 }
-
-// fleet is a set of VMs over one in-memory network.
-type fleet struct {
-	network *memnet.Network
-	snap    *snapshot.Snapshot
-	targets []document.Target
-	mu      sync.Mutex
-	vms     []*vm
-	cancel  context.CancelFunc
-	ctx     context.Context
-	// options alters a VM's options before its proxy is built.
-	options func(*Options)
-	// sameInstance keeps a replaced VM's instance identifier.
-	sameInstance bool
-	// noWatch leaves out what a proxy does beside requests.
-	noWatch   bool
-	instances uint64
-}
-
-// vm is one instance of the fleet; it is its own view of the members.
-type vm struct {
-	fleet   *fleet
-	index   int
-	self    *primroseloomv1.Member
-	clock   *fakeClock
-	proxy   *Proxy
-	targets *fakeTargets
-	servers []*http.Server
-	hear    func(*primroseloomv1.NewsItem)
-	alive   atomic.Bool
-	stop    context.CancelFunc
-}
-
-// vmHost is a VM's network; what is left of a killed instance reaches nothing.
-type vmHost struct {
-	*memnet.Host
-	vm *vm
-}
-
-func (h *vmHost) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	conn, err := h.Host.DialContext(ctx, network, address)
-	if err == nil && !h.vm.alive.Load() {
-		_ = conn.Close()
-		return nil, errors.New("the instance was killed")
-	}
-	return conn, err
-}
-
-func vmIP(index int) string { return "10.0.1." + strconv.Itoa(index+1) }
-
-func newFleet(ctx context.Context, vms int, targets []document.Target, options func(*Options)) *fleet {
-	f := &fleet{network: memnet.New(), targets: targets, snap: testSnapshot(targets), options: options}
-	f.ctx, f.cancel = context.WithCancel(ctx)
-	f.vms = make([]*vm, vms)
-	for i := range vms {
-		f.start(i)
-	}
-	return f
-}
-
-// start runs a new instance on a VM.
-func (f *fleet) start(index int) {
-	instance := uint64(index + 1)
-	if !f.sameInstance {
-		f.instances++
-		instance = 1000 + f.instances
-	}
-	v := &vm{fleet: f, index: index, clock: newFakeClock()}
-	v.alive.Store(true)
-	v.self = &primroseloomv1.Member{Vm: "vm-" + strconv.Itoa(index), Instance: instance}
-	host := &vmHost{Host: f.network.Host(vmIP(index)), vm: v}
-	v.targets = &fakeTargets{host: host, targets: f.targets, idle: make(map[string]*fakeConn)}
-	options := Options{
-		Fleet: "test", Configuration: fixedConfiguration{f.snap}, Targets: v.targets,
-		Members: v, News: v, Network: host, Clock: v.clock, Limits: DefaultLimits(),
-	}
-	if f.options != nil {
-		f.options(&options)
-	}
-	v.proxy = New(options)
-	f.mu.Lock()
-	f.vms[index] = v
-	f.mu.Unlock()
-	ctx, cancel := context.WithCancel(f.ctx)
-	v.stop = cancel
-	if !f.noWatch {
-		go func() { _ = v.proxy.Run(ctx) }()
-	}
-	mux := http.NewServeMux()
-	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(peerService{proxy: v.proxy}))
-	limits := ServerLimits{HeaderBytes: 32 << 10, HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute}
-	v.listen(host, ":80", NewServer(v.proxy, limits))
-	v.listen(host, ":81", NewServer(mux, limits))
-}
-
-func (v *vm) listen(host contract.Network, port string, server *http.Server) {
-	listener, err := host.Listen(v.fleet.ctx, vmIP(v.index)+port)
-	if err != nil {
-		panic(err)
-	}
-	v.servers = append(v.servers, server)
-	go func() { _ = server.Serve(listener) }()
-}
-
-// kill ends a VM at once, as a power failure would.
-func (f *fleet) kill(index int) {
-	v := f.vms[index]
-	v.alive.Store(false)
-	v.stop()
-	for _, server := range v.servers {
-		_ = server.Close()
-	}
-	f.network.Kill(vmIP(index))
-	v.targets.close()
-}
-
-// all returns the present instances.
-func (f *fleet) all() []*vm {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return slices.Clone(f.vms)
-}
-
-// close ends the fleet.
-func (f *fleet) close() {
-	f.cancel()
-	for i := range f.vms {
-		f.kill(i)
-	}
-}
-
-type peerService struct {
-	primroseloomv1connect.UnimplementedPeerServiceHandler
-	proxy *Proxy
-}
-
-func (s peerService) Forward(ctx context.Context, stream *connect.BidiStream[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]) error {
-	return s.proxy.Forward(ctx, stream)
-}
-
-func (v *vm) Self() *primroseloomv1.Member { return v.self }
-
-func (v *vm) Members() []*primroseloomv1.Member {
-	var members []*primroseloomv1.Member
-	for _, other := range v.fleet.all() {
-		if other != nil {
-			members = append(members, other.self)
-		}
-	}
-	return members
-}
-
-func (v *vm) Client(name string) (primroseloomv1connect.PeerServiceClient, bool) {
-	for _, other := range v.fleet.all() {
-		if other.self.Vm == name {
-			protocols := new(http.Protocols)
-			protocols.SetUnencryptedHTTP2(true)
-			transport := &http.Transport{DialContext: v.targets.host.DialContext, Protocols: protocols, IdleConnTimeout: time.Second}
-			return primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, "http://"+vmIP(other.index)+":81"), true
-		}
-	}
-	return nil, false
-}
-
-// Publish reaches every other VM at once.
-func (v *vm) Publish(item *primroseloomv1.NewsItem, _ bool) {
-	for _, other := range v.fleet.all() {
-		if other != v && other.alive.Load() && other.hear != nil {
-			other.hear(item)
-		}
-	}
-}
-
-func (v *vm) Subscribe(f func(*primroseloomv1.NewsItem)) { v.hear = f }
