--- a/operator/measure/customers.go
+++ b/operator/measure/customers.go
@@ -27,6 +27,14 @@
 		a.finish(customer)
 		return false
 	}
+	a.enqueue(now, request)
+	return true
+}
+
+// enqueue puts a request into the queue and asks the keeper for a slot. A
+// request whose slot was of a target that has gone out meanwhile asks again.
+func (a slotAdmission) enqueue(now time.Duration, request *Request) {
+	customer := a.settings[request.Customer]
 	entry := a.queue.Push(customer.Name, customer.Weight, request)
 	a.waiting[request.ID] = &waitingRequest{request: request, entry: entry}
 	if a.lessee != nil {
@@ -41,7 +49,6 @@
 				Zone: fmt.Sprint(a.setting.VMZone(a.setting.VM)), Idempotent: true, Exclude: exclude, Deadline: at(request.Deadline)})
 		}
 	}
-	return true
 }
 
 // admit applies the customer's limits, divided over its VMs.
@@ -67,10 +74,12 @@
 // Peek implements Admission.
 func (a slotAdmission) Peek(now time.Duration) *Request {
 	for len(a.ready) > 0 {
-		if _, ok := a.granted[a.ready[0].ID]; ok {
-			return a.ready[0]
+		first := a.ready[0]
+		if _, ok := a.granted[first.ID]; ok {
+			return first
 		}
-		a.ready = a.ready[1:]
+		a.slots.ready = a.ready[1:]
+		a.enqueue(now, first)
 	}
 	entry, ok := a.queue.Peek()
 	if !ok || !a.local(now) && now < entry.Item.Deadline {
@@ -82,8 +91,10 @@
 // Pop implements Admission.
 func (a slotAdmission) Pop(now time.Duration) {
 	if len(a.ready) > 0 {
-		delete(a.waiting, a.ready[0].ID)
+		id := a.ready[0].ID
+		delete(a.waiting, id)
 		a.slots.ready = a.ready[1:]
+		a.giveBack(id)
 	} else if entry, ok := a.queue.Pop(); ok {
 		delete(a.waiting, entry.Item.ID)
 		if a.lessee != nil && entry.Item.Deadline <= now {
@@ -93,6 +104,14 @@
 	a.drain.Left(at(now), a.queue.Len() > 0)
 }
 
+// giveBack returns the slot of a request that was sent elsewhere, as a trial.
+func (s *slots) giveBack(id uint64) {
+	if _, unused := s.granted[id]; unused {
+		delete(s.granted, id)
+		s.lessee.Finish(id)
+	}
+}
+
 // Ended implements Admission.
 func (a slotAdmission) Ended(_ time.Duration, request *Request, _ bool) {
 	a.finish(a.settings[request.Customer])
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -13,12 +13,26 @@
 	v.triedFrom = now
 	v.tried = Scores{}
 	entry.trialOK = 0
-	v.nextTrial = now + t.trialWait()
+	v.nextTrial = now + t.trialWait(v)
+}
+
+// wantsTrial reports whether a trial would tell something. After an ejection
+// none is sent while another one has grown old.
+func (e *target) wantsTrial() bool {
+	v := &e.verdict
+	if v.trying {
+		return e.oldCount() == 0
+	}
+	return v.tested && v.withheld && e.oldCount() < e.Slots
 }
 
 // trialWait spreads the fleet's trials over its VMs.
-func (t *Tracker) trialWait() time.Duration {
-	mean := float64(max(1, t.config.VMs)) / trialsPerSecond
+func (t *Tracker) trialWait(v *verdict) time.Duration {
+	rate := trialsPerSecond
+	if v.tested {
+		rate = testsPerSecond
+	}
+	mean := float64(max(1, t.config.VMs)) / rate
 	return time.Duration(t.config.Random.ExpFloat64() * mean * float64(time.Second))
 }
 
@@ -27,10 +41,9 @@
 func (t *Tracker) Trial(now time.Duration) (index int, ok bool) {
 	for _, entry := range t.probing {
 		v := &entry.verdict
-		wanted := v.trying || v.tested && v.withheld && entry.oldCount() < entry.Slots
-		due := wanted && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
+		due := entry.wantsTrial() && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
 		if due {
-			v.nextTrial = now + t.trialWait()
+			v.nextTrial = now + t.trialWait(v)
 			return entry.index, true
 		}
 	}
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -8,10 +8,12 @@
 const (
 	reducedShare   = 0.35
 	probationShare = 0.5
-	withoutShare   = 0.5
-	answeredShare  = 0.2
-	agreedShare    = 0.1
-	clearedShare   = 0.2
+	// clearShare ends a probation.
+	clearShare    = 0.42
+	withoutShare  = 0.5
+	answeredShare = 0.2
+	agreedShare   = 0.1
+	clearedShare  = 0.2
 	// answeredLead is by how much, in nats, slow answers must outweigh silence.
 	answeredLead = 6.0
 	// probeBonus is what failing probes of several VMs add, in nats.
@@ -45,6 +47,8 @@
 	trialsFailed  = 10.0
 	// trialsPerSecond is the rate of trials of one target by the whole fleet.
 	trialsPerSecond = 10.0
+	// testsPerSecond is the rate of trials during a probation.
+	testsPerSecond = 20.0
 	// probeDistrust multiplies the back-off while probes fail.
 	probeDistrust = 3
 )
@@ -142,9 +146,9 @@
 	case !v.tested && part >= probationShare && now-v.testedFrom >= testPause:
 		v.tested = true
 		v.testedFrom = now
-		v.nextTrial = now + t.trialWait()
+		v.nextTrial = now + t.trialWait(v)
 		t.dirty = true
-	case v.tested && (part < reducedShare || now-v.testedFrom >= testLimit):
+	case v.tested && (part < clearShare || now-v.testedFrom >= testLimit):
 		v.tested = false
 		v.testedFrom = now
 		t.dirty = true
