--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -213,6 +213,10 @@
 		m := Member{VM: vmName(1000 + i), Instance: random.Uint64(), Incarnation: 1, Status: Status(1 + i%4),
 			CallersAddress: address(i), PeersAddress: address(i)}
 		victim.apply(s.clock(fleet[0]), m, vmName(1), i%2 == 0)
+		m.Status, m.Incarnation = Dead, 2
+		if i%2 == 0 {
+			victim.apply(s.clock(fleet[0]), m, vmName(1), false)
+		}
 	}
 	limit := s.settings.MaxMembers
 	if len(victim.members) > limit || len(victim.graves) > limit || len(victim.queue) > 2*limit+1 || len(victim.events) > 4096 {
