--- a/config/document/published.go
+++ b/config/document/published.go
@@ -46,9 +46,9 @@
 // Bounds of the published values.
 const (
 	// MaxValueBytes is the largest value that the platform holds.
-	MaxValueBytes = 1 << 20
+	MaxValueBytes = 1_000_000
 	// MaxTotalBytes is the largest sum of all shards of one generation.
-	MaxTotalBytes = 24 << 20
+	MaxTotalBytes = 24_000_000
 	// MaxShards is the largest number of shards of one generation.
 	MaxShards = 4096
 )
