--- a/cmd/primroseloom/check.go
+++ b/cmd/primroseloom/check.go
@@ -78,11 +78,7 @@
 	if !ok {
 		return []check.Problem{{Path: "", Value: "", Allowed: err.Error()}}
 	}
-	var problems []check.Problem
-	for _, fault := range faults {
-		problems = append(problems, check.Problem(fault))
-	}
-	return problems
+	return faults
 }
 
 func writeChecked(command *cobra.Command, result checked, asJSON bool) error {
--- /dev/null
+++ b/cmd/primroseloom/pages_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+const root = "../.."
+
+// read returns the files below a directory whose names end in a suffix.
+func read(t *testing.T, directory, suffix string) map[string]string {
+	t.Helper()
+	files := make(map[string]string)
+	err := filepath.WalkDir(directory, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, suffix) {
+			return err
+		}
+		content, err := os.ReadFile(path)
+		files[path] = string(content)
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func TestPagesNameOnlyTestsThatExist(t *testing.T) {
+	defined := make(map[string]bool)
+	for _, content := range read(t, root, "_test.go") {
+		for _, match := range regexp.MustCompile(`(?m)^func (Test\w+)\(`).FindAllStringSubmatch(content, -1) {
+			defined[match[1]] = true
+		}
+	}
+	named := 0
+	for page, content := range read(t, filepath.Join(root, "docs"), ".md") {
+		for _, match := range regexp.MustCompile("`(Test[A-Z]\\w+)`").FindAllStringSubmatch(content, -1) {
+			named++
+			if !defined[match[1]] {
+				t.Errorf("%s names %s, which does not exist", page, match[1])
+			}
+		}
+	}
+	if named == 0 {
+		t.Error("no page names a test")
+	}
+}
+
+func TestLinksOfPagesLeadToFiles(t *testing.T) {
+	pages := read(t, filepath.Join(root, "docs"), ".md")
+	readme, err := os.ReadFile(filepath.Join(root, "README.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	pages[filepath.Join(root, "README.md")] = string(readme)
+	for page, content := range pages {
+		for _, match := range regexp.MustCompile(`\]\(([^)#:]+)\)`).FindAllStringSubmatch(content, -1) {
+			if _, err := os.Stat(filepath.Join(filepath.Dir(page), match[1])); err != nil {
+				t.Errorf("%s links to %s: %v", page, match[1], err)
+			}
+		}
+	}
+}
+
+func TestPromisesLeaveNoCellEmpty(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join(root, "docs", "PROMISES.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	failures := []string{"gray targets", "flapping", "one-way partition", "configuration service down or stale",
+		"pause and late waking", "partition of the fleet", "poison requests", "silent connections"}
+	rows := make(map[string]int)
+	for line := range strings.Lines(string(content)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		if len(cells) != 4 {
+			continue
+		}
+		for _, cell := range cells {
+			if strings.TrimSpace(cell) == "" {
+				t.Errorf("empty cell in %q", line)
+			}
+		}
+		rows[strings.TrimSpace(cells[0])]++
+	}
+	const promises = 7
+	for _, failure := range failures {
+		if rows[failure] != promises {
+			t.Errorf("%d rows for %s, want %d", rows[failure], failure, promises)
+		}
+	}
+}
--- a/entry/settings/parse.go
+++ b/entry/settings/parse.go
@@ -12,25 +12,12 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
-)
-
-// Fault is one thing wrong with a settings file.
-type Fault struct {
-	// Path is the field's JSON path, such as "listen.peers".
-	Path string `json:"path"`
-	// Value is the value given, as text.
-	Value string `json:"value"`
-	// Allowed tells what the field takes.
-	Allowed string `json:"allowed"`
-}
 
-// Error renders the fault in one line.
-func (f Fault) Error() string {
-	return fmt.Sprintf("%s: value %q is not allowed: want %s", f.Path, f.Value, f.Allowed)
-}
+	"github.com/primroseloom/primroseloom/config/check"
+)
 
 // Faults are all faults of one file.
-type Faults []Fault
+type Faults []check.Problem
 
 // Error renders one fault a line.
 func (f Faults) Error() string {
@@ -84,7 +71,7 @@
 	for name, raw := range fields {
 		field, ok := known[name]
 		if !ok {
-			faults = append(faults, Fault{Path: path + name, Value: string(raw), Allowed: "one of the fields " + strings.Join(names, ", ")})
+			faults = append(faults, check.Problem{Path: path + name, Value: string(raw), Allowed: "one of the fields " + strings.Join(names, ", ")})
 			continue
 		}
 		faults = append(faults, decodeField(path+name, raw, field)...)
@@ -147,7 +134,7 @@
 	faults := make(Faults, 0, len(invalid))
 	for _, fieldError := range invalid {
 		_, path, _ := strings.Cut(fieldError.Namespace(), ".")
-		faults = append(faults, Fault{Path: path, Value: fmt.Sprint(fieldError.Value()), Allowed: allowed(fieldError)})
+		faults = append(faults, check.Problem{Path: path, Value: fmt.Sprint(fieldError.Value()), Allowed: allowed(fieldError)})
 	}
 	return faults
 }
@@ -185,7 +172,7 @@
 	} {
 		other, clash := taken[entry.address]
 		if clash && entry.address != "" {
-			faults = append(faults, Fault{Path: entry.path, Value: entry.address, Allowed: "an address other than " + other})
+			faults = append(faults, check.Problem{Path: entry.path, Value: entry.address, Allowed: "an address other than " + other})
 		}
 		taken[entry.address] = entry.path
 	}
