Send no trials during a back-off, and excuse slowness while a target warms up

Cause: a conviction restarted the probation, so an ejected target went on getting 20 trials a second; targets that start cold were ejected as slow.

--- a/policy/health/tick.go
+++ b/policy/health/tick.go
@@ -77,6 +77,7 @@
 		for _, h := range hypotheses {
 			total[h.rule] = evidence[h.rule]
 		}
+		entry.excuseCold(&total)
 		t.contribute(now, attempt, &total)
 	}
 }
--- a/policy/health/tracker.go
+++ b/policy/health/tracker.go
@@ -241,6 +241,7 @@
 	if !failed && t.reference.learned() {
 		t.weighTime(attempt, &final, taken)
 	}
+	entry.excuseCold(&final)
 	t.contribute(now, attempt, &final)
 	t.trialEnded(now, entry, !failed)
 	if suspect {
@@ -266,6 +267,16 @@
 	}
 }
 
+// excuseCold drops what speaks for slowness while a target warms up.
+func (e *target) excuseCold(scores *Scores) {
+	if !e.verdict.ramping {
+		return
+	}
+	for _, rule := range [...]Rule{RuleSlow, RuleVerySlow, RuleSometimesSlow} {
+		scores[rule] = min(0, scores[rule])
+	}
+}
+
 // contribute replaces what an attempt has contributed so far.
 func (t *Tracker) contribute(now time.Duration, attempt *Attempt, total *Scores) {
 	var increments Scores
--- a/policy/health/tracker_test.go
+++ b/policy/health/tracker_test.go
@@ -288,6 +288,21 @@
 	}
 }
 
+func TestEjectedTargetGetsNoTrialsDuringItsBackOff(t *testing.T) {
+	f := newFleet(9, 9)
+	f.learn()
+	f.serve(50, func(int) (Kind, time.Duration) { return Refused, time.Millisecond })
+	until := f.trackers[0].targets[0].verdict.until
+	for f.now < until-time.Second {
+		f.step(50 * time.Millisecond)
+		for vm, tracker := range f.trackers {
+			if target, ok := tracker.Trial(f.now); ok {
+				t.Fatalf("vm %d tries target %d during the back-off", vm, target)
+			}
+		}
+	}
+}
+
 func TestBackOffGrowsToItsLimit(t *testing.T) {
 	if backOff(1) != firstBackOff || backOff(2) != 2*firstBackOff || backOff(50) != longestBackOff {
 		t.Errorf("back-off %s, %s, %s", backOff(1), backOff(2), backOff(50))
--- a/policy/health/trials.go
+++ b/policy/health/trials.go
@@ -13,7 +13,7 @@
 	v.triedFrom = now
 	v.tried = Scores{}
 	entry.trialOK = 0
-	v.nextTrial = now + t.trialWait(v)
+	v.nextTrial = now + t.trialWait(entry)
 }
 
 // wantsTrial reports whether a trial would tell something. After an ejection
@@ -23,13 +23,21 @@
 	if v.trying {
 		return e.oldCount() == 0
 	}
-	return v.tested && v.withheld && e.oldCount() < e.Slots
+	if !v.tested || !v.withheld {
+		return false
+	}
+	allowed := e.Slots
+	if rule, _ := e.tally.all.strongest(); rule == RuleStalled {
+		allowed = 1
+	}
+	return e.oldCount() < allowed
 }
 
 // trialWait spreads the fleet's trials over its VMs.
-func (t *Tracker) trialWait(v *verdict) time.Duration {
-	rate := trialsPerSecond
-	if v.tested {
+// Those after an ejection begin slowly and follow their successes.
+func (t *Tracker) trialWait(entry *target) time.Duration {
+	rate := min(trialsPerSecond, 1+float64(entry.trialOK))
+	if entry.verdict.tested {
 		rate = testsPerSecond
 	}
 	mean := float64(max(1, t.config.VMs)) / rate
@@ -43,7 +51,7 @@
 		v := &entry.verdict
 		due := entry.wantsTrial() && now >= v.nextTrial && entry.inFlight == 0 && !entry.leaving(now)
 		if due {
-			v.nextTrial = now + t.trialWait(v)
+			v.nextTrial = now + t.trialWait(entry)
 			return entry.index, true
 		}
 	}
--- a/policy/health/verdict.go
+++ b/policy/health/verdict.go
@@ -132,7 +132,9 @@
 	}
 	wasReduced := v.reduced
 	v.reduced = part >= reducedShare
-	t.test(now, entry, part)
+	if !v.out() {
+		t.test(now, entry, part)
+	}
 	if wasReduced != v.reduced {
 		t.dirty = true
 	}
@@ -146,7 +148,7 @@
 	case !v.tested && part >= probationShare && now-v.testedFrom >= testPause:
 		v.tested = true
 		v.testedFrom = now
-		v.nextTrial = now + t.trialWait(v)
+		v.nextTrial = now + t.trialWait(entry)
 		t.dirty = true
 	case v.tested && (part < clearShare || now-v.testedFrom >= testLimit):
 		v.tested = false
