--- a/entry/targets/health_test.go
+++ b/entry/targets/health_test.go
@@ -32,12 +32,20 @@
 	return atSick
 }
 
+// state returns what the VM makes of a target.
+func (f *fixture) state(target string) health.State {
+	s := f.service("booking")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.judge.state(target)
+}
+
 func TestFailingTargetLosesItsWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, 6, 2)
 		work(t, f, 300, true, false)
 		work(t, f, 300, true, true)
-		if state := f.service("booking").judge.state("t0"); state != health.Ejected {
+		if state := f.state("t0"); state != health.Ejected {
 			t.Fatalf("t0 is %s", state)
 		}
 		if at := work(t, f, 200, false, true); at > 0 {
@@ -61,7 +69,7 @@
 				}},
 			})
 		}
-		if state := f.service("booking").judge.state("t0"); state != health.Ejected {
+		if state := f.state("t0"); state != health.Ejected {
 			t.Fatalf("t0 is %s", state)
 		}
 	})
--- a/entry/targets/targets_test.go
+++ b/entry/targets/targets_test.go
@@ -207,6 +207,8 @@
 		}
 		held.Done(contract.AttemptResult{Kind: contract.AttemptSucceeded})
 		f.acquire(t, "small").Done(contract.AttemptResult{Kind: contract.AttemptSucceeded})
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		if f.customers.InProgress("small") != 0 || f.customers.InProgress("large") != 0 {
 			t.Fatal("requests are still counted")
 		}
