--- a/entry/peer/measure_test.go
+++ b/entry/peer/measure_test.go
@@ -27,7 +27,7 @@
 		tls    bool
 		change time.Duration
 	}{
-		{12, true, 0}, {36, true, 0}, {36, false, 0}, {100, true, 0}, {200, true, 0},
+		{12, true, 0}, {36, true, 0}, {36, false, 0}, {100, true, 0}, {200, true, 0}, {200, false, 0},
 		{100, true, 10 * time.Second}, {100, true, 5 * time.Second},
 	}
 	for _, c := range cases {
