--- a/policy/membership/membership_test.go
+++ b/policy/membership/membership_test.go
@@ -286,6 +286,24 @@
 	}
 }
 
+// TestRelaysVouchForMember cuts a member off from those that probe it only.
+func TestRelaysVouchForMember(t *testing.T) {
+	s := newSimulation(20)
+	fleet := convergedFleet(t, s, 36)
+	target := vmName(5)
+	probers := make(map[string]bool)
+	for _, in := range fleet {
+		probers[in.vm] = in.state.edges[target] != nil
+	}
+	s.cut = func(from, to string) bool { return (probers[from] && to == target) || (from == target && probers[to]) }
+	s.onEvent = func(at *instance, e Event) {
+		if e.Kind == EventSuspected {
+			t.Errorf("at %s: %s suspects %s, which others reach", s.now, at.vm, e.VM)
+		}
+	}
+	s.run(20 * time.Second)
+}
+
 func TestStarvedProcessConvictsNobody(t *testing.T) {
 	s := newSimulation(15)
 	fleet := convergedFleet(t, s, 3)
