--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -40,6 +40,7 @@
 // in-memory network, in virtual time.
 type world struct {
 	t          *testing.T
+	ctx        context.Context
 	network    *memnet.Network
 	platform   *platform.Platform
 	deployment document.Deployment
@@ -57,6 +58,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{
 			t:          t,
+			ctx:        ctx,
 			network:    memnet.New(),
 			platform:   platform.New(),
 			deployment: examples.SoojaVee(),
