Follow the platform's VM list on the readers and tell the other VMs

Cause: nothing read the VM list, so a target that it calls leaving kept its work and members got no hints from it.

--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -21,6 +21,7 @@
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/targets"
 	"github.com/primroseloom/primroseloom/entry/uptime"
+	"github.com/primroseloom/primroseloom/entry/vmlist"
 )
 
 // New builds an instance; nothing runs before Run.
@@ -51,10 +52,11 @@
 			func(m *metrics.Metrics, c contract.Configuration, members contract.Members, news contract.News, t contract.Targets, clock uptime.Clock) *proxy.Proxy {
 				return newProxy(built, m, c, members, news, t, clock)
 			},
+			newVMList,
 			newDirectory,
 			newAdmin,
 		),
-		fx.Populate(&built.metrics, &built.config, &built.peers, &built.targets, &built.proxy, &built.directory, &built.admin),
+		fx.Populate(&built.metrics, &built.config, &built.peers, &built.targets, &built.proxy, &built.directory, &built.admin, &built.vms),
 	)
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", set.VM, err)
@@ -115,6 +117,16 @@
 	})
 }
 
+func newVMList(source contract.Platform, role *config.Manager, t *targets.Manager, peers *peer.Manager, logger *log.Logger) *vmlist.Follower {
+	return vmlist.New(vmlist.Options{
+		Platform: source,
+		Role:     role,
+		Takers:   []vmlist.Taker{t, peers},
+		Teller:   t,
+		Logger:   logger,
+	})
+}
+
 func newDirectory(members contract.Members, configuration contract.Configuration, readiness directory.Readiness, logger *log.Logger, m *metrics.Metrics) *directory.Directory {
 	return directory.New(directory.DefaultSettings(), members, configuration, readiness, logger, m.Scope())
 }
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -26,6 +26,7 @@
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targets"
 	"github.com/primroseloom/primroseloom/entry/uptime"
+	"github.com/primroseloom/primroseloom/entry/vmlist"
 )
 
 // Options are what an instance is built from.
@@ -49,6 +50,7 @@
 	proxy     *proxy.Proxy
 	directory *directory.Directory
 	admin     *admin.Admin
+	vms       *vmlist.Follower
 }
 
 // Run serves until the context ends, then stops gracefully.
@@ -90,6 +92,7 @@
 	tree.Add("peer", d.peers)
 	tree.Add("targets", d.targets)
 	tree.Add("proxy", d.proxy)
+	tree.Add("vmlist", d.vms)
 	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	done := make(chan struct{})
 	go func() {
--- a/entry/daemon/daemon_test.go
+++ b/entry/daemon/daemon_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/standin/target"
 )
@@ -103,6 +105,27 @@
 	})
 }
 
+func TestVMListTakesATargetOutOnEveryVM(t *testing.T) {
+	const vms = 9 // two of three VMs a zone are readers
+	inWorld(t, vms, func(w *world) {
+		service := w.deployment.Services[0]
+		leaving := service.Targets[0]
+		host, _, _ := strings.Cut(leaving.Address, ":")
+		list := document.VMList{Entries: []document.VMEntry{{Name: "target-vm", Address: host, Leaving: true}}}
+		if err := w.platform.PublishVMs(list, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(3 * time.Second)
+		before := len(w.targets[leaving.Name].Runs())
+		for i := range 40 * vms {
+			w.send(i%vms, http.MethodGet, "/availability", fmt.Sprint("r", i), "", nil)
+		}
+		if after := len(w.targets[leaving.Name].Runs()); after != before {
+			t.Errorf("the leaving target ran %d requests", after-before)
+		}
+	})
+}
+
 func (w *world) status(i int) admin.Status {
 	w.t.Helper()
 	response, err := w.client.Get("http://" + vmIP(i) + ":82/v1/status")
--- a/entry/events/config.go
+++ b/entry/events/config.go
@@ -18,4 +18,6 @@
 		"A published definition did not pass; its last good form stays in force, if there is one. Correct and publish it again.")
 	ConfigurationNotApplied = define(2007, log.WarnLevel, "configuration not applied",
 		"The newest generation could not be put in force yet; it is tried again.")
+	VMListUnread = define(2008, log.WarnLevel, "VM list unread",
+		"The platform's list of VMs could not be read; the last one stays in force on this reader.")
 )
--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -277,6 +277,15 @@
 	}
 }
 
+// TellListed tells the other VMs of the targets that the VM list calls leaving.
+func (m *Manager) TellListed() {
+	for name, s := range m.snapshot() {
+		for _, target := range s.listedLeaving() {
+			m.tellLeaving(name, target)
+		}
+	}
+}
+
 func hostOf(address string) string {
 	host, _, err := net.SplitHostPort(address)
 	if err != nil {
--- a/entry/targets/probe.go
+++ b/entry/targets/probe.go
@@ -125,13 +125,19 @@
 		return
 	}
 	events.TargetLeaving.Log(m.logger, "service", s.name, "target", name)
+	m.tellLeaving(s.name, name)
+}
+
+// tellLeaving tells the other VMs of the service that a target leaves.
+func (m *Manager) tellLeaving(service, target string) {
 	m.mu.Lock()
 	news := m.news
 	m.mu.Unlock()
-	if news != nil {
-		body := &primroseloomv1.NewsItem_Leaving{Leaving: &primroseloomv1.TargetLeaving{Target: name}}
-		news.Publish(&primroseloomv1.NewsItem{Service: s.name, Body: body}, true)
+	if news == nil {
+		return
 	}
+	body := &primroseloomv1.NewsItem_Leaving{Leaving: &primroseloomv1.TargetLeaving{Target: target}}
+	news.Publish(&primroseloomv1.NewsItem{Service: service, Body: body}, true)
 }
 
 func (s *service) probeLoad(ctx context.Context, p *pool, probed document.Target, path string) {
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -215,6 +215,19 @@
 	s.refresh(now)
 }
 
+// listedLeaving returns the targets that the VM list calls leaving.
+func (s *service) listedLeaving() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var leaving []string
+	for name, t := range s.targets {
+		if t.leaving.byVMList {
+			leaving = append(leaving, name)
+		}
+	}
+	return leaving
+}
+
 // close releases the connections of a service that was removed.
 func (s *service) close() {
 	s.mu.Lock()
