Let services rest on VMs that have no part in them

Change: a service that this VM does not serve and has no request of is looked at every 5 s; passes over the services' sets begin at most twice a second.

--- a/entry/targets/manager.go
+++ b/entry/targets/manager.go
@@ -23,8 +23,16 @@
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
-// tickInterval is the time between two rounds of periodic work.
-const tickInterval = 100 * time.Millisecond
+const (
+	// tickInterval is the time between two rounds of periodic work.
+	tickInterval = 100 * time.Millisecond
+	// restingTicks is the number of rounds between two looks at a service that
+	// this VM has no part in.
+	restingTicks = 50
+	// resizeInterval is the least time between two passes over the services'
+	// sets of VMs.
+	resizeInterval = 500 * time.Millisecond
+)
 
 // waitEntry is a request's place in a service's queue.
 type waitEntry = admission.Entry[*waiter]
@@ -44,6 +52,8 @@
 	// resizing lists the services whose set of VMs is to be looked at; one is
 	// done in each round.
 	resizing []string
+	// resized is when the last pass over the services began.
+	resized time.Time
 
 	// applying orders the snapshots; it is taken before any other lock.
 	applying sync.Mutex
@@ -130,29 +140,43 @@
 }
 
 func (m *Manager) tick(ctx context.Context) {
+	now := time.Now()
 	members := m.members.Members()
 	services := m.snapshot()
-	m.divideLimits(time.Now(), members)
-	if m.resizing == nil {
-		m.resizing = slices.Collect(maps.Keys(services))
-	}
-	if last := len(m.resizing) - 1; last >= 0 {
-		if s, ok := services[m.resizing[last]]; ok {
-			s.resize(time.Now(), m.region, members)
-		}
-		m.resizing = m.resizing[:last]
-	}
-	if len(m.resizing) == 0 {
-		m.resizing = nil
-	}
+	m.divideLimits(now, members)
+	m.resizeNext(now, services, members)
 	for _, s := range services {
-		s.tick(time.Now())
+		s.rounds++
+		if s.resting(m.vm) && s.rounds%restingTicks != 0 {
+			continue
+		}
+		s.tick(now)
 		s.logChanges(m.logger)
 		m.tell(s)
 		m.probe(ctx, s)
 	}
 }
 
+// resizeNext lets one service follow the members; a pass over all services
+// begins at most once a resizeInterval.
+func (m *Manager) resizeNext(now time.Time, services map[string]*service, members []*primroseloomv1.Member) {
+	if len(m.resizing) == 0 {
+		if now.Sub(m.resized) < resizeInterval {
+			return
+		}
+		m.resizing = slices.Collect(maps.Keys(services))
+		m.resized = now
+	}
+	last := len(m.resizing) - 1
+	if last < 0 {
+		return
+	}
+	if s, ok := services[m.resizing[last]]; ok {
+		s.resize(now, m.region, members)
+	}
+	m.resizing = m.resizing[:last]
+}
+
 // SetNews connects the manager with the other VMs' news.
 func (m *Manager) SetNews(news contract.News) {
 	m.mu.Lock()
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -56,6 +56,8 @@
 	changes changes
 	// window bounds the attempts in progress while no keeper answers.
 	window *balance.Window
+	// rounds counts the rounds of periodic work; the manager's goroutine owns it.
+	rounds int
 	// inFlight counts the attempts in progress at all targets.
 	inFlight int
 	// typical is the average service time.
@@ -140,6 +142,17 @@
 	return t
 }
 
+// resting reports whether this VM has no part in the service: it is not of the
+// service's set and no request waits or is in progress here.
+func (s *service) resting(vm string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.inFlight > 0 || s.queue.Len() > 0 {
+		return false
+	}
+	return !slices.ContainsFunc(s.serving, func(member subset.VM) bool { return member.Name == vm })
+}
+
 // tick does periodic work: judgements age and idle connections are closed.
 func (s *service) tick(now time.Time) {
 	s.mu.Lock()
