--- /dev/null
+++ b/scripts/capacity.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# Runs the measurements behind docs/CAPACITY.md: whole quiet fleets, and the
+# slopes of each role. Takes about ten minutes on a quiet machine.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+go run ./cmd/primroseloom capacity --instances 12,36,100 --duration 20s
+go test -run xxx -bench 'TickAtLetterSize' ./entry/targets
+go test -run xxx -bench 'ControlCost' -benchtime 1x -timeout 30m ./entry/peer
+go test -run xxx -bench 'Load|ChangeOf' -benchtime 3x ./config/snapshot
+go test -run xxx -bench 'Admit|FairQueue' ./policy/admission
+go test -run xxx -bench 'NewSet|Moved|Connections' ./policy/subset
+go test -run xxx -bench 'Answer' ./entry/directory
+go test -run xxx -bench 'Attempt' ./policy/health
+go test -run xxx -bench 'Take|Keeper' ./policy/balance
+go test -run xxx -bench 'Records|RecordMemory' -benchtime 20x ./policy/dispatch
+go test -run xxx -bench 'Booking' -benchtime 20000x ./entry/proxy
