--- a/standin/target/faults.go
+++ b/standin/target/faults.go
@@ -40,6 +40,10 @@
 	CrashPath string `json:"crash_path,omitempty"`
 	// CrashedFor is how long a crashed target stays down.
 	CrashedFor document.Duration `json:"crashed_for,omitempty"`
+	// LateBy is added to each answer, whatever the deadline.
+	LateBy document.Duration `json:"late_by,omitempty"`
+	// OneWay loses all that the target sends; it still hears and runs requests.
+	OneWay bool `json:"one_way,omitempty"`
 	// FlapPeriod switches the other faults on and off, each for this long.
 	FlapPeriod document.Duration `json:"flap_period,omitempty"`
 	// Health overrides the health endpoint's answer.
--- a/standin/target/group.go
+++ b/standin/target/group.go
@@ -36,8 +36,8 @@
 	return nil
 }
 
-// Handler serves the control paths: GET and PUT /faults, POST /drain and GET
-// /runs, each with the query parameter "target".
+// Handler serves the control paths: GET and PUT /faults, POST /drain, POST
+// /silence and GET /runs, each with the query parameter "target".
 func (g *Group) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
@@ -47,6 +47,10 @@
 		t.Drain()
 		c.Status(http.StatusNoContent)
 	}))
+	engine.POST("/silence", g.with(func(c *gin.Context, t *Target) {
+		t.Silence()
+		c.Status(http.StatusNoContent)
+	}))
 	engine.GET("/runs", g.with(func(c *gin.Context, t *Target) { c.JSON(http.StatusOK, t.Runs()) }))
 	return engine
 }
--- a/standin/target/listen.go
+++ b/standin/target/listen.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -27,7 +29,7 @@
 		if err != nil {
 			return nil, err
 		}
-		counted := &countedConn{Conn: conn, target: l.target}
+		counted := &countedConn{Conn: conn, target: l.target, closed: make(chan struct{})}
 		if l.target.admit(counted) {
 			return counted, nil
 		}
@@ -38,10 +40,34 @@
 type countedConn struct {
 	net.Conn
 	target *Target
+	// silent is set when the path of the connection lost track of it.
+	silent atomic.Bool
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Read reads; on a silent connection it hears nothing until Close.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.silent.Load() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+// Write writes; on a silent connection, and while the target is heard by nobody,
+// the bytes are lost.
+func (c *countedConn) Write(p []byte) (int, error) {
+	if c.silent.Load() || c.target.activeFaults().OneWay {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
 }
 
 // Close closes the connection and takes it off the count.
 func (c *countedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
 	c.target.mu.Lock()
 	delete(c.target.conns, c)
 	c.target.mu.Unlock()
@@ -81,6 +107,17 @@
 	}
 }
 
+// Silence makes the open connections deliver nothing ever again; new ones work.
+func (t *Target) Silence() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for conn := range t.conns {
+		if counted, ok := conn.(*countedConn); ok {
+			counted.silent.Store(true)
+		}
+	}
+}
+
 // abort closes a connection with a reset where the transport allows it.
 func abort(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/standin/target/serve.go
+++ b/standin/target/serve.go
@@ -67,6 +67,7 @@
 		http.Error(w, "deadline passed or canceled", http.StatusGatewayTimeout)
 		return
 	}
+	_ = wait(context.WithoutCancel(ctx), faults.LateBy.Std())
 	if happens(faults.ResetShare) {
 		panic(http.ErrAbortHandler)
 	}
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -131,6 +131,47 @@
 	})
 }
 
+func TestOneWayTargetRunsAndIsNotHeard(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target, client := start(t, Options{Name: "t1", Slots: 1})
+		client.Timeout = time.Second
+		target.SetFaults(Faults{OneWay: true})
+		if _, _, err := get(t, client, "/", "1"); err == nil || target.Runs()["1"] != 1 {
+			t.Errorf("error %v, runs %v", err, target.Runs())
+		}
+	})
+}
+
+func TestLateAnswerComesAfterTheDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target, client := start(t, Options{Name: "t1", Slots: 1})
+		target.SetFaults(Faults{LateBy: document.Duration(time.Minute)})
+		began := time.Now()
+		if _, _, err := get(t, client, "/", "1"); err != nil || time.Since(began) < time.Minute {
+			t.Errorf("answered after %v: %v", time.Since(began), err)
+		}
+	})
+}
+
+func TestSilencedConnectionsDeliverNothingAndNewOnesWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		target, client := start(t, Options{Name: "t1", Slots: 1})
+		client.Transport.(*http.Transport).DisableKeepAlives = false
+		client.Timeout = time.Second
+		if _, _, err := get(t, client, "/", "1"); err != nil {
+			t.Fatal(err)
+		}
+		target.Silence()
+		if _, _, err := get(t, client, "/", "2"); err == nil {
+			t.Error("a silent connection answered")
+		}
+		if _, _, err := get(t, client, "/", "3"); err != nil {
+			t.Errorf("a new connection: %v", err)
+		}
+		client.CloseIdleConnections()
+	})
+}
+
 func TestCrashedTargetIsDownForAWhile(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		target, client := start(t, Options{Name: "t1", Slots: 1})
