--- a/cmd/primroseloom/load.go
+++ b/cmd/primroseloom/load.go
@@ -71,6 +71,34 @@
 	return progressbar.NewOptions(percent, progressbar.OptionSetWriter(os.Stderr), progressbar.OptionClearOnFinish())
 }
 
+// spin shows a person at a terminal that long work goes on; the function
+// returned ends it.
+func spin(quiet bool, what string) (stop func()) {
+	if quiet || !isatty.IsTerminal(os.Stderr.Fd()) {
+		return func() {}
+	}
+	const interval = 100 * time.Millisecond
+	spinner := progressbar.NewOptions(-1, progressbar.OptionSetWriter(os.Stderr),
+		progressbar.OptionSetDescription(what), progressbar.OptionClearOnFinish())
+	ticker := time.NewTicker(interval)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				_ = spinner.Add(1)
+			case <-done:
+				return
+			}
+		}
+	}()
+	return func() {
+		ticker.Stop()
+		close(done)
+		_ = spinner.Finish()
+	}
+}
+
 func writeLoad(out io.Writer, report load.Report) error {
 	_, err := fmt.Fprintf(out, "requests %d: %d answered, %d not run, %d may have run\n",
 		report.Requests, report.Answered, report.NotRun, report.MayHaveRun)
--- a/cmd/primroseloom/measure.go
+++ b/cmd/primroseloom/measure.go
@@ -30,7 +30,9 @@
 			}
 			options.Scenarios = scenarios
 			options.Quick = quick || (!all && len(files) == 0)
+			stop := spin(asJSON, "measuring")
 			report, err := measure.Run(command.Context(), options)
+			stop()
 			if err != nil {
 				return err
 			}
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -18,4 +18,8 @@
 (cd tools/lint && GOWORK=off go build -o "$bin/staticcheck" honnef.co/go/tools/cmd/staticcheck)
 "$bin/staticcheck" $packages
 
+if [ -s KNOWN-RED.txt ]; then
+  cat KNOWN-RED.txt
+fi
+
 go test -race -count=1 -timeout 20m $packages
