Kill the VM between two events in the test of uncertain requests

Cause: the kill fell on the instant at which a request began; whether that request was counted as in progress depended on scheduling (4 told against 3 counted, in one of about ten runs). Change: the kill comes 2 ms after an instant at which requests begin and end; the bound is the same. Conclusion: the request told as may have run was in the VM's hands; the count was at fault.

--- a/entry/proxy/kill_test.go
+++ b/entry/proxy/kill_test.go
@@ -15,8 +15,10 @@
 	const (
 		rate     = 200
 		duration = 10 * time.Second
-		killAt   = 5 * time.Second
-		service  = 50 * time.Millisecond
+		// killAt lies between two events, so that no request begins or ends at
+		// the instant of the kill.
+		killAt  = 5*time.Second + 2*time.Millisecond
+		service = 50 * time.Millisecond
 	)
 	inFleet(t, 3, twoTargets(), func(t *testing.T, f *fleet) {
 		scripted(t, f, func(*http.Request) string {
