--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -27,7 +27,7 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newCheck(), newVersion())
+	root.AddCommand(newServe(), newFront(), newCheck(), newVersion())
 	return root
 }
 
--- /dev/null
+++ b/config/routing/routing.go
@@ -0,0 +1,77 @@
+// Package routing holds the routes of a deployment whose services and targets
+// are published by its platform, and finds the route of a request.
+//
+// A Document is one published version. Compile turns it into an immutable
+// Table, which finds a route by host and longest path prefix. Versions only
+// grow: a holder of a table replaces it by one of a higher version.
+package routing
+
+import "time"
+
+// Kind tells how often a request of a route may run.
+type Kind string
+
+// The kinds of routes.
+const (
+	// KindIdempotent requests may run more than once.
+	KindIdempotent Kind = "idempotent"
+	// KindOnce requests run at most once for each attempt of their caller.
+	KindOnce Kind = "once"
+	// KindUpload requests carry a large body and run at most once.
+	KindUpload Kind = "upload"
+)
+
+// Repeatable reports whether a request that may have run may run again.
+func (k Kind) Repeatable() bool { return k == KindIdempotent }
+
+// Document is one published version of the routes.
+type Document struct {
+	// Version orders the documents; it grows in uneven steps.
+	Version  uint64
+	Services []Service
+	Routes   []Route
+	Limits   Limits
+}
+
+// Service is a set of targets with the same job.
+type Service struct {
+	Name string
+	// HealthPath answers 200 while a target takes itself to be well.
+	HealthPath string
+	// Connections is the number of connections that one target accepts from all callers.
+	Connections int
+}
+
+// Route tells where requests go and what they may use.
+type Route struct {
+	Name string
+	// Host is the Host header of its requests, without a port.
+	Host string
+	// Prefix begins and ends with a slash.
+	Prefix string
+	Kind   Kind
+	// Timeout is the longest time that a caller is kept waiting.
+	Timeout time.Duration
+	// Objective is the time within which an answer has its full value.
+	Objective time.Duration
+	// Priority ranks routes under overload; 0 is served first.
+	Priority int
+	// MaxAttempts is the number of targets to which one request may be sent.
+	MaxAttempts int
+	// Split holds the services that share the requests.
+	Split []Share
+}
+
+// Share is one service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int64
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
--- /dev/null
+++ b/config/routing/table.go
@@ -0,0 +1,120 @@
+package routing
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table finds routes. It is immutable and safe for concurrent use.
+type Table struct {
+	version  uint64
+	limits   Limits
+	services map[string]Service
+	hosts    map[string][]*Route
+	routes   map[string]*Route
+}
+
+// Compile checks a document and builds its table.
+func Compile(document Document) (*Table, error) {
+	t := &Table{
+		version:  document.Version,
+		limits:   document.Limits,
+		services: make(map[string]Service, len(document.Services)),
+		hosts:    make(map[string][]*Route),
+		routes:   make(map[string]*Route, len(document.Routes)),
+	}
+	for _, service := range document.Services {
+		t.services[service.Name] = service
+	}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		if err := t.check(route); err != nil {
+			return nil, fmt.Errorf("compile routes version %d: %w", document.Version, err)
+		}
+		host := strings.ToLower(route.Host)
+		t.hosts[host] = append(t.hosts[host], route)
+		t.routes[route.Name] = route
+	}
+	for _, routes := range t.hosts {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	return t, nil
+}
+
+// check refuses a route that cannot be served as it stands.
+func (t *Table) check(route *Route) error {
+	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
+		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", route.Name, route.Prefix)
+	}
+	if len(route.Split) == 0 {
+		return fmt.Errorf("route %s names no service", route.Name)
+	}
+	total := 0.0
+	for _, share := range route.Split {
+		if _, ok := t.services[share.Service]; !ok {
+			return fmt.Errorf("route %s names the unknown service %s", route.Name, share.Service)
+		}
+		if share.Weight < 0 {
+			return fmt.Errorf("route %s: weight %v of service %s is negative", route.Name, share.Weight, share.Service)
+		}
+		total += share.Weight
+	}
+	if total <= 0 {
+		return fmt.Errorf("route %s has no weight", route.Name)
+	}
+	return nil
+}
+
+// Version returns the version of the document.
+func (t *Table) Version() uint64 { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Service returns a service by name.
+func (t *Table) Service(name string) (Service, bool) {
+	service, ok := t.services[name]
+	return service, ok
+}
+
+// Services returns the number of services.
+func (t *Table) Services() int { return len(t.services) }
+
+// HasHost reports whether a host has routes.
+func (t *Table) HasHost(host string) bool { return len(t.hosts[normalHost(host)]) > 0 }
+
+// Match returns the route with the longest prefix that begins the path.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	for _, route := range t.hosts[normalHost(host)] {
+		if strings.HasPrefix(path, route.Prefix) {
+			return route, true
+		}
+	}
+	return nil, false
+}
+
+// normalHost takes the port off a Host header and lowers its case.
+func normalHost(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	return strings.ToLower(host)
+}
+
+// Pick returns the service for one request; point lies in [0, 1).
+func (r *Route) Pick(point float64) string {
+	total := 0.0
+	for _, share := range r.Split {
+		total += share.Weight
+	}
+	rest := point * total
+	for _, share := range r.Split {
+		if rest < share.Weight {
+			return share.Service
+		}
+		rest -= share.Weight
+	}
+	return r.Split[len(r.Split)-1].Service
+}
--- /dev/null
+++ b/config/routing/table_test.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"math"
+	"testing"
+)
+
+func document(routes ...Route) Document {
+	return Document{
+		Version:  7,
+		Services: []Service{{Name: "berth"}, {Name: "manifest"}},
+		Routes:   routes,
+	}
+}
+
+func route(name, host, prefix string, split ...Share) Route {
+	if len(split) == 0 {
+		split = []Share{{Service: "berth", Weight: 1}}
+	}
+	return Route{Name: name, Host: host, Prefix: prefix, Split: split}
+}
+
+func TestMatchTakesTheLongestPrefixOfTheHost(t *testing.T) {
+	table, err := Compile(document(
+		route("root", "a.example", "/"),
+		route("short", "a.example", "/x/"),
+		route("long", "a.example", "/x/y/"),
+		route("other", "b.example", "/x/y/z/"),
+	))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z/1", "long"},
+		{"A.Example:8144", "/x/yy", "short"},
+		{"a.example", "/x", "root"},
+		{"b.example", "/x/y/z/1", "other"},
+		{"b.example", "/x/y/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got := ""
+		if found, ok := table.Match(c.host, c.path); ok {
+			got = found.Name
+		}
+		if got != c.want {
+			t.Errorf("%s%s: route %q, want %q", c.host, c.path, got, c.want)
+		}
+	}
+}
+
+func TestCompileRefusesRoutesThatCannotBeServed(t *testing.T) {
+	for name, bad := range map[string]Route{
+		"prefix without slash": route("r", "a.example", "x/"),
+		"open prefix":          route("r", "a.example", "/x"),
+		"unknown service":      route("r", "a.example", "/x/", Share{Service: "nowhere", Weight: 1}),
+		"negative weight":      route("r", "a.example", "/x/", Share{Service: "berth", Weight: -1}),
+		"no weight":            route("r", "a.example", "/x/", Share{Service: "berth"}),
+		"no service":           {Name: "r", Host: "a.example", Prefix: "/x/"},
+	} {
+		if _, err := Compile(document(bad)); err == nil {
+			t.Errorf("%s: compiled", name)
+		}
+	}
+}
+
+func TestPickFollowsTheWeights(t *testing.T) {
+	r := route("r", "a.example", "/", Share{Service: "berth", Weight: 90}, Share{Service: "manifest", Weight: 10})
+	const steps = 1000
+	counts := make(map[string]int)
+	for i := range steps {
+		counts[r.Pick(float64(i)/steps)]++
+	}
+	if math.Abs(float64(counts["manifest"])/steps-0.1) > 0.002 {
+		t.Errorf("picked %v of %d", counts, steps)
+	}
+	if got := r.Pick(math.Nextafter(1, 0)); got != "manifest" {
+		t.Errorf("last point picked %s", got)
+	}
+}
--- /dev/null
+++ b/entry/events/evidence.go
@@ -0,0 +1,9 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of the exchange of evidence.
+var (
+	EvidenceUnreadable = define(3101, log.WarnLevel, "evidence unreadable",
+		"The UDP socket for evidence of other VMs failed; reading goes on after a pause.")
+)
--- /dev/null
+++ b/entry/events/frontend.go
@@ -0,0 +1,21 @@
+package events
+
+import "github.com/charmbracelet/log"
+
+// Events of an instance whose routes and targets a store publishes.
+var (
+	FrontendStarted = define(1101, log.InfoLevel, "front-end instance started",
+		"The instance listens on the addresses given.")
+	FrontendReady = define(1102, log.InfoLevel, "front-end instance ready",
+		"The routes and targets were read; the instance takes callers.")
+	FrontendStopping = define(1103, log.InfoLevel, "front-end instance stopping",
+		"A planned stop began: the instance leaves the directory and finishes the requests in progress.")
+	FrontendStopped = define(1104, log.InfoLevel, "front-end instance stopped",
+		"The listeners are closed; requests_cut tells whether requests were still in progress.")
+	SettingsReloaded = define(1105, log.InfoLevel, "settings reloaded",
+		"The settings file was read again; what may change while running is in force.")
+	SettingsRefused = define(1106, log.ErrorLevel, "settings refused",
+		"The settings file cannot be used as it stands; the settings before stay in force.")
+	FingerprintRefused = define(5104, log.WarnLevel, "request crashes targets",
+		"A request took down several targets, one after the other; it is refused from now on.")
+)
--- /dev/null
+++ b/entry/follow/follower.go
@@ -0,0 +1,309 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// Bounds on following.
+const (
+	// watchWait is how long a watch waits when nothing changes.
+	watchWait = 20 * time.Second
+	// gatherTime is the pause between two watches, in which changes that come
+	// in quick succession gather into one answer.
+	gatherTime = 150 * time.Millisecond
+	// retryLeast and retryMost bound the back-off after a failed call.
+	retryLeast = 100 * time.Millisecond
+	retryMost  = time.Second
+	// expireInterval is how often delayed removals are looked at.
+	expireInterval = 200 * time.Millisecond
+)
+
+// Listener is told of changes, one at a time.
+type Listener interface {
+	// RoutesChanged hands over a newer version of the routes.
+	RoutesChanged(table *routing.Table)
+	// TargetsChanged hands over all targets.
+	TargetsChanged(targets []roster.Target)
+}
+
+// Options are what a Follower is built from.
+type Options struct {
+	Store Source
+	// Peers is asked while the store fails; nil for none.
+	Peers   Source
+	Decoder Decoder
+	// Uptime is the instance's clock.
+	Uptime   func() time.Duration
+	Listener Listener
+	Logger   *log.Logger
+	Scope    tally.Scope
+}
+
+// Follower keeps the routes and targets up to date. It also answers other
+// instances, as a Source of its own.
+type Follower struct {
+	options Options
+	table   atomic.Pointer[routing.Table]
+	history *history
+
+	mu sync.Mutex
+	// targets and revision are what was applied.
+	targets  *roster.Roster
+	revision uint64
+	listed   bool
+	// storeAt is when the store was last heard from, directly or by a peer.
+	storeAt   time.Duration
+	storeLost bool
+}
+
+// New returns a follower that knows nothing yet.
+func New(options Options) *Follower {
+	options.Scope = options.Scope.SubScope("follow")
+	return &Follower{options: options, targets: roster.New(), history: newHistory()}
+}
+
+// Table returns the routes in force, or nil before the first version.
+func (f *Follower) Table() *routing.Table { return f.table.Load() }
+
+// Ready reports whether the routes and targets were read.
+func (f *Follower) Ready() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && f.table.Load() != nil
+}
+
+// StoreLost reports whether the last call of the store failed.
+func (f *Follower) StoreLost() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.storeLost
+}
+
+// Run follows until the context ends.
+func (f *Follower) Run(ctx context.Context) error {
+	go f.expire(ctx)
+	backoff := retryLeast
+	for ctx.Err() == nil {
+		err := f.step(ctx, f.options.Store)
+		if err == nil {
+			f.reached()
+			backoff = retryLeast
+			sleep(ctx, gatherTime)
+			continue
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		f.lost(err)
+		f.askPeers(ctx)
+		sleep(ctx, jittered(backoff))
+		backoff = min(2*backoff, retryMost)
+	}
+	return ctx.Err()
+}
+
+// step lists once, then watches.
+func (f *Follower) step(ctx context.Context, source Source) error {
+	f.mu.Lock()
+	after, listed := f.revision, f.listed
+	f.mu.Unlock()
+	if !listed {
+		return f.list(ctx, source)
+	}
+	f.options.Scope.Counter("watches").Inc(1)
+	changes, err := source.Watch(ctx, after, f.watchWait())
+	if errors.Is(err, ErrHistoryGone) {
+		events.HistoryGone.Log(f.options.Logger, "after_revision", after)
+		return f.list(ctx, source)
+	}
+	if err != nil {
+		return fmt.Errorf("watch after revision %d: %w", after, err)
+	}
+	f.apply(changes)
+	return nil
+}
+
+// watchWait is short after an outage, so that a store that is away again is
+// noticed.
+func (f *Follower) watchWait() time.Duration {
+	if f.StoreLost() {
+		return time.Second
+	}
+	return watchWait
+}
+
+func (f *Follower) list(ctx context.Context, source Source) error {
+	f.options.Scope.Counter("listings").Inc(1)
+	listing, err := source.List(ctx)
+	if err != nil {
+		return fmt.Errorf("list: %w", err)
+	}
+	f.reached()
+	f.apply(listing)
+	return nil
+}
+
+// askPeers takes over what other instances know while the store fails.
+func (f *Follower) askPeers(ctx context.Context) {
+	if f.options.Peers == nil {
+		return
+	}
+	f.mu.Lock()
+	after, listed := f.revision, f.listed
+	f.mu.Unlock()
+	var listing Listing
+	var err error
+	if listed {
+		listing, err = f.options.Peers.Watch(ctx, after, 0)
+	}
+	if !listed || errors.Is(err, ErrHistoryGone) {
+		listing, err = f.options.Peers.List(ctx)
+	}
+	if err != nil {
+		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
+		return
+	}
+	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
+	f.apply(listing)
+}
+
+// reached notes an answer of the store.
+func (f *Follower) reached() {
+	now := f.options.Uptime()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets.StoreReached(now)
+	f.storeAt = now
+	if f.storeLost {
+		f.storeLost = false
+		events.StoreRegained.Log(f.options.Logger, "revision", f.revision)
+	}
+}
+
+// lost notes a failed call of the store.
+func (f *Follower) lost(cause error) {
+	f.options.Scope.Counter("store_calls_failed").Inc(1)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.targets.StoreLost()
+	if !f.storeLost {
+		f.storeLost = true
+		events.StoreLost.Log(f.options.Logger, "revision", f.revision, "cause", cause)
+	}
+}
+
+// apply takes over a listing or changes and tells the listener.
+func (f *Follower) apply(listing Listing) {
+	now := f.options.Uptime()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if listing.Revision < f.revision {
+		return
+	}
+	f.revision = listing.Revision
+	f.history.add(listing)
+	changed := false
+	present := make(map[string]bool, len(listing.Items))
+	for _, item := range listing.Items {
+		entry, err := f.options.Decoder.Decode(item, now)
+		if err != nil {
+			events.EntryUnusable.Log(f.options.Logger, "key", item.Key, "revision", item.Revision, "cause", err)
+		}
+		changed = f.applyEntry(entry, err, now) || changed
+		if entry.Target != nil {
+			present[entry.TargetID] = true
+		}
+	}
+	if listing.Whole {
+		changed = f.targets.Retain(present, now) || changed
+	}
+	first := listing.Whole && !f.listed
+	f.listed = f.listed || listing.Whole
+	if changed || first {
+		f.tellTargets()
+	}
+}
+
+// applyEntry takes over one decoded item and reports whether the targets changed.
+func (f *Follower) applyEntry(entry Entry, decodeErr error, now time.Duration) bool {
+	switch {
+	case entry.Routes != nil:
+		f.applyRoutes(entry.Routes)
+		return false
+	case entry.TargetID == "":
+		return false
+	case entry.Target != nil:
+		return f.targets.Put(*entry.Target)
+	case decodeErr != nil:
+		return f.targets.Drop(entry.TargetID)
+	}
+	return f.targets.Remove(entry.TargetID, now)
+}
+
+// applyRoutes puts a newer version in force; an older one never is.
+func (f *Follower) applyRoutes(document *routing.Document) {
+	if current := f.table.Load(); current != nil && document.Version <= current.Version() {
+		return
+	}
+	table, err := routing.Compile(*document)
+	if err != nil {
+		events.RoutesRefused.Log(f.options.Logger, "version", document.Version, "cause", err)
+		return
+	}
+	f.table.Store(table)
+	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes))
+	f.options.Scope.Gauge("routes_version").Update(float64(table.Version()))
+	f.options.Listener.RoutesChanged(table)
+}
+
+func (f *Follower) tellTargets() {
+	targets := f.targets.Targets()
+	f.options.Scope.Gauge("targets").Update(float64(len(targets)))
+	f.options.Listener.TargetsChanged(targets)
+}
+
+// expire carries out delayed removals.
+func (f *Follower) expire(ctx context.Context) {
+	ticker := time.NewTicker(expireInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		f.mu.Lock()
+		if expired := f.targets.Expire(f.options.Uptime()); len(expired) > 0 {
+			events.TargetsLapsed.Log(f.options.Logger, "targets", expired)
+			f.tellTargets()
+		}
+		f.mu.Unlock()
+	}
+}
+
+func sleep(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// jittered returns between half and all of a wait.
+func jittered(wait time.Duration) time.Duration {
+	return wait/2 + time.Duration(rand.Int64N(int64(wait/2)+1))
+}
--- /dev/null
+++ b/entry/follow/peers.go
@@ -0,0 +1,158 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
+)
+
+const (
+	// peerTimeout bounds a call of another instance, besides its wait.
+	peerTimeout = time.Second
+	// maxPeerWait bounds the wait of another instance's call.
+	maxPeerWait = 30 * time.Second
+	// peerTries is the number of instances asked before a call fails.
+	peerTries = 3
+)
+
+// errNoPeer means that no other instance answered.
+var errNoPeer = errors.New("no other instance answered")
+
+// Peers is a Source that asks other instances.
+type Peers struct {
+	// Fleet keeps fleets on one network apart.
+	Fleet string
+	// Members shows whom to ask.
+	Members interface {
+		contract.Members
+		Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool)
+	}
+}
+
+// List returns everything that another instance knows.
+func (p *Peers) List(ctx context.Context) (Listing, error) { return p.ask(ctx, 0, 0) }
+
+// Watch returns what another instance knows to have changed.
+func (p *Peers) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	return p.ask(ctx, after, wait)
+}
+
+// ask takes the answer of the first of a few random instances that answers.
+func (p *Peers) ask(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	members := p.Members.Members()
+	failures := []error{errNoPeer}
+	tries := 0
+	for _, i := range rand.Perm(len(members)) {
+		if members[i].Vm == p.Members.Self().Vm {
+			continue
+		}
+		if tries++; tries > peerTries {
+			break
+		}
+		listing, err := p.askOne(ctx, members[i].Vm, after, wait)
+		if err == nil {
+			return listing, nil
+		}
+		failures = append(failures, fmt.Errorf("ask instance %s: %w", members[i].Vm, err))
+	}
+	return Listing{}, errors.Join(failures...)
+}
+
+func (p *Peers) askOne(ctx context.Context, vm string, after uint64, wait time.Duration) (Listing, error) {
+	client, ok := p.Members.Feed(vm)
+	if !ok {
+		return Listing{}, errNoPeer
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	response, err := client.Follow(ctx, connect.NewRequest(&primroseloomv1.FollowRequest{
+		Fleet: p.Fleet, After: after, WaitMs: uint32(wait.Milliseconds()),
+	}))
+	if err != nil {
+		return Listing{}, err
+	}
+	message := response.Msg
+	listing := Listing{
+		Revision: message.GetRevision(),
+		Whole:    message.GetWhole(),
+		StoreAge: time.Duration(message.GetStoreAgeMs()) * time.Millisecond,
+	}
+	for _, item := range message.GetItems() {
+		listing.Items = append(listing.Items, Item{
+			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
+		})
+	}
+	return listing, nil
+}
+
+// Handler serves this instance's copy to other instances.
+func (f *Follower) Handler(fleet string) (path string, handler http.Handler) {
+	return primroseloomv1connect.NewFeedServiceHandler(&feed{follower: f, fleet: fleet})
+}
+
+// feed implements the feed service over a follower's history.
+type feed struct {
+	follower *Follower
+	fleet    string
+}
+
+// Follow waits for items newer than a revision. An instance whose revision is
+// no longer covered gets everything.
+func (s *feed) Follow(ctx context.Context, request *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
+	if request.Msg.GetFleet() != s.fleet {
+		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("this is fleet %s", s.fleet))
+	}
+	wait := min(time.Duration(request.Msg.GetWaitMs())*time.Millisecond, maxPeerWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	after := request.Msg.GetAfter()
+	for {
+		listing, grown, ok := s.follower.history.after(after)
+		if !ok && after > 0 {
+			listing, grown, ok = s.follower.history.after(0)
+		}
+		if !ok {
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("nothing was read yet"))
+		}
+		if len(listing.Items) > 0 || listing.Whole {
+			return connect.NewResponse(s.render(listing)), nil
+		}
+		select {
+		case <-grown:
+		case <-timer.C:
+			return connect.NewResponse(s.render(listing)), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *feed) render(listing Listing) *primroseloomv1.FollowResponse {
+	message := &primroseloomv1.FollowResponse{
+		Revision:   listing.Revision,
+		Whole:      listing.Whole,
+		StoreAgeMs: uint32(s.follower.storeAge().Milliseconds()),
+	}
+	for _, item := range listing.Items {
+		message.Items = append(message.Items, &primroseloomv1.FeedItem{
+			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed,
+		})
+	}
+	return message
+}
+
+// storeAge returns the time since the store was last heard from.
+func (f *Follower) storeAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.options.Uptime() - f.storeAt
+}
--- /dev/null
+++ b/entry/frontend/assemble.go
@@ -0,0 +1,143 @@
+package frontend
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+
+	"github.com/charmbracelet/log"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/entry/follow"
+	"github.com/primroseloom/primroseloom/entry/gateway"
+	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/peer"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/entry/uptime"
+	"github.com/primroseloom/primroseloom/policy/offer"
+)
+
+// identity is what tells this process from all others.
+type identity struct{ instance, seed uint64 }
+
+// New builds an instance; nothing runs before Run.
+func New(options Options) (*Frontend, error) {
+	f := &Frontend{options: options, clock: options.Clock}
+	if f.clock == nil {
+		f.clock = uptime.NewBootClock()
+	}
+	f.settings.Store(&options.Settings)
+	app := fx.New(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(f, options.Settings, options.Logger, newIdentity()),
+		fx.Provide(metrics.New, newPeers, newFollower, newTargets, newView, newExchange, newKnownCrashes, newGateway),
+		fx.Populate(&f.metrics, &f.peers, &f.follower, &f.targets, &f.fleet, &f.evidence, &f.gateway),
+	)
+	if err := app.Err(); err != nil {
+		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
+	}
+	f.fleet.heard = f.evidence
+	f.targets.UseTeller(f.evidence)
+	f.peers.Mount(f.follower.Handler(options.Settings.Fleet))
+	return f, nil
+}
+
+func newIdentity() identity {
+	var random [16]byte
+	_, _ = rand.Read(random[:]) // never fails, by the library's word
+	return identity{instance: binary.BigEndian.Uint64(random[:8]), seed: binary.BigEndian.Uint64(random[8:])}
+}
+
+func newPeers(f *Frontend, set settings.Frontend, id identity, m *metrics.Metrics, logger *log.Logger) (*peer.Manager, error) {
+	return peer.New(peer.Settings{
+		Fleet:          set.Fleet,
+		VM:             set.VM,
+		Region:         set.Region,
+		Zone:           set.Zone,
+		Instance:       id.instance,
+		Seed:           id.seed,
+		CallersAddress: set.Listen.Callers,
+		PeersAddress:   set.Listen.Peers,
+		FirstPeers:     set.FirstPeers,
+		Clock:          f.clock.Uptime,
+		TLS:            peer.TLSFiles{Off: true},
+	}, f.options.Network, logger, m.Scope())
+}
+
+func newFollower(f *Frontend, set settings.Frontend, peers *peer.Manager, m *metrics.Metrics, logger *log.Logger) *follow.Follower {
+	return follow.New(follow.Options{
+		Store:    f.options.Adapter.Store,
+		Peers:    &follow.Peers{Fleet: set.Fleet, Members: peers},
+		Decoder:  f.options.Adapter.Decoder,
+		Uptime:   f.clock.Uptime,
+		Listener: f,
+		Logger:   logger,
+		Scope:    m.Scope(),
+	})
+}
+
+func newTargets(f *Frontend, set settings.Frontend, id identity, view *fleet, m *metrics.Metrics, logger *log.Logger) *targetset.Manager {
+	return targetset.New(targetset.Options{
+		Zone:    set.Zone,
+		Network: f.options.Network,
+		Budget:  targetset.Budget{Ratio: set.Repeats.Ratio, Allowance: set.Repeats.Allowance},
+		Sharers: view.sharers,
+		Uptime:  f.clock.Uptime,
+		Logger:  logger,
+		Scope:   m.Scope(),
+		Seed:    id.seed,
+	})
+}
+
+func newView(f *Frontend, set settings.Frontend, peers *peer.Manager) (*fleet, error) {
+	address, err := netip.ParseAddrPort(set.Listen.Evidence)
+	if err != nil {
+		return nil, fmt.Errorf("evidence address %q: %w", set.Listen.Evidence, err)
+	}
+	return newFleet(peers, f.ready, offer.Settings{PerZone: set.Directory.PerZone, Least: leastOffered}, address.Port(), f.clock.Uptime), nil
+}
+
+func newExchange(f *Frontend, set settings.Frontend, id identity, view *fleet, targets *targetset.Manager, known *crashes, m *metrics.Metrics, logger *log.Logger) *evidence.Exchange {
+	exchange := evidence.New(evidence.Options{
+		Fleet:    set.Fleet,
+		VM:       set.VM,
+		Instance: id.instance,
+		Conn:     f.options.Packets,
+		Serving:  view.serving,
+		Ready:    f.ready,
+		Peers:    view.others,
+		Uses:     targets.Uses,
+		Receiver: receiver{Manager: targets, crashes: known},
+		Uptime:   f.clock.Uptime,
+		Logger:   logger,
+		Scope:    m.Scope(),
+	})
+	known.tell = exchange.ReportCrash
+	return exchange
+}
+
+// receiver hands other VMs' evidence to the targets and their crashes to those known.
+type receiver struct {
+	*targetset.Manager
+	*crashes
+}
+
+func newKnownCrashes(f *Frontend, logger *log.Logger) *crashes {
+	return newCrashes(logger, f.clock.Uptime)
+}
+
+func newGateway(f *Frontend, follower *follow.Follower, targets *targetset.Manager, known *crashes, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
+	return gateway.New(gateway.Options{
+		Dialect:  f.options.Adapter.Dialect,
+		Table:    follower.Table,
+		Targets:  targets,
+		Crashes:  known,
+		Stopping: f.stopping.Load,
+		Logger:   logger,
+		Scope:    m.Scope(),
+	})
+}
--- /dev/null
+++ b/entry/frontend/frontend.go
@@ -0,0 +1,190 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/charmbracelet/log"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/entry/follow"
+	"github.com/primroseloom/primroseloom/entry/gateway"
+	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/peer"
+	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/supervisor"
+	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/entry/uptime"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// Bounds towards callers that the routes' own limits do not replace.
+const (
+	callerConnections = 3000
+	callerHeaderBytes = 64 << 10
+	callerHeaderTime  = 5 * time.Second
+	callerIdleTime    = 75 * time.Second
+	// stopMargin is what a planned stop keeps of its grace for the end.
+	stopMargin = 400 * time.Millisecond
+)
+
+// Adapter is what an instance needs of its platform.
+type Adapter struct {
+	Store   follow.Source
+	Decoder follow.Decoder
+	Dialect dialect.Dialect
+	Pages   dialect.Directory
+}
+
+// Options are what an instance is built from.
+type Options struct {
+	Settings settings.Frontend
+	Adapter  Adapter
+	Network  contract.Network
+	// Packets is the bound UDP socket for evidence.
+	Packets net.PacketConn
+	Logger  *log.Logger
+	// Clock counts suspension; nil means the operating system's boot clock.
+	Clock uptime.Clock
+}
+
+// Frontend is one instance.
+type Frontend struct {
+	options  Options
+	settings atomic.Pointer[settings.Frontend]
+	stopping atomic.Bool
+	wasReady atomic.Bool
+
+	clock    uptime.Clock
+	metrics  *metrics.Metrics
+	peers    *peer.Manager
+	follower *follow.Follower
+	targets  *targetset.Manager
+	evidence *evidence.Exchange
+	fleet    *fleet
+	gateway  *gateway.Gateway
+}
+
+// Run serves until the context ends, then stops as planned.
+func (f *Frontend) Run(ctx context.Context) error {
+	set := f.settings.Load()
+	listeners, err := f.listen(ctx)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = f.metrics.Close() }()
+	stopTree := f.startTree(ctx)
+	defer stopTree()
+	callers := proxy.NewServer(f.gateway, proxy.ServerLimits{
+		HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, Logger: f.options.Logger,
+	})
+	go f.serve(callers, proxy.LimitListener(listeners.callers, callerConnections))
+	pages := []*http.Server{
+		f.page(listeners.readiness, readinessEngine(f.options.Adapter.Pages, f.ready)),
+		f.page(listeners.directory, directoryEngine(f.options.Adapter.Pages, f.fleet.offered, f.keepFor)),
+		f.page(listeners.admin, f.metrics.Handler()),
+	}
+	go func() { _ = f.peers.Serve(listeners.peers) }()
+	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
+
+	<-ctx.Done()
+	return f.stop(context.WithoutCancel(ctx), callers, pages)
+}
+
+// page serves one of the small interfaces.
+func (f *Frontend) page(listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime}
+	go f.serve(server, listener)
+	return server
+}
+
+func (f *Frontend) serve(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		f.options.Logger.Error("listener ended", "address", listener.Addr(), "cause", err)
+	}
+}
+
+// ready reports whether this VM takes callers.
+func (f *Frontend) ready() bool {
+	ready := !f.stopping.Load() && f.follower.Ready()
+	if ready && f.wasReady.CompareAndSwap(false, true) {
+		events.FrontendReady.Log(f.options.Logger, "routes_version", f.follower.Table().Version())
+	}
+	return ready
+}
+
+func (f *Frontend) keepFor() time.Duration { return f.settings.Load().Directory.KeepFor.Std() }
+
+// startTree runs the children that have work of their own; the function
+// returned stops them and waits until they have returned.
+func (f *Frontend) startTree(ctx context.Context) (stop func()) {
+	tree := supervisor.New("primroseloomd", f.options.Logger)
+	tree.Add("follow", f.follower)
+	tree.Add("peer", f.peers)
+	tree.Add("targetset", f.targets)
+	tree.Add("evidence", f.evidence)
+	tree.Add("fleet", f.fleet)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = tree.Run(ctx)
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
+// stop is the planned stop: it leaves the directory, serves callers that hold
+// an older answer for a while, and finishes what is in progress.
+func (f *Frontend) stop(ctx context.Context, callers *http.Server, pages []*http.Server) error {
+	set := f.settings.Load()
+	events.FrontendStopping.Log(f.options.Logger, "vm", set.VM, "grace", set.Stop.Grace.Std())
+	f.stopping.Store(true)
+	f.peers.Leave()
+	f.fleet.look()
+	ctx, cancel := context.WithTimeout(ctx, set.Stop.Grace.Std()-stopMargin)
+	defer cancel()
+	wait(ctx, set.Stop.Linger.Std())
+	err := callers.Shutdown(ctx)
+	events.FrontendStopped.Log(f.options.Logger, "vm", set.VM, "requests_cut", err != nil)
+	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
+	defer done()
+	f.peers.Depart(leaving)
+	for _, server := range pages {
+		_ = server.Close()
+	}
+	if err != nil {
+		return fmt.Errorf("finish requests in progress: %w", err)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// RoutesChanged tells the children of new routes.
+func (f *Frontend) RoutesChanged(table *routing.Table) {
+	f.targets.RoutesChanged(table)
+	f.peers.SetConfiguration(table.Version(), "", 0)
+}
+
+// TargetsChanged tells the children of new targets.
+func (f *Frontend) TargetsChanged(targets []roster.Target) { f.targets.TargetsChanged(targets) }
--- /dev/null
+++ b/entry/gateway/counters.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/retry"
+)
+
+// latencyBuckets are the bounds of the latency histograms.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 14)
+
+// counters counts what became of requests and attempts.
+type counters struct{ scope tally.Scope }
+
+func newCounters(scope tally.Scope) *counters { return &counters{scope: scope} }
+
+func (c *counters) tagged(name, value string) tally.Scope {
+	return c.scope.Tagged(map[string]string{name: value})
+}
+
+// answered counts an answer of a target that was passed on.
+func (c *counters) answered(kind routing.Kind, status int, began time.Time) {
+	scope := c.scope.Tagged(map[string]string{"kind": string(kind), "class": strconv.Itoa(status/100) + "xx"})
+	scope.Counter("requests_answered").Inc(1)
+	scope.Histogram("request_seconds", latencyBuckets).RecordDuration(time.Since(began))
+}
+
+// refused counts a request that the gateway answered itself.
+func (c *counters) refused(reason outcome.Reason) {
+	c.tagged("reason", string(reason)).Counter("requests_refused").Inc(1)
+}
+
+// failed counts an attempt that did not serve its request.
+func (c *counters) failed(reason outcome.Reason) {
+	c.tagged("reason", string(reason)).Counter("attempts_failed").Inc(1)
+}
+
+// retried counts an attempt that is followed by another.
+func (c *counters) retried(reason outcome.Reason) {
+	c.tagged("reason", string(reason)).Counter("retries").Inc(1)
+}
+
+// notRetried counts a failed attempt that is not followed by another.
+func (c *counters) notRetried(reason retry.Reason) {
+	c.tagged("reason", string(reason)).Counter("retries_not_made").Inc(1)
+}
--- /dev/null
+++ b/entry/gateway/headers.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net"
+	"net/http"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// removeConnectionHeaders takes out the headers of one connection, those that
+// the Connection header names included.
+func removeConnectionHeaders(header http.Header) {
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+}
+
+// fingerprint identifies a request that comes again: the same caller asks for
+// the same with the same body.
+func fingerprint(r *http.Request, body []byte) uint64 {
+	caller, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		caller = r.RemoteAddr
+	}
+	digest := xxhash.New()
+	for _, part := range []string{caller, r.Method, r.Host, r.URL.RequestURI()} {
+		_, _ = digest.WriteString(part)
+		_, _ = digest.WriteString("\x00")
+	}
+	_, _ = digest.Write(body)
+	return digest.Sum64()
+}
--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -68,6 +68,9 @@
 	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(&handler{m: m},
 		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes),
 		connect.WithCompressMinBytes(minCompressedBytes)))
+	for _, further := range m.mounted {
+		mux.Handle(further.path, further.handler)
+	}
 	server := &http.Server{
 		Handler:           mux,
 		Protocols:         new(http.Protocols),
--- a/entry/peer/manager.go
+++ b/entry/peer/manager.go
@@ -49,6 +49,13 @@
 	forwarder    Forwarder
 	leaser       Leaser
 	quiet        map[string]time.Time
+	mounted      []mount
+}
+
+// mount is a further path of the peer listener.
+type mount struct {
+	path    string
+	handler http.Handler
 }
 
 // view is what the other children see of the membership.
@@ -180,6 +187,20 @@
 	return m.pool.client(member.PeersAddress), true
 }
 
+// Feed returns a client of a member's published items.
+func (m *Manager) Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool) {
+	member, ok := m.current().byVM[vm]
+	if !ok {
+		return nil, false
+	}
+	return m.pool.link(member.PeersAddress).feed, true
+}
+
+// Mount serves a further path on the peer listener, before Serve.
+func (m *Manager) Mount(path string, handler http.Handler) {
+	m.mounted = append(m.mounted, mount{path: path, handler: handler})
+}
+
 // current returns the published view, built anew when it is old.
 func (m *Manager) current() *view {
 	v := m.view.Load()
--- a/entry/peer/pool.go
+++ b/entry/peer/pool.go
@@ -28,6 +28,7 @@
 type link struct {
 	transport *http.Transport
 	client    primroseloomv1connect.PeerServiceClient
+	feed      primroseloomv1connect.FeedServiceClient
 	used      time.Time
 }
 
@@ -51,13 +52,23 @@
 		transport.TLSClientConfig = p.keys.clientConfig()
 		transport.TLSHandshakeTimeout = dialTimeout
 	}
-	client := primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, scheme+address,
-		connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
-	return &link{transport: transport, client: client, used: time.Now()}
+	caller := &http.Client{Transport: transport}
+	bounds := connect.WithClientOptions(connect.WithReadMaxBytes(maxMessageBytes), connect.WithSendMaxBytes(maxMessageBytes))
+	return &link{
+		transport: transport,
+		client:    primroseloomv1connect.NewPeerServiceClient(caller, scheme+address, bounds),
+		feed:      primroseloomv1connect.NewFeedServiceClient(caller, scheme+address, bounds),
+		used:      time.Now(),
+	}
 }
 
 // client returns the client of an address, over the connection in use.
 func (p *pool) client(address string) primroseloomv1connect.PeerServiceClient {
+	return p.link(address).client
+}
+
+// link returns the connection in use to an address.
+func (p *pool) link(address string) *link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	l, ok := p.links[address]
@@ -66,7 +77,7 @@
 		p.links[address] = l
 	}
 	l.used = time.Now()
-	return l.client
+	return l
 }
 
 // trialAge is the age up to which calls share a new connection. It bounds the
--- /dev/null
+++ b/entry/settings/frontend.go
@@ -0,0 +1,100 @@
+package settings
+
+import (
+	"github.com/primroseloom/primroseloom/config/document"
+)
+
+// Frontend are the settings of an instance whose routes and targets a store
+// publishes.
+type Frontend struct {
+	// Fleet keeps fleets on one network apart; lower-case letters, digits and dashes.
+	Fleet string `json:"fleet" validate:"required,name"`
+	// VM is the name of this VM, unique in the fleet; lower-case letters, digits and dashes.
+	VM string `json:"vm" validate:"required,name"`
+	// Zone is this VM's availability zone.
+	Zone string `json:"zone" validate:"required,name"`
+	// Region is this VM's region.
+	Region string `json:"region" validate:"required,name"`
+	// Listen holds the addresses that the instance listens on.
+	Listen FrontendListen `json:"listen"`
+	// Store is the address of the store that publishes routes and targets, "IP:port".
+	Store string `json:"store" validate:"required,address"`
+	// FirstPeers holds the peer addresses of some other instances, "IP:port".
+	FirstPeers []string `json:"first_peers" validate:"max=64,unique,dive,address"`
+	// Repeats bounds the repeats that all instances together may make.
+	Repeats Repeats `json:"repeats"`
+	// Directory is what callers are told of the VMs to use.
+	Directory FrontendDirectory `json:"directory"`
+	// Stop bounds a planned stop.
+	Stop Stop `json:"stop"`
+	// LogLevel is "debug", "info", "warn" or "error".
+	LogLevel string `json:"log_level" validate:"oneof=debug info warn error"`
+}
+
+// FrontendListen holds one address for each audience, each "IP:port".
+type FrontendListen struct {
+	// Callers is where requests arrive.
+	Callers string `json:"callers" validate:"required,address"`
+	// Readiness is where the platform asks whether the instance takes callers.
+	Readiness string `json:"readiness" validate:"required,address"`
+	// Directory is where callers ask which VMs to use.
+	Directory string `json:"directory" validate:"required,address"`
+	// Peers is where other instances connect.
+	Peers string `json:"peers" validate:"required,address"`
+	// Evidence is where other instances send UDP datagrams; the port is the same on all VMs.
+	Evidence string `json:"evidence" validate:"required,address"`
+	// Admin is where the metrics are served.
+	Admin string `json:"admin" validate:"required,address"`
+}
+
+// Repeats bounds the attempts after the first of all requests for a service.
+type Repeats struct {
+	// Ratio is the number of repeats for each request.
+	Ratio float64 `json:"ratio" validate:"min=0,max=10"`
+	// Allowance is the number of repeats in 10 s whatever the requests.
+	Allowance float64 `json:"allowance" validate:"min=0,max=100000"`
+}
+
+// FrontendDirectory is what callers are told of the VMs to use.
+type FrontendDirectory struct {
+	// KeepFor is how long callers may keep an answer; 500ms to 5m.
+	KeepFor document.Duration `json:"keep_for" validate:"min=500000000,max=300000000000"`
+	// PerZone is the number of VMs that the callers of an availability zone are shown.
+	PerZone int `json:"per_zone" validate:"min=1,max=64"`
+}
+
+// DefaultFrontend returns the settings that apply where a file says nothing.
+func DefaultFrontend() Frontend {
+	return Frontend{
+		Fleet:     "primroseloom",
+		Repeats:   Repeats{Ratio: 0.2, Allowance: 10},
+		Directory: FrontendDirectory{KeepFor: document.Duration(1_000_000_000), PerZone: 3},
+		Stop: Stop{
+			Grace:  document.Duration(6_000_000_000),
+			Linger: document.Duration(3_200_000_000),
+		},
+		LogLevel: "info",
+	}
+}
+
+// ParseFrontend reads settings over the defaults and checks them. The error is
+// a Faults when the file is JSON but its content is not allowed.
+func ParseFrontend(data []byte) (Frontend, error) {
+	parsed := DefaultFrontend()
+	faults, err := decode(data, &parsed)
+	if err != nil {
+		return Frontend{}, err
+	}
+	faults = append(faults, validate(parsed)...)
+	faults = append(faults, clashes([]listener{
+		{"listen.callers", parsed.Listen.Callers},
+		{"listen.readiness", parsed.Listen.Readiness},
+		{"listen.directory", parsed.Listen.Directory},
+		{"listen.peers", parsed.Listen.Peers},
+		{"listen.admin", parsed.Listen.Admin},
+	})...)
+	if len(faults) > 0 {
+		return Frontend{}, faults
+	}
+	return parsed, nil
+}
--- a/entry/settings/page_test.go
+++ b/entry/settings/page_test.go
@@ -25,6 +25,10 @@
 	page.WriteString("| field | default | meaning |\n|---|---|---|\n")
 	comments := fieldComments(t)
 	writeFields(&page, "", reflect.ValueOf(Default()), comments)
+	page.WriteString("\n## Where a store publishes routes and targets\n\n")
+	page.WriteString("The JSON file of `primroseloomd front`.\n\n")
+	page.WriteString("| field | default | meaning |\n|---|---|---|\n")
+	writeFields(&page, "", reflect.ValueOf(DefaultFrontend()), comments)
 	docpage.Check(t, "../../docs/SETTINGS.md", page.String())
 }
 
@@ -45,11 +49,19 @@
 // fieldComments returns the doc comment of each field, by type and name.
 func fieldComments(t *testing.T) map[string]string {
 	t.Helper()
-	file, err := parser.ParseFile(token.NewFileSet(), "settings.go", nil, parser.ParseComments)
+	comments := make(map[string]string)
+	for _, name := range []string{"settings.go", "frontend.go"} {
+		addFieldComments(t, name, comments)
+	}
+	return comments
+}
+
+func addFieldComments(t *testing.T, name string, comments map[string]string) {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments)
 	if err != nil {
 		t.Fatal(err)
 	}
-	comments := make(map[string]string)
 	ast.Inspect(file, func(node ast.Node) bool {
 		spec, ok := node.(*ast.TypeSpec)
 		if !ok {
@@ -68,5 +80,4 @@
 		}
 		return true
 	})
-	return comments
 }
--- a/entry/settings/parse.go
+++ b/entry/settings/parse.go
@@ -39,7 +39,11 @@
 		return Settings{}, err
 	}
 	faults = append(faults, validate(parsed)...)
-	faults = append(faults, clashes(parsed.Listen)...)
+	faults = append(faults, clashes([]listener{
+		{"listen.callers", parsed.Listen.Callers},
+		{"listen.peers", parsed.Listen.Peers},
+		{"listen.admin", parsed.Listen.Admin},
+	})...)
 	if len(faults) > 0 {
 		return Settings{}, faults
 	}
@@ -47,7 +51,7 @@
 }
 
 // decode reads the known fields one by one, so that every fault is found.
-func decode(data []byte, into *Settings) (Faults, error) {
+func decode(data []byte, into any) (Faults, error) {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	var fields map[string]json.RawMessage
 	if err := decoder.Decode(&fields); err != nil {
@@ -126,7 +130,7 @@
 	}
 }
 
-func validate(parsed Settings) Faults {
+func validate(parsed any) Faults {
 	var invalid validator.ValidationErrors
 	if !errors.As(newValidator().Struct(parsed), &invalid) {
 		return nil
@@ -161,15 +165,14 @@
 	return ""
 }
 
+// listener is the path of a setting and the address it holds.
+type listener struct{ path, address string }
+
 // clashes finds listeners that share an address.
-func clashes(listen Listen) Faults {
+func clashes(listeners []listener) Faults {
 	var faults Faults
 	taken := make(map[string]string)
-	for _, entry := range []struct{ path, address string }{
-		{"listen.callers", listen.Callers},
-		{"listen.peers", listen.Peers},
-		{"listen.admin", listen.Admin},
-	} {
+	for _, entry := range listeners {
 		other, clash := taken[entry.address]
 		if clash && entry.address != "" {
 			faults = append(faults, check.Problem{Path: entry.path, Value: entry.address, Allowed: "an address other than " + other})
--- a/entry/targets/conn.go
+++ b/entry/targetconn/conn.go
@@ -1,4 +1,4 @@
-package targets
+package targetconn
 
 import (
 	"context"
--- a/entry/targets/pool.go
+++ b/entry/targetconn/pool.go
@@ -1,4 +1,4 @@
-package targets
+package targetconn
 
 import (
 	"context"
@@ -13,22 +13,38 @@
 )
 
 const (
-	// idleLimit is how long an unused connection is kept.
-	idleLimit = 15 * time.Second
+	// IdleLimit is how long an unused connection is kept by default.
+	IdleLimit = 15 * time.Second
 	// ageLimit is how long a connection is used.
 	ageLimit = 5 * time.Minute
 	// maxAnswerHeadBytes bounds the head of an answer.
 	maxAnswerHeadBytes = 64 << 10
-	// connectTimeout bounds the set-up of a connection.
+	// connectTimeout bounds the set-up of a connection by default.
 	connectTimeout = time.Second
 )
 
 // errConnectionLimit is returned when all connections of a share are in use.
 var errConnectionLimit = errors.New("all connections of this VM's share are in use")
 
-// pool holds the connections of this VM to one target and counts them.
-type pool struct {
+// Options bound the connections of a pool.
+type Options struct {
+	// Connections is the number of connections that may be open.
+	Connections int
+	// Idle is how long an unused connection is kept.
+	Idle time.Duration
+	// Connect bounds the set-up of a connection.
+	Connect time.Duration
+}
+
+// DefaultOptions returns the options of a pool of at most limit connections.
+func DefaultOptions(limit int) Options {
+	return Options{Connections: limit, Idle: IdleLimit, Connect: connectTimeout}
+}
+
+// Pool holds the connections of this VM to one target and counts them.
+type Pool struct {
 	address   string
+	options   Options
 	transport *http.Transport
 
 	mu    sync.Mutex
@@ -39,9 +55,9 @@
 	closed bool
 }
 
-// newPool returns a pool that opens at most limit connections.
-func newPool(address string, network contract.Network, limit int) *pool {
-	p := &pool{address: address, limit: limit}
+// New returns a pool of connections to an "IP:port" address.
+func New(address string, network contract.Network, options Options) *Pool {
+	p := &Pool{address: address, limit: options.Connections, options: options}
 	p.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHeadBytes,
@@ -64,7 +80,7 @@
 
 // take returns an idle connection, or a new one when there is none or fresh is
 // set.
-func (p *pool) take(ctx context.Context, fresh bool) (*connection, error) {
+func (p *Pool) take(ctx context.Context, fresh bool) (*connection, error) {
 	reused, dead, err := p.reserve(fresh)
 	closeAll(dead)
 	if err != nil || reused != nil {
@@ -79,7 +95,7 @@
 }
 
 // reserve returns an idle connection or counts a new one.
-func (p *pool) reserve(fresh bool) (reused *connection, dead []*connection, err error) {
+func (p *Pool) reserve(fresh bool) (reused *connection, dead []*connection, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	dead = p.dropUnusable(time.Now())
@@ -101,8 +117,8 @@
 	return nil, dead, nil
 }
 
-func (p *pool) dial(ctx context.Context) (*connection, error) {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+func (p *Pool) dial(ctx context.Context) (*connection, error) {
+	ctx, cancel := context.WithTimeout(ctx, p.options.Connect)
 	defer cancel()
 	var watch *watchedConn
 	client, err := p.transport.NewClientConn(context.WithValue(ctx, watchKey{}, &watch), "http", p.address)
@@ -113,7 +129,7 @@
 }
 
 // put returns a connection; one that must not be used again is closed.
-func (p *pool) put(c *connection, reusable bool) {
+func (p *Pool) put(c *connection, reusable bool) {
 	now := time.Now()
 	p.mu.Lock()
 	if reusable && !p.closed && c.client.Err() == nil && now.Sub(c.opened) < ageLimit && p.open <= p.limit {
@@ -128,22 +144,22 @@
 }
 
 // forget uncounts a connection that could not be opened.
-func (p *pool) forget() {
+func (p *Pool) forget() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open--
 }
 
-// sweep closes connections that were idle for too long or have ended.
-func (p *pool) sweep() {
+// Sweep closes connections that were idle for too long or have ended.
+func (p *Pool) Sweep() {
 	p.mu.Lock()
 	dead := p.dropUnusable(time.Now())
 	p.mu.Unlock()
 	closeAll(dead)
 }
 
-// setLimit changes the number of connections allowed.
-func (p *pool) setLimit(limit int) {
+// SetLimit changes the number of connections allowed.
+func (p *Pool) SetLimit(limit int) {
 	p.mu.Lock()
 	p.limit = limit
 	var dead []*connection
@@ -156,8 +172,8 @@
 	closeAll(dead)
 }
 
-// close closes the idle connections; those in use are closed when returned.
-func (p *pool) close() {
+// Close closes the idle connections; those in use are closed when returned.
+func (p *Pool) Close() {
 	p.mu.Lock()
 	dead := p.idle
 	p.open -= len(dead)
@@ -166,8 +182,8 @@
 	closeAll(dead)
 }
 
-// size returns the number of connections open or being set up.
-func (p *pool) size() int {
+// Size returns the number of connections open or being set up.
+func (p *Pool) Size() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.open
@@ -175,11 +191,11 @@
 
 // dropUnusable takes expired and ended connections out of the idle ones; the
 // lock is held.
-func (p *pool) dropUnusable(now time.Time) []*connection {
+func (p *Pool) dropUnusable(now time.Time) []*connection {
 	var dead []*connection
 	kept := p.idle[:0]
 	for _, c := range p.idle {
-		if c.client.Err() != nil || now.Sub(c.idleSince) >= idleLimit || now.Sub(c.opened) >= ageLimit {
+		if c.client.Err() != nil || now.Sub(c.idleSince) >= p.options.Idle || now.Sub(c.opened) >= ageLimit {
 			dead = append(dead, c)
 			p.open--
 			continue
--- a/entry/targets/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -1,4 +1,4 @@
-package targets
+package targetconn
 
 import (
 	"context"
@@ -10,9 +10,9 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 )
 
-// exchange is one request sent over one connection, and its answer.
-type exchange struct {
-	pool   *pool
+// Exchange is one request sent over one connection, and its answer.
+type Exchange struct {
+	pool   *Pool
 	target string
 	conn   *connection
 	cancel context.CancelCauseFunc
@@ -20,9 +20,9 @@
 	body   *answerBody
 }
 
-// send writes the request to a connection of the pool and reads the answer's
+// Send writes the request to a connection of the pool and reads the answer's
 // head. It sends the request at most once.
-func send(p *pool, target string, request *http.Request) (*exchange, *http.Response, error) {
+func Send(p *Pool, target string, request *http.Request) (*Exchange, *http.Response, error) {
 	trip := contract.RoundTripFrom(request.Context())
 	conn, err := p.take(request.Context(), trip.Fresh)
 	if err != nil {
@@ -35,14 +35,14 @@
 		limit = trip.ReusedStallLimit
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
-	x := &exchange{pool: p, target: target, conn: conn, cancel: cancel, ctx: ctx}
+	x := &Exchange{pool: p, target: target, conn: conn, cancel: cancel, ctx: ctx}
 	conn.watch.begin(trip, limit, cancel)
 	outgoing := request.WithContext(ctx)
 	outgoing.GetBody = nil
 	response, err := conn.client.RoundTrip(outgoing)
 	if err != nil {
 		failure := x.classify(err, false)
-		x.finish(false)
+		x.Finish(false)
 		return nil, nil, failure
 	}
 	x.body = &answerBody{ReadCloser: response.Body, exchange: x, whole: response.Body == http.NoBody}
@@ -50,9 +50,9 @@
 	return x, response, nil
 }
 
-// finish ends the exchange. The connection is kept only when the answer was
+// Finish ends the exchange. The connection is kept only when the answer was
 // read to its end and the caller has no doubt about it.
-func (x *exchange) finish(trusted bool) {
+func (x *Exchange) Finish(trusted bool) {
 	whole := x.body != nil && x.body.whole
 	if !whole {
 		x.cancel(context.Canceled)
@@ -64,7 +64,7 @@
 
 // classify names the end of an attempt by its error. Begun is true when the
 // answer's head was read.
-func (x *exchange) classify(err error, begun bool) *contract.RoundTripError {
+func (x *Exchange) classify(err error, begun bool) *contract.RoundTripError {
 	failure := &contract.RoundTripError{Kind: contract.AttemptReset, Target: x.target, Cause: err}
 	cause := context.Cause(x.ctx)
 	switch {
@@ -111,7 +111,7 @@
 // answerBody notes whether an answer was read to its end.
 type answerBody struct {
 	io.ReadCloser
-	exchange *exchange
+	exchange *Exchange
 	whole    bool
 }
 
@@ -128,6 +128,6 @@
 	return n, err
 }
 
-// isConnectionLimit reports whether an attempt ended because this VM has used
+// IsConnectionLimit reports whether an attempt ended because this VM has used
 // up its share of the target's connections.
-func isConnectionLimit(err error) bool { return errors.Is(err, errConnectionLimit) }
+func IsConnectionLimit(err error) bool { return errors.Is(err, errConnectionLimit) }
--- a/entry/targets/connections_test.go
+++ b/entry/targets/connections_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/targetconn"
 )
 
 func TestConnectionsAreUsedAgain(t *testing.T) {
@@ -35,8 +36,8 @@
 		if connections.Load() != 1 {
 			t.Fatalf("%d connections for requests one after the other", connections.Load())
 		}
-		time.Sleep(idleLimit + time.Second)
-		if size := f.service("booking").targets["t0"].pool.size(); size > 1 {
+		time.Sleep(targetconn.IdleLimit + time.Second)
+		if size := f.service("booking").targets["t0"].pool.Size(); size > 1 {
 			t.Fatalf("%d connections after the idle limit", size)
 		}
 	})
@@ -133,7 +134,7 @@
 			t.Fatalf("took %v", took)
 		}
 		time.Sleep(20 * time.Second)
-		if size := f.service("booking").targets["t0"].pool.size(); size > 1 {
+		if size := f.service("booking").targets["t0"].pool.Size(); size > 1 {
 			t.Fatalf("%d connections kept", size)
 		}
 	})
--- a/entry/targets/explain.go
+++ b/entry/targets/explain.go
@@ -60,7 +60,7 @@
 	findings[0].SeenBy = append(findings[0].SeenBy, m.vm)
 	findings[0].Evidence = append(findings[0].Evidence,
 		fmt.Sprintf("%d attempts in progress", s.balancer.InFlight(targetName)),
-		fmt.Sprintf("%d connections open", t.pool.size()))
+		fmt.Sprintf("%d connections open", t.pool.Size()))
 	if t.leaving.now(now) {
 		findings = append(findings, contract.Finding{
 			Subject: subject, Decision: "no new work", Rule: "the target is leaving", SeenBy: []string{m.vm},
--- a/entry/targets/grant.go
+++ b/entry/targets/grant.go
@@ -6,6 +6,7 @@
 
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/targetconn"
 )
 
 // grant is a slot of one target, held for one attempt.
@@ -13,10 +14,10 @@
 	manager  *Manager
 	service  *service
 	target   document.Target
-	pool     *pool
+	pool     *targetconn.Pool
 	customer string
 	attempt  uint64
-	exchange *exchange
+	exchange *targetconn.Exchange
 	trial    bool
 }
 
@@ -29,7 +30,7 @@
 	if g.trial {
 		request.Header.Set(contract.TrialHeader, "1")
 	}
-	x, response, err := send(g.pool, g.target.Name, request)
+	x, response, err := targetconn.Send(g.pool, g.target.Name, request)
 	if err != nil {
 		return nil, err
 	}
@@ -42,7 +43,7 @@
 func (g *grant) Done(result contract.AttemptResult) {
 	if g.exchange != nil {
 		trusted := result.Kind == contract.AttemptSucceeded || result.Kind == contract.AttemptShed
-		g.exchange.finish(trusted)
+		g.exchange.Finish(trusted)
 	}
 	if result.Kind == contract.AttemptDraining {
 		g.manager.leaves(g.service, g.target.Name)
--- a/entry/targets/probe.go
+++ b/entry/targets/probe.go
@@ -13,6 +13,8 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+
+	"github.com/primroseloom/primroseloom/entry/targetconn"
 )
 
 const (
@@ -96,7 +98,7 @@
 
 func (m *Manager) probeHealth(ctx context.Context, s *service, t *target, probed document.Target, definition *document.Service) {
 	response, _, err := fetch(ctx, t.pool, probed, definition.HealthPath)
-	if err != nil && ctx.Err() == nil && isConnectionLimit(err) {
+	if err != nil && ctx.Err() == nil && targetconn.IsConnectionLimit(err) {
 		s.metrics.probed("skipped")
 		return
 	}
@@ -140,7 +142,7 @@
 	news.Publish(&primroseloomv1.NewsItem{Service: service, Body: body}, true)
 }
 
-func (s *service) probeLoad(ctx context.Context, p *pool, probed document.Target, path string) {
+func (s *service) probeLoad(ctx context.Context, p *targetconn.Pool, probed document.Target, path string) {
 	response, content, err := fetch(ctx, p, probed, path)
 	if err != nil || response.StatusCode != http.StatusOK {
 		return
@@ -157,19 +159,19 @@
 }
 
 // fetch reads a small answer from a target over its pool.
-func fetch(ctx context.Context, p *pool, probed document.Target, path string) (*http.Response, []byte, error) {
+func fetch(ctx context.Context, p *targetconn.Pool, probed document.Target, path string) (*http.Response, []byte, error) {
 	name := probed.Name
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+probed.Address+path, nil)
 	if err != nil {
 		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
 	}
-	x, response, err := send(p, name, request)
+	x, response, err := targetconn.Send(p, name, request)
 	if err != nil {
 		return nil, nil, fmt.Errorf("probe target %s: %w", name, err)
 	}
 	content, err := io.ReadAll(io.LimitReader(response.Body, maxProbeBytes))
 	_ = response.Body.Close()
-	x.finish(err == nil)
+	x.Finish(err == nil)
 	if err != nil {
 		return nil, nil, fmt.Errorf("read probe of target %s: %w", name, err)
 	}
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -9,6 +9,7 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/assign"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/targetconn"
 	"github.com/primroseloom/primroseloom/policy/admission"
 	"github.com/primroseloom/primroseloom/policy/balance"
 	"github.com/primroseloom/primroseloom/policy/retry"
@@ -67,7 +68,7 @@
 // target holds the state of one target of a service.
 type target struct {
 	definition document.Target
-	pool       *pool
+	pool       *targetconn.Pool
 	leaving    leaving
 	// probes holds the state of this VM's probes.
 	probes probeState
@@ -113,7 +114,7 @@
 	}
 	for name, t := range old {
 		if s.targets[name] == nil || s.targets[name].pool != t.pool {
-			t.pool.close()
+			t.pool.Close()
 		}
 	}
 	s.balancer.Configure(balanced)
@@ -134,9 +135,9 @@
 // carryOver keeps a target's state unless it moved to another address.
 func (s *service) carryOver(now time.Time, t *target, definition document.Target, share int) *target {
 	if t == nil || t.definition.Address != definition.Address {
-		t = &target{pool: newPool(definition.Address, s.network, share)}
+		t = &target{pool: targetconn.New(definition.Address, s.network, targetconn.DefaultOptions(share))}
 	}
-	t.pool.setLimit(share)
+	t.pool.SetLimit(share)
 	t.definition = definition
 	t.leaving.configured(now, definition.Leaving)
 	return t
@@ -162,8 +163,8 @@
 	s.tickLeases(now)
 	connections := 0
 	for _, t := range s.targets {
-		t.pool.sweep()
-		connections += t.pool.size()
+		t.pool.Sweep()
+		connections += t.pool.Size()
 	}
 	s.metrics.gauges(s.queue.Len(), s.inFlight, connections)
 }
@@ -246,7 +247,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.targets {
-		t.pool.close()
+		t.pool.Close()
 	}
 }
 
--- /dev/null
+++ b/entry/targetset/attempt.go
@@ -0,0 +1,239 @@
+package targetset
+
+import (
+	"errors"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/entry/targetconn"
+	"github.com/primroseloom/primroseloom/policy/placement"
+	"github.com/primroseloom/primroseloom/policy/suspicion"
+)
+
+// Evidence of failed connections.
+const (
+	// refusedNats is the evidence of a connection that the target's machine refused.
+	refusedNats = 3.0
+	// unreachedNats is the evidence of one that did not open; the path may be at fault.
+	unreachedNats = 0.7
+	// defaultWork stands for the duration of attempts while it is not known.
+	defaultWork = 150 * time.Millisecond
+)
+
+// Ask describes an attempt.
+type Ask struct {
+	Service string
+	Route   *routing.Route
+	// Bytes is the size of the request's body.
+	Bytes int64
+	// Remaining is the time until the final answer is due, Useful the time in
+	// which an answer has its full value.
+	Remaining, Useful time.Duration
+	// Tried names the targets of earlier attempts.
+	Tried []string
+	// MustPay is true when the attempt repeats another that reached a target.
+	MustPay bool
+}
+
+// Attempt is one request on its way to one target.
+type Attempt struct {
+	manager  *Manager
+	service  *service
+	target   *target
+	route    string
+	began    time.Duration
+	trial    bool
+	overdue  *time.Timer
+	told     bool
+	exchange *targetconn.Exchange
+}
+
+// Refusal tells why there is no target for an attempt.
+type Refusal struct {
+	Reason placement.Reason
+	// RetryAfter is when capacity may be free; zero when that is not known.
+	RetryAfter time.Duration
+}
+
+// Error renders the refusal.
+func (r *Refusal) Error() string { return "no target for the attempt: " + string(r.Reason) }
+
+// ReasonBudget means that the budget for repeats is spent.
+const ReasonBudget placement.Reason = "retry_budget"
+
+// Arrived notes a request for a service; it earns part of a repeat.
+func (m *Manager) Arrived(name string) {
+	m.mu.Lock()
+	s := m.service(name)
+	m.mu.Unlock()
+	s.budget.Earn(m.options.Uptime())
+}
+
+// Begin chooses a target and counts the attempt; the error is a *Refusal.
+func (m *Manager) Begin(ask Ask) (*Attempt, error) {
+	now := m.options.Uptime()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s := m.service(ask.Service)
+	usual := s.reference(ask.Route.Name)
+	candidates, chosen := m.candidates(s, ask, now)
+	choice := placement.Choose(candidates, placement.Ask{
+		Repeatable: ask.Route.Kind.Repeatable(),
+		Retry:      len(ask.Tried) > 0,
+		MayTry:     ask.Route.MaxAttempts > 1 && s.budget.Available(now) >= 1,
+		Work:       usual.Mean(defaultWork),
+		Bytes:      ask.Bytes,
+		Remaining:  ask.Remaining,
+		Useful:     ask.Useful,
+		Rank:       ask.Route.Priority,
+	}, m.random)
+	if choice.Reason != placement.ReasonNone {
+		return nil, &Refusal{Reason: choice.Reason, RetryAfter: choice.Wait}
+	}
+	if ask.MustPay && !s.budget.Spend(now) {
+		return nil, &Refusal{Reason: ReasonBudget}
+	}
+	t := chosen[choice.Index]
+	t.mine++
+	t.began = now
+	a := &Attempt{manager: m, service: s, target: t, route: ask.Route.Name, began: now, trial: choice.Trial}
+	if limit := usual.Overdue(); limit > 0 {
+		a.overdue = time.AfterFunc(limit, a.isOverdue)
+	}
+	m.teller.UsesChanged()
+	return a, nil
+}
+
+// candidates returns the usable targets that were not tried; the lock is held.
+func (m *Manager) candidates(s *service, ask Ask, now time.Duration) ([]placement.Candidate, []*target) {
+	candidates := make([]placement.Candidate, 0, len(s.targets))
+	chosen := make([]*target, 0, len(s.targets))
+	for _, t := range s.targets {
+		if !t.usable() || contains(ask.Tried, t.info.ID) {
+			continue
+		}
+		candidates = append(candidates, t.candidate(m.options.Zone, now))
+		chosen = append(chosen, t)
+	}
+	return candidates, chosen
+}
+
+func contains(names []string, name string) bool {
+	for _, one := range names {
+		if one == name {
+			return true
+		}
+	}
+	return false
+}
+
+// ID returns the target's instance identifier.
+func (a *Attempt) ID() string { return a.target.info.ID }
+
+// Address returns the target's "IP:port".
+func (a *Attempt) Address() string { return a.target.info.Address }
+
+// Trial reports whether the target is a suspect tried on purpose.
+func (a *Attempt) Trial() bool { return a.trial }
+
+// Send writes the request to the target and reads the answer's head. The error
+// is a *contract.RoundTripError.
+func (a *Attempt) Send(request *http.Request) (*http.Response, error) {
+	x, response, err := targetconn.Send(a.target.pool, a.target.info.ID, request)
+	a.exchange = x
+	return response, err
+}
+
+// isOverdue tells of an attempt that takes unusually long and still runs.
+func (a *Attempt) isOverdue() {
+	m := a.manager
+	m.mu.Lock()
+	a.told = true
+	outcome := evidence.Outcome{Target: a.target.info.ID, SlowNats: suspicion.OverdueNats}
+	m.observe(a.target, outcome, m.options.Uptime())
+	m.mu.Unlock()
+	m.teller.Publish(outcome)
+}
+
+// Result is what became of an attempt.
+type Result struct {
+	End suspicion.End
+	// Reuse is true when the connection may carry another request.
+	Reuse bool
+	Load  *dialect.Load
+	// Err is the failure, if any.
+	Err error
+	// Sent is true once a byte of the request was written.
+	Sent bool
+	// Misplaced is true when another instance has the target's address.
+	Misplaced bool
+}
+
+// Done ends the attempt; it is called exactly once.
+func (a *Attempt) Done(result Result) {
+	if a.exchange != nil {
+		a.exchange.Finish(result.Reuse)
+	}
+	if a.overdue != nil {
+		a.overdue.Stop()
+	}
+	m := a.manager
+	now := m.options.Uptime()
+	m.mu.Lock()
+	a.target.mine--
+	a.target.misplaced = a.target.misplaced || result.Misplaced
+	outcome := a.judge(result, now)
+	m.observe(a.target, outcome, now)
+	m.mu.Unlock()
+	m.teller.Publish(outcome)
+}
+
+// judge turns the result into evidence; the lock is held.
+func (a *Attempt) judge(result Result, now time.Duration) evidence.Outcome {
+	outcome := evidence.Outcome{Target: a.target.info.ID, Load: result.Load, FailureNats: suspicion.FailureNats(result.End)}
+	if result.Err != nil && !result.Sent && result.End != suspicion.EndNeutral {
+		a.cannotConnect(result.Err)
+		outcome.FailureNats = unreachedNats
+		if errors.Is(result.Err, syscall.ECONNREFUSED) {
+			outcome.FailureNats = refusedNats
+		}
+		return outcome
+	}
+	if result.End == suspicion.EndSilent {
+		a.cannotConnect(result.Err)
+	}
+	if result.End == suspicion.EndServed && !a.told {
+		took := now - a.began
+		usual := a.service.reference(a.route)
+		if now >= a.target.info.WarmAt && !busy(result.Load) {
+			outcome.SlowNats = usual.SlowNats(took)
+		}
+		if !a.target.suspect(now) {
+			usual.Add(took)
+		}
+	}
+	return outcome
+}
+
+// busy reports whether the target was full, so that a long duration says
+// nothing about the target itself.
+func busy(load *dialect.Load) bool { return load != nil && load.Waiting > 0 }
+
+// cannotConnect leaves the target out here until a connection opens; the lock is held.
+func (a *Attempt) cannotConnect(cause error) {
+	var failure *contract.RoundTripError
+	if errors.As(cause, &failure) && failure.Kind == contract.AttemptCanceled {
+		return
+	}
+	if !a.target.unreachable {
+		a.target.unreachable = true
+		events.TargetUnreached.Log(a.manager.options.Logger, "target", a.target.info.ID,
+			"service", a.target.info.Service, "cause", cause)
+	}
+}
--- /dev/null
+++ b/policy/offer/offer.go
@@ -0,0 +1,79 @@
+package offer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// VM is one member of the fleet.
+type VM struct {
+	Name string
+	Zone string
+	// Address is where callers connect, "IP:port".
+	Address string
+	// Usable is true when the VM takes callers and is heard of.
+	Usable bool
+}
+
+// Settings bound the offer.
+type Settings struct {
+	// PerZone is the number of VMs that the callers of a zone are shown.
+	PerZone int
+	// Least is the number below which VMs of other zones are added.
+	Least int
+}
+
+// Front returns the front rank of a zone: its usable VMs that come first in
+// rendezvous order.
+func Front(vms []VM, zone string, settings Settings) []VM {
+	var usable []VM
+	for _, vm := range vms {
+		if vm.Usable && vm.Zone == zone {
+			usable = append(usable, vm)
+		}
+	}
+	sortByRank(usable)
+	return usable[:min(len(usable), settings.PerZone)]
+}
+
+// For returns the VMs for callers of a zone: its front rank, and those of the
+// other zones as well when it is too small.
+func For(vms []VM, zone string, settings Settings) []VM {
+	offered := Front(vms, zone, settings)
+	if len(offered) >= settings.Least {
+		return offered
+	}
+	for _, other := range zones(vms) {
+		if other != zone {
+			offered = append(offered, Front(vms, other, settings)...)
+		}
+	}
+	return offered
+}
+
+// All returns the front ranks of all zones.
+func All(vms []VM, settings Settings) []VM {
+	var all []VM
+	for _, zone := range zones(vms) {
+		all = append(all, Front(vms, zone, settings)...)
+	}
+	return all
+}
+
+// zones returns the zones of the VMs in order.
+func zones(vms []VM) []string {
+	var names []string
+	for _, vm := range vms {
+		names = append(names, vm.Zone)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+func sortByRank(vms []VM) {
+	slices.SortFunc(vms, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)), cmp.Compare(a.Name, b.Name))
+	})
+}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -118,10 +118,17 @@
 type Table struct {
 	entries     map[Fingerprint]*entry
 	quarantines int
+	// needed is the number of crashes that judges a request.
+	needed int
 }
 
-// NewTable returns an empty table.
-func NewTable() *Table { return &Table{entries: make(map[Fingerprint]*entry)} }
+// NewTable returns an empty table that judges by CrashesToQuarantine.
+func NewTable() *Table { return NewTableOf(CrashesToQuarantine) }
+
+// NewTableOf returns an empty table that judges a request by a number of crashes.
+func NewTableOf(crashes int) *Table {
+	return &Table{entries: make(map[Fingerprint]*entry), needed: crashes}
+}
 
 // Len returns the number of suspects and quarantines.
 func (t *Table) Len() int { return len(t.entries) }
@@ -163,11 +170,11 @@
 	if e.knows(target, now) {
 		return false
 	}
-	if len(e.Targets) < CrashesToQuarantine {
+	if len(e.Targets) < t.needed {
 		e.Targets = append(e.Targets, target)
 		e.crashes = append(e.crashes, now)
 	}
-	if len(e.Targets) < CrashesToQuarantine || e.Quarantined {
+	if len(e.Targets) < t.needed || e.Quarantined {
 		return false
 	}
 	t.quarantine(e, now+QuarantineTime)
--- /dev/null
+++ b/policy/retry/share.go
@@ -0,0 +1,85 @@
+package retry
+
+import (
+	"sync"
+	"time"
+)
+
+// windowTime is the time over which the platform counts repeats.
+const windowTime = 10 * time.Second
+
+// allowanceUse is the part of the fleet's allowance that the VMs use, so that
+// uneven shares and late news do not exceed it.
+const allowanceUse = 0.7
+
+// Share is one VM's part of a service's budget for repeats that all VMs draw
+// on. The fleet may repeat a ratio of the requests plus a fixed allowance in
+// any window; the ratio is earned where the requests are, and the allowance is
+// divided among the VMs that serve callers. It is safe for concurrent use.
+type Share struct {
+	mu     sync.Mutex
+	tokens float64
+	at     time.Duration
+	// ratio is earned with each request; allowance is the VM's part of the window's.
+	ratio, allowance float64
+}
+
+// NewShare returns a full share.
+func NewShare(ratio, allowance float64, vms int, now time.Duration) *Share {
+	s := &Share{at: now}
+	s.Divide(ratio, allowance, vms, now)
+	s.tokens = s.capacity()
+	return s
+}
+
+// Divide sets the fleet's ratio and allowance and the number of VMs that share them.
+func (s *Share) Divide(ratio, allowance float64, vms int, now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(now)
+	s.ratio = ratio * allowanceUse
+	s.allowance = allowance * allowanceUse / float64(max(vms, 1))
+	s.tokens = min(s.tokens, s.capacity())
+}
+
+// capacity is half of the window's allowance; the other half flows in during
+// the window, so that no window sees more than all of it.
+func (s *Share) capacity() float64 { return max(s.allowance/2, 1) }
+
+// refill lets the allowance flow in. The lock is held.
+func (s *Share) refill(now time.Duration) {
+	passed := now - s.at
+	if passed <= 0 {
+		return
+	}
+	s.at = now
+	s.tokens = min(s.tokens+s.allowance/2*passed.Seconds()/windowTime.Seconds(), max(s.tokens, s.capacity()))
+}
+
+// Earn credits one request.
+func (s *Share) Earn(now time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(now)
+	s.tokens = min(s.tokens+s.ratio, max(s.tokens, s.capacity()))
+}
+
+// Spend pays one repeat and reports whether the share could.
+func (s *Share) Spend(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(now)
+	if s.tokens < 1 {
+		return false
+	}
+	s.tokens--
+	return true
+}
+
+// Available returns the repeats that the share could pay.
+func (s *Share) Available(now time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(now)
+	return s.tokens
+}
--- /dev/null
+++ b/policy/suspicion/evidence.go
@@ -0,0 +1,120 @@
+package suspicion
+
+import (
+	"math"
+	"time"
+)
+
+// End classifies the end of an attempt as evidence about its target.
+type End int
+
+// The ends of an attempt.
+const (
+	// EndServed is a whole answer of the target's own that is no server error.
+	EndServed End = iota
+	// EndFailed is a server error, a broken or wrong answer, or a connection
+	// that closed without one.
+	EndFailed
+	// EndShed is a refusal by a target that should have had room.
+	EndShed
+	// EndSilent is an attempt that got no answer within its time.
+	EndSilent
+	// EndNeutral says nothing about the target, such as a caller that left.
+	EndNeutral
+)
+
+// Shares of attempts that end badly at ill and at well targets.
+const (
+	illFailShare  = 0.55
+	wellFailShare = 0.015
+	// illShedShare and wellShedShare are refusals although slots are free.
+	illShedShare  = 0.4
+	wellShedShare = 0.08
+)
+
+// FailureNats returns what an end says about failing.
+func FailureNats(end End) float64 {
+	switch end {
+	case EndServed:
+		return math.Log((1 - illFailShare) / (1 - wellFailShare))
+	case EndFailed, EndSilent:
+		return math.Log(illFailShare / wellFailShare)
+	case EndShed:
+		return math.Log(illShedShare / wellShedShare)
+	case EndNeutral:
+	}
+	return 0
+}
+
+// Parameters of the evidence for slowness.
+const (
+	// slowFactor is how much longer a slow target takes, as assumed.
+	slowFactor = 4.0
+	// minSpread is the least standard deviation of the logarithm of durations.
+	minSpread = 0.4
+	// minSamples is the number of durations before they can be compared.
+	minSamples = 12
+	// memory is the number of durations that the reference remembers.
+	memory = 200.0
+	// minSlowNats and maxSlowNats bound the evidence of one attempt.
+	minSlowNats = -0.8
+	maxSlowNats = 2.5
+	// overdueSpreads is how many standard deviations past the mean an attempt is overdue.
+	overdueSpreads = 2.5
+	// OverdueNats is the evidence of an attempt that is overdue and still runs.
+	OverdueNats = 2.0
+)
+
+// Reference is what attempts of one route usually take, over all targets.
+type Reference struct {
+	count    float64
+	mean     float64
+	variance float64
+	// plain is the average duration in seconds.
+	plain float64
+}
+
+// Add takes over the duration of one attempt at a target that is not suspect.
+func (r *Reference) Add(took time.Duration) {
+	x := math.Log(max(took.Seconds(), 1e-4))
+	r.count = min(r.count+1, memory)
+	gain := 1 / r.count
+	difference := x - r.mean
+	r.mean += gain * difference
+	r.variance = (1 - gain) * (r.variance + gain*difference*difference)
+	r.plain += gain * (took.Seconds() - r.plain)
+}
+
+// Known reports whether there are enough durations to compare with.
+func (r *Reference) Known() bool { return r.count >= minSamples }
+
+// Mean returns the average duration, or the fallback while it is not known.
+func (r *Reference) Mean(fallback time.Duration) time.Duration {
+	if !r.Known() {
+		return fallback
+	}
+	return time.Duration(r.plain * float64(time.Second))
+}
+
+// SlowNats returns what a duration says about slowness.
+func (r *Reference) SlowNats(took time.Duration) float64 {
+	if !r.Known() {
+		return 0
+	}
+	spread := r.spread()
+	shift := math.Log(slowFactor)
+	x := math.Log(max(took.Seconds(), 1e-4)) - r.mean
+	nats := (x*shift - shift*shift/2) / (spread * spread)
+	return min(max(nats, minSlowNats), maxSlowNats)
+}
+
+// Overdue returns the duration past which an attempt speaks for slowness while
+// it still runs, or zero while that is not known.
+func (r *Reference) Overdue() time.Duration {
+	if !r.Known() {
+		return 0
+	}
+	return time.Duration(math.Exp(r.mean+overdueSpreads*r.spread()) * float64(time.Second))
+}
+
+func (r *Reference) spread() float64 { return max(math.Sqrt(r.variance), minSpread) }
--- /dev/null
+++ b/policy/suspicion/suspicion_test.go
@@ -0,0 +1,94 @@
+package suspicion
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func TestOneFailureMakesATargetSuspectAndSuccessesClearIt(t *testing.T) {
+	f := NewFault(0)
+	f.Observe(FailureNats(EndFailed), time.Second)
+	if p := f.Probability(time.Second); p < 0.6 {
+		t.Fatalf("after one failure: %.2f", p)
+	}
+	for range 5 {
+		f.Observe(FailureNats(EndServed), time.Second)
+	}
+	if p := f.Probability(time.Second); p > 0.2 {
+		t.Errorf("after five successes: %.2f", p)
+	}
+}
+
+func TestSuspicionFadesWithoutEvidence(t *testing.T) {
+	f := NewFault(0)
+	for range 3 {
+		f.Observe(FailureNats(EndFailed), 0)
+	}
+	if p := f.Probability(20 * time.Second); p > 0.15 {
+		t.Errorf("20 s later: %.2f", p)
+	}
+}
+
+func TestNewFaultShowsAtOnceAfterALongGoodRecord(t *testing.T) {
+	f := NewFault(0)
+	for i := range 1000 {
+		f.Observe(FailureNats(EndServed), time.Duration(i)*10*time.Millisecond)
+	}
+	now := 10 * time.Second
+	f.Observe(FailureNats(EndFailed), now)
+	f.Observe(FailureNats(EndFailed), now)
+	if p := f.Probability(now); p < 0.7 {
+		t.Errorf("after two failures: %.2f", p)
+	}
+}
+
+// steps returns the attempts until a target with a share of failures is suspect.
+func steps(random *rand.Rand, failShare float64) int {
+	f := NewFault(0)
+	for i := 1; ; i++ {
+		now := time.Duration(i) * 100 * time.Millisecond
+		end := EndServed
+		if random.Float64() < failShare {
+			end = EndFailed
+		}
+		f.Observe(FailureNats(end), now)
+		if f.Probability(now) > 0.5 {
+			return i
+		}
+	}
+}
+
+func TestGrayTargetIsSuspectWithinAFewAttempts(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	total := 0
+	const runs = 500
+	for range runs {
+		total += steps(random, 0.5)
+	}
+	if mean := float64(total) / runs; mean > 3.5 {
+		t.Errorf("%.1f attempts on average", mean)
+	}
+}
+
+func TestSlowTargetIsToldFromAWellOne(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	var r Reference
+	duration := func(factor float64) time.Duration {
+		return time.Duration(factor * float64(150*time.Millisecond) * (0.5 + random.Float64()))
+	}
+	for range 100 {
+		r.Add(duration(1))
+	}
+	slow, well := NewFault(0), NewFault(0)
+	for range 4 {
+		slow.Observe(r.SlowNats(duration(5)), 0)
+		well.Observe(r.SlowNats(duration(1)), 0)
+	}
+	if p, q := slow.Probability(0), well.Probability(0); p < 0.8 || q > 0.1 {
+		t.Errorf("slow %.2f, well %.2f", p, q)
+	}
+	if overdue := r.Overdue(); overdue < 250*time.Millisecond || overdue > time.Second {
+		t.Errorf("overdue after %v", overdue)
+	}
+}
