Bound the age of a lost watch, and tell the others by heartbeat

Ruled out: a refused or unreadable version (no event of either), and membership (the VM was in touch with all others).

Change: a watch waits 3 s; only VMs that serve callers watch, at different times; each datagram carries the revision up to which its VM is complete, and a VM that is behind asks the one that is ahead.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -16,6 +16,8 @@
 		"This version of the routes is used from now on.")
 	RoutesRefused = define(2106, log.ErrorLevel, "routes refused",
 		"A version of the routes cannot be used as it stands; the one before stays in force.")
+	PeerFeedFailed = define(2108, log.InfoLevel, "other instance not heard on published items",
+		"No other instance answered for what the store publishes; the next try follows.")
 	TargetsLapsed = define(2107, log.WarnLevel, "targets lapsed",
 		"These targets' entries did not come back after the store's return; they are taken as gone.")
 )
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -58,6 +58,8 @@
 	InProgress(vm string, attempts map[string]int)
 	// Crashed takes over a report of a crash.
 	Crashed(crash Crash)
+	// Published tells up to which revision of the store a VM is complete.
+	Published(vm string, revision uint64)
 }
 
 // Peer is another VM to which datagrams go.
@@ -81,7 +83,9 @@
 	// Peers returns the other VMs.
 	Peers func() []Peer
 	// Uses returns this VM's attempts in progress by target.
-	Uses     func() map[string]int
+	Uses func() map[string]int
+	// Revision returns the store's revision up to which this VM is complete.
+	Revision func() uint64
 	Receiver Receiver
 	Uptime   func() time.Duration
 	Logger   *log.Logger
@@ -257,6 +261,7 @@
 		Sequence: x.sequence,
 		Ready:    x.options.Ready(),
 		Crashes:  x.reports,
+		Revision: x.options.Revision(),
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
@@ -324,6 +329,7 @@
 			attempts[use.GetTarget()] = int(use.GetInProgress())
 		}
 		x.options.Receiver.InProgress(message.GetVm(), attempts)
+		x.options.Receiver.Published(message.GetVm(), message.GetRevision())
 	}
 	for _, outcome := range outcomes {
 		x.options.Receiver.Observed(fromWire(outcome))
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -19,8 +19,16 @@
 
 // Bounds on following.
 const (
-	// watchWait is how long a watch waits when nothing changes.
-	watchWait = 20 * time.Second
+	// watchWait is how long a watch waits when nothing changes. A watch that the
+	// store has silently dropped is noticed only at its end, so it is short.
+	watchWait = 3 * time.Second
+	// hintAge is how long the word of an instance that is complete up to some
+	// revision stands in place of an own watch.
+	hintAge = 1500 * time.Millisecond
+	// catchUpTime is what an own watch is given to bring the same news.
+	catchUpTime = 50 * time.Millisecond
+	// idleInterval is how often an instance without a watch looks whether it needs one.
+	idleInterval = 250 * time.Millisecond
 	// gatherTime is the pause between two watches, in which changes that come
 	// in quick succession gather into one answer.
 	gatherTime = 150 * time.Millisecond
@@ -42,9 +50,12 @@
 // Options are what a Follower is built from.
 type Options struct {
 	Store Source
-	// Peers is asked while the store fails; nil for none.
-	Peers   Source
+	// Peers are asked while the store fails and when they know more; nil for none.
+	Peers   *Peers
 	Decoder Decoder
+	// Leads reports whether this instance is among those that watch the store;
+	// the others are told by them.
+	Leads func() bool
 	// Uptime is the instance's clock.
 	Uptime   func() time.Duration
 	Listener Listener
@@ -67,12 +78,17 @@
 	// storeAt is when the store was last heard from, directly or by a peer.
 	storeAt   time.Duration
 	storeLost bool
+	// hintAt is when another instance last told its revision.
+	hintAt time.Duration
+	// ahead is an instance that is complete up to a higher revision.
+	ahead string
+	hints chan struct{}
 }
 
 // New returns a follower that knows nothing yet.
 func New(options Options) *Follower {
 	options.Scope = options.Scope.SubScope("follow")
-	return &Follower{options: options, targets: roster.New(), history: newHistory()}
+	return &Follower{options: options, targets: roster.New(), history: newHistory(), hints: make(chan struct{}, 1)}
 }
 
 // Table returns the routes in force, or nil before the first version.
@@ -92,11 +108,41 @@
 	return f.storeLost
 }
 
+// Revision returns the store's revision up to which this instance is complete.
+func (f *Follower) Revision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.revision
+}
+
+// Published notes up to which revision another instance is complete.
+func (f *Follower) Published(vm string, revision uint64) {
+	f.mu.Lock()
+	f.hintAt = f.options.Uptime()
+	behind := revision > f.revision
+	if behind {
+		f.ahead = vm
+	}
+	f.mu.Unlock()
+	if !behind {
+		return
+	}
+	select {
+	case f.hints <- struct{}{}:
+	default:
+	}
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	go f.expire(ctx)
+	go f.catchUp(ctx)
 	backoff := retryLeast
 	for ctx.Err() == nil {
+		if f.isTold() {
+			sleep(ctx, idleInterval)
+			continue
+		}
 		err := f.step(ctx, f.options.Store)
 		if err == nil {
 			f.reached()
@@ -108,13 +154,42 @@
 			break
 		}
 		f.lost(err)
-		f.askPeers(ctx)
+		f.askPeers(ctx, "")
 		sleep(ctx, jittered(backoff))
 		backoff = min(2*backoff, retryMost)
 	}
 	return ctx.Err()
 }
 
+// isTold reports whether other instances watch the store and tell this one.
+func (f *Follower) isTold() bool {
+	if f.options.Leads() {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && f.hintAt > 0 && f.options.Uptime()-f.hintAt < hintAge
+}
+
+// catchUp asks an instance that is ahead for what this one lacks.
+func (f *Follower) catchUp(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-f.hints:
+		}
+		sleep(ctx, catchUpTime)
+		f.mu.Lock()
+		vm := f.ahead
+		f.ahead = ""
+		f.mu.Unlock()
+		if vm != "" {
+			f.askPeers(ctx, vm)
+		}
+	}
+}
+
 // step lists once, then watches.
 func (f *Follower) step(ctx context.Context, source Source) error {
 	f.mu.Lock()
@@ -156,24 +231,21 @@
 	return nil
 }
 
-// askPeers takes over what other instances know while the store fails.
-func (f *Follower) askPeers(ctx context.Context) {
+// askPeers takes over what another instance knows: the one named, or any.
+func (f *Follower) askPeers(ctx context.Context, vm string) {
 	if f.options.Peers == nil {
 		return
 	}
 	f.mu.Lock()
-	after, listed := f.revision, f.listed
-	f.mu.Unlock()
-	var listing Listing
-	var err error
-	if listed {
-		listing, err = f.options.Peers.Watch(ctx, after, 0)
-	}
-	if !listed || errors.Is(err, ErrHistoryGone) {
-		listing, err = f.options.Peers.List(ctx)
+	after := f.revision
+	if !f.listed {
+		after = 0
 	}
+	f.mu.Unlock()
+	listing, err := f.options.Peers.Ask(ctx, vm, after)
 	if err != nil {
 		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
+		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", after, "peer", vm, "cause", err)
 		return
 	}
 	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -27,7 +27,7 @@
 // errNoPeer means that no other instance answered.
 var errNoPeer = errors.New("no other instance answered")
 
-// Peers is a Source that asks other instances.
+// Peers asks other instances for what they know.
 type Peers struct {
 	// Fleet keeps fleets on one network apart.
 	Fleet string
@@ -38,16 +38,13 @@
 	}
 }
 
-// List returns everything that another instance knows.
-func (p *Peers) List(ctx context.Context) (Listing, error) { return p.ask(ctx, 0, 0) }
-
-// Watch returns what another instance knows to have changed.
-func (p *Peers) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
-	return p.ask(ctx, after, wait)
-}
-
-// ask takes the answer of the first of a few random instances that answers.
-func (p *Peers) ask(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+// Ask returns what changed after a revision, or everything, by the word of the
+// instance named or, without a name, of the first of a few random ones that
+// answers.
+func (p *Peers) Ask(ctx context.Context, vm string, after uint64) (Listing, error) {
+	if vm != "" {
+		return p.askOne(ctx, vm, after, 0)
+	}
 	members := p.Members.Members()
 	failures := []error{errNoPeer}
 	tries := 0
@@ -58,7 +55,7 @@
 		if tries++; tries > peerTries {
 			break
 		}
-		listing, err := p.askOne(ctx, members[i].Vm, after, wait)
+		listing, err := p.askOne(ctx, members[i].Vm, after, 0)
 		if err == nil {
 			return listing, nil
 		}
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -73,6 +73,7 @@
 		Store:    f.options.Adapter.Store,
 		Peers:    &follow.Peers{Fleet: set.Fleet, Members: peers},
 		Decoder:  f.options.Adapter.Decoder,
+		Leads:    func() bool { return f.fleet == nil || f.fleet.serving() },
 		Uptime:   f.clock.Uptime,
 		Listener: f,
 		Logger:   logger,
@@ -101,7 +102,7 @@
 	return newFleet(peers, f.ready, offer.Settings{PerZone: set.Directory.PerZone, Least: leastOffered}, address.Port(), f.clock.Uptime), nil
 }
 
-func newExchange(f *Frontend, set settings.Frontend, id identity, view *fleet, targets *targetset.Manager, known *crashes, m *metrics.Metrics, logger *log.Logger) *evidence.Exchange {
+func newExchange(f *Frontend, set settings.Frontend, id identity, view *fleet, targets *targetset.Manager, follower *follow.Follower, known *crashes, m *metrics.Metrics, logger *log.Logger) *evidence.Exchange {
 	exchange := evidence.New(evidence.Options{
 		Fleet:    set.Fleet,
 		VM:       set.VM,
@@ -111,7 +112,8 @@
 		Ready:    f.ready,
 		Peers:    view.others,
 		Uses:     targets.Uses,
-		Receiver: receiver{Manager: targets, crashes: known},
+		Revision: follower.Revision,
+		Receiver: receiver{Manager: targets, crashes: known, Follower: follower},
 		Uptime:   f.clock.Uptime,
 		Logger:   logger,
 		Scope:    m.Scope(),
@@ -120,10 +122,11 @@
 	return exchange
 }
 
-// receiver hands other VMs' evidence to the targets and their crashes to those known.
+// receiver hands what other VMs send to the children concerned.
 type receiver struct {
 	*targetset.Manager
 	*crashes
+	*follow.Follower
 }
 
 func newKnownCrashes(f *Frontend, logger *log.Logger) *crashes {
