Choose targets by expected worth; tell shedding from failing

The choice priced risk in seconds, so requests queued at the few sound targets until the admission refused them, while the last attempts of lookups went back to gray targets. A service that sheds everywhere made all targets look failing.

Ruled out: slots counted twice (in use agrees with the targets' own reports), late news (suspicion stands on all VMs within 30 ms of a failure).

Change: worth = chance of success x value at the expected time; candidates that would refuse come last; the last attempt of an idempotent request is as careful as one that runs once; a trial pays for the attempt that follows; refusals without need are a fault of their own.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -38,8 +38,8 @@
 type Outcome struct {
 	// Target is the instance identifier.
 	Target string
-	// FailureNats and SlowNats speak for a fault when positive.
-	FailureNats, SlowNats float64
+	// The nats speak for a fault when positive: failing, slowness, and refusals without need.
+	FailureNats, SlowNats, ShedNats float64
 	// Load is what the target reported; nil when it did not.
 	Load *dialect.Load
 }
@@ -136,6 +136,7 @@
 		Target:      outcome.Target,
 		FailureNats: float32(outcome.FailureNats),
 		SlowNats:    float32(outcome.SlowNats),
+		ShedNats:    float32(outcome.ShedNats),
 	}
 	if outcome.Load != nil {
 		message.HasLoad = true
@@ -373,6 +374,7 @@
 		Target:      message.GetTarget(),
 		FailureNats: float64(message.GetFailureNats()),
 		SlowNats:    float64(message.GetSlowNats()),
+		ShedNats:    float64(message.GetShedNats()),
 	}
 	if message.GetHasLoad() {
 		outcome.Load = &dialect.Load{Running: int(message.GetRunning()), Waiting: int(message.GetWaiting())}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -70,6 +70,10 @@
 	tried []string
 	// sent counts the attempts of which a byte was written.
 	sent int
+	// paid is true when the next attempt is paid for.
+	paid bool
+	// notRetried is why the last attempt was not followed by another.
+	notRetried string
 	// mayHaveRun is true once an attempt was sent whose end proves nothing.
 	mayHaveRun bool
 	// failure is the last target's own failure, if it can be passed on.
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
@@ -60,13 +61,15 @@
 		Remaining: remaining,
 		Useful:    useful,
 		Tried:     q.tried,
-		MustPay:   q.sent > 0,
+		Sent:      q.sent,
+		Paid:      q.paid,
 	}
 }
 
 // note keeps what an attempt that did not serve the request has shown.
 func (q *request) note(attempt *targetset.Attempt, v verdict) {
 	q.tried = append(q.tried, attempt.ID())
+	q.paid = attempt.Trial()
 	if v.result.Sent {
 		q.sent++
 	}
@@ -84,6 +87,7 @@
 // again reports whether another attempt is allowed and of use.
 func (q *request) again(v verdict) bool {
 	if v.result.Sent && q.sent >= q.route.MaxAttempts {
+		q.notRetried = string(retry.AttemptsExhausted)
 		q.gateway.metrics.notRetried(retry.AttemptsExhausted)
 		return false
 	}
@@ -97,6 +101,7 @@
 		OtherTargets: 1,
 	})
 	if decision != retry.Allowed {
+		q.notRetried = string(decision)
 		q.gateway.metrics.notRetried(decision)
 		return false
 	}
@@ -111,6 +116,8 @@
 		return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonNoTarget, Step: outcome.StepChoose, Cause: err}
 	}
 	if q.failure != nil {
+		q.notRetried = string(refusal.Reason)
+		q.logFailure()
 		return q.failure, nil
 	}
 	return nil, &outcome.Refusal{
@@ -125,6 +132,7 @@
 // end ends a request after its last attempt.
 func (q *request) end(target string, v verdict) (*answer, *outcome.Refusal) {
 	if q.failure != nil && q.mayHaveRun {
+		q.logFailure()
 		return q.failure, nil
 	}
 	return nil, &outcome.Refusal{
@@ -137,6 +145,13 @@
 	}
 }
 
+// logFailure tells why a target's failure is the request's answer.
+func (q *request) logFailure() {
+	events.FailurePassedOn.Log(q.gateway.options.Logger, "request", q.told.AttemptID, "route", q.route.Name, "kind", q.route.Kind,
+		"status", q.failure.status, "tried", strings.Join(q.tried, ","), "not_retried", q.notRetried,
+		"after_ms", time.Since(q.began).Milliseconds())
+}
+
 func (q *request) outcome() outcome.Outcome {
 	if q.mayHaveRun {
 		return outcome.MayHaveRun
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -22,6 +22,9 @@
 	refusedNats = 3.0
 	// unreachedNats is the evidence of one that did not open; the path may be at fault.
 	unreachedNats = 0.7
+	// trialBudget is what must be left of the budget for a trial, which pays for
+	// the attempt that follows when it fails.
+	trialBudget = 2
 	// defaultWork stands for the duration of attempts while it is not known.
 	defaultWork = 150 * time.Millisecond
 )
@@ -37,8 +40,10 @@
 	Remaining, Useful time.Duration
 	// Tried names the targets of earlier attempts.
 	Tried []string
-	// MustPay is true when the attempt repeats another that reached a target.
-	MustPay bool
+	// Sent is the number of earlier attempts that reached a target.
+	Sent int
+	// Paid is true when an earlier attempt has paid for this one.
+	Paid bool
 }
 
 // Attempt is one request on its way to one target.
@@ -83,10 +88,12 @@
 	s := m.service(ask.Service)
 	usual := s.reference(ask.Route.Name)
 	candidates, chosen := m.candidates(s, ask, now)
+	mayRepeat := ask.Sent+1 < ask.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.Ask{
 		Repeatable: ask.Route.Kind.Repeatable(),
 		Retry:      len(ask.Tried) > 0,
-		MayTry:     ask.Route.MaxAttempts > 1 && s.budget.Available(now) >= 1,
+		MayTry:     mayRepeat && s.budget.Available(now) >= trialBudget,
+		MayRepeat:  mayRepeat && s.budget.Available(now) >= 1,
 		Work:       usual.Mean(defaultWork),
 		Bytes:      ask.Bytes,
 		Remaining:  ask.Remaining,
@@ -96,7 +103,7 @@
 	if choice.Reason != placement.ReasonNone {
 		return nil, &Refusal{Reason: choice.Reason, RetryAfter: choice.Wait}
 	}
-	if ask.MustPay && !s.budget.Spend(now) {
+	if (choice.Trial || ask.Sent > 0 && !ask.Paid) && !s.budget.Spend(now) {
 		return nil, &Refusal{Reason: ReasonBudget}
 	}
 	t := chosen[choice.Index]
@@ -185,6 +192,9 @@
 	}
 	m := a.manager
 	now := m.options.Uptime()
+	if a.trial && result.End == suspicion.EndServed {
+		a.service.budget.Return()
+	}
 	m.mu.Lock()
 	a.target.mine--
 	a.target.misplaced = a.target.misplaced || result.Misplaced
@@ -196,7 +206,7 @@
 
 // judge turns the result into evidence; the lock is held.
 func (a *Attempt) judge(result Result, now time.Duration) evidence.Outcome {
-	outcome := evidence.Outcome{Target: a.target.info.ID, Load: result.Load, FailureNats: suspicion.FailureNats(result.End)}
+	outcome := evidence.Outcome{Target: a.target.info.ID, Load: result.Load, FailureNats: suspicion.FailureNats(result.End), ShedNats: suspicion.ShedNats(result.End)}
 	if result.Err != nil && !result.Sent && result.End != suspicion.EndNeutral {
 		a.cannotConnect(result.Err)
 		outcome.FailureNats = unreachedNats
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -140,9 +140,10 @@
 	}
 	if !known {
 		t = &target{
-			pool:    m.newPool(info),
-			failing: suspicion.NewFault(now),
-			slow:    suspicion.NewFault(now),
+			pool:     m.newPool(info),
+			failing:  suspicion.NewFault(now),
+			slow:     suspicion.NewFault(now),
+			shedding: suspicion.NewFault(now),
 		}
 		for _, attempts := range m.remote {
 			t.others += attempts[info.ID]
@@ -219,6 +220,7 @@
 	before := t.suspect(now)
 	t.failing.Observe(outcome.FailureNats, now)
 	t.slow.Observe(outcome.SlowNats, now)
+	t.shedding.Observe(outcome.ShedNats, now)
 	if outcome.Load != nil {
 		t.load, t.loadAt = *outcome.Load, now
 	}
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -31,6 +31,8 @@
 	pool    *targetconn.Pool
 	failing suspicion.Fault
 	slow    suspicion.Fault
+	// shedding is the fault of refusing requests although slots are free.
+	shedding suspicion.Fault
 	// mine and others are the attempts in progress from here and from other VMs.
 	mine, others int
 	load         dialect.Load
@@ -63,6 +65,7 @@
 		InUse:      inUse,
 		Failing:    t.failing.Probability(now),
 		Slow:       t.slow.Probability(now),
+		Shedding:   t.shedding.Probability(now),
 		Cold:       now < t.info.WarmAt,
 		Blocked:    t.unreachable,
 		SinceTrial: now - t.began,
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -6,30 +6,21 @@
 	"time"
 )
 
-// Prices and bounds.
+// Bounds on trials and waiting.
 const (
-	// onceRisk is the price of a failed attempt of a request that must not run twice.
-	onceRisk = 4 * time.Second
-	// repeatRisk is the price of a failed attempt that can be repeated.
-	repeatRisk = 400 * time.Millisecond
-	// zonePrice is the price of the way to another availability zone.
-	zonePrice = 5 * time.Millisecond
-	// zonePricePerMB is the price of a megabyte between availability zones.
-	zonePricePerMB = 800 * time.Millisecond
-	// loadPrice is the price of a target's last free slot; busy targets are slower.
-	loadPrice = 30 * time.Millisecond
-	// jitter spreads equal candidates.
-	jitter = 5 * time.Millisecond
 	// suspectFrom is the probability of a fault from which a target is a suspect.
 	suspectFrom = 0.3
-	// slowWork is how much longer a slow target works.
-	slowWork = 4.0
 	// trialGap is the time between two trials of a suspect.
 	trialGap = 150 * time.Millisecond
 	// trialTime is how many average attempts must fit into the time left of a trial.
 	trialTime = 3
 	// queueSlots is the number of requests, in slots of the target, that may wait at it.
 	queueSlots = 2.0
+	// leastWorth is the worth below which a request does not wait; it is higher
+	// by rankStep for each rank after the first, up to mostWorth.
+	leastWorth, rankStep, mostWorth = 0.4, 0.3, 0.8
+	// refusedCost puts candidates that would refuse behind all others.
+	refusedCost = 100
 )
 
 // Candidate is one target as the chooser sees it.
@@ -41,7 +32,7 @@
 	// InUse is the number of attempts in progress from all VMs.
 	InUse int
 	// Failing and Slow are the probabilities of the faults.
-	Failing, Slow float64
+	Failing, Slow, Shedding float64
 	// Cold is true while the target is slow after its start.
 	Cold bool
 	// Blocked is true while this VM cannot reach the target.
@@ -59,6 +50,8 @@
 	Repeatable bool
 	// Retry marks an attempt after the first.
 	Retry bool
+	// MayRepeat is true when another attempt would be allowed and paid for.
+	MayRepeat bool
 	// MayTry allows a trial of a suspect; the budget for repeats has room.
 	MayTry bool
 	// Work is what an attempt takes on average.
@@ -98,24 +91,36 @@
 // Choose returns the target for an attempt, or why there is none.
 func Choose(candidates []Candidate, ask Ask, random *rand.Rand) Choice {
 	if ask.MayTry && ask.Repeatable && !ask.Retry && ask.Remaining > trialTime*ask.Work {
-		if index := dueTrial(candidates, random); index >= 0 {
+		if index := dueTrial(candidates, random); index >= 0 && hasSound(candidates) {
 			return Choice{Index: index, Trial: true}
 		}
 	}
-	best, bestPrice := -1, math.Inf(1)
+	best, bestScore := Choice{Reason: ReasonNoTarget}, math.Inf(-1)
 	for i, c := range candidates {
 		if c.Blocked {
 			continue
 		}
-		price := price(c, ask) + random.Float64()*jitter.Seconds()
-		if price < bestPrice {
-			best, bestPrice = i, price
+		choice := admit(c, i, ask)
+		score := worth(c, ask) - cost(c, ask) + random.Float64()*jitterCost
+		if choice.Reason != ReasonNone {
+			score -= refusedCost
+		}
+		if score > bestScore {
+			best, bestScore = choice, score
 		}
 	}
-	if best < 0 {
-		return Choice{Reason: ReasonNoTarget}
+	return best
+}
+
+// hasSound reports whether a target without suspicion has a free slot, for the
+// attempt that follows a trial that fails.
+func hasSound(candidates []Candidate) bool {
+	for _, c := range candidates {
+		if !c.Blocked && !c.suspect() && c.InUse < c.Slots {
+			return true
+		}
 	}
-	return admit(candidates[best], best, ask)
+	return false
 }
 
 // dueTrial returns a random suspect that has room and was not tried just now.
@@ -133,40 +138,7 @@
 	return found
 }
 
-// price returns a candidate's price in seconds.
-func price(c Candidate, ask Ask) float64 {
-	work := expectedWork(c, ask.Work).Seconds()
-	total := work + expectedWait(c, ask.Work).Seconds()
-	total += loadPrice.Seconds() * float64(c.InUse) / float64(c.Slots)
-	if !c.SameZone {
-		total += zonePrice.Seconds() + zonePricePerMB.Seconds()*float64(ask.Bytes)/1e6
-	}
-	risk := onceRisk
-	if ask.Repeatable {
-		risk = repeatRisk
-	}
-	return total + c.Failing*risk.Seconds()
-}
-
-// expectedWork returns how long an attempt runs at a candidate.
-func expectedWork(c Candidate, work time.Duration) time.Duration {
-	factor := 1 + c.Slow*(slowWork-1)
-	if c.Cold {
-		factor++
-	}
-	return time.Duration(factor * float64(work))
-}
-
-// expectedWait returns how long an attempt waits for a slot.
-func expectedWait(c Candidate, work time.Duration) time.Duration {
-	if c.InUse < c.Slots {
-		return 0
-	}
-	turns := float64(c.InUse-c.Slots+1) / float64(c.Slots)
-	return time.Duration(turns * float64(expectedWork(c, work)))
-}
-
-// admit refuses an attempt whose answer would come too late.
+// admit refuses an attempt that would wait for an answer of little worth.
 func admit(c Candidate, index int, ask Ask) Choice {
 	wait := expectedWait(c, ask.Work)
 	if wait == 0 {
@@ -175,15 +147,13 @@
 	if float64(c.InUse-c.Slots) >= queueSlots*float64(c.Slots) {
 		return Choice{Reason: ReasonFull, Wait: wait}
 	}
-	if wait+ask.Work > time.Duration(patience(ask.Rank)*float64(min(ask.Useful, ask.Remaining))) {
+	if worth(c, ask) < threshold(ask.Rank) {
 		return Choice{Reason: ReasonTooLate, Wait: wait}
 	}
 	return Choice{Index: index, Wait: wait}
 }
 
-// patience is the part of the useful time that a request may take up by
-// waiting and running when all slots are busy.
-func patience(rank int) float64 {
-	const highest, step, least = 0.95, 0.15, 0.5
-	return max(highest-step*float64(max(rank-1, 0)), least)
+// threshold returns the worth below which a request of a rank does not wait.
+func threshold(rank int) float64 {
+	return min(leastWorth+rankStep*float64(max(rank-1, 0)), mostWorth)
 }
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -16,7 +16,7 @@
 
 func lookup() Ask {
 	ask := booking()
-	ask.Repeatable = true
+	ask.Repeatable, ask.MayRepeat = true, true
 	return ask
 }
 
@@ -32,6 +32,18 @@
 	}
 }
 
+// TestFreeSuspectIsBetterThanARefusal is the load of a burst beside gray
+// failures: the targets with a good record are full.
+func TestFreeSuspectIsBetterThanARefusal(t *testing.T) {
+	suspect := well("suspect")
+	suspect.Failing = 0.8
+	full := well("full")
+	full.InUse = 6
+	if got := Choose([]Candidate{suspect, full}, booking(), chooser()); got.Index != 0 || got.Reason != ReasonNone {
+		t.Errorf("chose %+v", got)
+	}
+}
+
 func TestIdempotentRequestTriesASuspect(t *testing.T) {
 	suspect := well("suspect")
 	suspect.Failing = 0.5
@@ -61,6 +73,18 @@
 	}
 }
 
+func TestLastAttemptOfAnIdempotentRequestAvoidsSuspects(t *testing.T) {
+	suspect := well("suspect")
+	suspect.Failing = 0.7
+	busy := well("busy")
+	busy.InUse = 3
+	last := lookup()
+	last.Retry, last.MayRepeat, last.MayTry = true, false, false
+	if got := Choose([]Candidate{suspect, busy}, last, chooser()); got.Index != 1 {
+		t.Errorf("chose %+v", got)
+	}
+}
+
 func TestBlockedTargetIsNeverChosen(t *testing.T) {
 	blocked := well("blocked")
 	blocked.Blocked = true
--- /dev/null
+++ b/policy/placement/worth.go
@@ -0,0 +1,86 @@
+package placement
+
+import "time"
+
+// Parameters of the expected worth.
+const (
+	// illFailShare is the share of attempts that fail at an ill target.
+	illFailShare = 0.85
+	// illShedShare is the share of attempts that a shedding target refuses.
+	illShedShare = 0.5
+	// repeatLoss is what a failed attempt costs a request that can be repeated.
+	repeatLoss = 0.35
+	// lateWorth is what an answer after its useful time is worth.
+	lateWorth = 0.3
+	// slowWork is how much longer a slow target works.
+	slowWork = 4.0
+	// Answers expected before earlyShare of a time surely come within it; those
+	// expected after lateShare of it surely do not.
+	earlyShare, lateShare = 0.5, 1.4
+)
+
+// Costs that tell candidates of the same worth apart.
+const (
+	// waitCost is the cost of a second of waiting and working.
+	waitCost = 0.15
+	// zoneCost is the cost of the way to another availability zone.
+	zoneCost = 0.01
+	// zoneCostPerMB is the cost of a megabyte between availability zones.
+	zoneCostPerMB = 2.0
+	// loadCost is the cost of a target's last free slot; busy targets are slower.
+	loadCost = 0.03
+	// jitterCost spreads equal candidates.
+	jitterCost = 0.01
+)
+
+// worth returns the expected worth of an attempt at a candidate.
+func worth(c Candidate, ask Ask) float64 {
+	finish := expectedWait(c, ask.Work) + expectedWork(c, ask.Work)
+	value := lateWorth + (1-lateWorth)*within(finish, ask.Useful)
+	loss := c.Failing * illFailShare
+	if ask.Repeatable && ask.MayRepeat {
+		loss *= repeatLoss
+	}
+	shed := c.Shedding * illShedShare
+	if ask.MayRepeat {
+		shed *= repeatLoss
+	}
+	return (1 - loss) * (1 - shed) * value * within(finish, ask.Remaining)
+}
+
+// cost returns what tells a candidate from others of the same worth.
+func cost(c Candidate, ask Ask) float64 {
+	finish := expectedWait(c, ask.Work) + expectedWork(c, ask.Work)
+	total := waitCost*finish.Seconds() + loadCost*float64(c.InUse)/float64(c.Slots)
+	if !c.SameZone {
+		total += zoneCost + zoneCostPerMB*float64(ask.Bytes)/1e6
+	}
+	return total
+}
+
+// within returns how likely an answer expected at a time comes within a bound.
+func within(expected, bound time.Duration) float64 {
+	if bound <= 0 {
+		return 0
+	}
+	share := expected.Seconds() / bound.Seconds()
+	return min(max((lateShare-share)/(lateShare-earlyShare), 0), 1)
+}
+
+// expectedWork returns how long an attempt runs at a candidate.
+func expectedWork(c Candidate, work time.Duration) time.Duration {
+	factor := 1 + c.Slow*(slowWork-1)
+	if c.Cold {
+		factor++
+	}
+	return time.Duration(factor * float64(work))
+}
+
+// expectedWait returns how long an attempt waits for a slot.
+func expectedWait(c Candidate, work time.Duration) time.Duration {
+	if c.InUse < c.Slots {
+		return 0
+	}
+	turns := float64(c.InUse-c.Slots+1) / float64(c.Slots)
+	return time.Duration(turns * float64(expectedWork(c, work)))
+}
--- a/policy/retry/share.go
+++ b/policy/retry/share.go
@@ -10,7 +10,7 @@
 
 // allowanceUse is the part of the fleet's allowance that the VMs use, so that
 // uneven shares and late news do not exceed it.
-const allowanceUse = 0.7
+const allowanceUse = 0.85
 
 // Share is one VM's part of a service's budget for repeats that all VMs draw
 // on. The fleet may repeat a ratio of the requests plus a fixed allowance in
@@ -76,6 +76,13 @@
 	return true
 }
 
+// Return gives back what was paid for a repeat that was not needed.
+func (s *Share) Return() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tokens++
+}
+
 // Available returns the repeats that the share could pay.
 func (s *Share) Available(now time.Duration) float64 {
 	s.mu.Lock()
--- a/policy/suspicion/evidence.go
+++ b/policy/suspicion/evidence.go
@@ -25,11 +25,11 @@
 
 // Shares of attempts that end badly at ill and at well targets.
 const (
-	illFailShare  = 0.55
+	illFailShare  = 0.75
 	wellFailShare = 0.015
 	// illShedShare and wellShedShare are refusals although slots are free.
-	illShedShare  = 0.4
-	wellShedShare = 0.08
+	illShedShare  = 0.5
+	wellShedShare = 0.05
 )
 
 // FailureNats returns what an end says about failing.
@@ -39,9 +39,19 @@
 		return math.Log((1 - illFailShare) / (1 - wellFailShare))
 	case EndFailed, EndSilent:
 		return math.Log(illFailShare / wellFailShare)
+	case EndShed, EndNeutral:
+	}
+	return 0
+}
+
+// ShedNats returns what an end says about refusals without need.
+func ShedNats(end End) float64 {
+	switch end {
+	case EndServed, EndFailed:
+		return math.Log((1 - illShedShare) / (1 - wellShedShare))
 	case EndShed:
 		return math.Log(illShedShare / wellShedShare)
-	case EndNeutral:
+	case EndSilent, EndNeutral:
 	}
 	return 0
 }
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -12,7 +12,7 @@
 	// wellTime is how long a target stays well, on average.
 	wellTime = 60 * time.Second
 	// maxNats bounds the certainty that evidence can build up.
-	maxNats = 6.0
+	maxNats = 4.5
 	// minNats bounds the certainty that a target is well, so that a new fault shows at once.
 	minNats = -4.0
 )
