Test the new children; note the store's return before its news

Cause: a follower took over the answer of its first watch after an outage before it noted the store's return, so entries that had lapsed meanwhile took their targets out at once.

--- /dev/null
+++ b/entry/evidence/exchange_test.go
@@ -0,0 +1,135 @@
+package evidence
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/entry/dialect"
+)
+
+// sentPackets keeps what is written.
+type sentPackets struct {
+	net.PacketConn
+	sent [][]byte
+}
+
+func (s *sentPackets) WriteTo(p []byte, _ net.Addr) (int, error) {
+	s.sent = append(s.sent, append([]byte(nil), p...))
+	return len(p), nil
+}
+
+// received notes what a receiver is told.
+type received struct {
+	mu       sync.Mutex
+	outcomes []Outcome
+	uses     map[string]map[string]int
+	crashes  []Crash
+	revision uint64
+}
+
+func (r *received) Observed(outcome Outcome) { r.outcomes = append(r.outcomes, outcome) }
+func (r *received) Crashed(crash Crash)      { r.crashes = append(r.crashes, crash) }
+func (r *received) InProgress(vm string, attempts map[string]int) {
+	r.uses[vm] = attempts
+}
+func (r *received) Published(_ string, revision uint64) { r.revision = revision }
+
+// pair is a sender and a receiver on one clock.
+type pair struct {
+	now      time.Duration
+	packets  *sentPackets
+	from, to *Exchange
+	got      *received
+}
+
+func newPair() *pair {
+	p := &pair{packets: &sentPackets{}, got: &received{uses: make(map[string]map[string]int)}, now: time.Minute}
+	options := Options{
+		Fleet: "f", VM: "vm-1", Instance: 1, Conn: p.packets,
+		Serving: func() bool { return true }, Ready: func() bool { return true },
+		Peers: func() []Peer {
+			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), Serves: true}}
+		},
+		Uses: func() map[string]int { return map[string]int{"t1": 2} }, Revision: func() uint64 { return 42 },
+		Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+	}
+	p.from = New(options)
+	options.VM, options.Instance, options.Receiver = "vm-2", 2, p.got
+	p.to = New(options)
+	return p
+}
+
+func TestEvidenceArrivesOnceAlthoughSentTwice(t *testing.T) {
+	p := newPair()
+	p.from.Publish(Outcome{Target: "t1", FailureNats: 3, Load: &dialect.Load{Running: 2, Waiting: 1}})
+	p.from.ReportCrash(Crash{Fingerprint: 7, Target: "t1"})
+	p.from.send(false)
+	p.from.send(true)
+	for _, datagram := range p.packets.sent {
+		p.to.Take(datagram)
+	}
+	if len(p.got.outcomes) != 1 || p.got.outcomes[0].FailureNats != 3 || p.got.outcomes[0].Load.Running != 2 {
+		t.Errorf("outcomes %+v", p.got.outcomes)
+	}
+	if len(p.got.crashes) != 1 || p.got.uses["vm-1"]["t1"] != 2 || p.got.revision != 42 {
+		t.Errorf("crashes %v, uses %v, revision %d", p.got.crashes, p.got.uses, p.got.revision)
+	}
+}
+
+func TestLostDatagramIsMadeUpFor(t *testing.T) {
+	p := newPair()
+	p.from.Publish(Outcome{Target: "t1", FailureNats: 3})
+	p.from.send(false)
+	p.from.Publish(Outcome{Target: "t2", FailureNats: 1})
+	p.from.send(false)
+	p.to.Take(p.packets.sent[1])
+	if len(p.got.outcomes) != 2 {
+		t.Errorf("outcomes %+v", p.got.outcomes)
+	}
+}
+
+func TestAttemptsOfASilentVMAreForgotten(t *testing.T) {
+	p := newPair()
+	p.from.send(true)
+	p.to.Take(p.packets.sent[0])
+	if _, ready, ok := p.to.Heard("vm-1"); !ok || !ready {
+		t.Error("the sender was not heard")
+	}
+	p.now += forgetAfter
+	p.to.forgetSilent()
+	if len(p.got.uses["vm-1"]) != 0 {
+		t.Errorf("uses %v", p.got.uses)
+	}
+}
+
+func TestForeignAndBrokenDatagramsAreRefused(t *testing.T) {
+	p := newPair()
+	p.from.options.Fleet = "another"
+	p.from.send(true)
+	p.to.Take(p.packets.sent[0])
+	p.to.Take([]byte{0xff, 0x01})
+	p.to.Take(nil)
+	if _, _, ok := p.to.Heard("vm-1"); ok || len(p.got.uses) != 0 {
+		t.Error("a datagram of another fleet was taken")
+	}
+}
+
+func TestOldDatagramDoesNotBringBackOldNumbers(t *testing.T) {
+	p := newPair()
+	p.from.send(true)
+	p.from.options.Uses = func() map[string]int { return nil }
+	p.from.Publish(Outcome{Target: "t1"})
+	p.from.send(false)
+	p.to.Take(p.packets.sent[1])
+	p.to.Take(p.packets.sent[0])
+	if len(p.got.uses["vm-1"]) != 0 {
+		t.Errorf("uses %v", p.got.uses)
+	}
+}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -145,7 +145,6 @@
 		}
 		err := f.step(ctx, f.options.Store)
 		if err == nil {
-			f.reached()
 			backoff = retryLeast
 			sleep(ctx, gatherTime)
 			continue
@@ -207,6 +206,7 @@
 	if err != nil {
 		return fmt.Errorf("watch after revision %d: %w", after, err)
 	}
+	f.reached()
 	f.apply(changes)
 	return nil
 }
--- /dev/null
+++ b/entry/gateway/world_test.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/policy/roster"
+	"github.com/primroseloom/primroseloom/standin/memnet"
+)
+
+const (
+	ownIP    = "10.0.0.1"
+	host     = "a.example"
+	oncePath = "/book/"
+	safePath = "/look/"
+	// routeTimeout is the time of both routes.
+	routeTimeout = time.Second
+)
+
+// plainDialect is a dialect with headers of its own.
+type plainDialect struct{}
+
+func (plainDialect) ReadRequest(h http.Header) dialect.Request {
+	ms, _ := strconv.Atoi(h.Get("Left"))
+	return dialect.Request{AttemptID: h.Get("Id"), Remaining: time.Duration(ms) * time.Millisecond}
+}
+
+func (plainDialect) WriteAttempt(h http.Header, attempt dialect.Attempt) {
+	h.Set("Left", strconv.FormatInt(attempt.Remaining.Milliseconds(), 10))
+	h.Set("Target", attempt.TargetID)
+}
+
+func (plainDialect) ReadAnswer(r *http.Response) dialect.Answer {
+	return dialect.Answer{
+		AttemptID: r.Header.Get("Id"), Sealed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != "", Leaving: r.Close,
+	}
+}
+
+func (plainDialect) WriteRefusal(h http.Header, after time.Duration) {
+	if after > 0 {
+		h.Set("After", after.String())
+	}
+}
+
+// quietTeller keeps evidence to itself.
+type quietTeller struct{}
+
+func (quietTeller) Publish(evidence.Outcome) {}
+func (quietTeller) UsesChanged()             {}
+
+// reportedCrashes notes reports and refuses nothing.
+type reportedCrashes struct {
+	mu      sync.Mutex
+	reports int
+	refuse  bool
+}
+
+func (c *reportedCrashes) Refuses(uint64) bool { return c.refuse }
+
+func (c *reportedCrashes) Report(uint64, string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports++
+}
+
+// behavior is what a target does with a request.
+type behavior func(w http.ResponseWriter, r *http.Request)
+
+// world is a gateway and some targets on an in-memory network, in virtual time.
+type world struct {
+	t       *testing.T
+	network *memnet.Network
+	gateway *Gateway
+	targets *targetset.Manager
+	crashes *reportedCrashes
+	table   *routing.Table
+	mu      sync.Mutex
+	// arrivals counts the requests that reached each target.
+	arrivals map[string]int
+}
+
+// inWorld runs a test with one target for each behavior, named t0, t1 and so on.
+func inWorld(t *testing.T, behaviors []behavior, test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		logger := log.New(io.Discard)
+		w := &world{t: t, network: memnet.New(), crashes: &reportedCrashes{}, arrivals: make(map[string]int), table: testTable(t)}
+		w.targets = targetset.New(targetset.Options{
+			Zone: "z", Network: w.network.Host(ownIP), Budget: targetset.Budget{Ratio: 1, Allowance: 100},
+			Sharers: func() int { return 1 }, Uptime: func() time.Duration { return time.Since(start) + time.Hour },
+			Logger: logger, Scope: tally.NoopScope, Seed: 1,
+		})
+		w.targets.UseTeller(quietTeller{})
+		w.targets.RoutesChanged(w.table)
+		w.gateway = New(Options{
+			Dialect: plainDialect{}, Table: func() *routing.Table { return w.table }, Targets: w.targets, Crashes: w.crashes,
+			Stopping: func() bool { return false }, Logger: logger, Scope: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var published []roster.Target
+		for i, behavior := range behaviors {
+			published = append(published, w.startTarget(ctx, "t"+strconv.Itoa(i), i, behavior))
+		}
+		w.targets.TargetsChanged(published)
+		test(w)
+		cancel()
+		w.targets.TargetsChanged(nil)
+	})
+}
+
+func testTable(t *testing.T) *routing.Table {
+	t.Helper()
+	one := func(name, prefix string, kind routing.Kind) routing.Route {
+		return routing.Route{
+			Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout, Objective: routeTimeout / 2,
+			MaxAttempts: 2, Split: []routing.Share{{Service: "s", Weight: 1}},
+		}
+	}
+	table, err := routing.Compile(routing.Document{
+		Version: 1, Services: []routing.Service{{Name: "s", Connections: 330}}, Limits: routing.Limits{BodyBytes: 1000},
+		Routes: []routing.Route{one("once", oncePath, routing.KindOnce), one("safe", safePath, routing.KindIdempotent)},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func (w *world) startTarget(ctx context.Context, id string, i int, act behavior) roster.Target {
+	w.t.Helper()
+	address := net.JoinHostPort("10.1.0."+strconv.Itoa(i+1), "80")
+	listener, err := w.network.Host("10.1.0."+strconv.Itoa(i+1)).Listen(ctx, address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	server := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		w.mu.Lock()
+		w.arrivals[id]++
+		w.mu.Unlock()
+		act(out, r)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return roster.Target{ID: id, Service: "s", Address: address, Zone: "z", Slots: 3, State: roster.StateReady}
+}
+
+// total returns the requests that reached any target.
+func (w *world) total() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	sum := 0
+	for _, count := range w.arrivals {
+		sum += count
+	}
+	return sum
+}
+
+// ask sends one request and returns what the caller is told; status 0 stands
+// for a connection that closed without a whole answer.
+func (w *world) ask(method, path, body string) *httptest.ResponseRecorder {
+	w.t.Helper()
+	request := httptest.NewRequest(method, "http://"+host+path, strings.NewReader(body))
+	request.Header.Set("Id", "r1")
+	request.Header.Set("Left", "2000")
+	recorder := httptest.NewRecorder()
+	w.gateway.ServeHTTP(recorder, request)
+	return recorder
+}
+
+// Behaviors of targets.
+
+func serves(out http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	out.Header().Set("Id", r.Header.Get("Id"))
+	out.Header().Set("Seal", "sealed")
+	_, _ = io.WriteString(out, "served "+string(body))
+}
+
+func failsWith(status int) behavior {
+	return func(out http.ResponseWriter, r *http.Request) {
+		out.Header().Set("Id", r.Header.Get("Id"))
+		out.Header().Set("Seal", "sealed")
+		out.WriteHeader(status)
+		_, _ = io.WriteString(out, "own failure")
+	}
+}
+
+func sheds(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set("Id", r.Header.Get("Id"))
+	out.Header().Set("Not-Run", "1")
+	out.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func resets(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+func truncates(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set("Id", r.Header.Get("Id"))
+	out.Header().Set("Seal", "sealed")
+	out.Header().Set("Content-Length", "100")
+	_, _ = io.WriteString(out, "only this")
+}
+
+func answersAnother(out http.ResponseWriter, _ *http.Request) {
+	out.Header().Set("Id", "another")
+	out.Header().Set("Seal", "sealed")
+	_, _ = io.WriteString(out, "somebody else's answer")
+}
+
+func unsealed(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set("Id", r.Header.Get("Id"))
+	_, _ = io.WriteString(out, "no signature")
+}
+
+func encoded(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set("Content-Encoding", "gzip")
+	serves(out, r)
+}
+
+func hangs(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server notices a closed connection only then
+	<-r.Context().Done()
+}
