Keep connections as long as targets say; give newcomers their first request

Change: the target's Keep-Alive time bounds idle connections; a request that must not run twice takes one only if it was idle for under 3 s. The cost of bytes between zones follows their price. An untried free target is preferred.

--- a/entry/contract/roundtrip.go
+++ b/entry/contract/roundtrip.go
@@ -15,6 +15,9 @@
 	BeforeWrite func() error
 	// Fresh asks for a new connection in place of one from the pool.
 	Fresh bool
+	// MaxIdle bounds the idle time of a connection from the pool; zero for the
+	// pool's own bound.
+	MaxIdle time.Duration
 	// StallLimit bounds the time from the write of the request to the answer's
 	// first byte on a new connection; zero for no bound besides the context.
 	StallLimit time.Duration
--- a/entry/gateway/answer.go
+++ b/entry/gateway/answer.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return q.broken(ctx, err)
 	}
-	v := verdict{result: targetset.Result{End: suspicion.EndServed, Reuse: !said.Leaving, Load: said.Load}, answer: got, step: outcome.StepRead}
+	v := verdict{result: targetset.Result{End: suspicion.EndServed, Reuse: !said.Leaving, Load: said.Load, KeepIdle: said.KeepIdle}, answer: got, step: outcome.StepRead}
 	switch {
 	case said.NotRun:
 		return q.refusedByTarget(v, said)
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -19,6 +19,11 @@
 // leastRetryTime is the time without which another attempt is of no use.
 const leastRetryTime = 20 * time.Millisecond
 
+// onceMaxIdle is the idle time up to which a request that must not run twice
+// goes over a used connection. One that was idle for longer may be gone without
+// a word, and what is written to it may or may not have run.
+const onceMaxIdle = 3 * time.Second
+
 // verdict is what one attempt's end means for its request.
 type verdict struct {
 	result targetset.Result
@@ -80,10 +85,15 @@
 		q.failure = v.answer
 	}
 	q.gateway.metrics.failed(v.reason)
+	knew := attempt.Chosen()
 	events.AttemptFailed.Log(q.gateway.options.Logger, "request", q.told.AttemptID, "target", attempt.ID(),
-		"reason", v.reason, "not_run", v.notRun, "trial", attempt.Trial(), "after_ms", time.Since(q.began).Milliseconds(), "cause", v.result.Err)
+		"reason", v.reason, "not_run", v.notRun, "trial", attempt.Trial(), "service", q.service, "failing", percent(knew.Failing), "slow", percent(knew.Slow), "shedding", percent(knew.Shedding),
+		"in_use", knew.InUse, "slots", knew.Slots, "after_ms", time.Since(q.began).Milliseconds(), "cause", v.result.Err)
 }
 
+// percent renders a probability for a log line.
+func percent(p float64) int { return int(100*p + 0.5) }
+
 // again reports whether another attempt is allowed and of use.
 func (q *request) again(v verdict) bool {
 	if v.result.Sent && q.sent >= q.route.MaxAttempts {
@@ -162,6 +172,9 @@
 // attempt sends the request to one target and judges the end.
 func (q *request) attempt(ctx context.Context, attempt *targetset.Attempt) verdict {
 	trip := &contract.RoundTrip{}
+	if !q.route.Kind.Repeatable() {
+		trip.MaxIdle = onceMaxIdle
+	}
 	outgoing := q.outgoing(contract.WithRoundTrip(ctx, trip), attempt)
 	allSent := q.body.attach(outgoing)
 	response, err := attempt.Send(outgoing)
--- a/entry/targetconn/pool.go
+++ b/entry/targetconn/pool.go
@@ -78,10 +78,10 @@
 
 type watchKey struct{}
 
-// take returns an idle connection, or a new one when there is none or fresh is
-// set.
-func (p *Pool) take(ctx context.Context, fresh bool) (*connection, error) {
-	reused, dead, err := p.reserve(fresh)
+// take returns an idle connection, or a new one when there is none that suits
+// the attempt.
+func (p *Pool) take(ctx context.Context, trip *contract.RoundTrip) (*connection, error) {
+	reused, dead, err := p.reserve(trip)
 	closeAll(dead)
 	if err != nil || reused != nil {
 		return reused, err
@@ -95,12 +95,14 @@
 }
 
 // reserve returns an idle connection or counts a new one.
-func (p *Pool) reserve(fresh bool) (reused *connection, dead []*connection, err error) {
+func (p *Pool) reserve(trip *contract.RoundTrip) (reused *connection, dead []*connection, err error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	dead = p.dropUnusable(time.Now())
+	now := time.Now()
+	dead = p.dropUnusable(now)
 	last := len(p.idle) - 1
-	if last >= 0 && !fresh {
+	suits := last >= 0 && !trip.Fresh && (trip.MaxIdle == 0 || now.Sub(p.idle[last].idleSince) < trip.MaxIdle)
+	if suits {
 		reused = p.idle[last]
 		p.idle = p.idle[:last]
 		return reused, dead, nil
@@ -172,6 +174,13 @@
 	closeAll(dead)
 }
 
+// SetIdle changes how long an unused connection is kept.
+func (p *Pool) SetIdle(idle time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.options.Idle = idle
+}
+
 // Close closes the idle connections; those in use are closed when returned.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -24,7 +24,7 @@
 // head. It sends the request at most once.
 func Send(p *Pool, target string, request *http.Request) (*Exchange, *http.Response, error) {
 	trip := contract.RoundTripFrom(request.Context())
-	conn, err := p.take(request.Context(), trip.Fresh)
+	conn, err := p.take(request.Context(), trip)
 	if err != nil {
 		closeBody(request)
 		return nil, nil, connectError(request.Context(), target, err)
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -48,12 +48,14 @@
 
 // Attempt is one request on its way to one target.
 type Attempt struct {
-	manager  *Manager
-	service  *service
-	target   *target
-	route    string
-	began    time.Duration
-	trial    bool
+	manager *Manager
+	service *service
+	target  *target
+	route   string
+	began   time.Duration
+	trial   bool
+	// chosen is what the choice knew of the target.
+	chosen   placement.Candidate
 	overdue  *time.Timer
 	told     bool
 	exchange *targetconn.Exchange
@@ -108,8 +110,9 @@
 	}
 	t := chosen[choice.Index]
 	t.mine++
+	t.tried = true
 	t.began = now
-	a := &Attempt{manager: m, service: s, target: t, route: ask.Route.Name, began: now, trial: choice.Trial}
+	a := &Attempt{manager: m, service: s, target: t, route: ask.Route.Name, began: now, trial: choice.Trial, chosen: candidates[choice.Index]}
 	if limit := usual.Overdue(); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.isOverdue)
 	}
@@ -149,6 +152,9 @@
 // Trial reports whether the target is a suspect tried on purpose.
 func (a *Attempt) Trial() bool { return a.trial }
 
+// Chosen returns what the choice knew of the target.
+func (a *Attempt) Chosen() placement.Candidate { return a.chosen }
+
 // Send writes the request to the target and reads the answer's head. The error
 // is a *contract.RoundTripError.
 func (a *Attempt) Send(request *http.Request) (*http.Response, error) {
@@ -174,6 +180,8 @@
 	// Reuse is true when the connection may carry another request.
 	Reuse bool
 	Load  *dialect.Load
+	// KeepIdle is how long the target keeps the connection; zero when it doesn't say.
+	KeepIdle time.Duration
 	// Err is the failure, if any.
 	Err error
 	// Sent is true once a byte of the request was written.
@@ -190,6 +198,9 @@
 	if a.overdue != nil {
 		a.overdue.Stop()
 	}
+	if result.KeepIdle > 0 {
+		a.target.pool.SetIdle(time.Duration(idleShare * float64(result.KeepIdle)))
+	}
 	m := a.manager
 	now := m.options.Uptime()
 	if a.trial && result.End == suspicion.EndServed {
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -217,6 +217,7 @@
 
 // observe applies evidence to a target; the lock is held.
 func (m *Manager) observe(t *target, outcome evidence.Outcome, now time.Duration) {
+	t.tried = true
 	before := t.suspect(now)
 	t.failing.Observe(outcome.FailureNats, now)
 	t.slow.Observe(outcome.SlowNats, now)
@@ -251,6 +252,7 @@
 	for id, count := range attempts {
 		if t, ok := m.targets[id]; ok {
 			t.others += count
+			t.tried = true
 		}
 	}
 }
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -14,8 +14,11 @@
 const (
 	// connectTimeout is a few round trips; another target is near.
 	connectTimeout = 120 * time.Millisecond
-	// connectionIdle is shorter than targets keep idle connections.
+	// connectionIdle is how long an idle connection is kept while the target
+	// has not said how long it keeps it itself.
 	connectionIdle = 4 * time.Second
+	// idleShare is the part of the target's own time for which it is kept.
+	idleShare = 0.7
 	// connectionShare is the part of a target's connections that one VM may use.
 	connectionShare = 0.1
 	// leastConnections is what a VM may open whatever the share says.
@@ -39,6 +42,8 @@
 	loadAt       time.Duration
 	// began is when an attempt was last begun here.
 	began time.Duration
+	// tried is true once an attempt was made, here or on another VM.
+	tried bool
 	// unreachable is true while no connection opens from here.
 	unreachable bool
 	// misplaced is true once another instance answered at its address.
@@ -68,6 +73,7 @@
 		Shedding:   t.shedding.Probability(now),
 		Cold:       now < t.info.WarmAt,
 		Blocked:    t.unreachable,
+		Untried:    !t.tried,
 		SinceTrial: now - t.began,
 	}
 }
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -35,6 +35,8 @@
 	Failing, Slow, Shedding float64
 	// Cold is true while the target is slow after its start.
 	Cold bool
+	// Untried is true until a request has reached the target, from any VM.
+	Untried bool
 	// Blocked is true while this VM cannot reach the target.
 	Blocked bool
 	// SinceTrial is the time since an attempt to it began here or elsewhere.
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -121,6 +121,14 @@
 	}
 }
 
+func TestNewcomerGetsItsFirstRequest(t *testing.T) {
+	newcomer := well("newcomer")
+	newcomer.Untried, newcomer.Cold, newcomer.SameZone = true, true, false
+	if got := Choose([]Candidate{well("known"), newcomer}, booking(), chooser()); got.Index != 1 {
+		t.Errorf("chose %+v", got)
+	}
+}
+
 func TestLargeBodyStaysInItsZone(t *testing.T) {
 	near, far := well("near"), well("far")
 	near.InUse = 1
--- a/policy/placement/worth.go
+++ b/policy/placement/worth.go
@@ -24,11 +24,14 @@
 	// waitCost is the cost of a second of waiting and working.
 	waitCost = 0.15
 	// zoneCost is the cost of the way to another availability zone.
-	zoneCost = 0.01
+	zoneCost = 0.015
 	// zoneCostPerMB is the cost of a megabyte between availability zones.
-	zoneCostPerMB = 2.0
+	zoneCostPerMB = 3.5
 	// loadCost is the cost of a target's last free slot; busy targets are slower.
 	loadCost = 0.03
+	// untriedGain prefers a free target that no request has reached yet, so that
+	// newcomers get their part of the work.
+	untriedGain = 0.1
 	// jitterCost spreads equal candidates.
 	jitterCost = 0.01
 )
@@ -55,6 +58,9 @@
 	if !c.SameZone {
 		total += zoneCost + zoneCostPerMB*float64(ask.Bytes)/1e6
 	}
+	if c.Untried && c.InUse == 0 {
+		total -= untriedGain
+	}
 	return total
 }
 
