Let capacity and load decide which VMs callers are shown

Change: members tell their capacity, datagrams the rate; the front rank is the largest VMs, as many as the rate needs, two at least. VMs outside of it have no part of the allowance. Datagrams wait longer the more VMs get them.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -20,6 +20,8 @@
 const (
 	// gatherTime is how long an outcome waits for others to share its datagram.
 	gatherTime = 15 * time.Millisecond
+	// gatherPerPeer is the least that it waits for each VM that is to have it.
+	gatherPerPeer = time.Millisecond
 	// heartbeat is the time between datagrams of a VM that has nothing to say.
 	heartbeat = 200 * time.Millisecond
 	// forgetAfter is the silence after which a VM's attempts count as ended.
@@ -84,6 +86,8 @@
 	Peers func() []Peer
 	// Uses returns this VM's attempts in progress by target.
 	Uses func() map[string]int
+	// Rate returns the requests a second that this VM serves.
+	Rate func() float64
 	// Revision returns the store's revision up to which this VM is complete.
 	Revision func() uint64
 	Receiver Receiver
@@ -103,6 +107,7 @@
 	instance, sequence, outcome, crash uint64
 	heard                              time.Duration
 	ready                              bool
+	rate                               float64
 	silent                             bool
 }
 
@@ -193,6 +198,18 @@
 	return x.options.Uptime() - from.heard, from.ready, true
 }
 
+// Rate returns the requests a second that a VM serves by its last word, or
+// zero when it is silent.
+func (x *Exchange) Rate(vm string) float64 {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	from, ok := x.senders[vm]
+	if !ok || x.options.Uptime()-from.heard >= forgetAfter {
+		return 0
+	}
+	return from.rate
+}
+
 // Run sends until the context ends; receiving goes on beside it.
 func (x *Exchange) Run(ctx context.Context) error {
 	go x.receive(ctx)
@@ -206,7 +223,7 @@
 			x.forgetSilent()
 			x.send(true)
 		case <-x.wake:
-			if !wait(ctx, gatherTime) {
+			if !wait(ctx, x.gatherTime()) {
 				return ctx.Err()
 			}
 			x.send(false)
@@ -214,6 +231,18 @@
 	}
 }
 
+// gatherTime grows with the number of VMs to which a datagram goes, so that
+// what a VM sends stays bounded.
+func (x *Exchange) gatherTime() time.Duration {
+	serving := 0
+	for _, peer := range x.options.Peers() {
+		if peer.Serves {
+			serving++
+		}
+	}
+	return max(gatherTime, time.Duration(serving)*gatherPerPeer)
+}
+
 func wait(ctx context.Context, pause time.Duration) bool {
 	timer := time.NewTimer(pause)
 	defer timer.Stop()
@@ -263,6 +292,7 @@
 		Ready:    x.options.Ready(),
 		Crashes:  x.reports,
 		Revision: x.options.Revision(),
+		Rate:     uint32(x.options.Rate() + 0.5),
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
@@ -364,7 +394,7 @@
 	}
 	newest = message.GetSequence() > from.sequence
 	if newest {
-		from.sequence, from.ready = message.GetSequence(), message.GetReady()
+		from.sequence, from.ready, from.rate = message.GetSequence(), message.GetReady(), float64(message.GetRate())
 	}
 	return outcomes, crashes, newest
 }
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -57,7 +57,7 @@
 		Peers: func() []Peer {
 			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), Serves: true}}
 		},
-		Uses: func() map[string]int { return map[string]int{"t1": 2} }, Revision: func() uint64 { return 42 },
+		Uses: func() map[string]int { return map[string]int{"t1": 2} }, Revision: func() uint64 { return 42 }, Rate: func() float64 { return 10 },
 		Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -40,7 +40,7 @@
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
 	}
-	f.fleet.heard = f.evidence
+	f.fleet.heard, f.fleet.rate = f.evidence, f.gateway.Rate
 	f.targets.UseTeller(f.evidence)
 	f.peers.Mount(f.follower.Handler(options.Settings.Fleet))
 	return f, nil
@@ -63,6 +63,7 @@
 		CallersAddress: set.Listen.Callers,
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
+		Capacity:       offer.Capacity(set.Machine.CPUShare*set.Machine.Cores, set.Machine.LinkMbps),
 		Clock:          f.clock.Uptime,
 		TLS:            peer.TLSFiles{Off: true},
 	}, f.options.Network, logger, m.Scope())
@@ -112,6 +113,7 @@
 		Ready:    f.ready,
 		Peers:    view.others,
 		Uses:     targets.Uses,
+		Rate:     func() float64 { return f.gateway.Rate() },
 		Revision: follower.Revision,
 		Receiver: receiver{Manager: targets, crashes: known, Follower: follower},
 		Uptime:   f.clock.Uptime,
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -28,6 +28,8 @@
 // heard tells when a VM was last heard.
 type heard interface {
 	Heard(vm string) (age time.Duration, ready, ok bool)
+	// Rate returns the requests a second that a VM serves.
+	Rate(vm string) float64
 }
 
 // view is the fleet at one moment.
@@ -50,6 +52,8 @@
 	// evidencePort is the UDP port of evidence on all VMs.
 	evidencePort uint16
 	now          func() time.Duration
+	// rate is the requests a second that this VM serves.
+	rate func() float64
 
 	view atomic.Pointer[view]
 	// expected is since when a VM of a front rank should have been heard.
@@ -61,6 +65,7 @@
 func newFleet(members contract.Members, ready func() bool, settings offer.Settings, evidencePort uint16, now func() time.Duration) *fleet {
 	f := &fleet{
 		members: members, ready: ready, settings: settings, evidencePort: evidencePort, now: now,
+		rate:     func() float64 { return 0 },
 		expected: make(map[string]time.Duration), leftOut: make(map[string]time.Duration),
 	}
 	f.view.Store(&view{})
@@ -90,10 +95,12 @@
 	wasServing := f.view.Load().serving
 	for _, member := range members {
 		v.vms = append(v.vms, offer.VM{
-			Name:    member.GetVm(),
-			Zone:    member.GetZone(),
-			Address: member.GetCallersAddress(),
-			Usable:  f.usable(member, self, wasServing, now),
+			Name:     member.GetVm(),
+			Zone:     member.GetZone(),
+			Address:  member.GetCallersAddress(),
+			Capacity: member.GetCapacity(),
+			Rate:     f.rateOf(member, self),
+			Usable:   f.usable(member, self, wasServing, now),
 		})
 	}
 	inFront := make(map[string]bool)
@@ -105,6 +112,14 @@
 	f.view.Store(v)
 }
 
+// rateOf returns the requests a second that a VM serves.
+func (f *fleet) rateOf(member, self *primroseloomv1.Member) float64 {
+	if member.GetVm() == self.GetVm() {
+		return f.rate()
+	}
+	return f.heard.Rate(member.GetVm())
+}
+
 // usable reports whether callers may be sent to a VM.
 func (f *fleet) usable(member, self *primroseloomv1.Member, wasServing bool, now time.Duration) bool {
 	if member.GetVm() == self.GetVm() {
@@ -194,5 +209,14 @@
 }
 
 func (f *fleet) serving() bool           { return f.view.Load().serving }
-func (f *fleet) sharers() int            { return max(f.view.Load().sharers, 1) }
 func (f *fleet) others() []evidence.Peer { return f.view.Load().peers }
+
+// sharers is the number of VMs that share the budgets for repeats; zero for a
+// VM that callers are not shown, which has no part of its own.
+func (f *fleet) sharers() int {
+	v := f.view.Load()
+	if !v.serving {
+		return 0
+	}
+	return v.sharers
+}
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -27,6 +27,8 @@
 	return age, ok, ok
 }
 
+func (h fakeHeard) Rate(string) float64 { return 0 }
+
 func members(names ...string) fakeMembers {
 	var all fakeMembers
 	for _, name := range names {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -47,6 +47,7 @@
 type Gateway struct {
 	options Options
 	metrics *counters
+	rate    rate
 }
 
 // New returns a gateway.
@@ -83,6 +84,7 @@
 // ServeHTTP answers one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{gateway: g, caller: r, told: g.options.Dialect.ReadRequest(r.Header), began: time.Now()}
+	g.rate.add(q.began)
 	if g.options.Stopping() {
 		w.Header().Set("Connection", "close")
 	}
--- a/entry/peer/convert.go
+++ b/entry/peer/convert.go
@@ -23,6 +23,7 @@
 		ConfigProblem:  m.ConfigProblem,
 		Refresh:        m.Refresh,
 		RejectedCount:  m.RejectedCount,
+		Capacity:       m.Capacity,
 	}
 }
 
@@ -44,6 +45,7 @@
 		ConfigProblem:  m.GetConfigProblem(),
 		Refresh:        m.GetRefresh(),
 		RejectedCount:  m.GetRejectedCount(),
+		Capacity:       m.GetCapacity(),
 	}
 }
 
--- a/entry/peer/manager.go
+++ b/entry/peer/manager.go
@@ -90,7 +90,7 @@
 	m.news = newNewsroom(scope)
 	self := membership.Member{
 		VM: settings.VM, Instance: settings.Instance, Region: settings.Region, Zone: settings.Zone,
-		CallersAddress: settings.CallersAddress, PeersAddress: settings.PeersAddress,
+		CallersAddress: settings.CallersAddress, PeersAddress: settings.PeersAddress, Capacity: settings.Capacity,
 	}
 	random := rand.New(rand.NewPCG(settings.Seed, settings.Instance))
 	m.state = membership.New(self, settings.FirstPeers, settings.Membership, random)
--- a/entry/peer/settings.go
+++ b/entry/peer/settings.go
@@ -18,6 +18,8 @@
 	// CallersAddress and PeersAddress are "IP:port".
 	CallersAddress string
 	PeersAddress   string
+	// Capacity is the requests a second that the VM is fit for; zero when unknown.
+	Capacity uint32
 	// FirstPeers are the peer addresses of some other instances.
 	FirstPeers []string
 	TLS        TLSFiles
--- a/entry/settings/frontend.go
+++ b/entry/settings/frontend.go
@@ -21,6 +21,8 @@
 	Store string `json:"store" validate:"required,address"`
 	// FirstPeers holds the peer addresses of some other instances, "IP:port".
 	FirstPeers []string `json:"first_peers" validate:"max=64,unique,dive,address"`
+	// Machine is what the VM has; it decides how many callers are sent to it.
+	Machine Machine `json:"machine"`
 	// Repeats bounds the repeats that all instances together may make.
 	Repeats Repeats `json:"repeats"`
 	// Directory is what callers are told of the VMs to use.
@@ -47,6 +49,16 @@
 	Admin string `json:"admin" validate:"required,address"`
 }
 
+// Machine is what a VM has.
+type Machine struct {
+	// CPUShare is the part of a core that the instance may use.
+	CPUShare float64 `json:"cpu_share" validate:"min=0.01,max=1024"`
+	// Cores is the number of cores.
+	Cores float64 `json:"cores" validate:"min=0.01,max=1024"`
+	// LinkMbps is the bandwidth of the VM's link in megabits a second.
+	LinkMbps float64 `json:"link_mbps" validate:"min=0.1,max=1000000"`
+}
+
 // Repeats bounds the attempts after the first of all requests for a service.
 type Repeats struct {
 	// Ratio is the number of repeats for each request.
@@ -59,7 +71,7 @@
 type FrontendDirectory struct {
 	// KeepFor is how long callers may keep an answer; 500ms to 5m.
 	KeepFor document.Duration `json:"keep_for" validate:"min=500000000,max=300000000000"`
-	// PerZone is the number of VMs that the callers of an availability zone are shown.
+	// PerZone is the least number of VMs that the callers of an availability zone are shown; more are when their capacity asks for it.
 	PerZone int `json:"per_zone" validate:"min=1,max=64"`
 }
 
@@ -67,8 +79,9 @@
 func DefaultFrontend() Frontend {
 	return Frontend{
 		Fleet:     "primroseloom",
+		Machine:   Machine{CPUShare: 1, Cores: 1, LinkMbps: 1000},
 		Repeats:   Repeats{Ratio: 0.2, Allowance: 10},
-		Directory: FrontendDirectory{KeepFor: document.Duration(1_000_000_000), PerZone: 3},
+		Directory: FrontendDirectory{KeepFor: document.Duration(1_000_000_000), PerZone: 2},
 		Stop: Stop{
 			Grace:  document.Duration(6_000_000_000),
 			Linger: document.Duration(3_200_000_000),
--- a/policy/membership/member.go
+++ b/policy/membership/member.go
@@ -47,6 +47,8 @@
 	// CallersAddress and PeersAddress are "IP:port".
 	CallersAddress string
 	PeersAddress   string
+	// Capacity is the requests a second that the VM is fit for; zero when unknown.
+	Capacity uint32
 	// Uptime is the age of the process when the statement is handed over.
 	Uptime time.Duration
 	// Refresh orders the changes of the fields below within an incarnation.
--- a/policy/offer/offer.go
+++ b/policy/offer/offer.go
@@ -13,29 +13,57 @@
 	Zone string
 	// Address is where callers connect, "IP:port".
 	Address string
+	// Capacity is the requests a second that it is fit for; zero when unknown.
+	Capacity uint32
+	// Rate is the requests a second that it serves now.
+	Rate float64
 	// Usable is true when the VM takes callers and is heard of.
 	Usable bool
 }
 
 // Settings bound the offer.
 type Settings struct {
-	// PerZone is the number of VMs that the callers of a zone are shown.
+	// PerZone is the least number of VMs that the callers of a zone are shown.
 	PerZone int
 	// Least is the number below which VMs of other zones are added.
 	Least int
 }
 
-// Front returns the front rank of a zone: its usable VMs that come first in
-// rendezvous order.
+// Front returns the front rank of a zone: the usable VMs that come first by
+// capacity and then in rendezvous order, as many as the zone's requests need.
+// Callers choose among them evenly, so the smallest of them decides.
 func Front(vms []VM, zone string, settings Settings) []VM {
 	var usable []VM
+	demand := 0.0
 	for _, vm := range vms {
-		if vm.Usable && vm.Zone == zone {
+		if vm.Zone != zone {
+			continue
+		}
+		demand += vm.Rate
+		if vm.Usable {
 			usable = append(usable, vm)
 		}
 	}
 	sortByRank(usable)
-	return usable[:min(len(usable), settings.PerZone)]
+	return usable[:rankSize(usable, demand, settings.PerZone)]
+}
+
+// rankSize returns the least number of VMs that carry the demand, or the one
+// that carries most when none does.
+func rankSize(usable []VM, demand float64, least int) int {
+	least = min(len(usable), least)
+	best, bestCarried := least, 0.0
+	for size := least; size > 0 && size <= len(usable); size++ {
+		smallest := usable[size-1].Capacity
+		carried := float64(size) * float64(smallest)
+		if smallest == 0 || carried >= demand {
+			return size
+		}
+		if carried > bestCarried {
+			best, bestCarried = size, carried
+		}
+	}
+	return best
 }
 
 // For returns the VMs for callers of a zone: its front rank, and those of the
@@ -74,6 +102,6 @@
 
 func sortByRank(vms []VM) {
 	slices.SortFunc(vms, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)), cmp.Compare(a.Name, b.Name))
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)), cmp.Compare(a.Name, b.Name))
 	})
 }
--- a/policy/offer/offer_test.go
+++ b/policy/offer/offer_test.go
@@ -5,7 +5,10 @@
 	"testing"
 )
 
-var settings = Settings{PerZone: 3, Least: 2}
+var (
+	settings  = Settings{PerZone: 3, Least: 2}
+	settings2 = Settings{PerZone: 2, Least: 1}
+)
 
 func fleet(zones, each int) []VM {
 	var vms []VM
@@ -43,6 +46,34 @@
 	}
 }
 
+// TestFrontRankGrowsWithTheLoad has two large VMs among small ones: the large
+// ones carry an ordinary load alone; when one is lost, small ones join.
+func TestFrontRankGrowsWithTheLoad(t *testing.T) {
+	vms := fleet(1, 12)
+	for i := range vms {
+		vms[i].Capacity = 40
+	}
+	vms[3].Capacity, vms[7].Capacity = 260, 260
+	vms[3].Rate, vms[7].Rate = 160, 160
+	if front := Front(vms, "z0", settings2); len(front) != 2 || front[0].Capacity != 260 || front[1].Capacity != 260 {
+		t.Errorf("two large VMs: %v", front)
+	}
+	vms[3].Usable = false
+	if front := Front(vms, "z0", settings2); len(front) != 8 {
+		t.Errorf("one large VM: %d VMs", len(front))
+	}
+	vms[7].Rate = 2000
+	if front := Front(vms, "z0", settings2); len(front) != 11 {
+		t.Errorf("more than all carry: %d VMs", len(front))
+	}
+}
+
+func TestCapacityFollowsTheScarcerPart(t *testing.T) {
+	if large, slowLink, smallCPU := Capacity(0.8, 200), Capacity(0.8, 10), Capacity(0.16, 1000); large <= slowLink || large <= smallCPU {
+		t.Errorf("large %d, slow link %d, small processor %d", large, slowLink, smallCPU)
+	}
+}
+
 func TestAZoneWithoutVMsIsServedByTheOthers(t *testing.T) {
 	vms := fleet(3, 4)
 	for i := range vms {
--- a/policy/placement/worth.go
+++ b/policy/placement/worth.go
@@ -31,7 +31,7 @@
 	loadCost = 0.03
 	// untriedGain prefers a free target that no request has reached yet, so that
 	// newcomers get their part of the work.
-	untriedGain = 0.1
+	untriedGain = 0.15
 	// jitterCost spreads equal candidates.
 	jitterCost = 0.01
 )
--- a/policy/retry/share.go
+++ b/policy/retry/share.go
@@ -10,7 +10,7 @@
 
 // allowanceUse is the part of the fleet's allowance that the VMs use, so that
 // uneven shares and late news do not exceed it.
-const allowanceUse = 0.85
+const allowanceUse = 0.8
 
 // Share is one VM's part of a service's budget for repeats that all VMs draw
 // on. The fleet may repeat a ratio of the requests plus a fixed allowance in
@@ -32,13 +32,17 @@
 	return s
 }
 
-// Divide sets the fleet's ratio and allowance and the number of VMs that share them.
+// Divide sets the fleet's ratio and allowance and the number of VMs that share
+// them; zero VMs leave this one without a part of the allowance.
 func (s *Share) Divide(ratio, allowance float64, vms int, now time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refill(now)
 	s.ratio = ratio * allowanceUse
-	s.allowance = allowance * allowanceUse / float64(max(vms, 1))
+	s.allowance = 0
+	if vms > 0 {
+		s.allowance = allowance * allowanceUse / float64(vms)
+	}
 	s.tokens = min(s.tokens, s.capacity())
 }
 
