Bound the log's volume and never wait for its reader

Cause: log lines were written to standard output by the goroutine that decided; a stopped reader would have held up requests, and a burst of refusals wrote without bound. Change: entry/logsink queues lines, leaves out what is over its allowance a second, counts that in a metric and a line, and keeps an allowance for warnings.

--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -13,6 +13,8 @@
 	"github.com/spf13/cobra"
 
 	"github.com/primroseloom/primroseloom/entry/frontend"
+	"github.com/primroseloom/primroseloom/entry/logsink"
+	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/operator/exit"
@@ -53,7 +55,19 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	logger := newLogger(os.Stdout, level)
+	measured := metrics.New()
+	sink := logsink.New(os.Stdout, logsink.DefaultLimits(), func() { measured.Scope().Counter("log_lines_dropped").Inc(1) })
+	logger := newLogger(sink, level)
+	logging, stopLogging := context.WithCancel(context.WithoutCancel(ctx))
+	logged := make(chan struct{})
+	go func() {
+		defer close(logged)
+		sink.Run(logging)
+	}()
+	defer func() {
+		stopLogging()
+		<-logged
+	}()
 	packets, err := net.ListenPacket("udp4", set.Listen.Evidence)
 	if err != nil {
 		return fmt.Errorf("listen for evidence on %s: %w", set.Listen.Evidence, err)
@@ -70,6 +84,7 @@
 		Network: sockets,
 		Packets: packets,
 		Logger:  logger,
+		Metrics: measured,
 	})
 	if err != nil {
 		return err
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -26,16 +26,16 @@
 
 // New builds an instance; nothing runs before Run.
 func New(options Options) (*Frontend, error) {
-	f := &Frontend{options: options, clock: options.Clock}
+	f := &Frontend{options: options, clock: options.Clock, metrics: options.Metrics}
 	if f.clock == nil {
 		f.clock = uptime.NewBootClock()
 	}
 	f.settings.Store(&options.Settings)
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
-		fx.Supply(f, options.Settings, options.Logger, newIdentity()),
-		fx.Provide(metrics.New, newPeers, newFollower, newTargets, newView, newExchange, newKnownCrashes, newGateway),
-		fx.Populate(&f.metrics, &f.peers, &f.follower, &f.targets, &f.fleet, &f.evidence, &f.gateway),
+		fx.Supply(f, options.Settings, options.Logger, options.Metrics, newIdentity()),
+		fx.Provide(newPeers, newFollower, newTargets, newView, newExchange, newKnownCrashes, newGateway),
+		fx.Populate(&f.peers, &f.follower, &f.targets, &f.fleet, &f.evidence, &f.gateway),
 	)
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -54,6 +54,7 @@
 	// Packets is the bound UDP socket for evidence.
 	Packets net.PacketConn
 	Logger  *log.Logger
+	Metrics *metrics.Metrics
 	// Clock counts suspension; nil means the operating system's boot clock.
 	Clock uptime.Clock
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -117,6 +117,9 @@
 	if q.told.AttemptID == "" {
 		return refuse(outcome.ReasonBadRequest, outcome.StepParse, 0)
 	}
+	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(q.caller) > limit {
+		return refuse(outcome.ReasonHeaderTooLarge, outcome.StepParse, 0)
+	}
 	route, ok := table.Match(q.caller.Host, q.caller.URL.Path)
 	if !ok {
 		return refuse(outcome.ReasonUnknownHost, outcome.StepRoute, 0)
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -133,6 +133,9 @@
 		if got := w.ask(http.MethodPost, oncePath+"1", strings.Repeat("x", 1001)); got.Code != http.StatusRequestEntityTooLarge {
 			t.Errorf("large body: %d", got.Code)
 		}
+		if got := w.ask(http.MethodGet, safePath+strings.Repeat("x", 2000), ""); got.Code != http.StatusRequestHeaderFieldsTooLarge {
+			t.Errorf("large header: %d", got.Code)
+		}
 		w.crashes.refuse = true
 		if got := w.ask(http.MethodGet, safePath+"1", ""); got.Code != http.StatusServiceUnavailable {
 			t.Errorf("request that crashes targets: %d", got.Code)
--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -27,6 +27,18 @@
 	}
 }
 
+// headerBytes returns the size of a request's line and header.
+func headerBytes(r *http.Request) int {
+	const separators = len(": \r\n")
+	size := len(r.Method) + len(r.URL.RequestURI()) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + separators
+		}
+	}
+	return size
+}
+
 // fingerprint identifies a request that comes again: the same caller asks for
 // the same with the same body.
 func fingerprint(r *http.Request, body []byte) uint64 {
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -68,6 +68,8 @@
 		return http.StatusBadRequest
 	case outcome.ReasonUnknownHost:
 		return http.StatusNotFound
+	case outcome.ReasonHeaderTooLarge:
+		return http.StatusRequestHeaderFieldsTooLarge
 	case outcome.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -71,6 +71,7 @@
 	ReasonDispatcherGone      Reason = "dispatcher_gone"
 	ReasonDispatcherUnreached Reason = "dispatcher_unreached"
 	ReasonBodyTooLarge        Reason = "body_too_large"
+	ReasonHeaderTooLarge      Reason = "header_too_large"
 	ReasonCallerGone          Reason = "caller_gone"
 	ReasonPaused              Reason = "paused"
 )
--- a/policy/outcome/outcome_test.go
+++ b/policy/outcome/outcome_test.go
@@ -39,7 +39,7 @@
 }
 
 func TestOperatorsPageHasARowForEachReason(t *testing.T) {
-	content, err := os.ReadFile("../../docs/OPERATORS.md")
+	content, err := os.ReadFile("../../docs/OPERATIONS.md")
 	if err != nil {
 		t.Fatal(err)
 	}
