--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -131,18 +131,25 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	logger := log.NewWithOptions(os.Stderr, log.Options{Level: level, ReportTimestamp: true, Formatter: log.LogfmtFormatter})
+	logger := newLogger(os.Stderr, level)
 	instance, err := daemon.New(daemon.Options{Settings: set, Network: network.OS{}, Logger: logger})
 	if err != nil {
 		return err
 	}
+	ctx = untilSignal(ctx)
+	if err := instance.Run(ctx); err != nil {
+		return exit.FellShort("serve: %w", err)
+	}
+	return nil
+}
+
+// untilSignal returns a context that the first signal to stop ends; a second
+// one ends the process at once.
+func untilSignal(ctx context.Context) context.Context {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	context.AfterFunc(ctx, func() {
 		stop()
 		signal.Reset(syscall.SIGTERM, os.Interrupt)
 	})
-	if err := instance.Run(ctx); err != nil {
-		return exit.FellShort("serve: %w", err)
-	}
-	return nil
+	return ctx
 }
--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -89,11 +89,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(ctx, func() {
-		stop()
-		signal.Reset(syscall.SIGTERM, os.Interrupt)
-	})
+	ctx = untilSignal(ctx)
 	hangUps := make(chan os.Signal, 1)
 	signal.Notify(hangUps, syscall.SIGHUP)
 	defer signal.Stop(hangUps)
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -93,16 +93,7 @@
 	tree.Add("targets", d.targets)
 	tree.Add("proxy", d.proxy)
 	tree.Add("vmlist", d.vms)
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = tree.Run(ctx)
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
+	return tree.Start(context.WithoutCancel(ctx))
 }
 
 // stop is the planned stop: it leaves the directory's answers, serves callers
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -223,7 +224,7 @@
 			x.forgetSilent()
 			x.send(true)
 		case <-x.wake:
-			if !wait(ctx, x.gatherTime()) {
+			if !pause.For(ctx, x.gatherTime()) {
 				return ctx.Err()
 			}
 			x.send(false)
@@ -243,17 +244,6 @@
 	return max(gatherTime, time.Duration(serving)*gatherPerPeer)
 }
 
-func wait(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // send writes one datagram to each VM that is to have it.
 func (x *Exchange) send(beat bool) {
 	serving := x.options.Serving()
@@ -336,7 +326,7 @@
 		}
 		if err != nil {
 			events.EvidenceUnreadable.Log(x.options.Logger, "cause", err)
-			if !wait(ctx, heartbeat) {
+			if !pause.For(ctx, heartbeat) {
 				return
 			}
 			continue
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -4,7 +4,6 @@
 	"io"
 	"net"
 	"net/netip"
-	"sync"
 	"testing"
 	"time"
 
@@ -27,7 +26,6 @@
 
 // received notes what a receiver is told.
 type received struct {
-	mu       sync.Mutex
 	outcomes []Outcome
 	uses     map[string]map[string]int
 	crashes  []Crash
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -140,13 +141,13 @@
 	backoff := retryLeast
 	for ctx.Err() == nil {
 		if f.isTold() {
-			sleep(ctx, idleInterval)
+			pause.For(ctx, idleInterval)
 			continue
 		}
 		err := f.step(ctx, f.options.Store)
 		if err == nil {
 			backoff = retryLeast
-			sleep(ctx, gatherTime)
+			pause.For(ctx, gatherTime)
 			continue
 		}
 		if ctx.Err() != nil {
@@ -154,7 +155,7 @@
 		}
 		f.lost(err)
 		f.askPeers(ctx, "")
-		sleep(ctx, jittered(backoff))
+		pause.For(ctx, jittered(backoff))
 		backoff = min(2*backoff, retryMost)
 	}
 	return ctx.Err()
@@ -178,7 +179,7 @@
 			return
 		case <-f.hints:
 		}
-		sleep(ctx, catchUpTime)
+		pause.For(ctx, catchUpTime)
 		f.mu.Lock()
 		vm := f.ahead
 		f.ahead = ""
@@ -366,15 +367,6 @@
 	}
 }
 
-func sleep(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // jittered returns between half and all of a wait.
 func jittered(wait time.Duration) time.Duration {
 	return wait/2 + time.Duration(rand.Int64N(int64(wait/2)+1))
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
 	"github.com/primroseloom/primroseloom/entry/gateway"
+	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
@@ -135,16 +136,7 @@
 	tree.Add("targetset", f.targets)
 	tree.Add("evidence", f.evidence)
 	tree.Add("fleet", f.fleet)
-	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = tree.Run(ctx)
-	}()
-	return func() {
-		cancel()
-		<-done
-	}
+	return tree.Start(context.WithoutCancel(ctx))
 }
 
 // stop is the planned stop: it leaves the directory, serves callers that hold
@@ -157,7 +149,7 @@
 	f.fleet.look()
 	ctx, cancel := context.WithTimeout(ctx, set.Stop.Grace.Std()-stopMargin)
 	defer cancel()
-	wait(ctx, set.Stop.Linger.Std())
+	pause.For(ctx, set.Stop.Linger.Std())
 	err := callers.Shutdown(ctx)
 	events.FrontendStopped.Log(f.options.Logger, "vm", set.VM, "requests_cut", err != nil)
 	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
@@ -172,15 +164,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // RoutesChanged tells the children of new routes.
 func (f *Frontend) RoutesChanged(table *routing.Table) {
 	f.targets.RoutesChanged(table)
--- a/entry/supervisor/supervisor.go
+++ b/entry/supervisor/supervisor.go
@@ -48,6 +48,21 @@
 	return t.supervisor.Serve(ctx)
 }
 
+// Start runs the children in the background; the function returned stops them
+// and waits until all have returned.
+func (t *Tree) Start(ctx context.Context) (stop func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = t.Run(ctx) // the context's end, which stop brings about
+	}()
+	return func() {
+		cancel()
+		<-done
+	}
+}
+
 // service adapts a child to the supervision library.
 type service struct {
 	name  string
