--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -116,24 +116,6 @@
 	return f.revision
 }
 
-// Published notes up to which revision another instance is complete.
-func (f *Follower) Published(vm string, revision uint64) {
-	f.mu.Lock()
-	f.hintAt = f.options.Uptime()
-	behind := revision > f.revision
-	if behind {
-		f.ahead = vm
-	}
-	f.mu.Unlock()
-	if !behind {
-		return
-	}
-	select {
-	case f.hints <- struct{}{}:
-	default:
-	}
-}
-
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	go f.expire(ctx)
@@ -161,35 +143,6 @@
 	return ctx.Err()
 }
 
-// isTold reports whether other instances watch the store and tell this one.
-func (f *Follower) isTold() bool {
-	if f.options.Leads() {
-		return false
-	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.listed && f.hintAt > 0 && f.options.Uptime()-f.hintAt < hintAge
-}
-
-// catchUp asks an instance that is ahead for what this one lacks.
-func (f *Follower) catchUp(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-f.hints:
-		}
-		pause.For(ctx, catchUpTime)
-		f.mu.Lock()
-		vm := f.ahead
-		f.ahead = ""
-		f.mu.Unlock()
-		if vm != "" {
-			f.askPeers(ctx, vm)
-		}
-	}
-}
-
 // step lists once, then watches.
 func (f *Follower) step(ctx context.Context, source Source) error {
 	f.mu.Lock()
@@ -232,27 +185,6 @@
 	return nil
 }
 
-// askPeers takes over what another instance knows: the one named, or any.
-func (f *Follower) askPeers(ctx context.Context, vm string) {
-	if f.options.Peers == nil {
-		return
-	}
-	f.mu.Lock()
-	after := f.revision
-	if !f.listed {
-		after = 0
-	}
-	f.mu.Unlock()
-	listing, err := f.options.Peers.Ask(ctx, vm, after)
-	if err != nil {
-		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
-		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", after, "peer", vm, "cause", err)
-		return
-	}
-	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
-	f.apply(listing)
-}
-
 // reached notes an answer of the store.
 func (f *Follower) reached() {
 	now := f.options.Uptime()
