Vary and shorten the watches, so that dropped ones are noticed one after the other

Cause: one change wakes the watches of all instances, so they begin together; the store then dropped them all without a word, and they ended together 5 s later. Ruled out: a VM apart from the others (all 36 were late by the same time), routes that were refused (no 2106), a stale listing. Change: a watch waits 0.7 to 1.7 s, each another time, and is given up 0.8 s after its wait; the heartbeats then tell the others. Test: TestDroppedWatchesOfManyDoNotEndTogether, which fails with 3 s and passes.

--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -48,7 +48,9 @@
 	oldest   uint64
 	away     bool
 	// deaf watches hear nothing, as after a silent cut.
-	deaf  bool
+	deaf bool
+	// drops counts the times at which all waiting watches were dropped.
+	drops int
 	calls int
 }
 
@@ -65,6 +67,9 @@
 	}
 }
 
+// dropSlack is what the store's client waits beyond the end of a watch.
+const dropSlack = 800 * time.Millisecond
+
 var errAway = errors.New("the store is away")
 
 func (s *fakeStore) List(context.Context) (Listing, error) {
@@ -84,12 +89,17 @@
 func (s *fakeStore) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
 	s.mu.Lock()
 	s.calls++
-	deaf := s.deaf
+	deaf, drops := s.deaf, s.drops
 	s.mu.Unlock()
 	for until := time.Now().Add(wait); ; {
 		s.mu.Lock()
 		listing, err := s.since(after)
+		dropped := s.drops > drops
 		s.mu.Unlock()
+		if dropped {
+			time.Sleep(time.Until(until) + dropSlack)
+			return Listing{}, errAway
+		}
 		if err != nil || (len(listing.Items) > 0 && !deaf) || !time.Now().Before(until) {
 			return listing, err
 		}
@@ -218,13 +228,55 @@
 		time.Sleep(5 * time.Second)
 		store.put("routes", "routes 8")
 		store.set(func() { store.oldest, store.deaf = store.revision, false })
-		time.Sleep(watchWait + time.Second)
+		time.Sleep(mostWatchWait + time.Second)
 		if !l.is(8, "a") {
 			t.Errorf("told %+v", l)
 		}
 	})
 }
 
+// TestDroppedWatchesOfManyDoNotEndTogether is a change that wakes the watches of
+// all instances, then a store that drops them all while it changes again.
+func TestDroppedWatchesOfManyDoNotEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const instances = 6
+		start := time.Now()
+		store := newStore()
+		store.put("routes", "routes 4")
+		ctx, cancel := context.WithCancel(t.Context())
+		var listeners []*told
+		for range instances {
+			l := &told{}
+			listeners = append(listeners, l)
+			f := New(Options{
+				Store: store, Decoder: textDecoder{}, Leads: func() bool { return true }, Listener: l,
+				Uptime: func() time.Duration { return time.Since(start) + time.Minute },
+				Logger: log.New(io.Discard), Scope: tally.NoopScope,
+			})
+			go func() { _ = f.Run(ctx) }()
+		}
+		time.Sleep(5 * time.Second)
+		store.put("routes", "routes 6")
+		time.Sleep(500 * time.Millisecond)
+		store.set(func() { store.drops++ })
+		store.put("routes", "routes 8")
+		store.set(func() { store.oldest = store.revision })
+		const bound = 2 * time.Second
+		time.Sleep(bound)
+		informed := 0
+		for _, l := range listeners {
+			if l.is(8, "") {
+				informed++
+			}
+		}
+		if informed == 0 {
+			t.Errorf("no instance noticed within %v", bound)
+		}
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
 func TestInstanceThatIsToldDoesNotWatch(t *testing.T) {
 	following(t, false, func(store *fakeStore, f *Follower, l *told) {
 		time.Sleep(5 * time.Second)
@@ -237,7 +289,7 @@
 			t.Errorf("%d calls of the store while being told", store.calls)
 		}
 		store.put("routes", "routes 8")
-		time.Sleep(hintAge + watchWait)
+		time.Sleep(hintAge + mostWatchWait)
 		if !l.is(8, "a") {
 			t.Errorf("after the others fell silent: %+v", l)
 		}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -20,9 +20,12 @@
 
 // Bounds on following.
 const (
-	// watchWait is how long a watch waits when nothing changes. A watch that the
-	// store has silently dropped is noticed only at its end, so it is short.
-	watchWait = 3 * time.Second
+	// leastWatchWait and mostWatchWait bound how long a watch waits when nothing
+	// changes. A watch that the store has silently dropped is noticed only at its
+	// end, so the wait is short, and it varies, since one change wakes the watches
+	// of all instances together and they would otherwise end together.
+	leastWatchWait = 700 * time.Millisecond
+	mostWatchWait  = 1700 * time.Millisecond
 	// hintAge is how long the word of an instance that is complete up to some
 	// revision stands in place of an own watch.
 	hintAge = 1500 * time.Millisecond
@@ -152,7 +155,7 @@
 		return f.list(ctx, source)
 	}
 	f.options.Scope.Counter("watches").Inc(1)
-	changes, err := source.Watch(ctx, after, f.watchWait())
+	changes, err := source.Watch(ctx, after, watchWait())
 	if errors.Is(err, ErrHistoryGone) {
 		events.HistoryGone.Log(f.options.Logger, "after_revision", after)
 		return f.list(ctx, source)
@@ -165,13 +168,9 @@
 	return nil
 }
 
-// watchWait is short after an outage, so that a store that is away again is
-// noticed.
-func (f *Follower) watchWait() time.Duration {
-	if f.StoreLost() {
-		return time.Second
-	}
-	return watchWait
+// watchWait returns how long the next watch waits.
+func watchWait() time.Duration {
+	return leastWatchWait + time.Duration(rand.Int64N(int64(mostWatchWait-leastWatchWait)))
 }
 
 func (f *Follower) list(ctx context.Context, source Source) error {
