--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -97,3 +97,26 @@
 		t.Errorf("%d peers serve, own VM serves: %v, %d peers", serving, f.serving(), len(f.others()))
 	}
 }
+
+func TestOnlyTheFrontRankSharesTheAllowance(t *testing.T) {
+	now := time.Minute
+	serving, sharing := 0, 0
+	names := []string{"vm-1", "vm-2", "vm-3", "vm-4", "vm-5"}
+	for i := range names {
+		all := members(append(names[i:], names[:i]...)...)
+		f := testFleet(all, fakeHeard{}, &now)
+		f.look()
+		if f.serving() {
+			serving++
+		}
+		if sharers := f.sharers(); sharers > 0 {
+			sharing++
+			if sharers != 3 {
+				t.Errorf("%s shares with %d VMs", names[i], sharers)
+			}
+		}
+	}
+	if serving != 3 || sharing != 3 {
+		t.Errorf("%d VMs serve and %d share", serving, sharing)
+	}
+}
--- a/policy/retry/share_test.go
+++ b/policy/retry/share_test.go
@@ -39,3 +39,25 @@
 		}
 	}
 }
+
+// TestVMThatCallersAreNotShownHasNoAllowance bounds what VMs outside of the
+// front rank add to the fleet's repeats: what their own requests earn.
+func TestVMThatCallersAreNotShownHasNoAllowance(t *testing.T) {
+	share := NewShare(0.2, 56, 0, 0)
+	for share.Spend(0) {
+	}
+	if share.Spend(time.Minute) {
+		t.Error("a repeat was allowed without a request")
+	}
+	const requests = 10
+	for range requests {
+		share.Earn(time.Minute)
+	}
+	repeats := 0
+	for share.Spend(time.Minute) {
+		repeats++
+	}
+	if repeats > 0.2*requests {
+		t.Errorf("%d repeats for %d requests", repeats, requests)
+	}
+}
