End a long failure that another answer replaces; let routes bound their attempts

Cause: a target's own 5xx of over 1 MB is held in part and streamed. When the next attempt took its place, nothing ended it: its attempt stayed counted and its connection open. Found by reading; TestLongFailureIsFinishedOnceAnotherAnswerTakesItsPlace failed first (up to 4 attempts left in progress after 20 requests) and passes now.

Also: the bound on attempts was checked in the gateway and once more, as 3, in retry.Decide, so a route that allows more got 3. The route's bound is an argument now.

--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -158,3 +158,20 @@
 		}
 	})
 }
+
+// TestLongFailureIsFinishedOnceAnotherAnswerTakesItsPlace sends idempotent
+// requests to a target whose failures are too long to be held whole. Each leaves
+// an open attempt behind, which must end although its answer is not passed on.
+func TestLongFailureIsFinishedOnceAnotherAnswerTakesItsPlace(t *testing.T) {
+	for name, second := range map[string]behavior{"served": serves, "failed again": failsAtLength, "reset": resets} {
+		inWorld(t, []behavior{failsAtLength, second}, func(w *world) {
+			for range 20 {
+				w.ask(http.MethodGet, safePath+"1", "")
+				time.Sleep(300 * time.Millisecond)
+			}
+			if uses := w.targets.Uses(); len(uses) != 0 {
+				t.Errorf("%s: attempts still in progress: %v", name, uses)
+			}
+		})
+	}
+}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -44,6 +44,7 @@
 		}
 		v := q.attempt(ctx, attempt)
 		if v.answer != nil && v.result.End == suspicion.EndServed {
+			q.keepFailure(nil)
 			return v.answer, nil
 		}
 		q.note(attempt, v)
@@ -82,7 +83,7 @@
 		q.mayHaveRun = true
 	}
 	if v.answer != nil {
-		q.failure = v.answer
+		q.keepFailure(v.answer)
 	}
 	q.gateway.metrics.failed(v.reason)
 	knew := attempt.Chosen()
@@ -91,24 +92,29 @@
 		"in_use", knew.InUse, "slots", knew.Slots, "after_ms", time.Since(q.began).Milliseconds(), "cause", v.result.Err)
 }
 
+// keepFailure replaces the failure that is passed on when nothing serves the
+// request; the one before it is ended.
+func (q *request) keepFailure(failure *answer) {
+	if q.failure != nil {
+		q.failure.discard()
+	}
+	q.failure = failure
+}
+
 // percent renders a probability for a log line.
 func percent(p float64) int { return int(100*p + 0.5) }
 
 // again reports whether another attempt is allowed and of use.
 func (q *request) again(v verdict) bool {
-	if v.result.Sent && q.sent >= q.route.MaxAttempts {
-		q.notRetried = string(retry.AttemptsExhausted)
-		q.gateway.metrics.notRetried(retry.AttemptsExhausted)
-		return false
-	}
 	decision := retry.Decide(retry.Failure{
-		Attempts:     q.sent,
-		NotRun:       v.notRun,
-		Idempotent:   q.route.Kind.Repeatable(),
-		Replayable:   q.body.replayable(),
-		Remaining:    q.remaining(),
-		Expected:     leastRetryTime,
-		OtherTargets: 1,
+		Attempts:        q.sent,
+		AttemptsAllowed: q.route.MaxAttempts,
+		NotRun:          v.notRun,
+		Idempotent:      q.route.Kind.Repeatable(),
+		Replayable:      q.body.replayable(),
+		Remaining:       q.remaining(),
+		Expected:        leastRetryTime,
+		OtherTargets:    1,
 	})
 	if decision != retry.Allowed {
 		q.notRetried = string(decision)
--- a/entry/gateway/world_test.go
+++ b/entry/gateway/world_test.go
@@ -202,6 +202,14 @@
 	}
 }
 
+// failsAtLength answers with a failure whose body is longer than what is held.
+func failsAtLength(out http.ResponseWriter, r *http.Request) {
+	out.Header().Set("Id", r.Header.Get("Id"))
+	out.Header().Set("Seal", "sealed")
+	out.WriteHeader(http.StatusInternalServerError)
+	_, _ = out.Write(make([]byte, heldAnswerBytes+1000))
+}
+
 func sheds(out http.ResponseWriter, r *http.Request) {
 	out.Header().Set("Id", r.Header.Get("Id"))
 	out.Header().Set("Not-Run", "1")
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -125,7 +126,7 @@
 	candidates := make([]placement.Candidate, 0, len(s.targets))
 	chosen := make([]*target, 0, len(s.targets))
 	for _, t := range s.targets {
-		if !t.usable() || contains(ask.Tried, t.info.ID) {
+		if !t.usable() || slices.Contains(ask.Tried, t.info.ID) {
 			continue
 		}
 		candidates = append(candidates, t.candidate(m.options.Zone, now))
@@ -134,15 +135,6 @@
 	return candidates, chosen
 }
 
-func contains(names []string, name string) bool {
-	for _, one := range names {
-		if one == name {
-			return true
-		}
-	}
-	return false
-}
-
 // ID returns the target's instance identifier.
 func (a *Attempt) ID() string { return a.target.info.ID }
 
--- a/operator/measure/customers.go
+++ b/operator/measure/customers.go
@@ -153,12 +153,13 @@
 // Retry implements Retrier.
 func (r *retrier) Retry(now time.Duration, request *Request, kind health.Kind) bool {
 	failure := retry.Failure{
-		Attempts:     request.Attempts,
-		NotRun:       kind == health.Refused || kind == health.Shed || kind == health.Draining,
-		Idempotent:   request.Idempotent,
-		Replayable:   true,
-		Remaining:    request.Deadline - now,
-		OtherTargets: 1,
+		Attempts:        request.Attempts,
+		AttemptsAllowed: retry.DefaultAttempts,
+		NotRun:          kind == health.Refused || kind == health.Shed || kind == health.Draining,
+		Idempotent:      request.Idempotent,
+		Replayable:      true,
+		Remaining:       request.Deadline - now,
+		OtherTargets:    1,
 	}
 	if retry.Decide(failure) != retry.Allowed {
 		return false
--- a/policy/retry/decide.go
+++ b/policy/retry/decide.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// MaxAttempts bounds the attempts of one request.
-const MaxAttempts = 3
+// DefaultAttempts bounds the attempts of a request whose route sets no bound.
+const DefaultAttempts = 3
 
 // Reason names why an attempt is or is not followed by another.
 type Reason string
@@ -14,7 +14,7 @@
 	Allowed Reason = "allowed"
 	// MayHaveRun means that the request may have run and may not run twice.
 	MayHaveRun Reason = "may_have_run"
-	// AttemptsExhausted means that the request has had MaxAttempts.
+	// AttemptsExhausted means that the request has had all attempts allowed to it.
 	AttemptsExhausted Reason = "attempts_exhausted"
 	// DeadlineTooNear means that another attempt could not end in time.
 	DeadlineTooNear Reason = "deadline_too_near"
@@ -32,6 +32,8 @@
 type Failure struct {
 	// Attempts is the number of attempts made so far.
 	Attempts int
+	// AttemptsAllowed is the number of attempts that the route allows.
+	AttemptsAllowed int
 	// NotRun is true when the target truly ran no part of the request.
 	NotRun bool
 	// Idempotent is true when the request may run twice.
@@ -55,7 +57,7 @@
 		return Suspect
 	case !f.NotRun && !f.Idempotent, !f.Replayable:
 		return MayHaveRun
-	case f.Attempts >= MaxAttempts:
+	case f.Attempts >= f.AttemptsAllowed:
 		return AttemptsExhausted
 	case f.Remaining <= 0 || f.Remaining < f.Expected:
 		return DeadlineTooNear
--- a/policy/retry/retry_test.go
+++ b/policy/retry/retry_test.go
@@ -6,7 +6,7 @@
 )
 
 func TestDecide(t *testing.T) {
-	base := Failure{Attempts: 1, Idempotent: true, Replayable: true, Remaining: time.Second, Expected: time.Millisecond, OtherTargets: 1}
+	base := Failure{Attempts: 1, AttemptsAllowed: DefaultAttempts, Idempotent: true, Replayable: true, Remaining: time.Second, Expected: time.Millisecond, OtherTargets: 1}
 	cases := []struct {
 		name   string
 		change func(*Failure)
@@ -17,7 +17,9 @@
 		{"truly not run", func(f *Failure) { f.Idempotent, f.NotRun = false, true }, Allowed},
 		{"body partly read", func(f *Failure) { f.Replayable = false }, MayHaveRun},
 		{"crashed its target", func(f *Failure) { f.Suspect = true }, Suspect},
-		{"last attempt", func(f *Failure) { f.Attempts = MaxAttempts }, AttemptsExhausted},
+		{"last attempt", func(f *Failure) { f.Attempts = DefaultAttempts }, AttemptsExhausted},
+		{"last attempt of a route that allows two", func(f *Failure) { f.Attempts, f.AttemptsAllowed = 2, 2 }, AttemptsExhausted},
+		{"fourth attempt of a route that allows five", func(f *Failure) { f.Attempts, f.AttemptsAllowed = 3, 5 }, Allowed},
 		{"deadline near", func(f *Failure) { f.Expected = 2 * time.Second }, DeadlineTooNear},
 		{"deadline past", func(f *Failure) { f.Remaining, f.Expected = 0, 0 }, DeadlineTooNear},
 		{"all targets tried", func(f *Failure) { f.OtherTargets = 0 }, NoOtherTarget},
@@ -44,7 +46,7 @@
 		customer.Earn(0.5)
 		service.Earn(ServiceRatio)
 		attempts++
-		failure := Failure{Idempotent: true, Replayable: true, Remaining: time.Second, OtherTargets: 5}
+		failure := Failure{AttemptsAllowed: DefaultAttempts, Idempotent: true, Replayable: true, Remaining: time.Second, OtherTargets: 5}
 		for failure.Attempts = 1; Decide(failure) == Allowed && Pay(customer, &service) == Allowed; failure.Attempts++ {
 			attempts++
 		}
