--- a/entry/dialect/dialect.go
+++ b/entry/dialect/dialect.go
@@ -43,7 +43,8 @@
 	Load *Load
 }
 
-// Load is the use of a target's slots.
+// Load is the use of a target's slots by other requests, once the one that is
+// answered has ended.
 type Load struct {
 	Running, Waiting, Slots int
 }
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -114,7 +114,7 @@
 	t.tried = true
 	t.began = now
 	a := &Attempt{manager: m, service: s, target: t, route: ask.Route.Name, began: now, trial: choice.Trial, chosen: candidates[choice.Index]}
-	if limit := usual.Overdue(); limit > 0 {
+	if limit := usual.Overdue(choice.Wait); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.isOverdue)
 	}
 	m.teller.UsesChanged()
@@ -222,21 +222,30 @@
 		a.cannotConnect(result.Err)
 	}
 	if result.End == suspicion.EndServed && !a.told {
-		took := now - a.began
-		usual := a.service.reference(a.route)
-		if now >= a.target.info.WarmAt && !busy(result.Load) {
-			outcome.SlowNats = usual.SlowNats(took)
-		}
-		if !a.target.suspect(now) {
-			usual.Add(took)
-		}
+		outcome.SlowNats = a.judgeDuration(now, result.Load)
 	}
 	return outcome
 }
 
-// busy reports whether the target was full, so that a long duration says
-// nothing about the target itself.
-func busy(load *dialect.Load) bool { return load != nil && load.Waiting > 0 }
+// judgeDuration compares an answer's duration with the usual one and learns
+// from it; the lock is held. An attempt that had to wait for a slot says nothing
+// about the target itself.
+func (a *Attempt) judgeDuration(now time.Duration, load *dialect.Load) float64 {
+	waited := a.chosen.InUse >= a.chosen.Slots || (load != nil && load.Waiting > 0)
+	if waited {
+		return 0
+	}
+	took := now - a.began
+	usual := a.service.reference(a.route)
+	nats := 0.0
+	if now >= a.target.info.WarmAt {
+		nats = usual.SlowNats(took)
+	}
+	if !a.target.suspect(now) {
+		usual.Add(took)
+	}
+	return nats
+}
 
 // cannotConnect leaves the target out here until a connection opens; the lock is held.
 func (a *Attempt) cannotConnect(cause error) {
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -203,3 +203,31 @@
 		t.Errorf("went to %s, although the report is old", attempt.ID())
 	}
 }
+
+// TestWaitingBehindOthersIsNoSlowness is the load of a burst: all slots are
+// busy, so attempts wait behind others and take several times as long as usual.
+// No target is to be suspected of slowness for it, and what an attempt usually
+// takes stays what it takes without waiting.
+func TestWaitingBehindOthersIsNoSlowness(t *testing.T) {
+	f := newFixture(2)
+	const usually, waiting = 100 * time.Millisecond, 500 * time.Millisecond
+	for range 40 {
+		attempt := f.begin(t, ask(routing.KindOnce))
+		f.now += usually
+		attempt.Done(served())
+	}
+	f.InProgress("vm-2", map[string]int{"t0": 3, "t1": 3})
+	for range 20 {
+		attempt := f.begin(t, ask(routing.KindOnce))
+		f.now += waiting
+		attempt.Done(served())
+	}
+	for id, target := range f.targets {
+		if target.suspect(f.now) {
+			t.Errorf("%s is under suspicion: slow %.2f", id, target.slow.Probability(f.now))
+		}
+	}
+	if mean := f.services["s"].reference("r").Mean(0); mean > 2*usually {
+		t.Errorf("attempts usually take %v", mean)
+	}
+}
--- a/policy/suspicion/evidence.go
+++ b/policy/suspicion/evidence.go
@@ -71,6 +71,9 @@
 	maxSlowNats = 2.5
 	// overdueSpreads is how many standard deviations past the mean an attempt is overdue.
 	overdueSpreads = 2.5
+	// waitDoubt is how many times longer than expected a wait for a slot may be
+	// before it speaks for slowness: it depends on what others asked for.
+	waitDoubt = 2
 	// OverdueNats is the evidence of an attempt that is overdue and still runs.
 	OverdueNats = 2.0
 )
@@ -119,12 +122,13 @@
 }
 
 // Overdue returns the duration past which an attempt speaks for slowness while
-// it still runs, or zero while that is not known.
-func (r *Reference) Overdue() time.Duration {
+// it still runs, or zero while that is not known. Wait is how long it is
+// expected to wait for a slot first.
+func (r *Reference) Overdue(wait time.Duration) time.Duration {
 	if !r.Known() {
 		return 0
 	}
-	return time.Duration(math.Exp(r.mean+overdueSpreads*r.spread()) * float64(time.Second))
+	return waitDoubt*wait + time.Duration(math.Exp(r.mean+overdueSpreads*r.spread())*float64(time.Second))
 }
 
 func (r *Reference) spread() float64 { return max(math.Sqrt(r.variance), minSpread) }
