--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -141,9 +141,9 @@
 	if !known {
 		t = &target{
 			pool:     m.newPool(info),
-			failing:  suspicion.NewFault(now),
-			slow:     suspicion.NewFault(now),
-			shedding: suspicion.NewFault(now),
+			failing:  suspicion.NewFault(suspicion.FailingRates, now),
+			slow:     suspicion.NewFault(suspicion.SlowRates, now),
+			shedding: suspicion.NewFault(suspicion.SheddingRates, now),
 		}
 		for _, attempts := range m.remote {
 			t.others += attempts[info.ID]
--- a/policy/suspicion/evidence.go
+++ b/policy/suspicion/evidence.go
@@ -68,14 +68,14 @@
 	memory = 200.0
 	// minSlowNats and maxSlowNats bound the evidence of one attempt.
 	minSlowNats = -0.8
-	maxSlowNats = 2.5
+	maxSlowNats = 1.6
 	// overdueSpreads is how many standard deviations past the mean an attempt is overdue.
 	overdueSpreads = 2.5
 	// waitDoubt is how many times longer than expected a wait for a slot may be
 	// before it speaks for slowness: it depends on what others asked for.
 	waitDoubt = 2
 	// OverdueNats is the evidence of an attempt that is overdue and still runs.
-	OverdueNats = 2.0
+	OverdueNats = 1.6
 )
 
 // Reference is what attempts of one route usually take, over all targets.
--- a/policy/suspicion/suspicion.go
+++ b/policy/suspicion/suspicion.go
@@ -5,13 +5,28 @@
 	"time"
 )
 
-// Rates at which targets fall ill and recover.
+// Rates are how long a target stays in each state of a fault, on average.
+type Rates struct {
+	Ill, Well time.Duration
+}
+
+// The rates of the faults. Slowness is rarer than failures: without evidence it
+// is assumed of few targets, so that one long answer alone convicts none.
+var (
+	FailingRates  = Rates{Ill: 6 * time.Second, Well: time.Minute}
+	SlowRates     = Rates{Ill: 6 * time.Second, Well: 5 * time.Minute}
+	SheddingRates = Rates{Ill: 6 * time.Second, Well: time.Minute}
+)
+
+// steadyShare is the share of time that a target is ill, without evidence.
+func (r Rates) steadyShare() float64 { return float64(r.Ill) / float64(r.Ill+r.Well) }
+
+// change is the rate, in changes a second, at which estimates return to the steady share.
+func (r Rates) change() float64 { return 1/r.Ill.Seconds() + 1/r.Well.Seconds() }
+
+// Bounds on what evidence can build up.
 const (
-	// illTime is how long a target stays ill, on average.
-	illTime = 6 * time.Second
-	// wellTime is how long a target stays well, on average.
-	wellTime = 60 * time.Second
-	// maxNats bounds the certainty that evidence can build up.
+	// maxNats bounds the certainty that a target is ill.
 	maxNats = 4.5
 	// minNats bounds the certainty that a target is well, so that a new fault shows at once.
 	minNats = -4.0
@@ -19,16 +34,16 @@
 
 // Fault is one two-state estimate.
 type Fault struct {
+	rates Rates
 	// nats is the logarithm of the odds that the target is ill.
 	nats float64
 	at   time.Duration
 }
 
-// steadyOdds is the share of time that a target is ill without evidence.
-var steadyShare = float64(illTime) / float64(illTime+wellTime)
-
 // NewFault returns an estimate without evidence.
-func NewFault(now time.Duration) Fault { return Fault{nats: logOdds(steadyShare), at: now} }
+func NewFault(rates Rates, now time.Duration) Fault {
+	return Fault{rates: rates, nats: max(logOdds(rates.steadyShare()), minNats), at: now}
+}
 
 // Observe adds evidence; positive nats speak for the fault.
 func (f *Fault) Observe(nats float64, now time.Duration) {
@@ -49,9 +64,9 @@
 		return
 	}
 	f.at = now
-	rate := 1/illTime.Seconds() + 1/wellTime.Seconds()
-	kept := math.Exp(-rate * passed.Seconds())
-	f.nats = logOdds(steadyShare + (probability(f.nats)-steadyShare)*kept)
+	steady := f.rates.steadyShare()
+	kept := math.Exp(-f.rates.change() * passed.Seconds())
+	f.nats = logOdds(steady + (probability(f.nats)-steady)*kept)
 }
 
 func probability(nats float64) float64 { return 1 / (1 + math.Exp(-nats)) }
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -1,13 +1,14 @@
 package suspicion
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
 )
 
 func TestOneFailureMakesATargetSuspectAndSuccessesClearIt(t *testing.T) {
-	f := NewFault(0)
+	f := NewFault(FailingRates, 0)
 	f.Observe(FailureNats(EndFailed), time.Second)
 	if p := f.Probability(time.Second); p < 0.6 {
 		t.Fatalf("after one failure: %.2f", p)
@@ -21,7 +22,7 @@
 }
 
 func TestSuspicionFadesWithoutEvidence(t *testing.T) {
-	f := NewFault(0)
+	f := NewFault(FailingRates, 0)
 	for range 3 {
 		f.Observe(FailureNats(EndFailed), 0)
 	}
@@ -31,7 +32,7 @@
 }
 
 func TestNewFaultShowsAtOnceAfterALongGoodRecord(t *testing.T) {
-	f := NewFault(0)
+	f := NewFault(FailingRates, 0)
 	for i := range 1000 {
 		f.Observe(FailureNats(EndServed), time.Duration(i)*10*time.Millisecond)
 	}
@@ -45,7 +46,7 @@
 
 // steps returns the attempts until a target with a share of failures is suspect.
 func steps(random *rand.Rand, failShare float64) int {
-	f := NewFault(0)
+	f := NewFault(FailingRates, 0)
 	for i := 1; ; i++ {
 		now := time.Duration(i) * 100 * time.Millisecond
 		end := EndServed
@@ -80,7 +81,7 @@
 	for range 100 {
 		r.Add(duration(1))
 	}
-	slow, well := NewFault(0), NewFault(0)
+	slow, well := NewFault(SlowRates, 0), NewFault(SlowRates, 0)
 	for range 4 {
 		slow.Observe(r.SlowNats(duration(5)), 0)
 		well.Observe(r.SlowNats(duration(1)), 0)
@@ -93,6 +94,47 @@
 	}
 }
 
+// TestLongAnswersOfWellTargetsConvictNone is the load of work whose duration
+// varies a lot: some answers take several times as long as others, at targets
+// that are all well.
+func TestLongAnswersOfWellTargetsConvictNone(t *testing.T) {
+	const (
+		attempts = 20_000
+		interval = 250 * time.Millisecond
+		// mostSuspected is the share of attempts that may find the target suspected.
+		mostSuspected = 0.005
+	)
+	random := rand.New(rand.NewPCG(5, 6))
+	duration := func() time.Duration {
+		seconds := 0.15 * math.Exp(0.6*random.NormFloat64())
+		if random.IntN(100) == 0 {
+			seconds *= 5
+		}
+		return time.Duration(seconds * float64(time.Second))
+	}
+	var r Reference
+	for range 100 {
+		r.Add(duration())
+	}
+	well, suspected := NewFault(SlowRates, 0), 0
+	for i := range attempts {
+		now := time.Duration(i) * interval
+		if well.Probability(now) > 0.3 {
+			suspected++
+		}
+		took := duration()
+		if limit := r.Overdue(0); took > limit {
+			well.Observe(OverdueNats, now)
+		} else {
+			well.Observe(r.SlowNats(took), now)
+			r.Add(took)
+		}
+	}
+	if share := float64(suspected) / attempts; share > mostSuspected {
+		t.Errorf("suspected at %.4f of the attempts", share)
+	}
+}
+
 func TestAttemptThatWaitsForASlotIsOverdueLater(t *testing.T) {
 	var r Reference
 	if r.Overdue(time.Second) != 0 {
