Pace the trials of suspects over all VMs, and leave no target out for long

Ruled out: blocked paths (they leave a target out at one VM only).

Now a suspect rests 400 ms after a failure seen by any VM and is tried again at once after a success; a target without any attempt for 1.2 s gets the next idempotent request, after 1.6 s any request, budget or not. In TestAnotherVMsFailureTurnsOnceRequestsAway an idempotent request now has to leave the suspect alone right after the other VM's failure, and try it after the pause.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -112,7 +112,7 @@
 	t := chosen[choice.Index]
 	t.mine++
 	t.tried = true
-	t.began = now
+	t.attempted = now
 	a := &Attempt{manager: m, service: s, target: t, route: ask.Route.Name, began: now, trial: choice.Trial, chosen: candidates[choice.Index]}
 	if limit := usual.Overdue(choice.Wait); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.isOverdue)
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -140,10 +140,11 @@
 	}
 	if !known {
 		t = &target{
-			pool:     m.newPool(info),
-			failing:  suspicion.NewFault(suspicion.FailingRates, now),
-			slow:     suspicion.NewFault(suspicion.SlowRates, now),
-			shedding: suspicion.NewFault(suspicion.SheddingRates, now),
+			pool:      m.newPool(info),
+			failing:   suspicion.NewFault(suspicion.FailingRates, now),
+			slow:      suspicion.NewFault(suspicion.SlowRates, now),
+			shedding:  suspicion.NewFault(suspicion.SheddingRates, now),
+			attempted: now,
 		}
 		for _, attempts := range m.remote {
 			t.others += attempts[info.ID]
@@ -211,13 +212,18 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if t, ok := m.targets[outcome.Target]; ok {
-		m.observe(t, outcome, m.options.Uptime())
+		now := m.options.Uptime()
+		t.attempted = now
+		m.observe(t, outcome, now)
 	}
 }
 
 // observe applies evidence to a target; the lock is held.
 func (m *Manager) observe(t *target, outcome evidence.Outcome, now time.Duration) {
 	t.tried = true
+	if outcome.FailureNats != 0 {
+		t.recovering = outcome.FailureNats < 0
+	}
 	before := t.suspect(now)
 	t.failing.Observe(outcome.FailureNats, now)
 	t.slow.Observe(outcome.SlowNats, now)
@@ -237,6 +243,7 @@
 
 // InProgress sets the attempts of another VM.
 func (m *Manager) InProgress(vm string, attempts map[string]int) {
+	now := m.options.Uptime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for id, count := range m.remote[vm] {
@@ -253,6 +260,7 @@
 		if t, ok := m.targets[id]; ok {
 			t.others += count
 			t.tried = true
+			t.attempted = now
 		}
 	}
 }
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -40,8 +40,10 @@
 	mine, others int
 	load         dialect.Load
 	loadAt       time.Duration
-	// began is when an attempt was last begun here.
-	began time.Duration
+	// attempted is when an attempt of any VM was last known.
+	attempted time.Duration
+	// recovering is true when the last attempt known did not fail.
+	recovering bool
 	// tried is true once an attempt was made, here or on another VM.
 	tried bool
 	// unreachable is true while no connection opens from here.
@@ -64,17 +66,18 @@
 		inUse = max(inUse, t.load.Running+t.load.Waiting)
 	}
 	return placement.Candidate{
-		ID:         t.info.ID,
-		SameZone:   t.info.Zone == zone,
-		Slots:      t.info.Slots,
-		InUse:      inUse,
-		Failing:    t.failing.Probability(now),
-		Slow:       t.slow.Probability(now),
-		Shedding:   t.shedding.Probability(now),
-		Cold:       now < t.info.WarmAt,
-		Blocked:    t.unreachable,
-		Untried:    !t.tried,
-		SinceTrial: now - t.began,
+		ID:           t.info.ID,
+		SameZone:     t.info.Zone == zone,
+		Slots:        t.info.Slots,
+		InUse:        inUse,
+		Failing:      t.failing.Probability(now),
+		Slow:         t.slow.Probability(now),
+		Shedding:     t.shedding.Probability(now),
+		Cold:         now < t.info.WarmAt,
+		Blocked:      t.unreachable,
+		Untried:      !t.tried,
+		SinceAttempt: now - t.attempted,
+		Recovering:   t.recovering,
 	}
 }
 
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -93,6 +93,12 @@
 		attempt.Done(served())
 	}
 	attempt := f.begin(t, ask(routing.KindIdempotent))
+	if attempt.ID() == "t2" {
+		t.Error("an idempotent request tried the suspect right after the other VM had")
+	}
+	attempt.Done(served())
+	f.now += 500 * time.Millisecond
+	attempt = f.begin(t, ask(routing.KindIdempotent))
 	if attempt.ID() != "t2" || !attempt.Trial() {
 		t.Errorf("an idempotent request went to %s, trial %v", attempt.ID(), attempt.Trial())
 	}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -10,8 +10,17 @@
 const (
 	// suspectFrom is the probability of a fault from which a target is a suspect.
 	suspectFrom = 0.3
-	// trialGap is the time between two trials of a suspect.
-	trialGap = 150 * time.Millisecond
+	// trialGap is the time between two trials of a suspect whose last attempt
+	// failed, by all VMs together. It is short beside the seconds that a fault lasts.
+	trialGap = 400 * time.Millisecond
+	// idempotentNeglect and onceNeglect are the times without any attempt after
+	// which a target gets the next request of its kind whatever its record, so
+	// that one that is well again is not left out. Idempotent requests go first.
+	idempotentNeglect = 1200 * time.Millisecond
+	onceNeglect       = 1600 * time.Millisecond
+	// mostNeglectBytes is the size up to which a request may go to another
+	// availability zone for that.
+	mostNeglectBytes = 10_000
 	// trialTime is how many average attempts must fit into the time left of a trial.
 	trialTime = 3
 	// queueSlots is the number of requests, in slots of the target, that may wait at it.
@@ -39,8 +48,10 @@
 	Untried bool
 	// Blocked is true while this VM cannot reach the target.
 	Blocked bool
-	// SinceTrial is the time since an attempt to it began here or elsewhere.
-	SinceTrial time.Duration
+	// SinceAttempt is the time since any VM was last known to attempt it.
+	SinceAttempt time.Duration
+	// Recovering is true when its last attempt, from any VM, did not fail.
+	Recovering bool
 }
 
 // suspect reports whether the target is under suspicion.
@@ -92,10 +103,8 @@
 
 // Choose returns the target for an attempt, or why there is none.
 func Choose(candidates []Candidate, ask Ask, random *rand.Rand) Choice {
-	if ask.MayTry && ask.Repeatable && !ask.Retry && ask.Remaining > trialTime*ask.Work {
-		if index := dueTrial(candidates, random); index >= 0 && hasSound(candidates) {
-			return Choice{Index: index, Trial: true}
-		}
+	if choice, ok := explore(candidates, ask, random); ok {
+		return choice
 	}
 	best, bestScore := Choice{Reason: ReasonNoTarget}, math.Inf(-1)
 	for i, c := range candidates {
@@ -114,6 +123,21 @@
 	return best
 }
 
+// explore gives a first attempt to a target that needs one for what it shows:
+// a suspect that may have recovered, or a target that nobody has tried lately.
+func explore(candidates []Candidate, ask Ask, random *rand.Rand) (Choice, bool) {
+	if ask.Retry || ask.Remaining <= trialTime*ask.Work {
+		return Choice{}, false
+	}
+	if ask.MayTry && ask.Repeatable && hasSound(candidates) {
+		if index := pick(candidates, random, Candidate.dueTrial); index >= 0 {
+			return Choice{Index: index, Trial: true}, true
+		}
+	}
+	index := pick(candidates, random, func(c Candidate) bool { return c.neglected(ask) })
+	return Choice{Index: index}, index >= 0
+}
+
 // hasSound reports whether a target without suspicion has a free slot, for the
 // attempt that follows a trial that fails.
 func hasSound(candidates []Candidate) bool {
@@ -125,11 +149,28 @@
 	return false
 }
 
-// dueTrial returns a random suspect that has room and was not tried just now.
-func dueTrial(candidates []Candidate, random *rand.Rand) int {
+// dueTrial reports whether a suspect is to be tried: some time after a failure,
+// and at once after a success, since a few of them clear it.
+func (c Candidate) dueTrial() bool {
+	return !c.Blocked && c.suspect() && c.InUse == 0 && (c.Recovering || c.SinceAttempt >= trialGap)
+}
+
+// neglected reports whether the target is to have the request because it had
+// none for long.
+func (c Candidate) neglected(ask Ask) bool {
+	limit := onceNeglect
+	if ask.Repeatable {
+		limit = idempotentNeglect
+	}
+	near := c.SameZone || ask.Bytes <= mostNeglectBytes
+	return !c.Blocked && c.InUse == 0 && near && c.SinceAttempt >= limit
+}
+
+// pick returns a random candidate for which a condition holds, or -1.
+func pick(candidates []Candidate, random *rand.Rand, holds func(Candidate) bool) int {
 	found, seen := -1, 0
 	for i, c := range candidates {
-		if c.Blocked || !c.suspect() || c.InUse > 0 || c.SinceTrial < trialGap {
+		if !holds(c) {
 			continue
 		}
 		seen++
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -7,7 +7,7 @@
 )
 
 func well(id string) Candidate {
-	return Candidate{ID: id, SameZone: true, Slots: 2, SinceTrial: time.Minute}
+	return Candidate{ID: id, SameZone: true, Slots: 2, SinceAttempt: 500 * time.Millisecond}
 }
 
 func booking() Ask {
@@ -51,11 +51,11 @@
 	if got := Choose(candidates, lookup(), chooser()); got.Index != 1 || !got.Trial {
 		t.Errorf("chose %+v", got)
 	}
-	candidates[1].SinceTrial = 0
+	candidates[1].SinceAttempt = 0
 	if got := Choose(candidates, lookup(), chooser()); got.Index != 0 {
 		t.Errorf("right after a trial: chose %+v", got)
 	}
-	candidates[1].SinceTrial = time.Minute
+	candidates[1].SinceAttempt = 500 * time.Millisecond
 	short := lookup()
 	short.Remaining = 200 * time.Millisecond
 	if got := Choose(candidates, short, chooser()); got.Index != 0 {
@@ -139,3 +139,49 @@
 		t.Errorf("chose %+v", got)
 	}
 }
+
+// TestTargetThatRecoversIsTriedAgainAtOnce: a few answers clear a suspect, so
+// they follow one another without the pause after a failure.
+func TestTargetThatRecoversIsTriedAgainAtOnce(t *testing.T) {
+	suspect := well("suspect")
+	suspect.Failing, suspect.SinceAttempt = 0.9, 10*time.Millisecond
+	candidates := []Candidate{well("well"), suspect}
+	if got := Choose(candidates, lookup(), chooser()); got.Trial {
+		t.Errorf("right after a failure: chose %+v", got)
+	}
+	candidates[1].Recovering = true
+	if got := Choose(candidates, lookup(), chooser()); got.Index != 1 || !got.Trial {
+		t.Errorf("right after a success: chose %+v", got)
+	}
+}
+
+// TestNeglectedTargetGetsARequestWithoutBudget is a service half of whose
+// targets are under suspicion while repeats have used up the budget. No trial
+// can be paid for, yet targets that are well again must not stay left out.
+func TestNeglectedTargetGetsARequestWithoutBudget(t *testing.T) {
+	suspect := well("suspect")
+	suspect.Failing = 0.9
+	for _, c := range []struct {
+		name  string
+		ask   Ask
+		since time.Duration
+		want  int
+	}{
+		{"idempotent, tried lately", lookup(), time.Second, 0},
+		{"idempotent, not tried for long", lookup(), idempotentNeglect, 1},
+		{"once, left to idempotent ones", booking(), idempotentNeglect, 0},
+		{"once, not tried for very long", booking(), onceNeglect, 1},
+	} {
+		c.ask.MayTry, c.ask.MayRepeat = false, false
+		suspect.SinceAttempt = c.since
+		if got := Choose([]Candidate{well("well"), suspect}, c.ask, chooser()); got.Index != c.want || got.Trial {
+			t.Errorf("%s: chose %+v", c.name, got)
+		}
+	}
+	suspect.SinceAttempt, suspect.SameZone = onceNeglect, false
+	upload := booking()
+	upload.Bytes = 60_000
+	if got := Choose([]Candidate{well("well"), suspect}, upload, chooser()); got.Index != 0 {
+		t.Errorf("a large body to another availability zone: chose %+v", got)
+	}
+}
