Learn what work takes while slots are busy, and wait behind the service's average

Besides, the wait was reckoned in the route's own work, though it is spent behind other routes' requests. Ruled out: a wrong shape of the wait (the ratio is the same at 3 and at 8 in use).

Now the work is also learned from attempts that waited, by the part that their own work should be; a route that is not known yet takes its service's average; the wait is reckoned in that average. TestWorkIsLearnedWhileAllSlotsAreBusy and TestShortWorkWaitsBehindLongWork hold it; both could not be written against the code before, which had no such terms.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -89,7 +89,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.service(ask.Service)
-	usual := s.reference(ask.Route.Name)
+	usual, queued := s.reference(ask.Route.Name), s.overall.Mean(defaultWork)
 	candidates, chosen := m.candidates(s, ask, now)
 	mayRepeat := ask.Sent+1 < ask.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.Ask{
@@ -97,7 +97,8 @@
 		Retry:      len(ask.Tried) > 0,
 		MayTry:     mayRepeat && s.budget.Available(now) >= trialBudget,
 		MayRepeat:  mayRepeat && s.budget.Available(now) >= 1,
-		Work:       usual.Mean(defaultWork),
+		Work:       usual.Mean(queued),
+		QueueWork:  queued,
 		Bytes:      ask.Bytes,
 		Remaining:  ask.Remaining,
 		Useful:     ask.Useful,
@@ -231,18 +232,25 @@
 // from it; the lock is held. An attempt that had to wait for a slot says nothing
 // about the target itself.
 func (a *Attempt) judgeDuration(now time.Duration, load *dialect.Load) float64 {
-	waited := a.chosen.InUse >= a.chosen.Slots || (load != nil && load.Waiting > 0)
-	if waited {
-		return 0
-	}
 	took := now - a.began
 	usual := a.service.reference(a.route)
+	warm := now >= a.target.info.WarmAt
+	if turns := a.chosen.Turns(); turns > 0 || (load != nil && load.Waiting > 0) {
+		if warm && !a.target.suspect(now) {
+			queued := a.service.overall.Mean(defaultWork)
+			own := usual.Mean(queued)
+			usual.AddWaited(took, float64(own)/(float64(own)+turns*float64(queued)))
+			a.service.overall.AddWaited(took, 1/(1+turns))
+		}
+		return 0
+	}
 	nats := 0.0
-	if now >= a.target.info.WarmAt {
+	if warm {
 		nats = usual.SlowNats(took)
 	}
 	if !a.target.suspect(now) {
 		usual.Add(took)
+		a.service.overall.Add(took)
 	}
 	return nats
 }
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -59,8 +59,9 @@
 type service struct {
 	targets []*target
 	budget  *retry.Share
-	// usual holds what attempts of each route take.
-	usual map[string]*suspicion.Reference
+	// usual holds what attempts of each route take, overall what those of all do.
+	usual   map[string]*suspicion.Reference
+	overall suspicion.Reference
 }
 
 // Manager holds the targets of all services.
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -67,8 +67,11 @@
 	MayRepeat bool
 	// MayTry allows a trial of a suspect; the budget for repeats has room.
 	MayTry bool
-	// Work is what an attempt takes on average.
+	// Work is what an attempt of the route takes on average, without waiting.
 	Work time.Duration
+	// QueueWork is what the attempts take behind which it would wait: those of
+	// all routes to the service.
+	QueueWork time.Duration
 	// Bytes is the size of the request's body.
 	Bytes int64
 	// Remaining is the time until the request's final answer is due.
@@ -183,7 +186,7 @@
 
 // admit refuses an attempt that would wait for an answer of little worth.
 func admit(c Candidate, index int, ask Ask) Choice {
-	wait := expectedWait(c, ask.Work)
+	wait := expectedWait(c, ask.QueueWork)
 	if wait == 0 {
 		return Choice{Index: index}
 	}
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -11,7 +11,7 @@
 }
 
 func booking() Ask {
-	return Ask{Work: 150 * time.Millisecond, Remaining: time.Second, Useful: 500 * time.Millisecond, Rank: 1, MayTry: true}
+	return Ask{Work: 150 * time.Millisecond, QueueWork: 150 * time.Millisecond, Remaining: time.Second, Useful: 500 * time.Millisecond, Rank: 1, MayTry: true}
 }
 
 func lookup() Ask {
@@ -185,3 +185,15 @@
 		t.Errorf("a large body to another availability zone: chose %+v", got)
 	}
 }
+
+// TestShortWorkWaitsBehindLongWork is a service of short look-ups and long
+// uploads: how long a look-up waits follows from the uploads.
+func TestShortWorkWaitsBehindLongWork(t *testing.T) {
+	busy := well("busy")
+	busy.InUse = 4
+	short := lookup()
+	short.Work, short.QueueWork, short.Useful, short.Remaining = 40*time.Millisecond, 200*time.Millisecond, 200*time.Millisecond, 300*time.Millisecond
+	if got := Choose([]Candidate{busy}, short, chooser()); got.Reason != ReasonTooLate || got.Wait < 300*time.Millisecond {
+		t.Errorf("chose %+v", got)
+	}
+}
--- a/policy/placement/worth.go
+++ b/policy/placement/worth.go
@@ -38,7 +38,7 @@
 
 // worth returns the expected worth of an attempt at a candidate.
 func worth(c Candidate, ask Ask) float64 {
-	finish := expectedWait(c, ask.Work) + expectedWork(c, ask.Work)
+	finish := expectedWait(c, ask.QueueWork) + expectedWork(c, ask.Work)
 	value := lateWorth + (1-lateWorth)*within(finish, ask.Useful)
 	loss := c.Failing * illFailShare
 	if ask.Repeatable && ask.MayRepeat {
@@ -53,7 +53,7 @@
 
 // cost returns what tells a candidate from others of the same worth.
 func cost(c Candidate, ask Ask) float64 {
-	finish := expectedWait(c, ask.Work) + expectedWork(c, ask.Work)
+	finish := expectedWait(c, ask.QueueWork) + expectedWork(c, ask.Work)
 	total := waitCost*finish.Seconds() + loadCost*float64(c.InUse)/float64(c.Slots)
 	if !c.SameZone {
 		total += zoneCost + zoneCostPerMB*float64(ask.Bytes)/1e6
@@ -82,11 +82,15 @@
 	return time.Duration(factor * float64(work))
 }
 
-// expectedWait returns how long an attempt waits for a slot.
-func expectedWait(c Candidate, work time.Duration) time.Duration {
+// expectedWait returns how long an attempt waits for a slot behind others.
+func expectedWait(c Candidate, queueWork time.Duration) time.Duration {
+	return time.Duration(c.Turns() * float64(expectedWork(c, queueWork)))
+}
+
+// Turns returns the expected wait for a slot, in average attempts.
+func (c Candidate) Turns() float64 {
 	if c.InUse < c.Slots {
 		return 0
 	}
-	turns := float64(c.InUse-c.Slots+1) / float64(c.Slots)
-	return time.Duration(turns * float64(expectedWork(c, work)))
+	return float64(c.InUse-c.Slots+1) / float64(c.Slots)
 }
--- a/policy/suspicion/evidence.go
+++ b/policy/suspicion/evidence.go
@@ -80,14 +80,32 @@
 
 // Reference is what attempts of one route usually take, over all targets.
 type Reference struct {
+	// count, mean and variance describe the logarithm of the durations, in
+	// seconds, of attempts that did not wait for a slot.
 	count    float64
 	mean     float64
 	variance float64
-	// plain is the average duration in seconds.
-	plain float64
+	work     average
 }
 
-// Add takes over the duration of one attempt at a target that is not suspect.
+// average is a running mean of durations in seconds.
+type average struct {
+	count, mean float64
+}
+
+func (a *average) add(took time.Duration) {
+	a.count = min(a.count+1, memory)
+	a.mean += (took.Seconds() - a.mean) / a.count
+}
+
+// AddWaited takes over the duration of an attempt that had to wait for a slot.
+// WorkShare is the part of the duration that its own work is expected to be.
+func (r *Reference) AddWaited(took time.Duration, workShare float64) {
+	r.work.add(time.Duration(float64(took) * workShare))
+}
+
+// Add takes over the duration of one attempt at a target that is not suspect
+// and had a free slot.
 func (r *Reference) Add(took time.Duration) {
 	x := math.Log(max(took.Seconds(), 1e-4))
 	r.count = min(r.count+1, memory)
@@ -95,18 +113,18 @@
 	difference := x - r.mean
 	r.mean += gain * difference
 	r.variance = (1 - gain) * (r.variance + gain*difference*difference)
-	r.plain += gain * (took.Seconds() - r.plain)
+	r.work.add(took)
 }
 
-// Known reports whether there are enough durations to compare with.
+// Known reports whether there are enough durations to compare others with.
 func (r *Reference) Known() bool { return r.count >= minSamples }
 
-// Mean returns the average duration, or the fallback while it is not known.
+// Mean returns the average work of an attempt, or the fallback while it is not known.
 func (r *Reference) Mean(fallback time.Duration) time.Duration {
-	if !r.Known() {
+	if r.work.count < minSamples {
 		return fallback
 	}
-	return time.Duration(r.plain * float64(time.Second))
+	return time.Duration(r.work.mean * float64(time.Second))
 }
 
 // SlowNats returns what a duration says about slowness.
--- a/policy/suspicion/suspicion_test.go
+++ b/policy/suspicion/suspicion_test.go
@@ -148,3 +148,20 @@
 		t.Errorf("overdue after %v, after a wait of %v after %v", free, wait, waiting)
 	}
 }
+
+// TestWorkIsLearnedWhileAllSlotsAreBusy is the load of a day that begins with a
+// burst: each attempt waits for others, yet what its work takes must be learned,
+// since the expected wait follows from it.
+func TestWorkIsLearnedWhileAllSlotsAreBusy(t *testing.T) {
+	const work, turns = 200 * time.Millisecond, 1.5
+	var r Reference
+	for range 2 * minSamples {
+		r.AddWaited(time.Duration((1+turns)*float64(work)), 1/(1+turns))
+	}
+	if mean := r.Mean(time.Hour); mean < work*9/10 || mean > work*11/10 {
+		t.Errorf("work of %v learned as %v", work, mean)
+	}
+	if r.Known() || r.SlowNats(time.Second) != 0 {
+		t.Error("durations with waiting were taken for a reference")
+	}
+}
