Keep the routes' idle limit on callers' connections; log what was swallowed

Left: the routes' header time-out (5 s stand in its place); the HTTP library has no hook between the first byte and the header's end.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
@@ -256,6 +257,7 @@
 		}
 		if _, err := x.options.Conn.WriteTo(content, net.UDPAddrFromAddrPort(peer.Address)); err != nil {
 			x.options.Scope.Counter("datagrams_failed").Inc(1)
+			events.EvidenceUnsent.Log(x.options.Logger, "peer", peer.VM, "address", peer.Address, "cause", err)
 			continue
 		}
 		x.options.Scope.Counter("datagrams_sent").Inc(1)
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -214,6 +214,7 @@
 	now := f.options.Uptime()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.storeAt = max(f.storeAt, now-listing.StoreAge)
 	if listing.Revision < f.revision {
 		return
 	}
@@ -289,6 +290,7 @@
 			return
 		case <-ticker.C:
 		}
+		f.options.Scope.Gauge("store_age_seconds").Update(f.storeAge().Seconds())
 		f.mu.Lock()
 		if expired := f.targets.Expire(f.options.Uptime()); len(expired) > 0 {
 			events.TargetsLapsed.Log(f.options.Logger, "targets", expired)
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -35,6 +35,8 @@
 // view is the fleet at one moment.
 type view struct {
 	vms []offer.VM
+	// inFront names the VMs of the front ranks of all zones.
+	inFront map[string]bool
 	// serving is true when this VM is in its zone's front rank.
 	serving bool
 	peers   []evidence.Peer
@@ -90,7 +92,7 @@
 func (f *fleet) look() {
 	members := f.members.Members()
 	self := members[0]
-	v := &view{vms: make([]offer.VM, 0, len(members))}
+	v := &view{vms: make([]offer.VM, 0, len(members)), inFront: make(map[string]bool)}
 	now := f.now()
 	wasServing := f.view.Load().serving
 	for _, member := range members {
@@ -103,12 +105,11 @@
 			Usable:   f.usable(member, self, wasServing, now),
 		})
 	}
-	inFront := make(map[string]bool)
 	for _, vm := range offer.All(v.vms, f.settings) {
-		inFront[vm.Name] = true
+		v.inFront[vm.Name] = true
 	}
-	v.serving, v.sharers = inFront[self.GetVm()], max(len(inFront), 1)
-	v.peers = f.peers(members, inFront)
+	v.serving, v.sharers = v.inFront[self.GetVm()], max(len(v.inFront), 1)
+	v.peers = f.peers(members, v.inFront)
 	f.view.Store(v)
 }
 
@@ -151,7 +152,7 @@
 		delete(f.leftOut, vm)
 		delete(f.expected, vm)
 	}
-	if !f.inFront(vm) {
+	if !f.view.Load().inFront[vm] {
 		delete(f.expected, vm)
 		return false
 	}
@@ -167,16 +168,6 @@
 	return true
 }
 
-// inFront reports whether a VM was in a front rank at the last look.
-func (f *fleet) inFront(name string) bool {
-	for _, vm := range offer.All(f.view.Load().vms, f.settings) {
-		if vm.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // peers returns the VMs to which datagrams go: evidence to those that serve
 // callers, heartbeats to those of this VM's zone.
 func (f *fleet) peers(members []*primroseloomv1.Member, inFront map[string]bool) []evidence.Peer {
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -34,7 +34,9 @@
 	callerConnections = 3000
 	callerHeaderBytes = 64 << 10
 	callerHeaderTime  = 5 * time.Second
-	callerIdleTime    = 75 * time.Second
+	// callerIdleTime stands for the routes' idle limit while they set none, and
+	// bounds it.
+	callerIdleTime = 75 * time.Second
 	// stopMargin is what a planned stop keeps of its grace for the end.
 	stopMargin = 400 * time.Millisecond
 )
@@ -90,13 +92,14 @@
 	callers := proxy.NewServer(f.gateway, proxy.ServerLimits{
 		HeaderBytes: callerHeaderBytes, HeaderTimeout: callerHeaderTime, IdleTimeout: callerIdleTime, Logger: f.options.Logger,
 	})
+	callers.ConnState = newIdleLimit(func() time.Duration { return routesIdleLimit(f.follower) }).changed
 	go f.serve(callers, proxy.LimitListener(listeners.callers, callerConnections))
 	pages := []*http.Server{
 		f.page(listeners.readiness, readinessEngine(f.options.Adapter.Pages, f.ready)),
 		f.page(listeners.directory, directoryEngine(f.options.Adapter.Pages, f.fleet.offered, f.keepFor)),
 		f.page(listeners.admin, f.metrics.Handler()),
 	}
-	go func() { _ = f.peers.Serve(listeners.peers) }()
+	go f.servePeers(listeners.peers)
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
 
 	<-ctx.Done()
@@ -112,7 +115,14 @@
 
 func (f *Frontend) serve(server *http.Server, listener net.Listener) {
 	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
-		f.options.Logger.Error("listener ended", "address", listener.Addr(), "cause", err)
+		events.ListenerEnded.Log(f.options.Logger, "address", listener.Addr(), "cause", err)
+	}
+}
+
+// servePeers serves the other VMs until the listener is closed by their manager.
+func (f *Frontend) servePeers(listener net.Listener) {
+	if err := f.peers.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		events.ListenerEnded.Log(f.options.Logger, "address", listener.Addr(), "cause", err)
 	}
 }
 
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -39,14 +39,16 @@
 		source = http.MaxBytesReader(w, r.Body, limit)
 	}
 	controller := http.NewResponseController(w)
-	_ = controller.SetReadDeadline(due)
+	if err := controller.SetReadDeadline(due); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return callerGone(r, err)
+	}
 	held, err := io.ReadAll(io.LimitReader(source, heldBodyBytes+1))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return refuse(outcome.ReasonBodyTooLarge, outcome.StepParse, 0)
 	case err != nil:
-		return &outcome.Refusal{Outcome: outcome.NotRun, Reason: outcome.ReasonCallerGone, Step: outcome.StepParse, Peer: r.RemoteAddr, Cause: err}
+		return callerGone(r, err)
 	}
 	b.held = held
 	b.length = int64(len(held))
@@ -54,10 +56,19 @@
 		b.rest, b.length = source, r.ContentLength
 		return nil
 	}
-	_ = controller.SetReadDeadline(time.Time{})
+	if err := controller.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return callerGone(r, err)
+	}
 	return nil
 }
 
+// callerGone refuses a request whose connection failed before it was read.
+func callerGone(r *http.Request, cause error) *outcome.Refusal {
+	return &outcome.Refusal{
+		Outcome: outcome.NotRun, Reason: outcome.ReasonCallerGone, Step: outcome.StepParse, Peer: r.RemoteAddr, Cause: cause,
+	}
+}
+
 // replayable reports whether the body can be sent to another target.
 func (b *body) replayable() bool { return b.rest == nil || !b.streamed }
 
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -312,9 +312,32 @@
 	for _, t := range m.targets {
 		t.pool.Sweep()
 	}
-	for _, s := range m.services {
+	for name, s := range m.services {
 		s.budget.Divide(m.options.Budget.Ratio, m.options.Budget.Allowance, sharers, now)
+		m.gauge(name, s, now)
+	}
+}
+
+// gauge publishes what is known of a service's targets; the lock is held.
+func (m *Manager) gauge(name string, s *service, now time.Duration) {
+	slots, inUse, suspects, unreachable := 0, 0, 0, 0
+	for _, t := range s.targets {
+		slots += t.info.Slots
+		inUse += t.mine + t.others
+		if t.suspect(now) {
+			suspects++
+		}
+		if t.unreachable {
+			unreachable++
+		}
 	}
+	scope := m.options.Scope.Tagged(map[string]string{"service": name})
+	scope.Gauge("known").Update(float64(len(s.targets)))
+	scope.Gauge("slots").Update(float64(slots))
+	scope.Gauge("attempts_in_progress").Update(float64(inUse))
+	scope.Gauge("suspects").Update(float64(suspects))
+	scope.Gauge("unreachable").Update(float64(unreachable))
+	scope.Gauge("repeats_left").Update(s.budget.Available(now))
 }
 
 // reconnect tries the targets that could not be reached.
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -83,6 +83,5 @@
 
 // suspect reports whether the target is under suspicion.
 func (t *target) suspect(now time.Duration) bool {
-	const from = 0.3
-	return t.failing.Probability(now) > from || t.slow.Probability(now) > from
+	return placement.Suspect(t.failing.Probability(now), t.slow.Probability(now))
 }
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -55,7 +55,11 @@
 }
 
 // suspect reports whether the target is under suspicion.
-func (c Candidate) suspect() bool { return c.Failing >= suspectFrom || c.Slow >= suspectFrom }
+func (c Candidate) suspect() bool { return Suspect(c.Failing, c.Slow) }
+
+// Suspect reports whether a target with these probabilities of failing and of
+// slowness is under suspicion.
+func Suspect(failing, slow float64) bool { return failing >= suspectFrom || slow >= suspectFrom }
 
 // Ask describes the attempt.
 type Ask struct {
