Soak: real daemons under random faults from outside, judged by what callers and targets see

Daemons keep no files and their clocks cannot be set without privileges, so suspension by signal stands for both; the links between daemons are not disturbed.

A short run of seed 5 is part of the tests; it leaves out what depends on the machine's speed.

--- a/cmd/primroseloom/root.go
+++ b/cmd/primroseloom/root.go
@@ -25,6 +25,7 @@
 		newMeasure(),
 		newStandin(),
 		newDemo(),
+		newSoak(),
 		newQuarantine(),
 		newVersion(),
 	)
--- /dev/null
+++ b/cmd/primroseloom/soak.go
@@ -0,0 +1,100 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"github.com/primroseloom/primroseloom/operator/exit"
+	"github.com/primroseloom/primroseloom/operator/soak"
+)
+
+func newSoak() *cobra.Command {
+	options := soak.Options{VMs: 6, Targets: 8, Callers: 24, Base: 77}
+	var seeds int
+	var asJSON, untimed bool
+	command := &cobra.Command{
+		Use:   "soak --daemon PATH",
+		Short: "Run real daemons under random faults and check the promises",
+		Long:  "Run real daemons as separate processes on loopback addresses, inject faults from\noutside of them by a schedule drawn from a seed, and check the promises by what\ncallers and targets see. The daemons' logs stay in the directory of a run that\nbroke a promise.",
+		Example: "  primroseloom soak --daemon bin/primroseloomd --seed 1 --duration 30s\n" +
+			"  primroseloom soak --daemon bin/primroseloomd --seed 1 --seeds 50 --json",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			options.Bounds = !untimed
+			return runSoaks(command.Context(), command.OutOrStdout(), options, seeds, asJSON)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&options.Daemon, "daemon", "", "path of the daemon's program")
+	flags.Uint64Var(&options.Seed, "seed", 1, "first seed of the schedule of faults")
+	flags.IntVar(&seeds, "seeds", 1, "number of runs, each with the next seed")
+	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "time with faults of each run")
+	flags.IntVar(&options.VMs, "vms", options.VMs, "number of daemons")
+	flags.IntVar(&options.Targets, "targets", options.Targets, "number of targets")
+	flags.IntVar(&options.Callers, "callers", options.Callers, "number of callers")
+	flags.IntVar(&options.Base, "base", options.Base, "second byte of the loopback addresses; runs at the same time need different ones")
+	flags.BoolVar(&untimed, "untimed", false, "leave out the promises that depend on the machine's speed")
+	flags.BoolVar(&asJSON, "json", false, "print each result as JSON")
+	_ = command.MarkFlagRequired("daemon")
+	return command
+}
+
+// runSoaks carries out one run a seed; the error counts the runs that broke a promise.
+func runSoaks(ctx context.Context, out io.Writer, options soak.Options, seeds int, asJSON bool) error {
+	broken := 0
+	for range seeds {
+		report, err := soakOnce(ctx, options)
+		if err != nil {
+			return fmt.Errorf("soak with seed %d: %w", options.Seed, err)
+		}
+		if len(report.Violations) > 0 {
+			broken++
+		}
+		if err := writeSoak(out, report, asJSON); err != nil {
+			return err
+		}
+		options.Seed++
+	}
+	if broken > 0 {
+		return exit.FellShort("%d of %d runs broke a promise", broken, seeds)
+	}
+	return nil
+}
+
+// soakOnce carries out one run in a directory of its own, which stays when a
+// promise was broken.
+func soakOnce(ctx context.Context, options soak.Options) (*soak.Report, error) {
+	directory, err := os.MkdirTemp("", fmt.Sprintf("primroseloom-soak-%d-", options.Seed))
+	if err != nil {
+		return nil, err
+	}
+	if options.Daemon, err = filepath.Abs(options.Daemon); err != nil {
+		return nil, err
+	}
+	options.Directory = directory
+	report, err := soak.Run(ctx, options)
+	if err == nil && len(report.Violations) == 0 {
+		return report, os.RemoveAll(directory)
+	}
+	return report, err
+}
+
+func writeSoak(out io.Writer, report *soak.Report, asJSON bool) error {
+	if asJSON {
+		return writeJSON(out, report)
+	}
+	_, err := fmt.Fprintf(out, "seed %d: %d of %d served, faults %v, %d violations\n", report.Seed, report.Served, report.Asked, report.Faults, len(report.Violations))
+	for _, v := range report.Violations {
+		if err != nil {
+			return err
+		}
+		_, err = fmt.Fprintf(out, "  %6.2f s  %s: %s\n", v.At, v.Promise, v.Detail)
+	}
+	return err
+}
--- /dev/null
+++ b/operator/soak/soak_test.go
@@ -0,0 +1,34 @@
+package soak
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// shortSeed is the seed of the short run.
+const shortSeed = 5
+
+// TestShortSoak runs a small fleet of real daemons for some seconds. Only the
+// promises that hold whatever the machine's speed are judged.
+func TestShortSoak(t *testing.T) {
+	daemon := filepath.Join(t.TempDir(), "primroseloomd")
+	build := exec.Command("go", "build", "-o", daemon, "github.com/primroseloom/primroseloom/cmd/primroseloomd")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("build the daemon: %v\n%s", err, out)
+	}
+	report, err := Run(t.Context(), Options{
+		Seed: shortSeed, Duration: 6 * time.Second, Daemon: daemon, Directory: t.TempDir(),
+		VMs: 4, Targets: 5, Callers: 6, Base: 76,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if report.Served == 0 || len(report.Faults) == 0 {
+		t.Errorf("nothing was served or disturbed: %+v", report)
+	}
+	for _, v := range report.Violations {
+		t.Errorf("seed %d: %.2f s: %s: %s", shortSeed, v.At, v.Promise, v.Detail)
+	}
+}
