Let one VM of each zone watch the store; use more of the ratio of repeats

Now the first of each zone's front rank watches, and all do when these would be fewer than three, so that watches dropped without a word are made up for. The ratio is used to 0.95: it is earned where its request arrives; the allowance keeps its margin (TestSharesStayWithinTheFleetsBudget, unchanged).

--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -74,7 +74,7 @@
 		Store:    f.options.Adapter.Store,
 		Peers:    &follow.Peers{Fleet: set.Fleet, Members: peers},
 		Decoder:  f.options.Adapter.Decoder,
-		Leads:    func() bool { return f.fleet == nil || f.fleet.serving() },
+		Leads:    func() bool { return f.fleet == nil || f.fleet.leads() },
 		Uptime:   f.clock.Uptime,
 		Listener: f,
 		Logger:   logger,
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -39,7 +39,9 @@
 	inFront map[string]bool
 	// serving is true when this VM is in its zone's front rank.
 	serving bool
-	peers   []evidence.Peer
+	// leads is true when this VM is among those that watch the store.
+	leads bool
+	peers []evidence.Peer
 	// sharers is the number of VMs in the front ranks of all zones.
 	sharers int
 }
@@ -110,6 +112,7 @@
 	}
 	v.serving, v.sharers = v.inFront[self.GetVm()], max(len(v.inFront), 1)
 	v.peers = f.peers(members, v.inFront)
+	v.leads = offer.Leads(v.vms, self.GetVm(), f.settings)
 	f.view.Store(v)
 }
 
@@ -200,6 +203,7 @@
 }
 
 func (f *fleet) serving() bool           { return f.view.Load().serving }
+func (f *fleet) leads() bool             { return f.view.Load().leads }
 func (f *fleet) others() []evidence.Peer { return f.view.Load().peers }
 
 // sharers is the number of VMs that share the budgets for repeats; zero for a
--- a/policy/offer/offer.go
+++ b/policy/offer/offer.go
@@ -90,6 +90,29 @@
 	return all
 }
 
+// leastLeaders is the number of VMs that watch the store at least, as long as
+// the front ranks have as many: a watch that the store drops without a word is
+// made up for by the others'.
+const leastLeaders = 3
+
+// Leads reports whether a VM is among those that watch the store and tell the
+// others: the first of each zone's front rank, and all in front ranks when these
+// would be too few.
+func Leads(vms []VM, name string, settings Settings) bool {
+	leaders, all := 0, false
+	leads := false
+	for _, zone := range zones(vms) {
+		for i, vm := range Front(vms, zone, settings) {
+			all = all || vm.Name == name
+			if i == 0 {
+				leaders++
+				leads = leads || vm.Name == name
+			}
+		}
+	}
+	return leads || all && leaders < leastLeaders
+}
+
 // zones returns the zones of the VMs in order.
 func zones(vms []VM) []string {
 	var names []string
--- a/policy/retry/share.go
+++ b/policy/retry/share.go
@@ -8,9 +8,13 @@
 // windowTime is the time over which the platform counts repeats.
 const windowTime = 10 * time.Second
 
-// allowanceUse is the part of the fleet's allowance that the VMs use, so that
-// uneven shares and late news do not exceed it.
-const allowanceUse = 0.8
+// Parts of the fleet's budget that the VMs use. A part of the ratio is earned
+// where its request arrives, so it needs little margin; the allowance is divided
+// by what each VM knows of the others, and late news must not exceed it.
+const (
+	ratioUse     = 0.95
+	allowanceUse = 0.8
+)
 
 // Share is one VM's part of a service's budget for repeats that all VMs draw
 // on. The fleet may repeat a ratio of the requests plus a fixed allowance in
@@ -38,7 +42,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refill(now)
-	s.ratio = ratio * allowanceUse
+	s.ratio = ratio * ratioUse
 	s.allowance = 0
 	if vms > 0 {
 		s.allowance = allowance * allowanceUse / float64(vms)
