--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -33,7 +33,7 @@
 	maxOutcomes = 24
 	// maxWaiting bounds the outcomes that wait; the oldest are dropped.
 	maxWaiting = 512
-	// timesSent is how often an outcome, or a changed number in progress, is sent.
+	// timesSent is how often an outcome is sent.
 	timesSent = 2
 )
 
@@ -110,8 +110,6 @@
 	ready                              bool
 	rate                               float64
 	silent                             bool
-	// uses is the attempts that the VM has in progress, by target.
-	uses map[string]int
 }
 
 // Exchange sends and receives evidence.
@@ -127,18 +125,12 @@
 	reports  []*primroseloomv1.CrashReport
 	dirty    bool
 	senders  map[string]*sender
-	// told is the attempts in progress as last sent; changed holds the targets whose
-	// number has changed, with the datagrams that are still to carry it.
-	told    map[string]int
-	changed map[string]int
 }
 
 // New returns an exchange over a bound UDP socket.
 func New(options Options) *Exchange {
 	options.Scope = options.Scope.SubScope("evidence")
-	return &Exchange{
-		options: options, wake: make(chan struct{}, 1), senders: make(map[string]*sender), changed: make(map[string]int),
-	}
+	return &Exchange{options: options, wake: make(chan struct{}, 1), senders: make(map[string]*sender)}
 }
 
 // Publish sends an outcome to the VMs that serve callers.
@@ -255,7 +247,7 @@
 // send writes one datagram to each VM that is to have it.
 func (x *Exchange) send(beat bool) {
 	serving := x.options.Serving()
-	content := x.next(serving, beat)
+	content := x.next(serving)
 	if content == nil {
 		return
 	}
@@ -273,9 +265,8 @@
 }
 
 // next returns the next datagram, or nil when a VM that serves nobody has
-// nothing to say. A heartbeat carries all attempts in progress, other datagrams
-// those that changed.
-func (x *Exchange) next(serving, beat bool) []byte {
+// nothing to say.
+func (x *Exchange) next(serving bool) []byte {
 	uses := x.options.Uses()
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -294,7 +285,9 @@
 		Revision: x.options.Revision(),
 		Rate:     uint32(x.options.Rate() + 0.5),
 	}
-	x.takeUses(message, uses, beat)
+	for target, count := range uses {
+		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
+	}
 	x.takeOutcomes(message)
 	content, err := proto.Marshal(message)
 	if err != nil {
@@ -304,45 +297,6 @@
 	return content
 }
 
-// takeUses puts the attempts in progress into a datagram; the lock is held.
-func (x *Exchange) takeUses(message *primroseloomv1.EvidenceDatagram, uses map[string]int, all bool) {
-	x.noteChanges(uses)
-	message.UsesChanged = !all
-	told := uses
-	if !all {
-		told = make(map[string]int, len(x.changed))
-		for target := range x.changed {
-			told[target] = uses[target]
-		}
-	}
-	for target, count := range told {
-		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
-	}
-	for target, left := range x.changed {
-		if left--; left > 0 {
-			x.changed[target] = left
-		} else {
-			delete(x.changed, target)
-		}
-	}
-}
-
-// noteChanges compares the attempts in progress with those sent before; the
-// lock is held.
-func (x *Exchange) noteChanges(uses map[string]int) {
-	for target, count := range uses {
-		if x.told[target] != count {
-			x.changed[target] = timesSent
-		}
-	}
-	for target := range x.told {
-		if _, ok := uses[target]; !ok {
-			x.changed[target] = timesSent
-		}
-	}
-	x.told = uses
-}
-
 // takeOutcomes moves the outcomes that wait into a datagram; the lock is held.
 func (x *Exchange) takeOutcomes(message *primroseloomv1.EvidenceDatagram) {
 	size := proto.Size(message)
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 
 	"google.golang.org/protobuf/proto"
 
@@ -43,7 +42,11 @@
 	}
 	outcomes, crashes, newest := x.fresh(&message)
 	if newest {
-		x.options.Receiver.InProgress(message.GetVm(), x.inProgress(&message))
+		attempts := make(map[string]int, len(message.GetUses()))
+		for _, use := range message.GetUses() {
+			attempts[use.GetTarget()] = int(use.GetInProgress())
+		}
+		x.options.Receiver.InProgress(message.GetVm(), attempts)
 		x.options.Receiver.Published(message.GetVm(), message.GetRevision())
 	}
 	for _, outcome := range outcomes {
@@ -83,24 +86,6 @@
 	return outcomes, crashes, newest
 }
 
-// inProgress returns the attempts that the sender of a datagram has in progress.
-func (x *Exchange) inProgress(message *primroseloomv1.EvidenceDatagram) map[string]int {
-	x.mu.Lock()
-	defer x.mu.Unlock()
-	from := x.senders[message.GetVm()]
-	if from.uses == nil || !message.GetUsesChanged() {
-		from.uses = make(map[string]int, len(message.GetUses()))
-	}
-	for _, use := range message.GetUses() {
-		if use.GetInProgress() == 0 {
-			delete(from.uses, use.GetTarget())
-			continue
-		}
-		from.uses[use.GetTarget()] = int(use.GetInProgress())
-	}
-	return maps.Clone(from.uses)
-}
-
 func fromWire(message *primroseloomv1.AttemptOutcome) Outcome {
 	outcome := Outcome{
 		Target:      message.GetTarget(),
@@ -122,7 +107,6 @@
 	for vm, from := range x.senders {
 		if !from.silent && now-from.heard >= forgetAfter {
 			from.silent = true
-			from.uses = nil
 			silent = append(silent, vm)
 		}
 	}
