Break the circle of locks between store news, targets and the exchange of evidence

Cause, by reading: the exchange asked the follower for its revision while it held its own lock (x -> f), the follower told the targets of news while it held its lock (f -> m), and the targets prompted the exchange while they held theirs (m -> x). Three things at the same moment stop all three children for good, and with them each request that needs a target.

The exchange asks first and locks then. TestExchangeAsksOthersWithoutItsLock failed first.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -267,7 +267,10 @@
 // next returns the next datagram, or nil when a VM that serves nobody has
 // nothing to say.
 func (x *Exchange) next(serving bool) []byte {
+	// The other children are asked before the lock is taken: they call the
+	// exchange while they hold their own.
 	uses := x.options.Uses()
+	ready, revision, rate := x.options.Ready(), x.options.Revision(), x.options.Rate()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !serving && !x.dirty && len(x.waiting) == 0 && len(uses) == 0 {
@@ -280,10 +283,10 @@
 		Vm:       x.options.VM,
 		Instance: x.options.Instance,
 		Sequence: x.sequence,
-		Ready:    x.options.Ready(),
+		Ready:    ready,
 		Crashes:  x.reports,
-		Revision: x.options.Revision(),
-		Rate:     uint32(x.options.Rate() + 0.5),
+		Revision: revision,
+		Rate:     uint32(rate + 0.5),
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -131,3 +131,27 @@
 		t.Errorf("uses %v", p.got.uses)
 	}
 }
+
+// TestExchangeAsksOthersWithoutItsLock has the follower of the store ask for a
+// prompt while a datagram is put together, as it does when news of the store
+// and the end of an attempt come at the same time.
+func TestExchangeAsksOthersWithoutItsLock(t *testing.T) {
+	p := newPair()
+	prompts := func() {
+		done := make(chan struct{})
+		go func() {
+			p.from.UsesChanged()
+			close(done)
+		}()
+		select {
+		case <-done:
+		case <-time.After(time.Second): // reached only when the lock is held
+			t.Error("another child waits for the exchange while the exchange waits for it")
+		}
+	}
+	p.from.options.Revision = func() uint64 { prompts(); return 42 }
+	p.from.options.Ready = func() bool { prompts(); return true }
+	p.from.options.Rate = func() float64 { prompts(); return 1 }
+	p.from.options.Uses = func() map[string]int { prompts(); return nil }
+	p.from.send(true)
+}
