Soak: callers that keep answers for up to nine seconds, truncation that is seen, a dozen daemons

Cause: of nine mutations of the daemon, one for each promise, three passed unseen: passing on a truncated answer (the stand-in's half answer never left its buffer), cutting requests at a planned stop (no caller still held an answer that old), and answering two seconds late (too few daemons were calm long enough).

--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -15,7 +15,7 @@
 )
 
 func newSoak() *cobra.Command {
-	options := soak.Options{VMs: 6, Targets: 8, Callers: 24, Base: 77}
+	options := soak.Options{VMs: 12, Targets: 12, Callers: 36, Base: 77}
 	var seeds int
 	var asJSON, untimed bool
 	command := &cobra.Command{
--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -25,11 +25,11 @@
 	// callerPatience is how long a caller waits; longer than the routes allow.
 	callerPatience = 3 * time.Second
 	// callerPause is the pause between two requests of a caller.
-	callerPause = 25 * time.Millisecond
+	callerPause = 80 * time.Millisecond
 	uploadBytes = 200_000
-	// answerKept is how long a caller keeps a directory answer, several times what
-	// it is told, as some callers do.
-	answerKept = 3 * time.Second
+	// shortestKept and longestKept bound how long a caller keeps a directory
+	// answer: some keep it for several times what they are told.
+	shortestKept, longestKept = time.Second, 9 * time.Second
 )
 
 // promisesNotRun reports whether a status promises that a request has not run.
@@ -52,9 +52,10 @@
 	// newest returns the newest version published.
 	newest func() uint64
 
-	vms  []int
-	told time.Time
-	sent int
+	vms []int
+	// until is when the directory is asked again.
+	until time.Time
+	sent  int
 }
 
 func newCaller(name string, seed uint64, fleet *fleet, judge *judge, newest func() uint64) *caller {
@@ -68,7 +69,7 @@
 func (c *caller) run(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		if time.Since(c.told) > answerKept || len(c.vms) == 0 {
+		if time.Now().After(c.until) || len(c.vms) == 0 {
 			c.ask(ctx)
 		}
 		if len(c.vms) > 0 {
@@ -99,7 +100,8 @@
 	if json.NewDecoder(response.Body).Decode(&answer) != nil {
 		return // no answer while no daemon is ready
 	}
-	c.vms, c.told = c.fleet.named(answer.Addresses), time.Now()
+	c.vms = c.fleet.named(answer.Addresses)
+	c.until = time.Now().Add(shortestKept + time.Duration(c.random.Int64N(int64(longestKept-shortestKept))))
 }
 
 // send sends one request and tells the judge how it ended.
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -138,6 +138,7 @@
 	case targetTruncates:
 		w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 		_, _ = io.WriteString(w, body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush() // a sender that is gone needs no answer
 		panic(http.ErrAbortHandler)
 	default:
 		_, _ = io.WriteString(w, body)
