Bound what exploring neglected targets may cost callers

Cause, by thinking through small loads: the rule that a target without an attempt for 1.6 s gets the next request whatever its record has no regard to how many requests there are. With two bookings a second and one of four targets failing for good, a quarter of the bookings went to it: TestFewBookingsGoToAFailingTarget failed with 0.250 of the requests lost.

Each request now earns a twentieth of an exploration, and one by a request that must not run twice costs three; trials by idempotent requests, which the budget for repeats pays for, stay as they were. The test passes with its bound of 0.04.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -26,6 +26,14 @@
 	// trialBudget is what must be left of the budget for a trial, which pays for
 	// the attempt that follows when it fails.
 	trialBudget = 2
+	// exploreShare is the number of attempts, for each request, that may go to
+	// targets that had none for long, whatever their record.
+	exploreShare = 0.05
+	// onceExploreCost is what such an attempt counts when its request must not run
+	// twice, since its failure is final.
+	onceExploreCost = 3
+	// mostExplorations bounds what can be saved up.
+	mostExplorations = 6
 	// defaultWork stands for the duration of attempts while it is not known.
 	defaultWork = 150 * time.Millisecond
 )
@@ -79,6 +87,7 @@
 func (m *Manager) Arrived(name string) {
 	m.mu.Lock()
 	s := m.service(name)
+	s.explorations = min(s.explorations+exploreShare, mostExplorations)
 	m.mu.Unlock()
 	s.budget.Earn(m.options.Uptime())
 }
@@ -96,6 +105,7 @@
 		Repeatable: ask.Route.Kind.Repeatable(),
 		Retry:      len(ask.Tried) > 0,
 		MayTry:     mayRepeat && s.budget.Available(now) >= trialBudget,
+		MayExplore: s.explorations >= exploreCost(ask.Route.Kind),
 		MayRepeat:  mayRepeat && s.budget.Available(now) >= 1,
 		Work:       usual.Mean(queued),
 		QueueWork:  queued,
@@ -110,6 +120,9 @@
 	if (choice.Trial || ask.Sent > 0 && !ask.Paid) && !s.budget.Spend(now) {
 		return nil, &Refusal{Reason: ReasonBudget}
 	}
+	if choice.Explored {
+		s.explorations -= exploreCost(ask.Route.Kind)
+	}
 	t := chosen[choice.Index]
 	t.mine++
 	t.tried = true
@@ -122,6 +135,15 @@
 	return a, nil
 }
 
+// exploreCost returns what an exploration by a request of a kind takes of the
+// service's share.
+func exploreCost(kind routing.Kind) float64 {
+	if kind.Repeatable() {
+		return 1
+	}
+	return onceExploreCost
+}
+
 // candidates returns the usable targets that were not tried; the lock is held.
 func (m *Manager) candidates(s *service, ask Ask, now time.Duration) ([]placement.Candidate, []*target) {
 	candidates := make([]placement.Candidate, 0, len(s.targets))
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -59,6 +59,8 @@
 type service struct {
 	targets []*target
 	budget  *retry.Share
+	// explorations is how many attempts may go to targets that had none for long.
+	explorations float64
 	// usual holds what attempts of each route take, overall what those of all do.
 	usual   map[string]*suspicion.Reference
 	overall suspicion.Reference
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -237,3 +237,35 @@
 		t.Errorf("attempts usually take %v", mean)
 	}
 }
+
+// TestFewBookingsGoToAFailingTarget is a service with little load, only of
+// requests that run once, with one target of four that fails for good. Now and
+// then it has to be tried, since nothing else tells that it is well again, but
+// the callers must hardly notice.
+func TestFewBookingsGoToAFailingTarget(t *testing.T) {
+	const (
+		requests = 600
+		interval = 500 * time.Millisecond
+		// mostFailed is the share of requests that the failing target may cost.
+		mostFailed = 0.04
+	)
+	f := newFixture(4)
+	failed := 0
+	for range requests {
+		f.now += interval
+		f.Arrived("s")
+		attempt := f.begin(t, ask(routing.KindOnce))
+		if attempt.ID() != "t0" {
+			attempt.Done(served())
+			continue
+		}
+		failed++
+		attempt.Done(Result{End: suspicion.EndFailed, Sent: true})
+	}
+	if share := float64(failed) / requests; share > mostFailed {
+		t.Errorf("%.3f of the requests failed", share)
+	}
+	if failed < 3 {
+		t.Errorf("the target was tried %d times", failed)
+	}
+}
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -71,6 +71,9 @@
 	MayRepeat bool
 	// MayTry allows a trial of a suspect; the budget for repeats has room.
 	MayTry bool
+	// MayExplore allows an attempt at a target that had none for long, whatever its
+	// record; such attempts are bounded to a small share of the requests.
+	MayExplore bool
 	// Work is what an attempt of the route takes on average, without waiting.
 	Work time.Duration
 	// QueueWork is what the attempts take behind which it would wait: those of
@@ -103,6 +106,8 @@
 	Index int
 	// Trial is true when the target is a suspect tried on purpose.
 	Trial bool
+	// Explored is true when the target was chosen because it had no attempt for long.
+	Explored bool
 	// Wait is the expected time before the attempt begins to run.
 	Wait   time.Duration
 	Reason Reason
@@ -141,8 +146,11 @@
 			return Choice{Index: index, Trial: true}, true
 		}
 	}
+	if !ask.MayExplore {
+		return Choice{}, false
+	}
 	index := pick(candidates, random, func(c Candidate) bool { return c.neglected(ask) })
-	return Choice{Index: index}, index >= 0
+	return Choice{Index: index, Explored: true}, index >= 0
 }
 
 // hasSound reports whether a target without suspicion has a free slot, for the
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -172,7 +172,7 @@
 		{"once, left to idempotent ones", booking(), idempotentNeglect, 0},
 		{"once, not tried for very long", booking(), onceNeglect, 1},
 	} {
-		c.ask.MayTry, c.ask.MayRepeat = false, false
+		c.ask.MayTry, c.ask.MayRepeat, c.ask.MayExplore = false, false, true
 		suspect.SinceAttempt = c.since
 		if got := Choose([]Candidate{well("well"), suspect}, c.ask, chooser()); got.Index != c.want || got.Trial {
 			t.Errorf("%s: chose %+v", c.name, got)
@@ -180,7 +180,7 @@
 	}
 	suspect.SinceAttempt, suspect.SameZone = onceNeglect, false
 	upload := booking()
-	upload.Bytes = 60_000
+	upload.Bytes, upload.MayExplore = 60_000, true
 	if got := Choose([]Candidate{well("well"), suspect}, upload, chooser()); got.Index != 0 {
 		t.Errorf("a large body to another availability zone: chose %+v", got)
 	}
