Rely on another VM's reading of the store only while it reads

Cause, by reading after one VM of each zone was made to watch for the others: a VM that does not watch took any datagram as a sign that somebody reads the store, also from VMs that had lost it or were only told themselves.

A datagram now names the revision that its sender has read itself within 3 s, zero otherwise; within the front ranks only leaders' words stand in place of an own watch. TestInstanceWatchesWhenNobodyReadsForIt fails without it, as does TestOnlyWhatIsReadIsTold (neither could be compiled against the code before).

--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -282,7 +282,7 @@
 		time.Sleep(5 * time.Second)
 		store.set(func() { store.calls = 0 })
 		for range 50 {
-			f.Published("vm-2", f.Revision())
+			f.Published("vm-2", f.Revision(), true)
 			time.Sleep(200 * time.Millisecond)
 		}
 		if store.calls > 2 {
@@ -331,3 +331,32 @@
 		t.Errorf("everything: %+v", all)
 	}
 }
+
+// TestInstanceWatchesWhenNobodyReadsForIt is an outage of the store for those
+// that watch it, while it serves this instance: what the others tell is old.
+func TestInstanceWatchesWhenNobodyReadsForIt(t *testing.T) {
+	following(t, false, func(store *fakeStore, f *Follower, l *told) {
+		time.Sleep(readAge)
+		store.put("routes", "routes 8")
+		for range 20 {
+			f.Published("vm-2", 2, false)
+			time.Sleep(200 * time.Millisecond)
+		}
+		if !l.is(8, "a") {
+			t.Errorf("while the others have lost the store: %+v", l)
+		}
+	})
+}
+
+func TestOnlyWhatIsReadIsTold(t *testing.T) {
+	following(t, true, func(store *fakeStore, f *Follower, _ *told) {
+		if f.ReadRevision() != f.Revision() || f.Revision() == 0 {
+			t.Errorf("read %d of %d", f.ReadRevision(), f.Revision())
+		}
+		store.set(func() { store.away = true })
+		time.Sleep(mostWatchWait + readAge)
+		if read := f.ReadRevision(); read != 0 {
+			t.Errorf("told revision %d although the store is away", read)
+		}
+	})
+}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -26,6 +26,9 @@
 	// of all instances together and they would otherwise end together.
 	leastWatchWait = 700 * time.Millisecond
 	mostWatchWait  = 1700 * time.Millisecond
+	// readAge is how long after its last answer of the store an instance still tells
+	// others what it has read; the longest watch fits into it.
+	readAge = 3 * time.Second
 	// hintAge is how long the word of an instance that is complete up to some
 	// revision stands in place of an own watch.
 	hintAge = 1500 * time.Millisecond
@@ -80,7 +83,9 @@
 	revision uint64
 	listed   bool
 	// storeAt is when the store was last heard from, directly or by a peer.
-	storeAt   time.Duration
+	storeAt time.Duration
+	// readAt is when the store last answered this instance itself.
+	readAt    time.Duration
 	storeLost bool
 	// hintAt is when another instance last told its revision.
 	hintAt time.Duration
@@ -119,6 +124,17 @@
 	return f.revision
 }
 
+// ReadRevision returns the revision up to which this instance is complete while
+// it reads the store itself, and zero while it does not.
+func (f *Follower) ReadRevision() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.storeLost || !f.listed || f.options.Uptime()-f.readAt > readAge {
+		return 0
+	}
+	return f.revision
+}
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) error {
 	go f.expire(ctx)
@@ -190,7 +206,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targets.StoreReached(now)
-	f.storeAt = now
+	f.storeAt, f.readAt = now, now
 	if f.storeLost {
 		f.storeLost = false
 		events.StoreRegained.Log(f.options.Logger, "revision", f.revision)
--- a/entry/follow/told.go
+++ b/entry/follow/told.go
@@ -7,10 +7,13 @@
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 )
 
-// Published notes up to which revision another instance is complete.
-func (f *Follower) Published(vm string, revision uint64) {
+// Published notes up to which revision another instance has read the store.
+// Tells is true when its reading stands in place of an own watch.
+func (f *Follower) Published(vm string, revision uint64, tells bool) {
 	f.mu.Lock()
-	f.hintAt = f.options.Uptime()
+	if tells {
+		f.hintAt = f.options.Uptime()
+	}
 	behind := revision > f.revision
 	if behind {
 		f.ahead = vm
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -114,8 +114,8 @@
 		Peers:    view.others,
 		Uses:     targets.Uses,
 		Rate:     func() float64 { return f.gateway.Rate() },
-		Revision: follower.Revision,
-		Receiver: receiver{Manager: targets, crashes: known, Follower: follower},
+		Revision: follower.ReadRevision,
+		Receiver: receiver{Manager: targets, crashes: known, follower: follower, view: view},
 		Uptime:   f.clock.Uptime,
 		Logger:   logger,
 		Scope:    m.Scope(),
@@ -128,7 +128,15 @@
 type receiver struct {
 	*targetset.Manager
 	*crashes
-	*follow.Follower
+	follower *follow.Follower
+	view     *fleet
+}
+
+// Published notes up to which revision another VM has read the store.
+func (r receiver) Published(vm string, revision uint64) {
+	if revision > 0 {
+		r.follower.Published(vm, revision, r.view.tells(vm))
+	}
 }
 
 func newKnownCrashes(f *Frontend, logger *log.Logger) *crashes {
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -39,9 +39,11 @@
 	inFront map[string]bool
 	// serving is true when this VM is in its zone's front rank.
 	serving bool
-	// leads is true when this VM is among those that watch the store.
-	leads bool
-	peers []evidence.Peer
+	// leads is true when this VM is among those that watch the store, leaders
+	// names all of them.
+	leads   bool
+	leaders map[string]bool
+	peers   []evidence.Peer
 	// sharers is the number of VMs in the front ranks of all zones.
 	sharers int
 }
@@ -94,7 +96,7 @@
 func (f *fleet) look() {
 	members := f.members.Members()
 	self := members[0]
-	v := &view{vms: make([]offer.VM, 0, len(members)), inFront: make(map[string]bool)}
+	v := &view{vms: make([]offer.VM, 0, len(members)), inFront: make(map[string]bool), leaders: make(map[string]bool)}
 	now := f.now()
 	wasServing := f.view.Load().serving
 	for _, member := range members {
@@ -112,7 +114,10 @@
 	}
 	v.serving, v.sharers = v.inFront[self.GetVm()], max(len(v.inFront), 1)
 	v.peers = f.peers(members, v.inFront)
-	v.leads = offer.Leads(v.vms, self.GetVm(), f.settings)
+	for _, vm := range offer.Leaders(v.vms, f.settings) {
+		v.leaders[vm.Name] = true
+	}
+	v.leads = v.leaders[self.GetVm()]
 	f.view.Store(v)
 }
 
@@ -206,6 +211,14 @@
 func (f *fleet) leads() bool             { return f.view.Load().leads }
 func (f *fleet) others() []evidence.Peer { return f.view.Load().peers }
 
+// tells reports whether a VM's reading of the store stands in place of this
+// one's own. Within the front ranks only leaders do: when these lose the store,
+// the others must not rely on one another.
+func (f *fleet) tells(vm string) bool {
+	v := f.view.Load()
+	return v.leaders[vm] || (!v.serving && v.inFront[vm])
+}
+
 // sharers is the number of VMs that share the budgets for repeats; zero for a
 // VM that callers are not shown, which has no part of its own.
 func (f *fleet) sharers() int {
--- a/policy/offer/offer.go
+++ b/policy/offer/offer.go
@@ -95,22 +95,19 @@
 // made up for by the others'.
 const leastLeaders = 3
 
-// Leads reports whether a VM is among those that watch the store and tell the
-// others: the first of each zone's front rank, and all in front ranks when these
-// would be too few.
-func Leads(vms []VM, name string, settings Settings) bool {
-	leaders, all := 0, false
-	leads := false
+// Leaders returns the VMs that watch the store and tell the others: the first of
+// each zone's front rank, or all in front ranks when these would be too few.
+func Leaders(vms []VM, settings Settings) []VM {
+	var leaders []VM
 	for _, zone := range zones(vms) {
-		for i, vm := range Front(vms, zone, settings) {
-			all = all || vm.Name == name
-			if i == 0 {
-				leaders++
-				leads = leads || vm.Name == name
-			}
+		if front := Front(vms, zone, settings); len(front) > 0 {
+			leaders = append(leaders, front[0])
 		}
 	}
-	return leads || all && leaders < leastLeaders
+	if len(leaders) < leastLeaders {
+		return All(vms, settings)
+	}
+	return leaders
 }
 
 // zones returns the zones of the VMs in order.
--- a/policy/offer/offer_test.go
+++ b/policy/offer/offer_test.go
@@ -98,33 +98,22 @@
 
 func TestFirstOfEachZoneLeads(t *testing.T) {
 	for _, c := range []struct{ zones, leaders int }{{4, 4}, {3, 3}, {2, 6}, {1, 3}} {
-		vms := fleet(c.zones, 5)
-		leaders := 0
-		for _, vm := range vms {
-			if Leads(vms, vm.Name, settings) {
-				leaders++
-			}
-		}
-		if leaders != c.leaders {
-			t.Errorf("%d zones: %d VMs watch the store, want %d", c.zones, leaders, c.leaders)
+		if leaders := Leaders(fleet(c.zones, 5), settings); len(leaders) != c.leaders {
+			t.Errorf("%d zones: %d VMs watch the store, want %d", c.zones, len(leaders), c.leaders)
 		}
 	}
 }
 
 func TestAnotherVMLeadsWhenTheFirstIsLost(t *testing.T) {
 	vms := fleet(3, 5)
+	first := Leaders(vms, settings)[1]
 	for i := range vms {
-		if vms[i].Zone == "z1" && Leads(vms, vms[i].Name, settings) {
+		if vms[i].Name == first.Name {
 			vms[i].Usable = false
 		}
 	}
-	leaders := 0
-	for _, vm := range vms {
-		if vm.Zone == "z1" && Leads(vms, vm.Name, settings) {
-			leaders++
-		}
-	}
-	if leaders != 1 {
-		t.Errorf("%d VMs of the zone watch the store after its first was lost", leaders)
+	leaders := Leaders(vms, settings)
+	if len(leaders) != 3 || leaders[1].Zone != first.Zone || leaders[1].Name == first.Name {
+		t.Errorf("after %s was lost: %v", first.Name, leaders)
 	}
 }
