--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -120,3 +120,26 @@
 		t.Errorf("%d VMs serve and %d share", serving, sharing)
 	}
 }
+
+func TestOnlyLeadersTellWithinTheFrontRank(t *testing.T) {
+	now := time.Minute
+	all := members("vm-1", "vm-2", "vm-3", "vm-4", "vm-5", "vm-6", "vm-7", "vm-8")
+	for i := range all {
+		all[i].Zone = []string{"z-a", "z-b", "z-c", "z-d"}[i%4]
+	}
+	f := testFleet(all, fakeHeard{}, &now)
+	f.settings.PerZone = 1
+	f.look()
+	view := f.view.Load()
+	if len(view.leaders) != 4 {
+		t.Fatalf("leaders %v", view.leaders)
+	}
+	f.settings.PerZone = 2
+	f.look()
+	view = f.view.Load()
+	for _, member := range all {
+		if got := f.tells(member.GetVm()); got != view.leaders[member.GetVm()] {
+			t.Errorf("%s leads %v and tells %v", member.GetVm(), view.leaders[member.GetVm()], got)
+		}
+	}
+}
--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -49,7 +49,14 @@
 	}
 }
 
-func (s *series) vm() *vm { return s.run.fleet.vms[s.random.IntN(len(s.run.fleet.vms))] }
+// vm draws a daemon; most often one that callers use, since they are shown a few.
+func (s *series) vm() *vm {
+	const usedOf = 3 // two of three are in use
+	if latest, ok := s.run.judge.latestVM(); ok && s.random.IntN(usedOf) > 0 {
+		return s.run.fleet.vms[latest]
+	}
+	return s.run.fleet.vms[s.random.IntN(len(s.run.fleet.vms))]
+}
 
 // process disturbs a daemon by signals.
 func (s *series) process() {
--- a/operator/soak/judge.go
+++ b/operator/soak/judge.go
@@ -113,6 +113,16 @@
 	j.attempts = append(j.attempts, a)
 }
 
+// latestVM returns the daemon of the latest attempt that ended.
+func (j *judge) latestVM() (vm int, ok bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.attempts) == 0 {
+		return 0, false
+	}
+	return j.attempts[len(j.attempts)-1].vm, true
+}
+
 func (j *judge) ran(r run) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
