--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -12,15 +12,15 @@
 const (
 	shortestFault, longestFault = 300 * time.Millisecond, 3 * time.Second
 	shortestPause, longestPause = 200 * time.Millisecond, 2 * time.Second
-	// forgottenTime is how long callers may go on meeting a connection that its
-	// link has forgotten.
-	forgottenTime = 15 * time.Second
+	// silencedTime is how long callers may go on meeting a connection that its
+	// link has silenced.
+	silencedTime = 15 * time.Second
 	// drainTime is how long a leaving target stays reachable.
 	drainTime = 4 * time.Second
 	// leastTargets is the number of targets that stay.
 	leastTargets = 4
-	// herdOneIn is the share of kills that strike half of the daemons at once.
-	herdOneIn = 5
+	// massKillOneIn is the share of kills that strike half of the daemons at once.
+	massKillOneIn = 5
 )
 
 // series draws faults of one sort, one after the other; several run at once.
@@ -81,7 +81,7 @@
 // kill kills a daemon, at times half of the others with it, and starts them again.
 func (s *series) kill(v *vm) {
 	killed := []*vm{v}
-	if s.random.IntN(herdOneIn) == 0 {
+	if s.random.IntN(massKillOneIn) == 0 {
 		for _, other := range s.run.fleet.vms[:len(s.run.fleet.vms)/2] {
 			if other != v && other.busy.TryLock() {
 				defer other.busy.Unlock()
@@ -141,8 +141,8 @@
 		v.callers.resetAll()
 		s.run.judge.disturb(v.index, from, time.Now())
 	case 1:
-		v.callers.forgetAll()
-		s.run.judge.disturb(v.index, from, time.Now().Add(forgottenTime))
+		v.callers.silenceAll()
+		s.run.judge.disturb(v.index, from, time.Now().Add(silencedTime))
 	default:
 		s.disturbLink(v.callers)
 		s.run.judge.disturb(v.index, from, time.Now())
@@ -151,10 +151,10 @@
 
 // disturbLink puts one of the lasting faults on a link for a while.
 func (s *series) disturbLink(l *link) {
-	faults := []linkFault{linkDelayed, linkDeaf, linkMute, linkSilent}
+	faults := []linkFault{linkDelayed, linkDropsRequests, linkDropsAnswers, linkDropsBoth}
 	l.set(faults[s.random.IntN(len(faults))])
 	time.Sleep(s.between(shortestFault, longestFault))
-	l.set(linkWell)
+	l.set(linkHealthy)
 }
 
 // storeLink cuts one daemon, or all, from the store.
@@ -168,14 +168,14 @@
 	lasting := s.random.IntN(3) > 0
 	for _, v := range cut {
 		if !lasting {
-			v.store.forgetAll()
+			v.store.silenceAll()
 			continue
 		}
-		v.store.set(linkSilent)
+		v.store.set(linkDropsBoth)
 	}
 	time.Sleep(s.between(shortestFault, longestFault))
 	for _, v := range cut {
-		v.store.set(linkWell)
+		v.store.set(linkHealthy)
 		s.run.judge.disturb(v.index, from, time.Now())
 	}
 }
@@ -186,13 +186,13 @@
 	s.run.count("target")
 	switch s.random.IntN(4) {
 	case 0:
-		t.link.forgetAll()
+		t.link.silenceAll()
 	case 1:
 		s.disturbLink(t.link)
 	default:
 		t.set(targetFault(s.random.IntN(int(targetFaults))))
 		time.Sleep(s.between(shortestFault, longestFault))
-		t.set(targetWell)
+		t.set(targetHealthy)
 	}
 }
 
--- a/operator/soak/link.go
+++ b/operator/soak/link.go
@@ -13,15 +13,15 @@
 
 // The faults of a link.
 const (
-	linkWell linkFault = iota
+	linkHealthy linkFault = iota
 	// linkDelayed holds each piece for delayTime.
 	linkDelayed
-	// linkDeaf passes nothing on towards the server; answers still come.
-	linkDeaf
-	// linkMute passes nothing on towards the client; requests still go.
-	linkMute
-	// linkSilent loses both directions.
-	linkSilent
+	// linkDropsRequests passes nothing on towards the server; answers still come.
+	linkDropsRequests
+	// linkDropsAnswers passes nothing on towards the client; requests still go.
+	linkDropsAnswers
+	// linkDropsBoth loses both directions.
+	linkDropsBoth
 )
 
 const (
@@ -45,9 +45,9 @@
 // linkConn is one connection through a link.
 type linkConn struct {
 	client, server net.Conn
-	// forgotten is true once the link lost track of the connection: it stays open
+	// silenced is true once the link lost track of the connection: it stays open
 	// and carries nothing, while new ones work.
-	forgotten bool
+	silenced bool
 }
 
 // newLink listens on an address and passes connections on to a server.
@@ -84,8 +84,8 @@
 	l.conns[c] = true
 	l.mu.Unlock()
 	var copies sync.WaitGroup
-	copies.Go(func() { l.copy(c, server, client, linkDeaf) })
-	copies.Go(func() { l.copy(c, client, server, linkMute) })
+	copies.Go(func() { l.copy(c, server, client, linkDropsRequests) })
+	copies.Go(func() { l.copy(c, client, server, linkDropsAnswers) })
 	copies.Wait()
 	l.mu.Lock()
 	delete(l.conns, c)
@@ -118,15 +118,15 @@
 func (l *link) hold(c *linkConn, stopped linkFault) bool {
 	for {
 		l.mu.Lock()
-		fault, forgotten, known := l.fault, c.forgotten, l.conns[c]
+		fault, silenced, known := l.fault, c.silenced, l.conns[c]
 		l.mu.Unlock()
 		switch {
-		case forgotten || !known:
+		case silenced || !known:
 			return false
 		case fault == linkDelayed:
 			time.Sleep(delayTime)
 			return true
-		case fault != stopped && fault != linkSilent:
+		case fault != stopped && fault != linkDropsBoth:
 			return true
 		}
 		time.Sleep(faultPoll)
@@ -150,12 +150,12 @@
 	}
 }
 
-// forgetAll silences all open connections for good; new ones work.
-func (l *link) forgetAll() {
+// silenceAll silences all open connections for good; new ones work.
+func (l *link) silenceAll() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for c := range l.conns {
-		c.forgotten = true
+		c.silenced = true
 	}
 }
 
--- a/operator/soak/link_test.go
+++ b/operator/soak/link_test.go
@@ -62,9 +62,9 @@
 	if !talk(t, old) {
 		t.Fatal("a link that is well passes nothing on")
 	}
-	l.forgetAll()
+	l.silenceAll()
 	if talk(t, old) {
-		t.Error("a forgotten connection still carries")
+		t.Error("a silenced connection still carries")
 	}
 	if !talk(t, dial(t, l)) {
 		t.Error("a new connection carries nothing")
@@ -72,7 +72,7 @@
 }
 
 func TestLinkFaults(t *testing.T) {
-	for fault, carries := range map[linkFault]bool{linkWell: true, linkDelayed: true, linkDeaf: false, linkMute: false, linkSilent: false} {
+	for fault, carries := range map[linkFault]bool{linkHealthy: true, linkDelayed: true, linkDropsRequests: false, linkDropsAnswers: false, linkDropsBoth: false} {
 		l := echo(t)
 		l.set(fault)
 		if got := talk(t, dial(t, l)); got != carries {
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -29,7 +29,7 @@
 
 // The faults of a target; health is never told.
 const (
-	targetWell targetFault = iota
+	targetHealthy targetFault = iota
 	targetFails
 	targetSlow
 	targetHangs
@@ -112,7 +112,7 @@
 		return
 	}
 	defer t.free()
-	t.judge.ran(run{attempt: asked.AttemptID, target: t.info.ID, at: time.Now(), failed: fault != targetWell})
+	t.judge.ran(run{attempt: asked.AttemptID, target: t.info.ID, at: time.Now(), failed: fault != targetHealthy})
 	answer.Sealed = true
 	t.answer(r.Context(), w, answer, fault, wholeAnswer(asked.AttemptID, body))
 }
