Clear a request of crashing targets once a target answers it

Cause: a request is known by its caller's address, method, path and body. Many callers of one address that ask the same met three connections that gray targets closed, with answers in between that nobody counted; the product's own interface clears a suspect on an answer, this one did not. Ruled out: the targets (well again, their records clean) and the routes.

A whole answer clears the request on the VM that got it, which tells the others.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -47,10 +47,13 @@
 	Load *dialect.Load
 }
 
-// Crash names a request whose target went away while it ran.
+// Crash names a request whose target went away while it ran, or one that was
+// answered after such reports.
 type Crash struct {
 	Fingerprint uint64
 	Target      string
+	// Answered is true when a target answered the request whole.
+	Answered bool
 }
 
 // Receiver is told what other VMs send.
@@ -162,7 +165,7 @@
 	const maxReports = 16
 	x.mu.Lock()
 	x.crashes++
-	report := &primroseloomv1.CrashReport{Number: x.crashes, Fingerprint: crash.Fingerprint, Target: crash.Target}
+	report := &primroseloomv1.CrashReport{Number: x.crashes, Fingerprint: crash.Fingerprint, Target: crash.Target, Answered: crash.Answered}
 	x.reports = append(x.reports, report)
 	x.reports = x.reports[max(len(x.reports)-maxReports, 0):]
 	x.mu.Unlock()
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -53,7 +53,7 @@
 		x.options.Receiver.Observed(fromWire(outcome))
 	}
 	for _, crash := range crashes {
-		x.options.Receiver.Crashed(Crash{Fingerprint: crash.GetFingerprint(), Target: crash.GetTarget()})
+		x.options.Receiver.Crashed(Crash{Fingerprint: crash.GetFingerprint(), Target: crash.GetTarget(), Answered: crash.GetAnswered()})
 	}
 }
 
--- a/entry/frontend/crashes.go
+++ b/entry/frontend/crashes.go
@@ -45,9 +45,24 @@
 	c.tell(crash)
 }
 
+// Answered clears a request of suspicion and tells the other VMs.
+func (c *crashes) Answered(fingerprint uint64) {
+	c.mu.Lock()
+	cleared := c.table.Answered(quarantine.Fingerprint(fingerprint))
+	c.mu.Unlock()
+	if cleared {
+		c.tell(evidence.Crash{Fingerprint: fingerprint, Answered: true})
+	}
+}
+
 // Crashed takes over a report, of this VM or another one.
 func (c *crashes) Crashed(crash evidence.Crash) {
 	c.mu.Lock()
+	if crash.Answered {
+		c.table.Answered(quarantine.Fingerprint(crash.Fingerprint))
+		c.mu.Unlock()
+		return
+	}
 	judged := c.table.Crashed(quarantine.Fingerprint(crash.Fingerprint), "", crash.Target, c.now())
 	c.mu.Unlock()
 	if judged {
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -14,6 +14,9 @@
 	Refuses(fingerprint uint64) bool
 	// Report notes that a target went away while it ran a request.
 	Report(fingerprint uint64, target string)
+	// Answered notes that a target answered a request whole, so that it does not
+	// crash whatever runs it.
+	Answered(fingerprint uint64)
 }
 
 // reportCrash reports an attempt whose target closed the connection without a
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -153,8 +153,8 @@
 func TestTargetThatGoesAwayIsReported(t *testing.T) {
 	inWorld(t, []behavior{resets}, func(w *world) {
 		w.ask(http.MethodPost, oncePath+"1", "x")
-		if w.crashes.reports != 1 {
-			t.Errorf("%d reports", w.crashes.reports)
+		if w.crashes.reports != 1 || w.crashes.answered != 0 {
+			t.Errorf("%d reports, %d answers", w.crashes.reports, w.crashes.answered)
 		}
 	})
 }
@@ -175,3 +175,12 @@
 		})
 	}
 }
+
+func TestWholeAnswerIsReported(t *testing.T) {
+	inWorld(t, []behavior{serves}, func(w *world) {
+		w.ask(http.MethodPost, oncePath+"1", "x")
+		if w.crashes.answered != 1 {
+			t.Errorf("%d reports of answers", w.crashes.answered)
+		}
+	})
+}
--- a/entry/gateway/world_test.go
+++ b/entry/gateway/world_test.go
@@ -67,12 +67,19 @@
 // reportedCrashes notes reports and refuses nothing.
 type reportedCrashes struct {
 	mu      sync.Mutex
-	reports int
-	refuse  bool
+	reports  int
+	answered int
+	refuse   bool
 }
 
 func (c *reportedCrashes) Refuses(uint64) bool { return c.refuse }
 
+func (c *reportedCrashes) Answered(uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.answered++
+}
+
 func (c *reportedCrashes) Report(uint64, string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
