Soak: end the daemons when the soak is told to stop; print few lines a promise

Cause: a soak that was ended by SIGTERM left its daemons behind, and the next run on the same addresses failed to start its own (exit status 2 at 0.02 s).

--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -14,6 +16,9 @@
 	"github.com/primroseloom/primroseloom/operator/soak"
 )
 
+// mostShown bounds the violations of one promise that are printed as text.
+const mostShown = 5
+
 func newSoak() *cobra.Command {
 	options := soak.Options{VMs: 12, Targets: 12, Callers: 36, Base: 77}
 	var seeds int
@@ -27,7 +32,9 @@
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			options.Bounds = !untimed
-			return runSoaks(command.Context(), command.OutOrStdout(), options, seeds, asJSON)
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGINT, syscall.SIGTERM)
+			defer stop() // the end of a run ends its daemons as well
+			return runSoaks(ctx, command.OutOrStdout(), options, seeds, asJSON)
 		},
 	}
 	flags := command.Flags()
@@ -90,9 +97,10 @@
 		return writeJSON(out, report)
 	}
 	_, err := fmt.Fprintf(out, "seed %d: %d of %d served, faults %v, %d violations\n", report.Seed, report.Served, report.Asked, report.Faults, len(report.Violations))
+	shown := make(map[soak.Promise]int)
 	for _, v := range report.Violations {
-		if err != nil {
-			return err
+		if shown[v.Promise]++; shown[v.Promise] > mostShown || err != nil {
+			continue
 		}
 		_, err = fmt.Fprintf(out, "  %6.2f s  %s: %s\n", v.At, v.Promise, v.Detail)
 	}
--- a/entry/gateway/world_test.go
+++ b/entry/gateway/world_test.go
@@ -66,7 +66,7 @@
 
 // reportedCrashes notes reports and refuses nothing.
 type reportedCrashes struct {
-	mu      sync.Mutex
+	mu       sync.Mutex
 	reports  int
 	answered int
 	refuse   bool
