--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -22,7 +22,7 @@
 func newSoak() *cobra.Command {
 	options := soak.Options{VMs: 12, Targets: 12, Callers: 36, Base: 77}
 	var seeds int
-	var asJSON, untimed bool
+	var asJSON, untimed, regressions bool
 	command := &cobra.Command{
 		Use:   "soak --daemon PATH",
 		Short: "Run real daemons under random faults and check the promises",
@@ -34,6 +34,9 @@
 			options.Bounds = !untimed
 			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGINT, syscall.SIGTERM)
 			defer stop() // the end of a run ends its daemons as well
+			if regressions {
+				return runRegressions(ctx, command.OutOrStdout(), options, asJSON)
+			}
 			return runSoaks(ctx, command.OutOrStdout(), options, seeds, asJSON)
 		},
 	}
@@ -46,6 +49,7 @@
 	flags.IntVar(&options.Targets, "targets", options.Targets, "number of targets")
 	flags.IntVar(&options.Callers, "callers", options.Callers, "number of callers")
 	flags.IntVar(&options.Base, "base", options.Base, "second byte of the loopback addresses; runs at the same time need different ones")
+	flags.BoolVar(&regressions, "regressions", false, "run the seeds that ever failed, with their own numbers and durations")
 	flags.BoolVar(&untimed, "untimed", false, "leave out the promises that depend on the machine's speed")
 	flags.BoolVar(&asJSON, "json", false, "print each result as JSON")
 	_ = command.MarkFlagRequired("daemon")
@@ -74,6 +78,17 @@
 	return nil
 }
 
+// runRegressions carries out the runs that ever failed.
+func runRegressions(ctx context.Context, out io.Writer, options soak.Options, asJSON bool) error {
+	for _, regression := range soak.Regressions() {
+		regression.Apply(&options)
+		if err := runSoaks(ctx, out, options, 1, asJSON); err != nil {
+			return fmt.Errorf("%w (failed before: %s)", err, regression.Cause)
+		}
+	}
+	return nil
+}
+
 // soakOnce carries out one run in a directory of its own, which stays when a
 // promise was broken.
 func soakOnce(ctx context.Context, options soak.Options) (*soak.Report, error) {
