--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -64,8 +64,10 @@
 	ctx     context.Context
 	version uint64
 	targets []*target
-	made    int
-	faults  map[string]int
+	// links holds the links to all targets there ever were.
+	links  []*link
+	made   int
+	faults map[string]int
 }
 
 // Run carries out one run. The error tells that it could not be carried out; what
@@ -80,7 +82,7 @@
 	if err := s.begin(ctx); err != nil {
 		return nil, err
 	}
-	defer s.fleet.end()
+	defer s.end()
 	loaded, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var load sync.WaitGroup
@@ -121,6 +123,21 @@
 	return err
 }
 
+// end ends the daemons and closes the links, so that another run can use their
+// addresses.
+func (s *soak) end() {
+	s.fleet.end()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		l.close()
+	}
+	for _, v := range s.fleet.vms {
+		v.callers.close()
+		v.store.close()
+	}
+}
+
 // disturb runs all series of faults for the duration.
 func (s *soak) disturb(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, s.options.Duration)
@@ -184,6 +201,7 @@
 	}
 	s.mu.Lock()
 	s.targets = append(s.targets, t)
+	s.links = append(s.links, t.link)
 	s.mu.Unlock()
 	s.store.PublishTarget(t.info)
 	return nil
