--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -64,7 +64,8 @@
 	InProgress(vm string, attempts map[string]int)
 	// Crashed takes over a report of a crash.
 	Crashed(crash Crash)
-	// Published tells up to which revision of the store a VM is complete.
+	// Published tells up to which revision a VM has read the store itself; zero
+	// while it does not read it.
 	Published(vm string, revision uint64)
 }
 
@@ -92,7 +93,8 @@
 	Uses func() map[string]int
 	// Rate returns the requests a second that this VM serves.
 	Rate func() float64
-	// Revision returns the store's revision up to which this VM is complete.
+	// Revision returns the store's revision up to which this VM has read the store
+	// itself, and zero while it does not read it.
 	Revision func() uint64
 	Receiver Receiver
 	Uptime   func() time.Duration
