--- a/entry/events/frontend.go
+++ b/entry/events/frontend.go
@@ -20,4 +20,8 @@
 		"A listener failed while the instance was running; its address is no longer served. Restart the instance.")
 	FingerprintRefused = define(5104, log.WarnLevel, "request crashes targets",
 		"A request crashed several targets, one after the other; it is refused from now on.")
+	CrashRecorded = define(5106, log.WarnLevel, "target crash recorded",
+		"A target went away while it ran the request with this fingerprint, as this VM (empty reporter) or another one saw.")
+	SuspectCleared = define(5107, log.InfoLevel, "suspect request cleared",
+		"A target answered a request that was suspected of crashing targets; its crashes no longer count.")
 )
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -61,6 +61,8 @@
 	Target      string
 	// Answered is true when a target answered the request completely.
 	Answered bool
+	// Reporter is the VM that sent the report; empty for this VM.
+	Reporter string
 }
 
 // Receiver applies what other VMs send.
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -53,7 +53,7 @@
 		x.options.Receiver.Observed(outcomeFromWire(outcome))
 	}
 	for _, crash := range crashes {
-		x.options.Receiver.RecordCrash(Crash{Fingerprint: crash.GetFingerprint(), Target: crash.GetTarget(), Answered: crash.GetAnswered()})
+		x.options.Receiver.RecordCrash(Crash{Fingerprint: crash.GetFingerprint(), Target: crash.GetTarget(), Answered: crash.GetAnswered(), Reporter: message.GetVm()})
 	}
 }
 
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -139,8 +139,8 @@
 	}
 }
 
-func newFrontendCrashTracker(f *Frontend, logger *log.Logger) *crashTracker {
-	return newCrashTracker(logger, f.clock.Uptime)
+func newFrontendCrashTracker(f *Frontend, m *metrics.Metrics, logger *log.Logger) *crashTracker {
+	return newCrashTracker(logger, m.Scope(), f.clock.Uptime)
 }
 
 func newGateway(f *Frontend, follower *follow.Follower, targets *targetset.Manager, tracker *crashTracker, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
--- a/entry/frontend/crashes.go
+++ b/entry/frontend/crashes.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
@@ -20,6 +21,7 @@
 // this VM and the others.
 type crashTracker struct {
 	logger  *log.Logger
+	scope   tally.Scope
 	now     func() time.Duration
 	publish func(evidence.Crash)
 
@@ -27,8 +29,8 @@
 	table *quarantine.Table
 }
 
-func newCrashTracker(logger *log.Logger, now func() time.Duration) *crashTracker {
-	return &crashTracker{logger: logger, now: now, table: quarantine.NewTableWithThreshold(crashesToRefuse)}
+func newCrashTracker(logger *log.Logger, scope tally.Scope, now func() time.Duration) *crashTracker {
+	return &crashTracker{logger: logger, scope: scope.SubScope("crashes"), now: now, table: quarantine.NewTableWithThreshold(crashesToRefuse)}
 }
 
 // Refuses reports whether a request must not run any more.
@@ -52,6 +54,7 @@
 	cleared := c.table.RecordResponse(quarantine.Fingerprint(fingerprint))
 	c.mu.Unlock()
 	if cleared {
+		c.logCleared(fingerprint, "")
 		c.publish(evidence.Crash{Fingerprint: fingerprint, Answered: true})
 	}
 }
@@ -60,13 +63,26 @@
 func (c *crashTracker) RecordCrash(crash evidence.Crash) {
 	c.mu.Lock()
 	if crash.Answered {
-		c.table.RecordResponse(quarantine.Fingerprint(crash.Fingerprint))
+		cleared := c.table.RecordResponse(quarantine.Fingerprint(crash.Fingerprint))
 		c.mu.Unlock()
+		if cleared {
+			c.logCleared(crash.Fingerprint, crash.Reporter)
+		}
 		return
 	}
 	quarantined := c.table.RecordCrash(quarantine.Fingerprint(crash.Fingerprint), "", crash.Target, c.now())
+	known := c.table.Len()
 	c.mu.Unlock()
+	c.scope.Counter("recorded").Inc(1)
+	c.scope.Gauge("suspects").Update(float64(known))
+	events.CrashRecorded.Log(c.logger, "fingerprint", crash.Fingerprint, "target", crash.Target, "reporter", crash.Reporter)
 	if quarantined {
 		events.FingerprintRefused.Log(c.logger, "fingerprint", crash.Fingerprint, "last_target", crash.Target, "crashes", crashesToRefuse)
 	}
 }
+
+// logCleared logs and counts that a response cleared a suspect.
+func (c *crashTracker) logCleared(fingerprint uint64, reporter string) {
+	c.scope.Counter("cleared").Inc(1)
+	events.SuspectCleared.Log(c.logger, "fingerprint", fingerprint, "reporter", reporter)
+}
--- a/entry/frontend/crashes_test.go
+++ b/entry/frontend/crashes_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/evidence"
 )
@@ -13,7 +14,7 @@
 // crashPair returns the trackers of two VMs that report crashes to each other.
 func crashPair(now *time.Duration) (one, other *crashTracker) {
 	uptime := func() time.Duration { return *now }
-	one, other = newCrashTracker(log.New(io.Discard), uptime), newCrashTracker(log.New(io.Discard), uptime)
+	one, other = newCrashTracker(log.New(io.Discard), tally.NoopScope, uptime), newCrashTracker(log.New(io.Discard), tally.NoopScope, uptime)
 	one.publish = func(crash evidence.Crash) { other.RecordCrash(crash) }
 	other.publish = func(crash evidence.Crash) { one.RecordCrash(crash) }
 	return one, other
