--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -118,7 +118,7 @@
 			body = make([]byte, uploadBytes)
 		}
 	}
-	url := fmt.Sprintf("http://%s/%s%d/x", c.fleet.vms[vm].callersLink.listener.Addr(), prefix, record.version)
+	url := fmt.Sprintf("http://%s/%s%d/x", c.fleet.vms[vm].callersLink.address(), prefix, record.version)
 	requestCtx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(requestCtx, method, url, bytes.NewReader(body))
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -46,10 +46,11 @@
 	PromiseResponseInTime   Promise = "final answer in time"
 	PromiseRecovered        Promise = "serves again after faults"
 	PromiseNoUnexpectedExit Promise = "daemon ends only when told"
+	PromiseCrashingStopped  Promise = "request that crashes targets is stopped"
 )
 
 // timeBoundPromises are the promises that depend on how fast the machine is.
-var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered}
+var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped}
 
 // Violation is one broken promise.
 type Violation struct {
@@ -102,6 +103,10 @@
 	plannedStops map[int][]interval
 	publishedAt  map[uint64]time.Time
 	drainedAt    map[string]time.Time
+	// crashes holds, by path, the runs that crashed their targets; crashingVMs holds
+	// the daemon that such a request was sent to, by its identifier.
+	crashes     map[string][]run
+	crashingVMs map[string]int
 	// lastFaultEnd is when fault injection ended.
 	lastFaultEnd time.Time
 	violations   []Violation
@@ -111,6 +116,7 @@
 	return &checker{
 		start: start, runs: make(map[string][]run), disturbances: make(map[int][]interval), plannedStops: make(map[int][]interval),
 		publishedAt: make(map[uint64]time.Time), drainedAt: make(map[string]time.Time),
+		crashes: make(map[string][]run), crashingVMs: make(map[string]int),
 	}
 }
 
@@ -207,6 +213,7 @@
 	}
 	c.checkConfigRollback()
 	c.checkRecovery()
+	c.checkCrashes()
 	if timeBounds {
 		return c.violations
 	}
--- /dev/null
+++ b/operator/soak/crashing.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+const (
+	// crashPrefix and crashOncePrefix are the prefixes of the routes, present in all
+	// versions, whose requests crash the target that begins to run them.
+	crashPrefix, crashOncePrefix = "/crash/", "/crashonce/"
+	// minCrashPause and maxCrashPause bound the pause between two sends of a request
+	// that crashes targets.
+	minCrashPause, maxCrashPause = 300 * time.Millisecond, 1500 * time.Millisecond
+	// crashDowntime is how long a crashed target is down.
+	crashDowntime = 2 * time.Second
+)
+
+// crashingCaller sends one request that crashes its targets again and again,
+// through any of the daemons.
+type crashingCaller struct {
+	path    string
+	fleet   *fleet
+	checker *checker
+	random  *rand.Rand
+}
+
+func (s *soak) newCrashingCaller(index int) *crashingCaller {
+	const stream = 100 // above the streams of the fault series
+	prefixes := []string{crashPrefix, crashOncePrefix}
+	return &crashingCaller{
+		path: prefixes[index%len(prefixes)] + strconv.Itoa(index), fleet: s.fleet, checker: s.checker,
+		random: rand.New(rand.NewPCG(s.options.Seed, stream+uint64(index))),
+	}
+}
+
+// run sends the request until the context ends; it does not wait for the response
+// before it sends the request again.
+func (c *crashingCaller) run(ctx context.Context) {
+	var sends sync.WaitGroup
+	defer sends.Wait()
+	for sent := 0; ; sent++ {
+		pause := minCrashPause + time.Duration(c.random.Int64N(int64(maxCrashPause-minCrashPause)))
+		if !sleep(ctx, pause) {
+			return
+		}
+		vm, id := c.random.IntN(len(c.fleet.vms)), c.path+"-"+strconv.Itoa(sent)
+		sends.Go(func() { c.send(ctx, vm, id) })
+	}
+}
+
+// send sends the request once over a connection of its own.
+func (c *crashingCaller) send(ctx context.Context, vm int, id string) {
+	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
+	defer cancel()
+	method := http.MethodGet
+	if c.path[:len(crashPrefix)] != crashPrefix {
+		method = http.MethodPost
+	}
+	url := fmt.Sprintf("http://%s%s", c.fleet.vms[vm].callersLink.address(), c.path)
+	request, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return // cannot happen: the soak itself chose the address
+	}
+	request.Host, request.Close = host, true
+	platform.Headers{}.WriteRequest(request.Header, dialect.Request{AttemptID: id, Remaining: callerTimeout})
+	c.checker.recordCrashingRequest(id, vm)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return // the daemon is disturbed, or gave up on the request by closing the connection
+	}
+	_ = response.Body.Close()
+}
+
+// crash takes a target down, as a process that ends or, with SilentCrashes, as a VM
+// that loses power, and starts it again after crashDowntime.
+func (s *soak) crash(t *target, r *http.Request) {
+	silent := s.options.SilentCrashes
+	t.mu.Lock()
+	alreadyDown := t.down
+	t.down = true
+	t.mu.Unlock()
+	if !alreadyDown {
+		s.countFault("target crash")
+		t.link.takeDown(silent)
+		time.AfterFunc(crashDowntime, func() { s.restartTarget(t) })
+	}
+	if silent {
+		<-r.Context().Done()
+	}
+}
+
+// restartTarget brings a crashed target back as a new process: under a new
+// identifier, or under its own with a later start time.
+func (s *soak) restartTarget(t *target) {
+	if s.ctx.Err() != nil || t.link.bringUp(s.ctx) != nil {
+		return // the run is over, or the address cannot be bound again: the target stays down
+	}
+	t.mu.Lock()
+	t.down = false
+	t.restarts++
+	before := t.info.ID
+	t.info.StartedAt = time.Now()
+	if t.restarts%2 == 0 {
+		t.info.ID += "r"
+	}
+	info := t.info
+	t.mu.Unlock()
+	if info.State != roster.StateReady {
+		return // it is leaving; its entry is removed soon
+	}
+	if info.ID != before {
+		s.store.RemoveTarget(before)
+	}
+	s.store.PublishTarget(info)
+}
+
+// takeDown closes all connections and stops listening. When silent, the connections
+// stay open without passing data, and connection attempts are not answered.
+func (l *link) takeDown(silent bool) {
+	address := l.address()
+	l.mu.Lock()
+	_ = l.listener.Close()
+	l.mu.Unlock()
+	if !silent {
+		l.resetAll()
+		return
+	}
+	l.stallAll()
+	if release, err := blackhole(address); err == nil {
+		l.mu.Lock()
+		l.releaseAddress = release
+		l.mu.Unlock()
+	}
+}
+
+// bringUp listens again after takeDown.
+func (l *link) bringUp(ctx context.Context) error {
+	l.mu.Lock()
+	release := l.releaseAddress
+	l.releaseAddress = nil
+	l.mu.Unlock()
+	if release != nil {
+		release()
+	}
+	l.resetAll()
+	return l.listen(ctx, l.address())
+}
+
+// blackhole makes connection attempts to an address hang: it listens there with a
+// full queue of unaccepted connections, for which the kernel drops further ones.
+// The returned function releases the address.
+func blackhole(address string) (release func(), err error) {
+	fd, err := listenUnaccepted(address)
+	if err != nil {
+		return nil, err
+	}
+	fillers := fillQueue(address)
+	return func() {
+		for _, conn := range fillers {
+			_ = conn.Close()
+		}
+		_ = syscall.Close(fd)
+	}, nil
+}
--- a/operator/soak/link.go
+++ b/operator/soak/link.go
@@ -40,6 +40,8 @@
 	mu    sync.Mutex
 	fault linkFault
 	conns map[*linkConn]bool
+	// releaseAddress ends the silence of a link that was taken down silently.
+	releaseAddress func()
 }
 
 // linkConn is one connection through a link.
@@ -52,21 +54,32 @@
 
 // newLink listens on an address and forwards connections to a server.
 func newLink(ctx context.Context, address, server string) (*link, error) {
-	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
-	if err != nil {
-		return nil, fmt.Errorf("listen for link to %s: %w", server, err)
+	l := &link{server: server, conns: make(map[*linkConn]bool)}
+	if err := l.listen(ctx, address); err != nil {
+		return nil, err
 	}
-	l := &link{listener: listener, server: server, conns: make(map[*linkConn]bool)}
 	context.AfterFunc(ctx, l.close)
-	go l.accept()
 	return l, nil
 }
 
-func (l *link) accept() {
+// listen accepts connections at the address.
+func (l *link) listen(ctx context.Context, address string) error {
+	listener, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
+	if err != nil {
+		return fmt.Errorf("listen for link to %s: %w", l.server, err)
+	}
+	l.mu.Lock()
+	l.listener = listener
+	l.mu.Unlock()
+	go l.accept(listener)
+	return nil
+}
+
+func (l *link) accept(listener net.Listener) {
 	for {
-		client, err := l.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
-			return // the listener was closed at the end of the run
+			return // the link was taken down or closed
 		}
 		go l.proxy(client)
 	}
@@ -161,10 +174,24 @@
 }
 
 func (l *link) close() {
+	l.mu.Lock()
 	_ = l.listener.Close()
+	release := l.releaseAddress
+	l.releaseAddress = nil
+	l.mu.Unlock()
+	if release != nil {
+		release()
+	}
 	l.resetAll()
 }
 
+// address returns the address that the link listens at.
+func (l *link) address() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.listener.Addr().String()
+}
+
 // reset closes a connection by a TCP reset instead of an orderly shutdown.
 func reset(conn net.Conn) {
 	if tcp, ok := conn.(*net.TCPConn); ok {
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -28,6 +28,11 @@
 	Directory string
 	// VMs, Targets and Callers are the number of each.
 	VMs, Targets, Callers int
+	// CrashingRequests is the number of different requests that crash each target that
+	// begins to run them and are sent again and again. With SilentCrashes, such a
+	// target falls silent instead of closing its connections.
+	CrashingRequests int
+	SilentCrashes    bool
 	// AddressBase is the second byte of the loopback addresses; concurrent runs need
 	// different values.
 	AddressBase int
@@ -91,6 +96,10 @@
 		c := newCaller("c"+strconv.Itoa(i), options.Seed+uint64(i), s.fleet, s.checker, s.newestVersion)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	for i := range options.CrashingRequests {
+		c := s.newCrashingCaller(i)
+		load.Go(func() { c.run(loadCtx) })
+	}
 	if !sleep(ctx, settleTime) {
 		return nil, errors.New("the soak was canceled")
 	}
@@ -167,7 +176,7 @@
 	name := strconv.FormatUint(next, 10)
 	route := func(prefix string, kind routing.Kind) routing.Route {
 		return routing.Route{
-			Name: prefix + name, Host: host, Prefix: "/" + prefix + name + "/", Kind: kind, Timeout: routeTimeout,
+			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout,
 			Objective: routeTimeout / 2, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
 		}
 	}
@@ -175,7 +184,10 @@
 		Version:  next,
 		Services: []routing.Service{{Name: service, MaxConnections: 330}},
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-		Routes:   []routing.Route{route("book", routing.KindOnce), route("look", routing.KindIdempotent)},
+		Routes: []routing.Route{
+			route("/book"+name+"/", routing.KindOnce), route("/look"+name+"/", routing.KindIdempotent),
+			route(crashOncePrefix, routing.KindOnce), route(crashPrefix, routing.KindIdempotent),
+		},
 	})
 	s.checker.recordPublication(next, time.Now())
 	s.version = next
@@ -200,6 +212,7 @@
 	if err != nil {
 		return err
 	}
+	t.crash = s.crash
 	s.mu.Lock()
 	s.targets = append(s.targets, t)
 	s.links = append(s.links, t.link)
@@ -217,8 +230,10 @@
 	s.mu.Lock()
 	leaving := s.targets[random.IntN(len(s.targets)-1)]
 	s.mu.Unlock()
+	leaving.mu.Lock()
+	leaving.info.State = roster.StateDraining
 	info := leaving.info
-	info.State = roster.StateDraining
+	leaving.mu.Unlock()
 	s.store.PublishTarget(info)
 	s.checker.recordDrain(info.ID, time.Now())
 	time.Sleep(drainTime)
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -45,9 +46,16 @@
 	link    *link
 	checker *checker
 
+	// crash takes the target down for a request that crashes it and returns once the
+	// connection of the request is gone.
+	crash func(t *target, r *http.Request)
+
 	mu      sync.Mutex
 	fault   targetFault
 	running int
+	// down is true while the target is down after a crash; restarts counts its returns.
+	down     bool
+	restarts int
 }
 
 // newTarget starts a target that daemons reach through a link at the address.
@@ -66,6 +74,13 @@
 	return t, err
 }
 
+// id returns the identifier of the running process.
+func (t *target) id() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.info.ID
+}
+
 func (t *target) setFault(fault targetFault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -99,7 +114,7 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // the request was truncated; nothing ran
 	}
-	if attempt.TargetID != t.info.ID {
+	if attempt.TargetID != t.id() {
 		platform.Headers{}.WriteResponse(w.Header(), metadata)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -113,7 +128,12 @@
 		return
 	}
 	defer t.release()
-	t.checker.recordRun(run{requestID: attempt.AttemptID, target: t.info.ID, at: time.Now(), targetFaulty: fault != targetHealthy})
+	if strings.HasPrefix(r.URL.Path, crashPrefix) || strings.HasPrefix(r.URL.Path, crashOncePrefix) {
+		t.checker.recordCrash(r.URL.Path, run{requestID: attempt.AttemptID, target: t.id(), at: time.Now()})
+		t.crash(t, r)
+		panic(http.ErrAbortHandler)
+	}
+	t.checker.recordRun(run{requestID: attempt.AttemptID, target: t.id(), at: time.Now(), targetFaulty: fault != targetHealthy})
 	metadata.Signed = true
 	t.respond(r.Context(), w, metadata, fault, expectedBody(attempt.AttemptID, body))
 }
