--- /dev/null
+++ b/entry/crashes/fleet_test.go
@@ -0,0 +1,270 @@
+package crashes
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
+)
+
+// vm is a tracker with its exchange of evidence.
+type vm struct {
+	*Tracker
+	name     string
+	primary  bool
+	address  netip.AddrPort
+	exchange *evidence.Exchange
+	stop     context.CancelFunc
+	fleet    *trackerFleet
+	inbox    chan []byte
+	// cut is true while no datagram passes to or from the VM.
+	cut bool
+}
+
+func (v *vm) Observed(evidence.AttemptEvidence)       {}
+func (v *vm) SetInProgress(string, map[string]int)    {}
+func (v *vm) RevisionAnnounced(string, uint64)        {}
+func (v *vm) crash(fingerprint uint64, target string) { v.crashAs(fingerprint, target, 1) }
+func (v *vm) refuses(fingerprint uint64) bool         { return v.Refused(fingerprint) > 0 }
+func (v *vm) crashAs(f uint64, target string, n int64) {
+	v.recordCrash(quarantine.Fingerprint(f), quarantine.Crash{Target: target, Incarnation: n, At: v.fleet.uptime()})
+}
+
+// trackerFleet is a set of VMs that exchange evidence by datagrams in virtual time.
+// As on the platform, VMs that are not primaries get heartbeats only, from primaries
+// only.
+type trackerFleet struct {
+	t     *testing.T
+	start time.Time
+	mu    sync.Mutex
+	vms   []*vm
+	// lossShare is the share of datagrams that are lost.
+	lossShare float64
+	random    *rand.Rand
+}
+
+func (f *trackerFleet) uptime() time.Duration { return time.Since(f.start) + time.Hour }
+
+// withTrackers runs a test with two primaries, the first VMs, and some others.
+func withTrackers(t *testing.T, others int, test func(f *trackerFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &trackerFleet{t: t, start: time.Now(), random: rand.New(rand.NewPCG(1, 2))}
+		for i := range others + 2 {
+			f.join(i < 2)
+		}
+		test(f)
+		for _, v := range f.vms {
+			v.stop()
+		}
+	})
+}
+
+// join starts a VM.
+func (f *trackerFleet) join(primary bool) *vm {
+	i := len(f.vms)
+	v := &vm{
+		name: "vm-" + strconv.Itoa(i), primary: primary, fleet: f, inbox: make(chan []byte, 1000),
+		address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7000),
+	}
+	logger := log.New(io.Discard)
+	v.Tracker = New(Options{
+		Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
+	})
+	v.exchange = evidence.New(evidence.Options{
+		Fleet: "f", VM: v.name, Instance: uint64(i + 1), Conn: packets{vm: v},
+		IsPrimary: func() bool { return primary }, Ready: func() bool { return true }, Peers: func() []evidence.Peer { return f.peersOf(v) },
+		AttemptsInProgress: func() map[string]int { return nil }, Revision: func() uint64 { return 0 }, Rate: func() float64 { return 0 },
+		Requests: v.NextEvidence, Receiver: v, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
+	})
+	v.UseNotifier(v.exchange.RequestsChanged)
+	ctx, cancel := context.WithCancel(context.Background())
+	v.stop = cancel
+	f.mu.Lock()
+	f.vms = append(f.vms, v)
+	f.mu.Unlock()
+	go func() { _ = v.exchange.Run(ctx) }()
+	return v
+}
+
+func (f *trackerFleet) peersOf(v *vm) []evidence.Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var peers []evidence.Peer
+	for _, other := range f.vms {
+		if other != v {
+			peers = append(peers, evidence.Peer{VM: other.name, Address: other.address, IsPrimary: other.primary})
+		}
+	}
+	return peers
+}
+
+// deliver passes a datagram on unless it is lost.
+func (f *trackerFleet) deliver(from *vm, content []byte, to string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, v := range f.vms {
+		if v.address.String() == to && !v.cut && !from.cut && f.random.Float64() >= f.lossShare {
+			v.inbox <- append([]byte(nil), content...)
+		}
+	}
+}
+
+func (f *trackerFleet) setCut(v *vm, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v.cut = cut
+}
+
+// packets is the socket of one VM.
+type packets struct {
+	net.PacketConn
+	vm *vm
+}
+
+func (p packets) WriteTo(content []byte, to net.Addr) (int, error) {
+	p.vm.fleet.deliver(p.vm, content, to.String())
+	return len(content), nil
+}
+
+func (p packets) ReadFrom(buffer []byte) (int, net.Addr, error) {
+	content, open := <-p.vm.inbox
+	if !open {
+		return 0, nil, net.ErrClosed
+	}
+	return copy(buffer, content), nil, nil
+}
+
+func (p packets) Close() error {
+	p.vm.fleet.mu.Lock()
+	defer p.vm.fleet.mu.Unlock()
+	if !p.vm.cut {
+		p.vm.cut = true // nothing is delivered to a closed socket
+		close(p.vm.inbox)
+	}
+	return nil
+}
+
+// expectRefused checks after a while which VMs refuse the request.
+func (f *trackerFleet) expectRefused(what string, wait time.Duration, want bool) {
+	f.t.Helper()
+	time.Sleep(wait)
+	for _, v := range f.vms {
+		if !v.cut && v.refuses(7) != want {
+			f.t.Errorf("%s: %s refuses the request: %v, want %v", what, v.name, !want, want)
+		}
+	}
+}
+
+// TestRequestThatCrashesItsTargetsIsRefusedEverywhere guards against a request that
+// some VMs go on sending after its third crash. Each crash is seen by another VM
+// that is not a primary; all VMs must learn of them.
+func TestRequestThatCrashesItsTargetsIsRefusedEverywhere(t *testing.T) {
+	withTrackers(t, 8, func(f *trackerFleet) {
+		f.vms[3].crash(7, "t1")
+		f.vms[5].crash(7, "t2")
+		f.expectRefused("after two crashes", time.Second, false)
+		f.vms[7].crash(7, "t3")
+		f.expectRefused("after three crashes", time.Second, true)
+	})
+}
+
+// TestVMThatComesLaterKnowsOfCrashes guards against VMs that join, restart or were cut
+// off during the crashes and start without the evidence, also when those that
+// reported the crashes are gone.
+func TestVMThatComesLaterKnowsOfCrashes(t *testing.T) {
+	withTrackers(t, 6, func(f *trackerFleet) {
+		cutOff := f.vms[4]
+		f.setCut(cutOff, true)
+		for i, v := range []*vm{f.vms[2], f.vms[3], f.vms[5]} {
+			v.crash(7, "t"+strconv.Itoa(i))
+			time.Sleep(300 * time.Millisecond)
+			v.stop()
+		}
+		f.join(false)
+		f.join(true)
+		f.setCut(cutOff, false)
+		f.expectRefused("after a join and a cut", time.Second, true)
+	})
+}
+
+// TestEvidenceOfAVMThatWasCutOffArrives guards against crashes that only a VM knows
+// which was cut off while it saw them.
+func TestEvidenceOfAVMThatWasCutOffArrives(t *testing.T) {
+	withTrackers(t, 4, func(f *trackerFleet) {
+		f.setCut(f.vms[4], true)
+		f.vms[4].crash(7, "t1")
+		f.vms[4].crash(7, "t2")
+		time.Sleep(5 * time.Second)
+		f.vms[3].crash(7, "t3")
+		f.expectRefused("while the VM is cut off", time.Second, false)
+		f.setCut(f.vms[4], false)
+		f.expectRefused("after the cut", time.Second, true)
+	})
+}
+
+// TestEvidenceArrivesDespiteLostDatagrams loses every second datagram while many
+// requests have one crash each.
+func TestEvidenceArrivesDespiteLostDatagrams(t *testing.T) {
+	withTrackers(t, 6, func(f *trackerFleet) {
+		f.lossShare = 0.5
+		for i := range 100 {
+			f.vms[2+i%6].crash(uint64(1000+i), "t0")
+		}
+		for i := range 3 {
+			f.vms[2+i].crash(7, "t"+strconv.Itoa(i))
+		}
+		f.expectRefused("with losses", 3*time.Second, true)
+	})
+}
+
+// TestPopularRequestIsNotRefusedForClosedConnections requests the same page for
+// many callers of one address, while targets crash on which it is in progress. Such a
+// page must not be refused as if it crashed the targets.
+func TestPopularRequestIsNotRefusedForClosedConnections(t *testing.T) {
+	withTrackers(t, 4, func(f *trackerFleet) {
+		one, other := f.vms[0], f.vms[3]
+		other.Answered(7)
+		for i := range 30 {
+			one.crash(7, "t"+strconv.Itoa(i%8))
+			time.Sleep(time.Second)
+			other.Answered(7)
+			if one.refuses(7) || other.refuses(7) {
+				t.Fatalf("refused after %d crashes, each followed by a response", i+1)
+			}
+		}
+		time.Sleep(2 * quarantine.AnswerValidity)
+		other.Answered(7)
+		for i := range 3 {
+			one.crashAs(7, "t"+strconv.Itoa(i), 2)
+		}
+		f.expectRefused("three targets crash at once soon after a response to another VM", time.Second, false)
+	})
+}
+
+// TestOneCrashSeenByManyVMsCountsOnce guards against a request that is refused because
+// several VMs ran it on one target that crashed.
+func TestOneCrashSeenByManyVMsCountsOnce(t *testing.T) {
+	withTrackers(t, 4, func(f *trackerFleet) {
+		for _, v := range f.vms {
+			v.crash(7, "t1")
+			time.Sleep(600 * time.Millisecond)
+		}
+		f.expectRefused("one crash of one process", time.Second, false)
+		f.vms[0].crashAs(7, "t1", 2)
+		f.vms[1].crashAs(7, "t1", 3)
+		f.expectRefused("three processes under one identifier", time.Second, true)
+	})
+}
--- /dev/null
+++ b/entry/crashes/tracker.go
@@ -0,0 +1,144 @@
+package crashes
+
+import (
+	"sync"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// crashesToRefuse is the number of crashes after which a request is refused.
+const crashesToRefuse = 3
+
+// Options configures a Tracker.
+type Options struct {
+	Uptime func() time.Duration
+	Logger *log.Logger
+	Scope  tally.Scope
+}
+
+// Tracker counts the crashes by request, from the reports of this VM and the others.
+type Tracker struct {
+	options Options
+
+	mu      sync.Mutex
+	table   *quarantine.Table
+	outbox  outbox
+	changed func()
+}
+
+// New returns a tracker without suspects.
+func New(options Options) *Tracker {
+	options.Scope = options.Scope.SubScope("crashes")
+	return &Tracker{options: options, table: quarantine.NewTableWithThreshold(crashesToRefuse), outbox: newOutbox()}
+}
+
+// UseNotifier sets the function that is called when there is new evidence for the
+// other VMs; it must be called before the first request.
+func (t *Tracker) UseNotifier(changed func()) { t.changed = changed }
+
+// Refused returns how much longer a request must not run; zero when it may run.
+func (t *Tracker) Refused(fingerprint uint64) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Refused(quarantine.Fingerprint(fingerprint), t.options.Uptime())
+}
+
+// Answered records that a target sent a complete response, which shows that the
+// request does not crash each target that runs it.
+func (t *Tracker) Answered(fingerprint uint64) {
+	t.mu.Lock()
+	cleared := t.table.RecordResponse(quarantine.Fingerprint(fingerprint), t.options.Uptime())
+	if cleared {
+		t.outbox.push(quarantine.Fingerprint(fingerprint))
+	}
+	t.mu.Unlock()
+	if cleared {
+		t.logCleared(quarantine.Fingerprint(fingerprint), "")
+		t.changed()
+	}
+}
+
+// LostAttempt is an attempt whose target closed the connection without a complete
+// response.
+type LostAttempt struct {
+	Fingerprint uint64
+	// Target is the process that ran the request, as it was published.
+	Target roster.Target
+}
+
+// AttemptLost records an attempt without a complete response as a crash of its target.
+func (t *Tracker) AttemptLost(lost LostAttempt) {
+	t.recordCrash(quarantine.Fingerprint(lost.Fingerprint), quarantine.Crash{
+		Target: lost.Target.ID, Incarnation: lost.Target.StartedAt.UnixMilli(), At: t.options.Uptime(),
+	})
+}
+
+// recordCrash records a crash that this VM found.
+func (t *Tracker) recordCrash(fingerprint quarantine.Fingerprint, crash quarantine.Crash) {
+	t.mu.Lock()
+	change := t.table.RecordCrash(fingerprint, "", crash, t.options.Uptime())
+	t.outbox.push(fingerprint)
+	t.mu.Unlock()
+	t.report(fingerprint, change, crash, "")
+	t.changed()
+}
+
+// MergeRequest applies what another VM knows of a request.
+func (t *Tracker) MergeRequest(vm string, evidence quarantine.Evidence) {
+	t.mu.Lock()
+	change := t.table.Merge(evidence, t.options.Uptime())
+	t.mu.Unlock()
+	var latest quarantine.Crash
+	if n := len(evidence.Crashes); n > 0 {
+		latest = evidence.Crashes[n-1]
+	}
+	t.report(evidence.Fingerprint, change, latest, vm)
+}
+
+// NextEvidence returns the evidence for the next datagram: what is new and, when
+// repeat is set, a part of all that is known.
+func (t *Tracker) NextEvidence(repeat bool) []quarantine.Evidence {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.table.Len() == 0 {
+		t.outbox.clear()
+		return nil
+	}
+	now := t.options.Uptime()
+	return t.outbox.next(t.table.Evidence(now), repeat, now)
+}
+
+// report logs and counts what new evidence changed.
+func (t *Tracker) report(fingerprint quarantine.Fingerprint, change quarantine.Change, crash quarantine.Crash, reporter string) {
+	if change.Recorded {
+		t.options.Scope.Counter("recorded").Inc(1)
+		events.CrashRecorded.Log(t.options.Logger, "fingerprint", fingerprint, "target", crash.Target, "presumed", crash.Presumed, "reporter", reporter)
+	}
+	if change.Quarantined {
+		t.options.Scope.Counter("quarantined").Inc(1)
+		events.FingerprintRefused.Log(t.options.Logger, "fingerprint", fingerprint, "last_target", crash.Target, "crashes", crashesToRefuse, "reporter", reporter)
+	}
+	if change.Cleared {
+		t.logCleared(fingerprint, reporter)
+	}
+	t.updateGauges()
+}
+
+// logCleared logs and counts that a response cleared a suspect.
+func (t *Tracker) logCleared(fingerprint quarantine.Fingerprint, reporter string) {
+	t.options.Scope.Counter("cleared").Inc(1)
+	events.SuspectCleared.Log(t.options.Logger, "fingerprint", fingerprint, "reporter", reporter)
+}
+
+func (t *Tracker) updateGauges() {
+	t.mu.Lock()
+	known := t.table.Len()
+	t.mu.Unlock()
+	t.options.Scope.Gauge("suspects").Update(float64(known))
+}
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -54,17 +55,6 @@
 	Load *dialect.Load
 }
 
-// Crash reports a request whose target crashed while it ran the request, or a
-// request that a target answered after such reports.
-type Crash struct {
-	Fingerprint uint64
-	Target      string
-	// Answered is true when a target answered the request completely.
-	Answered bool
-	// Reporter is the VM that sent the report; empty for this VM.
-	Reporter string
-}
-
 // Receiver applies what other VMs send.
 type Receiver interface {
 	// Observed applies another VM's evidence.
@@ -72,8 +62,8 @@
 	// SetInProgress replaces the attempts in progress of a VM, by target; a target
 	// that is absent has none.
 	SetInProgress(vm string, attempts map[string]int)
-	// RecordCrash applies a crash report.
-	RecordCrash(crash Crash)
+	// MergeRequest applies what a VM knows of a request that may crash targets.
+	MergeRequest(vm string, evidence quarantine.Evidence)
 	// RevisionAnnounced applies the revision up to which a VM has read the store
 	// itself; zero while it does not read the store.
 	RevisionAnnounced(vm string, revision uint64)
@@ -108,6 +98,9 @@
 	// Revision returns the revision up to which this VM has read the store itself,
 	// and zero while it does not read the store.
 	Revision func() uint64
+	// Requests returns what the next datagram tells of requests that may crash targets:
+	// what is new and, in a heartbeat, a part of what was told before.
+	Requests func(isHeartbeat bool) []quarantine.Evidence
 	Receiver Receiver
 	Uptime   func() time.Duration
 	Logger   *log.Logger
@@ -122,11 +115,11 @@
 
 // sender is the state of a VM from which datagrams were received.
 type sender struct {
-	instance, lastSequence, lastOutcome, lastCrash uint64
-	lastReceived                                   time.Duration
-	ready                                          bool
-	rate                                           float64
-	silent                                         bool
+	instance, lastSequence, lastOutcome uint64
+	lastReceived                        time.Duration
+	ready                               bool
+	rate                                float64
+	silent                              bool
 }
 
 // Exchange sends evidence to other VMs and receives theirs.
@@ -137,9 +130,7 @@
 	mu            sync.Mutex
 	sequence      uint64
 	lastOutcome   uint64
-	lastCrash     uint64
 	pending       []pendingOutcome
-	crashReports  []*primroseloomv1.CrashReport
 	sendRequested bool
 	senders       map[string]*sender
 }
@@ -174,18 +165,9 @@
 	x.requestSend()
 }
 
-// ReportCrash adds a crash report to the latest maxReports, which every datagram
-// repeats.
-func (x *Exchange) ReportCrash(crash Crash) {
-	const maxReports = 16
-	x.mu.Lock()
-	x.lastCrash++
-	report := &primroseloomv1.CrashReport{Number: x.lastCrash, Fingerprint: crash.Fingerprint, Target: crash.Target, Answered: crash.Answered}
-	x.crashReports = append(x.crashReports, report)
-	x.crashReports = x.crashReports[max(len(x.crashReports)-maxReports, 0):]
-	x.mu.Unlock()
-	x.requestSend()
-}
+// RequestsChanged schedules a datagram with new evidence about requests that may
+// crash targets.
+func (x *Exchange) RequestsChanged() { x.requestSend() }
 
 // InProgressChanged schedules a datagram with the new numbers of attempts in
 // progress.
@@ -267,7 +249,7 @@
 // all peers if this VM serves callers.
 func (x *Exchange) send(isHeartbeat bool) {
 	isPrimary := x.options.IsPrimary()
-	content := x.nextDatagram(isPrimary)
+	content := x.nextDatagram(isPrimary, isHeartbeat)
 	if content == nil {
 		return
 	}
@@ -286,14 +268,15 @@
 
 // nextDatagram returns the next datagram, or nil when this VM serves no callers
 // and has nothing to report.
-func (x *Exchange) nextDatagram(isPrimary bool) []byte {
+func (x *Exchange) nextDatagram(isPrimary, isHeartbeat bool) []byte {
 	// These callbacks run before the lock is taken, since the components behind
 	// them call the exchange while they hold their own locks.
 	uses := x.options.AttemptsInProgress()
 	ready, revision, rate := x.options.Ready(), x.options.Revision(), x.options.Rate()
+	requests := requestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 {
+	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 {
 		return nil
 	}
 	x.sendRequested = false
@@ -304,7 +287,7 @@
 		Instance: x.options.Instance,
 		Sequence: x.sequence,
 		Ready:    ready,
-		Crashes:  x.crashReports,
+		Requests: requests,
 		Revision: revision,
 		Rate:     uint32(rate + 0.5),
 	}
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // sentPackets records the packets written.
@@ -28,12 +30,14 @@
 type received struct {
 	outcomes []AttemptEvidence
 	uses     map[string]map[string]int
-	crashes  []Crash
+	requests []quarantine.Evidence
 	revision uint64
 }
 
 func (r *received) Observed(outcome AttemptEvidence) { r.outcomes = append(r.outcomes, outcome) }
-func (r *received) RecordCrash(crash Crash)          { r.crashes = append(r.crashes, crash) }
+func (r *received) MergeRequest(_ string, evidence quarantine.Evidence) {
+	r.requests = append(r.requests, evidence)
+}
 func (r *received) SetInProgress(vm string, attempts map[string]int) {
 	r.uses[vm] = attempts
 }
@@ -56,7 +60,7 @@
 			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true}}
 		},
 		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, Revision: func() uint64 { return 42 }, Rate: func() float64 { return 10 },
-		Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		Requests: func(bool) []quarantine.Evidence { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
 	options.VM, options.Instance, options.Receiver = "vm-2", 2, p.got
@@ -67,7 +71,6 @@
 func TestEvidenceArrivesOnceAlthoughSentTwice(t *testing.T) {
 	p := newPair()
 	p.from.Publish(AttemptEvidence{Target: "t1", FailureNats: 3, Load: &dialect.Load{Running: 2, Waiting: 1}})
-	p.from.ReportCrash(Crash{Fingerprint: 7, Target: "t1"})
 	p.from.send(false)
 	p.from.send(true)
 	for _, datagram := range p.packets.sent {
@@ -76,8 +79,58 @@
 	if len(p.got.outcomes) != 1 || p.got.outcomes[0].FailureNats != 3 || p.got.outcomes[0].Load.Running != 2 {
 		t.Errorf("outcomes %+v", p.got.outcomes)
 	}
-	if len(p.got.crashes) != 1 || p.got.uses["vm-1"]["t1"] != 2 || p.got.revision != 42 {
-		t.Errorf("crashes %v, uses %v, revision %d", p.got.crashes, p.got.uses, p.got.revision)
+	if p.got.uses["vm-1"]["t1"] != 2 || p.got.revision != 42 {
+		t.Errorf("uses %v, revision %d", p.got.uses, p.got.revision)
+	}
+}
+
+// TestEvidenceAboutRequestsArrivesWithItsAge checks that the times of crashes and of
+// a response arrive unchanged on the receiver's own clock.
+func TestEvidenceAboutRequestsArrivesWithItsAge(t *testing.T) {
+	p := newPair()
+	want := []quarantine.Evidence{{
+		Fingerprint: 1 << 63, Answered: true, AnsweredAt: 2 * time.Second,
+		Crashes: []quarantine.Crash{
+			{Target: "t1", Incarnation: 1_700_000_000_123, At: 5 * time.Second},
+			{Target: "t2", Incarnation: -1, At: 6500 * time.Millisecond, Presumed: true},
+		},
+	}}
+	p.from.options.Requests = func(bool) []quarantine.Evidence { return want }
+	p.from.send(false)
+	p.to.options.Uptime = func() time.Duration { return p.now + time.Hour }
+	p.to.HandleDatagram(p.packets.sent[0])
+	if len(p.got.requests) != 1 || len(p.got.requests[0].Crashes) != 2 {
+		t.Fatalf("requests %+v", p.got.requests)
+	}
+	got := p.got.requests[0]
+	for i := range got.Crashes {
+		got.Crashes[i].At -= time.Hour
+	}
+	got.AnsweredAt -= time.Hour
+	if !reflect.DeepEqual(got, want[0]) {
+		t.Errorf("got %+v, want %+v", got, want[0])
+	}
+}
+
+// TestVMThatServesNoCallersTellsWhatItKnows guards against evidence that stays on a
+// VM which is not a primary and has nothing else to send.
+func TestVMThatServesNoCallersTellsWhatItKnows(t *testing.T) {
+	p := newPair()
+	p.from.options.IsPrimary = func() bool { return false }
+	p.from.options.AttemptsInProgress = func() map[string]int { return nil }
+	p.from.send(true)
+	if len(p.packets.sent) != 0 {
+		t.Fatalf("%d datagrams without news", len(p.packets.sent))
+	}
+	p.from.options.Requests = func(isHeartbeat bool) []quarantine.Evidence {
+		if !isHeartbeat {
+			return nil
+		}
+		return []quarantine.Evidence{{Fingerprint: 7}}
+	}
+	p.from.send(true)
+	if len(p.packets.sent) != 1 {
+		t.Errorf("%d datagrams, want 1", len(p.packets.sent))
 	}
 }
 
@@ -153,6 +206,7 @@
 	p.from.options.Revision = func() uint64 { requestsSend(); return 42 }
 	p.from.options.Ready = func() bool { requestsSend(); return true }
 	p.from.options.Rate = func() float64 { requestsSend(); return 1 }
+	p.from.options.Requests = func(bool) []quarantine.Evidence { requestsSend(); return nil }
 	p.from.options.AttemptsInProgress = func() map[string]int { requestsSend(); return nil }
 	p.from.send(true)
 }
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -40,7 +40,7 @@
 		x.options.Scope.Counter("datagrams_refused").Inc(1)
 		return
 	}
-	outcomes, crashes, newest := x.recordAndFilter(&message)
+	outcomes, newest := x.recordAndFilter(&message)
 	if newest {
 		attempts := make(map[string]int, len(message.GetUses()))
 		for _, use := range message.GetUses() {
@@ -52,14 +52,14 @@
 	for _, outcome := range outcomes {
 		x.options.Receiver.Observed(outcomeFromWire(outcome))
 	}
-	for _, crash := range crashes {
-		x.options.Receiver.RecordCrash(Crash{Fingerprint: crash.GetFingerprint(), Target: crash.GetTarget(), Answered: crash.GetAnswered(), Reporter: message.GetVm()})
+	for _, request := range message.GetRequests() {
+		x.options.Receiver.MergeRequest(message.GetVm(), requestFromWire(request, x.options.Uptime()))
 	}
 }
 
-// recordAndFilter updates the sender's state and returns the outcomes and crashes
-// not received before; newest is false for a datagram that arrives out of order.
-func (x *Exchange) recordAndFilter(message *primroseloomv1.EvidenceDatagram) (outcomes []*primroseloomv1.AttemptOutcome, crashes []*primroseloomv1.CrashReport, newest bool) {
+// recordAndFilter updates the sender's state and returns the outcomes not
+// received before; newest is false for a datagram that arrives out of order.
+func (x *Exchange) recordAndFilter(message *primroseloomv1.EvidenceDatagram) (outcomes []*primroseloomv1.AttemptOutcome, newest bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	from := x.senders[message.GetVm()]
@@ -74,17 +74,11 @@
 			outcomes = append(outcomes, outcome)
 		}
 	}
-	for _, crash := range message.GetCrashes() {
-		if crash.GetNumber() > from.lastCrash {
-			from.lastCrash = crash.GetNumber()
-			crashes = append(crashes, crash)
-		}
-	}
 	newest = message.GetSequence() > from.lastSequence
 	if newest {
 		from.lastSequence, from.ready, from.rate = message.GetSequence(), message.GetReady(), float64(message.GetRate())
 	}
-	return outcomes, crashes, newest
+	return outcomes, newest
 }
 
 func outcomeFromWire(message *primroseloomv1.AttemptOutcome) AttemptEvidence {
--- /dev/null
+++ b/entry/evidence/requests.go
@@ -0,0 +1,48 @@
+package evidence
+
+import (
+	"math"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/quarantine"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+)
+
+// requestsToWire converts the evidence about requests that may crash targets, with
+// uptimes as ages.
+func requestsToWire(all []quarantine.Evidence, now time.Duration) []*primroseloomv1.RequestEvidence {
+	messages := make([]*primroseloomv1.RequestEvidence, 0, len(all))
+	for _, evidence := range all {
+		message := &primroseloomv1.RequestEvidence{Fingerprint: uint64(evidence.Fingerprint), Answered: evidence.Answered}
+		if evidence.Answered {
+			message.AnsweredAgeMs = ageMs(evidence.AnsweredAt, now)
+		}
+		for _, crash := range evidence.Crashes {
+			message.Crashes = append(message.Crashes, &primroseloomv1.TargetCrash{
+				Target: crash.Target, Incarnation: crash.Incarnation, AgeMs: ageMs(crash.At, now), Presumed: crash.Presumed,
+			})
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+// ageMs returns the time since an uptime in milliseconds.
+func ageMs(at, now time.Duration) uint32 {
+	return uint32(min(max(now-at, 0).Milliseconds(), math.MaxUint32))
+}
+
+// requestFromWire converts evidence received now.
+func requestFromWire(message *primroseloomv1.RequestEvidence, now time.Duration) quarantine.Evidence {
+	at := func(ageMs uint32) time.Duration { return now - time.Duration(ageMs)*time.Millisecond }
+	evidence := quarantine.Evidence{Fingerprint: quarantine.Fingerprint(message.GetFingerprint()), Answered: message.GetAnswered()}
+	if evidence.Answered {
+		evidence.AnsweredAt = at(message.GetAnsweredAgeMs())
+	}
+	for _, crash := range message.GetCrashes() {
+		evidence.Crashes = append(evidence.Crashes, quarantine.Crash{
+			Target: crash.GetTarget(), Incarnation: crash.GetIncarnation(), At: at(crash.GetAgeMs()), Presumed: crash.GetPresumed(),
+		})
+	}
+	return evidence
+}
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
 	"github.com/primroseloom/primroseloom/entry/gateway"
@@ -34,14 +35,15 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(f, options.Settings, options.Logger, options.Metrics, newIdentity()),
-		fx.Provide(newPeers, newFollower, newTargets, newFrontendFleet, newExchange, newFrontendCrashTracker, newGateway),
-		fx.Populate(&f.peers, &f.follower, &f.targets, &f.fleet, &f.evidence, &f.gateway),
+		fx.Provide(newPeers, newFollower, newTargets, newFrontendFleet, newExchange, newCrashTracker, newGateway),
+		fx.Populate(&f.peers, &f.follower, &f.targets, &f.crashes, &f.fleet, &f.evidence, &f.gateway),
 	)
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
 	}
 	f.fleet.peerReports, f.fleet.rate = f.evidence, f.gateway.Rate
 	f.targets.UseNotifier(f.evidence)
+	f.crashes.UseNotifier(f.evidence.RequestsChanged)
 	f.peers.Mount(f.follower.Handler(options.Settings.Fleet))
 	return f, nil
 }
@@ -103,8 +105,8 @@
 	return newFleet(peers, f.ready, offer.Settings{MinPerZone: set.Directory.PerZone, MinAdvertised: minAdvertised}, address.Port(), f.clock.Uptime), nil
 }
 
-func newExchange(f *Frontend, set settings.Frontend, id identity, vms *fleet, targets *targetset.Manager, follower *follow.Follower, tracker *crashTracker, m *metrics.Metrics, logger *log.Logger) *evidence.Exchange {
-	exchange := evidence.New(evidence.Options{
+func newExchange(f *Frontend, set settings.Frontend, id identity, vms *fleet, targets *targetset.Manager, follower *follow.Follower, tracker *crashes.Tracker, m *metrics.Metrics, logger *log.Logger) *evidence.Exchange {
+	return evidence.New(evidence.Options{
 		Fleet:              set.Fleet,
 		VM:                 set.VM,
 		Instance:           id.instance,
@@ -115,19 +117,18 @@
 		AttemptsInProgress: targets.AttemptsInProgress,
 		Rate:               func() float64 { return f.gateway.Rate() },
 		Revision:           follower.ReadRevision,
-		Receiver:           receiver{Manager: targets, crashTracker: tracker, follower: follower, fleet: vms},
+		Requests:           tracker.NextEvidence,
+		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
 		Logger:             logger,
 		Scope:              m.Scope(),
 	})
-	tracker.publish = exchange.ReportCrash
-	return exchange
 }
 
 // receiver passes what other VMs send on to the children that handle it.
 type receiver struct {
 	*targetset.Manager
-	*crashTracker
+	*crashes.Tracker
 	follower *follow.Follower
 	fleet    *fleet
 }
@@ -139,11 +140,13 @@
 	}
 }
 
-func newFrontendCrashTracker(f *Frontend, m *metrics.Metrics, logger *log.Logger) *crashTracker {
-	return newCrashTracker(logger, m.Scope(), f.clock.Uptime)
+func newCrashTracker(f *Frontend, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
+	return crashes.New(crashes.Options{
+		Uptime: f.clock.Uptime, Logger: logger, Scope: m.Scope(),
+	})
 }
 
-func newGateway(f *Frontend, follower *follow.Follower, targets *targetset.Manager, tracker *crashTracker, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(f *Frontend, follower *follow.Follower, targets *targetset.Manager, tracker *crashes.Tracker, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Dialect:  f.options.Adapter.Dialect,
 		Table:    follower.Table,
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -13,6 +13,7 @@
 
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
@@ -75,6 +76,7 @@
 	peers    *peer.Manager
 	follower *follow.Follower
 	targets  *targetset.Manager
+	crashes  *crashes.Tracker
 	evidence *evidence.Exchange
 	fleet    *fleet
 	gateway  *gateway.Gateway
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -4,28 +4,32 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
+	"github.com/primroseloom/primroseloom/entry/crashes"
+	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
-// CrashTracker records requests that seem to crash the targets that run them.
+// CrashTracker finds the requests that crash their targets.
 type CrashTracker interface {
-	// Refuses reports whether the request must not run any more.
-	Refuses(fingerprint uint64) bool
-	// ReportCrash records that a target closed its connection while it ran a request.
-	ReportCrash(fingerprint uint64, target string)
-	// ReportResponse records that a target sent a complete response, which shows that
-	// the request does not crash every target that runs it.
-	ReportResponse(fingerprint uint64)
+	// Refused returns how much longer the request must not run; zero when it may run.
+	Refused(fingerprint uint64) time.Duration
+	// AttemptLost records an attempt whose target closed the connection while it ran
+	// the request.
+	AttemptLost(lost crashes.LostAttempt)
+	// Answered records that a target sent a complete response, which shows that the
+	// request does not crash every target that runs it.
+	Answered(fingerprint uint64)
 }
 
-// reportCrash reports an attempt whose target closed the connection without a
+// reportLost reports an attempt whose target closed the connection without a
 // complete response after the request was written.
-func (q *request) reportCrash(target string, d decision) {
+func (q *request) reportLost(attempt *targetset.Attempt, d decision) {
 	if d.result.Err == nil || !d.result.Sent || d.result.End != suspicion.ResultFailed {
 		return
 	}
 	if errors.Is(d.result.Err, io.EOF) || errors.Is(d.result.Err, io.ErrUnexpectedEOF) || errors.Is(d.result.Err, syscall.ECONNRESET) {
-		q.gateway.options.Crashes.ReportCrash(q.print, target)
+		q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.print, Target: attempt.Target()})
 	}
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -136,8 +136,8 @@
 		return refusal
 	}
 	q.print = fingerprint(q.caller, q.body.buffered)
-	if q.gateway.options.Crashes.Refuses(q.print) {
-		return refuse(outcome.ReasonQuarantined, outcome.StepRoute, 0)
+	if remaining := q.gateway.options.Crashes.Refused(q.print); remaining > 0 {
+		return refuse(outcome.ReasonQuarantined, outcome.StepRoute, remaining)
 	}
 	return nil
 }
--- a/entry/gateway/gateway_test.go
+++ b/entry/gateway/gateway_test.go
@@ -140,9 +140,11 @@
 		if got := h.send(http.MethodGet, safePath+strings.Repeat("x", 2000), ""); got.Code != http.StatusRequestHeaderFieldsTooLarge {
 			t.Errorf("large header: %d", got.Code)
 		}
-		h.crashes.refuse = true
+		h.crashes.refuseAfter = 0
 		if got := h.send(http.MethodGet, safePath+"1", ""); got.Code != http.StatusServiceUnavailable {
 			t.Errorf("request that crashes targets: %d", got.Code)
+		} else if got.Header().Get("After") == "" {
+			t.Error("the refusal does not tell when the request may return")
 		}
 		h.table = nil
 		if got := h.send(http.MethodGet, safePath+"1", ""); got.Code != http.StatusServiceUnavailable {
@@ -157,8 +159,8 @@
 func TestTargetThatResetsIsReportedAsCrash(t *testing.T) {
 	withHarness(t, []behavior{resets}, func(h *harness) {
 		h.send(http.MethodPost, oncePath+"1", "x")
-		if h.crashes.reports != 1 || h.crashes.answered != 0 {
-			t.Errorf("%d reported crashes, %d reported responses", h.crashes.reports, h.crashes.answered)
+		if h.crashes.lost != 1 || h.crashes.answered != 0 {
+			t.Errorf("%d reported crashes, %d reported responses", h.crashes.lost, h.crashes.answered)
 		}
 	})
 }
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/targetset"
@@ -64,26 +65,34 @@
 func (discardNotifier) Publish(evidence.AttemptEvidence) {}
 func (discardNotifier) InProgressChanged()               {}
 
-// reportedCrashes counts reports; it refuses all requests when refuse is set.
+// reportedCrashes counts reports; it refuses all requests after refuseAfter lost
+// attempts, unless that is negative.
 type reportedCrashes struct {
-	mu       sync.Mutex
-	reports  int
-	answered int
-	refuse   bool
+	mu          sync.Mutex
+	lost        int
+	answered    int
+	refuseAfter int
 }
 
-func (c *reportedCrashes) Refuses(uint64) bool { return c.refuse }
+func (c *reportedCrashes) Refused(uint64) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.refuseAfter >= 0 && c.lost >= c.refuseAfter {
+		return time.Minute
+	}
+	return 0
+}
 
-func (c *reportedCrashes) ReportResponse(uint64) {
+func (c *reportedCrashes) Answered(uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered++
 }
 
-func (c *reportedCrashes) ReportCrash(uint64, string) {
+func (c *reportedCrashes) AttemptLost(crashes.LostAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reports++
+	c.lost++
 }
 
 // behavior is how a target handles a request.
@@ -108,7 +117,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
 		logger := log.New(io.Discard)
-		h := &harness{t: t, network: memnet.New(), crashes: &reportedCrashes{}, arrivals: make(map[string]int), table: testTable(t)}
+		h := &harness{t: t, network: memnet.New(), crashes: &reportedCrashes{refuseAfter: -1}, arrivals: make(map[string]int), table: testTable(t)}
 		h.targets = targetset.New(targetset.Options{
 			Zone: "z", Network: h.network.Host(ownIP), Budget: targetset.Budget{Ratio: 1, Allowance: 100},
 			Sharers: func() int { return 1 }, Uptime: func() time.Duration { return time.Since(start) + time.Hour },
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -46,7 +46,7 @@
 		d := q.runAttempt(ctx, attempt)
 		if d.response != nil && d.result.End == suspicion.ResultServed {
 			q.keepFailure(nil)
-			q.gateway.options.Crashes.ReportResponse(q.print)
+			q.gateway.options.Crashes.Answered(q.print)
 			return d.response, nil
 		}
 		q.recordFailedAttempt(attempt, d)
@@ -204,7 +204,7 @@
 		return d
 	}
 	attempt.Done(d.result)
-	q.reportCrash(attempt.ID(), d)
+	q.reportLost(attempt, d)
 	return d
 }
 
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -59,7 +59,7 @@
 	a.result.Total = time.Since(a.start)
 	a.result.ReusedConnection = a.roundTrip.Reused()
 	if failed == nil {
-		a.clearSuspect()
+		a.proxy.suspects.recordAnswer(a.call)
 		return buffered, dispatch.FailureDecision{}, nil
 	}
 	decision, err := a.evaluate(failed)
@@ -172,9 +172,6 @@
 	return contract.AttemptSucceeded
 }
 
-// clearSuspect removes the request's fingerprint from the suspects.
-func (a *attempt) clearSuspect() { a.proxy.suspects.clearAnswered(a.call) }
-
 // evaluate decides what follows from a failed attempt and records the evidence
 // about the target.
 func (a *attempt) evaluate(f *failure) (dispatch.FailureDecision, error) {
--- a/entry/proxy/fleet_test.go
+++ b/entry/proxy/fleet_test.go
@@ -38,6 +38,9 @@
 	// suspects to new instances.
 	noBackground     bool
 	instancesStarted uint64
+	// notServing names the VMs that get no news, since they don't serve the service;
+	// gone names those that are no longer members. The lock guards both.
+	notServing, gone map[string]bool
 }
 
 // vm is one instance of the fleet. It also implements contract.Members and
@@ -168,7 +171,7 @@
 func (v *vm) Members() []*primroseloomv1.Member {
 	var members []*primroseloomv1.Member
 	for _, other := range v.fleet.currentVMs() {
-		if other != nil {
+		if other != nil && !v.fleet.is(v.fleet.gone, other) {
 			members = append(members, other.self)
 		}
 	}
@@ -187,10 +190,17 @@
 	return nil, false
 }
 
-// Publish delivers an item to every other VM immediately.
+// is reports whether a set of VM names contains a VM.
+func (f *fleet) is(set map[string]bool, v *vm) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return set[v.self.Vm]
+}
+
+// Publish delivers an item to every other VM that serves the service immediately.
 func (v *vm) Publish(item *primroseloomv1.NewsItem, _ bool) {
 	for _, other := range v.fleet.currentVMs() {
-		if other != v && other.alive.Load() && other.handleNews != nil {
+		if other != v && other.alive.Load() && other.handleNews != nil && !v.fleet.is(v.fleet.notServing, other) {
 			other.handleNews(item)
 		}
 	}
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -105,21 +105,24 @@
 // countCrash adds a crash to the table and publishes the quarantine if one
 // follows from it.
 func (s *suspects) countCrash(fingerprint quarantine.Fingerprint, service, target string) {
-	quarantined := false
-	s.update(func() { quarantined = s.table.RecordCrash(fingerprint, service, target, s.options.Clock.Uptime()) })
-	if quarantined {
+	now := s.options.Clock.Uptime()
+	var change quarantine.Change
+	s.update(func() {
+		change = s.table.RecordCrash(fingerprint, service, quarantine.Crash{Target: target, At: now}, now)
+	})
+	if change.Quarantined {
 		s.publish(service, quarantineNews(fingerprint, quarantine.QuarantineTime))
 	}
 }
 
-// clearAnswered removes a suspect that got a complete response.
-func (s *suspects) clearAnswered(c *call) {
-	if s.size.Load() == 0 {
-		return
-	}
-	cleared := false
-	s.update(func() { cleared = s.table.RecordResponse(c.fingerprint) })
+// recordAnswer records that the request got a complete response, and publishes it
+// when that clears a suspect.
+func (s *suspects) recordAnswer(c *call) {
+	s.mu.Lock()
+	cleared := s.table.RecordResponse(c.fingerprint, s.options.Clock.Uptime())
+	s.mu.Unlock()
 	if cleared {
+		s.update(func() {}) // wake the requests that wait for their turn
 		s.publish(c.service.Name, liftNews(c.fingerprint))
 	}
 }
@@ -170,14 +173,19 @@
 	fingerprint := quarantine.Fingerprint(crash.GetFingerprint())
 	remaining := time.Duration(crash.GetQuarantinedMs()) * time.Millisecond
 	if crash.GetRepeated() {
-		s.update(func() { s.table.AddRemoteSuspect(fingerprint, service, crash.GetTarget(), now) })
+		suspected := quarantine.Crash{Target: crash.GetTarget(), At: now}
+		s.update(func() { s.table.AddRemoteSuspect(fingerprint, service, suspected, now) })
 		return
 	}
 	if remaining == 0 {
 		s.countCrash(fingerprint, service, crash.GetTarget())
 		return
 	}
-	s.update(func() { s.table.AddRemoteQuarantine(fingerprint, service, remaining, now) })
+	adopted := false
+	s.update(func() { adopted = s.table.AddRemoteQuarantine(fingerprint, service, remaining, now) })
+	if !adopted {
+		s.publish(service, liftNews(fingerprint))
+	}
 }
 
 func (s *suspects) applyAttempt(attempt *primroseloomv1.FingerprintAttempt, now time.Duration) {
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -10,6 +10,7 @@
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/targetconn"
 	"github.com/primroseloom/primroseloom/policy/placement"
+	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
@@ -50,9 +51,11 @@
 
 // Attempt is one request on its way to one target.
 type Attempt struct {
-	manager   *Manager
-	service   *service
-	target    *target
+	manager *Manager
+	service *service
+	target  *target
+	// info is the target as it was published when it was chosen.
+	info      roster.Target
 	route     string
 	startedAt time.Duration
 	trial     bool
@@ -122,7 +125,7 @@
 	t.ownAttempts++
 	t.everAttempted = true
 	t.lastAttemptAt = now
-	a := &Attempt{manager: m, service: s, target: t, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
+	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
 	if limit := reference.Overdue(choice.Wait); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.reportOverdue)
 	}
@@ -154,10 +157,13 @@
 }
 
 // ID returns the target's instance identifier.
-func (a *Attempt) ID() string { return a.target.info.ID }
+func (a *Attempt) ID() string { return a.info.ID }
+
+// Target returns the target as it was published when it was chosen.
+func (a *Attempt) Target() roster.Target { return a.info }
 
 // Address returns the target's "IP:port".
-func (a *Attempt) Address() string { return a.target.info.Address }
+func (a *Attempt) Address() string { return a.info.Address }
 
 // Trial reports whether the attempt tests if a suspect target has recovered.
 func (a *Attempt) Trial() bool { return a.trial }
@@ -168,7 +174,7 @@
 // Send writes the request to the target and reads the head of the response. The
 // error is a *contract.RoundTripError.
 func (a *Attempt) Send(request *http.Request) (*http.Response, error) {
-	x, response, err := targetconn.Send(a.target.pool, a.target.info.ID, request)
+	x, response, err := targetconn.Send(a.target.pool, a.info.ID, request)
 	a.exchange = x
 	return response, err
 }
--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -7,12 +7,24 @@
 // suspect. From then on at most one attempt of it runs at a time and others wait.
 // A second crash, of another target or of the same one after its restart,
 // quarantines the fingerprint: every VM refuses it as not run for QuarantineTime.
-// A complete response to a suspect clears it, because a request that crashes each
-// target that runs it never gets one. An ordinary request that was merely in
-// progress on a crashed target is therefore cleared by its next run.
+// A table may have a higher threshold than two crashes.
 //
-// Each VM keeps its own table, which is updated by its own attempts and by
-// urgent news from other VMs. The numbers of suspects and of quarantines are
-// bounded. When a bound is reached, the entry that expires first is dropped; for
-// suspects this is the one marked longest ago.
+// A request that crashes each target that runs it never gets a complete response.
+// A response therefore clears a suspect and lifts a quarantine, and a crash soon
+// after a response does not count: the request was merely in progress on a target
+// that crashed for another reason. AnswerValidity bounds that time, so that a
+// request that begins to crash targets is found.
+//
+// Each VM keeps its own table. Evidence, the crashes of a request and its latest
+// response, is what VMs exchange. Merging it has the same result in any order and
+// any number of times, so that tables that have seen the same evidence agree.
+// Crashes of one process of a target are one crash, however many VMs report it.
+//
+// A crash may be presumed: the target fell silent and does not accept connections,
+// which may also be a fault of the path. Such a crash counts for PresumedTime only,
+// unless it is confirmed.
+//
+// The numbers of suspects and of quarantines are bounded. When a bound is reached,
+// the suspect with the fewest crashes, and among these the oldest, or the
+// quarantine that ends first is dropped.
 package quarantine
--- /dev/null
+++ b/policy/quarantine/evidence.go
@@ -0,0 +1,115 @@
+package quarantine
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// maxCrashes bounds the crashes that are kept for one request.
+const maxCrashes = 8
+
+// Crash is the end of a target while it ran a request.
+type Crash struct {
+	// Target is the instance identifier of the target.
+	Target string
+	// Incarnation distinguishes the processes that use the identifier one after the
+	// other; zero when it is not known.
+	Incarnation int64
+	// At is the uptime at which the crash was noticed.
+	At time.Duration
+	// Presumed is true when only silence points to the crash.
+	Presumed bool
+}
+
+// sameAs reports whether two reports are about the same crash. A process crashes
+// once; without an incarnation, reports close in time are about the same crash.
+func (c Crash) sameAs(other Crash) bool {
+	if c.Target != other.Target || c.Incarnation != other.Incarnation {
+		return false
+	}
+	return c.Incarnation != 0 || (c.At-other.At).Abs() < CrashDedupTime
+}
+
+// expiresAt returns the uptime from which the crash no longer counts, unless the
+// request is quarantined.
+func (c Crash) expiresAt() time.Duration {
+	if c.Presumed {
+		return c.At + PresumedTime
+	}
+	return c.At + SuspectTime
+}
+
+// Evidence is what is known of a request that may crash targets.
+type Evidence struct {
+	Fingerprint Fingerprint
+	// Crashes are the crashes that count against the request, the oldest first.
+	Crashes []Crash
+	// Answered is true when a target has recently sent a complete response, at the
+	// uptime AnsweredAt.
+	Answered   bool
+	AnsweredAt time.Duration
+}
+
+// Change is what new evidence changed.
+type Change struct {
+	// Recorded is true when a crash was added or confirmed.
+	Recorded bool
+	// Quarantined is true when the request is refused from now on, Cleared when it is
+	// no longer suspected or refused.
+	Quarantined, Cleared bool
+}
+
+// crashList holds the crashes of one request, the oldest first.
+type crashList []Crash
+
+// add adds a crash or merges it with an earlier report of the same crash, and
+// reports whether that brought anything new.
+func (l *crashList) add(crash Crash) bool {
+	i := slices.IndexFunc(*l, crash.sameAs)
+	if i < 0 {
+		*l = append(*l, crash)
+		l.sort()
+		*l = (*l)[:min(len(*l), maxCrashes)]
+		return slices.Contains(*l, crash)
+	}
+	known := &(*l)[i]
+	confirmed := known.Presumed && !crash.Presumed
+	known.At = min(known.At, crash.At)
+	known.Presumed = known.Presumed && crash.Presumed
+	l.sort()
+	return confirmed
+}
+
+func (l *crashList) sort() {
+	slices.SortFunc(*l, func(a, b Crash) int { return cmp.Or(cmp.Compare(a.At, b.At), cmp.Compare(a.Target, b.Target)) })
+}
+
+// dropUntil removes the crashes that were noticed until the given uptime.
+func (l *crashList) dropUntil(until time.Duration) {
+	*l = slices.DeleteFunc(*l, func(c Crash) bool { return c.At <= until })
+}
+
+// dropExpired removes the crashes that no longer count.
+func (l *crashList) dropExpired(now time.Duration) {
+	*l = slices.DeleteFunc(*l, func(c Crash) bool { return now >= c.expiresAt() })
+}
+
+// quarantineEnd returns until when the crashes quarantine the request, given the
+// number of crashes that does so; zero when they don't.
+func (l crashList) quarantineEnd(threshold int) time.Duration {
+	if len(l) < threshold {
+		return 0
+	}
+	confirmed := slices.DeleteFunc(slices.Clone(l), func(c Crash) bool { return c.Presumed })
+	if len(confirmed) >= threshold {
+		return confirmed[threshold-1].At + QuarantineTime
+	}
+	// The quarantine ends when so many crashes have expired that too few are left.
+	ends := make([]time.Duration, 0, len(l))
+	for _, c := range l {
+		ends = append(ends, c.expiresAt())
+	}
+	slices.Sort(ends)
+	return ends[len(ends)-threshold]
+}
--- /dev/null
+++ b/policy/quarantine/evidence_test.go
@@ -0,0 +1,200 @@
+package quarantine
+
+import (
+	"math/rand/v2"
+	"reflect"
+	"strconv"
+	"testing"
+	"time"
+)
+
+// crashAt returns a crash of the first process of a target.
+func crashAt(target string, at time.Duration) Crash {
+	return Crash{Target: target, Incarnation: 1, At: at}
+}
+
+// TestEvidenceHasTheSameResultInAnyOrder guards against tables that disagree for
+// good: VMs learn of crashes and of a response in different orders and more than
+// once.
+func TestEvidenceHasTheSameResultInAnyOrder(t *testing.T) {
+	const now = 20 * time.Second
+	reports := []Evidence{
+		{Fingerprint: 7, Crashes: []Crash{crashAt("t1", 10*time.Second)}},
+		{Fingerprint: 7, Crashes: []Crash{crashAt("t2", 11*time.Second), crashAt("t1", 10200*time.Millisecond)}},
+		{Fingerprint: 7, Crashes: []Crash{crashAt("t3", 12*time.Second)}},
+		{Fingerprint: 7, Answered: true, AnsweredAt: 6 * time.Second},
+		{Fingerprint: 8, Crashes: []Crash{crashAt("t1", 10*time.Second), crashAt("t2", 11*time.Second)}},
+		{Fingerprint: 8, Crashes: []Crash{crashAt("t3", 12*time.Second)}},
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	for range 200 {
+		table := NewTableWithThreshold(3)
+		for _, i := range append(random.Perm(len(reports)), random.Perm(len(reports))...) {
+			table.Merge(reports[i], now)
+		}
+		if table.Refused(7, now) > 0 {
+			t.Fatal("a request is refused although a response outweighs two of its three crashes")
+		}
+		if got, want := table.Refused(8, now), 12*time.Second+QuarantineTime-now; got != want {
+			t.Fatalf("the request without a response is refused for %v, want %v", got, want)
+		}
+	}
+}
+
+// TestRequestInProgressOnCrashedTargetsIsNotRefused guards against the refusal of a
+// request that is answered all the time: three targets crash within a moment while
+// they run it, and this VM has seen no response of its own.
+func TestRequestInProgressOnCrashedTargetsIsNotRefused(t *testing.T) {
+	one, other := NewTableWithThreshold(3), NewTableWithThreshold(3)
+	other.RecordResponse(7, 9*time.Second)
+	for i := range 3 {
+		one.RecordCrash(7, "", crashAt("t"+strconv.Itoa(i), 10*time.Second), 10*time.Second)
+	}
+	if one.Refused(7, 10*time.Second) == 0 {
+		t.Fatal("three crashes and no known response: not refused")
+	}
+	now := 10*time.Second + 50*time.Millisecond
+	for _, evidence := range one.Evidence(now) {
+		other.Merge(evidence, now)
+	}
+	if other.Refused(7, now) > 0 {
+		t.Error("refused by the VM that knows of a response")
+	}
+	for _, evidence := range other.Evidence(now) {
+		if change := one.Merge(evidence, now); !change.Cleared {
+			t.Errorf("the response did not clear the request: %+v", change)
+		}
+	}
+	if one.Refused(7, now) > 0 || len(one.List(now)) > 0 {
+		t.Error("still refused or suspected after the response was reported")
+	}
+}
+
+// TestResponseLiftsQuarantineWhereverItArrives guards against VMs that refuse a
+// request for QuarantineTime or not, depending on whether a response arrived before
+// or after the crash that reached the threshold. Crashes after AnswerValidity count
+// again.
+func TestResponseLiftsQuarantineWhereverItArrives(t *testing.T) {
+	for _, answerFirst := range []bool{true, false} {
+		table := NewTable()
+		answer := func() { table.RecordResponse(7, 10*time.Second) }
+		if answerFirst {
+			answer()
+		}
+		table.RecordCrash(7, "booking", crashAt("t1", 8*time.Second), 10*time.Second)
+		table.RecordCrash(7, "booking", crashAt("t2", 9*time.Second), 10*time.Second)
+		if !answerFirst {
+			answer()
+		}
+		if d := table.Admit(7, 0, 10*time.Second); d.Action != ActionRun || d.Suspect {
+			t.Errorf("response first %v: %+v", answerFirst, d)
+		}
+		later := 10*time.Second + AnswerValidity + 1
+		table.RecordCrash(7, "booking", crashAt("t3", later), later)
+		table.RecordCrash(7, "booking", crashAt("t4", later), later)
+		if d := table.Admit(7, 0, later); d.Action != ActionRefuse {
+			t.Errorf("two crashes long after the response: %+v", d)
+		}
+	}
+}
+
+// TestReportedResponseDoesNotBecomeLater guards against a response that two VMs
+// report to each other in turn and that becomes later with the delay of each report,
+// so that it would outweigh crashes for ever.
+func TestReportedResponseDoesNotBecomeLater(t *testing.T) {
+	table := NewTableWithThreshold(3)
+	for i := range time.Duration(2000) {
+		at := 10*time.Second + i*3*time.Millisecond
+		table.Merge(Evidence{Fingerprint: 7, Answered: true, AnsweredAt: min(at, 10*time.Second+900*time.Millisecond)}, at)
+	}
+	if at, _ := table.answers.latest(7); at != 10*time.Second {
+		t.Errorf("the response became later: %v", at)
+	}
+}
+
+// TestOneProcessCrashesOnce guards against counting one crash several times when
+// VMs notice it at different times, and against counting two crashes once when the
+// target restarts under its identifier.
+func TestOneProcessCrashesOnce(t *testing.T) {
+	table := NewTableWithThreshold(3)
+	for i := range time.Duration(4) {
+		table.RecordCrash(7, "", crashAt("t1", 10*time.Second+i*time.Second), 14*time.Second)
+	}
+	if table.Refused(7, 14*time.Second) > 0 {
+		t.Error("four reports of one crash: refused")
+	}
+	for i := range int64(2) {
+		table.RecordCrash(7, "", Crash{Target: "t1", Incarnation: 2 + i, At: 14 * time.Second}, 14*time.Second)
+	}
+	if table.Refused(7, 14*time.Second) == 0 {
+		t.Error("three processes crashed under one identifier: not refused")
+	}
+}
+
+// TestPresumedCrashCountsForAWhile checks that crashes which only silence points to
+// stop a request, that they lapse, and that a confirmation makes them last.
+func TestPresumedCrashCountsForAWhile(t *testing.T) {
+	const now = 10 * time.Second
+	presumed := func(target string) Crash { return Crash{Target: target, Incarnation: 1, At: now, Presumed: true} }
+	table := NewTableWithThreshold(3)
+	table.RecordCrash(7, "", crashAt("t0", now), now)
+	table.RecordCrash(7, "", presumed("t1"), now)
+	table.RecordCrash(7, "", presumed("t2"), now)
+	if got := table.Refused(7, now); got != PresumedTime {
+		t.Errorf("refused for %v, want %v", got, PresumedTime)
+	}
+	if table.Refused(7, now+PresumedTime) > 0 {
+		t.Error("refused after the presumed crashes have lapsed")
+	}
+	table.RecordCrash(7, "", presumed("t1"), now)
+	table.RecordCrash(7, "", presumed("t2"), now)
+	table.RecordCrash(7, "", crashAt("t1", now+time.Second), now)
+	table.RecordCrash(7, "", crashAt("t2", now+time.Second), now)
+	if got := table.Refused(7, now); got != QuarantineTime {
+		t.Errorf("after the confirmation refused for %v, want %v", got, QuarantineTime)
+	}
+}
+
+// TestManySingleCrashesDoNotDropASuspect guards against a flood of requests that
+// were each in progress on one crashed target: they must not push out a request
+// that has crashed two.
+func TestManySingleCrashesDoNotDropASuspect(t *testing.T) {
+	table := NewTableWithThreshold(3)
+	table.RecordCrash(7, "", crashAt("t1", 0), 0)
+	table.RecordCrash(7, "", crashAt("t2", 0), 0)
+	for i := range Fingerprint(2 * MaxSuspects) {
+		table.RecordCrash(1000+i, "", crashAt("t3", time.Second), time.Second)
+	}
+	table.RecordCrash(7, "", crashAt("t4", time.Second), time.Second)
+	if table.Refused(7, time.Second) == 0 {
+		t.Error("the suspect was dropped: not refused after its third crash")
+	}
+}
+
+// TestQuarantineThatAResponseOutweighsIsRejected checks that a VM which knows of a
+// response does not adopt another VM's quarantine, and adopts one that began later.
+func TestQuarantineThatAResponseOutweighsIsRejected(t *testing.T) {
+	table := NewTable()
+	table.RecordResponse(7, 10*time.Second)
+	if table.AddRemoteQuarantine(7, "booking", QuarantineTime, 11*time.Second) {
+		t.Error("adopted a quarantine that began after a response")
+	}
+	later := 10*time.Second + 2*AnswerValidity
+	if !table.AddRemoteQuarantine(7, "booking", QuarantineTime, later) || table.Admit(7, 0, later).Action != ActionRefuse {
+		t.Error("rejected a quarantine that began long after the response")
+	}
+}
+
+func TestEvidenceListsRequestsWithMostCrashesFirst(t *testing.T) {
+	table := NewTableWithThreshold(3)
+	table.RecordCrash(1, "", crashAt("t1", 0), 0)
+	table.RecordCrash(2, "", crashAt("t1", 0), 0)
+	table.RecordCrash(2, "", crashAt("t2", 0), 0)
+	var order []Fingerprint
+	for _, evidence := range table.Evidence(0) {
+		order = append(order, evidence.Fingerprint)
+	}
+	if !reflect.DeepEqual(order, []Fingerprint{2, 1}) {
+		t.Errorf("order %v", order)
+	}
+}
--- /dev/null
+++ b/policy/quarantine/registry.go
@@ -0,0 +1,71 @@
+package quarantine
+
+import "time"
+
+// Fingerprint identifies a request.
+type Fingerprint uint64
+
+// Action is what to do with a request.
+type Action int
+
+// The actions.
+const (
+	// ActionRun allows the attempt.
+	ActionRun Action = iota
+	// ActionWait means to wait, because another attempt of the suspect is running.
+	ActionWait
+	// ActionRefuse means that the request is quarantined.
+	ActionRefuse
+)
+
+// Decision is what a Registry decides about a request.
+type Decision struct {
+	Action Action
+	// Suspect is true when the end of the attempt must be reported with EndAttempt.
+	Suspect bool
+	// RetryAfter is the remaining time of the quarantine for ActionRefuse, and the
+	// maximum useful wait for ActionWait.
+	RetryAfter time.Duration
+}
+
+// Entry is one row of the list for operators.
+type Entry struct {
+	Fingerprint Fingerprint
+	Service     string
+	// Targets are the crashed targets, one for each crash.
+	Targets []string
+	// Quarantined is false for a suspect.
+	Quarantined bool
+	// ExpiresAt is the uptime at which the row is dropped, on the clock of the
+	// times that the caller passes.
+	ExpiresAt time.Duration
+}
+
+// Registry tracks the suspects and quarantines.
+type Registry interface {
+	// Admit decides about an attempt that ends by the deadline.
+	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
+	// RecordCrash records that a target crashed while it ran the request.
+	RecordCrash(fingerprint Fingerprint, service string, crash Crash, now time.Duration) Change
+	// AddRemoteSuspect adds a suspect that another VM reported, unless the request
+	// is already known.
+	AddRemoteSuspect(fingerprint Fingerprint, service string, crash Crash, now time.Duration)
+	// AddRemoteQuarantine adds another VM's quarantine with its remaining time. It
+	// reports false when a recent response to the request outweighs it.
+	AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration) bool
+	// RecordResponse records a complete response and reports whether it cleared a
+	// suspect or lifted a quarantine.
+	RecordResponse(fingerprint Fingerprint, now time.Duration) bool
+	// EndAttempt records the end of a suspect's attempt on this VM.
+	EndAttempt(fingerprint Fingerprint)
+	// StartRemoteAttempt records that another VM started an attempt of a suspect.
+	StartRemoteAttempt(fingerprint Fingerprint, now time.Duration)
+	// EndRemoteAttempt records that another VM's attempt of a suspect has ended.
+	EndRemoteAttempt(fingerprint Fingerprint)
+	// Lift ends a quarantine or suspicion and reports whether there was one.
+	Lift(fingerprint Fingerprint) bool
+	// List returns the suspects and quarantines.
+	List(now time.Duration) []Entry
+	// Len returns the number of suspects and quarantines.
+	Len() int
+}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -12,6 +12,18 @@
 // SuspectTime is how long a suspect is remembered without a second crash.
 const SuspectTime = 10 * time.Minute
 
+// PresumedTime is how long a presumed crash counts unless it is confirmed.
+const PresumedTime = 10 * time.Second
+
+// AnswerValidity is how long after a complete response the crashes of a request
+// don't count.
+const AnswerValidity = 5 * time.Second
+
+// answerResolution is the time by which a reported response must be later than the
+// known one to replace it. Without it, the delay of each report would make a
+// response that VMs report to one another in turn ever later.
+const answerResolution = time.Second
+
 // RemoteAttemptTimeout bounds how long another VM's attempt is assumed to run
 // when no message about its end arrives.
 const RemoteAttemptTimeout = 5 * time.Second
@@ -30,98 +42,11 @@
 	MaxQuarantines = 1024
 )
 
-// Fingerprint identifies a request.
-type Fingerprint uint64
-
-// Action is what to do with a request.
-type Action int
-
-// The actions.
-const (
-	// ActionRun allows the attempt.
-	ActionRun Action = iota
-	// ActionWait means to wait, because another attempt of the suspect is running.
-	ActionWait
-	// ActionRefuse means that the request is quarantined.
-	ActionRefuse
-)
-
-// Decision is what a Registry decides about a request.
-type Decision struct {
-	Action Action
-	// Suspect is true when the end of the attempt must be reported with EndAttempt.
-	Suspect bool
-	// RetryAfter is the remaining time of the quarantine for ActionRefuse, and the
-	// maximum useful wait for ActionWait.
-	RetryAfter time.Duration
-}
-
-// Entry is one row of the list for operators.
-type Entry struct {
-	Fingerprint Fingerprint
-	Service     string
-	// Targets are the crashed targets, one for each crash.
-	Targets []string
-	// Quarantined is false for a suspect.
-	Quarantined bool
-	// ExpiresAt is the uptime at which the row is dropped, on the clock of the
-	// times that the caller passes.
-	ExpiresAt time.Duration
-}
-
-type entry struct {
-	Entry
-	// localUntil and remoteUntil are the times until which an attempt of this VM
-	// or of another VM is assumed to run.
-	localUntil, remoteUntil time.Duration
-	// crashTimes holds the time of each crash in Targets.
-	crashTimes []time.Duration
-}
-
-// hasCountedCrash reports whether a crash of the target was counted less than
-// CrashDedupTime ago.
-func (e *entry) hasCountedCrash(target string, now time.Duration) bool {
-	for i, crashed := range e.Targets {
-		if crashed == target && now < e.crashTimes[i]+CrashDedupTime {
-			return true
-		}
-	}
-	return false
-}
-
-// Registry tracks the suspects and quarantines.
-type Registry interface {
-	// Admit decides about an attempt that ends by the deadline.
-	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
-	// RecordCrash records that a target crashed while it ran the request, and
-	// reports whether that quarantined it.
-	RecordCrash(fingerprint Fingerprint, service, target string, now time.Duration) bool
-	// AddRemoteSuspect adds a suspect that another VM reported, unless the request
-	// is already known.
-	AddRemoteSuspect(fingerprint Fingerprint, service, target string, now time.Duration)
-	// AddRemoteQuarantine adds another VM's quarantine with its remaining time.
-	AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration)
-	// RecordResponse records a complete response and reports whether it cleared a
-	// suspect.
-	RecordResponse(fingerprint Fingerprint) bool
-	// EndAttempt records the end of a suspect's attempt on this VM.
-	EndAttempt(fingerprint Fingerprint)
-	// StartRemoteAttempt records that another VM started an attempt of a suspect.
-	StartRemoteAttempt(fingerprint Fingerprint, now time.Duration)
-	// EndRemoteAttempt records that another VM's attempt of a suspect has ended.
-	EndRemoteAttempt(fingerprint Fingerprint)
-	// Lift ends a quarantine or suspicion and reports whether there was one.
-	Lift(fingerprint Fingerprint) bool
-	// List returns the suspects and quarantines.
-	List(now time.Duration) []Entry
-	// Len returns the number of suspects and quarantines.
-	Len() int
-}
-
 // Table holds the suspects and quarantines. It is not safe for concurrent use.
+// Times are the instance's uptime.
 type Table struct {
-	entries     map[Fingerprint]*entry
-	quarantines int
+	entries map[Fingerprint]*entry
+	answers *recentAnswers
 	// crashThreshold is the number of crashes that quarantines a request.
 	crashThreshold int
 }
@@ -132,21 +57,30 @@
 // NewTableWithThreshold returns an empty table that quarantines a request after
 // the given number of crashes.
 func NewTableWithThreshold(crashes int) *Table {
-	return &Table{entries: make(map[Fingerprint]*entry), crashThreshold: crashes}
+	return &Table{entries: make(map[Fingerprint]*entry), answers: newRecentAnswers(), crashThreshold: crashes}
 }
 
 // Len returns the number of suspects and quarantines.
 func (t *Table) Len() int { return len(t.entries) }
 
-// Admit decides about an attempt of a request that ends by the deadline. Times
-// are the instance's uptime.
-func (t *Table) Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision {
+// Refused returns the remaining time of the quarantine of a request; zero when it
+// is not quarantined.
+func (t *Table) Refused(fingerprint Fingerprint, now time.Duration) time.Duration {
 	e, ok := t.lookup(fingerprint, now)
 	if !ok {
+		return 0
+	}
+	return max(e.quarantinedUntil-now, 0)
+}
+
+// Admit decides about an attempt of a request that ends by the deadline.
+func (t *Table) Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision {
+	e, ok := t.lookup(fingerprint, now)
+	if !ok || !e.isSuspect() {
 		return Decision{Action: ActionRun}
 	}
-	if e.Quarantined {
-		return Decision{Action: ActionRefuse, RetryAfter: e.ExpiresAt - now}
+	if e.quarantinedUntil > 0 {
+		return Decision{Action: ActionRefuse, RetryAfter: e.quarantinedUntil - now}
 	}
 	if runningUntil := max(e.localUntil, e.remoteUntil); now < runningUntil {
 		return Decision{Action: ActionWait, RetryAfter: runningUntil - now}
@@ -158,101 +92,159 @@
 // lookup returns the entry of a fingerprint unless it has expired.
 func (t *Table) lookup(fingerprint Fingerprint, now time.Duration) (*entry, bool) {
 	e, ok := t.entries[fingerprint]
-	if ok && now >= e.ExpiresAt {
-		t.remove(e)
+	if !ok {
 		return nil, false
 	}
-	return e, ok
+	e.update(t.crashThreshold, now)
+	if now >= e.expiresAt() {
+		delete(t.entries, fingerprint)
+		return nil, false
+	}
+	return e, true
 }
 
-// RecordCrash records that a target crashed while it ran the request, and reports
-// whether that quarantined it.
-func (t *Table) RecordCrash(fingerprint Fingerprint, service, target string, now time.Duration) bool {
-	e, ok := t.lookup(fingerprint, now)
-	if !ok {
-		e = t.add(fingerprint, service, now)
+// RecordCrash records that a target crashed while it ran the request.
+func (t *Table) RecordCrash(fingerprint Fingerprint, service string, crash Crash, now time.Duration) Change {
+	return t.merge(Evidence{Fingerprint: fingerprint, Crashes: []Crash{crash}}, service, now)
+}
+
+// Merge adds what another VM knows of a request.
+func (t *Table) Merge(evidence Evidence, now time.Duration) Change {
+	return t.merge(evidence, "", now)
+}
+
+func (t *Table) merge(evidence Evidence, service string, now time.Duration) Change {
+	change := Change{}
+	if evidence.Answered {
+		change.Cleared = t.recordAnswer(evidence.Fingerprint, evidence.AnsweredAt, now)
 	}
-	if e.hasCountedCrash(target, now) {
-		return false
+	for _, crash := range evidence.Crashes {
+		t.addCrash(evidence.Fingerprint, service, crash, now, &change)
 	}
-	if len(e.Targets) < t.crashThreshold {
-		e.Targets = append(e.Targets, target)
-		e.crashTimes = append(e.crashTimes, now)
+	return change
+}
+
+// addCrash adds one crash unless a response outweighs it.
+func (t *Table) addCrash(fingerprint Fingerprint, service string, crash Crash, now time.Duration, change *Change) {
+	if now >= crash.expiresAt() {
+		return
 	}
-	if len(e.Targets) < t.crashThreshold || e.Quarantined {
-		return false
+	answered, ok := t.answers.latest(fingerprint)
+	outweighed := ok && crash.At <= answered+AnswerValidity
+	e, known := t.lookup(fingerprint, now)
+	if !known {
+		e = t.add(fingerprint, service)
+	}
+	if outweighed {
+		e.contestedUntil = now + AnswerValidity
+		return
+	}
+	before := e.quarantinedUntil > 0
+	change.Recorded = e.crashes.add(crash) || change.Recorded
+	e.update(t.crashThreshold, now)
+	if e.quarantinedUntil > 0 && !before {
+		change.Quarantined = true
+		t.boundQuarantines(e)
 	}
-	t.quarantine(e, now+QuarantineTime)
-	return true
 }
 
 // AddRemoteSuspect adds a suspect that another VM reported, unless the request is
 // already known.
-func (t *Table) AddRemoteSuspect(fingerprint Fingerprint, service, target string, now time.Duration) {
+func (t *Table) AddRemoteSuspect(fingerprint Fingerprint, service string, crash Crash, now time.Duration) {
 	if _, known := t.lookup(fingerprint, now); !known {
-		t.RecordCrash(fingerprint, service, target, now)
+		t.RecordCrash(fingerprint, service, crash, now)
 	}
 }
 
-// AddRemoteQuarantine adds another VM's quarantine with its remaining time.
-func (t *Table) AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration) {
+// AddRemoteQuarantine adds another VM's quarantine with its remaining time. It
+// reports false when a recent response to the request outweighs it.
+func (t *Table) AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration) bool {
+	remaining = min(remaining, QuarantineTime)
+	beganAt := now + remaining - QuarantineTime
+	if answered, ok := t.answers.latest(fingerprint); ok && beganAt <= answered+AnswerValidity {
+		return false
+	}
 	e, ok := t.lookup(fingerprint, now)
 	if !ok {
-		e = t.add(fingerprint, service, now)
+		e = t.add(fingerprint, service)
 	}
-	if !e.Quarantined {
-		t.quarantine(e, now+min(remaining, QuarantineTime))
+	if e.quarantinedUntil == 0 {
+		e.verdictUntil = now + remaining
+		e.update(t.crashThreshold, now)
+		t.boundQuarantines(e)
 	}
+	return true
 }
 
-func (t *Table) add(fingerprint Fingerprint, service string, now time.Duration) *entry {
-	if len(t.entries)-t.quarantines >= MaxSuspects {
-		t.dropFirst(false)
+// RecordResponse records a complete response to the request. It clears a suspect,
+// lifts a quarantine and reports whether there was one.
+func (t *Table) RecordResponse(fingerprint Fingerprint, now time.Duration) bool {
+	return t.recordAnswer(fingerprint, now, now)
+}
+
+// recordAnswer records a complete response at an uptime.
+func (t *Table) recordAnswer(fingerprint Fingerprint, at, now time.Duration) bool {
+	if known, ok := t.answers.latest(fingerprint); !ok || at > known+answerResolution {
+		t.answers.add(fingerprint, at, now)
 	}
-	e := &entry{Entry: Entry{Fingerprint: fingerprint, Service: service, ExpiresAt: now + SuspectTime}}
-	t.entries[fingerprint] = e
-	return e
+	e, ok := t.lookup(fingerprint, now)
+	if !ok || !e.isSuspect() {
+		return false
+	}
+	e.crashes.dropUntil(at + AnswerValidity)
+	if e.verdictUntil > 0 && e.verdictUntil-QuarantineTime <= at+AnswerValidity {
+		e.verdictUntil = 0
+	}
+	e.contestedUntil = now + AnswerValidity
+	e.update(t.crashThreshold, now)
+	return !e.isSuspect()
 }
 
-func (t *Table) quarantine(e *entry, expiresAt time.Duration) {
-	if t.quarantines >= MaxQuarantines {
-		t.dropFirst(true)
+// add returns a new entry and, when there are too many suspects, drops one.
+func (t *Table) add(fingerprint Fingerprint, service string) *entry {
+	if len(t.entries) >= MaxSuspects {
+		t.boundSuspects()
 	}
-	e.Quarantined = true
-	e.ExpiresAt = expiresAt
-	t.quarantines++
+	e := &entry{fingerprint: fingerprint, service: service}
+	t.entries[fingerprint] = e
+	return e
 }
 
-// dropFirst removes the suspect or the quarantine that expires first.
-func (t *Table) dropFirst(quarantined bool) {
-	var first *entry
+// boundSuspects drops the weakest suspect when there are as many as may be.
+func (t *Table) boundSuspects() {
+	var weakest *entry
+	suspects := 0
 	for _, e := range t.entries {
-		if e.Quarantined == quarantined && (first == nil || e.ExpiresAt < first.ExpiresAt) {
-			first = e
+		if e.quarantinedUntil > 0 {
+			continue
+		}
+		suspects++
+		if weakest == nil || e.weakerThan(weakest) {
+			weakest = e
 		}
 	}
-	if first != nil {
-		t.remove(first)
+	if suspects >= MaxSuspects {
+		delete(t.entries, weakest.fingerprint)
 	}
 }
 
-func (t *Table) remove(e *entry) {
-	if e.Quarantined {
-		t.quarantines--
+// boundQuarantines drops the quarantine that ends first, other than the newest,
+// when there are too many.
+func (t *Table) boundQuarantines(newest *entry) {
+	var first *entry
+	quarantines := 0
+	for _, e := range t.entries {
+		if e.quarantinedUntil == 0 {
+			continue
+		}
+		quarantines++
+		if e != newest && (first == nil || e.quarantinedUntil < first.quarantinedUntil) {
+			first = e
+		}
 	}
-	delete(t.entries, e.Fingerprint)
-}
-
-// RecordResponse records a complete response to the request. It clears a suspect
-// and reports whether there was one. A quarantine stays until it expires or is
-// lifted.
-func (t *Table) RecordResponse(fingerprint Fingerprint) bool {
-	e, ok := t.entries[fingerprint]
-	if !ok || e.Quarantined {
-		return false
+	if quarantines > MaxQuarantines && first != nil {
+		delete(t.entries, first.fingerprint)
 	}
-	t.remove(e)
-	return true
 }
 
 // EndAttempt records the end of a suspect's attempt on this VM.
@@ -278,24 +270,43 @@
 
 // Lift ends a quarantine or suspicion and reports whether there was one.
 func (t *Table) Lift(fingerprint Fingerprint) bool {
-	e, ok := t.entries[fingerprint]
-	if ok {
-		t.remove(e)
-	}
+	_, ok := t.entries[fingerprint]
+	delete(t.entries, fingerprint)
 	return ok
 }
 
 // List returns the suspects and quarantines, sorted by fingerprint.
 func (t *Table) List(now time.Duration) []Entry {
 	rows := make([]Entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		if now >= e.ExpiresAt {
+	for fingerprint := range t.entries {
+		e, ok := t.lookup(fingerprint, now)
+		if !ok || !e.isSuspect() {
 			continue
 		}
-		row := e.Entry
-		row.Targets = slices.Clone(e.Targets)
-		rows = append(rows, row)
+		rows = append(rows, e.row())
 	}
 	slices.SortFunc(rows, func(a, b Entry) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
 	return rows
 }
+
+// Evidence returns what other VMs should know: the crashes that count and the
+// responses that outweigh reported crashes, the requests with the most crashes
+// first.
+func (t *Table) Evidence(now time.Duration) []Evidence {
+	all := make([]Evidence, 0, len(t.entries))
+	for fingerprint := range t.entries {
+		e, ok := t.lookup(fingerprint, now)
+		if !ok {
+			continue
+		}
+		evidence := Evidence{Fingerprint: fingerprint, Crashes: slices.Clone(e.crashes)}
+		if now < e.contestedUntil {
+			evidence.AnsweredAt, evidence.Answered = t.answers.latest(fingerprint)
+		}
+		all = append(all, evidence)
+	}
+	slices.SortFunc(all, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(len(b.Crashes), len(a.Crashes)), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return all
+}
--- a/policy/quarantine/table_test.go
+++ b/policy/quarantine/table_test.go
@@ -10,8 +10,8 @@
 	if d := table.Admit(7, time.Second, 0); d.Action != ActionRun || d.Suspect {
 		t.Fatalf("unknown request: %+v", d)
 	}
-	table.RecordCrash(7, "booking", "t1", 0)
-	table.RecordCrash(7, "booking", "t1", 0)
+	table.RecordCrash(7, "booking", Crash{Target: "t1"}, 0)
+	table.RecordCrash(7, "booking", Crash{Target: "t1"}, 0)
 	first := table.Admit(7, 3*time.Second, time.Second)
 	if first.Action != ActionRun || !first.Suspect {
 		t.Fatalf("suspect after one target: %+v", first)
@@ -20,12 +20,12 @@
 		t.Fatalf("second attempt of a suspect: %+v", d)
 	}
 	table.EndAttempt(7)
-	table.RecordCrash(7, "booking", "t2", 2*time.Second)
+	table.RecordCrash(7, "booking", Crash{Target: "t2", At: 2 * time.Second}, 2*time.Second)
 	if d := table.Admit(7, 9*time.Second, 2*time.Second); d.Action != ActionRefuse || d.RetryAfter != QuarantineTime {
 		t.Fatalf("after two targets: %+v", d)
 	}
-	if table.RecordResponse(7) {
-		t.Error("a response lifted a quarantine")
+	if d := table.Admit(7, 0, 2*time.Second+QuarantineTime-1); d.Action != ActionRefuse {
+		t.Errorf("at the end of the quarantine: %+v", d)
 	}
 	if d := table.Admit(7, 0, 2*time.Second+QuarantineTime); d.Action != ActionRun {
 		t.Errorf("after the quarantine: %+v", d)
@@ -34,12 +34,12 @@
 
 func TestResponseClearsSuspect(t *testing.T) {
 	table := NewTable()
-	table.RecordCrash(8, "booking", "t1", 0)
+	table.RecordCrash(8, "booking", Crash{Target: "t1"}, 0)
 	table.Admit(8, time.Second, 0)
-	if !table.RecordResponse(8) {
+	if !table.RecordResponse(8, 0) {
 		t.Fatal("the response did not clear the suspect")
 	}
-	table.RecordCrash(8, "booking", "t2", time.Second)
+	table.RecordCrash(8, "booking", Crash{Target: "t2", At: time.Second}, time.Second)
 	if d := table.Admit(8, 2*time.Second, time.Second); d.Action != ActionRun {
 		t.Errorf("two crashes with a response between them: %+v", d)
 	}
@@ -47,7 +47,7 @@
 
 func TestRemoteAttemptDelaysLocalOnes(t *testing.T) {
 	table := NewTable()
-	table.RecordCrash(9, "booking", "t1", 0)
+	table.RecordCrash(9, "booking", Crash{Target: "t1"}, 0)
 	table.StartRemoteAttempt(9, 0)
 	if d := table.Admit(9, time.Second, 0); d.Action != ActionWait {
 		t.Errorf("while another VM runs it: %+v", d)
@@ -73,7 +73,7 @@
 func TestRepeatedRemoteSuspectCountsOnce(t *testing.T) {
 	table := NewTable()
 	for i := range 3 {
-		table.AddRemoteSuspect(7, "booking", "t1", time.Duration(i)*time.Minute)
+		table.AddRemoteSuspect(7, "booking", Crash{Target: "t1", At: time.Duration(i) * time.Minute}, time.Duration(i)*time.Minute)
 	}
 	if d := table.Admit(7, 0, 3*time.Minute); d.Action != ActionRun || !d.Suspect {
 		t.Errorf("reported three times: %+v", d)
@@ -83,17 +83,23 @@
 func TestMemoryIsBounded(t *testing.T) {
 	table := NewTable()
 	for i := range Fingerprint(2 * MaxSuspects) {
-		table.RecordCrash(i, "booking", "t1", time.Duration(i))
+		table.RecordCrash(i, "booking", Crash{Target: "t1", At: time.Duration(i)}, time.Duration(i))
 	}
 	if n := len(table.List(0)); n != MaxSuspects {
 		t.Errorf("%d suspects, want %d", n, MaxSuspects)
 	}
 	for i := range Fingerprint(2 * MaxQuarantines) {
-		table.RecordCrash(i, "booking", "t1", time.Second)
-		table.RecordCrash(i, "booking", "t2", time.Second)
+		table.RecordCrash(i, "booking", Crash{Target: "t1", At: time.Second}, time.Second)
+		table.RecordCrash(i, "booking", Crash{Target: "t2", At: time.Second}, time.Second)
 	}
-	if table.quarantines != MaxQuarantines {
-		t.Errorf("%d quarantines, want %d", table.quarantines, MaxQuarantines)
+	quarantines := 0
+	for _, row := range table.List(time.Second) {
+		if row.Quarantined {
+			quarantines++
+		}
+	}
+	if quarantines != MaxQuarantines {
+		t.Errorf("%d quarantines, want %d", quarantines, MaxQuarantines)
 	}
 	if !table.Lift(2*MaxQuarantines-1) || table.Lift(2*MaxQuarantines-1) {
 		t.Error("Lift did not report exactly once that there was a quarantine")
