Count the end of a target as a crash, not the end of a connection

Cause: the gateway took EOF and ECONNRESET for a crash. A target that falls silent ends the attempt by its time limit, and a write to a dead one fails by EPIPE or ETIMEDOUT; neither counted, nor did a streamed response that broke off, and a response whose head only had arrived cleared its request.

Change: an attempt without a complete response that its target may have ended is lost, also while it still waits after 1.5 s. entry/crashes connects to the target, once for all attempts lost there in 250 ms: refused, it has crashed; silent, it is presumed to have, for 10 s, unless a newer start or the end of its entry confirms it; accepted, it lives, unless a newer start is published within 8 s. Nothing counts when this VM reaches no other target or when other VMs are served by it. Event 5108 tells each finding.

Tests: TestTargetThatResetsIsReportedAsCrash has ten more ways in which an attempt ends; before, the silent, misattributed and long broken-off ones were not reported and a served long one was. TestLostAttemptIsACrashOnlyWhenItsTargetEnded and TestSilentTargetIsReportedBeforeTheTimeLimit need what is new here.

--- /dev/null
+++ b/entry/crashes/prober_test.go
@@ -0,0 +1,227 @@
+package crashes
+
+import (
+	"context"
+	"io"
+	"net"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/policy/roster"
+	"github.com/primroseloom/primroseloom/standin/memnet"
+)
+
+const ownIP = "10.0.0.1"
+
+// proberFleet is one VM's tracker and some targets on an in-memory network, in
+// virtual time.
+type proberFleet struct {
+	t       *testing.T
+	network *memnet.Network
+	tracker *Tracker
+	start   time.Time
+	targets []roster.Target
+	// servedUntil is the time of the latest response of any target to another VM.
+	servedUntil time.Duration
+}
+
+func targetIP(i int) string { return "10.1.0." + strconv.Itoa(i+1) }
+
+// withProber runs a test with six targets.
+func withProber(t *testing.T, test func(f *proberFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		f := &proberFleet{t: t, network: memnet.New(), start: time.Now()}
+		f.tracker = New(Options{
+			Network: f.network.Host(ownIP), Uptime: f.uptime, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+			ServedSince: func(_ string, since time.Duration) bool { return f.servedUntil >= since },
+		})
+		f.tracker.UseNotifier(func() {})
+		for i := range 6 {
+			f.targets = append(f.targets, roster.Target{
+				ID: "t" + strconv.Itoa(i), Service: "s", Address: net.JoinHostPort(targetIP(i), "80"), State: roster.StateReady, StartedAt: f.start,
+			})
+			f.listen(i)
+		}
+		f.publish()
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = f.tracker.Run(ctx) }()
+		test(f)
+	})
+}
+
+func (f *proberFleet) uptime() time.Duration { return time.Since(f.start) + time.Hour }
+
+func (f *proberFleet) publish() { f.tracker.TargetsChanged(f.targets) }
+
+// listen starts a target that accepts connections.
+func (f *proberFleet) listen(i int) {
+	listener, err := f.network.Host(targetIP(i)).Listen(context.Background(), f.targets[i].Address)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_ = conn.Close()
+		}
+	}()
+	f.t.Cleanup(func() { f.network.Kill(targetIP(i)) })
+}
+
+// loseAttempts reports an attempt of one request as lost at each of the targets.
+func (f *proberFleet) loseAttempts(targets ...int) {
+	for _, i := range targets {
+		f.tracker.AttemptLost(LostAttempt{Fingerprint: 7, Target: f.targets[i]})
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// silence cuts the network path between this VM and a target.
+func (f *proberFleet) silence(i int) { f.network.Block(ownIP, targetIP(i)) }
+
+func (f *proberFleet) refused() bool { return f.tracker.Refused(7) > 0 }
+
+// TestLostAttemptIsACrashOnlyWhenItsTargetEnded guards against both mistakes about a
+// request whose attempts get no complete response: going on to send one that crashes
+// its targets, also when they fall silent, and refusing one whose targets close
+// connections but live.
+func TestLostAttemptIsACrashOnlyWhenItsTargetEnded(t *testing.T) {
+	three := []int{0, 1, 2}
+	for _, c := range []struct {
+		name string
+		// before takes place before the attempts are lost, after a second later.
+		before, after func(f *proberFleet)
+		// refused tells whether the request is refused a second after the attempts were
+		// lost, and after the second step.
+		refused, refusedAfter bool
+	}{
+		{"targets live", func(*proberFleet) {}, func(*proberFleet) {}, false, false},
+		{"targets refuse connections", func(f *proberFleet) {
+			for _, i := range three {
+				f.network.Kill(targetIP(i))
+			}
+		}, func(*proberFleet) { time.Sleep(time.Minute) }, true, true},
+		{"targets fall silent", func(f *proberFleet) {
+			for _, i := range three {
+				f.silence(i)
+			}
+		}, func(*proberFleet) { time.Sleep(15 * time.Second) }, true, false},
+		{"silent targets start anew", func(f *proberFleet) {
+			for _, i := range three {
+				f.silence(i)
+			}
+		}, func(f *proberFleet) {
+			for _, i := range three {
+				f.targets[i].StartedAt = f.start.Add(time.Second)
+			}
+			f.publish()
+			time.Sleep(15 * time.Second)
+		}, true, true},
+		{"entries of silent targets are gone", func(f *proberFleet) {
+			for _, i := range three {
+				f.silence(i)
+			}
+		}, func(f *proberFleet) {
+			f.targets = f.targets[3:]
+			f.publish()
+			time.Sleep(15 * time.Second)
+		}, true, true},
+		{"targets start anew under other identifiers", func(*proberFleet) {}, func(f *proberFleet) {
+			for _, i := range three {
+				f.targets[i].ID += "x"
+				f.targets[i].StartedAt = f.start.Add(time.Second)
+			}
+			f.publish()
+		}, false, true},
+		{"targets leave as planned", func(*proberFleet) {}, func(f *proberFleet) {
+			for _, i := range three {
+				f.targets[i].State = roster.StateDraining
+			}
+			f.publish()
+			f.targets = f.targets[3:]
+			f.publish()
+		}, false, false},
+		{"this VM reaches no target", func(f *proberFleet) {
+			for i := range f.targets {
+				f.silence(i)
+			}
+		}, func(*proberFleet) {}, false, false},
+		{"responses to other VMs were on their way", func(f *proberFleet) {
+			for _, i := range three {
+				f.silence(i)
+			}
+			f.servedUntil = f.uptime() + reportDelay/2
+		}, func(*proberFleet) {}, true, true},
+		{"other VMs reach the targets until these start anew", func(f *proberFleet) {
+			for _, i := range three {
+				f.network.Kill(targetIP(i))
+			}
+			f.servedUntil = 2 * time.Hour
+		}, func(f *proberFleet) {
+			for _, i := range three {
+				f.targets[i].StartedAt = f.start.Add(time.Second)
+			}
+			f.publish()
+		}, false, true},
+		{"other VMs reach the targets", func(f *proberFleet) {
+			for _, i := range three {
+				f.silence(i)
+			}
+			f.servedUntil = 2 * time.Hour
+		}, func(*proberFleet) {}, false, false},
+	} {
+		withProber(t, func(f *proberFleet) {
+			c.before(f)
+			f.loseAttempts(three...)
+			time.Sleep(2 * time.Second)
+			if f.refused() != c.refused {
+				t.Errorf("%s: refused %v, want %v", c.name, f.refused(), c.refused)
+			}
+			c.after(f)
+			if f.refused() != c.refusedAfter {
+				t.Errorf("%s: refused in the end %v, want %v", c.name, f.refused(), c.refusedAfter)
+			}
+		})
+	}
+}
+
+// TestLostAttemptsOfOneTargetShareItsProbes checks that a failing target which closes
+// many connections is not probed for each of them.
+func TestLostAttemptsOfOneTargetShareItsProbes(t *testing.T) {
+	withProber(t, func(f *proberFleet) {
+		scope := tally.NewTestScope("", nil)
+		f.tracker.prober.scope = scope
+		for range 100 {
+			f.loseAttempts(0)
+		}
+		time.Sleep(5 * time.Second)
+		probes := scope.Snapshot().Counters()["probes+"].Value()
+		if probes == 0 || probes > 8 {
+			t.Errorf("%d probes for 100 lost attempts in a second", probes)
+		}
+	})
+}
+
+// TestProcessesWithLostAttemptsAreForgotten guards against a list that grows with each
+// target that once lost an attempt.
+func TestProcessesWithLostAttemptsAreForgotten(t *testing.T) {
+	withProber(t, func(f *proberFleet) {
+		f.loseAttempts(0, 1, 2)
+		time.Sleep(2 * confirmTime)
+		f.loseAttempts(3)
+		if n := len(f.tracker.prober.processes); n != 1 {
+			t.Errorf("%d processes are still known, want 1", n)
+		}
+		time.Sleep(time.Second)
+	})
+}
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -7,9 +7,9 @@
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
-	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
 // crashesToRefuse is the number of crashes after which a request is refused.
@@ -17,14 +17,19 @@
 
 // Options configures a Tracker.
 type Options struct {
-	Uptime func() time.Duration
-	Logger *log.Logger
-	Scope  tally.Scope
+	Network contract.Network
+	// ServedSince reports whether a target has sent a complete response to any VM
+	// since the given uptime.
+	ServedSince func(target string, since time.Duration) bool
+	Uptime      func() time.Duration
+	Logger      *log.Logger
+	Scope       tally.Scope
 }
 
 // Tracker counts the crashes by request, from the reports of this VM and the others.
 type Tracker struct {
 	options Options
+	prober  *prober
 
 	mu      sync.Mutex
 	table   *quarantine.Table
@@ -35,7 +40,9 @@
 // New returns a tracker without suspects.
 func New(options Options) *Tracker {
 	options.Scope = options.Scope.SubScope("crashes")
-	return &Tracker{options: options, table: quarantine.NewTableWithThreshold(crashesToRefuse), outbox: newOutbox()}
+	t := &Tracker{options: options, table: quarantine.NewTableWithThreshold(crashesToRefuse), outbox: newOutbox()}
+	t.prober = newProber(t)
+	return t
 }
 
 // UseNotifier sets the function that is called when there is new evidence for the
@@ -64,20 +71,9 @@
 	}
 }
 
-// LostAttempt is an attempt whose target closed the connection without a complete
-// response.
-type LostAttempt struct {
-	Fingerprint uint64
-	// Target is the process that ran the request, as it was published.
-	Target roster.Target
-}
-
-// AttemptLost records an attempt without a complete response as a crash of its target.
-func (t *Tracker) AttemptLost(lost LostAttempt) {
-	t.recordCrash(quarantine.Fingerprint(lost.Fingerprint), quarantine.Crash{
-		Target: lost.Target.ID, Incarnation: lost.Target.StartedAt.UnixMilli(), At: t.options.Uptime(),
-	})
-}
+// AttemptLost records an attempt without a complete response and finds out in the
+// background whether its target crashed.
+func (t *Tracker) AttemptLost(lost LostAttempt) { t.prober.add(lost) }
 
 // recordCrash records a crash that this VM found.
 func (t *Tracker) recordCrash(fingerprint quarantine.Fingerprint, crash quarantine.Crash) {
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -140,9 +140,9 @@
 	}
 }
 
-func newCrashTracker(f *Frontend, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
+func newCrashTracker(f *Frontend, targets *targetset.Manager, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
 	return crashes.New(crashes.Options{
-		Uptime: f.clock.Uptime, Logger: logger, Scope: m.Scope(),
+		Network: f.options.Network, ServedSince: targets.ServedSince, Uptime: f.clock.Uptime, Logger: logger, Scope: m.Scope(),
 	})
 }
 
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -147,6 +147,7 @@
 	tree.Add("follow", f.follower)
 	tree.Add("peer", f.peers)
 	tree.Add("targetset", f.targets)
+	tree.Add("crashes", f.crashes)
 	tree.Add("evidence", f.evidence)
 	tree.Add("fleet", f.fleet)
 	return tree.Start(context.WithoutCancel(ctx))
@@ -185,4 +186,7 @@
 }
 
 // TargetsChanged passes new targets on to the children.
-func (f *Frontend) TargetsChanged(targets []roster.Target) { f.targets.TargetsChanged(targets) }
+func (f *Frontend) TargetsChanged(targets []roster.Target) {
+	f.targets.TargetsChanged(targets)
+	f.crashes.TargetsChanged(targets)
+}
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -1,35 +1,72 @@
 package gateway
 
 import (
+	"context"
 	"errors"
-	"io"
-	"syscall"
 	"time"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
+// silenceTime is how long an attempt waits for its response before its target is
+// checked for a crash, while the attempt goes on.
+const silenceTime = 1500 * time.Millisecond
+
 // CrashTracker finds the requests that crash their targets.
 type CrashTracker interface {
 	// Refused returns how much longer the request must not run; zero when it may run.
 	Refused(fingerprint uint64) time.Duration
-	// AttemptLost records an attempt whose target closed the connection while it ran
-	// the request.
+	// AttemptLost records an attempt that has no complete response after its request
+	// was written, so that its target may have crashed.
 	AttemptLost(lost crashes.LostAttempt)
 	// Answered records that a target sent a complete response, which shows that the
 	// request does not crash every target that runs it.
 	Answered(fingerprint uint64)
 }
 
-// reportLost reports an attempt whose target closed the connection without a
-// complete response after the request was written.
-func (q *request) reportLost(attempt *targetset.Attempt, d decision) {
-	if d.result.Err == nil || !d.result.Sent || d.result.End != suspicion.ResultFailed {
-		return
+// reportLost reports an attempt without a complete response.
+func (q *request) reportLost(attempt *targetset.Attempt) {
+	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.print, Target: attempt.Target()})
+}
+
+// watchSilence reports the attempt as lost when it has no response after
+// silenceTime. The returned function ends the watch.
+func (q *request) watchSilence(attempt *targetset.Attempt, trip *contract.RoundTrip) (stop func() bool) {
+	return time.AfterFunc(silenceTime, func() {
+		if trip.Written() {
+			q.reportLost(attempt)
+		}
+	}).Stop
+}
+
+// endedByTarget reports whether the end of an attempt may be the end of its target:
+// the request was written, and neither the caller nor this VM ended the attempt.
+func (q *request) endedByTarget(failure *contract.RoundTripError, trip *contract.RoundTrip) bool {
+	if !trip.Written() {
+		return false
 	}
-	if errors.Is(d.result.Err, io.EOF) || errors.Is(d.result.Err, io.ErrUnexpectedEOF) || errors.Is(d.result.Err, syscall.ECONNRESET) {
-		q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.print, Target: attempt.Target()})
+	switch failure.Kind {
+	case contract.AttemptCanceled:
+		return false
+	case contract.AttemptTimedOut:
+		return q.hadAmpleTime()
 	}
+	return true
 }
+
+// streamEnded reports how a streamed response ended, given the result of its attempt.
+func (q *request) streamEnded(attempt *targetset.Attempt, result suspicion.Result, err error) {
+	var truncated *contract.RoundTripError
+	switch {
+	case err == nil && result == suspicion.ResultServed:
+		q.gateway.options.Crashes.Answered(q.print)
+	case errors.As(err, &truncated) && truncated.Kind == contract.AttemptTruncated && q.caller.Context().Err() == nil:
+		q.reportLost(attempt)
+	}
+}
+
+// callerLeft reports whether the caller ended the request.
+func callerLeft(ctx context.Context) bool { return errors.Is(ctx.Err(), context.Canceled) }
--- /dev/null
+++ b/entry/gateway/crash_test.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+)
+
+// TestTargetThatResetsIsReportedAsCrash checks that an attempt is reported as lost,
+// so that its target is checked for a crash, whenever its target ended it without a
+// complete response: a target that falls silent crashes requests as one that closes
+// its connections does. A target that answers has not crashed, whatever it answers.
+func TestTargetThatResetsIsReportedAsCrash(t *testing.T) {
+	for name, c := range map[string]struct {
+		behavior       behavior
+		lost, answered int
+	}{
+		"closes the connection":       {resets, 1, 0},
+		"falls silent":                {hangs, 1, 0},
+		"breaks off the response":     {truncates, 1, 0},
+		"breaks off a long response":  {breaksOffLongBody, 1, 0},
+		"answers another request":     {answersOtherRequest, 1, 0},
+		"refuses for lack of a slot":  {sheds, 0, 0},
+		"fails":                       {failsWith(http.StatusInternalServerError), 0, 0},
+		"fails with a long body":      {failsWithLongBody, 0, 0},
+		"serves":                      {serves, 0, 1},
+		"serves a long body":          {servesLongBody, 0, 1},
+		"serves after a long silence": {servesLate, 0, 1},
+	} {
+		withHarness(t, []behavior{c.behavior}, func(h *harness) {
+			sendToEnd(h, http.MethodPost, oncePath+"1")
+			if h.crashes.lost != c.lost || h.crashes.answered != c.answered {
+				t.Errorf("%s: %d lost attempts and %d responses reported, want %d and %d", name, h.crashes.lost, h.crashes.answered, c.lost, c.answered)
+			}
+		})
+	}
+}
+
+// sendToEnd sends a request whose response the gateway may abort.
+func sendToEnd(h *harness, method, path string) {
+	defer func() {
+		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
+			panic(cause)
+		}
+	}()
+	h.send(method, path, "x")
+}
+
+// TestSilentTargetIsReportedBeforeTheTimeLimit guards against a request with a long
+// time limit that goes on crashing targets, since the first that fell silent is
+// noticed only when the limit has passed.
+func TestSilentTargetIsReportedBeforeTheTimeLimit(t *testing.T) {
+	withHarness(t, []behavior{hangs}, func(h *harness) {
+		ended := make(chan struct{})
+		go func() {
+			h.send(http.MethodPost, patientPath+"1", "x")
+			close(ended)
+		}()
+		time.Sleep(silenceTime + 100*time.Millisecond)
+		h.crashes.mu.Lock()
+		lost := h.crashes.lost
+		h.crashes.mu.Unlock()
+		if lost != 1 {
+			t.Errorf("%d lost attempts reported while the request waits", lost)
+		}
+		<-ended
+	})
+}
+
+// TestCallerThatLeavesIsNoSignOfACrash checks that an attempt which ends because its
+// caller left is not reported as lost.
+func TestCallerThatLeavesIsNoSignOfACrash(t *testing.T) {
+	withHarness(t, []behavior{hangs}, func(h *harness) {
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(100*time.Millisecond, leave)
+		request := httptest.NewRequest(http.MethodGet, "http://"+host+safePath+"1", nil).WithContext(ctx)
+		request.Header.Set("Id", "r1")
+		h.gateway.ServeHTTP(httptest.NewRecorder(), request)
+		if h.crashes.lost != 0 {
+			t.Errorf("%d lost attempts reported", h.crashes.lost)
+		}
+	})
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -36,7 +36,7 @@
 	// Table returns the current routes, or nil before the first version arrived.
 	Table   func() *routing.Table
 	Targets Targets
-	// Crashes tracks requests that crash their targets.
+	// Crashes finds the requests that crash their targets.
 	Crashes CrashTracker
 	// Stopping reports whether connections are closed after their response.
 	Stopping func() bool
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -25,6 +25,7 @@
 var (
 	errOtherRequest = errors.New("the response belongs to another request")
 	errUnsigned     = errors.New("the response lacks the target's signature")
+	errDiscarded    = errors.New("the response is not passed on")
 	errEncoded      = errors.New("the response has a Content-Encoding that was not requested")
 )
 
@@ -36,15 +37,16 @@
 	// rest follows the buffered part; nil when the complete response is buffered.
 	rest   io.ReadCloser
 	length int64
-	// finish ends the attempt of a streamed response.
-	finish func(complete bool)
+	// finish ends the attempt of a streamed response; the error is why it was not
+	// passed on completely.
+	finish func(err error)
 }
 
 // discard ends the attempt of a response that is not passed on.
 func (r *targetResponse) discard() {
 	if r.rest != nil {
 		_ = r.rest.Close()
-		r.finish(false)
+		r.finish(errDiscarded)
 	}
 }
 
@@ -101,6 +103,7 @@
 func wrongResponse(err error) decision {
 	return decision{
 		result: targetset.Result{End: suspicion.ResultFailed, Err: err},
+		lost:   true,
 		reason: outcome.ReasonTargetWrongAnswer,
 		step:   outcome.StepRead,
 	}
@@ -112,6 +115,7 @@
 	d.reason = outcome.ReasonTargetTruncated
 	if ctx.Err() != nil {
 		d.result.End, d.reason = suspicion.ResultNeutral, outcome.ReasonTargetTimeout
+		d.lost = !callerLeft(ctx)
 	}
 	return d
 }
@@ -163,6 +167,6 @@
 		_, err = io.Copy(w, got.rest)
 	}
 	_ = got.rest.Close()
-	got.finish(err == nil)
+	got.finish(err)
 	return err
 }
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -31,6 +31,9 @@
 	response *targetResponse
 	// notRun is true when the request certainly did not run at the target.
 	notRun bool
+	// lost is true when the attempt got no complete response, and the target may have
+	// crashed on it.
+	lost   bool
 	reason outcome.Reason
 	step   outcome.Step
 }
@@ -46,7 +49,9 @@
 		d := q.runAttempt(ctx, attempt)
 		if d.response != nil && d.result.End == suspicion.ResultServed {
 			q.keepFailure(nil)
-			q.gateway.options.Crashes.Answered(q.print)
+			if d.response.rest == nil {
+				q.gateway.options.Crashes.Answered(q.print)
+			}
 			return d.response, nil
 		}
 		q.recordFailedAttempt(attempt, d)
@@ -186,6 +191,7 @@
 	}
 	outgoing := q.outgoing(contract.WithRoundTrip(ctx, trip), attempt)
 	allSent := q.body.attach(outgoing)
+	defer q.watchSilence(attempt, trip)()
 	response, err := attempt.Send(outgoing)
 	var d decision
 	if err != nil {
@@ -196,15 +202,18 @@
 		d.result.Reuse = d.result.Reuse && allSent()
 	}
 	if d.response != nil && d.response.rest != nil {
-		d.response.finish = func(complete bool) {
+		d.response.finish = func(err error) {
 			result := d.result
-			result.Reuse = result.Reuse && complete
+			result.Reuse = result.Reuse && err == nil
 			attempt.Done(result)
+			q.streamEnded(attempt, result.End, err)
 		}
 		return d
 	}
 	attempt.Done(d.result)
-	q.reportLost(attempt, d)
+	if d.lost {
+		q.reportLost(attempt)
+	}
 	return d
 }
 
@@ -239,6 +248,7 @@
 	if !errors.As(err, &failure) {
 		return d
 	}
+	d.lost = q.endedByTarget(failure, trip)
 	switch failure.Kind {
 	case contract.AttemptTimedOut:
 		d.reason = outcome.ReasonTargetTimeout
@@ -258,9 +268,15 @@
 // evaluateTimeout returns the evidence of an attempt that timed out. It counts
 // against the target only when the request had ample time.
 func (q *request) evaluateTimeout(trip *contract.RoundTrip) suspicion.Result {
-	const ampleTime = 250 * time.Millisecond
-	if trip.Written() && q.deadline.Sub(q.start) >= ampleTime {
+	if trip.Written() && q.hadAmpleTime() {
 		return suspicion.ResultTimedOut
 	}
 	return suspicion.ResultNeutral
 }
+
+// hadAmpleTime reports whether the request's time limit is long enough for a timeout
+// to say something about the target.
+func (q *request) hadAmpleTime() bool {
+	const ampleTime = 250 * time.Millisecond
+	return q.deadline.Sub(q.start) >= ampleTime
+}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -222,6 +222,9 @@
 	if outcome.FailureNats != 0 {
 		t.lastSucceeded = outcome.FailureNats < 0
 	}
+	if outcome.FailureNats < 0 {
+		t.lastServedAt = now
+	}
 	before := t.suspect(now)
 	t.failing.Observe(outcome.FailureNats, now)
 	t.slow.Observe(outcome.SlowNats, now)
@@ -239,6 +242,15 @@
 	}
 }
 
+// ServedSince reports whether a target is known to have sent a complete response to
+// any VM since an uptime.
+func (m *Manager) ServedSince(id string, since time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t, ok := m.targets[id]
+	return ok && t.lastServedAt >= since
+}
+
 // SetInProgress replaces the attempts in progress of another VM, by target.
 func (m *Manager) SetInProgress(vm string, attempts map[string]int) {
 	now := m.options.Uptime()
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -47,6 +47,9 @@
 	// lastSucceeded is true when the latest evidence about failing was negative, as
 	// after a success; evidence of zero nats leaves it unchanged.
 	lastSucceeded bool
+	// lastServedAt is the uptime at which a complete response to any VM was last known
+	// of; zero before the first.
+	lastServedAt time.Duration
 	// everAttempted is true once any VM has made an attempt.
 	everAttempted bool
 	// unreachable is true while this VM cannot open a connection.
