Ask before each attempt whether a request crashes its targets

What callers saw: a request in progress made its next attempt after its third crash.

Cause: the gateway asked once, at arrival. Change: it asks before each attempt; when an earlier one may have run, the response says so instead of promising that nothing ran.

TestNoFurtherAttemptOnceRequestIsRefused failed before: 2 attempts.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -8,6 +8,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
@@ -57,6 +58,17 @@
 	return true
 }
 
+// refuseCrashing returns the response or refusal of a request that must not run, or
+// not run again, because it crashes its targets.
+func (q *request) refuseCrashing(remaining time.Duration) (*targetResponse, *outcome.Refusal) {
+	if q.failure != nil {
+		q.notRetried = string(outcome.ReasonQuarantined)
+		q.logFailure()
+		return q.failure, nil
+	}
+	return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonQuarantined, Step: outcome.StepChoose, Peer: q.service, RetryAfter: remaining}
+}
+
 // streamEnded reports how a streamed response ended, given the result of its attempt.
 func (q *request) streamEnded(attempt *targetset.Attempt, result suspicion.Result, err error) {
 	var truncated *contract.RoundTripError
--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -69,6 +69,19 @@
 	})
 }
 
+// TestNoFurtherAttemptOnceRequestIsRefused guards against a request that is found to
+// crash targets while it is in progress: its next attempt must not begin, and the
+// response must not promise that nothing ran.
+func TestNoFurtherAttemptOnceRequestIsRefused(t *testing.T) {
+	withHarness(t, []behavior{resets, resets}, func(h *harness) {
+		h.crashes.refuseAfter = 1
+		got := h.send(http.MethodGet, safePath+"1", "")
+		if h.total() != 1 || got.Code != http.StatusBadGateway {
+			t.Errorf("%d attempts, status %d", h.total(), got.Code)
+		}
+	})
+}
+
 // TestCallerThatLeavesIsNoSignOfACrash checks that an attempt which ends because its
 // caller left is not reported as lost.
 func TestCallerThatLeavesIsNoSignOfACrash(t *testing.T) {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -136,9 +136,6 @@
 		return refusal
 	}
 	q.print = fingerprint(q.caller, q.body.buffered)
-	if remaining := q.gateway.options.Crashes.Refused(q.print); remaining > 0 {
-		return refuse(outcome.ReasonQuarantined, outcome.StepRoute, remaining)
-	}
 	return nil
 }
 
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -42,6 +42,9 @@
 // allowed or not useful.
 func (q *request) run(ctx context.Context) (*targetResponse, *outcome.Refusal) {
 	for {
+		if remaining := q.gateway.options.Crashes.Refused(q.print); remaining > 0 {
+			return q.refuseCrashing(remaining)
+		}
 		attempt, err := q.gateway.options.Targets.Begin(q.placementRequest())
 		if err != nil {
 			return q.giveUp(err)
