serve: an error response does not clear a request of crashing targets

What callers saw: a request that crashes its targets went on, as long as a failing target answered it in between.

Cause: each whole response cleared the suspect, also a 500, 502, 503 or 504 of a target that fails requests without running them. Change: only a response that counts as a success of its target does.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -59,7 +59,9 @@
 	a.result.Total = time.Since(a.start)
 	a.result.ReusedConnection = a.roundTrip.Reused()
 	if failed == nil {
-		a.proxy.suspects.recordAnswer(a.call)
+		if a.result.Kind != contract.AttemptWrong { // a failing target may not have run the request
+			a.proxy.suspects.recordAnswer(a.call)
+		}
 		return buffered, dispatch.FailureDecision{}, nil
 	}
 	decision, err := a.evaluate(failed)
--- a/entry/proxy/crash_test.go
+++ b/entry/proxy/crash_test.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // TestPopularRequestIsNotQuarantinedWhenTargetsCrash guards against the refusal, for
@@ -39,3 +43,64 @@
 		}
 	})
 }
+
+// TestErrorResponseDoesNotClearSuspect guards against a request that crashes its
+// targets and goes on, since a failing target answers it with errors without running
+// it and so clears it of suspicion.
+func TestErrorResponseDoesNotClearSuspect(t *testing.T) {
+	const failing = "HTTP/1.1 500 Internal Server Error\r\n" + CorrelationHeader + ": $C\r\nContent-Length: 4\r\n\r\noops"
+	withFleet(t, 3, twoTargets(), func(t *testing.T, f *fleet) {
+		crashes := 0
+		startCrashingTarget(t, f, 0, &crashes)
+		startTarget(t, f, 1, func(net.Conn) string { return failing })
+		for i := range 20 {
+			f.send(i/2%3, "POST", "/poison", "x") // each VM takes the targets in turn
+			time.Sleep(2 * time.Second)
+		}
+		if crashes == 0 || crashes > quarantine.CrashesToQuarantine {
+			t.Errorf("%d crashes, want 1 to %d", crashes, quarantine.CrashesToQuarantine)
+		}
+	})
+}
+
+// startCrashingTarget starts a target that each request takes down for a second,
+// during which it closes new connections at once.
+func startCrashingTarget(t *testing.T, f *fleet, index int, crashes *int) {
+	t.Helper()
+	var downUntil time.Time
+	startTarget(t, f, index, func(conn net.Conn) string {
+		if conn != nil {
+			*crashes++
+			downUntil = time.Now().Add(time.Second)
+			return ""
+		}
+		if time.Now().Before(downUntil) {
+			return ""
+		}
+		return "accept"
+	})
+}
+
+// startTarget starts one target. The script is called without a connection for each
+// new one, and with it for each request; it closes the connection by an empty text.
+func startTarget(t *testing.T, f *fleet, index int, script func(net.Conn) string) {
+	t.Helper()
+	listener, err := f.network.Host(targetIP(index)).Listen(f.ctx, f.targets[index].Address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	context.AfterFunc(f.ctx, func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			if script(nil) == "" {
+				_ = conn.Close()
+				continue
+			}
+			go serveScript(conn, func(*http.Request) string { return script(conn) })
+		}
+	}()
+}
