serve: tell quarantines to VMs that take over a service

What callers saw: a quarantined request ran again on a VM that began to serve its service because another VM had left.

Cause: suspects and quarantines go to the VMs that serve the service, and again to all of them when an instance joins. When one leaves, another may begin to serve the service, and no instance joins. Change: they are told again whenever the set of instances changes.

TestVMThatTakesOverAServiceKnowsItsQuarantines failed before: the VM ran the request.

--- a/entry/proxy/background.go
+++ b/entry/proxy/background.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/primroseloom/primroseloom/policy/dispatch"
@@ -11,7 +12,8 @@
 const memberCheckInterval = 250 * time.Millisecond
 
 // Run detects pauses of the process and publishes the suspects and quarantines
-// whenever a new instance joins, until the context ends.
+// whenever an instance joins or leaves, until the context ends. When one leaves,
+// others may begin to serve its services.
 func (p *Proxy) Run(ctx context.Context) error {
 	p.pauses.start(p.options.Clock)
 	defer p.pauses.stop()
@@ -34,21 +36,16 @@
 	}
 }
 
-// updateInstances updates the known instances and reports whether any is new.
+// updateInstances updates the known instances and reports whether any joined or left.
 func (p *Proxy) updateInstances(known map[uint64]bool) bool {
 	present := make(map[uint64]bool)
-	joined := false
 	for _, member := range p.options.Members.Members() {
 		present[member.GetInstance()] = true
-		joined = joined || !known[member.GetInstance()]
-		known[member.GetInstance()] = true
 	}
-	for instance := range known {
-		if !present[instance] {
-			delete(known, instance)
-		}
-	}
-	return joined
+	changed := !maps.Equal(known, present)
+	clear(known)
+	maps.Copy(known, present)
+	return changed
 }
 
 // publishAll publishes the suspects, and the quarantines in force with their
--- a/entry/proxy/crash_test.go
+++ b/entry/proxy/crash_test.go
@@ -104,3 +104,25 @@
 		}
 	}()
 }
+
+// TestVMThatTakesOverAServiceKnowsItsQuarantines guards against a VM that begins to
+// serve a service because another one left: no instance joins then, and the VM was
+// not told of quarantines before.
+func TestVMThatTakesOverAServiceKnowsItsQuarantines(t *testing.T) {
+	withFleet(t, 3, twoTargets(), func(t *testing.T, f *fleet) {
+		f.notServing = map[string]bool{"vm-2": true}
+		startScriptedTargets(t, f, func(*http.Request) string { return "" })
+		for range 3 {
+			f.send(0, "GET", "/poison", "")
+			time.Sleep(time.Second)
+		}
+		f.kill(1)
+		f.mu.Lock()
+		f.notServing, f.gone = nil, map[string]bool{"vm-1": true}
+		f.mu.Unlock()
+		time.Sleep(time.Second)
+		if got := f.send(2, "GET", "/poison", ""); !strings.Contains(got.body, "quarantined") {
+			t.Errorf("the VM that takes over runs the request: %+v", got)
+		}
+	})
+}
