Recognize a repeated request whatever the spelling of its host

A request that crashes its targets is recognized by caller, method, host, URI and body. The host went into the hash as the caller spelled it, with its port, while the route is found whatever the spelling, so that two spellings were two requests. The hash now takes the route's host.

The test does not compile before: the function lacks the argument.

--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 )
@@ -96,3 +97,28 @@
 		}
 	})
 }
+
+// TestRepeatedRequestHasTheSameFingerprint guards against a request that is not
+// recognized when it comes again through another connection, and against two requests
+// that are taken for one.
+func TestRepeatedRequestHasTheSameFingerprint(t *testing.T) {
+	send := func(method, url, caller, body string) uint64 {
+		request := httptest.NewRequest(method, url, nil)
+		request.RemoteAddr = caller
+		return fingerprint(request, host, []byte(body))
+	}
+	first := send("GET", "http://"+host+"/a?b=1", "10.0.0.1:1000", "x")
+	if send("GET", "http://"+strings.ToUpper(host)+":8144/a?b=1", "10.0.0.1:2000", "x") != first {
+		t.Error("another port of the caller or spelling of the host gives another fingerprint")
+	}
+	for name, other := range map[string]uint64{
+		"method": send("POST", "http://"+host+"/a?b=1", "10.0.0.1:1000", "x"),
+		"query":  send("GET", "http://"+host+"/a?b=2", "10.0.0.1:1000", "x"),
+		"caller": send("GET", "http://"+host+"/a?b=1", "10.0.0.2:1000", "x"),
+		"body":   send("GET", "http://"+host+"/a?b=1", "10.0.0.1:1000", "y"),
+	} {
+		if other == first {
+			t.Errorf("another %s gives the same fingerprint", name)
+		}
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -135,7 +135,7 @@
 	if refusal := q.body.read(w, q.caller, table.Limits().BodyBytes, q.deadline); refusal != nil {
 		return refusal
 	}
-	q.print = fingerprint(q.caller, q.body.buffered)
+	q.print = fingerprint(q.caller, q.route.Host, q.body.buffered)
 	return nil
 }
 
--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -39,15 +39,16 @@
 	return size
 }
 
-// fingerprint returns a hash of the caller's address, the method, host and URI and
-// the buffered part of the body, which identifies a repeated request.
-func fingerprint(r *http.Request, body []byte) uint64 {
+// fingerprint returns a hash of the caller's address, the method, the route's host,
+// the URI and the buffered part of the body, which identifies a repeated request. The
+// caller's port and the spelling of the host may change when a request is repeated.
+func fingerprint(r *http.Request, routeHost string, body []byte) uint64 {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		caller = r.RemoteAddr
 	}
 	digest := xxhash.New()
-	for _, part := range []string{caller, r.Method, r.Host, r.URL.RequestURI()} {
+	for _, part := range []string{caller, r.Method, routeHost, r.URL.RequestURI()} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.WriteString("\x00")
 	}
