front: operators list and lift quarantines

With the evidence of crashing requests held by all VMs, a restart of one VM no longer forgets it, so an operator who has mended the targets needs another way than waiting ten minutes. The admin listener of a front-end instance now serves /v1/quarantines as that of serve does, so that primroseloom quarantine list and lift work on both. A lift is evidence, too: it reaches VMs that were cut off and outweighs the crashes up to it, so that a VM which reports them again does not undo it; before, on serve, a quarantine told again by a VM that the lift had not reached undid it.

--- a/entry/admin/admin.go
+++ b/entry/admin/admin.go
@@ -3,14 +3,12 @@
 
 import (
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/gin-gonic/gin"
 
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
-	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // Status is what an instance knows about the fleet.
@@ -36,26 +34,6 @@
 	UptimeMs       uint64 `json:"uptime_ms"`
 }
 
-// Quarantine is one request fingerprint that is refused or suspect.
-type Quarantine struct {
-	// Fingerprint is in hexadecimal, as the path of a DELETE request names it.
-	Fingerprint string   `json:"fingerprint"`
-	Service     string   `json:"service"`
-	Targets     []string `json:"crashed_targets"`
-	// Refused is false for a suspect, which runs one attempt at a time.
-	Refused bool `json:"refused"`
-	// EndsInMs is the time until the entry is dropped.
-	EndsInMs int64 `json:"ends_in_ms"`
-}
-
-// Quarantines lists and lifts quarantined requests.
-type Quarantines interface {
-	// QuarantineList returns the quarantined and the suspect fingerprints.
-	QuarantineList() []quarantine.Entry
-	// QuarantineLift removes a fingerprint on all VMs; false when it has no entry.
-	QuarantineLift(fingerprint quarantine.Fingerprint) bool
-}
-
 // Options configures an Admin.
 type Options struct {
 	Members       contract.Members
@@ -81,36 +59,7 @@
 	engine.GET("/metrics", gin.WrapH(a.options.Metrics))
 	engine.GET("/v1/status", a.status)
 	engine.GET("/v1/explain", a.explain)
-	engine.GET("/v1/quarantines", a.quarantines)
-	engine.DELETE("/v1/quarantines/:fingerprint", a.lift)
-}
-
-func (a *Admin) quarantines(c *gin.Context) {
-	now := a.options.Now()
-	rows := []Quarantine{}
-	for _, entry := range a.options.Quarantines.QuarantineList() {
-		rows = append(rows, Quarantine{
-			Fingerprint: strconv.FormatUint(uint64(entry.Fingerprint), 16),
-			Service:     entry.Service,
-			Targets:     entry.Targets,
-			Refused:     entry.Quarantined,
-			EndsInMs:    max(0, (entry.ExpiresAt - now).Milliseconds()),
-		})
-	}
-	c.JSON(http.StatusOK, rows)
-}
-
-func (a *Admin) lift(c *gin.Context) {
-	fingerprint, err := strconv.ParseUint(c.Param("fingerprint"), 16, 64)
-	if err != nil {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "fingerprint: want up to 16 hexadecimal digits"})
-		return
-	}
-	if !a.options.Quarantines.QuarantineLift(quarantine.Fingerprint(fingerprint)) {
-		c.JSON(http.StatusNotFound, gin.H{"error": "fingerprint is not held"})
-		return
-	}
-	c.Status(http.StatusNoContent)
+	MountQuarantines(engine, a.options.Quarantines, a.options.Now)
 }
 
 func (a *Admin) status(c *gin.Context) {
--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -268,3 +268,21 @@
 		f.expectRefused("three processes under one identifier", time.Second, true)
 	})
 }
+
+// TestLiftReachesVMsThatWereCutOff guards against an operator's lift that is undone by
+// a VM which was cut off and reports the crashes again.
+func TestLiftReachesVMsThatWereCutOff(t *testing.T) {
+	withTrackers(t, 4, func(f *trackerFleet) {
+		for i := range 3 {
+			f.vms[2].crash(7, "t"+strconv.Itoa(i))
+		}
+		f.expectRefused("after three crashes", time.Second, true)
+		f.setCut(f.vms[4], true)
+		if rows := f.vms[3].QuarantineList(); len(rows) != 1 || !rows[0].Quarantined || !f.vms[3].QuarantineLift(rows[0].Fingerprint) {
+			t.Errorf("list and lift: %+v", rows)
+		}
+		time.Sleep(5 * time.Second)
+		f.setCut(f.vms[4], false)
+		f.expectRefused("after the lift", 2*time.Second, false)
+	})
+}
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -110,6 +110,27 @@
 	return t.outbox.next(t.table.Evidence(now), repeat, now)
 }
 
+// QuarantineList returns the requests that are refused or suspected.
+func (t *Tracker) QuarantineList() []quarantine.Entry {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.List(t.options.Uptime())
+}
+
+// QuarantineLift lets a request run again on all VMs and reports whether it was
+// refused or suspected.
+func (t *Tracker) QuarantineLift(fingerprint quarantine.Fingerprint) bool {
+	t.mu.Lock()
+	lifted := t.table.Lift(fingerprint, t.options.Uptime())
+	t.outbox.push(fingerprint)
+	t.mu.Unlock()
+	t.changed()
+	if lifted {
+		events.QuarantineLifted.Log(t.options.Logger, "fingerprint", fingerprint)
+	}
+	return lifted
+}
+
 // report logs and counts what new evidence changed.
 func (t *Tracker) report(fingerprint quarantine.Fingerprint, change quarantine.Change, crash quarantine.Crash, reporter string) {
 	if change.Recorded {
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -89,7 +89,7 @@
 func TestEvidenceAboutRequestsArrivesWithItsAge(t *testing.T) {
 	p := newPair()
 	want := []quarantine.Evidence{{
-		Fingerprint: 1 << 63, Answered: true, AnsweredAt: 2 * time.Second,
+		Fingerprint: 1 << 63, Answered: true, AnsweredAt: 2 * time.Second, Lifted: true, LiftedAt: 3 * time.Second,
 		Crashes: []quarantine.Crash{
 			{Target: "t1", Incarnation: 1_700_000_000_123, At: 5 * time.Second},
 			{Target: "t2", Incarnation: -1, At: 6500 * time.Millisecond, Presumed: true},
@@ -107,6 +107,7 @@
 		got.Crashes[i].At -= time.Hour
 	}
 	got.AnsweredAt -= time.Hour
+	got.LiftedAt -= time.Hour
 	if !reflect.DeepEqual(got, want[0]) {
 		t.Errorf("got %+v, want %+v", got, want[0])
 	}
--- a/entry/evidence/requests.go
+++ b/entry/evidence/requests.go
@@ -13,7 +13,10 @@
 func requestsToWire(all []quarantine.Evidence, now time.Duration) []*primroseloomv1.RequestEvidence {
 	messages := make([]*primroseloomv1.RequestEvidence, 0, len(all))
 	for _, evidence := range all {
-		message := &primroseloomv1.RequestEvidence{Fingerprint: uint64(evidence.Fingerprint), Answered: evidence.Answered}
+		message := &primroseloomv1.RequestEvidence{Fingerprint: uint64(evidence.Fingerprint), Answered: evidence.Answered, Lifted: evidence.Lifted}
+		if evidence.Lifted {
+			message.LiftedAgeMs = ageMs(evidence.LiftedAt, now)
+		}
 		if evidence.Answered {
 			message.AnsweredAgeMs = ageMs(evidence.AnsweredAt, now)
 		}
@@ -35,7 +38,10 @@
 // requestFromWire converts evidence received now.
 func requestFromWire(message *primroseloomv1.RequestEvidence, now time.Duration) quarantine.Evidence {
 	at := func(ageMs uint32) time.Duration { return now - time.Duration(ageMs)*time.Millisecond }
-	evidence := quarantine.Evidence{Fingerprint: quarantine.Fingerprint(message.GetFingerprint()), Answered: message.GetAnswered()}
+	evidence := quarantine.Evidence{Fingerprint: quarantine.Fingerprint(message.GetFingerprint()), Answered: message.GetAnswered(), Lifted: message.GetLifted()}
+	if evidence.Lifted {
+		evidence.LiftedAt = at(message.GetLiftedAgeMs())
+	}
 	if evidence.Answered {
 		evidence.AnsweredAt = at(message.GetAnsweredAgeMs())
 	}
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -100,7 +100,7 @@
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
-		f.servePage(listeners.admin, f.metrics.Handler()),
+		f.servePage(listeners.admin, adminEngine(f.metrics.Handler(), f.crashes, f.clock.Uptime)),
 	}
 	go f.servePeers(listeners.peers)
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
--- a/entry/frontend/pages.go
+++ b/entry/frontend/pages.go
@@ -6,6 +6,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 )
 
@@ -42,6 +43,14 @@
 	return engine
 }
 
+// adminEngine serves operators and the metrics scraper.
+func adminEngine(scrape http.Handler, quarantines admin.Quarantines, now func() time.Duration) http.Handler {
+	engine := newEngine()
+	engine.GET("/metrics", gin.WrapH(scrape))
+	admin.MountQuarantines(engine, quarantines, now)
+	return engine
+}
+
 func newEngine() *gin.Engine {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -141,7 +141,7 @@
 		}
 	}
 	found := false
-	s.update(func() { found = s.table.Lift(fingerprint) })
+	s.update(func() { found = s.table.Lift(fingerprint, s.options.Clock.Uptime()) })
 	s.publish(service, liftNews(fingerprint))
 	return found
 }
@@ -163,7 +163,7 @@
 	case *primroseloomv1.NewsItem_Crash:
 		s.applyCrash(item.GetService(), body.Crash, now)
 	case *primroseloomv1.NewsItem_Lift:
-		s.update(func() { s.table.Lift(quarantine.Fingerprint(body.Lift.GetFingerprint())) })
+		s.update(func() { s.table.Lift(quarantine.Fingerprint(body.Lift.GetFingerprint()), now) })
 	case *primroseloomv1.NewsItem_Attempt:
 		s.applyAttempt(body.Attempt, now)
 	}
--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -15,6 +15,10 @@
 	// contestedUntil is the time until which a response that outweighs reported
 	// crashes is part of the evidence for other VMs; zero for none.
 	contestedUntil time.Duration
+	// liftedAt is the uptime at which an operator lifted the quarantine; zero for never.
+	// It is remembered until liftKnownUntil, since other VMs may still report what was
+	// lifted.
+	liftedAt, liftKnownUntil time.Duration
 	// localUntil and remoteUntil are the times until which an attempt of this VM
 	// or of another VM is assumed to run.
 	localUntil, remoteUntil time.Duration
@@ -32,9 +36,14 @@
 	return e.crashes[0].At < other.crashes[0].At
 }
 
+// isLifted reports whether what counts against the request since an uptime was lifted.
+func (e *entry) isLifted(since time.Duration) bool {
+	return e.liftKnownUntil > 0 && since <= e.liftedAt
+}
+
 // expiresAt returns the uptime from which nothing is left of the entry.
 func (e *entry) expiresAt() time.Duration {
-	end := max(e.quarantinedUntil, e.contestedUntil)
+	end := max(e.quarantinedUntil, e.contestedUntil, e.liftKnownUntil)
 	for _, crash := range e.crashes {
 		end = max(end, crash.expiresAt())
 	}
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -49,6 +49,9 @@
 	// uptime AnsweredAt.
 	Answered   bool
 	AnsweredAt time.Duration
+	// Lifted is true when an operator lifted the quarantine, at the uptime LiftedAt.
+	Lifted   bool
+	LiftedAt time.Duration
 }
 
 // Change is what new evidence changed.
--- a/policy/quarantine/evidence_test.go
+++ b/policy/quarantine/evidence_test.go
@@ -185,6 +185,37 @@
 	}
 }
 
+// TestLiftedQuarantineStaysLifted guards against an operator's lift that is undone by a
+// VM which was not reached by it and reports the crashes again. Crashes after the lift
+// count.
+func TestLiftedQuarantineStaysLifted(t *testing.T) {
+	const now = 20 * time.Second
+	one, other := NewTableWithThreshold(3), NewTableWithThreshold(3)
+	for i := range 3 {
+		one.RecordCrash(7, "", crashAt("t"+strconv.Itoa(i), 10*time.Second), 10*time.Second)
+	}
+	reported := one.Evidence(now)[0]
+	other.Merge(reported, now)
+	if !one.Lift(7, now) {
+		t.Fatal("nothing was lifted")
+	}
+	if change := one.Merge(reported, now+time.Second); change.Recorded || one.Refused(7, now+time.Second) > 0 {
+		t.Errorf("the report of earlier crashes undid the lift: %+v", change)
+	}
+	if change := other.Merge(one.Evidence(now + time.Second)[0], now+time.Second); !change.Cleared || other.Refused(7, now+time.Second) > 0 {
+		t.Errorf("the lift did not reach the other VM: %+v", change)
+	}
+	if one.AddRemoteQuarantine(7, "", QuarantineTime-30*time.Second, now+time.Second) {
+		t.Error("adopted a quarantine that began before the lift")
+	}
+	for i := range 3 {
+		one.RecordCrash(7, "", Crash{Target: "t" + strconv.Itoa(i), Incarnation: 2, At: now + time.Minute}, now+time.Minute)
+	}
+	if one.Refused(7, now+time.Minute) == 0 {
+		t.Error("three crashes after the lift: not refused")
+	}
+}
+
 func TestEvidenceListsRequestsWithMostCrashesFirst(t *testing.T) {
 	table := NewTableWithThreshold(3)
 	table.RecordCrash(1, "", crashAt("t1", 0), 0)
--- a/policy/quarantine/registry.go
+++ b/policy/quarantine/registry.go
@@ -51,7 +51,7 @@
 	// is already known.
 	AddRemoteSuspect(fingerprint Fingerprint, service string, crash Crash, now time.Duration)
 	// AddRemoteQuarantine adds another VM's quarantine with its remaining time. It
-	// reports false when a recent response to the request outweighs it.
+	// reports false when a recent response outweighs it or it was lifted.
 	AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration) bool
 	// RecordResponse records a complete response and reports whether it cleared a
 	// suspect or lifted a quarantine.
@@ -62,8 +62,9 @@
 	StartRemoteAttempt(fingerprint Fingerprint, now time.Duration)
 	// EndRemoteAttempt records that another VM's attempt of a suspect has ended.
 	EndRemoteAttempt(fingerprint Fingerprint)
-	// Lift ends a quarantine or suspicion and reports whether there was one.
-	Lift(fingerprint Fingerprint) bool
+	// Lift ends a quarantine or suspicion and reports whether there was one. Reports
+	// of earlier crashes that arrive later don't count.
+	Lift(fingerprint Fingerprint, now time.Duration) bool
 	// List returns the suspects and quarantines.
 	List(now time.Duration) []Entry
 	// Len returns the number of suspects and quarantines.
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -118,6 +118,9 @@
 	if evidence.Answered {
 		change.Cleared = t.recordAnswer(evidence.Fingerprint, evidence.AnsweredAt, now)
 	}
+	if evidence.Lifted {
+		change.Cleared = t.lift(evidence.Fingerprint, evidence.LiftedAt, now) || change.Cleared
+	}
 	for _, crash := range evidence.Crashes {
 		t.addCrash(evidence.Fingerprint, service, crash, now, &change)
 	}
@@ -135,6 +138,9 @@
 	if !known {
 		e = t.add(fingerprint, service)
 	}
+	if e.isLifted(crash.At) {
+		return
+	}
 	if outweighed {
 		e.contestedUntil = now + AnswerValidity
 		return
@@ -157,7 +163,7 @@
 }
 
 // AddRemoteQuarantine adds another VM's quarantine with its remaining time. It
-// reports false when a recent response to the request outweighs it.
+// reports false when a recent response outweighs it or it was lifted.
 func (t *Table) AddRemoteQuarantine(fingerprint Fingerprint, service string, remaining, now time.Duration) bool {
 	remaining = min(remaining, QuarantineTime)
 	beganAt := now + remaining - QuarantineTime
@@ -168,6 +174,9 @@
 	if !ok {
 		e = t.add(fingerprint, service)
 	}
+	if e.isLifted(beganAt) {
+		return false
+	}
 	if e.quarantinedUntil == 0 {
 		e.verdictUntil = now + remaining
 		e.update(t.crashThreshold, now)
@@ -268,11 +277,30 @@
 	}
 }
 
-// Lift ends a quarantine or suspicion and reports whether there was one.
-func (t *Table) Lift(fingerprint Fingerprint) bool {
-	_, ok := t.entries[fingerprint]
-	delete(t.entries, fingerprint)
-	return ok
+// Lift ends a quarantine or suspicion and reports whether there was one. Reports of
+// earlier crashes that arrive later don't count.
+func (t *Table) Lift(fingerprint Fingerprint, now time.Duration) bool {
+	return t.lift(fingerprint, now, now)
+}
+
+// lift applies a lift at an uptime.
+func (t *Table) lift(fingerprint Fingerprint, at, now time.Duration) bool {
+	if now >= at+SuspectTime {
+		return false
+	}
+	e, ok := t.lookup(fingerprint, now)
+	if !ok {
+		e = t.add(fingerprint, "")
+	}
+	if e.liftKnownUntil > 0 && at <= e.liftedAt+answerResolution {
+		return false
+	}
+	wasSuspect := e.isSuspect()
+	e.liftedAt, e.liftKnownUntil = at, at+SuspectTime
+	e.crashes.dropUntil(at)
+	e.verdictUntil = 0
+	e.update(t.crashThreshold, now)
+	return wasSuspect && !e.isSuspect()
 }
 
 // List returns the suspects and quarantines, sorted by fingerprint.
@@ -303,6 +331,9 @@
 		if now < e.contestedUntil {
 			evidence.AnsweredAt, evidence.Answered = t.answers.latest(fingerprint)
 		}
+		if e.liftKnownUntil > 0 {
+			evidence.LiftedAt, evidence.Lifted = e.liftedAt, true
+		}
 		all = append(all, evidence)
 	}
 	slices.SortFunc(all, func(a, b Evidence) int {
--- a/policy/quarantine/table_test.go
+++ b/policy/quarantine/table_test.go
@@ -101,7 +101,7 @@
 	if quarantines != MaxQuarantines {
 		t.Errorf("%d quarantines, want %d", quarantines, MaxQuarantines)
 	}
-	if !table.Lift(2*MaxQuarantines-1) || table.Lift(2*MaxQuarantines-1) {
+	if !table.Lift(2*MaxQuarantines-1, time.Second) || table.Lift(2*MaxQuarantines-1, time.Second) {
 		t.Error("Lift did not report exactly once that there was a quarantine")
 	}
 }
