--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -24,6 +24,9 @@
 	minCrashPause, maxCrashPause = 300 * time.Millisecond, 1500 * time.Millisecond
 	// crashDowntime is how long a crashed target is down.
 	crashDowntime = 2 * time.Second
+	// crashStream is the random stream of the kinds of crashes; that of each request
+	// that crashes targets follows. The streams of the fault series are below.
+	crashStream = 100
 )
 
 // crashingCaller sends one request that crashes its targets again and again,
@@ -36,11 +39,10 @@
 }
 
 func (s *soak) newCrashingCaller(index int) *crashingCaller {
-	const stream = 100 // above the streams of the fault series
 	prefixes := []string{crashPrefix, crashOncePrefix}
 	return &crashingCaller{
 		path: prefixes[index%len(prefixes)] + strconv.Itoa(index), fleet: s.fleet, checker: s.checker,
-		random: rand.New(rand.NewPCG(s.options.Seed, stream+uint64(index))),
+		random: rand.New(rand.NewPCG(s.options.Seed, crashStream+1+uint64(index))),
 	}
 }
 
@@ -82,12 +84,18 @@
 	_ = response.Body.Close()
 }
 
-// crash takes a target down, as a process that ends or, with SilentCrashes, as a VM
-// that loses power, and starts it again after crashDowntime.
+// crash takes a target down, as a process that ends or, when silent, as a VM that
+// loses power, and starts it again after crashDowntime.
 func (s *soak) crash(t *target, r *http.Request) {
-	silent := s.options.SilentCrashes
+	s.mu.Lock()
+	drawn := s.crashRandom.Float64() < s.options.SilentCrashShare
+	s.mu.Unlock()
 	t.mu.Lock()
 	alreadyDown := t.down
+	if !alreadyDown {
+		t.silent = drawn
+	}
+	silent := t.silent
 	t.down = true
 	t.mu.Unlock()
 	if !alreadyDown {
--- a/operator/soak/regressions.go
+++ b/operator/soak/regressions.go
@@ -6,8 +6,9 @@
 type Regression struct {
 	Seed     uint64
 	Duration time.Duration
-	// VMs, Targets and Callers are the number of each in the run.
-	VMs, Targets, Callers int
+	// VMs, Targets, Callers and CrashingRequests are the number of each in the run.
+	VMs, Targets, Callers, CrashingRequests int
+	SilentCrashShare                        float64
 	// Cause is the bug in the daemon, since fixed.
 	Cause string
 }
@@ -25,6 +26,18 @@
 			Seed: 100, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36,
 			Cause: "an identical request sent by many callers was quarantined as one that crashes targets; see TestPopularRequestIsNotRefusedForClosedConnections",
 		},
+		{
+			Seed: 902, Duration: time.Millisecond, VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 3,
+			Cause: "VMs did not learn of crashes that others saw; see TestRequestThatCrashesItsTargetsIsRefusedEverywhere",
+		},
+		{
+			Seed: 903, Duration: time.Millisecond, VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 3, SilentCrashShare: 1,
+			Cause: "targets that fell silent did not count as crashed; see TestLostAttemptIsACrashOnlyWhenItsTargetEnded",
+		},
+		{
+			Seed: 904, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 12,
+			Cause: "requests in progress on crashed targets were refused; see TestRequestInProgressOnCrashedTargetsIsNotRefused",
+		},
 	}
 }
 
@@ -32,4 +45,5 @@
 func (r Regression) Apply(options *Options) {
 	options.Seed, options.Duration = r.Seed, r.Duration
 	options.VMs, options.Targets, options.Callers = r.VMs, r.Targets, r.Callers
+	options.CrashingRequests, options.SilentCrashShare = r.CrashingRequests, r.SilentCrashShare
 }
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -29,10 +29,10 @@
 	// VMs, Targets and Callers are the number of each.
 	VMs, Targets, Callers int
 	// CrashingRequests is the number of different requests that crash each target that
-	// begins to run them and are sent again and again. With SilentCrashes, such a
-	// target falls silent instead of closing its connections.
+	// begins to run them and are sent again and again. SilentCrashShare is the share of
+	// these crashes in which the target falls silent instead of closing its connections.
 	CrashingRequests int
-	SilentCrashes    bool
+	SilentCrashShare float64
 	// AddressBase is the second byte of the loopback addresses; concurrent runs need
 	// different values.
 	AddressBase int
@@ -74,6 +74,8 @@
 	links          []*link
 	targetsStarted int
 	faults         map[string]int
+	// crashRandom draws how targets crash.
+	crashRandom *rand.Rand
 }
 
 // Run executes one run and reports the broken promises. It returns an error only
@@ -84,7 +86,10 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := &soak{options: options, checker: newChecker(time.Now()), store: platform.NewStandInStore(), ctx: ctx, faults: make(map[string]int)}
+	s := &soak{
+		options: options, checker: newChecker(time.Now()), store: platform.NewStandInStore(), ctx: ctx,
+		faults: make(map[string]int), crashRandom: rand.New(rand.NewPCG(options.Seed, crashStream)),
+	}
 	if err := s.start(ctx); err != nil {
 		return nil, err
 	}
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -53,9 +53,10 @@
 	mu      sync.Mutex
 	fault   targetFault
 	running int
-	// down is true while the target is down after a crash; restarts counts its returns.
-	down     bool
-	restarts int
+	// down is true while the target is down after a crash, silent when it answers no
+	// connection attempts meanwhile; restarts counts its returns.
+	down, silent bool
+	restarts     int
 }
 
 // newTarget starts a target that daemons reach through a link at the address.
