--- a/entry/admin/quarantines.go
+++ b/entry/admin/quarantines.go
@@ -49,7 +49,7 @@
 	rows := []Quarantine{}
 	for _, entry := range p.quarantines.QuarantineList() {
 		rows = append(rows, Quarantine{
-			Fingerprint: strconv.FormatUint(uint64(entry.Fingerprint), 16),
+			Fingerprint: entry.Fingerprint.String(),
 			Service:     entry.Service,
 			Targets:     entry.Targets,
 			Refused:     entry.Quarantined,
--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -33,13 +33,15 @@
 	cut bool
 }
 
-func (v *vm) Observed(evidence.AttemptEvidence)       {}
-func (v *vm) SetInProgress(string, map[string]int)    {}
-func (v *vm) RevisionAnnounced(string, uint64)        {}
-func (v *vm) crash(fingerprint uint64, target string) { v.crashAs(fingerprint, target, 1) }
-func (v *vm) refuses(fingerprint uint64) bool         { return v.Refused(fingerprint) > 0 }
-func (v *vm) crashAs(f uint64, target string, n int64) {
-	v.recordCrash(quarantine.Fingerprint(f), quarantine.Crash{Target: target, Incarnation: n, At: v.fleet.uptime()})
+func (v *vm) Observed(evidence.AttemptEvidence)    {}
+func (v *vm) SetInProgress(string, map[string]int) {}
+func (v *vm) RevisionAnnounced(string, uint64)     {}
+func (v *vm) crash(fingerprint quarantine.Fingerprint, target string) {
+	v.crashAs(fingerprint, target, 1)
+}
+func (v *vm) refuses(fingerprint quarantine.Fingerprint) bool { return v.Refused(fingerprint) > 0 }
+func (v *vm) crashAs(f quarantine.Fingerprint, target string, n int64) {
+	v.recordCrash(f, quarantine.Crash{Target: target, Incarnation: n, At: v.fleet.uptime()})
 }
 
 // trackerFleet is a set of VMs that exchange evidence by datagrams in virtual time.
@@ -221,7 +223,7 @@
 	withTrackers(t, 6, func(f *trackerFleet) {
 		f.lossShare = 0.5
 		for i := range 100 {
-			f.vms[2+i%6].crash(uint64(1000+i), "t0")
+			f.vms[2+i%6].crash(quarantine.Fingerprint(1000+i), "t0")
 		}
 		for i := range 3 {
 			f.vms[2+i].crash(7, "t"+strconv.Itoa(i))
--- a/entry/crashes/prober.go
+++ b/entry/crashes/prober.go
@@ -42,7 +42,7 @@
 // LostAttempt is an attempt that ended, or has been waiting for long, without a
 // complete response after the request was written.
 type LostAttempt struct {
-	Fingerprint uint64
+	Fingerprint quarantine.Fingerprint
 	// Target is the process that ran the request, as it was published.
 	Target roster.Target
 }
@@ -134,7 +134,7 @@
 		p.processes[key] = state
 	}
 	if len(state.lost) < maxLostPerProcess {
-		state.lost[quarantine.Fingerprint(lost.Fingerprint)] = now
+		state.lost[lost.Fingerprint] = now
 	}
 	if !state.probing {
 		state.probing, state.startedAt = true, now
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -50,23 +50,23 @@
 func (t *Tracker) UseNotifier(changed func()) { t.changed = changed }
 
 // Refused returns how much longer a request must not run; zero when it may run.
-func (t *Tracker) Refused(fingerprint uint64) time.Duration {
+func (t *Tracker) Refused(fingerprint quarantine.Fingerprint) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.table.Refused(quarantine.Fingerprint(fingerprint), t.options.Uptime())
+	return t.table.Refused(fingerprint, t.options.Uptime())
 }
 
 // Answered records that a target sent a complete response, which shows that the
 // request does not crash each target that runs it.
-func (t *Tracker) Answered(fingerprint uint64) {
+func (t *Tracker) Answered(fingerprint quarantine.Fingerprint) {
 	t.mu.Lock()
-	cleared := t.table.RecordResponse(quarantine.Fingerprint(fingerprint), t.options.Uptime())
+	cleared := t.table.RecordResponse(fingerprint, t.options.Uptime())
 	if cleared {
-		t.outbox.push(quarantine.Fingerprint(fingerprint))
+		t.outbox.push(fingerprint)
 	}
 	t.mu.Unlock()
 	if cleared {
-		t.logCleared(quarantine.Fingerprint(fingerprint), "")
+		t.logCleared(fingerprint, "")
 		t.changed()
 	}
 }
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -9,6 +9,7 @@
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
@@ -19,13 +20,13 @@
 // CrashTracker finds the requests that crash their targets.
 type CrashTracker interface {
 	// Refused returns how much longer the request must not run; zero when it may run.
-	Refused(fingerprint uint64) time.Duration
+	Refused(fingerprint quarantine.Fingerprint) time.Duration
 	// AttemptLost records an attempt that has no complete response after its request
 	// was written, so that its target may have crashed.
 	AttemptLost(lost crashes.LostAttempt)
 	// Answered records that a target sent a complete response, which shows that the
 	// request does not crash every target that runs it.
-	Answered(fingerprint uint64)
+	Answered(fingerprint quarantine.Fingerprint)
 }
 
 // reportLost reports an attempt without a complete response.
--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // TestTargetThatResetsIsReportedAsCrash checks that an attempt is reported as lost,
@@ -102,7 +104,7 @@
 // recognized when it comes again through another connection, and against two requests
 // that are taken for one.
 func TestRepeatedRequestHasTheSameFingerprint(t *testing.T) {
-	send := func(method, url, caller, body string) uint64 {
+	send := func(method, url, caller, body string) quarantine.Fingerprint {
 		request := httptest.NewRequest(method, url, nil)
 		request.RemoteAddr = caller
 		return fingerprint(request, host, []byte(body))
@@ -111,7 +113,7 @@
 	if send("GET", "http://"+strings.ToUpper(host)+":8144/a?b=1", "10.0.0.1:2000", "x") != first {
 		t.Error("another port of the caller or spelling of the host gives another fingerprint")
 	}
-	for name, other := range map[string]uint64{
+	for name, other := range map[string]quarantine.Fingerprint{
 		"method": send("POST", "http://"+host+"/a?b=1", "10.0.0.1:1000", "x"),
 		"query":  send("GET", "http://"+host+"/a?b=2", "10.0.0.1:1000", "x"),
 		"caller": send("GET", "http://"+host+"/a?b=1", "10.0.0.2:1000", "x"),
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 const (
@@ -69,7 +70,7 @@
 	body     body
 	// print is the request's fingerprint, the same for all retries of a request; the
 	// crash tracker counts crashes by it.
-	print     uint64
+	print     quarantine.Fingerprint
 	attempted []string
 	// sentAttempts is the number of attempts of which at least one byte was written.
 	sentAttempts int
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 )
@@ -78,7 +79,7 @@
 	refuseAfter int
 }
 
-func (c *reportedCrashes) Refused(uint64) time.Duration {
+func (c *reportedCrashes) Refused(quarantine.Fingerprint) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.refuseAfter >= 0 && c.lost >= c.refuseAfter {
@@ -87,7 +88,7 @@
 	return 0
 }
 
-func (c *reportedCrashes) Answered(uint64) {
+func (c *reportedCrashes) Answered(quarantine.Fingerprint) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.answered++
--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
 // hopByHopHeaders are the hop-by-hop headers, which are not passed on.
@@ -42,7 +44,7 @@
 // fingerprint returns a hash of the caller's address, the method, the route's host,
 // the URI and the buffered part of the body, which identifies a repeated request. The
 // caller's port and the spelling of the host may change when a request is repeated.
-func fingerprint(r *http.Request, routeHost string, body []byte) uint64 {
+func fingerprint(r *http.Request, routeHost string, body []byte) quarantine.Fingerprint {
 	caller, _, err := net.SplitHostPort(r.RemoteAddr)
 	if err != nil {
 		caller = r.RemoteAddr
@@ -53,5 +55,5 @@
 		_, _ = digest.WriteString("\x00")
 	}
 	_, _ = digest.Write(body)
-	return digest.Sum64()
+	return quarantine.Fingerprint(digest.Sum64())
 }
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -98,7 +98,7 @@
 	s.publish(c.service.Name, crashNews(c.fingerprint, target))
 	s.countCrash(c.fingerprint, c.service.Name, target)
 	if s.options.Logger != nil {
-		events.TargetCrashed.Log(s.options.Logger, "target", target, "service", c.service.Name, "fingerprint", uint64(c.fingerprint))
+		events.TargetCrashed.Log(s.options.Logger, "target", target, "service", c.service.Name, "fingerprint", c.fingerprint)
 	}
 }
 
--- a/policy/quarantine/registry.go
+++ b/policy/quarantine/registry.go
@@ -1,10 +1,16 @@
 package quarantine
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Fingerprint identifies a request.
 type Fingerprint uint64
 
+// String returns the fingerprint in hexadecimal, as operators name it.
+func (f Fingerprint) String() string { return strconv.FormatUint(uint64(f), 16) }
+
 // Action is what to do with a request.
 type Action int
 
