--- a/operator/logtrace/logtrace.go
+++ b/operator/logtrace/logtrace.go
@@ -4,7 +4,8 @@
 // Logs are lines of key=value pairs. Besides the lines that name the request, it
 // collects what the same VMs logged shortly before about the targets that the
 // request was sent to and about the store: these show what the decisions were
-// based on.
+// based on. It also collects what these VMs logged of crashes by the same request,
+// recognized by its fingerprint, sent earlier or through other VMs.
 package logtrace
 
 import (
@@ -68,10 +69,12 @@
 	var lines []Line
 	direct := directEntries(id, entries)
 	targets, last := involvedTargets(direct)
+	fingerprints := fingerprintsOf(direct)
 	for _, e := range entries {
 		switch {
 		case e.fields["request"] == id:
 			e.Direct = true
+		case isCrashHistory(e, direct, fingerprints, last):
 		case !isContext(e, direct, targets, last):
 			continue
 		}
@@ -108,13 +111,37 @@
 	return targets, last
 }
 
+// fingerprintsOf returns the fingerprints that the lines of a request name.
+func fingerprintsOf(direct []entry) map[string]bool {
+	const notHashed = "0" // the request ended before its body was read
+	fingerprints := make(map[string]bool)
+	for _, e := range direct {
+		fingerprints[e.fields["fingerprint"]] = true
+	}
+	delete(fingerprints, "")
+	delete(fingerprints, notHashed)
+	return fingerprints
+}
+
+// isCrashHistory reports whether a line tells of crashes by the same request on a VM
+// that handled it. They may be much older than the request; those of the request
+// itself are found a moment after its end.
+func isCrashHistory(e entry, direct []entry, fingerprints map[string]bool, last time.Time) bool {
+	return fingerprints[e.fields["fingerprint"]] && e.fields["request"] == "" && e.At.Sub(last) <= lookBack && loggedBySameVM(e, direct)
+}
+
+// loggedBySameVM reports whether a line comes from a VM that handled the request.
+func loggedBySameVM(e entry, direct []entry) bool {
+	return slices.ContainsFunc(direct, func(d entry) bool { return d.Source == e.Source })
+}
+
 // isContext reports whether a line shows what the VMs that handled the request
 // knew when they decided.
 func isContext(e entry, direct []entry, targets map[string]bool, last time.Time) bool {
 	if e.At.After(last) || last.Sub(e.At) > lookBack || e.fields["request"] != "" {
 		return false
 	}
-	if !slices.ContainsFunc(direct, func(d entry) bool { return d.Source == e.Source }) {
+	if !loggedBySameVM(e, direct) {
 		return false
 	}
 	return targets[e.fields["target"]] || slices.Contains(contextEvents, e.fields["event"])
