front: refuse a request after its second crash, as serve does

The front-end instances waited for a third crash since closed connections of failing targets counted. They no longer do. The threshold of the table is one constant again.

--- a/entry/crashes/doc.go
+++ b/entry/crashes/doc.go
@@ -10,7 +10,7 @@
 // is published soon.
 //
 // The tracker counts crashes by the request's fingerprint (policy/quarantine) and
-// refuses a request after crashesToRefuse of them. What it knows is state that all
+// refuses a request after the second. What it knows is state that all
 // VMs hold: each VM sends new evidence to the others at once and repeats all that it
 // knows in turn, whoever saw it first. So a VM that joins, restarts, was cut off or
 // gets no evidence of attempts learns it, too, and evidence outlives the VM that
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -12,9 +12,6 @@
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
-// crashesToRefuse is the number of crashes after which a request is refused.
-const crashesToRefuse = 3
-
 // Options configures a Tracker.
 type Options struct {
 	Network contract.Network
@@ -40,7 +37,7 @@
 // New returns a tracker without suspects.
 func New(options Options) *Tracker {
 	options.Scope = options.Scope.SubScope("crashes")
-	t := &Tracker{options: options, table: quarantine.NewTableWithThreshold(crashesToRefuse), outbox: newOutbox()}
+	t := &Tracker{options: options, table: quarantine.NewTable(), outbox: newOutbox()}
 	t.prober = newProber(t)
 	return t
 }
@@ -145,7 +142,7 @@
 	}
 	if change.Quarantined {
 		t.options.Scope.Counter("quarantined").Inc(1)
-		events.FingerprintRefused.Log(t.options.Logger, "fingerprint", fingerprint, "last_target", crash.Target, "crashes", crashesToRefuse, "reporter", reporter)
+		events.FingerprintRefused.Log(t.options.Logger, "fingerprint", fingerprint, "last_target", crash.Target, "crashes", quarantine.CrashesToQuarantine, "reporter", reporter)
 	}
 	if change.Cleared {
 		t.logCleared(fingerprint, reporter)
--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -7,7 +7,6 @@
 // suspect. From then on at most one attempt of it runs at a time and others wait.
 // A second crash, of another target or of the same one after its restart,
 // quarantines the fingerprint: every VM refuses it as not run for QuarantineTime.
-// A table may have a higher threshold than two crashes.
 //
 // A request that crashes each target that runs it never gets a complete response.
 // A response therefore clears a suspect and lifts a quarantine, and a crash soon
--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -51,14 +51,14 @@
 }
 
 // update removes what has expired and derives the end of the quarantine.
-func (e *entry) update(threshold int, now time.Duration) {
+func (e *entry) update(now time.Duration) {
 	if now >= e.quarantinedUntil {
 		e.crashes.dropExpired(now)
 	}
 	if now >= e.verdictUntil {
 		e.verdictUntil = 0
 	}
-	e.quarantinedUntil = max(e.verdictUntil, e.crashes.quarantineEnd(threshold))
+	e.quarantinedUntil = max(e.verdictUntil, e.crashes.quarantineEnd())
 	if now >= e.quarantinedUntil {
 		e.quarantinedUntil = 0
 	}
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -98,15 +98,15 @@
 	*l = slices.DeleteFunc(*l, func(c Crash) bool { return now >= c.expiresAt() })
 }
 
-// quarantineEnd returns until when the crashes quarantine the request, given the
-// number of crashes that does so; zero when they don't.
-func (l crashList) quarantineEnd(threshold int) time.Duration {
-	if len(l) < threshold {
+// quarantineEnd returns until when the crashes quarantine the request; zero when they
+// don't.
+func (l crashList) quarantineEnd() time.Duration {
+	if len(l) < CrashesToQuarantine {
 		return 0
 	}
 	confirmed := slices.DeleteFunc(slices.Clone(l), func(c Crash) bool { return c.Presumed })
-	if len(confirmed) >= threshold {
-		return confirmed[threshold-1].At + QuarantineTime
+	if len(confirmed) >= CrashesToQuarantine {
+		return confirmed[CrashesToQuarantine-1].At + QuarantineTime
 	}
 	// The quarantine ends when so many crashes have expired that too few are left.
 	ends := make([]time.Duration, 0, len(l))
@@ -114,5 +114,5 @@
 		ends = append(ends, c.expiresAt())
 	}
 	slices.Sort(ends)
-	return ends[len(ends)-threshold]
+	return ends[len(ends)-CrashesToQuarantine]
 }
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -47,17 +47,11 @@
 type Table struct {
 	entries map[Fingerprint]*entry
 	answers *recentAnswers
-	// crashThreshold is the number of crashes that quarantines a request.
-	crashThreshold int
 }
 
-// NewTable returns an empty table with the threshold CrashesToQuarantine.
-func NewTable() *Table { return NewTableWithThreshold(CrashesToQuarantine) }
-
-// NewTableWithThreshold returns an empty table that quarantines a request after
-// the given number of crashes.
-func NewTableWithThreshold(crashes int) *Table {
-	return &Table{entries: make(map[Fingerprint]*entry), answers: newRecentAnswers(), crashThreshold: crashes}
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{entries: make(map[Fingerprint]*entry), answers: newRecentAnswers()}
 }
 
 // Len returns the number of suspects and quarantines.
@@ -95,7 +89,7 @@
 	if !ok {
 		return nil, false
 	}
-	e.update(t.crashThreshold, now)
+	e.update(now)
 	if now >= e.expiresAt() {
 		delete(t.entries, fingerprint)
 		return nil, false
@@ -147,7 +141,7 @@
 	}
 	before := e.quarantinedUntil > 0
 	change.Recorded = e.crashes.add(crash) || change.Recorded
-	e.update(t.crashThreshold, now)
+	e.update(now)
 	if e.quarantinedUntil > 0 && !before {
 		change.Quarantined = true
 		t.boundQuarantines(e)
@@ -179,7 +173,7 @@
 	}
 	if e.quarantinedUntil == 0 {
 		e.verdictUntil = now + remaining
-		e.update(t.crashThreshold, now)
+		e.update(now)
 		t.boundQuarantines(e)
 	}
 	return true
@@ -205,7 +199,7 @@
 		e.verdictUntil = 0
 	}
 	e.contestedUntil = now + AnswerValidity
-	e.update(t.crashThreshold, now)
+	e.update(now)
 	return !e.isSuspect()
 }
 
@@ -299,7 +293,7 @@
 	e.liftedAt, e.liftKnownUntil = at, at+SuspectTime
 	e.crashes.dropUntil(at)
 	e.verdictUntil = 0
-	e.update(t.crashThreshold, now)
+	e.update(now)
 	return wasSuspect && !e.isSuspect()
 }
 
