Let a newer start confirm a crash also when this VM reached no target

The published start shows the end of the process whatever the probes found. The new row of TestLostAttemptIsACrashOnlyWhenItsTargetEnded failed before.

--- a/entry/crashes/prober.go
+++ b/entry/crashes/prober.go
@@ -317,7 +317,7 @@
 		if p.published[key.id].State == roster.StateDraining {
 			clear(state.lost) // it leaves as planned
 		}
-		if state.finding != findingNone && p.isConfirmed(state) {
+		if p.isConfirmed(state) {
 			crashes = append(crashes, p.crashesOf(key, state)...)
 		}
 	}
--- a/entry/crashes/prober_test.go
+++ b/entry/crashes/prober_test.go
@@ -156,6 +156,16 @@
 				f.silence(i)
 			}
 		}, func(*proberFleet) {}, false, false},
+		{"this VM reaches no target until these start anew", func(f *proberFleet) {
+			for i := range f.targets {
+				f.silence(i)
+			}
+		}, func(f *proberFleet) {
+			for _, i := range three {
+				f.targets[i].StartedAt = f.start.Add(time.Second)
+			}
+			f.publish()
+		}, false, true},
 		{"responses to other VMs were on their way", func(f *proberFleet) {
 			for _, i := range three {
 				f.silence(i)
