--- a/entry/crashes/prober_test.go
+++ b/entry/crashes/checker_test.go
@@ -18,9 +18,9 @@
 
 const ownIP = "10.0.0.1"
 
-// proberFleet is one VM's tracker and some targets on an in-memory network, in
+// checkerFleet is one VM's tracker and some targets on an in-memory network, in
 // virtual time.
-type proberFleet struct {
+type checkerFleet struct {
 	t       *testing.T
 	network *memnet.Network
 	tracker *Tracker
@@ -32,11 +32,11 @@
 
 func targetIP(i int) string { return "10.1.0." + strconv.Itoa(i+1) }
 
-// withProber runs a test with six targets.
-func withProber(t *testing.T, test func(f *proberFleet)) {
+// withChecker runs a test with six targets.
+func withChecker(t *testing.T, test func(f *checkerFleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := &proberFleet{t: t, network: memnet.New(), start: time.Now()}
+		f := &checkerFleet{t: t, network: memnet.New(), start: time.Now()}
 		f.tracker = New(Options{
 			Network: f.network.Host(ownIP), Uptime: f.uptime, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 			ServedSince: func(_ string, since time.Duration) bool { return f.servedUntil >= since },
@@ -56,12 +56,12 @@
 	})
 }
 
-func (f *proberFleet) uptime() time.Duration { return time.Since(f.start) + time.Hour }
+func (f *checkerFleet) uptime() time.Duration { return time.Since(f.start) + time.Hour }
 
-func (f *proberFleet) publish() { f.tracker.TargetsChanged(f.targets) }
+func (f *checkerFleet) publish() { f.tracker.TargetsChanged(f.targets) }
 
 // listen starts a target that accepts connections.
-func (f *proberFleet) listen(i int) {
+func (f *checkerFleet) listen(i int) {
 	listener, err := f.network.Host(targetIP(i)).Listen(context.Background(), f.targets[i].Address)
 	if err != nil {
 		f.t.Fatal(err)
@@ -79,7 +79,7 @@
 }
 
 // loseAttempts reports an attempt of one request as lost at each of the targets.
-func (f *proberFleet) loseAttempts(targets ...int) {
+func (f *checkerFleet) loseAttempts(targets ...int) {
 	for _, i := range targets {
 		f.tracker.AttemptLost(LostAttempt{Fingerprint: 7, Target: f.targets[i]})
 		time.Sleep(10 * time.Millisecond)
@@ -87,9 +87,9 @@
 }
 
 // silence cuts the network path between this VM and a target.
-func (f *proberFleet) silence(i int) { f.network.Block(ownIP, targetIP(i)) }
+func (f *checkerFleet) silence(i int) { f.network.Block(ownIP, targetIP(i)) }
 
-func (f *proberFleet) refused() bool { return f.tracker.Refused(7) > 0 }
+func (f *checkerFleet) refused() bool { return f.tracker.Refused(7) > 0 }
 
 // TestLostAttemptIsACrashOnlyWhenItsTargetEnded guards against both mistakes about a
 // request whose attempts get no complete response: going on to send one that crashes
@@ -100,50 +100,50 @@
 	for _, c := range []struct {
 		name string
 		// before takes place before the attempts are lost, after a second later.
-		before, after func(f *proberFleet)
+		before, after func(f *checkerFleet)
 		// refused tells whether the request is refused a second after the attempts were
 		// lost, and after the second step.
 		refused, refusedAfter bool
 	}{
-		{"targets live", func(*proberFleet) {}, func(*proberFleet) {}, false, false},
-		{"targets refuse connections", func(f *proberFleet) {
+		{"targets live", func(*checkerFleet) {}, func(*checkerFleet) {}, false, false},
+		{"targets refuse connections", func(f *checkerFleet) {
 			for _, i := range three {
 				f.network.Kill(targetIP(i))
 			}
-		}, func(*proberFleet) { time.Sleep(time.Minute) }, true, true},
-		{"targets fall silent", func(f *proberFleet) {
+		}, func(*checkerFleet) { time.Sleep(time.Minute) }, true, true},
+		{"targets fall silent", func(f *checkerFleet) {
 			for _, i := range three {
 				f.silence(i)
 			}
-		}, func(*proberFleet) { time.Sleep(15 * time.Second) }, true, false},
-		{"silent targets start anew", func(f *proberFleet) {
+		}, func(*checkerFleet) { time.Sleep(15 * time.Second) }, true, false},
+		{"silent targets start anew", func(f *checkerFleet) {
 			for _, i := range three {
 				f.silence(i)
 			}
-		}, func(f *proberFleet) {
+		}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].StartedAt = f.start.Add(time.Second)
 			}
 			f.publish()
 			time.Sleep(15 * time.Second)
 		}, true, true},
-		{"entries of silent targets are gone", func(f *proberFleet) {
+		{"entries of silent targets are gone", func(f *checkerFleet) {
 			for _, i := range three {
 				f.silence(i)
 			}
-		}, func(f *proberFleet) {
+		}, func(f *checkerFleet) {
 			f.targets = f.targets[3:]
 			f.publish()
 			time.Sleep(15 * time.Second)
 		}, true, true},
-		{"targets start anew under other identifiers", func(*proberFleet) {}, func(f *proberFleet) {
+		{"targets start anew under other identifiers", func(*checkerFleet) {}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].ID += "x"
 				f.targets[i].StartedAt = f.start.Add(time.Second)
 			}
 			f.publish()
 		}, false, true},
-		{"targets leave as planned", func(*proberFleet) {}, func(f *proberFleet) {
+		{"targets leave as planned", func(*checkerFleet) {}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].State = roster.StateDraining
 			}
@@ -151,46 +151,46 @@
 			f.targets = f.targets[3:]
 			f.publish()
 		}, false, false},
-		{"this VM reaches no target", func(f *proberFleet) {
+		{"this VM reaches no target", func(f *checkerFleet) {
 			for i := range f.targets {
 				f.silence(i)
 			}
-		}, func(*proberFleet) {}, false, false},
-		{"this VM reaches no target until these start anew", func(f *proberFleet) {
+		}, func(*checkerFleet) {}, false, false},
+		{"this VM reaches no target until these start anew", func(f *checkerFleet) {
 			for i := range f.targets {
 				f.silence(i)
 			}
-		}, func(f *proberFleet) {
+		}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].StartedAt = f.start.Add(time.Second)
 			}
 			f.publish()
 		}, false, true},
-		{"responses to other VMs were on their way", func(f *proberFleet) {
+		{"responses to other VMs were on their way", func(f *checkerFleet) {
 			for _, i := range three {
 				f.silence(i)
 			}
 			f.servedUntil = f.uptime() + reportDelay/2
-		}, func(*proberFleet) {}, true, true},
-		{"other VMs reach the targets until these start anew", func(f *proberFleet) {
+		}, func(*checkerFleet) {}, true, true},
+		{"other VMs reach the targets until these start anew", func(f *checkerFleet) {
 			for _, i := range three {
 				f.network.Kill(targetIP(i))
 			}
 			f.servedUntil = 2 * time.Hour
-		}, func(f *proberFleet) {
+		}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].StartedAt = f.start.Add(time.Second)
 			}
 			f.publish()
 		}, false, true},
-		{"other VMs reach the targets", func(f *proberFleet) {
+		{"other VMs reach the targets", func(f *checkerFleet) {
 			for _, i := range three {
 				f.silence(i)
 			}
 			f.servedUntil = 2 * time.Hour
-		}, func(*proberFleet) {}, false, false},
+		}, func(*checkerFleet) {}, false, false},
 	} {
-		withProber(t, func(f *proberFleet) {
+		withChecker(t, func(f *checkerFleet) {
 			c.before(f)
 			f.loseAttempts(three...)
 			time.Sleep(2 * time.Second)
@@ -205,19 +205,19 @@
 	}
 }
 
-// TestLostAttemptsOfOneTargetShareItsProbes checks that a failing target which closes
-// many connections is not probed for each of them.
-func TestLostAttemptsOfOneTargetShareItsProbes(t *testing.T) {
-	withProber(t, func(f *proberFleet) {
+// TestLostAttemptsOfOneTargetShareItsChecks checks that a failing target which closes
+// many connections is not checked for each of them.
+func TestLostAttemptsOfOneTargetShareItsChecks(t *testing.T) {
+	withChecker(t, func(f *checkerFleet) {
 		scope := tally.NewTestScope("", nil)
-		f.tracker.prober.scope = scope
+		f.tracker.checker.scope = scope
 		for range 100 {
 			f.loseAttempts(0)
 		}
 		time.Sleep(5 * time.Second)
-		probes := scope.Snapshot().Counters()["probes+"].Value()
-		if probes == 0 || probes > 8 {
-			t.Errorf("%d probes for 100 lost attempts in a second", probes)
+		connects := scope.Snapshot().Counters()["connects+"].Value()
+		if connects == 0 || connects > 8 {
+			t.Errorf("%d connections for 100 lost attempts in a second", connects)
 		}
 	})
 }
@@ -225,11 +225,11 @@
 // TestProcessesWithLostAttemptsAreForgotten guards against a list that grows with each
 // target that once lost an attempt.
 func TestProcessesWithLostAttemptsAreForgotten(t *testing.T) {
-	withProber(t, func(f *proberFleet) {
+	withChecker(t, func(f *checkerFleet) {
 		f.loseAttempts(0, 1, 2)
 		time.Sleep(2 * confirmTime)
 		f.loseAttempts(3)
-		if n := len(f.tracker.prober.processes); n != 1 {
+		if n := len(f.tracker.checker.processes); n != 1 {
 			t.Errorf("%d processes are still known, want 1", n)
 		}
 		time.Sleep(time.Second)
--- a/entry/crashes/doc.go
+++ b/entry/crashes/doc.go
@@ -3,7 +3,7 @@
 //
 // An attempt that ends without a complete response is lost: its connection was
 // closed, or no response came. That alone does not mean that the target crashed: a
-// failing target closes connections and lives on. The prober connects to the
+// failing target closes connections and lives on. The checker connects to the
 // target. A target that refuses connections has crashed. One that does not answer is
 // presumed to have crashed, until a newer start of it is published, or its entry is
 // gone, which confirms it. One that accepts a connection lives, unless a newer start
--- /dev/null
+++ b/entry/crashes/lost.go
@@ -0,0 +1,56 @@
+package crashes
+
+import (
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/quarantine"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// LostAttempt is an attempt that ended, or has been waiting for long, without a
+// complete response after the request was written.
+type LostAttempt struct {
+	Fingerprint quarantine.Fingerprint
+	// Target is the process that ran the request, as it was published.
+	Target roster.Target
+}
+
+// process identifies one process of a target.
+type process struct {
+	id          string
+	incarnation int64
+}
+
+func processOf(target roster.Target) process {
+	if target.StartedAt.IsZero() {
+		return process{id: target.ID}
+	}
+	return process{id: target.ID, incarnation: target.StartedAt.UnixMilli()}
+}
+
+// finding is what connection attempts showed about a process.
+type finding int
+
+const (
+	// findingNone: the process is still being checked, or this VM reaches no target.
+	findingNone finding = iota
+	findingAlive
+	findingSilent
+	findingCrashed
+)
+
+// checkedProcess is the state of a process with lost attempts.
+type checkedProcess struct {
+	target roster.Target
+	// lost holds, by request, when an attempt was lost.
+	lost     map[quarantine.Fingerprint]time.Duration
+	checking bool
+	finding  finding
+	// startedAt is when the connection attempts that led to the finding began.
+	startedAt time.Duration
+}
+
+// String returns the finding as a metric label.
+func (f finding) String() string {
+	return [...]string{"none", "alive", "silent", "crashed"}[f]
+}
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -26,7 +26,7 @@
 // Tracker counts the crashes by request, from the reports of this VM and the others.
 type Tracker struct {
 	options Options
-	prober  *prober
+	checker *checker
 
 	mu      sync.Mutex
 	table   *quarantine.Table
@@ -38,7 +38,7 @@
 func New(options Options) *Tracker {
 	options.Scope = options.Scope.SubScope("crashes")
 	t := &Tracker{options: options, table: quarantine.NewTable(), outbox: newOutbox()}
-	t.prober = newProber(t)
+	t.checker = newChecker(t)
 	return t
 }
 
@@ -70,7 +70,7 @@
 
 // AttemptLost records an attempt without a complete response and finds out in the
 // background whether its target crashed.
-func (t *Tracker) AttemptLost(lost LostAttempt) { t.prober.add(lost) }
+func (t *Tracker) AttemptLost(lost LostAttempt) { t.checker.add(lost) }
 
 // recordCrash records a crash that this VM found.
 func (t *Tracker) recordCrash(fingerprint quarantine.Fingerprint, crash quarantine.Crash) {
--- a/entry/events/frontend.go
+++ b/entry/events/frontend.go
@@ -24,7 +24,7 @@
 		"A target went away while it ran the request with this fingerprint, as this VM (empty reporter) or another one saw.")
 	SuspectCleared = define(5107, log.InfoLevel, "suspect request cleared",
 		"A target answered a request that was suspected of crashing targets, or an operator lifted its quarantine; its crashes no longer count.")
-	TargetProbed = define(5108, log.InfoLevel, "target of a lost attempt probed",
+	TargetChecked = define(5108, log.InfoLevel, "target of a lost attempt checked",
 		"Attempts at the target ended without a complete response; the finding tells whether it accepts connections, and crashed_on counts the requests on which it crashed or is presumed to have.")
 	QuarantineLifted = define(5109, log.WarnLevel, "quarantine lifted",
 		"An operator let a request run again that was refused or suspected of crashing targets.")
