--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -9,9 +9,9 @@
 	crashes     crashList
 	// quarantinedUntil is the end of the quarantine; zero for a suspect.
 	quarantinedUntil time.Duration
-	// verdictUntil is the end of a quarantine that another VM reported without its
+	// reportedUntil is the end of a quarantine that another VM reported without its
 	// crashes; zero for none.
-	verdictUntil time.Duration
+	reportedUntil time.Duration
 	// contestedUntil is the time until which a response that outweighs reported
 	// crashes is part of the evidence for other VMs; zero for none.
 	contestedUntil time.Duration
@@ -55,10 +55,10 @@
 	if now >= e.quarantinedUntil {
 		e.crashes.dropExpired(now)
 	}
-	if now >= e.verdictUntil {
-		e.verdictUntil = 0
+	if now >= e.reportedUntil {
+		e.reportedUntil = 0
 	}
-	e.quarantinedUntil = max(e.verdictUntil, e.crashes.quarantineEnd())
+	e.quarantinedUntil = max(e.reportedUntil, e.crashes.quarantineEnd())
 	if now >= e.quarantinedUntil {
 		e.quarantinedUntil = 0
 	}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -172,7 +172,7 @@
 		return false
 	}
 	if e.quarantinedUntil == 0 {
-		e.verdictUntil = now + remaining
+		e.reportedUntil = now + remaining
 		e.update(now)
 		t.boundQuarantines(e)
 	}
@@ -195,8 +195,8 @@
 		return false
 	}
 	e.crashes.dropUntil(at + AnswerValidity)
-	if e.verdictUntil > 0 && e.verdictUntil-QuarantineTime <= at+AnswerValidity {
-		e.verdictUntil = 0
+	if e.reportedUntil > 0 && e.reportedUntil-QuarantineTime <= at+AnswerValidity {
+		e.reportedUntil = 0
 	}
 	e.contestedUntil = now + AnswerValidity
 	e.update(now)
@@ -292,7 +292,7 @@
 	wasSuspect := e.isSuspect()
 	e.liftedAt, e.liftKnownUntil = at, at+SuspectTime
 	e.crashes.dropUntil(at)
-	e.verdictUntil = 0
+	e.reportedUntil = 0
 	e.update(now)
 	return wasSuspect && !e.isSuspect()
 }
