--- a/policy/health/finding.go
+++ b/policy/health/finding.go
@@ -42,8 +42,6 @@
 
 // addEjectionFinding records that a target was found faulty or is avoided.
 func (t *Tracker) addEjectionFinding(now time.Duration, entry *target) {
-	if t.config.VM == "vm05" {
-	}
 	a := &entry.assessment
 	decision := "ejected"
 	switch {
