--- a/entry/proxy/crash_test.go
+++ b/entry/proxy/crash_test.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"strings"
@@ -52,7 +51,7 @@
 	withFleet(t, 3, twoTargets(), func(t *testing.T, f *fleet) {
 		crashes := 0
 		startCrashingTarget(t, f, 0, &crashes)
-		startTarget(t, f, 1, func(net.Conn) string { return failing })
+		acceptConnections(t, f, 1, func(conn net.Conn) { serveScript(conn, func(*http.Request) string { return failing }) })
 		for i := range 20 {
 			f.send(i/2%3, "POST", "/poison", "x") // each VM takes the targets in turn
 			time.Sleep(2 * time.Second)
@@ -68,43 +67,19 @@
 func startCrashingTarget(t *testing.T, f *fleet, index int, crashes *int) {
 	t.Helper()
 	var downUntil time.Time
-	startTarget(t, f, index, func(conn net.Conn) string {
-		if conn != nil {
+	acceptConnections(t, f, index, func(conn net.Conn) {
+		if time.Now().Before(downUntil) {
+			_ = conn.Close()
+			return
+		}
+		serveScript(conn, func(*http.Request) string {
 			*crashes++
 			downUntil = time.Now().Add(time.Second)
 			return ""
-		}
-		if time.Now().Before(downUntil) {
-			return ""
-		}
-		return "accept"
+		})
 	})
 }
 
-// startTarget starts one target. The script is called without a connection for each
-// new one, and with it for each request; it closes the connection by an empty text.
-func startTarget(t *testing.T, f *fleet, index int, script func(net.Conn) string) {
-	t.Helper()
-	listener, err := f.network.Host(targetIP(index)).Listen(f.ctx, f.targets[index].Address)
-	if err != nil {
-		t.Fatal(err)
-	}
-	context.AfterFunc(f.ctx, func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			if script(nil) == "" {
-				_ = conn.Close()
-				continue
-			}
-			go serveScript(conn, func(*http.Request) string { return script(conn) })
-		}
-	}()
-}
-
 // TestVMThatTakesOverAServiceKnowsItsQuarantines guards against a VM that begins to
 // serve a service because another one left: no instance joins then, and the VM was
 // not told of quarantines before.
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -24,25 +24,32 @@
 // response closes the connection, and so does one with "!close", after it is sent.
 func startScriptedTargets(t *testing.T, f *fleet, script func(r *http.Request) string) {
 	t.Helper()
-	for _, target := range f.targets {
-		ip, _, _ := net.SplitHostPort(target.Address)
-		listener, err := f.network.Host(ip).Listen(f.ctx, target.Address)
-		if err != nil {
-			t.Fatal(err)
-		}
-		context.AfterFunc(f.ctx, func() { _ = listener.Close() })
-		go func() {
-			for {
-				conn, err := listener.Accept()
-				if err != nil {
-					return
-				}
-				go serveScript(conn, script)
-			}
-		}()
+	for i := range f.targets {
+		acceptConnections(t, f, i, func(conn net.Conn) { serveScript(conn, script) })
 	}
 }
 
+// acceptConnections listens at a target's address and handles each connection.
+func acceptConnections(t *testing.T, f *fleet, index int, handle func(net.Conn)) {
+	t.Helper()
+	address := f.targets[index].Address
+	ip, _, _ := net.SplitHostPort(address)
+	listener, err := f.network.Host(ip).Listen(f.ctx, address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	context.AfterFunc(f.ctx, func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go handle(conn)
+		}
+	}()
+}
+
 func serveScript(conn net.Conn, script func(r *http.Request) string) {
 	defer func() { _ = conn.Close() }()
 	reader := bufio.NewReader(conn)
