front: don't try a suspect again after a lost attempt

A request that had crashed one target could crash two more in one go: its attempt was lost, whether the target crashed is known after half a second, and the next attempt began at once. retry.Decide has known such requests all along, but no caller told it.

TestSuspectIsNotSentAgainAfterALostAttempt: 2 attempts when the gateway doesn't tell.

--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -53,6 +53,13 @@
 	return t.table.Refused(fingerprint, t.options.Uptime())
 }
 
+// Suspected reports whether a target is known to have crashed on the request.
+func (t *Tracker) Suspected(fingerprint quarantine.Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.table.Suspected(fingerprint, t.options.Uptime())
+}
+
 // Answered records that a target sent a complete response, which shows that the
 // request does not crash each target that runs it.
 func (t *Tracker) Answered(fingerprint quarantine.Fingerprint) {
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -21,6 +21,8 @@
 type CrashTracker interface {
 	// Refused returns how much longer the request must not run; zero when it may run.
 	Refused(fingerprint quarantine.Fingerprint) time.Duration
+	// Suspected reports whether a target is known to have crashed on the request.
+	Suspected(fingerprint quarantine.Fingerprint) bool
 	// AttemptLost records an attempt that has no complete response after its request
 	// was written, so that its target may have crashed.
 	AttemptLost(lost crashes.LostAttempt)
--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -85,6 +85,24 @@
 	})
 }
 
+// TestSuspectIsNotSentAgainAfterALostAttempt guards against a request that has crashed
+// a target before and crashes two more in one go: its attempt is lost, and whether its
+// target crashed is known only after the next attempt.
+func TestSuspectIsNotSentAgainAfterALostAttempt(t *testing.T) {
+	withHarness(t, []behavior{resets, resets}, func(h *harness) {
+		h.crashes.suspected = true
+		if h.send(http.MethodGet, safePath+"1", ""); h.total() != 1 {
+			t.Errorf("%d attempts, want 1", h.total())
+		}
+	})
+	withHarness(t, []behavior{failsWith(http.StatusInternalServerError), failsWith(http.StatusInternalServerError)}, func(h *harness) {
+		h.crashes.suspected = true
+		if h.send(http.MethodGet, safePath+"1", ""); h.total() != 2 {
+			t.Errorf("%d attempts after a failure response, want 2", h.total())
+		}
+	})
+}
+
 // TestCallerThatLeavesIsNoSignOfACrash checks that an attempt which ends because its
 // caller left is not reported as lost.
 func TestCallerThatLeavesIsNoSignOfACrash(t *testing.T) {
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -77,8 +77,12 @@
 	lost        int
 	answered    int
 	refuseAfter int
+	// suspected is true when the requests are known to have crashed a target before.
+	suspected bool
 }
 
+func (c *reportedCrashes) Suspected(quarantine.Fingerprint) bool { return c.suspected }
+
 func (c *reportedCrashes) Refused(quarantine.Fingerprint) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -121,6 +121,7 @@
 		AttemptsAllowed: q.route.MaxAttempts,
 		NotRun:          d.notRun,
 		Idempotent:      q.route.Kind.Idempotent(),
+		TargetCrashed:   d.lost && q.gateway.options.Crashes.Suspected(q.print),
 		Replayable:      q.body.replayable(),
 		Remaining:       q.remaining(),
 		Expected:        minRetryTime,
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -67,6 +67,12 @@
 	return max(e.quarantinedUntil-now, 0)
 }
 
+// Suspected reports whether crashes count against the request, quarantined or not.
+func (t *Table) Suspected(fingerprint Fingerprint, now time.Duration) bool {
+	e, ok := t.lookup(fingerprint, now)
+	return ok && e.isSuspect()
+}
+
 // Admit decides about an attempt of a request that ends by the deadline.
 func (t *Table) Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision {
 	e, ok := t.lookup(fingerprint, now)
--- a/policy/retry/decide.go
+++ b/policy/retry/decide.go
@@ -39,7 +39,7 @@
 	NotRun bool
 	// Idempotent is true when the request may run twice.
 	Idempotent bool
-	// TargetCrashed is true when the target crashed during the attempt.
+	// TargetCrashed is true when the target probably crashed during the attempt.
 	TargetCrashed bool
 	// Replayable is true when the complete request body can be sent again.
 	Replayable bool
