serve: count a target that falls silent under a request

What callers saw: a request that silences its targets, and that must not run twice, was sent on without end.

Cause: as on front, only closed and refused connections showed a crash; an attempt that ended at its time limit was never checked. Change: the target of such an attempt is checked in the background, by the code that checks lost attempts of front, moved to entry/internal/liveness: silent while another target of the service accepts a connection means presumed, for 10 s, told to the other VMs as such; refused means crashed. Silence that several copies of a request notice one after the other is one crash.

TestRequestThatSilencesItsTargetsIsQuarantined failed before: a crash 5.1 s after the second, no refusal. TestSilenceNoticedSeveralTimesIsOneCrash guards the counting. What remains: serve has no start times by which to confirm a presumed crash.

--- a/entry/crashes/checker.go
+++ b/entry/crashes/checker.go
@@ -2,33 +2,19 @@
 
 import (
 	"context"
-	"errors"
-	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/internal/liveness"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
 const (
-	// connectTimeout bounds one connection attempt.
-	connectTimeout = 250 * time.Millisecond
-	// checkInterval is the pause between two connection attempts to one target.
-	checkInterval = 250 * time.Millisecond
-	// maxConnects is the number of connection attempts without success after which the
-	// target counts as crashed or silent. A target with too many connections may refuse
-	// a single one.
-	maxConnects = 3
-	// controlTargets is the number of other targets, one of which must accept a
-	// connection before a finding counts against a target and not against this VM's own
-	// network path.
-	controlTargets = 3
 	// reportDelay bounds how long the report of a response is on its way to this VM.
 	reportDelay = 200 * time.Millisecond
 	// confirmTime is how long after the end of an attempt a newer start of the target,
@@ -120,9 +106,9 @@
 	state := c.processes[key]
 	c.mu.Unlock()
 	for {
-		found := c.examine(ctx, state.target)
+		found := liveness.Check(ctx, c.tracker.options.Network, state.target.Address, c.controls(state.target))
 		c.conclude(key, state, found)
-		if !pause.For(ctx, checkInterval) || c.finish(state) {
+		if !pause.For(ctx, liveness.Interval) || c.finish(state) {
 			return
 		}
 	}
@@ -143,64 +129,21 @@
 	return true
 }
 
-// examine makes up to maxConnects connection attempts to a target.
-func (c *checker) examine(ctx context.Context, target roster.Target) finding {
-	refusals := 0
-	for i := range maxConnects {
-		if i > 0 && !pause.For(ctx, checkInterval) {
-			return findingNone
-		}
-		err := c.connect(ctx, target.Address)
-		if err == nil {
-			return findingAlive
-		}
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			refusals++
-		}
-	}
-	switch {
-	case !c.reachesOtherTargets(ctx, target):
-		return findingNone
-	case refusals > 0:
-		return findingCrashed
-	}
-	return findingSilent
-}
-
-// connect opens a connection to a target and closes it.
-func (c *checker) connect(ctx context.Context, address string) error {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
-	c.scope.Counter("connects").Inc(1)
-	conn, err := c.tracker.options.Network.DialContext(ctx, "tcp", address)
-	if err != nil {
-		return fmt.Errorf("check target at %s: %w", address, err)
-	}
-	_ = conn.Close()
-	return nil
-}
-
-// reachesOtherTargets reports whether another target accepts a connection. When
-// there is no other target, it reports true.
-func (c *checker) reachesOtherTargets(ctx context.Context, target roster.Target) bool {
+// controls returns the addresses of some other published targets.
+func (c *checker) controls(target roster.Target) []string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	var others []string
 	for id, other := range c.published { // in random order
-		if id != target.ID && other.Address != target.Address && len(others) < controlTargets {
+		if id != target.ID && other.Address != target.Address && len(others) < liveness.MaxControls {
 			others = append(others, other.Address)
 		}
 	}
-	c.mu.Unlock()
-	for _, address := range others {
-		if c.connect(ctx, address) == nil {
-			return true
-		}
-	}
-	return len(others) == 0
+	return others
 }
 
 // conclude applies a finding to the lost attempts of a process.
-func (c *checker) conclude(key process, state *checkedProcess, found finding) {
+func (c *checker) conclude(key process, state *checkedProcess, found liveness.Finding) {
 	c.mu.Lock()
 	state.finding = found
 	crashes := c.crashesOf(key, state)
@@ -220,8 +163,8 @@
 // forgets the lost attempts behind confirmed ones; the lock is held.
 func (c *checker) crashesOf(key process, state *checkedProcess) []recorded {
 	ended := c.isConfirmed(state)
-	confirmed := ended || state.finding == findingCrashed
-	if !confirmed && state.finding != findingSilent {
+	confirmed := ended || state.finding == liveness.Crashed
+	if !confirmed && state.finding != liveness.Silent {
 		return nil
 	}
 	var crashes []recorded
@@ -247,7 +190,7 @@
 	if ok {
 		return known.StartedAt.After(state.target.StartedAt)
 	}
-	if state.finding == findingSilent {
+	if state.finding == liveness.Silent {
 		return true
 	}
 	for _, other := range c.published {
--- a/entry/crashes/checker_test.go
+++ b/entry/crashes/checker_test.go
@@ -215,9 +215,9 @@
 			f.loseAttempts(0)
 		}
 		time.Sleep(5 * time.Second)
-		connects := scope.Snapshot().Counters()["connects+"].Value()
-		if connects == 0 || connects > 8 {
-			t.Errorf("%d connections for 100 lost attempts in a second", connects)
+		checks := scope.Snapshot().Counters()["findings+finding=alive"].Value()
+		if checks == 0 || checks > 8 {
+			t.Errorf("%d checks for 100 lost attempts in a second", checks)
 		}
 	})
 }
--- a/entry/crashes/lost.go
+++ b/entry/crashes/lost.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primroseloom/primroseloom/entry/internal/liveness"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
@@ -28,29 +29,13 @@
 	return process{id: target.ID, incarnation: target.StartedAt.UnixMilli()}
 }
 
-// finding is what connection attempts showed about a process.
-type finding int
-
-const (
-	// findingNone: the process is still being checked, or this VM reaches no target.
-	findingNone finding = iota
-	findingAlive
-	findingSilent
-	findingCrashed
-)
-
 // checkedProcess is the state of a process with lost attempts.
 type checkedProcess struct {
 	target roster.Target
 	// lost holds, by request, when an attempt was lost.
 	lost     map[quarantine.Fingerprint]time.Duration
 	checking bool
-	finding  finding
+	finding  liveness.Finding
 	// startedAt is when the connection attempts that led to the finding began.
 	startedAt time.Duration
 }
-
-// String returns the finding as a metric label.
-func (f finding) String() string {
-	return [...]string{"none", "alive", "silent", "crashed"}[f]
-}
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -178,9 +178,12 @@
 // about the target.
 func (a *attempt) evaluate(f *failure) (dispatch.FailureDecision, error) {
 	c, target := a.call, a.lease.Target().Name
-	if a.looksCrashed(f) {
+	switch {
+	case a.looksCrashed(f):
 		f.kind = dispatch.FailureCrash
-		a.proxy.suspects.recordCrash(c, target)
+		a.proxy.suspects.recordCrash(c, target, false)
+	case a.fellSilent(f):
+		a.proxy.silent.check(c, a.lease.Target())
 	}
 	if f.kind == dispatch.FailureReset && !a.roundTrip.Reused() {
 		a.recordReset(target)
@@ -214,7 +217,7 @@
 		return
 	}
 	for _, name := range a.history.resetTargets {
-		a.proxy.suspects.recordCrash(a.call, name)
+		a.proxy.suspects.recordCrash(a.call, name, false)
 	}
 }
 
--- a/entry/proxy/background.go
+++ b/entry/proxy/background.go
@@ -57,6 +57,6 @@
 			s.publish(row.Service, quarantineNews(row.Fingerprint, row.ExpiresAt-now))
 			continue
 		}
-		s.publish(row.Service, suspectNews(row.Fingerprint, row.Targets[0]))
+		s.publish(row.Service, suspectNews(row.Fingerprint, row.Targets[0], row.Presumed))
 	}
 }
--- a/entry/proxy/classify.go
+++ b/entry/proxy/classify.go
@@ -107,3 +107,12 @@
 	}
 	return false
 }
+
+// fellSilent reports whether the target of a written request sent no response in time,
+// so that it may have crashed without closing its connections.
+func (a *attempt) fellSilent(f *failure) bool {
+	if !a.roundTrip.Written() || a.proxy.options.Network == nil {
+		return false
+	}
+	return f.kind == dispatch.FailureStall || f.kind == dispatch.FailureDeadline && time.Since(a.start) >= minTimeoutAsEvidence
+}
--- a/entry/proxy/crash_test.go
+++ b/entry/proxy/crash_test.go
@@ -4,10 +4,12 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
@@ -80,6 +82,61 @@
 	})
 }
 
+// TestRequestThatSilencesItsTargetsIsQuarantined guards against a request that takes
+// down each target that runs it without closing its connections, and goes on since
+// only closed connections counted.
+func TestRequestThatSilencesItsTargetsIsQuarantined(t *testing.T) {
+	const detectionTime = 3 * time.Second // the request's own time limit and the check of its target
+	targets := append(twoTargets(), document.Target{Name: "t2", Address: targetIP(2) + ":80", Zone: "z"}, document.Target{Name: "t3", Address: targetIP(3) + ":80", Zone: "z"})
+	withFleet(t, 3, targets, func(t *testing.T, f *fleet) {
+		var mu sync.Mutex
+		var crashes []time.Time
+		silence := func(target string, silent bool) {
+			set := f.network.Unblock
+			if silent {
+				set = f.network.Block
+			}
+			for vm := range f.vms {
+				set(vmIP(vm), target)
+				set(target, vmIP(vm))
+			}
+		}
+		for i := range targets {
+			ip := targetIP(i)
+			acceptConnections(t, f, i, func(conn net.Conn) {
+				serveScript(conn, func(*http.Request) string {
+					mu.Lock()
+					crashes = append(crashes, time.Now())
+					mu.Unlock()
+					silence(ip, true)
+					time.AfterFunc(3*time.Second, func() { silence(ip, false) })
+					time.Sleep(5 * time.Second) // longer than any caller waits
+					return ""
+				})
+			})
+		}
+		start, refused := time.Now(), 0
+		for i := 0; time.Since(start) < quarantine.PresumedTime; i++ {
+			got := f.send(i%3, "POST", "/poison", "x", TimeoutHeader+": 1200")
+			if strings.Contains(got.body, "quarantined") {
+				refused++
+			}
+			time.Sleep(500 * time.Millisecond)
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		for _, at := range crashes[quarantine.CrashesToQuarantine:] {
+			if late := at.Sub(crashes[quarantine.CrashesToQuarantine-1]); late > detectionTime {
+				t.Errorf("a further crash %v after the one that quarantines the request", late)
+			}
+		}
+		if refused == 0 {
+			t.Error("the request was never refused")
+		}
+		time.Sleep(10 * time.Second) // until the targets and checks have ended
+	})
+}
+
 // TestVMThatTakesOverAServiceKnowsItsQuarantines guards against a VM that begins to
 // serve a service because another one left: no instance joins then, and the VM was
 // not told of quarantines before.
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -81,6 +81,7 @@
 	deciders      Deciders
 	dispatcher    *dispatcher
 	suspects      *suspects
+	silent        *silentTargets
 	counters      counters
 	bufferedBytes atomic.Int64
 	draining      atomic.Bool
@@ -106,6 +107,7 @@
 	p.counters = newCounters(options.Scope)
 	p.dispatcher = newDispatcher(deciders.Records, options.Clock)
 	p.suspects = newSuspects(options, deciders.Quarantine)
+	p.silent = newSilentTargets(options, p.suspects)
 	return p
 }
 
--- a/entry/proxy/suspects.go
+++ b/entry/proxy/suspects.go
@@ -93,25 +93,28 @@
 	}
 }
 
-// recordCrash records, publishes and logs that a target crashed on a request.
-func (s *suspects) recordCrash(c *call, target string) {
-	s.publish(c.service.Name, crashNews(c.fingerprint, target))
-	s.countCrash(c.fingerprint, c.service.Name, target)
+// recordCrash records, publishes and logs that a target crashed on a request, or is
+// presumed to have.
+func (s *suspects) recordCrash(c *call, target string, presumed bool) {
+	s.publish(c.service.Name, crashNews(c.fingerprint, target, presumed))
+	s.countCrash(c.fingerprint, c.service.Name, target, presumed)
 	if s.options.Logger != nil {
-		events.TargetCrashed.Log(s.options.Logger, "target", target, "service", c.service.Name, "fingerprint", c.fingerprint)
+		events.TargetCrashed.Log(s.options.Logger, "target", target, "service", c.service.Name, "fingerprint", c.fingerprint, "presumed", presumed)
 	}
 }
 
 // countCrash adds a crash to the table and publishes the quarantine if one
 // follows from it.
-func (s *suspects) countCrash(fingerprint quarantine.Fingerprint, service, target string) {
+func (s *suspects) countCrash(fingerprint quarantine.Fingerprint, service, target string, presumed bool) {
 	now := s.options.Clock.Uptime()
 	var change quarantine.Change
+	var remaining time.Duration
 	s.update(func() {
-		change = s.table.RecordCrash(fingerprint, service, quarantine.Crash{Target: target, At: now}, now)
+		change = s.table.RecordCrash(fingerprint, service, quarantine.Crash{Target: target, At: now, Presumed: presumed}, now)
+		remaining = s.table.Refused(fingerprint, now)
 	})
 	if change.Quarantined {
-		s.publish(service, quarantineNews(fingerprint, quarantine.QuarantineTime))
+		s.publish(service, quarantineNews(fingerprint, remaining))
 	}
 }
 
@@ -173,12 +176,12 @@
 	fingerprint := quarantine.Fingerprint(crash.GetFingerprint())
 	remaining := time.Duration(crash.GetQuarantinedMs()) * time.Millisecond
 	if crash.GetRepeated() {
-		suspected := quarantine.Crash{Target: crash.GetTarget(), At: now}
+		suspected := quarantine.Crash{Target: crash.GetTarget(), At: now, Presumed: crash.GetPresumed()}
 		s.update(func() { s.table.AddRemoteSuspect(fingerprint, service, suspected, now) })
 		return
 	}
 	if remaining == 0 {
-		s.countCrash(fingerprint, service, crash.GetTarget())
+		s.countCrash(fingerprint, service, crash.GetTarget(), crash.GetPresumed())
 		return
 	}
 	adopted := false
@@ -207,14 +210,15 @@
 	s.options.News.Publish(item, true)
 }
 
-func crashNews(fingerprint quarantine.Fingerprint, target string) *primroseloomv1.NewsItem {
-	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), Target: target}
+func crashNews(fingerprint quarantine.Fingerprint, target string, presumed bool) *primroseloomv1.NewsItem {
+	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), Target: target, Presumed: presumed}
 	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
 }
 
-func suspectNews(fingerprint quarantine.Fingerprint, target string) *primroseloomv1.NewsItem {
-	crash := &primroseloomv1.FingerprintCrash{Fingerprint: uint64(fingerprint), Target: target, Repeated: true}
-	return &primroseloomv1.NewsItem{Body: &primroseloomv1.NewsItem_Crash{Crash: crash}}
+func suspectNews(fingerprint quarantine.Fingerprint, target string, presumed bool) *primroseloomv1.NewsItem {
+	item := crashNews(fingerprint, target, presumed)
+	item.GetCrash().Repeated = true
+	return item
 }
 
 func quarantineNews(fingerprint quarantine.Fingerprint, remaining time.Duration) *primroseloomv1.NewsItem {
--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -70,8 +70,10 @@
 	if row.Quarantined {
 		row.ExpiresAt = e.quarantinedUntil
 	}
+	row.Presumed = len(e.crashes) > 0
 	for _, crash := range e.crashes {
 		row.Targets = append(row.Targets, crash.Target)
+		row.Presumed = row.Presumed && crash.Presumed
 	}
 	return row
 }
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -23,12 +23,20 @@
 }
 
 // sameAs reports whether two reports are about the same crash. A process crashes
-// once; without an incarnation, reports close in time are about the same crash.
+// once; without an incarnation, reports close in time are about the same crash, and
+// silence is noticed at different times.
 func (c Crash) sameAs(other Crash) bool {
 	if c.Target != other.Target || c.Incarnation != other.Incarnation {
 		return false
 	}
-	return c.Incarnation != 0 || (c.At-other.At).Abs() < CrashDedupTime
+	if c.Incarnation != 0 {
+		return true
+	}
+	window := CrashDedupTime
+	if c.Presumed || other.Presumed {
+		window = PresumedTime
+	}
+	return (c.At - other.At).Abs() < window
 }
 
 // expiresAt returns the uptime from which the crash no longer counts, unless the
--- a/policy/quarantine/evidence_test.go
+++ b/policy/quarantine/evidence_test.go
@@ -155,6 +155,23 @@
 	}
 }
 
+// TestSilenceNoticedSeveralTimesIsOneCrash guards against a request that is refused
+// because several copies of it waited for one silent target and gave up one after the
+// other.
+func TestSilenceNoticedSeveralTimesIsOneCrash(t *testing.T) {
+	table := NewTable()
+	for i := range time.Duration(4) {
+		table.RecordCrash(7, "", Crash{Target: "t1", At: i * time.Second, Presumed: true}, i*time.Second)
+	}
+	if table.Refused(7, 3*time.Second) > 0 {
+		t.Error("four reports of one target's silence: refused")
+	}
+	table.RecordCrash(7, "", Crash{Target: "t2", At: 3 * time.Second, Presumed: true}, 3*time.Second)
+	if table.Refused(7, 3*time.Second) == 0 {
+		t.Error("two silent targets: not refused")
+	}
+}
+
 // TestAnsweredRequestsDoNotDropASuspect guards against a flood of requests that were in
 // progress on crashed targets and are answered otherwise: they must not push out a
 // request that is not.
--- a/policy/quarantine/registry.go
+++ b/policy/quarantine/registry.go
@@ -42,6 +42,8 @@
 	Targets []string
 	// Quarantined is false for a suspect.
 	Quarantined bool
+	// Presumed is true when only silence points to each of the crashes.
+	Presumed bool
 	// ExpiresAt is the uptime at which the row is dropped, on the clock of the
 	// times that the caller passes.
 	ExpiresAt time.Duration
@@ -51,6 +53,9 @@
 type Registry interface {
 	// Admit decides about an attempt that ends by the deadline.
 	Admit(fingerprint Fingerprint, deadline, now time.Duration) Decision
+	// Refused returns the remaining time of the quarantine of a request; zero when it
+	// is not quarantined.
+	Refused(fingerprint Fingerprint, now time.Duration) time.Duration
 	// RecordCrash records that a target crashed while it ran the request.
 	RecordCrash(fingerprint Fingerprint, service string, crash Crash, now time.Duration) Change
 	// AddRemoteSuspect adds a suspect that another VM reported, unless the request
