--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -10,6 +10,9 @@
 // from the seed stops, pauses, kills and restarts the daemons by signals,
 // disturbs the links, makes targets misbehave, drains targets and publishes new
 // routes. Several series of faults run concurrently, so faults overlap. The
+// Besides, some requests crash each target that begins to run them and are sent again
+// and again through any daemon; a crashed target closes its connections or falls
+// silent, and starts anew after a while. The
 // checker records every request of a caller and every execution at a target,
 // and compares them once the run is over.
 //
--- a/policy/quarantine/evidence_test.go
+++ b/policy/quarantine/evidence_test.go
@@ -246,3 +246,58 @@
 		t.Errorf("order %v", order)
 	}
 }
+
+// TestTablesSettleAfterExchange guards against tables that disagree, or change one
+// another for ever, after VMs have seen crashes and responses in part each: it draws
+// them at random, lets three VMs exchange all that they know a few times, with a delay,
+// and expects the same refusals everywhere and no further change.
+func TestTablesSettleAfterExchange(t *testing.T) {
+	const delay = 3 * time.Millisecond
+	random := rand.New(rand.NewPCG(3, 4))
+	for round := range 2000 {
+		tables := []*Table{NewTable(), NewTable(), NewTable()}
+		now := 10 * time.Second
+		for range 2 + random.IntN(8) {
+			now += time.Duration(random.Int64N(int64(3 * time.Second)))
+			table := tables[random.IntN(len(tables))]
+			switch random.IntN(5) {
+			case 0:
+				table.RecordResponse(7, now)
+			case 1:
+				table.RecordCrash(7, "", Crash{Target: "t" + strconv.Itoa(random.IntN(3)), Incarnation: 1, At: now, Presumed: true}, now)
+			default:
+				table.RecordCrash(7, "", crashAt("t"+strconv.Itoa(random.IntN(3)), now), now)
+			}
+		}
+		changed := true
+		for range 6 {
+			now += delay
+			changed = exchangeAll(tables, now, delay)
+		}
+		first := tables[0].Refused(7, now) > 0
+		for i, table := range tables {
+			if refused := table.Refused(7, now) > 0; refused != first || changed {
+				t.Fatalf("round %d: VM %d refuses the request: %v, VM 0: %v; still changing: %v", round, i, refused, first, changed)
+			}
+		}
+	}
+}
+
+// exchangeAll passes what each table knows to the others, with the delay added to its
+// times, and reports whether anything changed.
+func exchangeAll(tables []*Table, now, delay time.Duration) (changed bool) {
+	for i, from := range tables {
+		for _, evidence := range from.Evidence(now) {
+			evidence.AnsweredAt += delay
+			for j := range evidence.Crashes {
+				evidence.Crashes[j].At += delay
+			}
+			for j, to := range tables {
+				if i != j && to.Merge(evidence, now+delay) != (Change{}) {
+					changed = true
+				}
+			}
+		}
+	}
+	return changed
+}
