--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -9,12 +9,11 @@
 // connections, cut one direction, or stall open connections. A schedule drawn
 // from the seed stops, pauses, kills and restarts the daemons by signals,
 // disturbs the links, makes targets misbehave, drains targets and publishes new
-// routes. Several series of faults run concurrently, so faults overlap. The
-// Besides, some requests crash each target that begins to run them and are sent again
-// and again through any daemon; a crashed target closes its connections or falls
-// silent, and starts anew after a while. The
-// checker records every request of a caller and every execution at a target,
-// and compares them once the run is over.
+// routes. Several series of faults run concurrently, so faults overlap. Besides, some
+// requests crash each target that begins to run them and are sent again and again
+// through any daemon; a crashed target closes its connections or falls silent, and
+// starts anew after a while. The checker records every request of a caller and every
+// execution at a target, and compares them once the run is over.
 //
 // A time-bound promise, other than PromiseRecovered, is checked for a daemon only
 // if the daemon was undisturbed for StabilityTime before. PromiseRecovered is
