--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -33,7 +33,7 @@
 
 // reportLost reports an attempt without a complete response.
 func (q *request) reportLost(attempt *targetset.Attempt) {
-	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.print, Target: attempt.Target()})
+	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.fingerprint, Target: attempt.Target()})
 }
 
 // watchSilence reports the attempt as lost when it has no response after
@@ -77,7 +77,7 @@
 	var truncated *contract.RoundTripError
 	switch {
 	case err == nil && result == suspicion.ResultServed:
-		q.gateway.options.Crashes.Answered(q.print)
+		q.gateway.options.Crashes.Answered(q.fingerprint)
 	case errors.As(err, &truncated) && truncated.Kind == contract.AttemptTruncated && q.caller.Context().Err() == nil:
 		q.reportLost(attempt)
 	}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -68,10 +68,10 @@
 	// deadline is when the final response is due.
 	deadline time.Time
 	body     body
-	// print is the request's fingerprint, the same for all retries of a request; the
+	// fingerprint is the request's fingerprint, the same for all retries of a request; the
 	// crash tracker counts crashes by it.
-	print     quarantine.Fingerprint
-	attempted []string
+	fingerprint quarantine.Fingerprint
+	attempted   []string
 	// sentAttempts is the number of attempts of which at least one byte was written.
 	sentAttempts int
 	// retryPaid is true when the retry budget was already charged for the next
@@ -136,7 +136,7 @@
 	if refusal := q.body.read(w, q.caller, table.Limits().BodyBytes, q.deadline); refusal != nil {
 		return refusal
 	}
-	q.print = fingerprint(q.caller, q.route.Host, q.body.buffered)
+	q.fingerprint = fingerprint(q.caller, q.route.Host, q.body.buffered)
 	return nil
 }
 
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -42,7 +42,7 @@
 // allowed or not useful.
 func (q *request) run(ctx context.Context) (*targetResponse, *outcome.Refusal) {
 	for {
-		if remaining := q.gateway.options.Crashes.Refused(q.print); remaining > 0 {
+		if remaining := q.gateway.options.Crashes.Refused(q.fingerprint); remaining > 0 {
 			return q.refuseCrashing(remaining)
 		}
 		attempt, err := q.gateway.options.Targets.Begin(q.placementRequest())
@@ -53,7 +53,7 @@
 		if d.response != nil && d.result.End == suspicion.ResultServed {
 			q.keepFailure(nil)
 			if d.response.rest == nil {
-				q.gateway.options.Crashes.Answered(q.print)
+				q.gateway.options.Crashes.Answered(q.fingerprint)
 			}
 			return d.response, nil
 		}
@@ -98,7 +98,7 @@
 	q.gateway.metrics.failed(d.reason)
 	chosen := attempt.Candidate()
 	events.AttemptFailed.Log(q.gateway.options.Logger, "request", q.metadata.AttemptID, "target", attempt.ID(),
-		"reason", d.reason, "not_run", d.notRun, "fingerprint", q.print, "trial", attempt.Trial(), "service", q.service, "failing", percent(chosen.Failing), "slow", percent(chosen.Slow), "shedding", percent(chosen.Shedding),
+		"reason", d.reason, "not_run", d.notRun, "fingerprint", q.fingerprint, "trial", attempt.Trial(), "service", q.service, "failing", percent(chosen.Failing), "slow", percent(chosen.Slow), "shedding", percent(chosen.Shedding),
 		"in_use", chosen.InUse, "slots", chosen.Slots, "after_ms", time.Since(q.start).Milliseconds(), "cause", d.result.Err)
 }
 
@@ -121,7 +121,7 @@
 		AttemptsAllowed: q.route.MaxAttempts,
 		NotRun:          d.notRun,
 		Idempotent:      q.route.Kind.Idempotent(),
-		TargetCrashed:   d.lost && q.gateway.options.Crashes.Suspected(q.print),
+		TargetCrashed:   d.lost && q.gateway.options.Crashes.Suspected(q.fingerprint),
 		Replayable:      q.body.replayable(),
 		Remaining:       q.remaining(),
 		Expected:        minRetryTime,
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -261,9 +261,9 @@
 	return dispatch.Digest(sum.Sum(nil)[:16])
 }
 
-// print returns the fingerprint that identifies the request as a
+// computeFingerprint returns the hash that identifies the request as a
 // suspect after a crash.
-func (c *call) print() quarantine.Fingerprint {
+func (c *call) computeFingerprint() quarantine.Fingerprint {
 	sum := xxhash.New()
 	writeParts(sum, c.customer, c.service.Name, c.request.Method, c.request.RequestURI, c.lengthText())
 	_, _ = sum.Write(c.upload.prefix)
