--- a/operator/soak/blackhole.go
+++ b/operator/soak/blackhole.go
@@ -14,6 +14,23 @@
 // fillTimeout is the time after which a connection attempt counts as dropped.
 const fillTimeout = 30 * time.Millisecond
 
+// blackhole makes connection attempts to an address hang: it listens there with a
+// full queue of unaccepted connections, for which the kernel drops further ones.
+// The returned function releases the address.
+func blackhole(address string) (release func(), err error) {
+	fd, err := listenUnaccepted(address)
+	if err != nil {
+		return nil, err
+	}
+	fillers := fillQueue(address)
+	return func() {
+		for _, conn := range fillers {
+			_ = conn.Close()
+		}
+		_ = syscall.Close(fd)
+	}, nil
+}
+
 // listenUnaccepted listens at a loopback address with the shortest queue and never
 // accepts a connection.
 func listenUnaccepted(address string) (fd int, err error) {
--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -6,8 +6,8 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
@@ -66,7 +66,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callerTimeout)
 	defer cancel()
 	method := http.MethodGet
-	if c.path[:len(crashPrefix)] != crashPrefix {
+	if strings.HasPrefix(c.path, crashOncePrefix) {
 		method = http.MethodPost
 	}
 	url := fmt.Sprintf("http://%s%s", c.fleet.vms[vm].callersLink.address(), c.path)
@@ -132,52 +132,3 @@
 	}
 	s.store.PublishTarget(info)
 }
-
-// takeDown closes all connections and stops listening. When silent, the connections
-// stay open without passing data, and connection attempts are not answered.
-func (l *link) takeDown(silent bool) {
-	address := l.address()
-	l.mu.Lock()
-	_ = l.listener.Close()
-	l.mu.Unlock()
-	if !silent {
-		l.resetAll()
-		return
-	}
-	l.stallAll()
-	if release, err := blackhole(address); err == nil {
-		l.mu.Lock()
-		l.releaseAddress = release
-		l.mu.Unlock()
-	}
-}
-
-// bringUp listens again after takeDown.
-func (l *link) bringUp(ctx context.Context) error {
-	l.mu.Lock()
-	release := l.releaseAddress
-	l.releaseAddress = nil
-	l.mu.Unlock()
-	if release != nil {
-		release()
-	}
-	l.resetAll()
-	return l.listen(ctx, l.address())
-}
-
-// blackhole makes connection attempts to an address hang: it listens there with a
-// full queue of unaccepted connections, for which the kernel drops further ones.
-// The returned function releases the address.
-func blackhole(address string) (release func(), err error) {
-	fd, err := listenUnaccepted(address)
-	if err != nil {
-		return nil, err
-	}
-	fillers := fillQueue(address)
-	return func() {
-		for _, conn := range fillers {
-			_ = conn.Close()
-		}
-		_ = syscall.Close(fd)
-	}, nil
-}
--- a/operator/soak/link.go
+++ b/operator/soak/link.go
@@ -176,13 +176,46 @@
 func (l *link) close() {
 	l.mu.Lock()
 	_ = l.listener.Close()
+	l.mu.Unlock()
+	l.endSilence()
+	l.resetAll()
+}
+
+// endSilence releases the address of a link that was taken down silently.
+func (l *link) endSilence() {
+	l.mu.Lock()
 	release := l.releaseAddress
 	l.releaseAddress = nil
 	l.mu.Unlock()
 	if release != nil {
 		release()
 	}
+}
+
+// takeDown closes all connections and stops listening. When silent, the connections
+// stay open without passing data, and connection attempts are not answered.
+func (l *link) takeDown(silent bool) {
+	address := l.address()
+	l.mu.Lock()
+	_ = l.listener.Close()
+	l.mu.Unlock()
+	if !silent {
+		l.resetAll()
+		return
+	}
+	l.stallAll()
+	if release, err := blackhole(address); err == nil {
+		l.mu.Lock()
+		l.releaseAddress = release
+		l.mu.Unlock()
+	}
+}
+
+// bringUp listens again after takeDown.
+func (l *link) bringUp(ctx context.Context) error {
+	l.endSilence()
 	l.resetAll()
+	return l.listen(ctx, l.address())
 }
 
 // address returns the address that the link listens at.
