follow: tell the store's era and dropped listings

Callers got 404 by older versions while no log line said that a VM ignores what the store says, or to which of its histories a revision belongs.

Nothing is decided by the era yet.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -16,6 +16,10 @@
 		"This version of the routes is used from now on.")
 	RoutesRefused = define(2106, log.ErrorLevel, "routes refused",
 		"A version of the routes is invalid; the previous version stays in force.")
+	ListingDropped = define(2109, log.WarnLevel, "older listing dropped",
+		"The store, or another instance, returned a state that is older than the one this instance has; it is ignored. Logged once until a newer state arrives.")
+	StoreRestored = define(2110, log.WarnLevel, "store restored from a copy",
+		"The store's era has risen: it has lost what was written after the copy, and assigns revisions again.")
 	PeerFeedFailed = define(2108, log.InfoLevel, "fetch of published items from another instance failed",
 		"No other instance returned the items that the store publishes; the fetch is retried.")
 	TargetsExpired = define(2107, log.WarnLevel, "targets expired",
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -90,6 +90,10 @@
 	// storeReadAt is when the store last responded to this instance itself.
 	storeReadAt time.Duration
 	storeLost   bool
+	// newestEra is the highest era that the store or another instance has named.
+	newestEra uint64
+	// dropsListings is true while the latest listing was dropped as older.
+	dropsListings bool
 	// announcedAt is when an announcement last replaced a watch.
 	announcedAt time.Duration
 	// aheadVM is the VM of an instance with a higher revision.
@@ -234,9 +238,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.storeContactAt = max(f.storeContactAt, now-listing.StoreAge)
+	f.recordEra(listing)
 	if listing.Revision < f.revision {
+		f.recordDrop(listing)
 		return
 	}
+	f.dropsListings = false
 	f.revision = listing.Revision
 	f.history.add(listing)
 	changed := false
@@ -261,6 +268,29 @@
 	}
 }
 
+// recordEra logs a newer era of the store; the lock is held.
+func (f *Follower) recordEra(listing Listing) {
+	if listing.Era <= f.newestEra {
+		return
+	}
+	if f.newestEra > 0 {
+		f.options.Scope.Counter("store_restored").Inc(1)
+		events.StoreRestored.Log(f.options.Logger, "era", listing.Era, "previous_era", f.newestEra, "revision", listing.Revision, "own_revision", f.revision)
+	}
+	f.newestEra = listing.Era
+	f.options.Scope.Gauge("store_era").Update(float64(f.newestEra))
+}
+
+// recordDrop counts a listing that is older than the state of this instance, and logs
+// the first one in a row; the lock is held.
+func (f *Follower) recordDrop(listing Listing) {
+	f.options.Scope.Counter("listings_dropped").Inc(1)
+	if !f.dropsListings {
+		f.dropsListings = true
+		events.ListingDropped.Log(f.options.Logger, "era", listing.Era, "revision", listing.Revision, "full", listing.Full, "newest_era", f.newestEra, "own_revision", f.revision)
+	}
+}
+
 // applyEntry applies one decoded item and reports whether the targets changed.
 func (f *Follower) applyEntry(entry Entry, decodeErr error, now time.Duration) bool {
 	switch {
--- a/entry/follow/source.go
+++ b/entry/follow/source.go
@@ -33,6 +33,10 @@
 type Listing struct {
 	Items    []Item
 	Revision uint64
+	// Era numbers the history of the store that Revision belongs to: it rises when the
+	// store comes back from a copy and assigns revisions again. Zero when the source
+	// does not say.
+	Era uint64
 	// Full is true when Items holds all that exists, rather than changes.
 	Full bool
 	// StoreAge is the time since the source itself last had a response from the store.
