Reproduce: a store that is restored from a copy loses changes at the followers

Callers saw routes refused as an older version says, and work for targets that had left.

The soak restores its store in each run, also after storms of versions, and publishes a version right after; the checks of rollbacks, and of leaving targets that a daemon knew of, hold through it (rows of the checker's test show that they can fail).

--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -99,6 +99,9 @@
 	// disturbances holds, by daemon, the intervals of faults of the daemon and of
 	// its links, and of its restarts.
 	disturbances map[int][]interval
+	// storeDisturbances are the intervals in which the store was down or had not got
+	// back all that was written before.
+	storeDisturbances []interval
 	// plannedStops holds, by daemon, the intervals of its planned stops.
 	plannedStops map[int][]interval
 	publishedAt  map[uint64]time.Time
@@ -151,6 +154,14 @@
 	c.disturbances[vm] = append(c.disturbances[vm], interval{from, to})
 }
 
+// recordStoreDisturbance records an interval in which the store was down or had not got
+// back all that was written before.
+func (c *checker) recordStoreDisturbance(from, to time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.storeDisturbances = append(c.storeDisturbances, interval{from, to})
+}
+
 // recordStop records a planned stop of a daemon.
 func (c *checker) recordStop(vm int, from, to time.Time) {
 	c.mu.Lock()
@@ -188,17 +199,31 @@
 	c.addViolation(PromiseNoUnexpectedExit, at, "VM %d ended: %v", vm, cause)
 }
 
-// undisturbed reports whether a daemon had no disturbance in the interval that
-// begins StabilityTime before from and ends at to. The caller holds c.mu.
+// undisturbed reports whether neither a daemon nor the store had a disturbance in the
+// interval that begins StabilityTime before from and ends at to. The caller holds c.mu.
 func (c *checker) undisturbed(vm int, from, to time.Time) bool {
-	from = from.Add(-StabilityTime)
-	return !slices.ContainsFunc(c.disturbances[vm], func(i interval) bool { return i.from.Before(to) && i.to.After(from) })
+	return c.daemonUndisturbed(vm, from, to) && c.storeUndisturbed(from, to)
+}
+
+// daemonUndisturbed is undisturbed without regard to the store. The caller holds c.mu.
+func (c *checker) daemonUndisturbed(vm int, from, to time.Time) bool {
+	return !overlaps(c.disturbances[vm], from.Add(-StabilityTime), to)
+}
+
+// storeUndisturbed is undisturbed without regard to the daemons. The caller holds c.mu.
+func (c *checker) storeUndisturbed(from, to time.Time) bool {
+	return !overlaps(c.storeDisturbances, from.Add(-StabilityTime), to)
+}
+
+// overlaps reports whether one of the intervals has a part between two times.
+func overlaps(intervals []interval, from, to time.Time) bool {
+	return slices.ContainsFunc(intervals, func(i interval) bool { return i.from.Before(to) && i.to.After(from) })
 }
 
 // inPlannedStop reports whether a planned stop of a daemon overlaps the interval.
 // The caller holds c.mu.
 func (c *checker) inPlannedStop(vm int, from, to time.Time) bool {
-	return slices.ContainsFunc(c.plannedStops[vm], func(i interval) bool { return i.from.Before(to) && i.to.After(from) })
+	return overlaps(c.plannedStops[vm], from, to)
 }
 
 // check checks all promises against the records and returns the violations. Without
@@ -240,6 +265,7 @@
 	if c.cutByStop(request) {
 		c.addViolation(PromisePlannedStop, request.endedAt, "request %s was cut by the planned stop of VM %d", request.id, request.vm)
 	}
+	c.checkDrain(request)
 	if !c.undisturbed(request.vm, request.startedAt, request.endedAt) || c.inPlannedStop(request.vm, request.startedAt, request.endedAt) {
 		return
 	}
@@ -247,13 +273,34 @@
 		c.addViolation(PromiseResponseInTime, request.endedAt, "request %s through VM %d ended %v after its timeout", request.id, request.vm, late)
 	}
 	c.checkVersion(request)
+}
+
+// checkDrain checks that a request reached no target that had been draining for longer
+// than the bound.
+func (c *checker) checkDrain(request callerRequest) {
+	if !c.daemonUndisturbed(request.vm, request.startedAt, request.endedAt) || c.inPlannedStop(request.vm, request.startedAt, request.endedAt) {
+		return
+	}
 	for _, r := range c.runs[request.id] {
-		if at, ok := c.drainedAt[r.target]; ok && r.at.After(at.Add(drainBound+scheduleSlack)) {
+		at, ok := c.drainedAt[r.target]
+		if ok && r.at.After(at.Add(drainBound+scheduleSlack)) && c.knewOfDrain(request, at) {
 			c.addViolation(PromiseDrain, r.at, "request %s reached draining target %s through VM %d %v after the drain bound", request.id, r.target, request.vm, r.at.Sub(at)-drainBound)
 		}
 	}
 }
 
+// knewOfDrain reports whether the daemon of a request had to know that a target began to
+// drain: since the store was undisturbed, or because it was undisturbed when the target
+// began to drain and the process has run ever since. The caller holds c.mu.
+func (c *checker) knewOfDrain(request callerRequest, drainedAt time.Time) bool {
+	if c.storeUndisturbed(request.startedAt, request.endedAt) {
+		return true
+	}
+	known := drainedAt.Add(drainBound)
+	return c.undisturbed(request.vm, drainedAt, known) && c.daemonUndisturbed(request.vm, known, request.endedAt) &&
+		!c.inPlannedStop(request.vm, drainedAt, request.endedAt)
+}
+
 // checkVersion checks that a request was handled by a version that may be in force.
 // Each version has routes of its own and drops those of the previous version, so
 // the status shows which version the daemon uses.
@@ -296,7 +343,7 @@
 			continue
 		}
 		before := newestServed[request.vm]
-		if request.version < before.version && request.startedAt.After(before.at.Add(rollbackSlack+scheduleSlack)) && c.undisturbed(request.vm, before.at, request.endedAt) && !c.inPlannedStop(request.vm, before.at, request.endedAt) {
+		if request.version < before.version && request.startedAt.After(before.at.Add(rollbackSlack+scheduleSlack)) && c.daemonUndisturbed(request.vm, before.at, request.endedAt) && !c.inPlannedStop(request.vm, before.at, request.endedAt) {
 			c.addViolation(PromiseNoConfigRollback, request.endedAt, "VM %d served by version %d after version %d", request.vm, request.version, before.version)
 		}
 		if request.version > before.version {
--- a/operator/soak/checker_test.go
+++ b/operator/soak/checker_test.go
@@ -50,6 +50,24 @@
 		}, PromiseNoConfigRollback},
 		{"draining target gets work after the bound", booking, func(k *checker) { ranOnce(k); k.recordDrain("t", at(17)) }, PromiseDrain},
 		{"draining target gets work within the bound", booking, func(k *checker) { ranOnce(k); k.recordDrain("t", at(19)) }, ""},
+		{"target that drained long before the store went back gets work", booking, func(k *checker) {
+			ranOnce(k)
+			k.recordDrain("t", at(10))
+			k.recordStoreDisturbance(at(18), at(19))
+		}, PromiseDrain},
+		{"target that drained just before the store went back gets work", booking, func(k *checker) {
+			ranOnce(k)
+			k.recordDrain("t", at(17))
+			k.recordStoreDisturbance(at(17.5), at(19))
+		}, ""},
+		{"served by an older version after the store went back", booking, func(k *checker) {
+			ranOnce(k)
+			k.recordPublication(2, at(18.5))
+			k.recordStoreDisturbance(at(18.8), at(18.9))
+			k.recordRequest(bookingWith(func(r *callerRequest) { r.id, r.version, r.startedAt, r.endedAt = "b", 2, at(19), at(19.1) }))
+		}, PromiseNoConfigRollback},
+		{"route still missing while the store is back from a copy", bookingWith(func(r *callerRequest) { r.status = statusNoRoute }),
+			func(k *checker) { k.recordStoreDisturbance(at(17), at(18)) }, ""},
 		{"cut by a planned stop", bookingWith(func(r *callerRequest) { r.status = 0 }),
 			func(k *checker) { ranOnce(k); k.recordStop(0, at(19), at(24)) }, PromisePlannedStop},
 		{"cut by a kill", bookingWith(func(r *callerRequest) { r.status = 0 }),
--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -118,12 +118,12 @@
 	t.down = false
 	t.restarts++
 	before := t.info.ID
-	t.info.StartedAt = time.Now()
+	t.info.StartedAt, t.info.Sequence = time.Now(), 0
 	if t.restarts%2 == 0 {
 		t.info.ID += "r"
 	}
-	info := t.info
 	t.mu.Unlock()
+	info := t.report()
 	if info.State != roster.StateReady {
 		return // it is leaving; its entry is removed soon
 	}
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -66,6 +66,9 @@
 	store   *platform.StandInStore
 	fleet   *fleet
 
+	// publishing is held while routes are published, which waits while the store is down.
+	publishing sync.Mutex
+
 	mu      sync.Mutex
 	ctx     context.Context
 	version uint64
@@ -169,33 +172,41 @@
 	start(5, func(faults *series) func() { return faults.disturbTarget })
 	start(6, func(faults *series) func() { return faults.disturbTarget })
 	start(7, func(faults *series) func() { return faults.changeConfig })
+	start(8, func(faults *series) func() { return faults.restoreStore })
 	running.Wait()
 }
 
-// publish publishes the next version of the routes. Each version has routes of
-// its own, which replace those of the previous version.
+// publish publishes the next version of the routes.
 func (s *soak) publish() {
+	s.publishing.Lock()
+	defer s.publishing.Unlock()
+	next := s.newestVersion() + 1
+	s.store.PublishRoutes(routesOf(next))
+	s.checker.recordPublication(next, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	next := s.version + 1
-	name := strconv.FormatUint(next, 10)
+	s.version = next
+}
+
+// routesOf returns a version of the routes. Each version has routes of its own, which
+// replace those of the previous version.
+func routesOf(version uint64) routing.Document {
+	name := strconv.FormatUint(version, 10)
 	route := func(prefix string, kind routing.Kind) routing.Route {
 		return routing.Route{
 			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout,
 			Objective: routeTimeout / 2, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
 		}
 	}
-	s.store.PublishRoutes(routing.Document{
-		Version:  next,
+	return routing.Document{
+		Version:  version,
 		Services: []routing.Service{{Name: service, MaxConnections: 330}},
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []routing.Route{
 			route("/book"+name+"/", routing.KindOnce), route("/look"+name+"/", routing.KindIdempotent),
 			route(crashOncePrefix, routing.KindOnce), route(crashPrefix, routing.KindIdempotent),
 		},
-	})
-	s.checker.recordPublication(next, time.Now())
-	s.version = next
+	}
 }
 
 func (s *soak) newestVersion() uint64 {
@@ -222,7 +233,7 @@
 	s.targets = append(s.targets, t)
 	s.links = append(s.links, t.link)
 	s.mu.Unlock()
-	s.store.PublishTarget(t.info)
+	s.store.PublishTarget(t.report())
 	return nil
 }
 
@@ -237,8 +248,8 @@
 	s.mu.Unlock()
 	leaving.mu.Lock()
 	leaving.info.State = roster.StateDraining
-	info := leaving.info
 	leaving.mu.Unlock()
+	info := leaving.report()
 	s.store.PublishTarget(info)
 	s.checker.recordDrain(info.ID, time.Now())
 	time.Sleep(drainTime)
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -82,6 +82,14 @@
 	return t.info.ID
 }
 
+// report returns the target's next report of itself.
+func (t *target) report() roster.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.info.Sequence++
+	return t.info
+}
+
 func (t *target) setFault(fault targetFault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -38,6 +38,8 @@
 	// StartedAt is the target's start time as it reports it. It distinguishes two
 	// starts under one ID.
 	StartedAt time.Time
+	// Sequence counts the target's reports since its start; zero when it counts none.
+	Sequence uint64
 }
 
 // record is a target together with the state of its entry.
