roster: a restored store does not revive targets that are leaving

Callers' requests would reach targets that had said that they drain, or had left, when the store came back from a copy that lists them as ready: the roster took whatever came last.

Across a restoration a target's reports are ordered by its start and its count of reports; an older one leaves what is known. A target that had left stays away for longer than the entry of an ended target lives, and for good if it had announced that it leaves, until it reports anew or starts anew. Within one history the latest entry holds, as before. Entries that the copy lacks get the grace that entries get after an outage.

Event 2111 and follow_outdated_entries tell.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -20,6 +20,8 @@
 		"The store, or another instance, returned a state that is older than the one this instance has; it is ignored. Logged once until a newer state arrives.")
 	StoreRestored = define(2110, log.WarnLevel, "store restored from a copy",
 		"The store's era has risen: it has lost what was written after the copy, and assigns revisions again.")
+	EntryOutdated = define(2111, log.InfoLevel, "outdated entry of a target ignored",
+		"A store that was restored from a copy returned an older report of a target than is known; the target keeps its state until it reports anew.")
 	PeerFeedFailed = define(2108, log.InfoLevel, "fetch of published items from another instance failed",
 		"No other instance returned the items that the store publishes; the fetch is retried.")
 	TargetsExpired = define(2107, log.WarnLevel, "targets expired",
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -275,6 +275,7 @@
 	}
 	if f.newestEra > 0 {
 		f.options.Scope.Counter("store_restored").Inc(1)
+		f.targets.MarkStoreRestored(f.options.Uptime())
 		events.StoreRestored.Log(f.options.Logger, "era", listing.Era, "previous_era", f.newestEra, "revision", listing.Revision, "own_revision", f.revision)
 	}
 	f.newestEra = listing.Era
@@ -300,13 +301,23 @@
 	case entry.TargetID == "":
 		return false
 	case entry.Target != nil:
-		return f.targets.Put(*entry.Target)
+		return f.putTarget(*entry.Target, now)
 	case decodeErr != nil:
 		return f.targets.RemoveNow(entry.TargetID)
 	}
 	return f.targets.Remove(entry.TargetID, now)
 }
 
+// putTarget applies what a target published and reports whether the targets changed.
+func (f *Follower) putTarget(target roster.Target, now time.Duration) bool {
+	update := f.targets.Put(target, now)
+	if update == roster.Outdated {
+		f.options.Scope.Counter("outdated_entries").Inc(1)
+		events.EntryOutdated.Log(f.options.Logger, "target", target.ID, "state", target.State, "sequence", target.Sequence)
+	}
+	return update == roster.Changed
+}
+
 // applyRoutes puts the routes in force if their version is newer.
 func (f *Follower) applyRoutes(document *routing.Document) {
 	if current := f.table.Load(); current != nil && document.Version <= current.Version() {
@@ -341,8 +352,11 @@
 		}
 		f.options.Scope.Gauge("store_age_seconds").Update(f.storeAge().Seconds())
 		f.mu.Lock()
-		if expired := f.targets.Expire(f.options.Uptime()); len(expired) > 0 {
+		expired, revived := f.targets.Expire(f.options.Uptime())
+		if len(expired) > 0 {
 			events.TargetsExpired.Log(f.options.Logger, "targets", expired)
+		}
+		if len(expired) > 0 || revived {
 			f.notifyTargets()
 		}
 		f.mu.Unlock()
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -48,6 +48,8 @@
 	// removeAt is the time at which a removal learned after an outage takes effect;
 	// zero for none.
 	removeAt time.Duration
+	// history is the history of the store from which the entry was read.
+	history uint64
 }
 
 // Roster holds the targets of a deployment. It is not safe for concurrent use.
@@ -56,10 +58,21 @@
 	// reachableAt is the time at which the store became reachable after an outage.
 	reachableAt      time.Duration
 	storeUnreachable bool
+	// history counts how often the store was restored from a copy.
+	history uint64
+	// left holds the targets whose entries were removed lately, and held those of them
+	// that a restored store lists again.
+	left map[string]leftTarget
+	held map[string]*heldTarget
 }
 
 // New returns an empty roster.
-func New() *Roster { return &Roster{records: make(map[string]*record), reachableAt: -RepublishGrace} }
+func New() *Roster {
+	return &Roster{
+		records: make(map[string]*record), left: make(map[string]leftTarget), held: make(map[string]*heldTarget),
+		reachableAt: -RepublishGrace,
+	}
+}
 
 // MarkStoreUnreachable records that the store cannot be reached.
 func (r *Roster) MarkStoreUnreachable() { r.storeUnreachable = true }
@@ -71,12 +84,31 @@
 	}
 }
 
-// Put adds or replaces a target. It reports whether anything changed that matters
-// to the choice of a target.
-func (r *Roster) Put(target Target) bool {
+// Update is what Put made of an entry.
+type Update int
+
+// The results of Put.
+const (
+	// Unchanged means that nothing changed that matters to the choice of a target.
+	Unchanged Update = iota
+	// Changed means that the target was added or replaced.
+	Changed
+	// Outdated means that the entry comes from a restored copy of the store and is older
+	// than what the target has said since; what was known stays.
+	Outdated
+)
+
+// Put adds or replaces a target.
+func (r *Roster) Put(target Target, now time.Duration) Update {
+	if r.isOutdated(target) || r.hold(target, now) {
+		return Outdated
+	}
 	old, known := r.records[target.ID]
-	r.records[target.ID] = &record{target: target}
-	return !known || old.removeAt != 0 || !sameExceptWarmUntil(old.target, target)
+	r.records[target.ID] = &record{target: target, history: r.history}
+	if !known || old.removeAt != 0 || !sameExceptWarmUntil(old.target, target) {
+		return Changed
+	}
+	return Unchanged
 }
 
 // sameExceptWarmUntil reports whether two targets are equal in all fields but
@@ -90,6 +122,7 @@
 // Remove removes a target whose entry is gone, and reports whether it did. Within
 // RepublishGrace after an outage a ready target is kept until the grace has passed.
 func (r *Roster) Remove(id string, now time.Duration) bool {
+	delete(r.held, id)
 	record, known := r.records[id]
 	if !known {
 		return false
@@ -100,6 +133,7 @@
 		}
 		return false
 	}
+	r.rememberLeft(record.target, now)
 	delete(r.records, id)
 	return true
 }
@@ -107,6 +141,7 @@
 // RemoveNow removes a target at once, for an entry whose content no longer describes
 // a target.
 func (r *Roster) RemoveNow(id string) bool {
+	delete(r.held, id)
 	_, known := r.records[id]
 	delete(r.records, id)
 	return known
@@ -120,21 +155,22 @@
 			changed = true
 		}
 	}
+	maps.DeleteFunc(r.held, func(id string, _ *heldTarget) bool { return !listed[id] })
 	return changed
 }
 
-// Expire carries out the deferred removals that are due and returns the
-// identifiers of their targets.
-func (r *Roster) Expire(now time.Duration) []string {
-	var expired []string
+// Expire carries out what is due: deferred removals, and the return of targets that were
+// held. It returns the identifiers of the removed targets and whether any target returned.
+func (r *Roster) Expire(now time.Duration) (expired []string, revived bool) {
 	for id, record := range r.records {
 		if record.removeAt != 0 && now >= record.removeAt {
 			expired = append(expired, id)
+			r.rememberLeft(record.target, now)
 			delete(r.records, id)
 		}
 	}
 	slices.Sort(expired)
-	return expired
+	return expired, r.reviveHeld(now)
 }
 
 // Targets returns all targets in order of their identifiers.
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -19,7 +19,7 @@
 
 func TestRemovalTakesEffectAtOnceWithoutOutage(t *testing.T) {
 	r := New()
-	r.Put(ready("a"))
+	r.Put(ready("a"), 0)
 	if !r.Remove("a", time.Minute) || r.Len() != 0 {
 		t.Errorf("targets after removal: %v", ids(r))
 	}
@@ -28,16 +28,16 @@
 func TestExpiredEntryCanBeRepublishedAfterOutage(t *testing.T) {
 	const reachableAt = time.Minute
 	r := New()
-	r.Put(ready("running"))
-	r.Put(ready("dead"))
+	r.Put(ready("running"), 0)
+	r.Put(ready("dead"), 0)
 	r.MarkStoreUnreachable()
 	r.MarkStoreReachable(reachableAt)
 	r.Retain(map[string]bool{}, reachableAt)
 	if r.Len() != 2 {
 		t.Fatalf("targets right after the outage: %v, want both", ids(r))
 	}
-	r.Put(ready("running"))
-	if expired := r.Expire(reachableAt + RepublishGrace); len(expired) != 1 || expired[0] != "dead" {
+	r.Put(ready("running"), 0)
+	if expired, _ := r.Expire(reachableAt + RepublishGrace); len(expired) != 1 || expired[0] != "dead" {
 		t.Errorf("expired %v, want only \"dead\"", expired)
 	}
 	if r.Len() != 1 {
@@ -49,7 +49,7 @@
 	r := New()
 	leaving := ready("a")
 	leaving.State = StateDraining
-	r.Put(leaving)
+	r.Put(leaving, 0)
 	r.MarkStoreUnreachable()
 	r.MarkStoreReachable(time.Minute)
 	if !r.Remove("a", time.Minute) || r.Len() != 0 {
@@ -60,15 +60,15 @@
 func TestPutReportsChangesOnly(t *testing.T) {
 	r := New()
 	target := ready("a")
-	if !r.Put(target) {
+	if r.Put(target, 0) != Changed {
 		t.Error("a new target is not reported as a change")
 	}
 	target.WarmUntil = time.Second
-	if r.Put(target) {
+	if r.Put(target, 0) == Changed {
 		t.Error("a new WarmUntil alone is reported as a change")
 	}
 	target.StartedAt = time.Unix(5, 0)
-	if !r.Put(target) {
+	if r.Put(target, 0) != Changed {
 		t.Error("a restart under the same identifier is not reported as a change")
 	}
 }
