follow: a store position is an era and a revision

Cause: a revision was compared as a bare number, without the history that it belongs to: by the follower with listings and changes, by the history that feeds other VMs, by announcements in datagrams. Below the old number all was dropped; where the number had been passed again, what lay between was lost without a 410.

A position is now the era and the revision, ordered in this way everywhere: in listings, in the feed and in datagrams (new fields; absent ones are era 0, so old builds and stores that name no era go on as before).

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
@@ -64,9 +65,9 @@
 	SetInProgress(vm string, attempts map[string]int)
 	// MergeRequest applies what a VM knows of a request that may crash targets.
 	MergeRequest(vm string, evidence quarantine.Evidence)
-	// RevisionAnnounced applies the revision up to which a VM has read the store
+	// PositionAnnounced applies the position up to which a VM has read the store
 	// itself; zero while it does not read the store.
-	RevisionAnnounced(vm string, revision uint64)
+	PositionAnnounced(vm string, position contract.StorePosition)
 }
 
 // Peer is another VM to which datagrams go.
@@ -95,9 +96,9 @@
 	AttemptsInProgress func() map[string]int
 	// Rate returns the requests a second that this VM serves.
 	Rate func() float64
-	// Revision returns the revision up to which this VM has read the store itself,
+	// StorePosition returns the position up to which this VM has read the store itself,
 	// and zero while it does not read the store.
-	Revision func() uint64
+	StorePosition func() contract.StorePosition
 	// Requests returns what the next datagram tells of requests that may crash targets:
 	// what is new and, in a heartbeat, a part of what was told before.
 	Requests func(isHeartbeat bool) []quarantine.Evidence
@@ -272,7 +273,7 @@
 	// These callbacks run before the lock is taken, since the components behind
 	// them call the exchange while they hold their own locks.
 	uses := x.options.AttemptsInProgress()
-	ready, revision, rate := x.options.Ready(), x.options.Revision(), x.options.Rate()
+	ready, position, rate := x.options.Ready(), x.options.StorePosition(), x.options.Rate()
 	requests := requestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -288,7 +289,8 @@
 		Sequence: x.sequence,
 		Ready:    ready,
 		Requests: requests,
-		Revision: revision,
+		Revision: position.Revision,
+		StoreEra: position.Era,
 		Rate:     uint32(rate + 0.5),
 	}
 	for target, count := range uses {
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
@@ -47,7 +48,7 @@
 			attempts[use.GetTarget()] = int(use.GetInProgress())
 		}
 		x.options.Receiver.SetInProgress(message.GetVm(), attempts)
-		x.options.Receiver.RevisionAnnounced(message.GetVm(), message.GetRevision())
+		x.options.Receiver.PositionAnnounced(message.GetVm(), contract.StorePosition{Era: message.GetStoreEra(), Revision: message.GetRevision()})
 	}
 	for _, outcome := range outcomes {
 		x.options.Receiver.Observed(outcomeFromWire(outcome))
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -3,18 +3,20 @@
 import (
 	"context"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 )
 
-// RevisionAnnounced records up to which revision another instance has read the
-// store. With replacesWatch, this instance needs no watch of its own for a while.
-func (f *Follower) RevisionAnnounced(vm string, revision uint64, replacesWatch bool) {
+// PositionAnnounced records up to which position another instance has read the
+// store. With replacesWatch, this instance needs no watch of its own for a while, unless
+// the other one has not noticed yet that the store was restored from a copy.
+func (f *Follower) PositionAnnounced(vm string, position contract.StorePosition, replacesWatch bool) {
 	f.mu.Lock()
-	if replacesWatch {
+	if replacesWatch && position.Era >= f.position.Era {
 		f.announcedAt = f.options.Uptime()
 	}
-	behind := revision > f.revision
+	behind := position.Compare(f.position) > 0
 	if behind {
 		f.aheadVM = vm
 	}
@@ -39,7 +41,7 @@
 	return f.listed && f.announcedAt > 0 && f.options.Uptime()-f.announcedAt < announcementTTL
 }
 
-// catchUp fetches missing changes from an instance with a higher revision.
+// catchUp fetches missing changes from an instance with a newer position.
 func (f *Follower) catchUp(ctx context.Context) {
 	for {
 		select {
@@ -65,17 +67,14 @@
 		return
 	}
 	f.mu.Lock()
-	after := f.revision
-	if !f.listed {
-		after = 0
-	}
+	after := f.position
 	f.mu.Unlock()
 	listing, err := f.options.Peers.Fetch(ctx, vm, after)
 	if err != nil {
 		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
-		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", after, "peer", vm, "cause", err)
+		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", after.Revision, "era", after.Era, "peer", vm, "cause", err)
 		return
 	}
 	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
-	f.apply(listing)
+	f.apply(listing, after)
 }
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -38,9 +38,9 @@
 	}
 }
 
-// Fetch returns the changes after a revision, or everything, from the named
+// Fetch returns the changes after a position, or everything, from the named
 // instance or, without a name, from the first of a few random ones that responds.
-func (p *Peers) Fetch(ctx context.Context, vm string, after uint64) (Listing, error) {
+func (p *Peers) Fetch(ctx context.Context, vm string, after contract.StorePosition) (Listing, error) {
 	if vm != "" {
 		return p.fetchFrom(ctx, vm, after, 0)
 	}
@@ -63,7 +63,7 @@
 	return Listing{}, errors.Join(failures...)
 }
 
-func (p *Peers) fetchFrom(ctx context.Context, vm string, after uint64, wait time.Duration) (Listing, error) {
+func (p *Peers) fetchFrom(ctx context.Context, vm string, after contract.StorePosition, wait time.Duration) (Listing, error) {
 	client, ok := p.Members.Feed(vm)
 	if !ok {
 		return Listing{}, errNoPeer
@@ -71,14 +71,14 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	response, err := client.Follow(ctx, connect.NewRequest(&primroseloomv1.FollowRequest{
-		Fleet: p.Fleet, After: after, WaitMs: uint32(wait.Milliseconds()),
+		Fleet: p.Fleet, After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds()),
 	}))
 	if err != nil {
 		return Listing{}, err
 	}
 	message := response.Msg
 	listing := Listing{
-		Revision: message.GetRevision(),
+		Position: contract.StorePosition{Era: message.GetEra(), Revision: message.GetRevision()},
 		Full:     message.GetWhole(),
 		StoreAge: time.Duration(message.GetStoreAgeMs()) * time.Millisecond,
 	}
@@ -101,8 +101,8 @@
 	fleet    string
 }
 
-// Follow waits for items newer than a revision. An instance whose revision is
-// older than the known history gets a full listing.
+// Follow waits for items newer than a position. An instance whose position is older than
+// the known history, or of an older era of the store, gets a full listing.
 func (s *feed) Follow(ctx context.Context, request *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
 	if request.Msg.GetFleet() != s.fleet {
 		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("this is fleet %s", s.fleet))
@@ -110,14 +110,11 @@
 	wait := min(time.Duration(request.Msg.GetWaitMs())*time.Millisecond, maxPeerWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	after := request.Msg.GetAfter()
+	after := contract.StorePosition{Era: request.Msg.GetEra(), Revision: request.Msg.GetAfter()}
 	for {
 		listing, changed, ok := s.follower.history.after(after)
-		if !ok && after > 0 {
-			listing, changed, ok = s.follower.history.after(0)
-		}
 		if !ok {
-			return nil, connect.NewError(connect.CodeUnavailable, errors.New("nothing was read yet"))
+			return nil, connect.NewError(connect.CodeUnavailable, errors.New("nothing was read yet, or only an older era of the store"))
 		}
 		if len(listing.Items) > 0 || listing.Full {
 			return connect.NewResponse(s.response(listing)), nil
@@ -134,7 +131,8 @@
 
 func (s *feed) response(listing Listing) *primroseloomv1.FollowResponse {
 	message := &primroseloomv1.FollowResponse{
-		Revision:   listing.Revision,
+		Revision:   listing.Position.Revision,
+		Era:        listing.Position.Era,
 		Whole:      listing.Full,
 		StoreAgeMs: uint32(s.follower.storeAge().Milliseconds()),
 	}
--- a/entry/follow/source.go
+++ b/entry/follow/source.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -29,14 +30,12 @@
 }
 
 // Listing is a set of items, either all or the changes after some revision, and
-// the revision up to which it is complete.
+// the position up to which it is complete.
 type Listing struct {
-	Items    []Item
-	Revision uint64
-	// Era numbers the history of the store that Revision belongs to: it rises when the
-	// store comes back from a copy and assigns revisions again. Zero when the source
-	// does not say.
-	Era uint64
+	Items []Item
+	// Position belongs to the era of the store in which the items were read; the era is
+	// zero when the source does not say.
+	Position contract.StorePosition
 	// Full is true when Items holds all that exists, rather than changes.
 	Full bool
 	// StoreAge is the time since the source itself last had a response from the store.
@@ -48,7 +47,9 @@
 	// List returns everything that exists.
 	List(ctx context.Context) (Listing, error)
 	// Watch returns the changes after a revision as soon as there are any, or none
-	// when the wait has passed. After ErrHistoryGone the caller has to list again.
+	// when the wait has passed. The revision is that of the store's present era: if the
+	// listing is of another era than the revision, or after ErrHistoryGone, the caller
+	// has to list again.
 	Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error)
 }
 
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -10,6 +10,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
@@ -116,7 +117,7 @@
 		Peers:              vms.currentPeers,
 		AttemptsInProgress: targets.AttemptsInProgress,
 		Rate:               func() float64 { return f.gateway.Rate() },
-		Revision:           follower.ReadRevision,
+		StorePosition:      follower.ReadPosition,
 		Requests:           tracker.NextEvidence,
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
@@ -133,10 +134,10 @@
 	fleet    *fleet
 }
 
-// RevisionAnnounced records up to which revision another VM has read the store.
-func (r receiver) RevisionAnnounced(vm string, revision uint64) {
-	if revision > 0 {
-		r.follower.RevisionAnnounced(vm, revision, r.fleet.replacesOwnWatch(vm))
+// PositionAnnounced records up to which position another VM has read the store.
+func (r receiver) PositionAnnounced(vm string, position contract.StorePosition) {
+	if !position.IsZero() {
+		r.follower.PositionAnnounced(vm, position, r.fleet.replacesOwnWatch(vm))
 	}
 }
 
