follow: the newest routes known to any VM win over a restored store

Callers of a VM that started while the store had only a copy got routes of the older version there, although the other VMs had a newer one in force: a VM took from others only what the store's position made newer.

VMs announce the version of their routes in each datagram, fetch routes from those that announce a higher one, of whatever era, and are handed the item that the other has in force; it is decoded, checked and ordered by version like any other, so an invalid or older one changes nothing. A VM that hears of older routes announces its own, once a second at most, in case it sends that VM no heartbeats.

--- a/entry/contract/position.go
+++ b/entry/contract/position.go
@@ -16,3 +16,12 @@
 
 // IsZero reports whether nothing was read yet.
 func (p StorePosition) IsZero() bool { return p == StorePosition{} }
+
+// Announcement is what an instance tells others of the published items that it has.
+type Announcement struct {
+	// Position is the position up to which it has read the store itself; zero while it
+	// does not read the store.
+	Position StorePosition
+	// RoutesVersion is the version of the routes in force; zero before the first.
+	RoutesVersion uint64
+}
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -65,9 +65,8 @@
 	SetInProgress(vm string, attempts map[string]int)
 	// MergeRequest applies what a VM knows of a request that may crash targets.
 	MergeRequest(vm string, evidence quarantine.Evidence)
-	// PositionAnnounced applies the position up to which a VM has read the store
-	// itself; zero while it does not read the store.
-	PositionAnnounced(vm string, position contract.StorePosition)
+	// Announced applies what a VM has of the published items.
+	Announced(vm string, announcement contract.Announcement)
 }
 
 // Peer is another VM to which datagrams go.
@@ -96,9 +95,8 @@
 	AttemptsInProgress func() map[string]int
 	// Rate returns the requests a second that this VM serves.
 	Rate func() float64
-	// StorePosition returns the position up to which this VM has read the store itself,
-	// and zero while it does not read the store.
-	StorePosition func() contract.StorePosition
+	// Announcement returns what this VM has of the published items.
+	Announcement func() contract.Announcement
 	// Requests returns what the next datagram tells of requests that may crash targets:
 	// what is new and, in a heartbeat, a part of what was told before.
 	Requests func(isHeartbeat bool) []quarantine.Evidence
@@ -166,6 +164,10 @@
 	x.requestSend()
 }
 
+// AnnouncementChanged schedules a datagram that tells other VMs what this one has of the
+// published items.
+func (x *Exchange) AnnouncementChanged() { x.requestSend() }
+
 // RequestsChanged schedules a datagram with new evidence about requests that may
 // crash targets.
 func (x *Exchange) RequestsChanged() { x.requestSend() }
@@ -273,7 +275,7 @@
 	// These callbacks run before the lock is taken, since the components behind
 	// them call the exchange while they hold their own locks.
 	uses := x.options.AttemptsInProgress()
-	ready, position, rate := x.options.Ready(), x.options.StorePosition(), x.options.Rate()
+	ready, announced, rate := x.options.Ready(), x.options.Announcement(), x.options.Rate()
 	requests := requestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -283,15 +285,16 @@
 	x.sendRequested = false
 	x.sequence++
 	message := &primroseloomv1.EvidenceDatagram{
-		Fleet:    x.options.Fleet,
-		Vm:       x.options.VM,
-		Instance: x.options.Instance,
-		Sequence: x.sequence,
-		Ready:    ready,
-		Requests: requests,
-		Revision: position.Revision,
-		StoreEra: position.Era,
-		Rate:     uint32(rate + 0.5),
+		Fleet:         x.options.Fleet,
+		Vm:            x.options.VM,
+		Instance:      x.options.Instance,
+		Sequence:      x.sequence,
+		Ready:         ready,
+		Requests:      requests,
+		Revision:      announced.Position.Revision,
+		StoreEra:      announced.Position.Era,
+		RoutesVersion: announced.RoutesVersion,
+		Rate:          uint32(rate + 0.5),
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -27,15 +27,15 @@
 	return len(p), nil
 }
 
-// announced is the position that the sending VM has read.
-var announced = contract.StorePosition{Era: 3, Revision: 42}
+// announced is what the sending VM has of the published items.
+var announced = contract.Announcement{Position: contract.StorePosition{Era: 3, Revision: 42}, RoutesVersion: 9}
 
 // received records what a receiver gets.
 type received struct {
-	outcomes []AttemptEvidence
-	uses     map[string]map[string]int
-	requests []quarantine.Evidence
-	position contract.StorePosition
+	outcomes  []AttemptEvidence
+	uses      map[string]map[string]int
+	requests  []quarantine.Evidence
+	announced contract.Announcement
 }
 
 func (r *received) Observed(outcome AttemptEvidence) { r.outcomes = append(r.outcomes, outcome) }
@@ -45,8 +45,8 @@
 func (r *received) SetInProgress(vm string, attempts map[string]int) {
 	r.uses[vm] = attempts
 }
-func (r *received) PositionAnnounced(_ string, position contract.StorePosition) {
-	r.position = position
+func (r *received) Announced(_ string, announcement contract.Announcement) {
+	r.announced = announcement
 }
 
 // pair is a sending and a receiving exchange with a shared manual clock.
@@ -65,7 +65,7 @@
 		Peers: func() []Peer {
 			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true}}
 		},
-		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, StorePosition: func() contract.StorePosition { return announced }, Rate: func() float64 { return 10 },
+		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, Announcement: func() contract.Announcement { return announced }, Rate: func() float64 { return 10 },
 		Requests: func(bool) []quarantine.Evidence { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
@@ -85,8 +85,8 @@
 	if len(p.got.outcomes) != 1 || p.got.outcomes[0].FailureNats != 3 || p.got.outcomes[0].Load.Running != 2 {
 		t.Errorf("outcomes %+v", p.got.outcomes)
 	}
-	if p.got.uses["vm-1"]["t1"] != 2 || p.got.position != announced {
-		t.Errorf("uses %v, position %v", p.got.uses, p.got.position)
+	if p.got.uses["vm-1"]["t1"] != 2 || p.got.announced != announced {
+		t.Errorf("uses %v, announcement %v", p.got.uses, p.got.announced)
 	}
 }
 
@@ -210,7 +210,7 @@
 			t.Error("a call from another component blocks while the exchange runs its callback")
 		}
 	}
-	p.from.options.StorePosition = func() contract.StorePosition { requestsSend(); return announced }
+	p.from.options.Announcement = func() contract.Announcement { requestsSend(); return announced }
 	p.from.options.Ready = func() bool { requestsSend(); return true }
 	p.from.options.Rate = func() float64 { requestsSend(); return 1 }
 	p.from.options.Requests = func(bool) []quarantine.Evidence { requestsSend(); return nil }
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -48,7 +48,10 @@
 			attempts[use.GetTarget()] = int(use.GetInProgress())
 		}
 		x.options.Receiver.SetInProgress(message.GetVm(), attempts)
-		x.options.Receiver.PositionAnnounced(message.GetVm(), contract.StorePosition{Era: message.GetStoreEra(), Revision: message.GetRevision()})
+		x.options.Receiver.Announced(message.GetVm(), contract.Announcement{
+			Position:      contract.StorePosition{Era: message.GetStoreEra(), Revision: message.GetRevision()},
+			RoutesVersion: message.GetRoutesVersion(),
+		})
 	}
 	for _, outcome := range outcomes {
 		x.options.Receiver.Observed(outcomeFromWire(outcome))
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -8,15 +8,16 @@
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 )
 
-// PositionAnnounced records up to which position another instance has read the
-// store. With replacesWatch, this instance needs no watch of its own for a while, unless
-// the other one has not noticed yet that the store was restored from a copy.
-func (f *Follower) PositionAnnounced(vm string, position contract.StorePosition, replacesWatch bool) {
+// Announced records what another instance has. With replacesWatch, this instance needs
+// no watch of its own for a while, unless the other one has not noticed yet that the store
+// was restored from a copy.
+func (f *Follower) Announced(vm string, other contract.Announcement, replacesWatch bool) {
+	f.tellNewerRoutes(other.RoutesVersion)
 	f.mu.Lock()
-	if replacesWatch && position.Era >= f.position.Era {
+	if replacesWatch && !other.Position.IsZero() && other.Position.Era >= f.position.Era {
 		f.announcedAt = f.options.Uptime()
 	}
-	behind := position.Compare(f.position) > 0
+	behind := other.Position.Compare(f.position) > 0 || other.RoutesVersion > f.RoutesVersion()
 	if behind {
 		f.aheadVM = vm
 	}
@@ -41,7 +42,7 @@
 	return f.listed && f.announcedAt > 0 && f.options.Uptime()-f.announcedAt < announcementTTL
 }
 
-// catchUp fetches missing changes from an instance with a newer position.
+// catchUp fetches missing changes from an instance with a newer position or newer routes.
 func (f *Follower) catchUp(ctx context.Context) {
 	for {
 		select {
@@ -67,14 +68,19 @@
 		return
 	}
 	f.mu.Lock()
-	after := f.position
+	known := contract.Announcement{Position: f.position, RoutesVersion: f.RoutesVersion()}
 	f.mu.Unlock()
-	listing, err := f.options.Peers.Fetch(ctx, vm, after)
+	listing, err := f.options.Peers.Fetch(ctx, vm, known)
 	if err != nil {
 		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
-		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", after.Revision, "era", after.Era, "peer", vm, "cause", err)
+		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", known.Position.Revision, "era", known.Position.Era, "peer", vm, "cause", err)
 		return
 	}
 	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
-	f.apply(listing, after)
+	if listing.NewestRoutes != nil {
+		f.applyNewestRoutes(*listing.NewestRoutes)
+	}
+	if !listing.Position.IsZero() {
+		f.apply(listing, known.Position)
+	}
 }
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -291,7 +291,7 @@
 		time.Sleep(5 * time.Second)
 		store.set(func() { store.calls = 0 })
 		for range 50 {
-			f.PositionAnnounced("vm-2", f.Position(), true)
+			f.Announced("vm-2", contract.Announcement{Position: f.Position()}, true)
 			time.Sleep(200 * time.Millisecond)
 		}
 		if store.calls > 2 {
@@ -353,7 +353,7 @@
 		time.Sleep(maxReadAge)
 		store.put("routes", "routes 8")
 		for range 20 {
-			f.PositionAnnounced("vm-2", contract.StorePosition{Revision: 2}, false)
+			f.Announced("vm-2", contract.Announcement{Position: contract.StorePosition{Revision: 2}}, false)
 			time.Sleep(200 * time.Millisecond)
 		}
 		if !l.has(8, "a") {
@@ -364,12 +364,12 @@
 
 func TestRevisionIsAnnouncedOnlyWhileTheStoreIsRead(t *testing.T) {
 	runFollower(t, true, func(store *fakeStore, f *Follower, _ *recordingListener) {
-		if f.ReadPosition() != f.Position() || f.Position().IsZero() {
-			t.Errorf("announced position %v, own position %v", f.ReadPosition(), f.Position())
+		if f.Announcement().Position != f.Position() || f.Position().IsZero() {
+			t.Errorf("announced position %v, own position %v", f.Announcement().Position, f.Position())
 		}
 		store.set(func() { store.unavailable = true })
 		time.Sleep(maxWatchWait + maxReadAge)
-		if read := f.ReadPosition(); !read.IsZero() {
+		if read := f.Announcement().Position; !read.IsZero() {
 			t.Errorf("announced position %v although the store is unavailable", read)
 		}
 	})
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -67,6 +67,8 @@
 	// WatchesStore reports whether this instance is among the store watchers; the
 	// other instances are fed by them.
 	WatchesStore func() bool
+	// Announce makes the other instances learn soon what this one has.
+	Announce func()
 	// Uptime is the instance's clock.
 	Uptime   func() time.Duration
 	Listener Listener
@@ -96,7 +98,11 @@
 	dropsListings bool
 	// announcedAt is when an announcement last replaced a watch.
 	announcedAt time.Duration
-	// aheadVM is the VM of an instance with a newer position.
+	// newestRoutes is the item with the routes in force.
+	newestRoutes Item
+	// routesToldAt is when other instances were last told of newer routes than theirs.
+	routesToldAt time.Duration
+	// aheadVM is the VM of an instance with a newer position or newer routes.
 	aheadVM         string
 	catchUpRequests chan struct{}
 }
@@ -107,9 +113,6 @@
 	return &Follower{options: options, targets: roster.New(), history: newHistory(), catchUpRequests: make(chan struct{}, 1)}
 }
 
-// Table returns the routes in force, or nil before the first version.
-func (f *Follower) Table() *routing.Table { return f.table.Load() }
-
 // Ready reports whether routes are in force and the targets were listed.
 func (f *Follower) Ready() bool {
 	f.mu.Lock()
@@ -131,15 +134,16 @@
 	return f.position
 }
 
-// ReadPosition returns the position up to which this instance is complete while
-// it reads the store itself, and zero while it does not.
-func (f *Follower) ReadPosition() contract.StorePosition {
+// Announcement returns what other instances are told. Its position is zero while this
+// instance does not read the store itself.
+func (f *Follower) Announcement() contract.Announcement {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.storeLost || !f.listed || f.options.Uptime()-f.storeReadAt > maxReadAge {
-		return contract.StorePosition{}
+	own := contract.Announcement{RoutesVersion: f.RoutesVersion()}
+	if !f.storeLost && f.listed && f.options.Uptime()-f.storeReadAt <= maxReadAge {
+		own.Position = f.position
 	}
-	return f.position
+	return own
 }
 
 // Run keeps the copy up to date until the context ends.
@@ -237,116 +241,6 @@
 	}
 }
 
-// apply applies a full listing, or the changes after a position, and notifies the
-// listener. It ignores what is older than the state of this instance, and changes that
-// follow another era's state.
-func (f *Follower) apply(listing Listing, after contract.StorePosition) {
-	now := f.options.Uptime()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.storeContactAt = max(f.storeContactAt, now-listing.StoreAge)
-	isConnected := listing.Full || (listing.Position.Era == after.Era && after.Era == f.position.Era)
-	if !isConnected || listing.Position.Compare(f.position) < 0 {
-		f.recordDrop(listing)
-		return
-	}
-	f.dropsListings = false
-	if listing.Position.Era > f.position.Era && f.listed {
-		f.recordRestoredStore(listing, now)
-	}
-	f.position = listing.Position
-	f.options.Scope.Gauge("store_era").Update(float64(f.position.Era))
-	f.history.add(listing)
-	changed := false
-	present := make(map[string]bool, len(listing.Items))
-	for _, item := range listing.Items {
-		entry, err := f.options.Decoder.Decode(item, now)
-		if err != nil {
-			events.EntryUnusable.Log(f.options.Logger, "key", item.Key, "revision", item.Revision, "cause", err)
-		}
-		changed = f.applyEntry(entry, err, now) || changed
-		if entry.Target != nil {
-			present[entry.TargetID] = true
-		}
-	}
-	if listing.Full {
-		changed = f.targets.Retain(present, now) || changed
-	}
-	first := listing.Full && !f.listed
-	f.listed = f.listed || listing.Full
-	if changed || first {
-		f.notifyTargets()
-	}
-}
-
-// recordRestoredStore prepares for a listing of a store that was restored from a copy
-// since the last one; the lock is held.
-func (f *Follower) recordRestoredStore(listing Listing, now time.Duration) {
-	f.targets.MarkStoreRestored(now)
-	f.options.Scope.Counter("store_restored").Inc(1)
-	events.StoreRestored.Log(f.options.Logger, "era", listing.Position.Era, "revision", listing.Position.Revision,
-		"own_era", f.position.Era, "own_revision", f.position.Revision)
-}
-
-// recordDrop counts a listing that is older than the state of this instance, and logs
-// the first one in a row; the lock is held.
-func (f *Follower) recordDrop(listing Listing) {
-	f.options.Scope.Counter("listings_dropped").Inc(1)
-	if !f.dropsListings {
-		f.dropsListings = true
-		events.ListingDropped.Log(f.options.Logger, "era", listing.Position.Era, "revision", listing.Position.Revision, "full", listing.Full,
-			"own_era", f.position.Era, "own_revision", f.position.Revision)
-	}
-}
-
-// applyEntry applies one decoded item and reports whether the targets changed.
-func (f *Follower) applyEntry(entry Entry, decodeErr error, now time.Duration) bool {
-	switch {
-	case entry.Routes != nil:
-		f.applyRoutes(entry.Routes)
-		return false
-	case entry.TargetID == "":
-		return false
-	case entry.Target != nil:
-		return f.putTarget(*entry.Target, now)
-	case decodeErr != nil:
-		return f.targets.RemoveNow(entry.TargetID)
-	}
-	return f.targets.Remove(entry.TargetID, now)
-}
-
-// putTarget applies what a target published and reports whether the targets changed.
-func (f *Follower) putTarget(target roster.Target, now time.Duration) bool {
-	update := f.targets.Put(target, now)
-	if update == roster.Outdated {
-		f.options.Scope.Counter("outdated_entries").Inc(1)
-		events.EntryOutdated.Log(f.options.Logger, "target", target.ID, "state", target.State, "sequence", target.Sequence)
-	}
-	return update == roster.Changed
-}
-
-// applyRoutes puts the routes in force if their version is newer.
-func (f *Follower) applyRoutes(document *routing.Document) {
-	if current := f.table.Load(); current != nil && document.Version <= current.Version() {
-		return
-	}
-	table, err := routing.Compile(*document)
-	if err != nil {
-		events.RoutesRefused.Log(f.options.Logger, "version", document.Version, "cause", err)
-		return
-	}
-	f.table.Store(table)
-	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes))
-	f.options.Scope.Gauge("routes_version").Update(float64(table.Version()))
-	f.options.Listener.RoutesChanged(table)
-}
-
-func (f *Follower) notifyTargets() {
-	targets := f.targets.Targets()
-	f.options.Scope.Gauge("targets").Update(float64(len(targets)))
-	f.options.Listener.TargetsChanged(targets)
-}
-
 // expire performs delayed removals until the context ends.
 func (f *Follower) expire(ctx context.Context) {
 	ticker := time.NewTicker(expireInterval)
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -38,11 +38,11 @@
 	}
 }
 
-// Fetch returns the changes after a position, or everything, from the named
+// Fetch returns what is newer than what this instance knows, or everything, from the named
 // instance or, without a name, from the first of a few random ones that responds.
-func (p *Peers) Fetch(ctx context.Context, vm string, after contract.StorePosition) (Listing, error) {
+func (p *Peers) Fetch(ctx context.Context, vm string, known contract.Announcement) (Listing, error) {
 	if vm != "" {
-		return p.fetchFrom(ctx, vm, after, 0)
+		return p.fetchFrom(ctx, vm, known, 0)
 	}
 	members := p.Members.Members()
 	failures := []error{errNoPeer}
@@ -54,7 +54,7 @@
 		if attempts++; attempts > maxPeerAttempts {
 			break
 		}
-		listing, err := p.fetchFrom(ctx, members[i].Vm, after, 0)
+		listing, err := p.fetchFrom(ctx, members[i].Vm, known, 0)
 		if err == nil {
 			return listing, nil
 		}
@@ -63,7 +63,7 @@
 	return Listing{}, errors.Join(failures...)
 }
 
-func (p *Peers) fetchFrom(ctx context.Context, vm string, after contract.StorePosition, wait time.Duration) (Listing, error) {
+func (p *Peers) fetchFrom(ctx context.Context, vm string, known contract.Announcement, wait time.Duration) (Listing, error) {
 	client, ok := p.Members.Feed(vm)
 	if !ok {
 		return Listing{}, errNoPeer
@@ -71,7 +71,8 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	response, err := client.Follow(ctx, connect.NewRequest(&primroseloomv1.FollowRequest{
-		Fleet: p.Fleet, After: after.Revision, Era: after.Era, WaitMs: uint32(wait.Milliseconds()),
+		Fleet: p.Fleet, After: known.Position.Revision, Era: known.Position.Era, RoutesVersion: known.RoutesVersion,
+		WaitMs: uint32(wait.Milliseconds()),
 	}))
 	if err != nil {
 		return Listing{}, err
@@ -83,13 +84,23 @@
 		StoreAge: time.Duration(message.GetStoreAgeMs()) * time.Millisecond,
 	}
 	for _, item := range message.GetItems() {
-		listing.Items = append(listing.Items, Item{
-			Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved(),
-		})
+		listing.Items = append(listing.Items, itemFromWire(item))
+	}
+	if newest := message.GetNewestRoutes(); newest != nil {
+		item := itemFromWire(newest)
+		listing.NewestRoutes = &item
 	}
 	return listing, nil
 }
 
+func itemFromWire(item *primroseloomv1.FeedItem) Item {
+	return Item{Key: item.GetKey(), Value: item.GetValue(), Revision: item.GetRevision(), Removed: item.GetRemoved()}
+}
+
+func itemToWire(item Item) *primroseloomv1.FeedItem {
+	return &primroseloomv1.FeedItem{Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed}
+}
+
 // Handler serves this instance's copy of the published items to other instances.
 func (f *Follower) Handler(fleet string) (path string, handler http.Handler) {
 	return primroseloomv1connect.NewFeedServiceHandler(&feed{follower: f, fleet: fleet})
@@ -102,7 +113,8 @@
 }
 
 // Follow waits for items newer than a position. An instance whose position is older than
-// the known history, or of an older era of the store, gets a full listing.
+// the known history, or of an older era of the store, gets a full listing; one of a later
+// era gets only newer routes, if this instance has them.
 func (s *feed) Follow(ctx context.Context, request *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
 	if request.Msg.GetFleet() != s.fleet {
 		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("this is fleet %s", s.fleet))
@@ -113,10 +125,11 @@
 	after := contract.StorePosition{Era: request.Msg.GetEra(), Revision: request.Msg.GetAfter()}
 	for {
 		listing, changed, ok := s.follower.history.after(after)
-		if !ok {
+		listing.NewestRoutes = s.follower.routesNewerThan(request.Msg.GetRoutesVersion(), listing)
+		if !ok && listing.NewestRoutes == nil {
 			return nil, connect.NewError(connect.CodeUnavailable, errors.New("nothing was read yet, or only an older era of the store"))
 		}
-		if len(listing.Items) > 0 || listing.Full {
+		if len(listing.Items) > 0 || listing.Full || listing.NewestRoutes != nil {
 			return connect.NewResponse(s.response(listing)), nil
 		}
 		select {
@@ -137,9 +150,10 @@
 		StoreAgeMs: uint32(s.follower.storeAge().Milliseconds()),
 	}
 	for _, item := range listing.Items {
-		message.Items = append(message.Items, &primroseloomv1.FeedItem{
-			Key: item.Key, Value: item.Value, Revision: item.Revision, Removed: item.Removed,
-		})
+		message.Items = append(message.Items, itemToWire(item))
+	}
+	if listing.NewestRoutes != nil {
+		message.NewestRoutes = itemToWire(*listing.NewestRoutes)
 	}
 	return message
 }
--- /dev/null
+++ b/entry/follow/routes.go
@@ -0,0 +1,89 @@
+package follow
+
+import (
+	"bytes"
+	"slices"
+	"time"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/events"
+)
+
+// routesTellInterval is the time between two announcements made because another instance
+// has older routes.
+const routesTellInterval = time.Second
+
+// Table returns the routes in force, or nil before the first version.
+func (f *Follower) Table() *routing.Table { return f.table.Load() }
+
+// RoutesVersion returns the version of the routes in force, or zero before the first.
+func (f *Follower) RoutesVersion() uint64 {
+	if table := f.table.Load(); table != nil {
+		return table.Version()
+	}
+	return 0
+}
+
+// applyRoutes puts the routes of an item in force if their version is newer; the lock is
+// held.
+func (f *Follower) applyRoutes(document *routing.Document, item Item) {
+	if f.table.Load() != nil && document.Version <= f.RoutesVersion() {
+		return
+	}
+	table, err := routing.Compile(*document)
+	if err != nil {
+		events.RoutesRefused.Log(f.options.Logger, "version", document.Version, "cause", err)
+		return
+	}
+	f.table.Store(table)
+	f.newestRoutes = item
+	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes))
+	f.options.Scope.Gauge("routes_version").Update(float64(table.Version()))
+	f.options.Listener.RoutesChanged(table)
+}
+
+// applyNewestRoutes applies the routes that another instance has in force.
+func (f *Follower) applyNewestRoutes(item Item) {
+	entry, err := f.options.Decoder.Decode(item, f.options.Uptime())
+	if err != nil || entry.Routes == nil {
+		events.EntryUnusable.Log(f.options.Logger, "key", item.Key, "revision", item.Revision, "cause", err)
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.applyRoutes(entry.Routes, item)
+}
+
+// routesNewerThan returns the item with the routes in force if their version is higher
+// and a listing does not hold them.
+func (f *Follower) routesNewerThan(version uint64, listing Listing) *Item {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.RoutesVersion() <= version {
+		return nil
+	}
+	isNewest := func(item Item) bool {
+		return item.Key == f.newestRoutes.Key && bytes.Equal(item.Value, f.newestRoutes.Value)
+	}
+	if slices.ContainsFunc(listing.Items, isNewest) {
+		return nil
+	}
+	newest := f.newestRoutes
+	return &newest
+}
+
+// tellNewerRoutes announces this instance's routes to an instance that has announced
+// older ones. An instance that has started while the store had only a copy cannot learn
+// of them otherwise, if this one sends it no heartbeats.
+func (f *Follower) tellNewerRoutes(version uint64) {
+	now := f.options.Uptime()
+	f.mu.Lock()
+	isDue := version > 0 && version < f.RoutesVersion() && now-f.routesToldAt >= routesTellInterval
+	if isDue {
+		f.routesToldAt = now
+	}
+	f.mu.Unlock()
+	if isDue && f.options.Announce != nil {
+		f.options.Announce()
+	}
+}
--- a/entry/follow/source.go
+++ b/entry/follow/source.go
@@ -38,6 +38,9 @@
 	Position contract.StorePosition
 	// Full is true when Items holds all that exists, rather than changes.
 	Full bool
+	// NewestRoutes holds routes of a higher version than the reader has and than Items
+	// holds, from an instance that has them in force; nil for none.
+	NewestRoutes *Item
 	// StoreAge is the time since the source itself last had a response from the store.
 	StoreAge time.Duration
 }
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -78,6 +78,7 @@
 		Peers:        &follow.Peers{Fleet: set.Fleet, Members: peers},
 		Decoder:      f.options.Adapter.Decoder,
 		WatchesStore: func() bool { return f.fleet == nil || f.fleet.watchesStore() },
+		Announce:     func() { f.evidence.AnnouncementChanged() },
 		Uptime:       f.clock.Uptime,
 		Listener:     f,
 		Logger:       logger,
@@ -117,7 +118,7 @@
 		Peers:              vms.currentPeers,
 		AttemptsInProgress: targets.AttemptsInProgress,
 		Rate:               func() float64 { return f.gateway.Rate() },
-		StorePosition:      follower.ReadPosition,
+		Announcement:       follower.Announcement,
 		Requests:           tracker.NextEvidence,
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
@@ -134,11 +135,9 @@
 	fleet    *fleet
 }
 
-// PositionAnnounced records up to which position another VM has read the store.
-func (r receiver) PositionAnnounced(vm string, position contract.StorePosition) {
-	if !position.IsZero() {
-		r.follower.PositionAnnounced(vm, position, r.fleet.replacesOwnWatch(vm))
-	}
+// Announced records what another VM has of the published items.
+func (r receiver) Announced(vm string, announcement contract.Announcement) {
+	r.follower.Announced(vm, announcement, r.fleet.replacesOwnWatch(vm))
 }
 
 func newCrashTracker(f *Frontend, targets *targetset.Manager, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
