frontend: rebuild the view of the fleet once at a time

A daemon that got SIGTERM rebuilt its view of the fleet from its stop while the periodic update did the same: two goroutines wrote the same maps, which ends a process (concurrent map writes) or leaves wrong VMs in the directory; callers would lose the requests that it was finishing.

A lock is held while the view is rebuilt. TestStopUpdatesTheViewBesideRun fails without it under the race detector, and passes with it.

--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,6 +65,9 @@
 	rate func() float64
 
 	view atomic.Pointer[view]
+
+	// updating is held while the view is rebuilt, which Run and a stop both do.
+	updating sync.Mutex
 	// missingSince holds, by primary VM without recent datagrams, since when they have
 	// been missing.
 	missingSince map[string]time.Duration
@@ -97,6 +101,8 @@
 
 // updateView rebuilds the view.
 func (f *fleet) updateView() {
+	f.updating.Lock()
+	defer f.updating.Unlock()
 	members := f.members.Members()
 	self := members[0]
 	v := &view{vms: make([]offer.VM, 0, len(members)), primaries: make(map[string]bool), storeWatchers: make(map[string]bool)}
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -143,3 +144,23 @@
 		}
 	}
 }
+
+// TestStopUpdatesTheViewBesideRun guards against a daemon that crashes, or advertises
+// wrong VMs, because its stop rebuilds the view while Run does.
+func TestStopUpdatesTheViewBesideRun(t *testing.T) {
+	const updates = 200
+	now := time.Minute
+	f := newTestFleet(members("vm-1", "vm-2", "vm-3"), fakePeerReports{"vm-2": 0, "vm-3": 0}, &now)
+	var updating sync.WaitGroup
+	for range 2 {
+		updating.Go(func() {
+			for range updates {
+				f.updateView()
+			}
+		})
+	}
+	updating.Wait()
+	if got := f.advertised("z"); len(got) != 3 {
+		t.Errorf("advertised %v", got)
+	}
+}
