serve: order roots by generation, not by the platform's versions

A version says only whether a value has changed at a replica. Readers keep it by replica, forget it after a failed call, since the platform may come back from a copy, and let the generation decide which root is newer; a replica whose root is older than the newest one is skipped as before and confirms nothing.

TestGenerationPublishedAfterThePlatformWentBackIsInForce failed before with 1, 2 and 12 publications lost (generation 2 of 3, 3 of 4, 13 of 14 after 4 s) and passes now.

--- a/entry/config/offer.go
+++ b/entry/config/offer.go
@@ -19,13 +19,13 @@
 	return content, generation.Root{Generation: root.Generation, Digest: document.Digest(content)}, nil
 }
 
-// offer passes a root to the decider and wakes the applying goroutine. An empty
-// peer means that the root comes from the given platform replica.
-func (m *Manager) offer(content []byte, peer string, replica int) error {
+// offer passes a root to the decider, wakes the applying goroutine and returns the root's
+// generation. An empty peer means that the root comes from the given platform replica.
+func (m *Manager) offer(content []byte, peer string, replica int) (offered uint64, err error) {
 	root, err := document.ParseRoot(content)
 	if err != nil {
 		m.metrics.malformedRoots.Inc(1)
-		return err
+		return 0, err
 	}
 	id := generation.Root{Generation: root.Generation, Digest: document.Digest(content)}
 	source := generation.FromPeer
@@ -44,7 +44,7 @@
 	m.mu.Unlock()
 	m.wakeUp()
 	m.recordDecision(decision, id, newest, peer, replica)
-	return nil
+	return id.Generation, nil
 }
 
 // recordDecision counts and logs offers that are older than the newest root or
--- a/entry/config/pull.go
+++ b/entry/config/pull.go
@@ -75,7 +75,7 @@
 	}
 	if len(response.Msg.Root) == 0 {
 		m.noteNoNewerRoot(generation.FromPeer)
-	} else if err := m.offer(response.Msg.Root, vm, 0); err != nil {
+	} else if _, err := m.offer(response.Msg.Root, vm, 0); err != nil {
 		return fmt.Errorf("fetch root from %s: %w", vm, err)
 	}
 	if response.Msg.Generation >= m.newestRoot().Generation {
--- a/entry/config/reader.go
+++ b/entry/config/reader.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/platform"
 	"github.com/primroseloom/primroseloom/policy/generation"
@@ -49,8 +51,8 @@
 type platformReader struct {
 	manager  *Manager
 	replicas *replicaSelector
-	// version is the version of the root that the platform returned last.
-	version uint64
+	// known holds what each replica returned last.
+	known   []replicaRoot
 	backoff time.Duration
 	failing bool
 	// nextRead is when an instance that is not a reader reads next; zero while
@@ -58,6 +60,15 @@
 	nextRead time.Time
 }
 
+// replicaRoot is the root that a replica returned last.
+type replicaRoot struct {
+	// version is the root's version; zero when it is not known or may have been assigned
+	// again.
+	version uint64
+	// generation is the root's generation.
+	generation uint64
+}
+
 // watchPlatform reads the root from the platform: a reader watches it, a starting
 // instance reads it, and any other instance reads it only when the last
 // confirmation is too old.
@@ -67,7 +78,7 @@
 	m.mu.Unlock()
 	pause(ctx, delay)
 	replicas := newReplicaSelector(m.options.Source.Replicas(), m.currentRole().Index)
-	reader := &platformReader{manager: m, replicas: replicas, backoff: minBackoff}
+	reader := &platformReader{manager: m, replicas: replicas, backoff: minBackoff, known: make([]replicaRoot, m.options.Source.Replicas())}
 	for ctx.Err() == nil {
 		role := m.currentRole()
 		switch {
@@ -117,26 +128,47 @@
 	}
 	m.waitForBudget(ctx, role)
 	m.metrics.rootCalls.Inc(1)
-	value, err := m.options.Source.WatchAt(ctx, replica, document.RootKey, r.version, wait)
+	value, err := m.options.Source.WatchAt(ctx, replica, document.RootKey, r.known[replica].version, wait)
 	if ctx.Err() != nil {
 		return
 	}
+	if err == nil {
+		err = r.take(replica, value)
+	}
 	switch {
-	case err == nil && value.Content == nil:
-		m.confirm(0)
-	case err == nil:
-		r.version = value.Version
-		err = m.offer(value.Content, "", replica)
 	case errors.Is(err, platform.ErrNotFound):
 		m.noteNoNewerRoot(generation.FromPlatform)
 	case errors.Is(err, platform.ErrStale):
 		m.metrics.staleReplicas.Inc(1)
+	case err != nil:
+		clear(r.known) // the platform may come back from a copy and assign versions again
 	}
 	failed := err != nil && !errors.Is(err, platform.ErrNotFound)
 	r.replicas.recordResult(replica, wait > 0, failed, time.Now().Add(m.jitter(replicaPenalty)))
 	r.handleResult(ctx, err)
 }
 
+// take offers the root that a replica returned, or confirms the newest one when the
+// replica has not changed it. The error is platform.ErrStale when the replica's root is
+// older than the newest one: the replica is stale, or the platform was restored.
+func (r *platformReader) take(replica int, value contract.Value) error {
+	m, known := r.manager, &r.known[replica]
+	if value.Content != nil {
+		offered, err := m.offer(value.Content, "", replica)
+		if err != nil {
+			return err
+		}
+		known.version, known.generation = value.Version, offered
+	}
+	if known.generation < m.newestRoot().Generation {
+		return fmt.Errorf("take root of platform replica %d: %w", replica, platform.ErrStale)
+	}
+	if value.Content == nil {
+		m.confirm(0)
+	}
+	return nil
+}
+
 // handleResult logs when calls begin to fail or succeed again, and backs off after
 // a failure.
 func (r *platformReader) handleResult(ctx context.Context, err error) {
--- a/entry/config/restored_platform_test.go
+++ b/entry/config/restored_platform_test.go
@@ -1,11 +1,18 @@
 package config
 
 import (
+	"errors"
+	"io"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/charmbracelet/log"
+
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/examples"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/platform"
 	standin "github.com/primroseloom/primroseloom/standin/platform"
 )
 
@@ -53,3 +60,42 @@
 		f.platform.Replica(i).SetFaults(faults)
 	}
 }
+
+// TestStaleReplicaConfirmsNothing guards against a replica that still has an older root,
+// or has not changed it since, counting as a confirmation of the newest root.
+func TestStaleReplicaConfirmsNothing(t *testing.T) {
+	bubble(t, func(t *testing.T) {
+		f := newFleet(t, examples.SoojaVee(), 2, 1)
+		m := New(Options{Source: platform.New(f.replicas, f.network.Host("10.1.0.1")), Members: f.vms[0], Logger: log.New(io.Discard)})
+		reader := &platformReader{manager: m, known: make([]replicaRoot, 2)}
+		root := func(version, generation uint64) contract.Value {
+			content, _, err := encodeRoot(document.Root{Generation: generation})
+			if err != nil {
+				t.Fatal(err)
+			}
+			return contract.Value{Version: version, Content: content}
+		}
+		for _, step := range []struct {
+			name    string
+			replica int
+			value   contract.Value
+			stale   bool
+		}{
+			{"newest root", 1, root(8, 5), false},
+			{"older root", 0, root(7, 4), true},
+			{"older root, unchanged", 0, contract.Value{Version: 7}, true},
+			{"newest root, unchanged", 1, contract.Value{Version: 8}, false},
+			{"newer root under a lower version", 0, root(3, 6), false},
+			{"root that is no longer the newest, unchanged", 1, contract.Value{Version: 8}, true},
+		} {
+			time.Sleep(time.Second)
+			err := reader.take(step.replica, step.value)
+			if stale := errors.Is(err, platform.ErrStale); stale != step.stale || (err != nil) != step.stale {
+				t.Errorf("%s: error %v, want stale %v", step.name, err, step.stale)
+			}
+			if confirmed := m.confirmedAge() == 0; confirmed == step.stale {
+				t.Errorf("%s: confirmed %v", step.name, confirmed)
+			}
+		}
+	})
+}
