Soak: a daemon that started after a restoration can't know a lost drain

The check now asks whether the store has lost the drain since it was last published, which a draining target does again after a return. Rows of the checker's test show both sides.

--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -105,7 +105,9 @@
 	// plannedStops holds, by daemon, the intervals of its planned stops.
 	plannedStops map[int][]interval
 	publishedAt  map[uint64]time.Time
-	drainedAt    map[string]time.Time
+	// drainedAt is when each target began to drain, drainPublishedAt when it last
+	// published that, which it does again after the store went back.
+	drainedAt, drainPublishedAt map[string]time.Time
 	// crashes holds, by path, the runs that crashed their targets; crashingVMs holds
 	// the daemon that such a request was sent to, by its identifier.
 	crashes     map[string][]run
@@ -118,7 +120,7 @@
 func newChecker(start time.Time) *checker {
 	return &checker{
 		start: start, runs: make(map[string][]run), disturbances: make(map[int][]interval), plannedStops: make(map[int][]interval),
-		publishedAt: make(map[uint64]time.Time), drainedAt: make(map[string]time.Time),
+		publishedAt: make(map[uint64]time.Time), drainedAt: make(map[string]time.Time), drainPublishedAt: make(map[string]time.Time),
 		crashes: make(map[string][]run), crashingVMs: make(map[string]int),
 	}
 }
@@ -175,10 +177,14 @@
 	c.publishedAt[version] = at
 }
 
+// recordDrain records that a target published that it drains, once or again.
 func (c *checker) recordDrain(target string, at time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.drainedAt[target] = at
+	if _, known := c.drainedAt[target]; !known {
+		c.drainedAt[target] = at
+	}
+	c.drainPublishedAt[target] = at
 }
 
 func (c *checker) recordEndOfFaults(at time.Time) {
@@ -283,17 +289,22 @@
 	}
 	for _, r := range c.runs[request.id] {
 		at, ok := c.drainedAt[r.target]
-		if ok && r.at.After(at.Add(drainBound+scheduleSlack)) && c.knewOfDrain(request, at) {
+		if ok && r.at.After(at.Add(drainBound+scheduleSlack)) && c.knewOfDrain(request, r.target) {
 			c.addViolation(PromiseDrain, r.at, "request %s reached draining target %s through VM %d %v after the drain bound", request.id, r.target, request.vm, r.at.Sub(at)-drainBound)
 		}
 	}
 }
 
 // knewOfDrain reports whether the daemon of a request had to know that a target began to
-// drain: since the store was undisturbed, or because it was undisturbed when the target
-// began to drain and the process has run ever since. The caller holds c.mu.
-func (c *checker) knewOfDrain(request callerRequest, drainedAt time.Time) bool {
-	if c.storeUndisturbed(request.startedAt, request.endedAt) {
+// drain: from the store, which has not lost that since it was published and is undisturbed,
+// or because the daemon was undisturbed when the target began to drain and its process has
+// run ever since. The caller holds c.mu.
+func (c *checker) knewOfDrain(request callerRequest, target string) bool {
+	drainedAt, publishedAt := c.drainedAt[target], c.drainPublishedAt[target]
+	lost := slices.ContainsFunc(c.storeDisturbances, func(i interval) bool {
+		return i.from.After(publishedAt) && i.from.Before(request.endedAt)
+	})
+	if !lost && c.storeUndisturbed(request.startedAt, request.endedAt) {
 		return true
 	}
 	known := drainedAt.Add(drainBound)
--- a/operator/soak/checker_test.go
+++ b/operator/soak/checker_test.go
@@ -60,6 +60,19 @@
 			k.recordDrain("t", at(17))
 			k.recordStoreDisturbance(at(17.5), at(19))
 		}, ""},
+		{"target that drained before the store went back gets work from a new daemon", booking, func(k *checker) {
+			ranOnce(k)
+			k.recordDrain("t", at(8))
+			k.recordStoreDisturbance(at(11), at(12))
+			k.recordDisturbance(0, at(13), at(14))
+		}, ""},
+		{"target that said again that it drains gets work from a new daemon", booking, func(k *checker) {
+			ranOnce(k)
+			k.recordDrain("t", at(8))
+			k.recordStoreDisturbance(at(11), at(12))
+			k.recordDrain("t", at(11.8))
+			k.recordDisturbance(0, at(13), at(14))
+		}, PromiseDrain},
 		{"served by an older version after the store went back", booking, func(k *checker) {
 			ranOnce(k)
 			k.recordPublication(2, at(18.5))
--- a/operator/soak/restore.go
+++ b/operator/soak/restore.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
 const (
@@ -70,8 +72,13 @@
 	t.mu.Lock()
 	down := t.down
 	t.mu.Unlock()
-	if !down {
-		s.store.PublishTarget(t.report())
+	if down {
+		return
+	}
+	info := t.report()
+	s.store.PublishTarget(info)
+	if info.State == roster.StateDraining {
+		s.checker.recordDrain(info.ID, time.Now())
 	}
 }
 
