--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
@@ -126,6 +127,7 @@
 		return // cannot happen: the soak itself chose the address
 	}
 	request.Host = host
+	forbidResending(request)
 	platform.Headers{}.WriteRequest(request.Header, dialect.Request{AttemptID: record.id, Remaining: callerTimeout})
 	record.startedAt = time.Now()
 	record.status, record.wrongResponse = c.exchange(request, expectedBody(record.id, body))
@@ -135,6 +137,16 @@
 	}
 }
 
+// forbidResending keeps the client from sending a request again when a reused connection
+// ends before a response: that would be another request under the same identifier. The
+// client sends only requests again whose body it can read again, or that have none.
+func forbidResending(request *http.Request) {
+	request.GetBody = nil
+	if request.Body == http.NoBody {
+		request.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
 // exchange sends a request and reads its response. The status is zero if there is
 // no complete response; wrongResponse is true if a served body differs from want.
 func (c *caller) exchange(request *http.Request, want string) (status int, wrongResponse bool) {
