Reproduce: requests that crash worker processes are sent on

The soak's crashing requests can end just a worker process: the request's connection closes, the target goes on accepting and answers others, nothing is published anew.

--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -20,7 +20,7 @@
 const maxShownPerPromise = 5
 
 func newSoak() *cobra.Command {
-	options := soak.Options{VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 3, SilentCrashShare: 0.3, AddressBase: 77}
+	options := soak.Options{VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 3, SilentCrashShare: 0.3, WorkerCrashShare: 0.2, AddressBase: 77}
 	var seeds int
 	var asJSON, untimed, regressions bool
 	command := &cobra.Command{
@@ -50,6 +50,7 @@
 	flags.IntVar(&options.Callers, "callers", options.Callers, "number of callers")
 	flags.IntVar(&options.CrashingRequests, "crashing", options.CrashingRequests, "number of different requests that crash each target that begins to run them")
 	flags.Float64Var(&options.SilentCrashShare, "silent-crashes", options.SilentCrashShare, "share of these crashes in which the target falls silent instead of closing its connections")
+	flags.Float64Var(&options.WorkerCrashShare, "worker-crashes", options.WorkerCrashShare, "share of these crashes in which only a worker process of the target ends")
 	flags.IntVar(&options.AddressBase, "base", options.AddressBase, "second byte of the loopback addresses; runs at the same time need different ones")
 	flags.BoolVar(&regressions, "regressions", false, "run the seeds that failed before, each with its own duration and numbers of VMs, targets and callers")
 	flags.BoolVar(&untimed, "untimed", false, "skip the promises that depend on the machine's speed")
--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -85,11 +85,17 @@
 }
 
 // crash takes a target down, as a process that ends or, when silent, as a VM that
-// loses power, and starts it again after crashDowntime.
+// loses power, and starts it again after crashDowntime. A crash of a worker ends only the
+// connection of the request: another process of the target goes on accepting connections.
 func (s *soak) crash(t *target, r *http.Request) {
 	s.mu.Lock()
-	drawn := s.crashRandom.Float64() < s.options.SilentCrashShare
+	draw := s.crashRandom.Float64()
 	s.mu.Unlock()
+	if draw >= 1-s.options.WorkerCrashShare {
+		s.countFault("worker crash")
+		return
+	}
+	drawn := draw < s.options.SilentCrashShare
 	t.mu.Lock()
 	alreadyDown := t.down
 	if !alreadyDown {
--- a/operator/soak/regressions.go
+++ b/operator/soak/regressions.go
@@ -8,7 +8,7 @@
 	Duration time.Duration
 	// VMs, Targets, Callers and CrashingRequests are the number of each in the run.
 	VMs, Targets, Callers, CrashingRequests int
-	SilentCrashShare                        float64
+	SilentCrashShare, WorkerCrashShare      float64
 	// Cause is the bug in the daemon, since fixed.
 	Cause string
 }
@@ -45,5 +45,5 @@
 func (r Regression) Apply(options *Options) {
 	options.Seed, options.Duration = r.Seed, r.Duration
 	options.VMs, options.Targets, options.Callers = r.VMs, r.Targets, r.Callers
-	options.CrashingRequests, options.SilentCrashShare = r.CrashingRequests, r.SilentCrashShare
+	options.CrashingRequests, options.SilentCrashShare, options.WorkerCrashShare = r.CrashingRequests, r.SilentCrashShare, r.WorkerCrashShare
 }
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -30,9 +30,10 @@
 	VMs, Targets, Callers int
 	// CrashingRequests is the number of different requests that crash each target that
 	// begins to run them and are sent again and again. SilentCrashShare is the share of
-	// these crashes in which the target falls silent instead of closing its connections.
-	CrashingRequests int
-	SilentCrashShare float64
+	// these crashes in which the target falls silent instead of closing its connections,
+	// and WorkerCrashShare the share in which only the connection of the request ends.
+	CrashingRequests                   int
+	SilentCrashShare, WorkerCrashShare float64
 	// AddressBase is the second byte of the loopback addresses; concurrent runs need
 	// different values.
 	AddressBase int
