quarantine: requests that end worker processes behind a listener are found

An attempt that is lost at a target which goes on answering others counts as half a crash for 2 min. Sound requests under resets stay out of it: an answer clears it, suspected targets and VMs without answers don't count, losses within 300 ms of each other count once, and a retry is not withheld for it.

--- a/entry/crashes/checker.go
+++ b/entry/crashes/checker.go
@@ -20,6 +20,9 @@
 	// confirmTime is how long after the end of an attempt a newer start of the target,
 	// or the end of its entry, confirms a crash.
 	confirmTime = 8 * time.Second
+	// servingTime is how long before a lost attempt a target that lives on must have
+	// answered another request for the loss to count against the request.
+	servingTime = 2 * time.Second
 	// maxChecked bounds the processes that are checked or watched, maxLostPerProcess the
 	// requests that are kept for each.
 	maxChecked, maxLostPerProcess = 256, 64
@@ -73,11 +76,11 @@
 			c.scope.Counter("lost_attempts_not_checked").Inc(1)
 			return
 		}
-		state = &checkedProcess{target: lost.Target, lost: make(map[quarantine.Fingerprint]time.Duration)}
+		state = &checkedProcess{target: lost.Target, lost: make(map[quarantine.Fingerprint]lostState)}
 		c.processes[key] = state
 	}
 	if len(state.lost) < maxLostPerProcess {
-		state.lost[lost.Fingerprint] = now
+		state.lost[lost.Fingerprint] = lostState{at: now, mayCountSurvived: !lost.FromSuspect}
 	}
 	if !state.checking {
 		state.checking, state.startedAt = true, now
@@ -89,8 +92,8 @@
 // held.
 func (c *checker) dropExpired(now time.Duration) {
 	for key, state := range c.processes {
-		for fingerprint, at := range state.lost {
-			if now-at >= confirmTime {
+		for fingerprint, lost := range state.lost {
+			if now-lost.at >= confirmTime {
 				delete(state.lost, fingerprint)
 			}
 		}
@@ -119,8 +122,8 @@
 func (c *checker) finish(state *checkedProcess) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, at := range state.lost {
-		if at > state.startedAt {
+	for _, lost := range state.lost {
+		if lost.at > state.startedAt {
 			state.startedAt = c.tracker.options.Uptime()
 			return false
 		}
@@ -164,16 +167,19 @@
 func (c *checker) crashesOf(key process, state *checkedProcess) []recorded {
 	ended := c.isConfirmed(state)
 	confirmed := ended || state.finding == liveness.Crashed
+	if !confirmed && state.finding == liveness.Alive {
+		return c.survivedCrashes(key, state)
+	}
 	if !confirmed && state.finding != liveness.Silent {
 		return nil
 	}
 	var crashes []recorded
-	for fingerprint, at := range state.lost {
-		if !ended && c.tracker.options.ServedSince(key.id, at+reportDelay) {
+	for fingerprint, lost := range state.lost {
+		if !ended && c.tracker.options.ServedSince(key.id, lost.at+reportDelay) {
 			continue // other VMs reach the process
 		}
 		crashes = append(crashes, recorded{fingerprint, quarantine.Crash{
-			Target: key.id, Incarnation: key.incarnation, At: at, Presumed: !confirmed,
+			Target: key.id, Incarnation: key.incarnation, At: lost.at, Presumed: !confirmed,
 		}})
 		if confirmed {
 			delete(state.lost, fingerprint)
@@ -182,6 +188,24 @@
 	return crashes
 }
 
+// survivedCrashes returns the lost attempts of a process that lives on. They count only if
+// the process was not suspected of a fault and has answered another request shortly before
+// or since, and if this VM gets answers of targets; the lock is held.
+func (c *checker) survivedCrashes(key process, state *checkedProcess) []recorded {
+	var crashes []recorded
+	for fingerprint, lost := range state.lost {
+		since := lost.at - servingTime
+		if !lost.mayCountSurvived || !c.tracker.options.ServedSince(key.id, since) || !c.tracker.options.AnsweredSince(since) {
+			continue
+		}
+		state.lost[fingerprint] = lostState{at: lost.at}
+		crashes = append(crashes, recorded{fingerprint, quarantine.Crash{
+			Target: key.id, Incarnation: key.incarnation, At: lost.at, Survived: true,
+		}})
+	}
+	return crashes
+}
+
 // isConfirmed reports whether the published targets show that a process has ended: a
 // newer process uses its identifier or its address, or a silent one has no entry any
 // more; the lock is held.
--- a/entry/crashes/checker_test.go
+++ b/entry/crashes/checker_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strconv"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,8 +27,25 @@
 	tracker *Tracker
 	start   time.Time
 	targets []roster.Target
+	// mu guards the fields below.
+	mu sync.Mutex
 	// servedUntil is the time of the latest response of any target to another VM.
 	servedUntil time.Duration
+	// answered tells whether this VM gets responses of targets.
+	answered bool
+}
+
+// setServedUntil sets the time of the latest response of any target.
+func (f *checkerFleet) setServedUntil(at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.servedUntil = at
+}
+
+func (f *checkerFleet) servedSince(_ string, since time.Duration) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.servedUntil >= since
 }
 
 func targetIP(i int) string { return "10.1.0." + strconv.Itoa(i+1) }
@@ -39,7 +57,8 @@
 		f := &checkerFleet{t: t, network: memnet.New(), start: time.Now()}
 		f.tracker = New(Options{
 			Network: f.network.Host(ownIP), Uptime: f.uptime, Logger: log.New(io.Discard), Scope: tally.NoopScope,
-			ServedSince: func(_ string, since time.Duration) bool { return f.servedUntil >= since },
+			ServedSince:   f.servedSince,
+			AnsweredSince: func(time.Duration) bool { return f.answered },
 		})
 		f.tracker.UseNotifier(func() {})
 		for i := range 6 {
@@ -170,13 +189,13 @@
 			for _, i := range three {
 				f.silence(i)
 			}
-			f.servedUntil = f.uptime() + reportDelay/2
+			f.setServedUntil(f.uptime() + reportDelay/2)
 		}, func(*checkerFleet) {}, true, true},
 		{"other VMs reach the targets until these start anew", func(f *checkerFleet) {
 			for _, i := range three {
 				f.network.Kill(targetIP(i))
 			}
-			f.servedUntil = 2 * time.Hour
+			f.setServedUntil(2 * time.Hour)
 		}, func(f *checkerFleet) {
 			for _, i := range three {
 				f.targets[i].StartedAt = f.start.Add(time.Second)
@@ -187,7 +206,7 @@
 			for _, i := range three {
 				f.silence(i)
 			}
-			f.servedUntil = 2 * time.Hour
+			f.setServedUntil(2 * time.Hour)
 		}, func(*checkerFleet) {}, false, false},
 	} {
 		withChecker(t, func(f *checkerFleet) {
@@ -235,3 +254,57 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestRequestLostAtManyServingTargetsIsRefused guards against sending on a request that
+// ends a worker process of each target behind a listener that goes on accepting, and
+// against refusing a request whose connections were hit by a fault of the targets or of
+// the network.
+func TestRequestLostAtManyServingTargetsIsRefused(t *testing.T) {
+	const spacing = 400 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// lost is the number of targets that lose an attempt, spacing apart.
+		lost    int
+		spacing time.Duration
+		// suspect tells whether the targets are suspected of a fault, served whether they
+		// answer other requests, and answered whether this VM gets answers of targets.
+		suspect, served, answered bool
+		// between takes place after the second lost attempt.
+		between func(f *checkerFleet)
+		refused bool
+	}{
+		{name: "four targets", lost: 4, spacing: spacing, served: true, answered: true, refused: true},
+		{name: "three targets", lost: 3, spacing: spacing, served: true, answered: true},
+		{name: "suspected targets", lost: 6, spacing: spacing, suspect: true, served: true, answered: true},
+		{name: "targets that answer nobody", lost: 6, spacing: spacing, answered: true},
+		{name: "a VM that gets no answers", lost: 6, spacing: spacing, served: true},
+		{name: "all connections reset at one moment", lost: 6, spacing: 10 * time.Millisecond, served: true, answered: true},
+		{name: "an answer in between", lost: 5, spacing: spacing, served: true, answered: true, between: func(f *checkerFleet) { f.tracker.Answered(7) }},
+		{name: "two targets that refuse connections then", lost: 3, spacing: spacing, served: true, answered: true, between: func(f *checkerFleet) {
+			f.setServedUntil(0)
+			f.network.Kill(targetIP(2))
+		}, refused: true},
+	} {
+		withChecker(t, func(f *checkerFleet) {
+			f.answered = c.answered
+			for i := range c.lost {
+				if c.served {
+					f.setServedUntil(f.uptime())
+				}
+				if i == 2 && c.between != nil {
+					c.between(f)
+				}
+				f.tracker.AttemptLost(LostAttempt{Fingerprint: 7, Target: f.targets[i], FromSuspect: c.suspect})
+				time.Sleep(c.spacing)
+			}
+			time.Sleep(2 * time.Second)
+			if f.refused() != c.refused {
+				t.Errorf("%s: refused %v, want %v", c.name, f.refused(), c.refused)
+			}
+			if f.tracker.Suspected(7) != c.refused {
+				t.Errorf("%s: a lost attempt at a target that lives keeps the request from a retry", c.name)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -84,7 +84,7 @@
 	}
 	logger := log.New(io.Discard)
 	v.Tracker = New(Options{
-		ServedSince: func(string, time.Duration) bool { return false }, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
+		ServedSince: func(string, time.Duration) bool { return false }, AnsweredSince: func(time.Duration) bool { return false }, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
 	})
 	v.exchange = evidence.New(evidence.Options{
 		Fleet: "f", VM: v.name, Instance: uint64(i + 1), Conn: packets{vm: v},
--- a/entry/crashes/lost.go
+++ b/entry/crashes/lost.go
@@ -14,6 +14,8 @@
 	Fingerprint quarantine.Fingerprint
 	// Target is the process that ran the request, as it was published.
 	Target roster.Target
+	// FromSuspect is true when the target was suspected of a fault before the attempt.
+	FromSuspect bool
 }
 
 // process identifies one process of a target.
@@ -32,10 +34,18 @@
 // checkedProcess is the state of a process with lost attempts.
 type checkedProcess struct {
 	target roster.Target
-	// lost holds, by request, when an attempt was lost.
-	lost     map[quarantine.Fingerprint]time.Duration
+	// lost holds the latest lost attempt of each request.
+	lost     map[quarantine.Fingerprint]lostState
 	checking bool
 	finding  liveness.Finding
 	// startedAt is when the connection attempts that led to the finding began.
 	startedAt time.Duration
 }
+
+// lostState is a lost attempt of one request at one process.
+type lostState struct {
+	at time.Duration
+	// mayCountSurvived is true until the attempt has counted as a crash that the process
+	// survived; false from the beginning for a process that was suspected of a fault.
+	mayCountSurvived bool
+}
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -18,9 +18,12 @@
 	// ServedSince reports whether a target has sent a complete response to any VM
 	// since the given uptime.
 	ServedSince func(target string, since time.Duration) bool
-	Uptime      func() time.Duration
-	Logger      *log.Logger
-	Scope       tally.Scope
+	// AnsweredSince reports whether this VM has got a complete response of any target
+	// since the given uptime.
+	AnsweredSince func(since time.Duration) bool
+	Uptime        func() time.Duration
+	Logger        *log.Logger
+	Scope         tally.Scope
 }
 
 // Tracker counts the crashes by request, from the reports of this VM and the others.
@@ -145,7 +148,7 @@
 func (t *Tracker) report(fingerprint quarantine.Fingerprint, change quarantine.Change, crash quarantine.Crash, reporter string) {
 	if change.Recorded {
 		t.options.Scope.Counter("recorded").Inc(1)
-		events.CrashRecorded.Log(t.options.Logger, "fingerprint", fingerprint, "target", crash.Target, "presumed", crash.Presumed, "reporter", reporter)
+		events.CrashRecorded.Log(t.options.Logger, "fingerprint", fingerprint, "target", crash.Target, "presumed", crash.Presumed, "survived", crash.Survived, "reporter", reporter)
 	}
 	if change.Quarantined {
 		t.options.Scope.Counter("quarantined").Inc(1)
--- a/entry/evidence/requests.go
+++ b/entry/evidence/requests.go
@@ -22,7 +22,7 @@
 		}
 		for _, crash := range evidence.Crashes {
 			message.Crashes = append(message.Crashes, &primroseloomv1.TargetCrash{
-				Target: crash.Target, Incarnation: crash.Incarnation, AgeMs: ageMs(crash.At, now), Presumed: crash.Presumed,
+				Target: crash.Target, Incarnation: crash.Incarnation, AgeMs: ageMs(crash.At, now), Presumed: crash.Presumed, Survived: crash.Survived,
 			})
 		}
 		messages = append(messages, message)
@@ -47,7 +47,7 @@
 	}
 	for _, crash := range message.GetCrashes() {
 		evidence.Crashes = append(evidence.Crashes, quarantine.Crash{
-			Target: crash.GetTarget(), Incarnation: crash.GetIncarnation(), At: at(crash.GetAgeMs()), Presumed: crash.GetPresumed(),
+			Target: crash.GetTarget(), Incarnation: crash.GetIncarnation(), At: at(crash.GetAgeMs()), Presumed: crash.GetPresumed(), Survived: crash.GetSurvived(),
 		})
 	}
 	return evidence
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -142,7 +142,7 @@
 
 func newCrashTracker(f *Frontend, targets *targetset.Manager, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
 	return crashes.New(crashes.Options{
-		Network: f.options.Network, ServedSince: targets.ServedSince, Uptime: f.clock.Uptime, Logger: logger, Scope: m.Scope(),
+		Network: f.options.Network, ServedSince: targets.ServedSince, AnsweredSince: targets.AnsweredSince, Uptime: f.clock.Uptime, Logger: logger, Scope: m.Scope(),
 	})
 }
 
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -33,7 +33,9 @@
 
 // reportLost reports an attempt without a complete response.
 func (q *request) reportLost(attempt *targetset.Attempt) {
-	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{Fingerprint: q.fingerprint, Target: attempt.Target()})
+	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{
+		Fingerprint: q.fingerprint, Target: attempt.Target(), FromSuspect: attempt.Candidate().IsSuspect(),
+	})
 }
 
 // watchSilence reports the attempt as lost when it has no response after
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -229,6 +229,9 @@
 	m.mu.Lock()
 	a.target.ownAttempts--
 	a.target.misplaced = a.target.misplaced || result.Misplaced
+	if result.End == suspicion.ResultServed {
+		m.answeredAt = now
+	}
 	outcome := a.evaluate(result, now)
 	m.observe(a.target, outcome, now)
 	m.mu.Unlock()
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -68,6 +68,8 @@
 	targets  map[string]*target
 	services map[string]*service
 	table    *routing.Table
+	// answeredAt is when this VM last got a complete response of any target.
+	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
 	inProgressByVM map[string]map[string]int
 	random         *rand.Rand
@@ -251,6 +253,14 @@
 	return ok && t.lastServedAt >= since
 }
 
+// AnsweredSince reports whether this VM has got a complete response of any target since an
+// uptime.
+func (m *Manager) AnsweredSince(since time.Duration) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answeredAt >= since
+}
+
 // SetInProgress replaces the attempts in progress of another VM, by target.
 func (m *Manager) SetInProgress(vm string, attempts map[string]int) {
 	now := m.options.Uptime()
--- a/operator/soak/regressions.go
+++ b/operator/soak/regressions.go
@@ -38,6 +38,14 @@
 			Seed: 904, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 12,
 			Cause: "requests in progress on crashed targets were refused; see TestRequestInProgressOnCrashedTargetsIsNotRefused",
 		},
+		{
+			Seed: 4000, Duration: 20 * time.Second, VMs: 12, Targets: 12, Callers: 36,
+			Cause: "revisions of a store that was restored from a copy were compared with those from before; see TestVersionPublishedAfterTheStoreWentBackComesIntoForce",
+		},
+		{
+			Seed: 7401, Duration: 15 * time.Second, VMs: 12, Targets: 12, Callers: 36, CrashingRequests: 3, WorkerCrashShare: 1,
+			Cause: "the end of a worker process behind a listener did not count; see TestRequestLostAtManyServingTargetsIsRefused",
+		},
 	}
 }
 
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -62,8 +62,8 @@
 	LastSucceeded bool
 }
 
-// isSuspect reports whether the target is a suspect.
-func (c Candidate) isSuspect() bool { return IsSuspect(c.Failing, c.Slow) }
+// IsSuspect reports whether the target is a suspect.
+func (c Candidate) IsSuspect() bool { return IsSuspect(c.Failing, c.Slow) }
 
 // IsSuspect reports whether a target with these probabilities of failing and of
 // slowness is a suspect.
@@ -169,7 +169,7 @@
 // slot for the retry after a failed trial.
 func hasFreeHealthyTarget(candidates []Candidate) bool {
 	for _, c := range candidates {
-		if !c.Blocked && !c.isSuspect() && c.InUse < c.Slots {
+		if !c.Blocked && !c.IsSuspect() && c.InUse < c.Slots {
 			return true
 		}
 	}
@@ -179,7 +179,7 @@
 // isDueForTrial reports whether a suspect gets a trial: trialInterval after a
 // failure, but at once after a success, because a few successes clear it.
 func (c Candidate) isDueForTrial() bool {
-	return !c.Blocked && c.isSuspect() && c.InUse == 0 && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
+	return !c.Blocked && c.IsSuspect() && c.InUse == 0 && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
 }
 
 // isDueForRequest reports whether an idle target gets the request because it had
--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -23,6 +23,11 @@
 // which may also be a fault of the path. Such a crash counts for PresumedTime only,
 // unless it is confirmed.
 //
+// A crash may be survived: the connection of the request ended or fell silent, but the
+// target goes on accepting connections and answers other requests. A worker process
+// behind the listener may have ended, or a network fault may have hit the connection.
+// Such a crash counts half, for SurvivedTime, and only at a distance from others.
+//
 // The numbers of suspects and of quarantines are bounded. When a bound is reached,
 // the suspect with the fewest crashes, and among these the oldest, or the
 // quarantine that ends first is dropped.
--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -73,7 +73,7 @@
 	row.Presumed = len(e.crashes) > 0
 	for _, crash := range e.crashes {
 		row.Targets = append(row.Targets, crash.Target)
-		row.Presumed = row.Presumed && crash.Presumed
+		row.Presumed = row.Presumed && (crash.Presumed || crash.Survived)
 	}
 	return row
 }
--- a/policy/quarantine/evidence.go
+++ b/policy/quarantine/evidence.go
@@ -20,6 +20,9 @@
 	At time.Duration
 	// Presumed is true when only silence points to the crash.
 	Presumed bool
+	// Survived is true when the target goes on accepting connections and answers other
+	// requests: at most a part of it, such as a worker process, has ended.
+	Survived bool
 }
 
 // sameAs reports whether two reports are about the same crash. A process crashes
@@ -42,12 +45,23 @@
 // expiresAt returns the uptime from which the crash no longer counts, unless the
 // request is quarantined.
 func (c Crash) expiresAt() time.Duration {
-	if c.Presumed {
+	switch {
+	case c.Survived:
+		return c.At + SurvivedTime
+	case c.Presumed:
 		return c.At + PresumedTime
 	}
 	return c.At + SuspectTime
 }
 
+// weight returns how much the crash counts towards a quarantine.
+func (c Crash) weight() int {
+	if c.Survived {
+		return survivedWeight
+	}
+	return crashWeight
+}
+
 // Evidence is what is known of a request that may crash targets.
 type Evidence struct {
 	Fingerprint Fingerprint
@@ -85,11 +99,12 @@
 		return slices.Contains(*l, crash)
 	}
 	known := &(*l)[i]
-	confirmed := known.Presumed && !crash.Presumed
+	before := *known
 	known.At = min(known.At, crash.At)
-	known.Presumed = known.Presumed && crash.Presumed
+	known.Survived = known.Survived && crash.Survived
+	known.Presumed = (before.Presumed || before.Survived) && (crash.Presumed || crash.Survived) && !known.Survived
 	l.sort()
-	return confirmed
+	return before.Presumed != known.Presumed || before.Survived != known.Survived
 }
 
 func (l *crashList) sort() {
@@ -109,18 +124,41 @@
 // quarantineEnd returns until when the crashes quarantine the request; zero when they
 // don't.
 func (l crashList) quarantineEnd() time.Duration {
-	if len(l) < CrashesToQuarantine {
-		return 0
-	}
-	confirmed := slices.DeleteFunc(slices.Clone(l), func(c Crash) bool { return c.Presumed })
+	confirmed := slices.DeleteFunc(slices.Clone(l), func(c Crash) bool { return c.Presumed || c.Survived })
 	if len(confirmed) >= CrashesToQuarantine {
 		return confirmed[CrashesToQuarantine-1].At + QuarantineTime
 	}
+	counted := l.counted()
+	if counted.weight() < quarantineWeight {
+		return 0
+	}
 	// The quarantine ends when so many crashes have expired that too few are left.
-	ends := make([]time.Duration, 0, len(l))
+	slices.SortFunc(counted, func(a, b Crash) int { return cmp.Compare(a.expiresAt(), b.expiresAt()) })
+	for len(counted) > 1 && counted[1:].weight() >= quarantineWeight {
+		counted = counted[1:]
+	}
+	return counted[0].expiresAt()
+}
+
+// counted returns the crashes without the survived ones that came too soon after another
+// one: what ends the connections of several targets at one moment is no crash of theirs.
+func (l crashList) counted() crashList {
+	var counted, survived crashList
+	for _, c := range l {
+		if !c.Survived {
+			counted = append(counted, c)
+		} else if n := len(survived); n == 0 || c.At-survived[n-1].At >= survivedSpacing {
+			survived = append(survived, c)
+		}
+	}
+	return append(counted, survived...)
+}
+
+// weight returns the sum of the crashes' weights.
+func (l crashList) weight() int {
+	sum := 0
 	for _, c := range l {
-		ends = append(ends, c.expiresAt())
+		sum += c.weight()
 	}
-	slices.Sort(ends)
-	return ends[len(ends)-CrashesToQuarantine]
+	return sum
 }
--- a/policy/quarantine/evidence_test.go
+++ b/policy/quarantine/evidence_test.go
@@ -13,6 +13,11 @@
 	return Crash{Target: target, Incarnation: 1, At: at}
 }
 
+// survivedAt returns a crash that its target survived.
+func survivedAt(target string, at time.Duration) Crash {
+	return Crash{Target: target, Incarnation: 1, At: at, Survived: true}
+}
+
 // TestEvidenceHasTheSameResultInAnyOrder guards against tables that disagree for
 // good: VMs learn of crashes and of a response in different orders and more than
 // once.
@@ -25,6 +30,9 @@
 		{Fingerprint: 7, Answered: true, AnsweredAt: 6 * time.Second},
 		{Fingerprint: 8, Crashes: []Crash{crashAt("t1", 10*time.Second), crashAt("t2", 11*time.Second)}},
 		{Fingerprint: 8, Crashes: []Crash{crashAt("t3", 12*time.Second)}},
+		{Fingerprint: 9, Crashes: []Crash{survivedAt("t1", 10*time.Second), survivedAt("t2", 10100*time.Millisecond), survivedAt("t3", 11*time.Second)}},
+		{Fingerprint: 9, Crashes: []Crash{survivedAt("t4", 12*time.Second)}},
+		{Fingerprint: 9, Crashes: []Crash{survivedAt("t5", 13*time.Second)}},
 	}
 	random := rand.New(rand.NewPCG(1, 1))
 	for range 200 {
@@ -38,6 +46,9 @@
 		if got, want := table.Refused(8, now), 11*time.Second+QuarantineTime-now; got != want {
 			t.Fatalf("the request without a response is refused for %v, want %v", got, want)
 		}
+		if got, want := table.Refused(9, now), 10*time.Second+SurvivedTime-now; got != want {
+			t.Fatalf("the request lost at four targets that live, and at a fifth too soon after another, is refused for %v, want %v", got, want)
+		}
 	}
 }
 
@@ -301,3 +312,18 @@
 	}
 	return changed
 }
+
+// TestVMThatHasJustStartedCountsEarlierCrashes guards against a VM that misses a quarantine
+// because the crashes are older than its clock.
+func TestVMThatHasJustStartedCountsEarlierCrashes(t *testing.T) {
+	now := time.Second
+	for name, crash := range map[string]func(target string, at time.Duration) Crash{"crashes": crashAt, "survived crashes": survivedAt} {
+		table := NewTable()
+		for i := range 4 {
+			table.Merge(Evidence{Fingerprint: 7, Crashes: []Crash{crash("t"+strconv.Itoa(i), now-time.Duration(i+1)*5*time.Second)}}, now)
+		}
+		if table.Refused(7, now) == 0 {
+			t.Errorf("%s before the clock began: not refused", name)
+		}
+	}
+}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -15,6 +15,23 @@
 // PresumedTime is how long a presumed crash counts unless it is confirmed.
 const PresumedTime = 10 * time.Second
 
+// SurvivedTime is how long a crash counts that the target survived, unless the end of the
+// whole target is found.
+const SurvivedTime = 2 * time.Minute
+
+// survivedSpacing is the time between two survived crashes below which they may have one
+// cause outside the targets, so that only one counts.
+const survivedSpacing = 300 * time.Millisecond
+
+// Weights of crashes. A survived crash counts half, since a network fault ends connections
+// of sound targets, too; a request needs four of them, at targets that are not suspected
+// of faults and without any answer, to be quarantined.
+const (
+	crashWeight      = 2
+	survivedWeight   = 1
+	quarantineWeight = CrashesToQuarantine * crashWeight
+)
+
 // AnswerValidity is how long after a complete response the crashes of a request
 // don't count.
 const AnswerValidity = 5 * time.Second
@@ -67,10 +84,11 @@
 	return max(e.quarantinedUntil-now, 0)
 }
 
-// Suspected reports whether crashes count against the request, quarantined or not.
+// Suspected reports whether the end of a target counts against the request, quarantined or
+// not; crashes that their targets survived don't suffice.
 func (t *Table) Suspected(fingerprint Fingerprint, now time.Duration) bool {
 	e, ok := t.lookup(fingerprint, now)
-	return ok && e.isSuspect()
+	return ok && (e.quarantinedUntil > 0 || slices.ContainsFunc(e.crashes, func(c Crash) bool { return !c.Survived }))
 }
 
 // Admit decides about an attempt of a request that ends by the deadline.
