targetset: tell what targets say of themselves in their responses

platform/ decodes Server-Limit, Server-Leaving and the Retry-After of a 503; policy/notice keeps them by process of a target, so that a late response neither lifts a limit nor speaks for a newer start; events 4108 to 4110 and the gauges targets_limited, _leaving and _paused tell of them. Nothing is decided by them yet.

--- a/entry/dialect/dialect.go
+++ b/entry/dialect/dialect.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"net/url"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/notice"
 )
 
 // Request is what a caller's headers state about a request.
@@ -47,6 +49,8 @@
 	KeepIdle time.Duration
 	// Load is the reported use of the target's slots; nil if none is reported.
 	Load *Load
+	// Notice is what the target says of itself.
+	Notice notice.Notice
 }
 
 // Load is the use of a target's slots after the request that the response
--- a/entry/events/targetset.go
+++ b/entry/events/targetset.go
@@ -16,6 +16,12 @@
 		"The results of attempts no longer indicate a fault.")
 	TargetUnreachable = define(4106, log.WarnLevel, "target not reachable from here",
 		"No connection can be opened, or the target does not respond; this VM sends it no requests until a connection opens.")
+	TargetLimited = define(4108, log.InfoLevel, "target limits its requests",
+		"A target named, changed or lifted the requests a second that it takes from all VMs together, in a response to this VM (empty reporter) or another one; the VMs that share the limit send no more.")
+	TargetLeaves = define(4109, log.InfoLevel, "target says that it leaves",
+		"A target said in a response to this VM (empty reporter) or another one that it is about to end; it gets no new requests until it starts anew, whatever the store says.")
+	TargetPauses = define(4110, log.InfoLevel, "target asks for a pause",
+		"A target refused a request and wants nothing from this VM for a time.")
 	TargetReachable = define(4107, log.InfoLevel, "target reachable again",
 		"This VM can open a connection to the target again.")
 )
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -51,11 +51,12 @@
 }
 
 // evaluateResponse reads a response and decides what it means for the request.
-func (q *request) evaluateResponse(ctx context.Context, response *http.Response, trip *contract.RoundTrip) decision {
+func (q *request) evaluateResponse(ctx context.Context, attempt *targetset.Attempt, response *http.Response, trip *contract.RoundTrip) decision {
 	metadata := q.gateway.options.Dialect.ReadResponse(response)
 	if err := q.checkResponseHead(response, metadata, trip); err != nil {
 		return wrongResponse(err)
 	}
+	attempt.Noticed(metadata.Notice)
 	got := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength}
 	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
 	got.buffered = buffered
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -201,7 +201,7 @@
 	if err != nil {
 		d = q.evaluateError(ctx, err, trip)
 	} else {
-		d = q.evaluateResponse(ctx, response, trip)
+		d = q.evaluateResponse(ctx, attempt, response, trip)
 		d.result.Sent = true
 		d.result.Reuse = d.result.Reuse && allSent()
 	}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -13,6 +13,7 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/targetconn"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/retry"
 	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
@@ -68,6 +69,8 @@
 	targets  map[string]*target
 	services map[string]*service
 	table    *routing.Table
+	// notices holds what the targets say of themselves.
+	notices *notice.Table
 	// answeredAt is when this VM last got a complete response of any target.
 	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
@@ -83,6 +86,7 @@
 		targets:        make(map[string]*target),
 		services:       make(map[string]*service),
 		inProgressByVM: make(map[string]map[string]int),
+		notices:        notice.NewTable(),
 		random:         rand.New(rand.NewPCG(options.Seed, 0)),
 	}
 }
--- /dev/null
+++ b/entry/targetset/notices.go
@@ -0,0 +1,44 @@
+package targetset
+
+import (
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/notice"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// processOf returns the process that an entry describes.
+func processOf(info roster.Target) notice.Process {
+	process := notice.Process{Target: info.ID}
+	if !info.StartedAt.IsZero() {
+		process.Incarnation = info.StartedAt.UnixMilli()
+	}
+	return process
+}
+
+// Noticed records what the target says of itself in the response to the attempt. It is
+// called as soon as the head of the response is known.
+func (a *Attempt) Noticed(said notice.Notice) {
+	m := a.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	process := processOf(a.info)
+	change := m.notices.Record(process, said, a.startedAt, m.options.Uptime())
+	m.logNotice(process, change, "")
+	if change.Paused {
+		events.TargetPauses.Log(m.options.Logger, "target", process.Target, "service", a.info.Service, "pause", said.Pause)
+	}
+}
+
+// logNotice logs and counts what a notice changed; reporter is the VM that told it, empty
+// for this one. The lock is held.
+func (m *Manager) logNotice(process notice.Process, change notice.Change, reporter string) {
+	state := m.notices.StateOf(process)
+	if change.Limit {
+		m.options.Scope.Counter("limit_changes").Inc(1)
+		events.TargetLimited.Log(m.options.Logger, "target", process.Target, "limited", state.IsLimited, "per_second", state.RateLimit, "reporter", reporter)
+	}
+	if change.Leaving {
+		m.options.Scope.Counter("leaving_notices").Inc(1)
+		events.TargetLeaves.Log(m.options.Logger, "target", process.Target, "reporter", reporter)
+	}
+}
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -41,6 +41,7 @@
 	for _, t := range m.targets {
 		t.pool.CloseExpired()
 	}
+	m.notices.Expire(now)
 	for name, s := range m.services {
 		s.budget.Reconfigure(m.options.Budget.Ratio, m.options.Budget.Allowance, sharers, now)
 		m.updateGauges(name, s, now)
@@ -50,6 +51,7 @@
 // updateGauges updates the metrics of a service's targets; the lock is held.
 func (m *Manager) updateGauges(name string, s *service, now time.Duration) {
 	slots, inUse, suspects, unreachable := 0, 0, 0, 0
+	limited, leaving, paused := 0, 0, 0
 	for _, t := range s.targets {
 		slots += t.info.Slots
 		inUse += t.ownAttempts + t.remoteAttempts
@@ -59,6 +61,16 @@
 		if t.unreachable {
 			unreachable++
 		}
+		state := m.notices.StateOf(processOf(t.info))
+		if state.IsLimited {
+			limited++
+		}
+		if state.IsLeaving {
+			leaving++
+		}
+		if now < state.PausedUntil {
+			paused++
+		}
 	}
 	scope := m.options.Scope.Tagged(map[string]string{"service": name})
 	scope.Gauge("known").Update(float64(len(s.targets)))
@@ -66,6 +78,9 @@
 	scope.Gauge("attempts_in_progress").Update(float64(inUse))
 	scope.Gauge("suspects").Update(float64(suspects))
 	scope.Gauge("unreachable").Update(float64(unreachable))
+	scope.Gauge("limited").Update(float64(limited))
+	scope.Gauge("leaving").Update(float64(leaving))
+	scope.Gauge("paused").Update(float64(paused))
 	scope.Gauge("repeats_left").Update(s.budget.Available(now))
 }
 
