Reproduce: what targets say of themselves in their responses is ignored

Targets get several times the limit that they name (LIMIT), requests in the pause that they ask for (BUDGET), and work after they have said that they leave (DRAIN).

The stand-in target speaks the three headers; in each run of the soak targets limit themselves, ask for pauses and leave by their own word, sometimes before the store says so, and the checker counts as the users' page does, by the daemons that were told and have run since.

--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/targetset"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/standin/memnet"
@@ -55,9 +56,18 @@
 func (plainDialect) ReadResponse(r *http.Response) dialect.ResponseMetadata {
 	return dialect.ResponseMetadata{
 		AttemptID: r.Header.Get("Id"), Signed: r.Header.Get("Seal") != "", NotRun: r.Header.Get("Not-Run") != "", ClosesConnection: r.Close,
+		Notice: readNotice(r.Header),
 	}
 }
 
+func readNotice(h http.Header) notice.Notice {
+	said := notice.Notice{IsLeaving: h.Get("Leaving") != ""}
+	said.RateLimit, _ = strconv.ParseFloat(h.Get("Limit"), 64)
+	said.IsLimited = h.Get("Limit") != ""
+	said.Pause, _ = time.ParseDuration(h.Get("Pause"))
+	return said
+}
+
 func (plainDialect) WriteRefusal(h http.Header, after time.Duration) {
 	if after > 0 {
 		h.Set("After", after.String())
@@ -115,7 +125,9 @@
 	targets *targetset.Manager
 	crashes *reportedCrashes
 	table   *routing.Table
-	mu      sync.Mutex
+	// published are the targets.
+	published []roster.Target
+	mu        sync.Mutex
 	// arrivals counts the requests that reached each target.
 	arrivals map[string]int
 }
@@ -139,11 +151,10 @@
 			Stopping: func() bool { return false }, Logger: logger, Scope: tally.NoopScope,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
-		var published []roster.Target
 		for i, behavior := range behaviors {
-			published = append(published, h.startTarget(ctx, "t"+strconv.Itoa(i), i, behavior))
+			h.published = append(h.published, h.startTarget(ctx, "t"+strconv.Itoa(i), i, behavior))
 		}
-		h.targets.TargetsChanged(published)
+		h.targets.TargetsChanged(h.published)
 		test(h)
 		cancel()
 		h.targets.TargetsChanged(nil)
@@ -185,7 +196,7 @@
 	})}
 	go func() { _ = server.Serve(listener) }()
 	context.AfterFunc(ctx, func() { _ = server.Close() })
-	return roster.Target{ID: id, Service: "s", Address: address, Zone: "z", Slots: 3, State: roster.StateReady}
+	return roster.Target{ID: id, Service: "s", Address: address, Zone: "z", Slots: 3, State: roster.StateReady, StartedAt: time.Now()}
 }
 
 // total returns the number of requests that reached any target.
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -47,10 +47,12 @@
 	PromiseRecovered        Promise = "serves again after faults"
 	PromiseNoUnexpectedExit Promise = "daemon ends only when told"
 	PromiseCrashingStopped  Promise = "request that crashes targets is stopped"
+	PromiseRateLimit        Promise = "target's own limit holds"
+	PromisePause            Promise = "target gets the pause that it asks for"
 )
 
 // timeBoundPromises are the promises that depend on how fast the machine is.
-var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped}
+var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped, PromiseRateLimit, PromisePause}
 
 // Violation is one broken promise.
 type Violation struct {
@@ -99,6 +101,9 @@
 	// disturbances holds, by daemon, the intervals of faults of the daemon and of
 	// its links, and of its restarts.
 	disturbances map[int][]interval
+	// interruptions holds, by daemon, those of its disturbances in which its process did
+	// not run.
+	interruptions map[int][]interval
 	// storeDisturbances are the intervals in which the store was down or had not got
 	// back all that was written before.
 	storeDisturbances []interval
@@ -112,6 +117,8 @@
 	// the daemon that such a request was sent to, by its identifier.
 	crashes     map[string][]run
 	crashingVMs map[string]int
+	// arrivals holds, by process of a target, the requests that reached it.
+	arrivals map[string][]arrival
 	// lastFaultEnd is when fault injection ended.
 	lastFaultEnd time.Time
 	violations   []Violation
@@ -119,9 +126,9 @@
 
 func newChecker(start time.Time) *checker {
 	return &checker{
-		start: start, runs: make(map[string][]run), disturbances: make(map[int][]interval), plannedStops: make(map[int][]interval),
+		start: start, runs: make(map[string][]run), disturbances: make(map[int][]interval), interruptions: make(map[int][]interval), plannedStops: make(map[int][]interval),
 		publishedAt: make(map[uint64]time.Time), drainedAt: make(map[string]time.Time), drainPublishedAt: make(map[string]time.Time),
-		crashes: make(map[string][]run), crashingVMs: make(map[string]int),
+		crashes: make(map[string][]run), crashingVMs: make(map[string]int), arrivals: make(map[string][]arrival),
 	}
 }
 
@@ -156,6 +163,14 @@
 	c.disturbances[vm] = append(c.disturbances[vm], interval{from, to})
 }
 
+// recordInterruption records a disturbance in which the process of a daemon does not run.
+func (c *checker) recordInterruption(vm int, from, to time.Time) {
+	c.recordDisturbance(vm, from, to)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.interruptions[vm] = append(c.interruptions[vm], interval{from, to})
+}
+
 // recordStoreDisturbance records an interval in which the store was down or had not got
 // back all that was written before.
 func (c *checker) recordStoreDisturbance(from, to time.Time) {
@@ -245,6 +260,7 @@
 	c.checkConfigRollback()
 	c.checkRecovery()
 	c.checkCrashes()
+	c.checkNotices()
 	if timeBounds {
 		return c.violations
 	}
--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -12,6 +12,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -124,7 +125,7 @@
 	t.down = false
 	t.restarts++
 	before := t.info.ID
-	t.info.StartedAt, t.info.Sequence = time.Now(), 0
+	t.info.StartedAt, t.info.Sequence, t.said = time.Now(), 0, notice.Notice{}
 	if t.restarts%2 == 0 {
 		t.info.ID += "r"
 	}
--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -12,7 +12,9 @@
 // routes. Several series of faults run concurrently, so faults overlap. Besides, some
 // requests crash each target that begins to run them and are sent again and again
 // through any daemon; a crashed target closes its connections or falls silent, and
-// starts anew after a while. The checker records every request of a caller and every
+// starts anew after a while. Targets also limit their requests, ask for pauses and say that
+// they leave in their responses, and the store comes back from copies that are some seconds
+// old. The checker records every request of a caller and every
 // execution at a target, and compares them once the run is over.
 //
 // A time-bound promise, other than PromiseRecovered, is checked for a daemon only
--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -94,7 +94,7 @@
 	}
 	downtime := s.drawDuration(minFaultTime, maxFaultTime)
 	for _, v := range killed {
-		s.soak.checker.recordDisturbance(v.index, time.Now(), time.Now().Add(downtime+startupTime))
+		s.soak.checker.recordInterruption(v.index, time.Now(), time.Now().Add(downtime+startupTime))
 		v.signal(syscall.SIGKILL)
 	}
 	for _, v := range killed {
@@ -108,7 +108,7 @@
 	v.signal(syscall.SIGSTOP)
 	time.Sleep(s.drawDuration(minFaultTime, maxFaultTime))
 	v.signal(syscall.SIGCONT)
-	s.soak.checker.recordDisturbance(v.index, from, time.Now())
+	s.soak.checker.recordInterruption(v.index, from, time.Now())
 }
 
 // stop stops a daemon as planned, by SIGTERM, and starts it again.
--- a/operator/soak/fleet.go
+++ b/operator/soak/fleet.go
@@ -197,7 +197,7 @@
 	if err := f.start(v); err != nil {
 		f.checker.recordUnexpectedExit(v.index, time.Now(), err)
 	}
-	f.checker.recordDisturbance(v.index, exitedAt.Add(exitSlack), time.Now().Add(startupTime))
+	f.checker.recordInterruption(v.index, exitedAt.Add(exitSlack), time.Now().Add(startupTime))
 }
 
 // vmsAt returns the indexes of the daemons at the addresses that the directory
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -13,6 +13,7 @@
 
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -174,6 +175,8 @@
 	start(6, func(faults *series) func() { return faults.disturbTarget })
 	start(7, func(faults *series) func() { return faults.changeConfig })
 	start(8, func(faults *series) func() { return faults.restoreStore })
+	start(9, func(faults *series) func() { return faults.limitTargets })
+	start(10, func(faults *series) func() { return faults.pauseTarget })
 	running.Wait()
 }
 
@@ -238,8 +241,9 @@
 	return nil
 }
 
-// replaceTarget adds a target, then drains and removes another one. It does
-// nothing if all target addresses are used up.
+// replaceTarget adds a target, then drains and removes another one, which says that it
+// leaves in its responses, too, at times before it publishes that. It does nothing if all
+// target addresses are used up.
 func (s *soak) replaceTarget(id string, random *rand.Rand) {
 	if s.addTarget(id) != nil {
 		return // no address is left; keep the current targets
@@ -247,6 +251,8 @@
 	s.mu.Lock()
 	leaving := s.targets[random.IntN(len(s.targets)-1)]
 	s.mu.Unlock()
+	leaving.say(func(said *notice.Notice) { said.IsLeaving = true })
+	time.Sleep(time.Duration(random.Int64N(int64(maxSilentLeaving))))
 	leaving.mu.Lock()
 	leaving.info.State = roster.StateDraining
 	leaving.mu.Unlock()
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -13,6 +13,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -53,6 +54,9 @@
 	mu      sync.Mutex
 	fault   targetFault
 	running int
+	// said is what the target says of itself in its responses. While it holds a pause, the
+	// target refuses all requests.
+	said notice.Notice
 	// down is true while the target is down after a crash, silent when it answers no
 	// connection attempts meanwhile; restarts counts its returns.
 	down, silent bool
@@ -82,6 +86,13 @@
 	return t.info.ID
 }
 
+// process returns a name of the running process, which differs from those of all others.
+func (t *target) process() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.info.ID + "@" + strconv.FormatInt(t.info.StartedAt.UnixMilli(), 10)
+}
+
 // report returns the target's next report of itself.
 func (t *target) report() roster.Target {
 	t.mu.Lock()
@@ -90,23 +101,30 @@
 	return t.info
 }
 
+// say sets what the target says of itself in its responses.
+func (t *target) say(change func(said *notice.Notice)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	change(&t.said)
+}
+
 func (t *target) setFault(fault targetFault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fault = fault
 }
 
-// admit takes a slot for a request; ok is false when all slots are in use or the
-// target sheds load.
-func (t *target) admit() (fault targetFault, load dialect.Load, ok bool) {
+// admit takes a slot for a request; ok is false when all slots are in use, or the target
+// sheds load or wants a pause.
+func (t *target) admit() (fault targetFault, load dialect.Load, said notice.Notice, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	load = dialect.Load{Running: t.running, Slots: targetSlots}
-	if t.running >= targetSlots || t.fault == targetSheds {
-		return t.fault, load, false
+	if t.running >= targetSlots || t.fault == targetSheds || t.said.Pause > 0 {
+		return t.fault, load, t.said, false
 	}
 	t.running++
-	return t.fault, load, true
+	return t.fault, load, t.said, true
 }
 
 func (t *target) release() {
@@ -128,8 +146,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	fault, load, ok := t.admit()
-	metadata.Load = &load
+	fault, load, said, ok := t.admit()
+	metadata.Load, metadata.Notice = &load, said
+	t.checker.recordArrival(arrival{process: t.process(), requestID: attempt.AttemptID, at: time.Now(), said: said})
 	if !ok {
 		metadata.NotRun = true
 		platform.Headers{}.WriteResponse(w.Header(), metadata)
