targetset: give a target the pause that it asks for

Such a target is no candidate for any attempt of this VM until the pause ends; when all that could serve pause, the request is refused at once as target_paused and Retry-After names the end of the first pause, spread to later times only.

--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -22,6 +22,9 @@
 	// retryJitter is the fraction by which the time is varied in both directions, so
 	// that requests that were refused together are not retried together.
 	retryJitter = 0.5
+	// maxHeldSpread bounds the time by which callers are told to come later than a target
+	// takes requests again that has asked for a pause; before that they would come in vain.
+	maxHeldSpread = time.Second
 )
 
 // refuse returns the refusal of a request that did not run.
@@ -38,8 +41,14 @@
 	return max(refusal.RetryAfter, shedWait)
 }
 
-// addJitter varies a wait at random, so that callers do not all retry at once.
-func addJitter(wait time.Duration) time.Duration {
+// addJitter varies the wait of a refusal at random, so that callers do not all retry at
+// once.
+func addJitter(refusal *outcome.Refusal) time.Duration {
+	wait := refusal.RetryAfter
+	if refusal.Reason == outcome.ReasonTargetPaused {
+		spread := min(time.Duration(retryJitter*float64(wait)), maxHeldSpread)
+		return wait + time.Duration(rand.Float64()*float64(spread))
+	}
 	return time.Duration(float64(wait) * (1 + retryJitter*(2*rand.Float64()-1)))
 }
 
@@ -56,7 +65,7 @@
 		"after_ms", time.Since(q.start).Milliseconds(), "cause", refusal.Cause)
 	retryAfter := time.Duration(0)
 	if status == http.StatusServiceUnavailable && refusal.RetryAfter > 0 {
-		retryAfter = addJitter(refusal.RetryAfter)
+		retryAfter = addJitter(refusal)
 	}
 	g.options.Dialect.WriteRefusal(w.Header(), retryAfter)
 	w.Header().Set("Content-Length", "0")
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -97,7 +97,7 @@
 	defer m.mu.Unlock()
 	s := m.service(wanted.Service)
 	reference, overallServiceTime := s.reference(wanted.Route.Name), s.overall.MeanServiceTime(defaultAttemptDuration)
-	candidates, targets := m.candidates(s, wanted, now)
+	candidates, targets, held := m.candidates(s, wanted, now)
 	mayRetry := wanted.SentAttempts+1 < wanted.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.AttemptRequest{
 		Idempotent:       wanted.Route.Kind.Idempotent(),
@@ -113,7 +113,7 @@
 		Priority:         wanted.Route.Priority,
 	}, m.random)
 	if choice.Reason != placement.ReasonNone {
-		return nil, &Refusal{Reason: choice.Reason, RetryAfter: choice.Wait}
+		return nil, held.refusal(choice, now)
 	}
 	if (choice.Trial || wanted.SentAttempts > 0 && !wanted.RetryPaid) && !s.budget.Spend(now) {
 		return nil, &Refusal{Reason: ReasonBudget}
@@ -141,19 +141,25 @@
 	return onceExploreCost
 }
 
-// candidates returns the usable targets that the request has not attempted yet;
-// the lock is held.
-func (m *Manager) candidates(s *service, wanted AttemptRequest, now time.Duration) ([]placement.Candidate, []*target) {
+// candidates returns the usable targets that the request has not attempted yet and that
+// take a request of this VM now, and what is known of those that take one later; the lock
+// is held.
+func (m *Manager) candidates(s *service, wanted AttemptRequest, now time.Duration) ([]placement.Candidate, []*target, heldBack) {
 	candidates := make([]placement.Candidate, 0, len(s.targets))
 	targets := make([]*target, 0, len(s.targets))
+	held := heldBack{}
 	for _, t := range s.targets {
 		if !t.usable() || slices.Contains(wanted.Attempted, t.info.ID) {
 			continue
 		}
+		if reason, until := m.hold(t, now); reason != placement.ReasonNone {
+			held.add(reason, until)
+			continue
+		}
 		candidates = append(candidates, t.candidate(m.options.Zone, now))
 		targets = append(targets, t)
 	}
-	return candidates, targets
+	return candidates, targets, held
 }
 
 // ID returns the target's instance identifier.
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -58,6 +58,7 @@
 	ReasonRetryBudget         Reason = "retry_budget"
 	ReasonNoTarget            Reason = "no_target"
 	ReasonTargetShed          Reason = "target_shed"
+	ReasonTargetPaused        Reason = "target_paused"
 	ReasonTargetRefused       Reason = "target_refused"
 	ReasonTargetReset         Reason = "target_reset"
 	ReasonTargetTimeout       Reason = "target_timeout"
