targetset: a target that says that it leaves gets no more work

Its word binds this VM until a newer start of it, whatever is published, also through a removal of its entry; it is kept apart from the published targets.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -149,10 +149,11 @@
 	targets := make([]*target, 0, len(s.targets))
 	held := heldBack{}
 	for _, t := range s.targets {
-		if !t.usable() || slices.Contains(wanted.Attempted, t.info.ID) {
+		state := m.notices.StateOf(processOf(t.info))
+		if !t.usable() || state.IsLeaving || slices.Contains(wanted.Attempted, t.info.ID) {
 			continue
 		}
-		if reason, until := m.hold(t, now); reason != placement.ReasonNone {
+		if reason, until := m.hold(state, now); reason != placement.ReasonNone {
 			held.add(reason, until)
 			continue
 		}
--- a/entry/targetset/hold.go
+++ b/entry/targetset/hold.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/placement"
 )
 
@@ -11,8 +12,7 @@
 
 // hold returns why a target takes no request of this VM now, and from which uptime it may
 // take one; the lock is held.
-func (m *Manager) hold(t *target, now time.Duration) (reason placement.Reason, until time.Duration) {
-	state := m.notices.StateOf(processOf(t.info))
+func (m *Manager) hold(state notice.State, now time.Duration) (reason placement.Reason, until time.Duration) {
 	if now < state.PausedUntil {
 		return ReasonPaused, state.PausedUntil
 	}
