ratelimit: VMs keep the limit that a target names together

Only the holders of a limited target send to it: about one VM for each request a second, chosen alike on all VMs by rendezvous over the primary VMs (policy/ratelimit), each with a bucket that begins empty and saves up one request. First attempts, retries, trials and explorations all take from it. VMs tell one another what targets say as state, at once and again in heartbeats. When all targets that could serve are limited, the request is refused at once as target_limited, with the time of the next one.

Why it works: H holders send at most L*t + H requests in a time t, 5 L + 1 in the users' window of 6 L + 5, which leaves room for VMs whose views differ.

--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
@@ -36,6 +37,7 @@
 
 func (v *vm) Observed(evidence.AttemptEvidence)       {}
 func (v *vm) SetInProgress(string, map[string]int)    {}
+func (v *vm) MergeNotice(string, notice.Report)       {}
 func (v *vm) Announced(string, contract.Announcement) {}
 func (v *vm) crash(fingerprint quarantine.Fingerprint, target string) {
 	v.crashAs(fingerprint, target, 1)
@@ -89,7 +91,7 @@
 	v.exchange = evidence.New(evidence.Options{
 		Fleet: "f", VM: v.name, Instance: uint64(i + 1), Conn: packets{vm: v},
 		IsPrimary: func() bool { return primary }, Ready: func() bool { return true }, Peers: func() []evidence.Peer { return f.peersOf(v) },
-		AttemptsInProgress: func() map[string]int { return nil }, Announcement: func() contract.Announcement { return contract.Announcement{} }, Rate: func() float64 { return 0 },
+		AttemptsInProgress: func() map[string]int { return nil }, Announcement: func() contract.Announcement { return contract.Announcement{} }, Notices: func(bool) []notice.Report { return nil }, Rate: func() float64 { return 0 },
 		Requests: v.NextEvidence, Receiver: v, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
 	})
 	v.UseNotifier(v.exchange.RequestsChanged)
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -15,6 +15,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
@@ -65,6 +66,8 @@
 	SetInProgress(vm string, attempts map[string]int)
 	// MergeRequest applies what a VM knows of a request that may crash targets.
 	MergeRequest(vm string, evidence quarantine.Evidence)
+	// MergeNotice applies what a VM knows of what a target says of itself.
+	MergeNotice(vm string, report notice.Report)
 	// Announced applies what a VM has of the published items.
 	Announced(vm string, announcement contract.Announcement)
 }
@@ -100,6 +103,9 @@
 	// Requests returns what the next datagram tells of requests that may crash targets:
 	// what is new and, in a heartbeat, a part of what was told before.
 	Requests func(isHeartbeat bool) []quarantine.Evidence
+	// Notices returns what the next datagram tells of what targets say of themselves: what
+	// has changed lately and, in a heartbeat, a part of all.
+	Notices  func(isHeartbeat bool) []notice.Report
 	Receiver Receiver
 	Uptime   func() time.Duration
 	Logger   *log.Logger
@@ -172,6 +178,9 @@
 // crash targets.
 func (x *Exchange) RequestsChanged() { x.requestSend() }
 
+// NoticesChanged schedules a datagram with what targets say of themselves.
+func (x *Exchange) NoticesChanged() { x.requestSend() }
+
 // InProgressChanged schedules a datagram with the new numbers of attempts in
 // progress.
 func (x *Exchange) InProgressChanged() { x.requestSend() }
@@ -277,6 +286,7 @@
 	uses := x.options.AttemptsInProgress()
 	ready, announced, rate := x.options.Ready(), x.options.Announcement(), x.options.Rate()
 	requests := requestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
+	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 {
@@ -291,6 +301,7 @@
 		Sequence:      x.sequence,
 		Ready:         ready,
 		Requests:      requests,
+		Notices:       notices,
 		Revision:      announced.Position.Revision,
 		StoreEra:      announced.Position.Era,
 		RoutesVersion: announced.RoutesVersion,
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
 // sentPackets records the packets written.
@@ -35,6 +37,7 @@
 	outcomes  []AttemptEvidence
 	uses      map[string]map[string]int
 	requests  []quarantine.Evidence
+	notices   []notice.Report
 	announced contract.Announcement
 }
 
@@ -42,6 +45,7 @@
 func (r *received) MergeRequest(_ string, evidence quarantine.Evidence) {
 	r.requests = append(r.requests, evidence)
 }
+func (r *received) MergeNotice(_ string, report notice.Report) { r.notices = append(r.notices, report) }
 func (r *received) SetInProgress(vm string, attempts map[string]int) {
 	r.uses[vm] = attempts
 }
@@ -66,7 +70,7 @@
 			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true}}
 		},
 		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, Announcement: func() contract.Announcement { return announced }, Rate: func() float64 { return 10 },
-		Requests: func(bool) []quarantine.Evidence { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		Requests: func(bool) []quarantine.Evidence { return nil }, Notices: func(bool) []notice.Report { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
 	options.VM, options.Instance, options.Receiver = "vm-2", 2, p.got
@@ -217,3 +221,30 @@
 	p.from.options.AttemptsInProgress = func() map[string]int { requestsSend(); return nil }
 	p.from.send(true)
 }
+
+// TestNoticesOfTargetsReachOtherVMs checks that what targets say of themselves arrives
+// with the time at which it was said.
+func TestNoticesOfTargetsReachOtherVMs(t *testing.T) {
+	p := newPair()
+	said := []notice.Report{
+		{Process: notice.Process{Target: "t1", Incarnation: -5}, HasLimitWord: true, IsLimited: true, RateLimit: 2.5, LimitAt: p.now - 3*time.Second, LeavingAt: p.now},
+		{Process: notice.Process{Target: "t2", Incarnation: 7}, LimitAt: p.now, IsLeaving: true, LeavingAt: p.now - time.Second},
+	}
+	p.from.options.Notices = func(isHeartbeat bool) []notice.Report {
+		if isHeartbeat {
+			return said
+		}
+		return nil
+	}
+	p.from.send(true)
+	for _, packet := range p.packets.sent {
+		p.to.HandleDatagram(packet)
+	}
+	if !reflect.DeepEqual(p.got.notices, said) {
+		t.Errorf("received %+v, want %+v", p.got.notices, said)
+	}
+	message := &primroseloomv1.TargetNotice{HasLimitWord: true, Limited: true, RateLimit: -1}
+	if got := noticeFromWire(message, p.now); got.IsLimited {
+		t.Errorf("a negative limit is taken: %+v", got)
+	}
+}
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -59,6 +59,9 @@
 	for _, request := range message.GetRequests() {
 		x.options.Receiver.MergeRequest(message.GetVm(), requestFromWire(request, x.options.Uptime()))
 	}
+	for _, said := range message.GetNotices() {
+		x.options.Receiver.MergeNotice(message.GetVm(), noticeFromWire(said, x.options.Uptime()))
+	}
 }
 
 // recordAndFilter updates the sender's state and returns the outcomes not
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -88,14 +88,15 @@
 
 func newTargets(f *Frontend, set settings.Frontend, id identity, vms *fleet, m *metrics.Metrics, logger *log.Logger) *targetset.Manager {
 	return targetset.New(targetset.Options{
-		Zone:    set.Zone,
-		Network: f.options.Network,
-		Budget:  targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance},
-		Sharers: vms.sharers,
-		Uptime:  f.clock.Uptime,
-		Logger:  logger,
-		Scope:   m.Scope(),
-		Seed:    id.seed,
+		Zone:      set.Zone,
+		Network:   f.options.Network,
+		Budget:    targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance},
+		Sharers:   vms.sharers,
+		RateShare: vms.rateShare,
+		Uptime:    f.clock.Uptime,
+		Logger:    logger,
+		Scope:     m.Scope(),
+		Seed:      id.seed,
 	})
 }
 
@@ -120,6 +121,7 @@
 		Rate:               func() float64 { return f.gateway.Rate() },
 		Announcement:       follower.Announcement,
 		Requests:           tracker.NextEvidence,
+		Notices:            targets.NextNotices,
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
 		Logger:             logger,
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -10,6 +10,8 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/policy/offer"
+	"github.com/primroseloom/primroseloom/policy/ratelimit"
+	"github.com/primroseloom/primroseloom/policy/subset"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 )
 
@@ -38,8 +40,10 @@
 // view is a snapshot of the fleet.
 type view struct {
 	vms []offer.VM
-	// primaries names the primary VMs of all zones.
+	// primaries names the primary VMs of all zones; senders are the same VMs, among which
+	// the limits of targets are shared.
 	primaries map[string]bool
+	senders   []subset.VM
 	// isPrimary is true when this VM is a primary VM of its zone.
 	isPrimary bool
 	// watchesStore is true when this VM is one of those that watch the store;
@@ -120,6 +124,7 @@
 	}
 	for _, vm := range offer.AllPrimaries(v.vms, f.settings) {
 		v.primaries[vm.Name] = true
+		v.senders = append(v.senders, subset.VM{Name: vm.Name, Zone: vm.Zone})
 	}
 	v.isPrimary, v.sharers = v.primaries[self.GetVm()], max(len(v.primaries), 1)
 	v.peers = f.selectPeers(members, v.primaries)
@@ -229,6 +234,12 @@
 	return v.storeWatchers[vm] || (!v.isPrimary && v.primaries[vm])
 }
 
+// rateShare returns the rate, in requests a second, at which this VM may send requests to a
+// target that takes a limited rate of all VMs together.
+func (f *fleet) rateShare(target string, perSecond float64) float64 {
+	return ratelimit.Share(target, perSecond, f.view.Load().senders, f.members.Self().GetVm())
+}
+
 // sharers returns the number of VMs that share the retry budgets; zero for a VM
 // that is not advertised to callers, which has no share of its own.
 func (f *fleet) sharers() int {
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -164,3 +164,25 @@
 		t.Errorf("advertised %v", got)
 	}
 }
+
+// TestPrimariesShareTheLimitOfATarget guards against VMs that together send more to a
+// limited target than it takes, or leave its limit unused.
+func TestPrimariesShareTheLimitOfATarget(t *testing.T) {
+	const perSecond = 2.5
+	now := time.Minute
+	all := members("vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+	total := 0.0
+	for i := range all {
+		all[0], all[i] = all[i], all[0]
+		f := newTestFleet(all, fakePeerReports{}, &now)
+		f.updateView()
+		share := f.rateShare("target", perSecond)
+		if share > 0 && !f.isPrimary() {
+			t.Errorf("%s has a share but serves no callers", all[0].GetVm())
+		}
+		total += share
+	}
+	if total > perSecond || total < 0.9*perSecond {
+		t.Errorf("all VMs together may send %.2f requests a second, the target takes %.2f", total, perSecond)
+	}
+}
--- a/entry/gateway/notice_test.go
+++ b/entry/gateway/notice_test.go
@@ -101,3 +101,59 @@
 		}
 	})
 }
+
+// TestTargetGetsNoMoreThanItsLimit guards against attempts of any kind beyond the rate that
+// a target limits its requests to, and against leaving the rate unused.
+func TestTargetGetsNoMoreThanItsLimit(t *testing.T) {
+	const perSecond, seconds = 2.0, 20
+	withHarness(t, []behavior{says("Limit", "2", serves), serves, resets}, func(h *harness) {
+		for h.arrivalsAt("t0") == 0 {
+			h.sendFor(100 * time.Millisecond)
+		}
+		before := h.arrivalsAt("t0")
+		h.sendFor(seconds * time.Second)
+		got := float64(h.arrivalsAt("t0") - before)
+		if got > perSecond*seconds+1 || got < 0.5*perSecond*seconds {
+			t.Errorf("%.0f requests in %d s reached the target, which takes %.0f a second", got, seconds, perSecond)
+		}
+	})
+}
+
+// TestLimitThatIsLiftedNoLongerHolds guards against a target that stays nearly unused after
+// it has recovered.
+func TestLimitThatIsLiftedNoLongerHolds(t *testing.T) {
+	isLimited := true
+	withHarness(t, []behavior{func(out http.ResponseWriter, r *http.Request) {
+		if isLimited {
+			out.Header().Set("Limit", "1")
+		}
+		serves(out, r)
+	}, serves}, func(h *harness) {
+		h.sendFor(3 * time.Second)
+		isLimited = false
+		h.sendFor(3 * time.Second)
+		before := h.arrivalsAt("t0")
+		h.sendFor(2 * time.Second)
+		if got := h.arrivalsAt("t0") - before; got < 20 {
+			t.Errorf("%d requests in 2 s reached the target after it had lifted its limit", got)
+		}
+	})
+}
+
+// TestRequestBeyondAllLimitsIsRefusedAtOnce guards against a request that waits, or is sent
+// in vain, when all targets limit their requests, and a caller that isn't told when the
+// next one is taken.
+func TestRequestBeyondAllLimitsIsRefusedAtOnce(t *testing.T) {
+	withHarness(t, []behavior{says("Limit", "0.5", serves)}, func(h *harness) {
+		h.send(http.MethodPost, oncePath+"x", "body")
+		response := h.send(http.MethodPost, oncePath+"x", "body")
+		after, err := time.ParseDuration(response.Header().Get("After"))
+		if response.Code != http.StatusServiceUnavailable || err != nil || after < 1900*time.Millisecond || after > 3100*time.Millisecond {
+			t.Errorf("status %d, retry after %v, want 2 to 3 s", response.Code, after)
+		}
+		time.Sleep(after)
+		if response := h.send(http.MethodPost, oncePath+"x", "body"); response.Code != http.StatusOK {
+			t.Errorf("status %d at the time that the caller was told", response.Code)
+		}
+	})
+}
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -45,7 +45,7 @@
 // once.
 func addJitter(refusal *outcome.Refusal) time.Duration {
 	wait := refusal.RetryAfter
-	if refusal.Reason == outcome.ReasonTargetPaused {
+	if refusal.Reason == outcome.ReasonTargetPaused || refusal.Reason == outcome.ReasonTargetLimited {
 		spread := min(time.Duration(retryJitter*float64(wait)), maxHeldSpread)
 		return wait + time.Duration(rand.Float64()*float64(spread))
 	}
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -122,6 +122,7 @@
 		s.explorationCredit -= exploreCost(wanted.Route.Kind)
 	}
 	t := targets[choice.Index]
+	t.limiter.bucket.Spend()
 	t.ownAttempts++
 	t.everAttempted = true
 	t.lastAttemptAt = now
@@ -153,7 +154,7 @@
 		if !t.usable() || state.IsLeaving || slices.Contains(wanted.Attempted, t.info.ID) {
 			continue
 		}
-		if reason, until := m.hold(state, now); reason != placement.ReasonNone {
+		if reason, until := m.hold(t, state, now); reason != placement.ReasonNone {
 			held.add(reason, until)
 			continue
 		}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -23,6 +23,7 @@
 type Notifier interface {
 	Publish(outcome evidence.AttemptEvidence)
 	InProgressChanged()
+	NoticesChanged()
 }
 
 // Budget is the retry budget of the fleet.
@@ -41,9 +42,12 @@
 	Budget  Budget
 	// Sharers returns the number of VMs that share the budget.
 	Sharers func() int
-	Uptime  func() time.Duration
-	Logger  *log.Logger
-	Scope   tally.Scope
+	// RateShare returns the rate, in requests a second, at which this VM may send requests
+	// to a target that takes a limited rate of all VMs together.
+	RateShare func(target string, perSecond float64) float64
+	Uptime    func() time.Duration
+	Logger    *log.Logger
+	Scope     tally.Scope
 	// Seed seeds the random choices.
 	Seed uint64
 }
@@ -71,6 +75,8 @@
 	table    *routing.Table
 	// notices holds what the targets say of themselves.
 	notices *notice.Table
+	// nextNotice is the index of the notice that the next heartbeat begins with.
+	nextNotice int
 	// answeredAt is when this VM last got a complete response of any target.
 	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
--- a/entry/targetset/notices.go
+++ b/entry/targetset/notices.go
@@ -1,11 +1,21 @@
 package targetset
 
 import (
+	"time"
+
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
+const (
+	// noticeNewTime is how long each datagram tells of a changed notice, since datagrams
+	// may be lost.
+	noticeNewTime = 300 * time.Millisecond
+	// maxNoticesPerHeartbeat bounds the notices that a heartbeat repeats.
+	maxNoticesPerHeartbeat = 12
+)
+
 // processOf returns the process that an entry describes.
 func processOf(info roster.Target) notice.Process {
 	process := notice.Process{Target: info.ID}
@@ -24,6 +34,9 @@
 	process := processOf(a.info)
 	change := m.notices.Record(process, said, a.startedAt, m.options.Uptime())
 	m.logNotice(process, change, "")
+	if change.Limit || change.Leaving {
+		m.notifier.NoticesChanged()
+	}
 	if change.Paused {
 		events.TargetPauses.Log(m.options.Logger, "target", process.Target, "service", a.info.Service, "pause", said.Pause)
 	}
@@ -42,3 +55,29 @@
 		events.TargetLeaves.Log(m.options.Logger, "target", process.Target, "reporter", reporter)
 	}
 }
+
+// MergeNotice applies what another VM knows of what a target says of itself.
+func (m *Manager) MergeNotice(vm string, report notice.Report) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.logNotice(report.Process, m.notices.Merge(report, m.options.Uptime()), vm)
+}
+
+// NextNotices returns the notices for the next datagram: those that have changed lately
+// or, for a heartbeat, the next part of all.
+func (m *Manager) NextNotices(isHeartbeat bool) []notice.Report {
+	now := m.options.Uptime()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !isHeartbeat {
+		return m.notices.Reports(now-noticeNewTime, now)
+	}
+	all := m.notices.Reports(0, now)
+	var next []notice.Report
+	for range min(len(all), maxNoticesPerHeartbeat) {
+		m.nextNotice %= len(all)
+		next = append(next, all[m.nextNotice])
+		m.nextNotice++
+	}
+	return next
+}
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -37,6 +37,8 @@
 	slow    suspicion.FaultEstimate
 	// shedding estimates the fault of refusing requests although slots are free.
 	shedding suspicion.FaultEstimate
+	// limiter is this VM's part in the target's own limit.
+	limiter limiter
 	// ownAttempts and remoteAttempts count the attempts in progress from this VM and
 	// from other VMs.
 	ownAttempts, remoteAttempts int
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -15,6 +15,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/placement"
 	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
@@ -34,19 +35,22 @@
 }
 
 func (n *recordingNotifier) InProgressChanged() {}
+func (n *recordingNotifier) NoticesChanged()    {}
 
 // fixture is a manager with targets t0, t1 and so on, and a manual clock.
 type fixture struct {
 	*Manager
 	notifier *recordingNotifier
 	now      time.Duration
+	// holds is this VM's part of the limits of targets.
+	holds float64
 }
 
 func newFixture(targets int) *fixture {
-	f := &fixture{notifier: &recordingNotifier{}, now: time.Hour}
+	f := &fixture{notifier: &recordingNotifier{}, now: time.Hour, holds: 1}
 	f.Manager = New(Options{
 		Zone: "z", Network: memnet.New().Host("10.0.0.1"), Budget: Budget{Ratio: 0.2, Allowance: 40},
-		Sharers: func() int { return 1 }, Uptime: func() time.Duration { return f.now },
+		Sharers: func() int { return 1 }, RateShare: func(_ string, perSecond float64) float64 { return f.holds * perSecond }, Uptime: func() time.Duration { return f.now },
 		Logger: log.New(io.Discard), Scope: tally.NoopScope, Seed: 1,
 	})
 	f.UseNotifier(f.notifier)
@@ -269,3 +273,52 @@
 		t.Errorf("the failing target was attempted only %d times", failed)
 	}
 }
+
+// TestVMWithoutAShareOfALimitSendsNothing guards against a limited target that gets the
+// requests of VMs that know of its limit from others but have no share in it.
+func TestVMWithoutAShareOfALimitSendsNothing(t *testing.T) {
+	f := newFixture(2)
+	f.holds = 0
+	f.MergeNotice("vm-2", notice.Report{Process: notice.Process{Target: "t0"}, HasLimitWord: true, IsLimited: true, RateLimit: 3, LimitAt: f.now})
+	for range 50 {
+		f.now += 100 * time.Millisecond
+		f.RequestArrived("s")
+		attempt := f.begin(t, wanted(routing.KindIdempotent))
+		if attempt.ID() == "t0" {
+			t.Fatal("a request went to the limited target")
+		}
+		attempt.Done(served())
+	}
+	f.TargetsChanged(published(2)[:1])
+	var refusal *Refusal
+	if _, err := f.Begin(wanted(routing.KindOnce)); !errors.As(err, &refusal) || refusal.Reason != ReasonLimited || refusal.RetryAfter != time.Second/3 {
+		t.Errorf("refusal %+v, want %s and the time between two requests of the limit", refusal, ReasonLimited)
+	}
+}
+
+// TestNoticesAreToldUntilAllVMsKnow checks that changed notices go into each datagram for a
+// while and that heartbeats repeat all of them in turn.
+func TestNoticesAreToldUntilAllVMsKnow(t *testing.T) {
+	const targets = 30
+	f := newFixture(targets)
+	for _, info := range published(targets) {
+		process := notice.Process{Target: info.ID}
+		f.MergeNotice("vm-2", notice.Report{Process: process, IsLeaving: true, LeavingAt: f.now})
+	}
+	if got := len(f.NextNotices(false)); got != targets {
+		t.Errorf("%d new notices, want %d", got, targets)
+	}
+	f.now += 2 * noticeNewTime
+	if got := len(f.NextNotices(false)); got != 0 {
+		t.Errorf("%d new notices after a while", got)
+	}
+	told := make(map[string]bool)
+	for range targets/maxNoticesPerHeartbeat + 1 {
+		for _, report := range f.NextNotices(true) {
+			told[report.Process.Target] = true
+		}
+	}
+	if len(told) != targets {
+		t.Errorf("heartbeats told of %d targets, want %d", len(told), targets)
+	}
+}
--- a/policy/notice/notice.go
+++ b/policy/notice/notice.go
@@ -49,7 +49,10 @@
 	IsLimited    bool
 	RateLimit    float64
 	LimitAt      time.Duration
-	IsLeaving    bool
+	// IsLeaving is true when the target has said that it leaves, last in a response that
+	// was received at the uptime LeavingAt.
+	IsLeaving bool
+	LeavingAt time.Duration
 }
 
 // Change is what a notice or a report changed.
--- a/policy/notice/table.go
+++ b/policy/notice/table.go
@@ -9,14 +9,13 @@
 
 // Times for which a table keeps what it knows.
 const (
-	// memory is how long the notices of a target are kept after the last word of it. A
-	// target without a limit that does not leave is forgotten sooner.
+	// memory is how long the notices of a target are kept after its last word.
 	memory = 10 * time.Minute
 	// liftedMemory is how long other VMs are told that a limit was lifted.
 	liftedMemory = 10 * time.Second
-	// lateWord is the time by which a report must be later than the known word on a limit
-	// to replace it. Ages are rounded and reports take time, so without it a word would
-	// become ever later on its way round the VMs.
+	// lateWord is the time by which a report must be later than the known word to replace
+	// it. Ages are rounded and reports take time, so without it a word would become ever
+	// later on its way round the VMs.
 	lateWord = 50 * time.Millisecond
 )
 
@@ -28,9 +27,10 @@
 	// was received.
 	hasLimitWord bool
 	limitAt      time.Duration
-	// changedAt is when the limit or the leaving last changed, heardAt when the last word
-	// came.
-	changedAt, heardAt time.Duration
+	// leavingAt is when the latest response was received that said that the target leaves.
+	leavingAt time.Duration
+	// changedAt is when the limit or the leaving last changed.
+	changedAt time.Duration
 }
 
 // Table holds the notices by target. It is not safe for concurrent use.
@@ -47,13 +47,12 @@
 	if !ok {
 		return Change{}
 	}
-	r.heardAt = now
 	change := Change{}
 	if notice.IsLimited || r.hasLimitWord && sentAt > r.limitAt {
 		change.Limit = r.setLimit(notice.IsLimited, notice.RateLimit, now)
 	}
-	if notice.IsLeaving && !r.state.IsLeaving {
-		r.state.IsLeaving, change.Leaving = true, true
+	if notice.IsLeaving {
+		change.Leaving = r.setLeaving(now)
 	}
 	if until := now + notice.Pause; notice.Pause > 0 && until > r.state.PausedUntil {
 		change.Paused = r.state.PausedUntil <= now
@@ -71,13 +70,12 @@
 	if !ok {
 		return Change{}
 	}
-	r.heardAt = now
 	change := Change{}
 	if report.HasLimitWord && (!r.hasLimitWord || report.LimitAt > r.limitAt+lateWord) {
 		change.Limit = r.setLimit(report.IsLimited, report.RateLimit, report.LimitAt)
 	}
-	if report.IsLeaving && !r.state.IsLeaving {
-		r.state.IsLeaving, change.Leaving = true, true
+	if report.IsLeaving && (!r.state.IsLeaving || report.LeavingAt > r.leavingAt+lateWord) {
+		change.Leaving = r.setLeaving(report.LeavingAt)
 	}
 	if !change.IsZero() {
 		r.changedAt = now
@@ -96,6 +94,13 @@
 	return changed
 }
 
+// setLeaving applies the word that the target leaves and reports whether it is new.
+func (r *record) setLeaving(at time.Duration) bool {
+	isNew := !r.state.IsLeaving
+	r.state.IsLeaving, r.leavingAt = true, at
+	return isNew
+}
+
 // recordOf returns the record of a process, a new one if create is set. ok is false when
 // there is none, or only one of a later start.
 func (t *Table) recordOf(process Process, create bool) (r *record, ok bool) {
@@ -137,16 +142,17 @@
 		}
 		reports = append(reports, Report{
 			Process: r.process, HasLimitWord: r.hasLimitWord, IsLimited: r.state.IsLimited, RateLimit: r.state.RateLimit,
-			LimitAt: r.limitAt, IsLeaving: r.state.IsLeaving,
+			LimitAt: r.limitAt, IsLeaving: r.state.IsLeaving, LeavingAt: r.leavingAt,
 		})
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Compare(a.Process.Target, b.Process.Target) })
 	return reports
 }
 
-// Expire forgets targets of which nothing was heard for long.
+// Expire forgets targets that have said nothing of themselves for long.
 func (t *Table) Expire(now time.Duration) {
 	maps.DeleteFunc(t.records, func(_ string, r *record) bool {
-		return now-r.heardAt >= memory && now >= r.state.PausedUntil
+		isOld := (!r.hasLimitWord || now-r.limitAt >= memory) && (!r.state.IsLeaving || now-r.leavingAt >= memory)
+		return isOld && now >= r.state.PausedUntil
 	})
 }
--- a/policy/notice/table_test.go
+++ b/policy/notice/table_test.go
@@ -71,7 +71,8 @@
 		{Process: process, HasLimitWord: true, IsLimited: true, RateLimit: 2, LimitAt: 20 * time.Second},
 		{Process: process, HasLimitWord: true, IsLimited: true, RateLimit: 4, LimitAt: 21 * time.Second},
 		{Process: process, HasLimitWord: true, LimitAt: 19 * time.Second},
-		{Process: process, IsLeaving: true},
+		{Process: process, IsLeaving: true, LeavingAt: 22 * time.Second},
+		{Process: process, IsLeaving: true, LeavingAt: 18 * time.Second},
 		{Process: Process{Target: "t", Incarnation: 4}, HasLimitWord: true, IsLimited: true, RateLimit: 9, LimitAt: 25 * time.Second},
 	}
 	random := rand.New(rand.NewPCG(1, 1))
@@ -90,21 +91,27 @@
 // limit again and again, each as a little later, and so outvote that it was lifted.
 func TestWordDoesNotBecomeLaterOnItsWay(t *testing.T) {
 	one, other := NewTable(), NewTable()
-	one.Record(process, limited(2), 9*time.Second, 10*time.Second)
+	one.Record(process, Notice{IsLimited: true, RateLimit: 2, IsLeaving: true}, 9*time.Second, 10*time.Second)
 	now := 10 * time.Second
 	for range 1000 {
 		now += 10 * time.Millisecond
 		for _, tables := range [][2]*Table{{one, other}, {other, one}} {
 			for _, report := range tables[0].Reports(0, now) {
 				report.LimitAt += 3 * time.Millisecond
+				report.LeavingAt += 3 * time.Millisecond
 				tables[1].Merge(report, now)
 			}
 		}
 	}
 	reports := one.Reports(0, now)
-	if len(reports) != 1 || reports[0].LimitAt > 10*time.Second+lateWord {
+	if len(reports) != 1 || reports[0].LimitAt > 10*time.Second+lateWord || reports[0].LeavingAt > 10*time.Second+lateWord {
 		t.Errorf("reports %+v, want the word of 10 s", reports)
 	}
+	for _, table := range []*Table{one, other} {
+		if table.Expire(10*time.Second + lateWord + memory); len(table.records) > 0 {
+			t.Error("a target that says nothing any more is remembered since VMs tell one another of it")
+		}
+	}
 }
 
 func TestReportsTellWhatHasChanged(t *testing.T) {
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -59,6 +59,7 @@
 	ReasonNoTarget            Reason = "no_target"
 	ReasonTargetShed          Reason = "target_shed"
 	ReasonTargetPaused        Reason = "target_paused"
+	ReasonTargetLimited       Reason = "target_limited"
 	ReasonTargetRefused       Reason = "target_refused"
 	ReasonTargetReset         Reason = "target_reset"
 	ReasonTargetTimeout       Reason = "target_timeout"
