--- a/entry/crashes/outbox.go
+++ b/entry/crashes/outbox.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/primroseloom/primroseloom/entry/internal/cursor"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
@@ -34,7 +35,7 @@
 	repeatedAt time.Duration
 	// single and several are the next requests to be repeated of those with one crash
 	// and of those with more.
-	single, several cursor
+	single, several cursor.Cursor
 }
 
 func newOutbox() outbox {
@@ -90,7 +91,7 @@
 	if firstSingle < 0 {
 		firstSingle = len(all)
 	}
-	repeated := append(o.several.take(all[:firstSingle]), o.single.take(all[firstSingle:])...)
+	repeated := append(cursor.Take(&o.several, all[:firstSingle], maxRepeatedOfGroup), cursor.Take(&o.single, all[firstSingle:], maxRepeatedOfGroup)...)
 	for _, evidence := range repeated {
 		if !contains(chosen, evidence.Fingerprint) {
 			chosen = append(chosen, evidence)
@@ -102,17 +103,3 @@
 func contains(chosen []quarantine.Evidence, fingerprint quarantine.Fingerprint) bool {
 	return slices.ContainsFunc(chosen, func(e quarantine.Evidence) bool { return e.Fingerprint == fingerprint })
 }
-
-// cursor goes round a changing list.
-type cursor struct{ next int }
-
-// take returns the next maxRepeatedOfGroup elements, or all when there are fewer.
-func (c *cursor) take(group []quarantine.Evidence) []quarantine.Evidence {
-	var taken []quarantine.Evidence
-	for range min(len(group), maxRepeatedOfGroup) {
-		c.next %= len(group)
-		taken = append(taken, group[c.next])
-		c.next++
-	}
-	return taken
-}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -12,6 +12,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
+	"github.com/primroseloom/primroseloom/entry/internal/cursor"
 	"github.com/primroseloom/primroseloom/entry/targetconn"
 	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/retry"
@@ -75,8 +76,8 @@
 	table    *routing.Table
 	// notices holds what the targets say of themselves.
 	notices *notice.Table
-	// nextNotice is the index of the notice that the next heartbeat begins with.
-	nextNotice int
+	// repeated is the position in the notices from which the next heartbeat repeats them.
+	repeated cursor.Cursor
 	// answeredAt is when this VM last got a complete response of any target.
 	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
--- a/entry/targetset/notices.go
+++ b/entry/targetset/notices.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/internal/cursor"
 	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
@@ -72,12 +73,5 @@
 	if !isHeartbeat {
 		return m.notices.Reports(now-noticeNewTime, now)
 	}
-	all := m.notices.Reports(0, now)
-	var next []notice.Report
-	for range min(len(all), maxNoticesPerHeartbeat) {
-		m.nextNotice %= len(all)
-		next = append(next, all[m.nextNotice])
-		m.nextNotice++
-	}
-	return next
+	return cursor.Take(&m.repeated, m.notices.Reports(0, now), maxNoticesPerHeartbeat)
 }
