--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -15,6 +15,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/primroseloom/primroseloom/entry/daemon"
+	"github.com/primroseloom/primroseloom/entry/logsink"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/operator/exit"
@@ -132,6 +133,7 @@
 		return fmt.Errorf("log level: %w", err)
 	}
 	logger := newLogger(os.Stderr, level)
+	logsink.CaptureStandardLog(logger)
 	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: network.OS{}, Logger: logger})
 	if err != nil {
 		return err
--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -58,6 +58,7 @@
 	registry := metrics.New()
 	sink := logsink.New(os.Stdout, logsink.DefaultLimits(), func() { registry.Scope().Counter("log_lines_dropped").Inc(1) })
 	logger := newLogger(sink, level)
+	logsink.CaptureStandardLog(logger)
 	sinkContext, stopSink := context.WithCancel(context.WithoutCancel(ctx))
 	sinkDone := make(chan struct{})
 	go func() {
--- a/entry/events/daemon.go
+++ b/entry/events/daemon.go
@@ -10,6 +10,8 @@
 		"A planned stop began; requests in progress are finished.")
 	DaemonStopped = define(1003, log.InfoLevel, "daemon stopped",
 		"All requests in progress have ended and the listeners are closed.")
+	LibraryMessage = define(1005, log.WarnLevel, "library message",
+		"A library reported something to the standard logger, such as bytes that a target sent after a complete response; the text is shortened.")
 	ChildRestarted = define(1004, log.ErrorLevel, "child restarted",
 		"A supervised component failed and is restarted after a back-off.")
 )
