gateway: a long response that its target breaks off is a failure

Callers of uploads and lookups were sent on to a target whose long responses ended early: the evidence of a streamed response was that of its begin, so such a target looked as if it served well. Evidence is given at the end now: broken off counts as failed, not complete in time or not read by the caller as nothing.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -74,13 +74,32 @@
 	return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonQuarantined, Step: outcome.StepChoose, Peer: q.service, RetryAfter: remaining}
 }
 
+// streamResult returns the evidence of a streamed response that ended with an error, or
+// without one, given the evidence of its begin. A target that breaks off has failed. A
+// response that was not complete in time, or whose caller stopped reading, says nothing.
+func (q *request) streamResult(begin suspicion.Result, err error) suspicion.Result {
+	switch {
+	case err == nil:
+		return begin
+	case q.brokenOff(err):
+		return suspicion.ResultFailed
+	}
+	return suspicion.ResultNeutral
+}
+
+// brokenOff reports whether a streamed response ended with an error because its target
+// broke it off.
+func (q *request) brokenOff(err error) bool {
+	var truncated *contract.RoundTripError
+	return errors.As(err, &truncated) && truncated.Kind == contract.AttemptTruncated && q.caller.Context().Err() == nil
+}
+
 // streamEnded reports how a streamed response ended, given the result of its attempt.
 func (q *request) streamEnded(attempt *targetset.Attempt, result suspicion.Result, err error) {
-	var truncated *contract.RoundTripError
 	switch {
 	case err == nil && result == suspicion.ResultServed:
 		q.gateway.options.Crashes.Answered(q.fingerprint)
-	case errors.As(err, &truncated) && truncated.Kind == contract.AttemptTruncated && q.caller.Context().Err() == nil:
+	case q.brokenOff(err):
 		q.reportLost(attempt)
 	}
 }
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -209,6 +209,7 @@
 		d.response.finish = func(err error) {
 			result := d.result
 			result.Reuse = result.Reuse && err == nil
+			result.End = q.streamResult(result.End, err)
 			attempt.Done(result)
 			q.streamEnded(attempt, result.End, err)
 		}
