serve: give a target the pause that it names in Retry-After

The pause holds for the time that is named, for choices of this VM, for leases that it is granted (the target is excluded from its requests for slots) and for trials. A request whose targets all pause beyond its deadline is refused at once as target_paused with the end of the first pause. Health probes go on.

--- a/entry/contract/contract.go
+++ b/entry/contract/contract.go
@@ -117,6 +117,9 @@
 	Total time.Duration
 	// ReusedConnection is true when the connection had carried a request before.
 	ReusedConnection bool
+	// Pause is how long the target, which shed the request, wants nothing from this VM;
+	// zero when it does not say.
+	Pause time.Duration
 }
 
 // AttemptKind classifies the result of an attempt.
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -42,6 +42,8 @@
 type failure struct {
 	kind  dispatch.Failure
 	cause error
+	// pause is how long the target, which shed the request, wants nothing from this VM.
+	pause time.Duration
 }
 
 // finish releases the slot and reports the result of the last round trip.
@@ -144,7 +146,7 @@
 		return &failure{kind: dispatch.FailureWrong, cause: errors.New("the answer is not final")}
 	}
 	if matchesSignal(response, service.Shed) {
-		return &failure{kind: dispatch.FailureShed, cause: errors.New("the target shed the request")}
+		return &failure{kind: dispatch.FailureShed, cause: errors.New("the target shed the request"), pause: pauseOf(response)}
 	}
 	if response.StatusCode == http.StatusServiceUnavailable && hasHeader(response, service.Drain.Header) {
 		return &failure{kind: dispatch.FailureDraining, cause: errors.New("the target is leaving")}
@@ -158,6 +160,19 @@
 	return response.StatusCode == signal.Status && hasHeader(response, signal.Header)
 }
 
+// pauseOf returns the time that the Retry-After header of a response names, in seconds or
+// as a date; zero when there is none.
+func pauseOf(response *http.Response) time.Duration {
+	value := response.Header.Get("Retry-After")
+	if seconds, err := strconv.ParseUint(value, 10, 31); err == nil {
+		return time.Duration(seconds) * time.Second
+	}
+	if at, err := http.ParseTime(value); err == nil {
+		return max(time.Until(at), 0)
+	}
+	return 0
+}
+
 func hasHeader(response *http.Response, name string) bool {
 	return name != "" && len(response.Header.Values(name)) > 0
 }
@@ -199,7 +214,7 @@
 		Sends:      a.history.sends,
 		Remaining:  a.proxy.remainingTime(c),
 	})
-	a.result.Kind = a.attemptKind(f.kind, decision)
+	a.result.Kind, a.result.Pause = a.attemptKind(f.kind, decision), f.pause
 	refusal := contract.NewRefusal(decision.Outcome, decision.Reason, decision.Step, target, f.cause)
 	var cause *outcome.Refusal
 	if errors.As(f.cause, &cause) && decision.Outcome == outcome.NotRun {
--- a/entry/targets/acquire.go
+++ b/entry/targets/acquire.go
@@ -111,7 +111,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	name, ok := s.evaluator.nextTrial(now, s.targetNames)
-	if !ok || s.targets[name].leaving.isLeaving(now) {
+	if !ok || s.targets[name].leaving.isLeaving(now) || now.Before(s.targets[name].pausedUntil) {
 		return slot{}, false
 	}
 	s.balancer.TakeNamed(name)
@@ -139,6 +139,9 @@
 	if s.balancer.CountUsable(want) == 0 {
 		return nil, slot{}, refuse(outcome.ReasonNoTarget, noTargetRetryAfter, nil)
 	}
+	if refusal := s.refusePaused(now, want, request.Deadline); refusal != nil {
+		return nil, slot{}, refusal
+	}
 	if s.queue.Len() == 0 {
 		if _, mayStart := s.choosesLocally(now); mayStart {
 			if name, ok := s.balancer.Take(s.rng, want); ok {
--- a/entry/targets/leases.go
+++ b/entry/targets/leases.go
@@ -75,9 +75,9 @@
 }
 
 // addUnusable adds to the exclusions the targets that get no work by this VM's
-// evaluation.
+// evaluation or pause.
 func (s *service) addUnusable(exclude []string) []string {
-	exclude = slices.Clone(exclude)
+	exclude = append(slices.Clone(exclude), s.pausedTargets(time.Now())...)
 	s.evaluator.forEachCondition(s.targetNames, func(name string, condition balance.Condition) {
 		if condition.Weight <= 0 {
 			exclude = append(exclude, name)
--- a/entry/targets/service.go
+++ b/entry/targets/service.go
@@ -24,10 +24,6 @@
 	// serviceTimeSmoothing is the weight of a new service time in the moving
 	// average.
 	serviceTimeSmoothing = 0.05
-	// minPause and maxPause bound how long a target gets no new work after it
-	// shed a request.
-	minPause = 5 * time.Millisecond
-	maxPause = 100 * time.Millisecond
 	// probeConnections is the part of a connection share that is reserved for
 	// probes.
 	probeConnections = 1
@@ -74,6 +70,8 @@
 	definition document.Target
 	pool       *targetconn.Pool
 	leaving    leaving
+	// pausedUntil is until when the target gets no new work, since it shed a request.
+	pausedUntil time.Time
 	// probes holds the state of this VM's probes.
 	probes probeState
 }
@@ -332,7 +330,7 @@
 	case contract.AttemptSucceeded:
 		s.recordServiceTime(result.Total)
 	case contract.AttemptShed:
-		s.pauseTarget(name)
+		s.pauseTarget(now, name, result.Pause)
 	}
 	s.adjustWindow(now, name, result.Kind)
 	s.endAttempt(now, attempt, name)
@@ -346,17 +344,3 @@
 	}
 	s.meanServiceTime += time.Duration(serviceTimeSmoothing * float64(total-s.meanServiceTime))
 }
-
-// pauseTarget gives no new work to a target that shed a request, for about the
-// time in which one of its slots becomes free; the lock must be held.
-func (s *service) pauseTarget(name string) {
-	pause := s.meanServiceTime / time.Duration(max(s.definition.Slots, 1))
-	pause = min(max(pause, minPause), maxPause)
-	s.balancer.SetPaused(name, true)
-	time.AfterFunc(pause, func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.balancer.SetPaused(name, false)
-		s.serveQueue(time.Now())
-	})
-}
