roster: an outdated entry ends the deferred removal of its target

A target whose entry was missing right after a restoration and came back in an older form would have been removed at the end of the grace, although its entry was there. TestOutdatedEntryEndsADeferredRemoval fails without the change.

--- a/policy/roster/left.go
+++ b/policy/roster/left.go
@@ -47,9 +47,8 @@
 
 // isOutdated reports whether a restored store returned an older report of a known target
 // than it had returned before it was restored.
-func (r *Roster) isOutdated(target Target) bool {
-	known, ok := r.records[target.ID]
-	return ok && known.history != r.history && target.precedes(known.target) && !sameExceptWarmUntil(known.target, target)
+func (r *Roster) isOutdated(known *record, target Target) bool {
+	return known.history != r.history && target.precedes(known.target) && !sameExceptWarmUntil(known.target, target)
 }
 
 // hold keeps a target out of the roster that had left before the store was restored, and
--- a/policy/roster/left_test.go
+++ b/policy/roster/left_test.go
@@ -92,3 +92,19 @@
 	}
 	return ""
 }
+
+// TestOutdatedEntryEndsADeferredRemoval guards against removing a target whose entry was
+// missing after an outage and has come back in an older form.
+func TestOutdatedEntryEndsADeferredRemoval(t *testing.T) {
+	r := New()
+	r.Put(reported(2, 5, StateReady), 0)
+	r.MarkStoreRestored(time.Minute)
+	r.Retain(map[string]bool{}, time.Minute)
+	older := reported(1, 9, StateReady)
+	if update := r.Put(older, time.Minute+time.Second); update != Outdated {
+		t.Errorf("an older start is %v", update)
+	}
+	if expired, _ := r.Expire(time.Minute + 2*RepublishGrace); len(expired) > 0 || r.Len() != 1 {
+		t.Errorf("removed %v", expired)
+	}
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -100,10 +100,14 @@
 
 // Put adds or replaces a target.
 func (r *Roster) Put(target Target, now time.Duration) Update {
-	if r.isOutdated(target) || r.hold(target, now) {
+	old, known := r.records[target.ID]
+	if known && r.isOutdated(old, target) {
+		old.removeAt = 0 // its entry is there, if an older one
+		return Outdated
+	}
+	if r.hold(target, now) {
 		return Outdated
 	}
-	old, known := r.records[target.ID]
 	r.records[target.ID] = &record{target: target, history: r.history}
 	if !known || old.removeAt != 0 || !sameExceptWarmUntil(old.target, target) {
 		return Changed
