notice: a lifted limit is told for a while only

Each later response of a target that had once limited its requests renewed the word that it doesn't, so that VMs told one another of it for as long as it served: up to twelve notices in each heartbeat for nothing. Found in reading the change. Only a response that lifts a limit is a word on it now.

TestReportsTellWhatHasChanged with one more ordinary response failed before and passes now.

--- a/policy/notice/table.go
+++ b/policy/notice/table.go
@@ -48,7 +48,7 @@
 		return Change{}
 	}
 	change := Change{}
-	if notice.IsLimited || r.hasLimitWord && sentAt > r.limitAt {
+	if notice.IsLimited || r.state.IsLimited && sentAt > r.limitAt {
 		change.Limit = r.setLimit(notice.IsLimited, notice.RateLimit, now)
 	}
 	if notice.IsLeaving {
--- a/policy/notice/table_test.go
+++ b/policy/notice/table_test.go
@@ -135,6 +135,7 @@
 	if got := targets(table.Reports(13*time.Second, 15*time.Second)); !reflect.DeepEqual(got, []string{"t"}) {
 		t.Errorf("reports of a lifted limit: %v", got)
 	}
+	table.Record(process, Notice{}, 16*time.Second, 17*time.Second)
 	if got := targets(table.Reports(0, 14*time.Second+liftedMemory)); !reflect.DeepEqual(got, []string{"a"}) {
 		t.Errorf("reports long after: %v", got)
 	}
