--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -61,7 +61,7 @@
 // Receiver applies what other VMs send.
 type Receiver interface {
 	// Observed applies another VM's evidence.
-	Observed(outcome AttemptEvidence)
+	Observed(vm string, outcome AttemptEvidence)
 	// SetInProgress replaces the attempts in progress of a VM, by target; a target
 	// that is absent has none.
 	SetInProgress(vm string, attempts map[string]int)
@@ -77,8 +77,8 @@
 type Peer struct {
 	VM      string
 	Address netip.AddrPort
-	// IsPrimary is true when the VM is a primary VM of its zone, or cut off from targets. Such
-	// a VM gets all datagrams, rather than heartbeats only.
+	// IsPrimary is true when the VM is a primary VM of its zone, or is or may be cut off from
+	// targets. Such a VM gets all datagrams, rather than heartbeats only.
 	IsPrimary bool
 }
 
@@ -104,6 +104,8 @@
 	// CutOffServices returns the services of which this VM reaches no target although they
 	// answer others.
 	CutOffServices func() []string
+	// PathInDoubt reports whether this VM may be cut off from the targets of a service.
+	PathInDoubt func() bool
 	// Requests returns what the next datagram tells of requests that may crash targets:
 	// what is new and, in a heartbeat, a part of what was told before.
 	Requests func(isHeartbeat bool) []quarantine.Evidence
@@ -129,6 +131,7 @@
 	ready                               bool
 	rate                                float64
 	cutOff                              []string
+	pathInDoubt                         bool
 	silent                              bool
 }
 
@@ -241,6 +244,18 @@
 	return slices.Contains(from.cutOff, service) || service == "" && len(from.cutOff) > 0
 }
 
+// NeedsEvidence reports whether a VM said last that it is cut off from targets, or may be. It
+// then needs to know what targets answer others.
+func (x *Exchange) NeedsEvidence(vm string) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	from, ok := x.senders[vm]
+	if !ok || x.options.Uptime()-from.lastReceived >= silenceTimeout {
+		return false
+	}
+	return len(from.cutOff) > 0 || from.pathInDoubt
+}
+
 // PathChanged schedules a datagram that tells which services this VM reaches.
 func (x *Exchange) PathChanged() { x.requestSend() }
 
@@ -305,7 +320,7 @@
 	// them call the exchange while they hold their own locks.
 	uses := x.options.AttemptsInProgress()
 	ready, announced, rate := x.options.Ready(), x.options.Announcement(), x.options.Rate()
-	cutOff := x.options.CutOffServices()
+	cutOff, inDoubt := x.options.CutOffServices(), x.options.PathInDoubt()
 	requests := requestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
 	x.mu.Lock()
@@ -329,6 +344,7 @@
 		Rate:          uint32(rate + 0.5),
 
 		CutOffServices: cutOff,
+		PathInDoubt:    inDoubt,
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -41,7 +41,9 @@
 	announced contract.Announcement
 }
 
-func (r *received) Observed(outcome AttemptEvidence) { r.outcomes = append(r.outcomes, outcome) }
+func (r *received) Observed(_ string, outcome AttemptEvidence) {
+	r.outcomes = append(r.outcomes, outcome)
+}
 func (r *received) MergeRequest(_ string, evidence quarantine.Evidence) {
 	r.requests = append(r.requests, evidence)
 }
@@ -70,7 +72,7 @@
 			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true}}
 		},
 		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, Announcement: func() contract.Announcement { return announced }, Rate: func() float64 { return 10 },
-		Requests: func(bool) []quarantine.Evidence { return nil }, CutOffServices: func() []string { return nil }, Notices: func(bool) []notice.Report { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		Requests: func(bool) []quarantine.Evidence { return nil }, CutOffServices: func() []string { return nil }, PathInDoubt: func() bool { return false }, Notices: func(bool) []notice.Report { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
 	options.VM, options.Instance, options.Receiver = "vm-2", 2, p.got
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -54,7 +54,7 @@
 		})
 	}
 	for _, outcome := range outcomes {
-		x.options.Receiver.Observed(outcomeFromWire(outcome))
+		x.options.Receiver.Observed(message.GetVm(), outcomeFromWire(outcome))
 	}
 	for _, request := range message.GetRequests() {
 		x.options.Receiver.MergeRequest(message.GetVm(), requestFromWire(request, x.options.Uptime()))
@@ -84,7 +84,7 @@
 	newest = message.GetSequence() > from.lastSequence
 	if newest {
 		from.lastSequence, from.ready, from.rate = message.GetSequence(), message.GetReady(), float64(message.GetRate())
-		from.cutOff = message.GetCutOffServices()
+		from.cutOff, from.pathInDoubt = message.GetCutOffServices(), message.GetPathInDoubt()
 	}
 	return outcomes, newest
 }
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -44,7 +44,9 @@
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
 	}
-	f.fleet.peerReports, f.fleet.rate, f.fleet.cutOffServices = f.evidence, f.gateway.Rate, f.targets.CutOffServices
+	f.fleet.peerReports, f.fleet.rate = f.evidence, f.gateway.Rate
+	f.fleet.cutOffServices, f.fleet.pathInDoubt = f.targets.CutOffServices, f.targets.PathInDoubt
+	f.fleet.servedBy = f.targets.ServedBy
 	f.peers.UseForwarder(f.gateway)
 	f.targets.UseNotifier(f.evidence)
 	f.crashes.UseNotifier(f.evidence.RequestsChanged)
@@ -124,6 +126,7 @@
 		Rate:               func() float64 { return f.gateway.Rate() },
 		Announcement:       follower.Announcement,
 		CutOffServices:     targets.CutOffServices,
+		PathInDoubt:        targets.PathInDoubt,
 		Requests:           tracker.NextEvidence,
 		Notices:            targets.NextNotices,
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,7 +12,6 @@
 	"github.com/primroseloom/primroseloom/policy/offer"
 	"github.com/primroseloom/primroseloom/policy/ratelimit"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
-	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
 
 // Times and limits for the view of the fleet.
@@ -40,6 +37,8 @@
 	// IsCutOff reports whether a VM says that it reaches no target of a service; of any
 	// service when the name is empty.
 	IsCutOff(vm, service string) bool
+	// NeedsEvidence reports whether a VM says that it is cut off from targets, or may be.
+	NeedsEvidence(vm string) bool
 }
 
 // view is a snapshot of the fleet.
@@ -51,6 +50,8 @@
 	senders   []string
 	// isCutOff is true when this VM reaches no target of some service, while other VMs may.
 	isCutOff bool
+	// mayBeCutOff is true when this VM is or may be cut off, so that others send it evidence.
+	mayBeCutOff bool
 	// isPrimary is true when this VM is a primary VM of its zone.
 	isPrimary bool
 	// watchesStore is true when this VM is one of those that watch the store;
@@ -76,11 +77,14 @@
 	rate func() float64
 	// cutOffServices returns the services of which this VM reaches no target.
 	cutOffServices func() []string
+	// pathInDoubt reports whether this VM may be cut off from the targets of a service.
+	pathInDoubt func() bool
+	// servedBy reports whether another VM has lately got responses of a service.
+	servedBy func(vm, service string) bool
 
 	view atomic.Pointer[view]
 
-	randomMu sync.Mutex
-	random   *rand.Rand
+	carriers carriers
 
 	// updating is held while the view is rebuilt, which Run and a stop both do.
 	updating sync.Mutex
@@ -93,9 +97,11 @@
 
 func newFleet(members contract.Members, ready func() bool, settings offer.Settings, evidencePort uint16, seed uint64, now func() time.Duration) *fleet {
 	f := &fleet{
-		random:  rand.New(rand.NewPCG(seed, 0)),
-		members: members, ready: ready, settings: settings, evidencePort: evidencePort, now: now,
+		carriers: newCarriers(seed),
+		members:  members, ready: ready, settings: settings, evidencePort: evidencePort, now: now,
 		rate: func() float64 { return 0 }, cutOffServices: func() []string { return nil },
+		pathInDoubt:  func() bool { return false },
+		servedBy:     func(string, string) bool { return false },
 		missingSince: make(map[string]time.Duration), excludedUntil: make(map[string]time.Duration),
 	}
 	f.view.Store(&view{})
@@ -125,6 +131,7 @@
 	v := &view{vms: make([]offer.VM, 0, len(members)), primaries: make(map[string]bool), storeWatchers: make(map[string]bool)}
 	now := f.now()
 	v.isCutOff = len(f.cutOffServices()) > 0
+	v.mayBeCutOff = v.isCutOff || f.pathInDoubt()
 	getsHeartbeats := f.view.Load().isPrimary || v.isCutOff
 	for _, member := range members {
 		v.vms = append(v.vms, offer.VM{
@@ -215,13 +222,13 @@
 }
 
 // selectPeers returns the VMs to which datagrams go: evidence to those that
-// serve callers and to those that are cut off from targets, which must know whether others
-// reach them; heartbeats to those of this VM's zone.
+// serve callers and to those that are or may be cut off from targets, which must know whether
+// others reach them; heartbeats to those of this VM's zone.
 func (f *fleet) selectPeers(members []*primroseloomv1.Member, primaries map[string]bool) []evidence.Peer {
 	var peers []evidence.Peer
 	self := members[0]
 	for _, member := range members[1:] {
-		needsEvidence := primaries[member.GetVm()] || f.peerReports.IsCutOff(member.GetVm(), "")
+		needsEvidence := primaries[member.GetVm()] || f.peerReports.NeedsEvidence(member.GetVm())
 		if !needsEvidence && member.GetZone() != self.GetZone() {
 			continue
 		}
@@ -247,26 +254,10 @@
 }
 
 // sendsHeartbeats reports whether the other VMs need this VM's heartbeats: they send callers
-// to it, or must know when it reaches targets again.
+// to it, or must know whether it reaches targets.
 func (f *fleet) sendsHeartbeats() bool {
 	v := f.view.Load()
-	return v.isPrimary || v.isCutOff
-}
-
-// Carrier returns a VM that says that it reaches a service, other than those tried before.
-func (f *fleet) Carrier(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool) {
-	v, self := f.view.Load(), f.members.Self()
-	mayCarry := func(vm offer.VM) bool {
-		return vm.Name != self.GetVm() && !slices.Contains(tried, vm.Name) && !f.peerReports.IsCutOff(vm.Name, service)
-	}
-	f.randomMu.Lock()
-	carrier, ok := offer.Carrier(v.vms, self.GetZone(), f.settings, mayCarry, f.random)
-	f.randomMu.Unlock()
-	if !ok {
-		return "", nil, false
-	}
-	client, ok = f.members.Client(carrier.Name)
-	return carrier.Name, client, ok
+	return v.isPrimary || v.mayBeCutOff
 }
 
 func (f *fleet) watchesStore() bool            { return f.view.Load().watchesStore }
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -25,6 +25,8 @@
 
 func (h fakePeerReports) IsCutOff(string, string) bool { return false }
 
+func (h fakePeerReports) NeedsEvidence(string) bool { return false }
+
 func (h fakePeerReports) LastReceived(vm string) (age time.Duration, ready, ok bool) {
 	age, ok = h[vm]
 	return age, ok, ok
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -87,7 +87,9 @@
 	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
 	inProgressByVM map[string]map[string]int
-	random         *rand.Rand
+	// servedByVM holds when another VM last told of a response of a service's target.
+	servedByVM map[vmService]time.Duration
+	random     *rand.Rand
 }
 
 // New returns a manager without targets.
@@ -98,6 +100,7 @@
 		targets:        make(map[string]*target),
 		services:       make(map[string]*service),
 		inProgressByVM: make(map[string]map[string]int),
+		servedByVM:     make(map[vmService]time.Duration),
 		notices:        notice.NewTable(),
 		random:         rand.New(rand.NewPCG(options.Seed, 0)),
 	}
@@ -224,11 +227,14 @@
 }
 
 // Observed applies another VM's evidence.
-func (m *Manager) Observed(outcome evidence.AttemptEvidence) {
+func (m *Manager) Observed(vm string, outcome evidence.AttemptEvidence) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if t, ok := m.targets[outcome.Target]; ok {
 		now := m.options.Uptime()
+		if outcome.FailureNats < 0 {
+			m.servedByVM[vmService{vm, t.info.Service}] = now
+		}
 		t.lastAttemptAt = now
 		m.observe(t, outcome, now)
 	}
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -24,6 +24,9 @@
 	// servedElsewhereTime is how long after the latest response of a target to any VM the
 	// service counts as served.
 	servedElsewhereTime = 2 * time.Second
+	// servedByTime is how long after another VM told of a response it counts as one that
+	// reaches the service.
+	servedByTime = time.Second
 	// minServing is the number of targets that must answer other VMs while this VM's requests
 	// are lost, so that the path is at fault.
 	minServing = 2
@@ -124,7 +127,7 @@
 		a.silence = time.AfterFunc(left, a.examine)
 		return
 	}
-	a.service.breaker.Lost(a.info.ID, m.options.Uptime())
+	m.lost(a, m.options.Uptime())
 	m.examineLosses(a.info.Service, a.service)
 	if a.service.breaker.State() == breaker.Open && a.idempotent && a.abandon != nil {
 		m.options.Scope.Counter("attempts_abandoned").Inc(1)
@@ -174,10 +177,34 @@
 		a.manager.connectFailed(a, now)
 		return
 	}
-	a.service.breaker.Lost(a.info.ID, now)
+	a.manager.lost(a, now)
 	a.manager.examineLater(a.info.Service, a.service)
 }
 
+// lost tells the breaker of an attempt without a response, and other VMs when that brings
+// the path into doubt: a VM that is no primary VM gets their evidence only then. The lock is
+// held.
+func (m *Manager) lost(a *Attempt, now time.Duration) {
+	before := a.service.breaker.InDoubt(now)
+	a.service.breaker.Lost(a.info.ID, now)
+	if !before && a.service.breaker.InDoubt(now) {
+		m.notifier.PathChanged()
+	}
+}
+
+// PathInDoubt reports whether this VM may be cut off from the targets of a service.
+func (m *Manager) PathInDoubt() bool {
+	now := m.options.Uptime()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, s := range m.services {
+		if s.breaker.InDoubt(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // examineLater examines the losses once the reports of other VMs may have arrived.
 func (m *Manager) examineLater(name string, s *service) {
 	for _, delay := range []time.Duration{reportTime + examineInterval/2, reportTime + 2*examineInterval} {
@@ -205,6 +232,27 @@
 	return names
 }
 
+// vmService names what one VM tells of one service.
+type vmService struct{ vm, service string }
+
+// ServedBy reports whether another VM has lately told of a response of a service's target, so
+// that it reaches the service.
+func (m *Manager) ServedBy(vm, service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	at, ok := m.servedByVM[vmService{vm, service}]
+	return ok && m.options.Uptime()-at < servedByTime
+}
+
+// dropServedBy forgets what VMs told of services long ago; the lock is held.
+func (m *Manager) dropServedBy(now time.Duration) {
+	for key, at := range m.servedByVM {
+		if now-at >= servedByTime {
+			delete(m.servedByVM, key)
+		}
+	}
+}
+
 // isCutOff reports whether this VM reaches no target of the service.
 func (s *service) isCutOff() bool {
 	if s.breaker.State() != breaker.Closed {
--- a/entry/targetset/path_test.go
+++ b/entry/targetset/path_test.go
@@ -63,7 +63,7 @@
 		f.now += 2 * reportTime
 		if othersServed {
 			for _, id := range []string{"t4", "t5"} {
-				f.Observed(servedBy(id))
+				f.Observed("vm-2", servedBy(id))
 			}
 		}
 		f.mu.Lock()
@@ -96,8 +96,8 @@
 				f.mu.Lock()
 				f.now += minSilence / 4
 				f.mu.Unlock()
-				f.Observed(servedBy("t4"))
-				f.Observed(servedBy("t5"))
+				f.Observed("vm-2", servedBy("t4"))
+				f.Observed("vm-2", servedBy("t5"))
 				for _, trip := range trips {
 					if c.writes {
 						trip.MarkWrote()
@@ -125,7 +125,7 @@
 	if names := f.CutOffServices(); len(names) > 0 {
 		t.Errorf("cut off from %v, whose targets answer nobody", names)
 	}
-	f.Observed(servedBy("t1"))
+	f.Observed("vm-2", servedBy("t1"))
 	if names := f.CutOffServices(); len(names) != 1 {
 		t.Errorf("cut off from %v while a target answers another VM", names)
 	}
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -89,7 +89,7 @@
 
 func TestFailureSeenByAnotherVMDivertsNonRepeatableRequests(t *testing.T) {
 	f := newFixture(4)
-	f.Observed(evidence.AttemptEvidence{Target: "t2", FailureNats: suspicion.FailureNats(suspicion.ResultFailed)})
+	f.Observed("vm-2", evidence.AttemptEvidence{Target: "t2", FailureNats: suspicion.FailureNats(suspicion.ResultFailed)})
 	for range 40 {
 		attempt := f.begin(t, wanted(routing.KindOnce))
 		if attempt.ID() == "t2" {
@@ -170,7 +170,7 @@
 
 func TestRestartUnderAKnownIdentifierClearsTheRecord(t *testing.T) {
 	f := newFixture(2)
-	f.Observed(evidence.AttemptEvidence{Target: "t0", FailureNats: 4})
+	f.Observed("vm-2", evidence.AttemptEvidence{Target: "t0", FailureNats: 4})
 	restarted := published(2)
 	restarted[0].StartedAt = time.Unix(1, 0)
 	f.TargetsChanged(restarted)
@@ -189,7 +189,7 @@
 		attempt, err := f.Begin(retry)
 		var refusal *Refusal
 		if errors.As(err, &refusal) && refusal.Reason == ReasonBudget {
-			f.Observed(evidence.AttemptEvidence{Target: "t1", FailureNats: 4})
+			f.Observed("vm-2", evidence.AttemptEvidence{Target: "t1", FailureNats: 4})
 			if attempt := f.begin(t, wanted(routing.KindIdempotent)); attempt.Trial() {
 				t.Error("a trial was made although no budget is left for its retry")
 			}
@@ -205,7 +205,7 @@
 
 func TestReportedLoadIsUsedUntilItIsOld(t *testing.T) {
 	f := newFixture(2)
-	f.Observed(evidence.AttemptEvidence{Target: "t0", Load: &dialect.Load{Running: 2, Waiting: 1, Slots: 2}})
+	f.Observed("vm-2", evidence.AttemptEvidence{Target: "t0", Load: &dialect.Load{Running: 2, Waiting: 1, Slots: 2}})
 	if attempt := f.begin(t, wanted(routing.KindOnce)); attempt.ID() != "t1" {
 		t.Errorf("the attempt went to %s, which reported that it is full", attempt.ID())
 	}
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -43,6 +43,7 @@
 		t.pool.CloseExpired()
 	}
 	m.notices.Expire(now)
+	m.dropServedBy(now)
 	for name, s := range m.services {
 		s.budget.Reconfigure(m.options.Budget.Ratio, m.options.Budget.Allowance, sharers, now)
 		m.updateGauges(name, s, now)
--- a/policy/breaker/breaker.go
+++ b/policy/breaker/breaker.go
@@ -20,6 +20,10 @@
 	// liveTime is how long after a response over an open connection the others are used
 	// while the breaker is open.
 	liveTime = 500 * time.Millisecond
+	// firstTrialPause is the time from a failed trial until the next connection makes the
+	// breaker half-open; it doubles with each further failure, up to maxTrialPause. Each trial
+	// may cost a request one attempt.
+	firstTrialPause, maxTrialPause = 400 * time.Millisecond, 1600 * time.Millisecond
 	// trialTimeout bounds the time that the result of a trial is awaited.
 	trialTimeout = time.Second
 	// onceTrialDelay is how long a half-open breaker waits for an idempotent request before
@@ -76,6 +80,9 @@
 	// liveUntil is the uptime until which open connections are used while the breaker is
 	// open, trialUntil that until which the result of a trial is awaited.
 	liveUntil, trialUntil time.Duration
+	// trialPause is the pause after the latest failed trial since the breaker was closed, zero
+	// for none; pausedUntil is when it ends.
+	trialPause, pausedUntil time.Duration
 }
 
 // State returns the breaker's state.
@@ -190,7 +197,7 @@
 func (b *Breaker) Connected(now time.Duration) {
 	b.reconnectsFailed = 0
 	clear(b.unconnected)
-	if b.state == Open {
+	if b.state == Open && now >= b.pausedUntil {
 		b.set(HalfOpen, now)
 	}
 }
@@ -230,12 +237,18 @@
 
 // endTrial opens a half-open breaker whose trial failed.
 func (b *Breaker) endTrial(now time.Duration) {
-	if b.state == HalfOpen {
-		b.set(Open, now)
+	if b.state != HalfOpen {
+		return
 	}
+	b.set(Open, now)
+	b.trialPause = min(max(2*b.trialPause, firstTrialPause), maxTrialPause)
+	b.pausedUntil = now + b.trialPause
 }
 
 func (b *Breaker) set(state State, now time.Duration) {
+	if state == Closed {
+		b.trialPause, b.pausedUntil = 0, 0
+	}
 	b.state, b.changedAt, b.trialUntil, b.liveUntil = state, now, 0, 0
 	clear(b.unconnected)
 	clear(b.lost)
--- a/standin/memnet/memnet_test.go
+++ b/standin/memnet/memnet_test.go
@@ -83,6 +83,26 @@
 	})
 }
 
+func TestConnectionThatIsResetOnceItIsOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := New()
+		_, _ = connect(t, n)
+		n.ResetOpened(clientIP, serverIP, true)
+		conn, err := n.Host(clientIP).DialContext(t.Context(), "tcp", address)
+		if err != nil {
+			t.Fatalf("dial: %v, want a connection", err)
+		}
+		if _, err := conn.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("read: %v, want a reset", err)
+		}
+		n.ResetOpened(clientIP, serverIP, false)
+		conn, _ = n.Host(clientIP).DialContext(t.Context(), "tcp", address)
+		if _, err := conn.Write([]byte("x")); err != nil {
+			t.Errorf("write afterwards: %v", err)
+		}
+	})
+}
+
 func TestDialOverBlockedDirectionEndsWithContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := New()
--- a/standin/memnet/network.go
+++ b/standin/memnet/network.go
@@ -27,6 +27,7 @@
 	listeners map[string]*listener
 	blocked   map[direction]bool
 	refused   map[direction]bool
+	resetting map[direction]bool
 	delays    map[direction]time.Duration
 	conns     map[*Conn]struct{}
 	nextPort  int
@@ -38,6 +39,7 @@
 		listeners: make(map[string]*listener),
 		blocked:   make(map[direction]bool),
 		refused:   make(map[direction]bool),
+		resetting: make(map[direction]bool),
 		delays:    make(map[direction]time.Duration),
 		conns:     make(map[*Conn]struct{}),
 		nextPort:  40000,
@@ -105,6 +107,14 @@
 	n.refused[direction{from, to}] = refused
 }
 
+// ResetOpened makes new connections from one IP to another open and be reset at once, as by a
+// middle box, or live again.
+func (n *Network) ResetOpened(from, to string, reset bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.resetting[direction{from, to}] = reset
+}
+
 // ResetConnections resets all existing connections between two IPs.
 func (n *Network) ResetConnections(a, b string) {
 	n.mu.Lock()
@@ -188,6 +198,10 @@
 	n.nextPort++
 	local := &net.TCPAddr{IP: net.ParseIP(h.ip), Port: n.nextPort}
 	client, server := n.newConnPairLocked(local, l.address)
+	if n.resetting[direction{h.ip, to}] {
+		client.resetLocked()
+		return client, nil
+	}
 	l.pending = append(l.pending, server)
 	l.wake.Broadcast()
 	return client, nil
