front: requests are forwarded past VMs that have just ended

Cause: only primary VMs carry requests, and each request asked the same dead ones again. Change: when no primary VM may carry a request, any usable VM does; a VM that could not be connected to, or is silent although its heartbeats are due, is the last choice for 2 s.

--- a/entry/frontend/carriers.go
+++ b/entry/frontend/carriers.go
@@ -4,31 +4,57 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/primroseloom/primroseloom/policy/offer"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
 
-// carriers draws the VMs that requests are forwarded to.
+const (
+	// unreachableTime is how long a VM that could not be connected to is the last choice as a
+	// carrier; about the time in which the membership notices that it has ended.
+	unreachableTime = 2 * time.Second
+	// carrierSilence is the time without a datagram from which a VM whose heartbeats are
+	// expected is the last choice as a carrier; two heartbeats fit into it.
+	carrierSilence = 450 * time.Millisecond
+)
+
+// carriers remembers which VMs could lately not be connected to.
 type carriers struct {
 	mu     sync.Mutex
 	random *rand.Rand
+	// unreachableUntil holds, by VM, until when it is the last choice.
+	unreachableUntil map[string]time.Duration
 }
 
 func newCarriers(seed uint64) carriers {
-	return carriers{random: rand.New(rand.NewPCG(seed, 0))}
+	return carriers{random: rand.New(rand.NewPCG(seed, 0)), unreachableUntil: make(map[string]time.Duration)}
+}
+
+// CarrierUnreachable records that no request could be sent to a VM.
+func (f *fleet) CarrierUnreachable(vm string) {
+	now := f.now()
+	f.carriers.mu.Lock()
+	defer f.carriers.mu.Unlock()
+	for other, until := range f.carriers.unreachableUntil {
+		if now >= until {
+			delete(f.carriers.unreachableUntil, other)
+		}
+	}
+	f.carriers.unreachableUntil[vm] = now + unreachableTime
 }
 
 // Carrier returns a VM that says that it reaches a service, other than those tried before.
 // VMs that have lately got responses of the service come first: others may be cut off, too,
-// without knowing it yet.
+// without knowing it yet. VMs that seem to have ended are the last choice.
 func (f *fleet) Carrier(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool) {
 	v, self := f.view.Load(), f.members.Self()
 	mayCarry := func(vm offer.VM) bool {
 		return vm.Name != self.GetVm() && !slices.Contains(tried, vm.Name) && !f.peerReports.IsCutOff(vm.Name, service)
 	}
-	serves := func(vm offer.VM) bool { return mayCarry(vm) && f.servedBy(vm.Name, service) }
-	carrier, ok := f.firstCarrier(v.vms, serves, mayCarry)
+	lives := func(vm offer.VM) bool { return mayCarry(vm) && !f.mayHaveEnded(vm.Name, v) }
+	serves := func(vm offer.VM) bool { return lives(vm) && f.servedBy(vm.Name, service) }
+	carrier, ok := f.firstCarrier(v.vms, serves, lives, mayCarry)
 	if !ok {
 		return "", nil, false
 	}
@@ -47,3 +73,16 @@
 	}
 	return offer.VM{}, false
 }
+
+// mayHaveEnded reports whether a VM could lately not be connected to, or is silent although
+// it sends heartbeats to this VM; the lock of the carriers is held.
+func (f *fleet) mayHaveEnded(vm string, v *view) bool {
+	if f.now() < f.carriers.unreachableUntil[vm] {
+		return true
+	}
+	if !v.isCutOff || !v.primaries[vm] {
+		return false // no heartbeats of the VM may be due here
+	}
+	age, _, heard := f.peerReports.LastReceived(vm)
+	return heard && age >= carrierSilence
+}
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -24,6 +24,8 @@
 	// Carrier returns a VM that says that it reaches a service, other than those tried
 	// before; ok is false when there is none.
 	Carrier(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool)
+	// CarrierUnreachable records that no request could be sent to a VM.
+	CarrierUnreachable(vm string)
 }
 
 // forwarded is the result of forwarding a request to one VM.
@@ -159,6 +161,7 @@
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		refusal.Reason = outcome.ReasonTargetTimeout
 	case forwarding.NotSent(err):
+		q.gateway.options.Carriers.CarrierUnreachable(vm)
 		refusal.Outcome, refusal.RetryAfter = outcome.NotRun, noTargetWait
 		return forwarded{refusal: refusal, otherMayServe: true}
 	}
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -120,6 +120,8 @@
 // noCarriers is a fleet without other VMs.
 type noCarriers struct{}
 
+func (noCarriers) CarrierUnreachable(string) {}
+
 func (noCarriers) Carrier(string, []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
 	return "", nil, false
 }
--- a/policy/offer/carriers.go
+++ b/policy/offer/carriers.go
@@ -7,13 +7,22 @@
 
 // Carrier returns the VM to which another VM of a zone forwards a request that it can't serve
 // itself: of two drawn among the primary VMs that may carry it, the one with the smaller
-// load. VMs of the same zone come first, since traffic between zones costs more; ok is false
-// when there is none.
+// load. VMs of the same zone come first, since traffic between zones costs more. When no
+// primary VM may carry the request, any other usable VM does: the primary VMs may all have
+// ended, which takes a while to be known. ok is false when there is none.
 func Carrier(vms []VM, zone string, settings Settings, mayCarry func(VM) bool, random *rand.Rand) (carrier VM, ok bool) {
+	if carrier, ok = carrierAmong(AllPrimaries(vms, settings), zone, mayCarry, random); ok {
+		return carrier, true
+	}
+	return carrierAmong(vms, zone, mayCarry, random)
+}
+
+// carrierAmong returns a carrier among VMs, those of a zone first.
+func carrierAmong(vms []VM, zone string, mayCarry func(VM) bool, random *rand.Rand) (carrier VM, ok bool) {
 	var near, far []VM
-	for _, vm := range AllPrimaries(vms, settings) {
+	for _, vm := range vms {
 		switch {
-		case !mayCarry(vm):
+		case !vm.Usable || !mayCarry(vm):
 		case vm.Zone == zone:
 			near = append(near, vm)
 		default:
--- a/policy/offer/carriers_test.go
+++ b/policy/offer/carriers_test.go
@@ -31,6 +31,26 @@
 	}
 }
 
+// TestOtherVMsCarryWhenNoPrimaryVMMay guards against requests that are refused since all
+// primary VMs have just ended, although other VMs could serve them.
+func TestOtherVMsCarryWhenNoPrimaryVMMay(t *testing.T) {
+	vms, random := fleet(2, 4), rand.New(rand.NewPCG(1, 2))
+	ended := make(map[string]bool)
+	for _, vm := range AllPrimaries(vms, twoPerZone) {
+		ended[vm.Name] = true
+	}
+	carrier, ok := Carrier(vms, "z1", twoPerZone, func(vm VM) bool { return !ended[vm.Name] }, random)
+	if !ok || ended[carrier.Name] || carrier.Zone != "z1" {
+		t.Errorf("carrier %+v, %v; want another VM of the zone", carrier, ok)
+	}
+	for i := range vms {
+		vms[i].Usable = ended[vms[i].Name]
+	}
+	if carrier, ok = Carrier(vms, "z1", twoPerZone, func(vm VM) bool { return !ended[vm.Name] }, random); ok {
+		t.Errorf("carrier %+v is not usable", carrier)
+	}
+}
+
 // TestCarrierWithLessLoadGetsMore guards against a VM at its limits that gets as many
 // forwarded requests as one that is idle.
 func TestCarrierWithLessLoadGetsMore(t *testing.T) {
