breaker: losses in a row at two targets open it, too

Callers saw: a VM that is cut off and gets few requests told them 502 for 2.5 s (TestVMThatIsNoPrimaryKnowsThatItIsCutOff, once in 61 and once in 180 runs). Cause: requests go to the targets that look best; while the path is in doubt all look alike but one, so that no third target lost a request within 2 s. Change: five losses in a row suffice when they are of two targets, still only when other VMs are answered meanwhile.

--- a/policy/breaker/breaker.go
+++ b/policy/breaker/breaker.go
@@ -10,6 +10,10 @@
 	// after which the breaker opens if other VMs are answered; lossesToDoubt the number from
 	// which the path is in doubt.
 	lossesToOpen, lossesToDoubt = 3, 2
+	// lossesInRowToOpen is the number of losses in a row that open the breaker, too, when they
+	// are of lossesToDoubt targets: requests go mostly to the targets that look best, so a VM
+	// with few requests may not lose one at a third target for long.
+	lossesInRowToOpen = 5
 	// failureLifetime is how long a failure counts.
 	failureLifetime = 2 * time.Second
 	// checkInterval is the minimum time between two checks of the path.
@@ -69,6 +73,8 @@
 	// unconnected and lost hold, by target, the uptime of the latest failed connect and of
 	// the latest lost request.
 	unconnected, lost map[string]time.Duration
+	// lossesInRow counts the losses since the latest response.
+	lossesInRow int
 	// changedAt is the uptime of the latest change of the state, checkedAt that of the
 	// latest check, zero before the first.
 	changedAt, checkedAt time.Duration
@@ -131,6 +137,7 @@
 	if b.lost == nil {
 		b.lost = make(map[string]time.Duration)
 	}
+	b.lossesInRow++
 	if at, known := b.lost[target]; !known || now-at >= failureLifetime {
 		b.lost[target] = now
 	}
@@ -141,8 +148,11 @@
 // suffices for a breaker that closed without a response.
 func (b *Breaker) LossesSince(now time.Duration) (since time.Duration, enough bool) {
 	needed := lossesToOpen
-	if b.unproven {
+	switch {
+	case b.unproven:
 		needed = 1
+	case b.lossesInRow >= lossesInRowToOpen:
+		needed = lossesToDoubt
 	}
 	if b.state != Closed || countRecent(b.lost, now) < needed {
 		return 0, false
@@ -177,7 +187,7 @@
 // over a connection that was open before, a response shows only that such connections live.
 func (b *Breaker) Answered(onNewConnection bool, now time.Duration) (closed bool) {
 	clear(b.lost)
-	b.unproven = false
+	b.unproven, b.lossesInRow = false, 0
 	if onNewConnection {
 		clear(b.unconnected)
 	}
@@ -250,6 +260,7 @@
 		b.trialPause, b.pausedUntil = 0, 0
 	}
 	b.state, b.changedAt, b.trialUntil, b.liveUntil = state, now, 0, 0
+	b.lossesInRow = 0
 	clear(b.unconnected)
 	clear(b.lost)
 }
--- a/policy/breaker/breaker_test.go
+++ b/policy/breaker/breaker_test.go
@@ -168,3 +168,26 @@
 		t.Errorf("after connects had failed, too: %v", got)
 	}
 }
+
+// TestLossesAtTwoTargetsOpenWhenTheyGoOn guards against a VM with few requests that goes on
+// losing them, since they go to the same two targets.
+func TestLossesAtTwoTargetsOpenWhenTheyGoOn(t *testing.T) {
+	var b Breaker
+	now := time.Hour
+	for i := range lossesInRowToOpen {
+		if _, enough := b.LossesSince(now); enough {
+			t.Fatalf("%d losses at two targets suffice", i)
+		}
+		b.Lost([]string{"t1", "t2"}[i%2], now)
+		now += 100 * time.Millisecond
+	}
+	if _, enough := b.LossesSince(now); !enough {
+		t.Errorf("%d losses in a row at two targets do not suffice", lossesInRowToOpen)
+	}
+	b.Answered(false, now)
+	b.Lost("t1", now)
+	b.Lost("t2", now)
+	if _, enough := b.LossesSince(now); enough {
+		t.Error("losses before a response count")
+	}
+}
