breaker: late requests are no losses in a row; a neighbour's word is no loss

Cause: each examination of a late attempt counted as a loss in a row, so two slow requests opened a breaker; and a VM that says it is cut off made one loss suffice at its neighbours, which then said the same. Change: only attempts that have ended count in a row; the neighbours' word is dropped. In its place, one target that lost a request here and has answered another VM since shows that the path is at fault.

--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -94,16 +94,15 @@
 
 func newTargets(f *Frontend, set settings.Frontend, id identity, vms *fleet, m *metrics.Metrics, logger *log.Logger) *targetset.Manager {
 	return targetset.New(targetset.Options{
-		Zone:            set.Zone,
-		Network:         f.options.Targets,
-		Budget:          targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance},
-		Sharers:         vms.sharers,
-		RateShare:       vms.rateShare,
-		NeighbourCutOff: vms.neighbourCutOff,
-		Uptime:          f.clock.Uptime,
-		Logger:          logger,
-		Scope:           m.Scope(),
-		Seed:            id.seed,
+		Zone:      set.Zone,
+		Network:   f.options.Targets,
+		Budget:    targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance},
+		Sharers:   vms.sharers,
+		RateShare: vms.rateShare,
+		Uptime:    f.clock.Uptime,
+		Logger:    logger,
+		Scope:     m.Scope(),
+		Seed:      id.seed,
 	})
 }
 
--- a/entry/frontend/carriers.go
+++ b/entry/frontend/carriers.go
@@ -85,15 +85,6 @@
 	return primary.Name, client, ok
 }
 
-// neighbourCutOff reports whether another VM of the zone says that it is cut off from a
-// service.
-func (f *fleet) neighbourCutOff(service string) bool {
-	self := f.members.Self()
-	return slices.ContainsFunc(f.view.Load().vms, func(vm offer.VM) bool {
-		return vm.Zone == self.GetZone() && vm.Name != self.GetVm() && f.peerReports.IsCutOff(vm.Name, service)
-	})
-}
-
 // firstCarrier returns a VM that meets the first of the conditions that any VM meets.
 func (f *fleet) firstCarrier(vms []offer.VM, conditions ...func(offer.VM) bool) (offer.VM, bool) {
 	f.carriers.mu.Lock()
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -49,9 +49,6 @@
 	// RateShare returns the rate, in requests a second, at which this VM may send requests
 	// to a target that takes a limited rate of all VMs together.
 	RateShare func(target string, perSecond float64) float64
-	// NeighbourCutOff reports whether another VM of the zone says that it is cut off from a
-	// service.
-	NeighbourCutOff func(service string) bool
 	Uptime    func() time.Duration
 	Logger    *log.Logger
 	Scope     tally.Scope
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -28,7 +28,7 @@
 	// reaches the service.
 	servedByTime = time.Second
 	// minServing is the number of targets that must answer other VMs while this VM's requests
-	// are lost, so that the path is at fault; one suffices while a neighbour is cut off.
+	// are lost, so that the path is at fault; one suffices that has itself lost a request of this VM before.
 	minServing = 2
 )
 
@@ -127,7 +127,7 @@
 		a.silence = time.AfterFunc(left, a.examine)
 		return
 	}
-	m.lost(a, m.options.Uptime())
+	m.lost(a, false, m.options.Uptime())
 	m.examineLosses(a.info.Service, a.service)
 	if a.service.breaker.State() == breaker.Open && a.idempotent && a.abandon != nil {
 		m.options.Scope.Counter("attempts_abandoned").Inc(1)
@@ -142,17 +142,22 @@
 func (m *Manager) examineLosses(name string, s *service) {
 	now := m.options.Uptime()
 	since, enough := s.breaker.LossesSince(now)
-	serving := minServing
-	if m.options.NeighbourCutOff(name) {
-		serving = 1
-	}
-	if !enough || s.servedSince(since+reportTime) < serving {
+	if !enough || s.servedSince(since+reportTime) < minServing && !s.lostServesOthers(now) {
 		return
 	}
 	s.breaker.OpenByLosses(now)
 	m.pathLost(name, s, "requests lost")
 }
 
+// lostServesOthers reports whether a target that lost a request of this VM has answered another
+// VM since.
+func (s *service) lostServesOthers(now time.Duration) bool {
+	return slices.ContainsFunc(s.targets, func(t *target) bool {
+		lostAt, lost := s.breaker.LostAt(t.info.ID, now)
+		return lost && t.lastServedAt >= lostAt+reportTime
+	})
+}
+
 // servedSince returns the number of targets that are known to have answered any VM since an
 // uptime.
 func (s *service) servedSince(since time.Duration) int {
@@ -181,17 +186,16 @@
 		a.manager.connectFailed(a, now)
 		return
 	}
-	a.manager.lost(a, now)
+	a.manager.lost(a, true, now)
 	a.manager.examineLater(a.info.Service, a.service)
 }
 
 // lost tells the breaker of an attempt without a response, and other VMs when that brings
-// the path into doubt: a VM that is no primary VM gets their evidence only then. The lock is
-// held.
-func (m *Manager) lost(a *Attempt, now time.Duration) {
-	a.service.breaker.SetNeighbourCutOff(m.options.NeighbourCutOff(a.info.Service))
+// the path into doubt: a VM that is no primary VM gets their evidence only then. The
+// lock is held.
+func (m *Manager) lost(a *Attempt, ended bool, now time.Duration) {
 	before := a.service.breaker.InDoubt(now)
-	a.service.breaker.Lost(a.info.ID, now)
+	a.service.breaker.Lost(a.info.ID, ended, now)
 	if !before && a.service.breaker.InDoubt(now) {
 		m.notifier.PathChanged()
 	}
--- a/policy/breaker/breaker.go
+++ b/policy/breaker/breaker.go
@@ -73,7 +73,8 @@
 	// unconnected and lost hold, by target, the uptime of the latest failed connect and of
 	// the latest lost request.
 	unconnected, lost map[string]time.Duration
-	// lossesInRow counts the losses since the latest response.
+	// lossesInRow counts the attempts that were lost since the latest response, without those
+	// that are only late.
 	lossesInRow int
 	// changedAt is the uptime of the latest change of the state, checkedAt that of the
 	// latest check, zero before the first.
@@ -81,8 +82,6 @@
 	// byLosses is true when lost requests opened the breaker and connections open all the
 	// while, unproven when it closed without a response.
 	byLosses, unproven bool
-	// neighbourCutOff is true while another VM of the zone says that it is cut off.
-	neighbourCutOff bool
 	// reconnectsFailed counts the failed reconnects since the latest one that succeeded.
 	reconnectsFailed int
 	// liveUntil is the uptime until which open connections are used while the breaker is
@@ -98,17 +97,9 @@
 
 // InDoubt reports whether the path may be at fault for failures of targets.
 func (b *Breaker) InDoubt(now time.Duration) bool {
-	lossesNeeded := lossesToDoubt
-	if b.neighbourCutOff {
-		lossesNeeded = 1
-	}
-	return b.state != Closed || countRecent(b.unconnected, now) >= connectFailuresToCheck || countRecent(b.lost, now) >= lossesNeeded
+	return b.state != Closed || countRecent(b.unconnected, now) >= connectFailuresToCheck || countRecent(b.lost, now) >= lossesToDoubt
 }
 
-// SetNeighbourCutOff tells whether another VM of the zone says that it is cut off from the
-// service. VMs of a zone are often cut off together, so one loss suffices then.
-func (b *Breaker) SetNeighbourCutOff(cutOff bool) { b.neighbourCutOff = cutOff }
-
 // ConnectFailed records that no connection to a target opened. It reports whether the path
 // should be checked now.
 func (b *Breaker) ConnectFailed(target string, now time.Duration) (check bool) {
@@ -141,13 +132,16 @@
 	return true
 }
 
-// Lost records that a target lost a request of this VM, or has not responded for long.
-func (b *Breaker) Lost(target string, now time.Duration) {
+// Lost records that a target lost a request of this VM; ended is false when it has only not
+// responded for long.
+func (b *Breaker) Lost(target string, ended bool, now time.Duration) {
 	b.endTrial(now)
+	if ended {
+		b.lossesInRow++
+	}
 	if b.lost == nil {
 		b.lost = make(map[string]time.Duration)
 	}
-	b.lossesInRow++
 	if at, known := b.lost[target]; !known || now-at >= failureLifetime {
 		b.lost[target] = now
 	}
@@ -155,11 +149,11 @@
 
 // LossesSince returns the uptime of the first of the losses without a response in between;
 // enough is true when they open a closed breaker, provided that other VMs are answered. One
-// suffices for a breaker that closed without a response, and while a neighbour is cut off.
+// suffices for a breaker that closed without a response.
 func (b *Breaker) LossesSince(now time.Duration) (since time.Duration, enough bool) {
 	needed := lossesToOpen
 	switch {
-	case b.unproven, b.neighbourCutOff:
+	case b.unproven:
 		needed = 1
 	case b.lossesInRow >= lossesInRowToOpen:
 		needed = lossesToDoubt
@@ -176,6 +170,12 @@
 	return since, true
 }
 
+// LostAt returns the uptime of a target's loss without a response in between, if it counts.
+func (b *Breaker) LostAt(target string, now time.Duration) (at time.Duration, ok bool) {
+	at, ok = b.lost[target]
+	return at, ok && now-at < failureLifetime
+}
+
 // OpenByLosses opens the breaker, since other VMs are answered.
 func (b *Breaker) OpenByLosses(now time.Duration) { b.open(true, now) }
 
