crashes: heartbeats carry new evidence to VMs that get nothing else

Cause: new evidence is sent three times at once, mostly before the next heartbeat, and VMs that are no primary VMs get heartbeats only. They learned it by repeats, in up to seconds, and since the digests by calls. Change: two heartbeats carry it, too; a VM calls when the same two digests have differed for 400 ms, or any for 2 s. Evidence: TestNewEvidenceReachesVMsThatGetHeartbeatsOnly fails before.

--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -229,6 +229,30 @@
 	})
 }
 
+// TestNewEvidenceReachesVMsThatGetHeartbeatsOnly guards against evidence that is new until the
+// next heartbeat only, so that most VMs learn it by repeats, or calls, seconds later.
+func TestNewEvidenceReachesVMsThatGetHeartbeatsOnly(t *testing.T) {
+	const heartbeats = 450 * time.Millisecond
+	withTrackers(t, 8, func(f *trackerFleet) {
+		for i := range 60 {
+			f.vms[i%2].crash(numberedRequest(1000+i), "t0")
+		}
+		time.Sleep(5 * time.Second)
+		for i := range 6 { // each causes a datagram before the next heartbeat
+			f.vms[0].crash(numberedRequest(2000+i), "t0")
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(heartbeats)
+		for _, v := range f.vms {
+			for i := range 6 {
+				if !v.Suspected(numberedRequest(2000 + i)) {
+					t.Errorf("%s does not know of request %d", v.name, i)
+				}
+			}
+		}
+	})
+}
+
 // TestVMThatComesLaterKnowsOfCrashes guards against VMs that join, restart or were cut
 // off during the crashes and start without the evidence, also when those that
 // reported the crashes are gone.
--- a/entry/crashes/outbox.go
+++ b/entry/crashes/outbox.go
@@ -12,6 +12,9 @@
 	// sendsOfNewEvidence is the number of datagrams that carry new evidence at once,
 	// since a datagram may be lost.
 	sendsOfNewEvidence = 3
+	// heartbeatsOfNewEvidence is the number of heartbeats that carry new evidence: VMs that are
+	// no primary VMs get no other datagrams.
+	heartbeatsOfNewEvidence = 2
 	// maxNewRequests bounds the requests with new evidence that are still to be sent at
 	// once; all are repeated in any case.
 	maxNewRequests = 256
@@ -28,8 +31,8 @@
 // outbox decides which evidence the next datagram carries: what is new and, at
 // intervals, a part of all that is known.
 type outbox struct {
-	// sendsLeft counts the datagrams that new evidence is still to be sent in.
-	sendsLeft map[quarantine.Fingerprint]int
+	// left holds in how many datagrams new evidence is still to be sent.
+	left map[quarantine.Fingerprint]sendsLeft
 	// order holds the requests with new evidence, the oldest first.
 	order      []quarantine.Fingerprint
 	repeatedAt time.Duration
@@ -38,40 +41,58 @@
 	single, several cursor.Cursor
 }
 
+// sendsLeft counts the datagrams of all kinds, and the heartbeats, that new evidence is still
+// to be sent in.
+type sendsLeft struct{ any, heartbeats int }
+
+// isDue reports whether the next datagram is to carry the evidence.
+func (s sendsLeft) isDue(isHeartbeat bool) bool {
+	return s.any > 0 || isHeartbeat && s.heartbeats > 0
+}
+
+// after returns what is left after one more datagram.
+func (s sendsLeft) after(isHeartbeat bool) sendsLeft {
+	s.any = max(s.any-1, 0)
+	if isHeartbeat {
+		s.heartbeats = max(s.heartbeats-1, 0)
+	}
+	return s
+}
+
 func newOutbox() outbox {
-	return outbox{sendsLeft: make(map[quarantine.Fingerprint]int)}
+	return outbox{left: make(map[quarantine.Fingerprint]sendsLeft)}
 }
 
 // push schedules the evidence of a request to be sent at once.
 func (o *outbox) push(fingerprint quarantine.Fingerprint) {
-	if _, waiting := o.sendsLeft[fingerprint]; !waiting {
+	if _, waiting := o.left[fingerprint]; !waiting {
 		if len(o.order) >= maxNewRequests {
 			return
 		}
 		o.order = append(o.order, fingerprint)
 	}
-	o.sendsLeft[fingerprint] = sendsOfNewEvidence
+	o.left[fingerprint] = sendsLeft{any: sendsOfNewEvidence, heartbeats: heartbeatsOfNewEvidence}
 }
 
 // clear removes all requests.
 func (o *outbox) clear() {
-	clear(o.sendsLeft)
+	clear(o.left)
 	o.order = o.order[:0]
 }
 
 // takeNew returns the new evidence for the next datagram and counts that it was sent
 // once more.
-func (o *outbox) takeNew(evidenceOf func(quarantine.Fingerprint) (quarantine.Evidence, bool)) []quarantine.Evidence {
+func (o *outbox) takeNew(isHeartbeat bool, evidenceOf func(quarantine.Fingerprint) (quarantine.Evidence, bool)) []quarantine.Evidence {
 	var chosen []quarantine.Evidence
 	waiting := o.order[:0]
 	for _, fingerprint := range o.order {
 		evidence, known := evidenceOf(fingerprint)
-		if known && len(chosen) < maxRequestsPerDatagram {
+		if left := o.left[fingerprint]; known && left.isDue(isHeartbeat) && len(chosen) < maxRequestsPerDatagram {
 			chosen = append(chosen, evidence)
-			o.sendsLeft[fingerprint]--
+			o.left[fingerprint] = left.after(isHeartbeat)
 		}
-		if !known || o.sendsLeft[fingerprint] <= 0 {
-			delete(o.sendsLeft, fingerprint)
+		if !known || o.left[fingerprint] == (sendsLeft{}) {
+			delete(o.left, fingerprint)
 			continue
 		}
 		waiting = append(waiting, fingerprint)
--- a/entry/crashes/reconciler.go
+++ b/entry/crashes/reconciler.go
@@ -13,6 +13,8 @@
 	// reconcileDelay is how long another VM's digest must differ before it is called: what is
 	// new is mostly on its way.
 	reconcileDelay = 400 * time.Millisecond
+	// changingDelay is how long it must differ when what the two VMs know goes on changing.
+	changingDelay = 2 * time.Second
 	// reconcileInterval is the minimum time between two calls of this VM.
 	reconcileInterval = 300 * time.Millisecond
 	// reconcileTimeout bounds one call.
@@ -38,8 +40,10 @@
 	theirs uint64
 	// toldAt is when the VM last told a digest, heardAt when it last sent any datagram.
 	toldAt, heardAt time.Duration
-	// differsSince is since when it differs from that of this VM; zero while they are equal.
-	differsSince time.Duration
+	// differsSince is since when it differs from that of this VM, zero while they are equal;
+	// differing are the digests then, which have been the same since sameSince.
+	differsSince, sameSince time.Duration
+	differing               digests
 	// settled is the pair of digests that a call did not make equal.
 	settled digests
 }
@@ -68,11 +72,20 @@
 		return
 	}
 	peer.theirs, peer.toldAt = theirs, now
-	switch {
-	case own == theirs:
-		peer.differsSince = 0
-	case peer.differsSince == 0:
-		peer.differsSince = now
+	peer.compare(own, now)
+}
+
+// compare records whether the digest differs from that of this VM.
+func (p *peerDigest) compare(own uint64, now time.Duration) {
+	if own == p.theirs {
+		p.differsSince = 0
+		return
+	}
+	if p.differsSince == 0 {
+		p.differsSince = now
+	}
+	if pair := (digests{own, p.theirs}); p.differing != pair || p.differsSince == now {
+		p.differing, p.sameSince = pair, now
 	}
 }
 
@@ -101,7 +114,9 @@
 	if p.differsSince == 0 || p.theirs == own || now-p.toldAt >= digestLifetime {
 		return false
 	}
-	return now-p.differsSince >= reconcileDelay && p.settled != digests{own, p.theirs}
+	pair := digests{own, p.theirs}
+	isSame := pair == p.differing && now-p.sameSince >= reconcileDelay
+	return p.settled != pair && (isSame || now-p.differsSince >= changingDelay)
 }
 
 // called records the digests after a call.
@@ -113,8 +128,9 @@
 		return
 	}
 	peer.theirs, peer.toldAt, peer.differsSince = theirs, now, 0
+	peer.compare(own, now)
 	if own != theirs {
-		peer.differsSince, peer.settled = now, digests{own, theirs}
+		peer.settled = digests{own, theirs}
 	}
 }
 
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -110,9 +110,9 @@
 	t.report(recorded, vm)
 }
 
-// NextEvidence returns the evidence for the next datagram: what is new and, when
-// repeat is set, a part of all that is known.
-func (t *Tracker) NextEvidence(repeat bool) []quarantine.Evidence {
+// NextEvidence returns the evidence for the next datagram: what is new and, in a heartbeat, a
+// part of all that is known unless all VMs know it.
+func (t *Tracker) NextEvidence(isHeartbeat bool) []quarantine.Evidence {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.table.Len() == 0 {
@@ -120,10 +120,10 @@
 		return nil
 	}
 	now := t.options.Uptime()
-	chosen := t.outbox.takeNew(func(fingerprint quarantine.Fingerprint) (quarantine.Evidence, bool) {
+	chosen := t.outbox.takeNew(isHeartbeat, func(fingerprint quarantine.Fingerprint) (quarantine.Evidence, bool) {
 		return t.table.EvidenceOf(fingerprint, now)
 	})
-	if repeat && t.outbox.repeatIsDue(now) && !t.reconciler.allAgree(t.table.Digest(now), now) {
+	if isHeartbeat && t.outbox.repeatIsDue(now) && !t.reconciler.allAgree(t.table.Digest(now), now) {
 		chosen = t.outbox.repeat(chosen, t.table.Evidence(now), now)
 	}
 	return chosen
