--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -25,6 +25,9 @@
 	// exploration sends an attempt to a target that had none for a long time,
 	// whatever its record.
 	explorationsPerRequest = 0.05
+	// explorationsPerSuspectShare is the additional credit for each request, multiplied by the
+	// share of the targets that are suspects: the more are, the more may have recovered.
+	explorationsPerSuspectShare = 0.1
 	// onceExploreCost is the credit that an exploration costs when its request must
 	// not run twice: such a request cannot be retried if the target fails.
 	onceExploreCost = 3
@@ -103,7 +106,8 @@
 func (m *Manager) RequestArrived(name string) {
 	m.mu.Lock()
 	s := m.service(name)
-	s.explorationCredit = min(s.explorationCredit+explorationsPerRequest, maxExplorationCredit)
+	earned := explorationsPerRequest + explorationsPerSuspectShare*s.suspectShare
+	s.explorationCredit = min(s.explorationCredit+earned, maxExplorationCredit)
 	m.mu.Unlock()
 	s.budget.Earn(m.options.Uptime())
 }
@@ -122,6 +126,7 @@
 	openConnectionOnly := admission == breaker.PassOnOpenConnection
 	reference, overallServiceTime := s.reference(wanted.Route.Name), s.overall.MeanServiceTime(defaultAttemptDuration)
 	candidates, targets, held := m.candidates(s, wanted, openConnectionOnly, now)
+	s.suspectShare = suspectShare(candidates)
 	mayRetry := wanted.SentAttempts+1 < wanted.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.AttemptRequest{
 		Idempotent:       wanted.Route.Kind.Idempotent(),
@@ -163,6 +168,17 @@
 	return a, nil
 }
 
+// suspectShare returns the share of candidates that are suspects.
+func suspectShare(candidates []placement.Candidate) float64 {
+	suspects := 0
+	for _, c := range candidates {
+		if c.IsSuspect() {
+			suspects++
+		}
+	}
+	return float64(suspects) / float64(max(len(candidates), 1))
+}
+
 // exploreCost returns the exploration credit that a request of the kind costs.
 func exploreCost(kind routing.Kind) float64 {
 	if kind.Idempotent() {
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -62,6 +62,8 @@
 	budget  *retry.Share
 	// explorationCredit is the credit for attempts at targets that had none for long.
 	explorationCredit float64
+	// suspectShare is the share of the targets that were suspects at the latest attempt.
+	suspectShare float64
 	// references holds, by route, the expected durations of attempts, against which
 	// slowness is evaluated; overall holds those of all routes together.
 	references map[string]*suspicion.Reference
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -158,6 +158,11 @@
 			return Choice{Index: index, Trial: true}, true
 		}
 	}
+	if request.Idempotent {
+		if index := pickRandom(candidates, random, Candidate.mayHaveRecovered); index >= 0 {
+			return Choice{Index: index}, true
+		}
+	}
 	if !request.MayExplore {
 		return Choice{}, false
 	}
@@ -182,6 +187,14 @@
 	return !c.Blocked && c.IsSuspect() && c.InUse == 0 && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
 }
 
+// mayHaveRecovered reports whether a suspect has served its latest attempt. It gets the next
+// idempotent request even if no retry could follow: a target that still fails ends that by its
+// next failure, and one that has recovered is cleared by a few successes, which explorations
+// alone would bring only after many seconds.
+func (c Candidate) mayHaveRecovered() bool {
+	return !c.Blocked && c.InUse == 0 && c.LastSucceeded && c.Failing >= minSuspicion && c.Slow < minSuspicion
+}
+
 // isDueForRequest reports whether an idle target gets the request because it had
 // no attempt for long.
 func (c Candidate) isDueForRequest(request AttemptRequest) bool {
