targetset: nothing is silent before its route's objective while it is not measured

Cause: without measured attempts, a run of 150 ms is assumed, so that 450 ms without a response count as a loss. Change: while a route isn't measured, its objective is the least, 1.5 s at most. Evidence: TestLongRequestsOfAnUnmeasuredRouteAreNotSilent.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -159,7 +159,7 @@
 	t.everAttempted = true
 	t.lastAttemptAt = now
 	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
-	a.silenceLimit = max(minSilence, silentServiceTimes*reference.MeanServiceTime(overallServiceTime)+choice.Wait)
+	a.silenceLimit = silenceLimit(reference, overallServiceTime, wanted.Route.Objective) + choice.Wait
 	a.idempotent, a.openConnectionOnly = wanted.Route.Kind.Idempotent(), openConnectionOnly || t.unreachable
 	if limit := reference.Overdue(choice.Wait); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.reportOverdue)
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -9,6 +9,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/breaker"
+	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
 
 const (
@@ -19,6 +20,8 @@
 	// attempts. examineInterval is the time until it is examined again.
 	minSilence, examineInterval = 400 * time.Millisecond, 200 * time.Millisecond
 	silentServiceTimes          = 3
+	// maxUnmeasuredSilence bounds that time while the route's attempts are not measured.
+	maxUnmeasuredSilence = 1500 * time.Millisecond
 	// reportTime bounds how long the report of another VM's response is on its way.
 	reportTime = 100 * time.Millisecond
 	// servedElsewhereTime is how long after the latest response of a target to any VM the
@@ -32,6 +35,17 @@
 	minServing = 2
 )
 
+// silenceLimit returns how long an attempt without a wait may be without a response until it
+// counts as lost. While too few attempts of its route were measured, the route's objective is
+// all that is known of their length.
+func silenceLimit(reference *suspicion.Reference, overallServiceTime, objective time.Duration) time.Duration {
+	limit := max(minSilence, silentServiceTimes*reference.MeanServiceTime(overallServiceTime))
+	if !reference.HasServiceTime() {
+		limit = max(limit, min(objective, maxUnmeasuredSilence))
+	}
+	return limit
+}
+
 // checkPath connects to some targets of a service and tells its breaker whether any
 // accepted. It returns at once.
 func (m *Manager) checkPath(name string, s *service) {
--- a/entry/targetset/path_test.go
+++ b/entry/targetset/path_test.go
@@ -134,3 +134,22 @@
 		t.Errorf("cut off from %v long after the last response", names)
 	}
 }
+
+// TestLongRequestsOfAnUnmeasuredRouteAreNotSilent guards against a VM that has just started and
+// takes a service with long requests for cut off: nothing is known of their length yet.
+func TestLongRequestsOfAnUnmeasuredRouteAreNotSilent(t *testing.T) {
+	const objective = 1200 * time.Millisecond
+	reference := &suspicion.Reference{}
+	if limit := silenceLimit(reference, defaultAttemptDuration, objective); limit < objective {
+		t.Errorf("silent after %v, the route's objective is %v", limit, objective)
+	}
+	if limit := silenceLimit(reference, defaultAttemptDuration, time.Minute); limit > maxUnmeasuredSilence {
+		t.Errorf("silent after %v only", limit)
+	}
+	for range 100 {
+		reference.Add(100 * time.Millisecond)
+	}
+	if limit := silenceLimit(reference, defaultAttemptDuration, objective); limit != minSilence {
+		t.Errorf("silent after %v although attempts take 100 ms", limit)
+	}
+}
--- a/policy/suspicion/evidence.go
+++ b/policy/suspicion/evidence.go
@@ -126,10 +126,13 @@
 // HasEnoughSamples reports whether there are enough durations to compare others with.
 func (r *Reference) HasEnoughSamples() bool { return r.count >= minSamples }
 
+// HasServiceTime reports whether MeanServiceTime returns a measured mean.
+func (r *Reference) HasServiceTime() bool { return r.serviceTime.count >= minSamples }
+
 // MeanServiceTime returns the mean duration of attempts without waits for a
 // slot, or the fallback while there are too few samples.
 func (r *Reference) MeanServiceTime(fallback time.Duration) time.Duration {
-	if r.serviceTime.count < minSamples {
+	if !r.HasServiceTime() {
 		return fallback
 	}
 	return time.Duration(r.serviceTime.mean * float64(time.Second))
