--- a/entry/crashes/reconciler.go
+++ b/entry/crashes/reconciler.go
@@ -13,6 +13,8 @@
 	// reconcileDelay is how long another VM's digest must differ before it is called: what is
 	// new is mostly on its way.
 	reconcileDelay = 400 * time.Millisecond
+	// minTimesTold is the number of datagrams that must have told it meanwhile.
+	minTimesTold = 2
 	// changingDelay is how long it must differ when what the two VMs know goes on changing.
 	changingDelay = 2 * time.Second
 	// reconcileInterval is the minimum time between two calls of this VM.
@@ -44,6 +46,8 @@
 	// differing are the digests then, which have been the same since sameSince.
 	differsSince, sameSince time.Duration
 	differing               digests
+	// timesTold counts the datagrams that told the differing digest.
+	timesTold int
 	// settled is the pair of digests that a call did not make equal.
 	settled digests
 }
@@ -85,8 +89,9 @@
 		p.differsSince = now
 	}
 	if pair := (digests{own, p.theirs}); p.differing != pair || p.differsSince == now {
-		p.differing, p.sameSince = pair, now
+		p.differing, p.sameSince, p.timesTold = pair, now, 0
 	}
+	p.timesTold++
 }
 
 // due returns a VM that is to be called now; ok is false for none.
@@ -115,7 +120,7 @@
 		return false
 	}
 	pair := digests{own, p.theirs}
-	isSame := pair == p.differing && now-p.sameSince >= reconcileDelay
+	isSame := pair == p.differing && p.timesTold >= minTimesTold && now-p.sameSince >= reconcileDelay
 	return p.settled != pair && (isSame || now-p.differsSince >= changingDelay)
 }
 
--- a/entry/crashes/reconciler_test.go
+++ b/entry/crashes/reconciler_test.go
@@ -51,6 +51,7 @@
 	r, now := newReconciler(), time.Hour
 	r.heard("vm-1", 1, 2, now)
 	now += reconcileDelay
+	r.heard("vm-1", 1, 2, now)
 	if vm, ok := r.due(1, now); !ok || vm != "vm-1" {
 		t.Fatalf("due %q, %v", vm, ok)
 	}
@@ -64,6 +65,7 @@
 	}
 	r.heard("vm-1", 1, 3, now)
 	now += reconcileDelay
+	r.heard("vm-1", 1, 3, now)
 	if _, ok := r.due(1, now); !ok {
 		t.Error("not called after the other VM's digest has changed")
 	}
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -328,7 +328,7 @@
 	cutOff, inDoubt := x.options.CutOffServices(), x.options.PathInDoubt()
 	requests := RequestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	digest := uint64(0)
-	if isHeartbeat {
+	if isHeartbeat && isPrimary { // one that sends no further heartbeats would leave an old digest
 		digest = x.options.RequestsDigest()
 	}
 	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -27,7 +27,7 @@
 	explorationsPerRequest = 0.05
 	// explorationsPerSuspectShare is the additional credit for each request, multiplied by the
 	// share of the targets that are suspects: the more are, the more may have recovered.
-	explorationsPerSuspectShare = 0.1
+	explorationsPerSuspectShare = 0.15
 	// onceExploreCost is the credit that an exploration costs when its request must
 	// not run twice: such a request cannot be retried if the target fails.
 	onceExploreCost = 3
