crashes: primary VMs pass on in their heartbeats what they learn

Cause: a VM sends its news to all primary VMs and to the VMs of its own zone; the others of another zone get only what that zone's primary VMs repeat, which ends once the primary VMs agree. Change: what changes a primary VM's table goes into its next two heartbeats. Evidence: TestNewEvidenceReachesVMsThatGetHeartbeatsOnly (a crash told to primary VMs only) fails before; 300 of 300 runs of it and of TestEvidenceArrivesDespiteLostDatagrams pass.

--- a/entry/crashes/checker_test.go
+++ b/entry/crashes/checker_test.go
@@ -56,6 +56,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := &checkerFleet{t: t, network: memnet.New(), start: time.Now()}
 		f.tracker = New(Options{
+			Relays:  func() bool { return false },
 			Network: f.network.Host(ownIP), Uptime: f.uptime, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 			ServedSince:   f.servedSince,
 			AnsweredSince: func(time.Duration) bool { return f.answered },
--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -101,6 +101,7 @@
 	logger := log.New(io.Discard)
 	v.Tracker = New(Options{
 		ServedSince: func(string, time.Duration) bool { return false }, AnsweredSince: func(time.Duration) bool { return false }, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
+		Relays: func() bool { return primary },
 		Reconcile: func(ctx context.Context, to string, all []quarantine.Evidence) (Reconciled, error) {
 			return f.reconcile(ctx, v, to, all)
 		},
@@ -242,9 +243,10 @@
 			f.vms[0].crash(numberedRequest(2000+i), "t0")
 			time.Sleep(20 * time.Millisecond)
 		}
+		f.vms[7].crash(numberedRequest(2006), "t0") // told to primary VMs only, which pass it on
 		time.Sleep(heartbeats)
 		for _, v := range f.vms {
-			for i := range 6 {
+			for i := range 7 {
 				if !v.Suspected(numberedRequest(2000 + i)) {
 					t.Errorf("%s does not know of request %d", v.name, i)
 				}
@@ -386,7 +388,7 @@
 // requests have one crash each.
 func BenchmarkNextEvidence(b *testing.B) {
 	now := time.Hour
-	tracker := New(Options{Uptime: func() time.Duration { return now }, Logger: log.New(io.Discard), Scope: tally.NoopScope})
+	tracker := New(Options{Relays: func() bool { return true }, Uptime: func() time.Duration { return now }, Logger: log.New(io.Discard), Scope: tally.NoopScope})
 	tracker.UseNotifier(func() {})
 	for i := range 1000 {
 		tracker.recordCrash(numberedRequest(i), quarantine.Crash{Target: "t1", Incarnation: 1, At: now})
--- a/entry/crashes/outbox.go
+++ b/entry/crashes/outbox.go
@@ -74,6 +74,20 @@
 	o.left[fingerprint] = sendsLeft{any: sendsOfNewEvidence, heartbeats: heartbeatsOfNewEvidence}
 }
 
+// relay schedules the evidence of a request, which another VM sent, for the next heartbeats:
+// VMs of this zone that are no primary VMs get none of that VM.
+func (o *outbox) relay(fingerprint quarantine.Fingerprint) {
+	left, waiting := o.left[fingerprint]
+	if !waiting {
+		if len(o.order) >= maxNewRequests {
+			return
+		}
+		o.order = append(o.order, fingerprint)
+	}
+	left.heartbeats = heartbeatsOfNewEvidence
+	o.left[fingerprint] = left
+}
+
 // clear removes all requests.
 func (o *outbox) clear() {
 	clear(o.left)
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -22,6 +22,8 @@
 	// AnsweredSince reports whether this VM has got a complete response of any target
 	// since the given uptime.
 	AnsweredSince func(since time.Duration) bool
+	// Relays reports whether this VM passes what it learns on in its heartbeats.
+	Relays func() bool
 	// Reconcile tells another VM all that this one knows and returns what that one knows; nil
 	// for never.
 	Reconcile func(ctx context.Context, vm string, all []quarantine.Evidence) (Reconciled, error)
@@ -106,6 +108,9 @@
 func (t *Tracker) MergeRequest(vm string, evidence quarantine.Evidence) {
 	t.mu.Lock()
 	recorded := t.table.Merge(evidence, t.options.Uptime())
+	if len(recorded) > 0 && t.options.Relays() {
+		t.outbox.relay(evidence.Fingerprint)
+	}
 	t.mu.Unlock()
 	t.report(recorded, vm)
 }
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -151,9 +151,10 @@
 	r.follower.Announced(vm, announcement, r.fleet.replacesOwnWatch(vm))
 }
 
-func newCrashTracker(f *Frontend, set settings.Frontend, peers *peer.Manager, targets *targetset.Manager, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
+func newCrashTracker(f *Frontend, set settings.Frontend, vms *fleet, peers *peer.Manager, targets *targetset.Manager, m *metrics.Metrics, logger *log.Logger) *crashes.Tracker {
 	return crashes.New(crashes.Options{
 		Network: f.options.Targets, ServedSince: targets.ServedSince, AnsweredSince: targets.AnsweredSince,
+		Relays:    vms.sendsHeartbeats,
 		Reconcile: crashes.Reconcile(set.Fleet, set.VM, peers, f.clock.Uptime),
 		Uptime:    f.clock.Uptime, Logger: logger, Scope: m.Scope(),
 	})
