--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -83,6 +83,8 @@
 	// IsPrimary is true when the VM is a primary VM of its zone, or is or may be cut off from
 	// targets. Such a VM gets all datagrams, rather than heartbeats only.
 	IsPrimary bool
+	// SameZone is true when the VM is in this VM's availability zone.
+	SameZone bool
 }
 
 // Options configures an Exchange.
@@ -315,9 +317,19 @@
 			continue
 		}
 		x.options.Scope.Counter("datagrams_sent").Inc(1)
+		x.countBytes(peer, len(content))
 	}
 }
 
+// countBytes counts the bytes sent, by whether they leave the zone.
+func (x *Exchange) countBytes(peer Peer, bytes int) {
+	zone := "other"
+	if peer.SameZone {
+		zone = "own"
+	}
+	x.options.Scope.Tagged(map[string]string{"zone": zone}).Counter("bytes_sent").Inc(int64(bytes))
+}
+
 // nextDatagram returns the next datagram, or nil when this VM serves no callers
 // and has nothing to report.
 func (x *Exchange) nextDatagram(isPrimary, isHeartbeat bool) []byte {
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -238,6 +238,7 @@
 		}
 		peers = append(peers, evidence.Peer{
 			VM: member.GetVm(), Address: netip.AddrPortFrom(address.Addr(), f.evidencePort), IsPrimary: needsEvidence,
+			SameZone: member.GetZone() == self.GetZone(),
 		})
 	}
 	return peers
