evidence, placement: fewer bytes between zones

Cause: each begin and end of an attempt was told to the primary VMs of all zones within 15 ms, and a target of another zone was used for being less busy.

--- a/entry/crashes/fleet_test.go
+++ b/entry/crashes/fleet_test.go
@@ -109,7 +109,7 @@
 	v.exchange = evidence.New(evidence.Options{
 		Fleet: "f", VM: v.name, Instance: uint64(i + 1), Conn: packets{vm: v},
 		IsPrimary: func() bool { return primary }, Ready: func() bool { return true }, Peers: func() []evidence.Peer { return f.peersOf(v) },
-		AttemptsInProgress: func() map[string]int { return nil }, Announcement: func() contract.Announcement { return contract.Announcement{} }, CutOffServices: func() []string { return nil }, PathInDoubt: func() bool { return false }, Notices: func(bool) []notice.Report { return nil }, Rate: func() float64 { return 0 },
+		AttemptsInProgress: func() map[string]int { return nil }, Announcement: func() contract.Announcement { return contract.Announcement{} }, CutOffServices: func() []string { return nil }, PathInDoubt: func() bool { return false }, MeanRunTime: func() time.Duration { return 0 }, Notices: func(bool) []notice.Report { return nil }, Rate: func() float64 { return 0 },
 		Requests: v.NextEvidence, RequestsDigest: v.Digest, Receiver: v, Uptime: f.uptime, Logger: logger, Scope: tally.NoopScope,
 	})
 	v.UseNotifier(v.exchange.RequestsChanged)
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -42,6 +42,9 @@
 	// maxPendingOutcomes bounds the outcomes that are still to be sent; the oldest
 	// are dropped.
 	maxPendingOutcomes = 512
+	// runTimesPerFarDatagram divides the mean run time of attempts into the least time between
+	// two datagrams to other zones that are not urgent.
+	runTimesPerFarDatagram = 3
 	// sendsPerOutcome is the number of datagrams that carry an outcome, since a
 	// datagram may be lost.
 	sendsPerOutcome = 2
@@ -102,6 +105,8 @@
 	Peers func() []Peer
 	// AttemptsInProgress returns this VM's attempts in progress by target.
 	AttemptsInProgress func() map[string]int
+	// MeanRunTime returns the mean duration of this VM's attempts.
+	MeanRunTime func() time.Duration
 	// Rate returns the requests a second that this VM serves.
 	Rate func() float64
 	// Announcement returns what this VM has of the published items.
@@ -127,8 +132,10 @@
 
 // pendingOutcome is an outcome with sends left.
 type pendingOutcome struct {
-	message   *primroseloomv1.AttemptOutcome
-	sendsLeft int
+	message *primroseloomv1.AttemptOutcome
+	// nearLeft and farLeft count the datagrams to the own zone and to others that are still to
+	// carry it.
+	nearLeft, farLeft int
 }
 
 // sender is the state of a VM from which datagrams were received.
@@ -152,7 +159,11 @@
 	lastOutcome   uint64
 	pending       []pendingOutcome
 	sendRequested bool
-	senders       map[string]*sender
+	// urgent is true when the next datagram goes to other zones, too; farSentAt is when the
+	// latest one did.
+	urgent    bool
+	farSentAt time.Duration
+	senders   map[string]*sender
 }
 
 // New returns an exchange over a bound UDP socket.
@@ -176,33 +187,38 @@
 		message.HasLoad = true
 		message.Running, message.Waiting = uint32(outcome.Load.Running), uint32(outcome.Load.Waiting)
 	}
-	x.pending = append(x.pending, pendingOutcome{message: message, sendsLeft: sendsPerOutcome})
+	x.pending = append(x.pending, pendingOutcome{message: message, nearLeft: sendsPerOutcome, farLeft: sendsPerOutcome})
 	if over := len(x.pending) - maxPendingOutcomes; over > 0 {
 		x.pending = x.pending[over:]
 		x.options.Scope.Counter("outcomes_dropped").Inc(int64(over))
 	}
 	x.mu.Unlock()
-	x.requestSend()
+	x.requestSend(outcome.isBad())
 }
 
+// isBad reports whether the outcome counts against its target.
+func (e AttemptEvidence) isBad() bool { return e.FailureNats > 0 || e.SlowNats > 0 || e.ShedNats > 0 }
+
 // AnnouncementChanged schedules a datagram that tells other VMs what this one has of the
 // published items.
-func (x *Exchange) AnnouncementChanged() { x.requestSend() }
+func (x *Exchange) AnnouncementChanged() { x.requestSend(true) }
 
 // RequestsChanged schedules a datagram with new evidence about requests that may
 // crash targets.
-func (x *Exchange) RequestsChanged() { x.requestSend() }
+func (x *Exchange) RequestsChanged() { x.requestSend(true) }
 
 // NoticesChanged schedules a datagram with what targets say of themselves.
-func (x *Exchange) NoticesChanged() { x.requestSend() }
+func (x *Exchange) NoticesChanged() { x.requestSend(true) }
 
 // InProgressChanged schedules a datagram with the new numbers of attempts in
 // progress.
-func (x *Exchange) InProgressChanged() { x.requestSend() }
+func (x *Exchange) InProgressChanged() { x.requestSend(false) }
 
-// requestSend makes Run send a datagram after the batch delay.
-func (x *Exchange) requestSend() {
+// requestSend makes Run send a datagram after the batch delay. One that isn't urgent goes to
+// other zones only when none has for a while.
+func (x *Exchange) requestSend(urgent bool) {
 	x.mu.Lock()
+	x.urgent = x.urgent || urgent
 	first := !x.sendRequested
 	x.sendRequested = true
 	x.mu.Unlock()
@@ -264,7 +280,7 @@
 }
 
 // PathChanged schedules a datagram that tells which services this VM reaches.
-func (x *Exchange) PathChanged() { x.requestSend() }
+func (x *Exchange) PathChanged() { x.requestSend(true) }
 
 // Run sends and receives datagrams until the context ends.
 func (x *Exchange) Run(ctx context.Context) error {
@@ -299,16 +315,34 @@
 	return max(minBatchDelay, time.Duration(primaries)*batchDelayPerPeer)
 }
 
-// send sends one datagram to each VM that serves callers; a heartbeat goes to
-// all peers if this VM serves callers.
+// farDelay returns the least time between two datagrams to other zones that are not urgent.
+func (x *Exchange) farDelay() time.Duration {
+	return min(max(x.options.MeanRunTime()/runTimesPerFarDatagram, minBatchDelay), heartbeatInterval)
+}
+
+// includesFar reports whether the next datagram goes to other zones, too, and records it.
+func (x *Exchange) includesFar(isHeartbeat bool) bool {
+	delay, now := x.farDelay(), x.options.Uptime()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	isFull := len(x.pending) >= maxOutcomesPerDatagram
+	if !isHeartbeat && !x.urgent && !isFull && now-x.farSentAt < delay {
+		return false
+	}
+	x.urgent, x.farSentAt = false, now
+	return true
+}
+
+// send sends one datagram to the VMs that serve callers, those of other zones only when that
+// is due; a heartbeat goes to all peers if this VM serves callers.
 func (x *Exchange) send(isHeartbeat bool) {
-	isPrimary := x.options.IsPrimary()
-	content := x.nextDatagram(isPrimary, isHeartbeat)
+	isPrimary, far := x.options.IsPrimary(), x.includesFar(isHeartbeat)
+	content := x.nextDatagram(isPrimary, isHeartbeat, far)
 	if content == nil {
 		return
 	}
 	for _, peer := range x.options.Peers() {
-		if !peer.IsPrimary && !(isHeartbeat && isPrimary) {
+		if !peer.SameZone && !far || !peer.IsPrimary && !(isHeartbeat && isPrimary) {
 			continue
 		}
 		if _, err := x.options.Conn.WriteTo(content, net.UDPAddrFromAddrPort(peer.Address)); err != nil {
@@ -332,7 +366,7 @@
 
 // nextDatagram returns the next datagram, or nil when this VM serves no callers
 // and has nothing to report.
-func (x *Exchange) nextDatagram(isPrimary, isHeartbeat bool) []byte {
+func (x *Exchange) nextDatagram(isPrimary, isHeartbeat, far bool) []byte {
 	// These callbacks run before the lock is taken, since the components behind
 	// them call the exchange while they hold their own locks.
 	uses := x.options.AttemptsInProgress()
@@ -371,7 +405,7 @@
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
 	}
-	x.appendOutcomes(message)
+	x.appendOutcomes(message, far)
 	content, err := proto.Marshal(message)
 	if err != nil {
 		x.options.Scope.Counter("datagrams_unwritable").Inc(1)
@@ -382,17 +416,21 @@
 
 // appendOutcomes adds pending outcomes to a datagram and drops those without
 // sends left; the lock is held.
-func (x *Exchange) appendOutcomes(message *primroseloomv1.EvidenceDatagram) {
+func (x *Exchange) appendOutcomes(message *primroseloomv1.EvidenceDatagram, far bool) {
 	size := proto.Size(message)
 	kept := x.pending[:0]
 	for i := range x.pending {
 		entry := &x.pending[i]
-		if len(message.Outcomes) < maxOutcomesPerDatagram && size < maxDatagramBytes {
+		isDue := entry.nearLeft > 0 || far && entry.farLeft > 0
+		if isDue && len(message.Outcomes) < maxOutcomesPerDatagram && size < maxDatagramBytes {
 			size += proto.Size(entry.message)
 			message.Outcomes = append(message.Outcomes, entry.message)
-			entry.sendsLeft--
+			entry.nearLeft = max(entry.nearLeft-1, 0)
+			if far {
+				entry.farLeft = max(entry.farLeft-1, 0)
+			}
 		}
-		if entry.sendsLeft > 0 {
+		if entry.nearLeft > 0 || entry.farLeft > 0 {
 			kept = append(kept, *entry)
 		}
 	}
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -71,10 +71,10 @@
 		Fleet: "f", VM: "vm-1", Instance: 1, Conn: p.packets,
 		IsPrimary: func() bool { return true }, Ready: func() bool { return true },
 		Peers: func() []Peer {
-			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true}}
+			return []Peer{{VM: "vm-2", Address: netip.MustParseAddrPort("10.0.0.2:7000"), IsPrimary: true, SameZone: true}}
 		},
 		AttemptsInProgress: func() map[string]int { return map[string]int{"t1": 2} }, Announcement: func() contract.Announcement { return announced }, Rate: func() float64 { return 10 },
-		Requests: func(bool) []quarantine.Evidence { return nil }, RequestsDigest: func() uint64 { return 1 }, CutOffServices: func() []string { return nil }, PathInDoubt: func() bool { return false }, Notices: func(bool) []notice.Report { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		Requests: func(bool) []quarantine.Evidence { return nil }, RequestsDigest: func() uint64 { return 1 }, CutOffServices: func() []string { return nil }, PathInDoubt: func() bool { return false }, MeanRunTime: func() time.Duration { return 0 }, Notices: func(bool) []notice.Report { return nil }, Receiver: &received{}, Uptime: func() time.Duration { return p.now }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 	}
 	p.from = New(options)
 	options.VM, options.Instance, options.Receiver = "vm-2", 2, p.got
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -128,6 +128,7 @@
 		Announcement:       follower.Announcement,
 		CutOffServices:     targets.CutOffServices,
 		PathInDoubt:        targets.PathInDoubt,
+		MeanRunTime:        targets.MeanRunTime,
 		Requests:           tracker.NextEvidence,
 		RequestsDigest:     tracker.Digest,
 		Notices:            targets.NextNotices,
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -313,6 +313,7 @@
 	}
 	m.mu.Lock()
 	a.target.ownAttempts--
+	m.meanRunTime += (now - a.startedAt - m.meanRunTime) / runTimeWindow
 	a.observePath(result, now)
 	a.target.misplaced = a.target.misplaced || result.Misplaced
 	if result.End == suspicion.ResultServed {
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -92,6 +92,8 @@
 	// servedByVM holds when another VM last told of a response of a service's target.
 	servedByVM map[vmService]time.Duration
 	random     *rand.Rand
+	// meanRunTime is a moving average of the durations of this VM\'s attempts.
+	meanRunTime time.Duration
 }
 
 // New returns a manager without targets.
@@ -322,6 +324,16 @@
 	return uses
 }
 
+// runTimeWindow is the number of attempts that the mean run time spans.
+const runTimeWindow = 32
+
+// MeanRunTime returns a moving average of the durations of this VM's attempts.
+func (m *Manager) MeanRunTime() time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.meanRunTime
+}
+
 // SetBudget changes the retry budget of the fleet.
 func (m *Manager) SetBudget(budget Budget) {
 	m.mu.Lock()
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -198,3 +198,19 @@
 		t.Errorf("chose %+v", got)
 	}
 }
+
+// TestBordersAreCrossedForFreeSlots guards against requests that go to another zone only since
+// a target there is less busy, and against waits while another zone has a free slot.
+func TestBordersAreCrossedForFreeSlots(t *testing.T) {
+	own, other := healthyTarget("own"), healthyTarget("other")
+	other.SameZone = false
+	for _, c := range []struct{ ownInUse, otherInUse, want int }{{0, 0, 0}, {1, 0, 0}, {2, 0, 1}, {2, 1, 1}, {2, 2, 0}, {3, 3, 0}} {
+		own.InUse, other.InUse = c.ownInUse, c.otherInUse
+		random := newRNG()
+		for range 50 {
+			if got := Choose([]Candidate{own, other}, nonIdempotentRequest(), random); got.Index != c.want {
+				t.Fatalf("%d of 2 slots in use in the zone, %d in the other: chose %d, want %d", c.ownInUse, c.otherInUse, got.Index, c.want)
+			}
+		}
+	}
+}
--- a/policy/placement/utility.go
+++ b/policy/placement/utility.go
@@ -25,8 +25,13 @@
 const (
 	// costPerSecond is the cost of a second of waiting and service time.
 	costPerSecond = 0.15
-	// zoneCost is the cost of an attempt in another availability zone.
-	zoneCost = 0.015
+	// zoneCost is the cost of an attempt in another availability zone. It exceeds loadCost and
+	// jitterCost together: as long as a sound target of the own zone has a free slot, none of
+	// another zone is used for being less busy.
+	zoneCost = 0.045
+	// waitCost is the cost of any wait for a slot, above zoneCost: a free slot in another zone
+	// is used first.
+	waitCost = 0.06
 	// zoneCostPerMB is the cost of a megabyte sent to another availability zone.
 	zoneCostPerMB = 3.5
 	// loadCost is the cost at a target with all slots in use, and proportionally
@@ -61,6 +66,9 @@
 func tieBreakCost(c Candidate, request AttemptRequest) float64 {
 	finish := expectedWait(c, request.QueueServiceTime) + expectedServiceTime(c, request.ServiceTime)
 	total := costPerSecond*finish.Seconds() + loadCost*float64(c.InUse)/float64(c.Slots)
+	if c.InUse >= c.Slots {
+		total += waitCost
+	}
 	if !c.SameZone {
 		total += zoneCost + zoneCostPerMB*float64(request.Bytes)/1e6
 	}
