soak: two builds side by side

--other-daemon names the daemon of another build: half of the VMs of each zone begin with it, and each restart changes a VM's build, under all faults.

--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -42,6 +42,7 @@
 	}
 	flags := command.Flags()
 	flags.StringVar(&options.DaemonPath, "daemon", "", "path of the daemon binary")
+	flags.StringVar(&options.OtherDaemonPath, "other-daemon", "", "path of the daemon binary of another build, which half of the VMs run; each restart changes a VM's build")
 	flags.Uint64Var(&options.Seed, "seed", 1, "seed of the first run's fault schedule")
 	flags.IntVar(&seeds, "seeds", 1, "number of runs, each with the next seed")
 	flags.DurationVar(&options.Duration, "duration", 20*time.Second, "duration of fault injection in each run")
--- a/operator/soak/fleet.go
+++ b/operator/soak/fleet.go
@@ -44,6 +44,8 @@
 	mu       sync.Mutex
 	settings settings.Frontend
 	process  *exec.Cmd
+	// starts counts the starts of the daemon.
+	starts int
 	// exitExpected is true once the process was sent SIGTERM or SIGKILL.
 	exitExpected bool
 	exited       chan struct{}
@@ -51,9 +53,12 @@
 
 // fleet is the set of daemons of a run.
 type fleet struct {
-	binary  string
-	checker *checker
-	vms     []*vm
+	binary string
+	// otherBinary is the daemon of another build, which runs on half of the VMs and changes
+	// places with binary at each restart; empty for none.
+	otherBinary string
+	checker     *checker
+	vms         []*vm
 }
 
 // address returns a loopback address for a run. The kind distinguishes daemons and
@@ -95,7 +100,7 @@
 
 // newFleet starts the links and then the daemons.
 func newFleet(ctx context.Context, options Options, storeAddress string, checker *checker) (*fleet, error) {
-	f := &fleet{binary: options.DaemonPath, checker: checker}
+	f := &fleet{binary: options.DaemonPath, otherBinary: options.OtherDaemonPath, checker: checker}
 	for i := range options.VMs {
 		v := &vm{
 			index:        i,
@@ -156,13 +161,25 @@
 	return os.Rename(fresh, v.settingsFile)
 }
 
+// nextBinary returns the build that the daemon's next start runs.
+func (f *fleet) nextBinary(v *vm) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	turn := v.index/2 + v.starts // neighbours of an index are in different zones
+	v.starts++
+	if f.otherBinary != "" && turn%2 == 1 {
+		return f.otherBinary
+	}
+	return f.binary
+}
+
 // start starts the process of a daemon and watches for its exit.
 func (f *fleet) start(v *vm) error {
 	out, err := os.OpenFile(v.logFile, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return fmt.Errorf("log of VM %d: %w", v.index, err)
 	}
-	command := exec.Command(f.binary, "front", "--settings", v.settingsFile)
+	command := exec.Command(f.nextBinary(v), "front", "--settings", v.settingsFile)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
 		return fmt.Errorf("start VM %d: %w", v.index, err)
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -41,6 +41,9 @@
 	// AddressBase is the second byte of the loopback addresses; concurrent runs need
 	// different values.
 	AddressBase int
+	// OtherDaemonPath is the path of a daemon of another build, which half of the VMs run;
+	// each restart changes a VM's build. Empty for one build only.
+	OtherDaemonPath string
 	// PartitionsOnly injects no other fault than partitions of daemons from all targets.
 	PartitionsOnly bool
 	// CheckTimeBounds enables the check of the time-bound promises.
--- a/operator/soak/soak_test.go
+++ b/operator/soak/soak_test.go
@@ -36,3 +36,25 @@
 		t.Errorf("seed %d: %.2f s: %s: %s", shortSeed, v.At, v.Promise, v.Detail)
 	}
 }
+
+// TestBuildsChangePlacesAtEachRestart checks that a run with two builds has both in each zone
+// and takes each VM from one to the other and back.
+func TestBuildsChangePlacesAtEachRestart(t *testing.T) {
+	f := &fleet{binary: "new", otherBinary: "old"}
+	var first []string
+	for i := range 4 {
+		v := &vm{index: i}
+		builds := []string{f.nextBinary(v), f.nextBinary(v), f.nextBinary(v)}
+		if builds[0] == builds[1] || builds[0] != builds[2] {
+			t.Errorf("VM %d runs %v one after the other", i, builds)
+		}
+		first = append(first, builds[0])
+	}
+	if first[0] == first[2] || first[1] == first[3] {
+		t.Errorf("the VMs of a zone begin with one build: %v", first)
+	}
+	alone := &fleet{binary: "new"}
+	if v := (&vm{index: 2}); alone.nextBinary(v) != "new" || alone.nextBinary(v) != "new" {
+		t.Error("a run with one build runs another one")
+	}
+}
