--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -164,6 +164,8 @@
 	urgent    bool
 	farSentAt time.Duration
 	senders   map[string]*sender
+	// refusalLoggedAt is when a refused datagram was last logged; zero before the first.
+	refusalLoggedAt time.Duration
 }
 
 // New returns an exchange over a bound UDP socket.
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
+	"time"
 
 	"google.golang.org/protobuf/proto"
 
@@ -33,12 +36,50 @@
 	}
 }
 
+// refusalLogInterval is the least time between two log lines of refused datagrams.
+const refusalLogInterval = 10 * time.Second
+
+// Reasons of refusals.
+var (
+	errForeignFleet = errors.New("of another fleet")
+	errNoSender     = errors.New("without another VM as the sender")
+)
+
+// decode decodes a datagram; the error is why it is refused. Fields that this build doesn't
+// know are skipped, so that a newer build's datagrams are taken.
+func (x *Exchange) decode(content []byte, message *primroseloomv1.EvidenceDatagram) error {
+	if err := proto.Unmarshal(content, message); err != nil {
+		return fmt.Errorf("decode a datagram of %d bytes: %w", len(content), err)
+	}
+	if message.GetFleet() != x.options.Fleet {
+		return errForeignFleet
+	}
+	if message.GetVm() == "" || message.GetVm() == x.options.VM {
+		return errNoSender
+	}
+	return nil
+}
+
+// refuse counts a refused datagram and, not too often, logs it.
+func (x *Exchange) refuse(message *primroseloomv1.EvidenceDatagram, bytes int, cause error) {
+	x.options.Scope.Counter("datagrams_refused").Inc(1)
+	now := x.options.Uptime()
+	x.mu.Lock()
+	isDue := x.refusalLoggedAt == 0 || now-x.refusalLoggedAt >= refusalLogInterval
+	if isDue {
+		x.refusalLoggedAt = now
+	}
+	x.mu.Unlock()
+	if isDue {
+		events.DatagramRefused.Log(x.options.Logger, "peer", message.GetVm(), "fleet", message.GetFleet(), "bytes", bytes, "cause", cause)
+	}
+}
+
 // HandleDatagram decodes a datagram and passes what is new to the receiver.
 func (x *Exchange) HandleDatagram(content []byte) {
 	var message primroseloomv1.EvidenceDatagram
-	if err := proto.Unmarshal(content, &message); err != nil || message.GetFleet() != x.options.Fleet ||
-		message.GetVm() == "" || message.GetVm() == x.options.VM {
-		x.options.Scope.Counter("datagrams_refused").Inc(1)
+	if err := x.decode(content, &message); err != nil {
+		x.refuse(&message, len(content), err)
 		return
 	}
 	outcomes, newest := x.recordAndFilter(&message)
