front: a caller that leaves ends its request also with others behind it

Callers that send lookups in a row saw nothing, targets did: they worked on for a caller that had closed its connection (GONE), until the request's end. Cause: net/http watches a connection by reading one byte. A further request gives it that byte, and the end behind it is seen only after the response. Change: from then on the connection is read ahead, up to 64 KiB, and its end ends the requests' contexts; what was sent before the end isn't begun.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targetset"
@@ -98,7 +99,8 @@
 		HeaderBytes: maxCallerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, Logger: f.options.Logger,
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
-	go f.serve(callers, proxy.LimitListener(listeners.callers, maxCallerConnections))
+	readahead.Watch(callers)
+	go f.serve(callers, readahead.Listener(proxy.LimitListener(listeners.callers, maxCallerConnections)))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
--- /dev/null
+++ b/entry/readahead/conn.go
@@ -0,0 +1,229 @@
+package readahead
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// maxAhead is the number of bytes that are read ahead; beyond them, the end of the
+	// connection isn't noticed.
+	maxAhead = 64 << 10
+	// readSize is the size of one read.
+	readSize = 4 << 10
+)
+
+// Conn is a caller's connection that is read ahead once a further request has arrived behind
+// one in progress.
+type Conn struct {
+	net.Conn
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	// ahead is true once the connection is read ahead; buffer holds what was read and err why
+	// reading ended.
+	ahead  bool
+	buffer []byte
+	err    error
+	// deadline is the deadline of Read while the connection is read ahead, and timer wakes it.
+	deadline time.Time
+	timer    *time.Timer
+	closed   bool
+	// onEnd are the functions to be called when the caller has closed the connection.
+	onEnd   map[int]func()
+	nextKey int
+}
+
+// NewConn returns a connection that is not read ahead yet.
+func NewConn(inner net.Conn) *Conn {
+	c := &Conn{Conn: inner, onEnd: make(map[int]func())}
+	c.changed = sync.NewCond(&c.mu)
+	return c
+}
+
+// Read reads from the connection or, once it is read ahead, from the buffer. A read of a
+// single byte is the server's watch during a request: when it succeeds, a further request has
+// arrived.
+func (c *Conn) Read(p []byte) (int, error) {
+	c.mu.Lock()
+	ahead := c.ahead
+	c.mu.Unlock()
+	if ahead {
+		return c.readBuffer(p)
+	}
+	n, err := c.Conn.Read(p)
+	if err == nil && len(p) == 1 {
+		c.startAhead()
+	}
+	return n, err
+}
+
+// readBuffer waits for bytes in the buffer. What a caller sent before it closed the connection
+// is dropped with it.
+func (c *Conn) readBuffer(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		switch {
+		case c.err != nil:
+			return 0, c.err
+		case len(c.buffer) > 0:
+			n := copy(p, c.buffer)
+			c.buffer = append(c.buffer[:0], c.buffer[n:]...)
+			c.changed.Broadcast()
+			return n, nil
+		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
+			return 0, os.ErrDeadlineExceeded
+		}
+		c.changed.Wait()
+	}
+}
+
+// startAhead begins to read ahead.
+func (c *Conn) startAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.ahead = true
+	_ = c.Conn.SetReadDeadline(time.Time{}) // fails only if the connection is closed; then the read does
+	go c.readAhead()
+}
+
+// readAhead reads until the connection ends.
+func (c *Conn) readAhead() {
+	content := make([]byte, readSize)
+	for c.awaitRoom() {
+		n, err := c.Conn.Read(content)
+		c.mu.Lock()
+		c.buffer = append(c.buffer, content[:n]...)
+		c.changed.Broadcast()
+		c.mu.Unlock()
+		if err != nil {
+			c.end(err)
+			return
+		}
+	}
+}
+
+// awaitRoom waits until the buffer has room and reports whether the connection is open.
+func (c *Conn) awaitRoom() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.buffer) > maxAhead-readSize && !c.closed {
+		c.changed.Wait()
+	}
+	return !c.closed
+}
+
+// end records why reading ended and calls those who wait for it.
+func (c *Conn) end(err error) {
+	c.mu.Lock()
+	c.err = err
+	waiting := c.onEnd
+	c.onEnd = make(map[int]func())
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	for _, call := range waiting {
+		call()
+	}
+}
+
+// notify calls the function when the caller closes the connection, also if it has already.
+func (c *Conn) notify(call func()) (stop func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.err != nil {
+		go call()
+		return func() {}
+	}
+	key := c.nextKey
+	c.nextKey++
+	c.onEnd[key] = call
+	return func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		delete(c.onEnd, key)
+	}
+}
+
+// SetReadDeadline sets the deadline of reads.
+func (c *Conn) SetReadDeadline(at time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.ahead {
+		return c.Conn.SetReadDeadline(at)
+	}
+	if c.timer != nil {
+		c.timer.Stop()
+		c.timer = nil
+	}
+	c.deadline = at
+	if !at.IsZero() {
+		c.timer = time.AfterFunc(time.Until(at), c.changed.Broadcast)
+	}
+	c.changed.Broadcast()
+	return nil
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *Conn) SetDeadline(at time.Time) error {
+	if err := c.Conn.SetWriteDeadline(at); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(at)
+}
+
+// Close closes the connection.
+func (c *Conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	if c.timer != nil {
+		c.timer.Stop()
+	}
+	c.changed.Broadcast()
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// Listener returns a listener whose connections are read ahead.
+func Listener(inner net.Listener) net.Listener { return listener{inner} }
+
+type listener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return NewConn(conn), nil
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// Watch makes a server end the contexts of requests whose caller has closed the connection.
+// The server's connections must come from Listener.
+func Watch(server *http.Server) {
+	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, conn)
+	}
+	next := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, ok := r.Context().Value(connKey{}).(*Conn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		defer conn.notify(cancel)()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- /dev/null
+++ b/entry/readahead/doc.go
@@ -0,0 +1,8 @@
+// Package readahead notices that a caller has closed its connection while a request of it is
+// in progress and further ones wait behind that.
+//
+// net/http watches a connection during a request by reading one byte. Once a further request
+// has arrived, that byte is there, and the end of the connection behind it is seen only after
+// the response. A Conn of this package reads on from then, into a bounded buffer, and calls
+// those who wait for the end.
+package readahead
