--- a/operator/soak/callers_test.go
+++ b/operator/soak/callers_test.go
@@ -1,8 +1,10 @@
 package soak
 
 import (
+	"bufio"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -48,3 +50,22 @@
 		}
 	}
 }
+
+// TestResponseOfAnotherRequestInARowIsNoticed guards against a check that takes responses in
+// another order than their requests.
+func TestResponseOfAnotherRequestInARowIsNoticed(t *testing.T) {
+	response := func(id string) string {
+		body := expectedBody(id, nil)
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+	}
+	reader := bufio.NewReader(strings.NewReader(response("a") + response("c") + response("b")[:40]))
+	if status, wrong := readInRow(reader, "a"); status != statusServed || wrong {
+		t.Errorf("the first: status %d, wrong %v", status, wrong)
+	}
+	if status, wrong := readInRow(reader, "b"); status != statusServed || !wrong {
+		t.Errorf("another one's: status %d, wrong %v", status, wrong)
+	}
+	if status, _ := readInRow(reader, "c"); status != 0 {
+		t.Errorf("a truncated one: status %d", status)
+	}
+}
--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -10,6 +10,7 @@
 // from the seed stops, pauses, kills and restarts the daemons by signals,
 // disturbs the links, makes targets misbehave, drains targets and publishes new
 // routes. Several series of faults run concurrently, so faults overlap. Besides, some
+// callers send several lookups in a row before the first is answered. Besides, some
 // requests crash each target that begins to run them and are sent again and again
 // through any daemon, some with another query, from another address or in another spelling
 // each time, and beside them, rarely, sound requests on their paths; a crashed target closes
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -119,6 +119,10 @@
 		c := newCaller("c"+strconv.Itoa(i), options.Seed+uint64(i), s.fleet, s.checker, s.newestVersion)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	for i := range rowCallers {
+		c := s.newRowCaller(i)
+		load.Go(func() { c.run(loadCtx) })
+	}
 	for i := range options.CrashingRequests {
 		c := s.newCrashingCaller(i)
 		load.Go(func() { c.run(loadCtx) })
