--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -26,8 +26,9 @@
 	// whatever its record.
 	explorationsPerRequest = 0.05
 	// explorationsPerSuspectShare is the additional credit for each request, multiplied by the
-	// share of the targets that are suspects: the more are, the more may have recovered.
-	explorationsPerSuspectShare = 0.15
+	// share of the targets that are suspects beyond fewSuspectsShare: only when many are does
+	// the service depend on those that have recovered, and each exploration may fail.
+	explorationsPerSuspectShare, fewSuspectsShare = 0.6, 0.35
 	// onceExploreCost is the credit that an exploration costs when its request must
 	// not run twice: such a request cannot be retried if the target fails.
 	onceExploreCost = 3
@@ -106,7 +107,7 @@
 func (m *Manager) RequestArrived(name string) {
 	m.mu.Lock()
 	s := m.service(name)
-	earned := explorationsPerRequest + explorationsPerSuspectShare*s.suspectShare
+	earned := explorationsPerRequest + explorationsPerSuspectShare*max(s.suspectShare-fewSuspectsShare, 0)
 	s.explorationCredit = min(s.explorationCredit+earned, maxExplorationCredit)
 	m.mu.Unlock()
 	s.budget.Earn(m.options.Uptime())
