routing, gateway: customers and their keys; unknown kinds restrict one route

An unknown key is 401 before anything else is done. Targets get the customer's name, never the key. A route of an unknown kind is served at most once, and an invalid customer keeps its previous definition; both are logged. Messages and settings for the parts to come are declared; nothing uses them yet.

--- a/config/routing/routing.go
+++ b/config/routing/routing.go
@@ -19,10 +19,12 @@
 	KindOnce Kind = "once"
 	// KindUpload requests carry a large body and run at most once.
 	KindUpload Kind = "upload"
+	// KindDownload requests have large responses and may run more than once.
+	KindDownload Kind = "download"
 )
 
 // Idempotent reports whether a request that may have run may run again.
-func (k Kind) Idempotent() bool { return k == KindIdempotent }
+func (k Kind) Idempotent() bool { return k == KindIdempotent || k == KindDownload }
 
 // Document is one published version of the routes.
 type Document struct {
@@ -31,6 +33,20 @@
 	Services []Service
 	Routes   []Route
 	Limits   Limits
+	// Customers holds the customers whose keys callers must show; nil when callers need no
+	// key. An empty list means that no key is valid.
+	Customers []Customer
+	// Problems lists the parts that could not be read and how they are treated.
+	Problems []Problem
+}
+
+// Problem is a part of a document that is left out or served in a restricted way, while the
+// rest is in force.
+type Problem struct {
+	// Path names the part, such as "customers[tallinn]". It never holds a key.
+	Path string
+	// Reason tells what is wrong and what follows.
+	Reason string
 }
 
 // Service is a set of targets that serve the same requests.
@@ -54,8 +70,11 @@
 	Timeout time.Duration
 	// Objective is the latency objective: a response within this time has its full utility.
 	Objective time.Duration
-	// Priority ranks routes under overload; 0 is served first.
+	// Priority ranks routes under overload; 0 is served first. A customer's own priority goes
+	// before it.
 	Priority int
+	// Public is true when callers need no key.
+	Public bool
 	// MaxAttempts is the maximum number of targets to which one request may be sent.
 	MaxAttempts int
 	// Split holds the services that share the requests.
--- a/config/routing/table.go
+++ b/config/routing/table.go
@@ -14,10 +14,17 @@
 	services map[string]Service
 	hosts    map[string][]*Route
 	routes   map[string]*Route
+	// customers is nil when callers need no key.
+	customers *customers
+	problems  []Problem
 }
 
 // Compile checks a document and builds its table.
-func Compile(document Document) (*Table, error) {
+func Compile(document Document) (*Table, error) { return CompileAfter(nil, document) }
+
+// CompileAfter checks a document and builds its table. An invalid customer keeps the
+// definition that it has in the previous table, which may be nil.
+func CompileAfter(previous *Table, document Document) (*Table, error) {
 	t := &Table{
 		version:  document.Version,
 		limits:   document.Limits,
@@ -40,9 +47,19 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
 	}
+	var last *customers
+	if previous != nil {
+		last = previous.customers
+	}
+	problems := []Problem(nil)
+	t.customers, problems = compileCustomers(document.Customers, last)
+	t.problems = append(slices.Clone(document.Problems), problems...)
 	return t, nil
 }
 
+// Problems returns the parts of the document that are left out or restricted.
+func (t *Table) Problems() []Problem { return t.problems }
+
 // validateRoute returns an error for a route that cannot be served.
 func (t *Table) validateRoute(route *Route) error {
 	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
--- a/entry/dialect/dialect.go
+++ b/entry/dialect/dialect.go
@@ -18,6 +18,8 @@
 	AttemptID string
 	// Remaining is how long the caller will wait; zero if it is not stated.
 	Remaining time.Duration
+	// Key is the customer's key; empty if it is missing or malformed. It is a secret.
+	Key string
 }
 
 // Attempt is what the headers of a request to a target state.
@@ -28,6 +30,11 @@
 	// TargetID is the target instance that may run the request; any other
 	// instance refuses it.
 	TargetID string
+	// ReplacesCredentials is true when callers authenticate at the proxy: their credentials
+	// are removed, and Customer replaces what they claim to be.
+	ReplacesCredentials bool
+	// Customer is the name of the authenticated customer; empty when there is none.
+	Customer string
 }
 
 // ResponseMetadata is what the headers of a target's response state.
--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -16,6 +16,8 @@
 		"This version of the routes is used from now on.")
 	RoutesRefused = define(2106, log.ErrorLevel, "routes refused",
 		"A version of the routes is invalid; the previous version stays in force.")
+	RoutesProblem = define(2112, log.WarnLevel, "part of the routes restricted",
+		"A part of this version of the routes cannot be used as it is: a customer is left out or keeps its previous definition, or a route is served at most once. The rest is in force. Contact whoever published it.")
 	ListingDropped = define(2109, log.WarnLevel, "older listing dropped",
 		"The store, or another instance, returned a state that is older than the one this instance has; it is ignored. Logged once until a newer state arrives.")
 	StoreRestored = define(2110, log.WarnLevel, "store restored from a copy",
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -108,6 +108,7 @@
 
 // feed implements the feed service over a follower's history.
 type feed struct {
+	primroseloomv1connect.UnimplementedFeedServiceHandler
 	follower *Follower
 	fleet    string
 }
--- a/entry/follow/routes.go
+++ b/entry/follow/routes.go
@@ -30,14 +30,15 @@
 	if f.table.Load() != nil && document.Version <= f.RoutesVersion() {
 		return
 	}
-	table, err := routing.Compile(*document)
+	table, err := routing.CompileAfter(f.table.Load(), *document)
 	if err != nil {
 		events.RoutesRefused.Log(f.options.Logger, "version", document.Version, "cause", err)
 		return
 	}
 	f.table.Store(table)
 	f.newestRoutes = item
-	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes))
+	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes), "customers", table.CustomerCount())
+	f.reportProblems(table)
 	f.options.Scope.Gauge("routes_version").Update(float64(table.Version()))
 	f.options.Listener.RoutesChanged(table)
 }
@@ -87,3 +88,15 @@
 		f.options.Announce()
 	}
 }
+
+// maxLoggedProblems bounds the problems of one version that are logged; all are counted.
+const maxLoggedProblems = 20
+
+// reportProblems logs and counts the parts of the routes that are left out or restricted.
+func (f *Follower) reportProblems(table *routing.Table) {
+	problems := table.Problems()
+	f.options.Scope.Gauge("routes_problems").Update(float64(len(problems)))
+	for _, problem := range problems[:min(len(problems), maxLoggedProblems)] {
+		events.RoutesProblem.Log(f.options.Logger, "version", table.Version(), "path", problem.Path, "reason", problem.Reason)
+	}
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -71,7 +71,11 @@
 	writer   http.ResponseWriter
 	metadata dialect.Request
 	route    *routing.Route
-	service  string
+	// customer is the authenticated customer; nil on public routes and where callers need no
+	// key. authenticates is true when callers' credentials end at the proxy.
+	customer      *routing.Customer
+	authenticates bool
+	service       string
 	// isForwarded is true when another VM forwards the request, for the service
 	// forwardedService.
 	isForwarded      bool
@@ -154,10 +158,13 @@
 	if q.metadata.AttemptID == "" {
 		return refuse(outcome.ReasonBadRequest, outcome.StepParse, 0)
 	}
+	route, ok := table.Match(q.caller.Host, q.caller.URL.Path)
+	if ok && !q.authenticate(table, route) {
+		return refuse(outcome.ReasonUnknownCustomer, outcome.StepIdentify, 0)
+	}
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(q.caller) > limit {
 		return refuse(outcome.ReasonHeaderTooLarge, outcome.StepParse, 0)
 	}
-	route, ok := table.Match(q.caller.Host, q.caller.URL.Path)
 	if !ok {
 		return refuse(outcome.ReasonUnknownHost, outcome.StepRoute, 0)
 	}
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -64,7 +64,7 @@
 		"reason", refusal.Reason, "step", refusal.Step, "peer", refusal.Peer, "fingerprint", q.fingerprint, "caller", q.caller.RemoteAddr, "resource", q.identity.ResourceText(), "query", q.identity.Query, "refused_as", q.refusedAs, "tried", len(q.attempted), "routes_version", version,
 		"after_ms", time.Since(q.start).Milliseconds(), "cause", refusal.Cause)
 	retryAfter := time.Duration(0)
-	if status == http.StatusServiceUnavailable && refusal.RetryAfter > 0 {
+	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && refusal.RetryAfter > 0 {
 		retryAfter = addJitter(refusal)
 	}
 	g.options.Dialect.WriteRefusal(w.Header(), retryAfter)
@@ -79,6 +79,10 @@
 		return http.StatusBadRequest
 	case outcome.ReasonUnknownHost:
 		return http.StatusNotFound
+	case outcome.ReasonUnknownCustomer:
+		return http.StatusUnauthorized
+	case outcome.ReasonRateLimit:
+		return http.StatusTooManyRequests
 	case outcome.ReasonHeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case outcome.ReasonBodyTooLarge:
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -93,6 +93,8 @@
 	return targetset.AttemptRequest{
 		Service:      q.service,
 		Route:        q.route,
+		Priority:     q.priority(),
+		Customer:     q.customerName(),
 		Bytes:        q.body.size(),
 		Remaining:    remaining,
 		Useful:       useful,
@@ -259,7 +261,9 @@
 	if _, named := out.Header["User-Agent"]; !named {
 		out.Header["User-Agent"] = nil
 	}
-	q.gateway.options.Dialect.WriteAttempt(out.Header, dialect.Attempt{Remaining: q.remaining(), TargetID: attempt.ID()})
+	q.gateway.options.Dialect.WriteAttempt(out.Header, dialect.Attempt{
+		Remaining: q.remaining(), TargetID: attempt.ID(), ReplacesCredentials: q.authenticates, Customer: q.customerName(),
+	})
 	return out
 }
 
--- a/entry/settings/frontend.go
+++ b/entry/settings/frontend.go
@@ -27,6 +27,12 @@
 	Machine Machine `json:"machine"`
 	// Retries bounds the retries that all instances together may make.
 	Retries Retries `json:"repeats"`
+	// Keys bounds how long a withdrawn key may be served.
+	Keys Keys `json:"keys"`
+	// Quotas bounds how far customers may exceed their rate limits, which the routes hold.
+	Quotas Quotas `json:"quotas"`
+	// Hedging allows second attempts of slow idempotent requests.
+	Hedging Hedging `json:"hedging"`
 	// Directory controls what callers are told about the VMs to use.
 	Directory FrontendDirectory `json:"directory"`
 	// Stop bounds a planned stop.
@@ -59,6 +65,32 @@
 	Cores float64 `json:"cores" validate:"min=0.01,max=1024"`
 	// LinkMbps is the bandwidth of the VM's link in megabits a second.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0.1,max=1000000"`
+	// MemoryMB is the memory that the instance may use, in megabytes; 0 sets no bound on the bytes that are held for requests and responses.
+	MemoryMB float64 `json:"memory_mb" validate:"min=0,max=10000000"`
+}
+
+// Keys bounds how long a withdrawn key may be served.
+type Keys struct {
+	// RevokedWithin is the time after the store confirmed a version of the routes from which a key that it no longer holds is served nowhere; 0 sets no bound.
+	RevokedWithin document.Duration `json:"revoked_within" validate:"min=0,max=3600000000000"`
+}
+
+// Quotas bounds how far customers may exceed their rate limits, over all VMs together.
+type Quotas struct {
+	// Window is the time over which the requests of a customer are counted; 0 leaves the rate limits without effect.
+	Window document.Duration `json:"window" validate:"min=0,max=3600000000000"`
+	// Overrun is the share of a limit by which it may be exceeded in a window.
+	Overrun float64 `json:"overrun" validate:"min=0,max=10"`
+	// Slack is the number of requests by which it may be exceeded besides.
+	Slack float64 `json:"slack" validate:"min=0,max=100000"`
+}
+
+// Hedging allows second attempts of slow idempotent requests.
+type Hedging struct {
+	// Ratio is the number of second attempts allowed for each request to a service; 0 allows none.
+	Ratio float64 `json:"ratio" validate:"min=0,max=1"`
+	// MinDelay is the least time from the first attempt to the second.
+	MinDelay document.Duration `json:"min_delay" validate:"min=0,max=60000000000"`
 }
 
 // Retries bounds the retries, that is all attempts after the first, of a service's requests.
@@ -83,6 +115,7 @@
 		Fleet:     "primroseloom",
 		Machine:   Machine{CPUShare: 1, Cores: 1, LinkMbps: 1000},
 		Retries:   Retries{Ratio: 0.2, Allowance: 10},
+		Hedging:   Hedging{MinDelay: document.Duration(50_000_000)},
 		Directory: FrontendDirectory{KeepFor: document.Duration(1_000_000_000), PerZone: 2},
 		Stop: Stop{
 			Grace:  document.Duration(6_000_000_000),
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -42,6 +42,10 @@
 type AttemptRequest struct {
 	Service string
 	Route   *routing.Route
+	// Priority is the rank of the request; 0 is served first.
+	Priority int
+	// Customer is the name of the authenticated customer; empty when there is none.
+	Customer string
 	// Bytes is the size of the request's body.
 	Bytes int64
 	// Remaining is the time until the final response is due, Useful the time in
@@ -140,7 +144,7 @@
 		Bytes:            wanted.Bytes,
 		Remaining:        wanted.Remaining,
 		UsefulTime:       wanted.Useful,
-		Priority:         wanted.Route.Priority,
+		Priority:         wanted.Priority,
 	}, m.random)
 	if choice.Reason == placement.ReasonNoTarget && s.hasUnreachable() {
 		return nil, &Refusal{Reason: ReasonCutOff}
--- a/wire/primroseloomv1/primroseloomv1connect/feed.connect.go
+++ b/wire/primroseloomv1/primroseloomv1connect/feed.connect.go
@@ -35,12 +35,18 @@
 const (
 	// FeedServiceFollowProcedure is the fully-qualified name of the FeedService's Follow RPC.
 	FeedServiceFollowProcedure = "/primroseloom.v1.FeedService/Follow"
+	// FeedServiceConfirmRoutesProcedure is the fully-qualified name of the FeedService's ConfirmRoutes
+	// RPC.
+	FeedServiceConfirmRoutesProcedure = "/primroseloom.v1.FeedService/ConfirmRoutes"
 )
 
 // FeedServiceClient is a client for the primroseloom.v1.FeedService service.
 type FeedServiceClient interface {
 	// Follow waits for items newer than a revision and returns them.
 	Follow(context.Context, *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error)
+	// ConfirmRoutes tells an instance how long ago the responding instance knew that no routes
+	// newer than its own were published.
+	ConfirmRoutes(context.Context, *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error)
 }
 
 // NewFeedServiceClient constructs a client for the primroseloom.v1.FeedService service. By default,
@@ -60,12 +66,19 @@
 			connect.WithSchema(feedServiceMethods.ByName("Follow")),
 			connect.WithClientOptions(opts...),
 		),
+		confirmRoutes: connect.NewClient[primroseloomv1.ConfirmRoutesRequest, primroseloomv1.ConfirmRoutesResponse](
+			httpClient,
+			baseURL+FeedServiceConfirmRoutesProcedure,
+			connect.WithSchema(feedServiceMethods.ByName("ConfirmRoutes")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // feedServiceClient implements FeedServiceClient.
 type feedServiceClient struct {
-	follow *connect.Client[primroseloomv1.FollowRequest, primroseloomv1.FollowResponse]
+	follow        *connect.Client[primroseloomv1.FollowRequest, primroseloomv1.FollowResponse]
+	confirmRoutes *connect.Client[primroseloomv1.ConfirmRoutesRequest, primroseloomv1.ConfirmRoutesResponse]
 }
 
 // Follow calls primroseloom.v1.FeedService.Follow.
@@ -73,10 +86,18 @@
 	return c.follow.CallUnary(ctx, req)
 }
 
+// ConfirmRoutes calls primroseloom.v1.FeedService.ConfirmRoutes.
+func (c *feedServiceClient) ConfirmRoutes(ctx context.Context, req *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
+	return c.confirmRoutes.CallUnary(ctx, req)
+}
+
 // FeedServiceHandler is an implementation of the primroseloom.v1.FeedService service.
 type FeedServiceHandler interface {
 	// Follow waits for items newer than a revision and returns them.
 	Follow(context.Context, *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error)
+	// ConfirmRoutes tells an instance how long ago the responding instance knew that no routes
+	// newer than its own were published.
+	ConfirmRoutes(context.Context, *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error)
 }
 
 // NewFeedServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -92,10 +113,18 @@
 		connect.WithSchema(feedServiceMethods.ByName("Follow")),
 		connect.WithHandlerOptions(opts...),
 	)
+	feedServiceConfirmRoutesHandler := connect.NewUnaryHandler(
+		FeedServiceConfirmRoutesProcedure,
+		svc.ConfirmRoutes,
+		connect.WithSchema(feedServiceMethods.ByName("ConfirmRoutes")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/primroseloom.v1.FeedService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case FeedServiceFollowProcedure:
 			feedServiceFollowHandler.ServeHTTP(w, r)
+		case FeedServiceConfirmRoutesProcedure:
+			feedServiceConfirmRoutesHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -108,3 +137,7 @@
 func (UnimplementedFeedServiceHandler) Follow(context.Context, *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primroseloom.v1.FeedService.Follow is not implemented"))
 }
+
+func (UnimplementedFeedServiceHandler) ConfirmRoutes(context.Context, *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("primroseloom.v1.FeedService.ConfirmRoutes is not implemented"))
+}
