offer: callers spread by the capacity of unequal VMs

Callers spread evenly over the VMs of an answer, so one small VM among the primary VMs bounded what each could get: two VMs of 266 requests a second were replaced by 17 and more of 35 as soon as a zone's demand rose above 532. All primary VMs exchange evidence with one another, so the messages grew with the square of that. Where capacities differ, each answer now shows a random part of the primary VMs, in proportion to capacity, and VMs join one by one (3 at 533, 4 at 581). VMs of equal capacity are shown as before.

--- a/entry/frontend/carriers.go
+++ b/entry/frontend/carriers.go
@@ -31,6 +31,13 @@
 	return carriers{random: rand.New(rand.NewPCG(seed, 0)), unreachableUntil: make(map[string]time.Duration)}
 }
 
+// sample draws the VMs that one caller is shown.
+func (c *carriers) sample(vms []offer.VM) []offer.VM {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return offer.Sample(vms, c.random)
+}
+
 // CarrierUnreachable records that no request could be sent to a VM.
 func (f *fleet) CarrierUnreachable(vm string) {
 	now := f.now()
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -44,6 +44,8 @@
 // view is a snapshot of the fleet.
 type view struct {
 	vms []offer.VM
+	// arrangement holds the primary VMs by zone.
+	arrangement offer.Arrangement
 	// primaries names the primary VMs of all zones; senders are the same VMs, among which
 	// the limits of targets are shared.
 	primaries map[string]bool
@@ -144,13 +146,14 @@
 		})
 	}
 	v.vms = offer.WithoutCutOff(v.vms, func(vm offer.VM) bool { return f.cutOff(vm.Name, v) })
-	for _, vm := range offer.AllPrimaries(v.vms, f.settings) {
+	v.arrangement = offer.Arrange(v.vms, f.settings)
+	for _, vm := range v.arrangement.All() {
 		v.primaries[vm.Name] = true
 		v.senders = append(v.senders, vm.Name)
 	}
 	v.isPrimary, v.sharers = v.primaries[self.GetVm()], max(len(v.primaries), 1)
 	v.peers = f.selectPeers(members, v.primaries)
-	for _, vm := range offer.StoreWatchers(v.vms, f.settings) {
+	for _, vm := range v.arrangement.StoreWatchers() {
 		v.storeWatchers[vm.Name] = true
 	}
 	v.watchesStore = v.storeWatchers[self.GetVm()]
@@ -244,11 +247,12 @@
 	return peers
 }
 
-// advertised returns the addresses that are advertised to callers of a zone.
+// advertised returns the addresses that are advertised to one caller of a zone.
 func (f *fleet) advertised(zone string) []string {
 	v := f.view.Load()
-	var addresses []string
-	for _, vm := range offer.ForZone(v.vms, zone, f.settings) {
+	shown := f.carriers.sample(v.arrangement.ForZone(zone))
+	addresses := make([]string, 0, len(shown))
+	for _, vm := range shown {
 		addresses = append(addresses, vm.Address)
 	}
 	return addresses
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -1,6 +1,7 @@
 package frontend
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -190,3 +191,23 @@
 		t.Errorf("all VMs together may send %.2f requests a second, the target takes %.2f", total, perSecond)
 	}
 }
+
+// BenchmarkUpdateView measures the view of a large fleet, which each VM rebuilds ten times a second.
+func BenchmarkUpdateView(b *testing.B) {
+	now := time.Minute
+	var all fakeMembers
+	reports := fakePeerReports{}
+	for i := range 300 {
+		name := fmt.Sprintf("vm-%d", i)
+		all = append(all, &primroseloomv1.Member{
+			Vm: name, Zone: fmt.Sprintf("z%d", i%4), Generation: 1, CallersAddress: name + ":1", PeersAddress: "10.0.0.1:2", Capacity: uint32(35 + 231*(i/290)),
+			Status: primroseloomv1.MemberStatus_MEMBER_STATUS_ALIVE,
+		})
+		reports[name] = 100 * time.Millisecond
+	}
+	f := newTestFleet(all, reports, &now)
+	b.ReportAllocs()
+	for b.Loop() {
+		f.updateView()
+	}
+}
--- a/policy/offer/doc.go
+++ b/policy/offer/doc.go
@@ -7,4 +7,8 @@
 // and then by rendezvous hashing. All VMs therefore agree without messages, and
 // a VM that fails is replaced by the next in order while the others stay. The
 // number of primary VMs grows with the request rates that the VMs report.
+//
+// Callers spread their requests evenly over the VMs of an answer. Where the primary VMs
+// differ in capacity, each answer therefore shows a random part of them, the larger ones
+// more often (Sample), and a zone needs only as many VMs as their capacities sum to.
 package offer
--- a/policy/offer/offer.go
+++ b/policy/offer/offer.go
@@ -32,10 +32,9 @@
 
 // Primaries returns the primary VMs of a zone: the usable VMs that come first by
 // capacity and then in rendezvous order, as many as the zone's request rate
-// needs. Callers spread their requests evenly over them, so the smallest VM
-// limits the rate.
+// needs.
 func Primaries(vms []VM, zone string, settings Settings) []VM {
-	var usable []VM
+	usable := make([]VM, 0, len(vms))
 	demand := 0.0
 	for _, vm := range vms {
 		if vm.Zone != zone {
@@ -46,7 +45,7 @@
 			usable = append(usable, vm)
 		}
 	}
-	sortByPreference(usable)
+	usable = sortByPreference(usable)
 	return usable[:primaryCount(usable, demand, settings.MinPerZone)]
 }
 
@@ -57,9 +56,11 @@
 	minSize = min(len(usable), minSize)
 	best, bestCapacity := minSize, 0.0
 	for size := minSize; size > 0 && size <= len(usable); size++ {
-		smallest := usable[size-1].Capacity
-		capacity := float64(size) * float64(smallest)
-		if smallest == 0 || capacity >= demand {
+		if usable[size-1].Capacity == 0 {
+			return size
+		}
+		capacity := servable(usable[:size])
+		if capacity >= demand {
 			return size
 		}
 		if capacity > bestCapacity {
@@ -69,26 +70,43 @@
 	return best
 }
 
+// Arrangement holds the primary VMs of each zone.
+type Arrangement struct {
+	settings Settings
+	// zones are the sorted names of the VMs' zones.
+	zones     []string
+	primaries map[string][]VM
+}
+
+// Arrange chooses the primary VMs of each zone.
+func Arrange(vms []VM, settings Settings) Arrangement {
+	a := Arrangement{settings: settings, zones: zones(vms), primaries: make(map[string][]VM)}
+	for _, zone := range a.zones {
+		a.primaries[zone] = Primaries(vms, zone, settings)
+	}
+	return a
+}
+
 // ForZone returns the VMs to advertise to callers of a zone: its primary VMs, and
 // those of all other zones when it has fewer than settings.MinAdvertised.
-func ForZone(vms []VM, zone string, settings Settings) []VM {
-	advertised := Primaries(vms, zone, settings)
-	if len(advertised) >= settings.MinAdvertised {
+func (a Arrangement) ForZone(zone string) []VM {
+	advertised := slices.Clone(a.primaries[zone])
+	if len(advertised) >= a.settings.MinAdvertised {
 		return advertised
 	}
-	for _, other := range zones(vms) {
+	for _, other := range a.zones {
 		if other != zone {
-			advertised = append(advertised, Primaries(vms, other, settings)...)
+			advertised = append(advertised, a.primaries[other]...)
 		}
 	}
 	return advertised
 }
 
-// AllPrimaries returns the primary VMs of all zones.
-func AllPrimaries(vms []VM, settings Settings) []VM {
+// All returns the primary VMs of all zones.
+func (a Arrangement) All() []VM {
 	var all []VM
-	for _, zone := range zones(vms) {
-		all = append(all, Primaries(vms, zone, settings)...)
+	for _, zone := range a.zones {
+		all = append(all, a.primaries[zone]...)
 	}
 	return all
 }
@@ -101,15 +119,15 @@
 // StoreWatchers returns the VMs that watch the store and notify the others: the
 // first primary VM of each zone, or all primary VMs when these are fewer than
 // minStoreWatchers.
-func StoreWatchers(vms []VM, settings Settings) []VM {
+func (a Arrangement) StoreWatchers() []VM {
 	var watchers []VM
-	for _, zone := range zones(vms) {
-		if primaries := Primaries(vms, zone, settings); len(primaries) > 0 {
+	for _, zone := range a.zones {
+		if primaries := a.primaries[zone]; len(primaries) > 0 {
 			watchers = append(watchers, primaries[0])
 		}
 	}
 	if len(watchers) < minStoreWatchers {
-		return AllPrimaries(vms, settings)
+		return a.All()
 	}
 	return watchers
 }
@@ -124,9 +142,26 @@
 	return slices.Compact(names)
 }
 
-// sortByPreference sorts by descending capacity and then by the hash of the name.
-func sortByPreference(vms []VM) {
-	slices.SortFunc(vms, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(xxhash.Sum64String(b.Name), xxhash.Sum64String(a.Name)), cmp.Compare(a.Name, b.Name))
+// rank is the place of a VM in the order of preference, without pointers, since the order is
+// computed many times a second for hundreds of VMs.
+type rank struct {
+	capacity uint32
+	hash     uint64
+	index    int
+}
+
+// sortByPreference returns VMs by descending capacity and then by the hash of the name.
+func sortByPreference(vms []VM) []VM {
+	ranks := make([]rank, len(vms))
+	for i, vm := range vms {
+		ranks[i] = rank{vm.Capacity, xxhash.Sum64String(vm.Name), i}
+	}
+	slices.SortFunc(ranks, func(a, b rank) int {
+		return cmp.Or(cmp.Compare(b.capacity, a.capacity), cmp.Compare(b.hash, a.hash), cmp.Compare(vms[a.index].Name, vms[b.index].Name))
 	})
+	sorted := make([]VM, len(vms))
+	for i, r := range ranks {
+		sorted[i] = vms[r.index]
+	}
+	return sorted
 }
