quarantine: the digest of all evidence is kept up to date, not computed for each datagram

Each datagram that a VM sends or receives asks for the digest of all that is known of requests that may crash targets, and it was computed from all of that.

Each entry's part is added when it changes; expiries are in a heap. What expires is derived anew only when something has changed or has come to its time.

--- a/policy/quarantine/entry.go
+++ b/policy/quarantine/entry.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -25,6 +26,12 @@
 	// It is remembered until liftKnownUntil, since other VMs may still report what was
 	// lifted.
 	liftedAt, liftKnownUntil time.Duration
+	// changesAt is the uptime from which update may change the entry.
+	changesAt time.Duration
+	// digest is the part of the entry in the table's digest.
+	digest uint64
+	// dueAt is the earliest expiry that the table holds for the entry; zero for none.
+	dueAt time.Duration
 	// localUntil and remoteUntil are the times until which an attempt of this VM
 	// or of another VM is assumed to run.
 	localUntil, remoteUntil time.Duration
@@ -65,8 +72,16 @@
 	return end
 }
 
-// update removes what has expired and derives the end of the quarantine.
+// update applies what has expired since the last update.
 func (e *entry) update(now time.Duration) {
+	if now >= e.changesAt {
+		e.recompute(now)
+	}
+}
+
+// recompute removes what has expired and derives the end of the quarantine; it must be called
+// after each change of the evidence.
+func (e *entry) recompute(now time.Duration) {
 	if now >= e.quarantinedUntil {
 		e.crashes.dropExpired(now)
 	}
@@ -80,6 +95,37 @@
 	if now >= e.quarantinedUntil {
 		e.quarantinedUntil = 0
 	}
+	e.changesAt = e.nextChange()
+}
+
+// nextChange returns the uptime at which something of the entry expires. The crashes of a
+// quarantined request are kept until the quarantine ends.
+func (e *entry) nextChange() time.Duration {
+	next := time.Duration(math.MaxInt64)
+	if e.reportedUntil > 0 {
+		next = min(next, e.reportedUntil)
+	}
+	if e.quarantinedUntil > 0 {
+		return min(next, e.quarantinedUntil)
+	}
+	for _, crash := range e.crashes {
+		next = min(next, crash.expiresAt())
+	}
+	return next
+}
+
+// hash returns a hash of the crashes that count and of the lift, without their times.
+func (e *entry) hash() uint64 {
+	sum := uint64(0)
+	if e.isExact() {
+		for _, crash := range e.crashes {
+			sum += crash.hash(e.fingerprint)
+		}
+	}
+	if e.liftKnownUntil > 0 {
+		sum += liftHash(e.fingerprint)
+	}
+	return sum
 }
 
 // row returns the entry as a row of the list for operators.
--- a/policy/quarantine/report.go
+++ b/policy/quarantine/report.go
@@ -50,25 +50,6 @@
 	return evidence, len(evidence.Crashes) > 0 || evidence.Answered || evidence.Lifted
 }
 
-// Digest returns a hash of the crashes that count and of the lifts, equal on all VMs that know
-// the same; it is never zero. The times are left out, since each VM has rounded ages of them.
-func (t *Table) Digest(now time.Duration) uint64 {
-	sum := uint64(1)
-	for fingerprint := range t.entries {
-		evidence, ok := t.EvidenceOf(fingerprint, now)
-		if !ok {
-			continue
-		}
-		for _, crash := range evidence.Crashes {
-			sum += crash.hash(fingerprint)
-		}
-		if evidence.Lifted {
-			sum += liftHash(fingerprint)
-		}
-	}
-	return max(sum, 1)
-}
-
 // hash returns a hash of one crash of a request, without its time.
 func (c Crash) hash(fingerprint Fingerprint) uint64 {
 	kind := byte(0)
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -69,6 +69,11 @@
 type Table struct {
 	entries map[Fingerprint]*entry
 	answers *recentAnswers
+	// digest is the sum of the entries' digests, expiries when the entries next change by
+	// themselves. A digest of all entries for each datagram took most of a VM's time while
+	// many requests were suspects.
+	digest   uint64
+	expiries expiryHeap
 }
 
 // NewTable returns an empty table.
@@ -85,11 +90,15 @@
 	if !ok {
 		return nil, false
 	}
+	changed := now >= e.changesAt
 	e.update(now)
 	if now >= e.expiresAt() {
-		delete(t.entries, fingerprint)
+		t.remove(e)
 		return nil, false
 	}
+	if changed {
+		t.account(e)
+	}
 	return e, true
 }
 
@@ -169,7 +178,7 @@
 	}
 	before := e.quarantinedUntil > 0
 	change.Recorded = e.crashes.add(crash) || change.Recorded
-	e.update(now)
+	t.changed(e, now)
 	if e.quarantinedUntil > 0 && !before {
 		change.Quarantined = true
 		t.boundQuarantines(e)
@@ -202,7 +211,7 @@
 	}
 	if e.quarantinedUntil == 0 {
 		e.reportedSince, e.reportedUntil = since, now+remaining
-		e.update(now)
+		t.changed(e, now)
 		t.boundQuarantines(e)
 	}
 	return true
@@ -234,7 +243,7 @@
 		e.reportedUntil = 0
 	}
 	e.contestedUntil = now + AnswerValidity
-	e.update(now)
+	t.changed(e, now)
 	return !e.isSuspect()
 }
 
@@ -262,7 +271,7 @@
 		}
 	}
 	if suspects >= MaxSuspects {
-		delete(t.entries, weakest.fingerprint)
+		t.remove(weakest)
 	}
 }
 
@@ -281,7 +290,7 @@
 		}
 	}
 	if quarantines > MaxQuarantines && first != nil {
-		delete(t.entries, first.fingerprint)
+		t.remove(first)
 	}
 }
 
@@ -307,6 +316,6 @@
 	e.liftedAt, e.liftKnownUntil = at, at+SuspectTime
 	e.crashes.dropUntil(at)
 	e.reportedUntil = 0
-	e.update(now)
+	t.changed(e, now)
 	return wasSuspect && !e.isSuspect()
 }
