freshness: when a VM can show that its routes are current

Cause: a VM that is cut off, frozen or behind goes on serving a key that a newer version of the routes no longer holds.

The store's word counts once versions were compared with peers, since it may come from a copy.

--- /dev/null
+++ b/policy/freshness/compare.go
@@ -0,0 +1,77 @@
+package freshness
+
+import "time"
+
+const (
+	// peersToCompare is the number of peers with which a VM compares its version before it
+	// takes the store at its word; all of them when it knows fewer.
+	peersToCompare = 3
+	// aloneTime is how long a VM waits for the first peer; joining takes less than a second.
+	aloneTime = 2 * time.Second
+	// silentBounds multiplied by the bound is how long a VM waits for answers of peers that it
+	// has known, before it takes the store at its word without them.
+	silentBounds = 2
+)
+
+// comparison is the progress of comparing versions with peers.
+type comparison struct {
+	// since is when the VM started or the store was restored.
+	since time.Duration
+	// answered holds the peers that answered calls sent since then.
+	answered map[string]bool
+	// knewPeers is true once this VM has known any peer.
+	knewPeers bool
+	done      bool
+}
+
+// StoreRestored records that the store came back from a copy: what it has lost is to be
+// learned from peers.
+func (s *State) StoreRestored(now time.Duration) {
+	s.compared = comparison{since: now, knewPeers: s.compared.knewPeers}
+	s.store = moment{}
+}
+
+// Compared reports whether the store's word counts.
+func (s *State) Compared() bool { return s.compared.done }
+
+// HasAnswered reports whether a peer needs not be asked again for the comparison.
+func (s *State) HasAnswered(peer string) bool { return s.compared.answered[peer] }
+
+// PeersKnown records the number of peers that this VM knows, which may end the comparison:
+// all of them have answered, or there is nobody to answer.
+func (s *State) PeersKnown(peers int, now time.Duration) {
+	s.compared.knewPeers = s.compared.knewPeers || peers > 0
+	waits := aloneTime
+	if s.compared.knewPeers {
+		waits = silentBounds * s.bound
+	}
+	enough := min(peersToCompare, peers)
+	if enough > 0 && len(s.compared.answered) >= enough || now-s.compared.since >= waits {
+		s.endComparison()
+	}
+}
+
+// compareWith records that a peer has answered a call that was sent at a moment.
+func (s *State) compareWith(peer string, sent time.Duration) {
+	if s.compared.done || sent < s.compared.since {
+		return
+	}
+	if s.compared.answered == nil {
+		s.compared.answered = make(map[string]bool)
+	}
+	s.compared.answered[peer] = true
+	if len(s.compared.answered) >= peersToCompare {
+		s.endComparison()
+	}
+}
+
+// endComparison makes the store's word count, also what it said meanwhile.
+func (s *State) endComparison() {
+	if s.compared.done {
+		return
+	}
+	s.compared.done, s.compared.answered = true, nil
+	if s.store.known {
+		s.confirm(s.store.at)
+	}
+}
