follow, gateway: requests with keys are served by routes confirmed in time

Cause: nothing bounded how long a VM that is cut off or behind serves a withdrawn key.

Change: with keys.revoked_within set, each watch and list call confirms the routes by the moment at which it was sent, other VMs ask peers (ConfirmRoutes), and a VM that cannot show freshness forwards requests with keys to one that can, or refuses them as not run (keys_not_current). The directory and the choice of carriers leave such VMs out while another VM is current.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -24,6 +24,12 @@
 		"The store's era has risen: it has lost what was written after the copy, and assigns revisions again.")
 	EntryOutdated = define(2111, log.InfoLevel, "outdated entry of a target ignored",
 		"A store that was restored from a copy returned an older report of a target than is known; the target keeps its state until it reports anew.")
+	KeysNotCurrent = define(2113, log.WarnLevel, "keys not current",
+		"The instance cannot show that its routes are new enough to serve requests with keys. It forwards them to instances that can, or refuses them; public routes are served. newest_version above version means that it knows of routes which it does not have.")
+	KeysCurrent = define(2114, log.InfoLevel, "keys current again",
+		"The instance's routes were confirmed; it serves requests with keys.")
+	ConfirmationFailed = define(2115, log.InfoLevel, "confirmation of the routes failed",
+		"Another instance did not confirm the routes; the next one is asked. Logged once until one answers.")
 	PeerFeedFailed = define(2108, log.InfoLevel, "fetch of published items from another instance failed",
 		"No other instance returned the items that the store publishes; the fetch is retried.")
 	TargetsExpired = define(2107, log.WarnLevel, "targets expired",
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -55,6 +55,7 @@
 	rate                                float64
 	cutOff                              []string
 	pathInDoubt                         bool
+	keysNotCurrent, readsStore          bool
 	silent                              bool
 }
 
--- a/entry/evidence/options.go
+++ b/entry/evidence/options.go
@@ -83,6 +83,9 @@
 	CutOffServices func() []string
 	// PathInDoubt reports whether this VM may be cut off from the targets of a service.
 	PathInDoubt func() bool
+	// KeysNotCurrent reports whether this VM cannot show that its routes are current enough to
+	// serve requests with keys; nil means that it never has to.
+	KeysNotCurrent func() bool
 	// Requests returns what the next datagram tells of requests that may crash targets:
 	// what is new and, in a heartbeat, a part of what was told before.
 	Requests func(isHeartbeat bool) []quarantine.Evidence
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -129,6 +129,7 @@
 	if newest {
 		from.lastSequence, from.ready, from.rate = message.GetSequence(), message.GetReady(), float64(message.GetRate())
 		from.cutOff, from.pathInDoubt = message.GetCutOffServices(), message.GetPathInDoubt()
+		from.keysNotCurrent, from.readsStore = message.GetKeysNotCurrent(), message.GetRevision() > 0
 	}
 	return outcomes, newest
 }
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -79,6 +79,7 @@
 	uses := x.options.AttemptsInProgress()
 	ready, announced, rate := x.options.Ready(), x.options.Announcement(), x.options.Rate()
 	cutOff, inDoubt := x.options.CutOffServices(), x.options.PathInDoubt()
+	keysNotCurrent := x.keysNotCurrent()
 	requests := RequestsToWire(x.options.Requests(isHeartbeat), x.options.Uptime())
 	digest := uint64(0)
 	if isHeartbeat && isPrimary { // one that sends no further heartbeats would leave an old digest
@@ -108,6 +109,7 @@
 		CutOffServices: cutOff,
 		PathInDoubt:    inDoubt,
 		RequestsDigest: digest,
+		KeysNotCurrent: keysNotCurrent,
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/follow/apply.go
+++ b/entry/follow/apply.go
@@ -5,13 +5,14 @@
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/freshness"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
 // apply applies a full listing, or the changes after a position, and notifies the
 // listener. It ignores what is older than the state of this instance, and changes that
-// follow another era's state.
-func (f *Follower) apply(listing Listing, after contract.StorePosition) {
+// follow another era's state, and then returns false.
+func (f *Follower) apply(listing Listing, after contract.StorePosition) bool {
 	now := f.options.Uptime()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -19,7 +20,7 @@
 	isConnected := listing.Full || (listing.Position.Era == after.Era && after.Era == f.position.Era)
 	if !isConnected || listing.Position.Compare(f.position) < 0 {
 		f.recordDrop(listing)
-		return
+		return false
 	}
 	f.dropsListings = false
 	if listing.Position.Era > f.position.Era && f.listed {
@@ -51,12 +52,14 @@
 	if changed || first {
 		f.notifyTargets()
 	}
+	return true
 }
 
 // recordRestoredStore prepares for a listing of a store that was restored from a copy
 // since the last one; the lock is held.
 func (f *Follower) recordRestoredStore(listing Listing, now time.Duration) {
 	f.targets.MarkStoreRestored(now)
+	f.keys.update(func(state *freshness.State) { state.StoreRestored(now) })
 	f.options.Scope.Counter("store_restored").Inc(1)
 	events.StoreRestored.Log(f.options.Logger, "era", listing.Position.Era, "revision", listing.Position.Revision,
 		"own_era", f.position.Era, "own_revision", f.position.Revision)
--- /dev/null
+++ b/entry/follow/ask.go
@@ -0,0 +1,187 @@
+package follow
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/freshness"
+)
+
+// Intervals and limits of asking peers for confirmations.
+const (
+	// askInterval is the time between two rounds of calls.
+	askInterval = 700 * time.Millisecond
+	// compareInterval is the same while the versions are compared after a start or after the
+	// store was restored, when requests wait for it.
+	compareInterval = 100 * time.Millisecond
+	// askTimeout is the timeout of one call.
+	askTimeout = 400 * time.Millisecond
+	// maxAskedPeers is the number of peers called in one round.
+	maxAskedPeers = 3
+	// failedTime is how long a peer that did not answer is asked last; about the time in which
+	// the membership notices that it has ended.
+	failedTime = 2 * time.Second
+	// olderBuildTime is the same of a peer whose build has no such call.
+	olderBuildTime = time.Minute
+)
+
+// askedPeers is what is known of the peers that may be asked, by VM.
+type askedPeers struct {
+	// readStoreAt is when a VM last announced that it reads the store.
+	readStoreAt map[string]time.Duration
+	// avoidUntil is until when a VM is asked last.
+	avoidUntil map[string]time.Duration
+}
+
+func newAskedPeers() askedPeers {
+	return askedPeers{readStoreAt: make(map[string]time.Duration), avoidUntil: make(map[string]time.Duration)}
+}
+
+// prune forgets what no longer matters.
+func (p *askedPeers) prune(now time.Duration) {
+	for vm, at := range p.readStoreAt {
+		if now-at > maxReadAge {
+			delete(p.readStoreAt, vm)
+		}
+	}
+	for vm, until := range p.avoidUntil {
+		if now >= until {
+			delete(p.avoidUntil, vm)
+		}
+	}
+}
+
+// rank orders peers: those that read the store come first, those that lately failed last.
+func (p *askedPeers) rank(vm string) int {
+	if _, failed := p.avoidUntil[vm]; failed {
+		return 2
+	}
+	if _, reads := p.readStoreAt[vm]; reads {
+		return 0
+	}
+	return 1
+}
+
+// heardOf records what another instance announces of its routes.
+func (f *Follower) heardOf(vm string, version uint64, readsStore bool) {
+	now := f.options.Uptime()
+	f.keys.update(func(state *freshness.State) {
+		state.HeardOf(version)
+		if readsStore {
+			f.keys.peers.readStoreAt[vm] = now
+		}
+	})
+}
+
+// confirm has peers confirm the routes until the context ends.
+func (f *Follower) confirm(ctx context.Context) {
+	if f.keys.state == nil || f.options.Peers == nil {
+		return
+	}
+	interval := compareInterval
+	for {
+		timer := time.NewTimer(interval)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-f.keys.wake:
+			timer.Stop()
+		case <-timer.C:
+		}
+		interval = compareInterval
+		if !f.authenticates() {
+			continue
+		}
+		peers, compared := f.peersToAsk()
+		if compared {
+			interval = askInterval
+		}
+		f.ask(ctx, peers)
+	}
+}
+
+// peersToAsk returns the peers to be asked now, in order; none when no confirmation is due.
+// compared is false while the versions are compared.
+func (f *Follower) peersToAsk() (vms []string, compared bool) {
+	self := f.options.Peers.Members.Self().GetVm()
+	for _, member := range f.options.Peers.Members.Members() {
+		if vm := member.GetVm(); vm != self {
+			vms = append(vms, vm)
+		}
+	}
+	now, readsStore := f.options.Uptime(), !f.hasFeeder()
+	f.keys.mu.Lock()
+	defer f.keys.mu.Unlock()
+	state := f.keys.state
+	state.PeersKnown(len(vms), now)
+	if !state.ShouldAsk(f.keys.isUsed(now), readsStore, now) {
+		return nil, state.Compared()
+	}
+	f.keys.peers.prune(now)
+	rank := func(vm string) int {
+		if state.HasAnswered(vm) {
+			return 3 // only others are of use for the comparison
+		}
+		return f.keys.peers.rank(vm)
+	}
+	rand.Shuffle(len(vms), func(i, j int) { vms[i], vms[j] = vms[j], vms[i] })
+	slices.SortStableFunc(vms, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return vms[:min(len(vms), maxAskedPeers)], state.Compared()
+}
+
+// ask calls peers, one after the other, until one has confirmed the routes.
+func (f *Follower) ask(ctx context.Context, vms []string) {
+	for _, vm := range vms {
+		sent := f.options.Uptime()
+		answer, newest, err := f.options.Peers.confirm(ctx, vm, f.RoutesVersion())
+		if ctx.Err() != nil {
+			return
+		}
+		if err != nil {
+			f.recordAskFailure(vm, err)
+			continue
+		}
+		if newest != nil {
+			f.applyNewestRoutes(*newest)
+		}
+		if f.recordAnswer(vm, answer, sent) {
+			return
+		}
+	}
+}
+
+// recordAnswer records a peer's answer to a call that was sent at an uptime, and reports
+// whether it ends the round.
+func (f *Follower) recordAnswer(vm string, answer freshness.Answer, sent time.Duration) bool {
+	f.options.Scope.Counter("confirmations_answered").Inc(1)
+	f.keys.mu.Lock()
+	defer f.keys.mu.Unlock()
+	f.keys.asksFail = false
+	f.keys.state.ConfirmedByPeer(vm, answer, sent)
+	return f.keys.state.Useful(answer)
+}
+
+// recordAskFailure records that a peer did not answer; only the first failure in a row is
+// logged.
+func (f *Follower) recordAskFailure(vm string, cause error) {
+	f.options.Scope.Counter("confirmations_failed").Inc(1)
+	avoid := failedTime
+	if connect.CodeOf(cause) == connect.CodeUnimplemented {
+		avoid = olderBuildTime
+	}
+	f.keys.mu.Lock()
+	f.keys.peers.avoidUntil[vm] = f.options.Uptime() + avoid
+	isFirst := !f.keys.asksFail
+	f.keys.asksFail = true
+	f.keys.mu.Unlock()
+	if isFirst {
+		events.ConfirmationFailed.Log(f.options.Logger, "peer", vm, "version", f.RoutesVersion(), "cause", cause)
+	}
+}
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -13,6 +13,7 @@
 // was restored from a copy.
 func (f *Follower) Announced(vm string, other contract.Announcement, replacesWatch bool) {
 	f.tellNewerRoutes(other.RoutesVersion)
+	f.heardOf(vm, other.RoutesVersion, !other.Position.IsZero())
 	f.mu.Lock()
 	if replacesWatch && !other.Position.IsZero() && other.Position.Era >= f.position.Era {
 		f.announcedAt = f.options.Uptime()
@@ -33,7 +34,10 @@
 
 // isFedByPeer reports whether another instance watches the store in place of this
 // one.
-func (f *Follower) isFedByPeer() bool {
+func (f *Follower) isFedByPeer() bool { return f.hasFeeder() && !f.needsStore() }
+
+// hasFeeder reports whether another instance that watches the store feeds this one.
+func (f *Follower) hasFeeder() bool {
 	if f.options.WatchesStore() {
 		return false
 	}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -71,7 +71,10 @@
 	WatchesStore func() bool
 	// Announce makes the other instances learn soon what this one has.
 	Announce func()
-	// Uptime is the instance's clock.
+	// KeysBound is the age of the routes from which requests with keys are not served by them;
+	// zero sets no bound.
+	KeysBound time.Duration
+	// Uptime is the instance's clock, which counts suspension.
 	Uptime   func() time.Duration
 	Listener Listener
 	Logger   *log.Logger
@@ -107,12 +110,17 @@
 	// aheadVM is the VM of an instance with a newer position or newer routes.
 	aheadVM         string
 	catchUpRequests chan struct{}
+
+	keys *keys
 }
 
 // New returns a follower without routes and targets.
 func New(options Options) *Follower {
 	options.Scope = options.Scope.SubScope("follow")
-	return &Follower{options: options, targets: roster.New(), history: newHistory(), catchUpRequests: make(chan struct{}, 1)}
+	return &Follower{
+		options: options, targets: roster.New(), history: newHistory(), catchUpRequests: make(chan struct{}, 1),
+		keys: newKeys(options.KeysBound, options.Uptime()),
+	}
 }
 
 // Ready reports whether routes are in force and the targets were listed.
@@ -152,6 +160,7 @@
 func (f *Follower) Run(ctx context.Context) error {
 	go f.expire(ctx)
 	go f.catchUp(ctx)
+	go f.confirm(ctx)
 	backoff := minRetryDelay
 	for ctx.Err() == nil {
 		if f.isFedByPeer() {
@@ -190,6 +199,10 @@
 	if lost {
 		wait = firstWatchWait // the store may have come back from a copy, and have no change to tell
 	}
+	if f.needsPromptAnswer() {
+		wait = firstWatchWait
+	}
+	sent := f.options.Uptime()
 	changes, err := source.Watch(ctx, after.Revision, wait)
 	if errors.Is(err, ErrHistoryGone) {
 		events.StoreHistoryGone.Log(f.options.Logger, "after_revision", after.Revision, "era", after.Era)
@@ -202,7 +215,9 @@
 		return f.list(ctx, source)
 	}
 	f.recordStoreContact()
-	f.apply(changes, after)
+	if f.apply(changes, after) {
+		f.confirmedByStore(sent)
+	}
 	return nil
 }
 
@@ -213,12 +228,15 @@
 
 func (f *Follower) list(ctx context.Context, source Source) error {
 	f.options.Scope.Counter("listings").Inc(1)
+	sent := f.options.Uptime()
 	listing, err := source.List(ctx)
 	if err != nil {
 		return fmt.Errorf("list: %w", err)
 	}
 	f.recordStoreContact()
-	f.apply(listing, contract.StorePosition{})
+	if f.apply(listing, contract.StorePosition{}) {
+		f.confirmedByStore(sent)
+	}
 	return nil
 }
 
@@ -258,6 +276,7 @@
 		case <-ticker.C:
 		}
 		f.options.Scope.Gauge("store_age_seconds").Update(f.storeAge().Seconds())
+		f.reportKeys()
 		f.mu.Lock()
 		expired, revived := f.targets.Expire(f.options.Uptime())
 		if len(expired) > 0 {
--- a/entry/follow/routes.go
+++ b/entry/follow/routes.go
@@ -7,6 +7,7 @@
 
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/policy/freshness"
 )
 
 // routesTellInterval is the time between two announcements made because another instance
@@ -37,6 +38,7 @@
 	}
 	f.table.Store(table)
 	f.newestRoutes = item
+	f.keys.update(func(state *freshness.State) { state.Applied(table.Version()) })
 	events.RoutesInForce.Log(f.options.Logger, "version", table.Version(), "routes", len(document.Routes), "customers", table.CustomerCount())
 	f.reportProblems(table)
 	f.options.Scope.Gauge("routes_version").Update(float64(table.Version()))
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -47,6 +47,7 @@
 	f.fleet.peerReports, f.fleet.rate = f.evidence, f.gateway.Rate
 	f.fleet.cutOffServices, f.fleet.pathInDoubt = f.targets.CutOffServices, f.targets.PathInDoubt
 	f.fleet.servedBy = f.targets.ServedBy
+	f.fleet.keysNotCurrent = f.follower.KeysNotCurrent
 	f.peers.UseForwarder(f.gateway)
 	f.targets.UseNotifier(f.evidence)
 	f.crashes.UseNotifier(f.evidence.RequestsChanged)
@@ -85,6 +86,7 @@
 		Decoder:      f.options.Adapter.Decoder,
 		WatchesStore: func() bool { return f.fleet == nil || f.fleet.watchesStore() },
 		Announce:     func() { f.evidence.AnnouncementChanged() },
+		KeysBound:    set.Keys.RevokedWithin.Std(),
 		Uptime:       f.clock.Uptime,
 		Listener:     f,
 		Logger:       logger,
@@ -128,6 +130,7 @@
 		Announcement:       follower.Announcement,
 		CutOffServices:     targets.CutOffServices,
 		PathInDoubt:        targets.PathInDoubt,
+		KeysNotCurrent:     follower.KeysNotCurrent,
 		MeanRunTime:        targets.MeanRunTime,
 		Requests:           tracker.NextEvidence,
 		RequestsDigest:     tracker.Digest,
@@ -168,6 +171,7 @@
 		Targets:  targets,
 		Crashes:  tracker,
 		Carriers: vms,
+		Keys:     keyFreshness{f},
 		Fleet:    set.Fleet,
 		VM:       set.VM,
 		Stopping: f.stopping.Load,
--- a/entry/frontend/carriers.go
+++ b/entry/frontend/carriers.go
@@ -53,8 +53,9 @@
 		return vm.Name != self.GetVm() && !slices.Contains(tried, vm.Name) && !f.peerReports.IsCutOff(vm.Name, service)
 	}
 	lives := func(vm offer.VM) bool { return mayCarry(vm) && !f.mayHaveEnded(vm.Name, v) }
-	serves := func(vm offer.VM) bool { return lives(vm) && f.servedBy(vm.Name, service) }
-	carrier, ok := f.firstCarrier(v.vms, serves, lives, mayCarry)
+	current := func(vm offer.VM) bool { return lives(vm) && !f.peerReports.KeysNotCurrent(vm.Name) }
+	serves := func(vm offer.VM) bool { return current(vm) && f.servedBy(vm.Name, service) }
+	carrier, ok := f.firstCarrier(v.vms, serves, current, lives, mayCarry)
 	if !ok {
 		return "", nil, false
 	}
@@ -75,7 +76,7 @@
 			return false
 		}
 		age, ready, heard := f.peerReports.LastReceived(vm.Name)
-		return heard && ready && age < carrierSilence && f.now() >= f.carriers.unreachableUntil[vm.Name] && !f.peerReports.IsCutOff(vm.Name, service)
+		return heard && ready && age < carrierSilence && !f.peerReports.KeysNotCurrent(vm.Name) && f.now() >= f.carriers.unreachableUntil[vm.Name] && !f.peerReports.IsCutOff(vm.Name, service)
 	}
 	primary, ok := f.firstCarrier(v.vms, maySend)
 	if !ok {
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -39,6 +39,10 @@
 	IsCutOff(vm, service string) bool
 	// NeedsEvidence reports whether a VM says that it is cut off from targets, or may be.
 	NeedsEvidence(vm string) bool
+	// KeysNotCurrent reports whether a VM says that it cannot serve requests with keys.
+	KeysNotCurrent(vm string) bool
+	// ReadsStore reports whether a VM says that it reads the store itself.
+	ReadsStore(vm string) bool
 }
 
 // view is a snapshot of the fleet.
@@ -52,6 +56,8 @@
 	isCutOff bool
 	// mayBeCutOff is true when this VM is or may be cut off, so that others send it evidence.
 	mayBeCutOff bool
+	// keysNotCurrent is true when this VM cannot serve requests with keys.
+	keysNotCurrent bool
 	// isPrimary is true when this VM is a primary VM of its zone.
 	isPrimary bool
 	// watchesStore is true when this VM is one of those that watch the store;
@@ -79,6 +85,8 @@
 	cutOffServices func() []string
 	// pathInDoubt reports whether this VM may be cut off from the targets of a service.
 	pathInDoubt func() bool
+	// keysNotCurrent reports whether this VM cannot serve requests with keys.
+	keysNotCurrent func() bool
 	// servedBy reports whether another VM has lately got responses of a service.
 	servedBy func(vm, service string) bool
 
@@ -100,7 +108,7 @@
 		carriers: newCarriers(seed),
 		members:  members, ready: ready, settings: settings, evidencePort: evidencePort, now: now,
 		rate: func() float64 { return 0 }, cutOffServices: func() []string { return nil },
-		pathInDoubt:  func() bool { return false },
+		pathInDoubt: func() bool { return false }, keysNotCurrent: func() bool { return false },
 		servedBy:     func(string, string) bool { return false },
 		missingSince: make(map[string]time.Duration), excludedUntil: make(map[string]time.Duration),
 	}
@@ -132,6 +140,7 @@
 	now := f.now()
 	v.isCutOff = len(f.cutOffServices()) > 0
 	v.mayBeCutOff = v.isCutOff || f.pathInDoubt()
+	v.keysNotCurrent = f.keysNotCurrent()
 	getsHeartbeats := f.view.Load().isPrimary || v.isCutOff
 	for _, member := range members {
 		v.vms = append(v.vms, offer.VM{
@@ -144,6 +153,7 @@
 		})
 	}
 	v.vms = offer.WithoutCutOff(v.vms, func(vm offer.VM) bool { return f.cutOff(vm.Name, v) })
+	v.vms = offer.WithoutKeysNotCurrent(v.vms, func(vm offer.VM) bool { return f.notCurrent(vm.Name, v) })
 	for _, vm := range offer.AllPrimaries(v.vms, f.settings) {
 		v.primaries[vm.Name] = true
 		v.senders = append(v.senders, vm.Name)
@@ -255,10 +265,10 @@
 }
 
 // sendsHeartbeats reports whether the other VMs need this VM's heartbeats: they send callers
-// to it, or must know whether it reaches targets.
+// to it, or must know whether it reaches targets or can serve requests with keys.
 func (f *fleet) sendsHeartbeats() bool {
 	v := f.view.Load()
-	return v.isPrimary || v.mayBeCutOff
+	return v.isPrimary || v.mayBeCutOff || v.keysNotCurrent
 }
 
 func (f *fleet) watchesStore() bool            { return f.view.Load().watchesStore }
--- a/entry/frontend/fleet_test.go
+++ b/entry/frontend/fleet_test.go
@@ -25,6 +25,10 @@
 
 func (h fakePeerReports) IsCutOff(string, string) bool { return false }
 
+func (h fakePeerReports) KeysNotCurrent(string) bool { return false }
+
+func (h fakePeerReports) ReadsStore(string) bool { return false }
+
 func (h fakePeerReports) NeedsEvidence(string) bool { return false }
 
 func (h fakePeerReports) LastReceived(vm string) (age time.Duration, ready, ok bool) {
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -27,6 +27,9 @@
 	// Carrier returns a VM that says that it reaches a service, other than those tried
 	// before; ok is false when there is none.
 	Carrier(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool)
+	// CurrentCarrier returns a VM that may be able to serve the service's requests with keys,
+	// other than those tried before; ok is false when there is none.
+	CurrentCarrier(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool)
 	// CarrierUnreachable records that no request could be sent to a VM.
 	CarrierUnreachable(vm string)
 }
@@ -44,9 +47,26 @@
 // forward lets other VMs serve a request for which this VM reaches no target. A request that
 // was itself forwarded is refused.
 func (q *request) forward(ctx context.Context) (*targetResponse, *outcome.Refusal) {
+	if got, refusal, ok := q.tryCarriers(ctx, q.gateway.options.Carriers.Carrier); ok {
+		return got, refusal
+	}
+	if q.failure != nil {
+		q.notRetried = string(outcome.ReasonCutOff)
+		q.logFailure()
+		return q.failure, nil
+	}
+	return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonCutOff, Step: outcome.StepChoose, Peer: q.service, RetryAfter: noTargetWait}
+}
+
+// chooseCarrier returns another VM for a service's request, other than those tried before.
+type chooseCarrier func(service string, tried []string) (vm string, client primroseloomv1connect.PeerServiceClient, ok bool)
+
+// tryCarriers forwards a request to other VMs, one after the other, until one has served it or
+// may have. ok is false when none did.
+func (q *request) tryCarriers(ctx context.Context, choose chooseCarrier) (got *targetResponse, refusal *outcome.Refusal, ok bool) {
 	var tried []string
 	for len(tried) < maxCarriers && !q.isForwarded && q.body.replayable() {
-		vm, client, ok := q.gateway.options.Carriers.Carrier(q.service, tried)
+		vm, client, ok := choose(q.service, tried)
 		if !ok {
 			break
 		}
@@ -55,18 +75,14 @@
 		q.logForwarded(vm, result)
 		if result.response != nil {
 			q.keepFailure(nil)
-			return result.response, nil
+			return result.response, nil, true
 		}
 		if !result.otherMayServe || ctx.Err() != nil {
-			return q.afterForward(result.refusal)
+			got, refusal = q.afterForward(result.refusal)
+			return got, refusal, true
 		}
 	}
-	if q.failure != nil {
-		q.notRetried = string(outcome.ReasonCutOff)
-		q.logFailure()
-		return q.failure, nil
-	}
-	return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonCutOff, Step: outcome.StepChoose, Peer: q.service, RetryAfter: noTargetWait}
+	return nil, nil, false
 }
 
 // afterForward returns the response or refusal of a request that another VM refused.
@@ -182,7 +198,7 @@
 	}
 	refusal.Outcome = outcome.NotRun
 	switch refusal.Reason {
-	case outcome.ReasonCutOff, outcome.ReasonCarrierFull, outcome.ReasonRoutesBehind, outcome.ReasonNoConfiguration:
+	case outcome.ReasonCutOff, outcome.ReasonCarrierFull, outcome.ReasonRoutesBehind, outcome.ReasonNoConfiguration, outcome.ReasonKeysNotCurrent:
 		return forwarded{refusal: refusal, otherMayServe: true}
 	}
 	return forwarded{refusal: refusal}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Crashes CrashTracker
 	// Carriers chooses the other VMs that serve what this VM can't.
 	Carriers Carriers
+	// Keys tells whether requests with keys may be served by the routes; nil means always.
+	Keys KeyFreshness
 	// Fleet and VM name this fleet and this VM to other VMs.
 	Fleet, VM string
 	// Stopping reports whether connections are closed after their response.
@@ -75,7 +77,9 @@
 	// key. authenticates is true when callers' credentials end at the proxy.
 	customer      *routing.Customer
 	authenticates bool
-	service       string
+	// keysNotCurrent is true when another VM has to authenticate the request.
+	keysNotCurrent bool
+	service        string
 	// isForwarded is true when another VM forwards the request, for the service
 	// forwardedService.
 	isForwarded      bool
@@ -151,6 +155,7 @@
 
 // prepare checks the request, finds its route and reads its body.
 func (q *request) prepare(w http.ResponseWriter) *outcome.Refusal {
+	isCurrent := q.gateway.keysCurrent()
 	table := q.gateway.options.Table()
 	if table == nil {
 		return refuse(outcome.ReasonNoConfiguration, outcome.StepRoute, noConfigurationWait)
@@ -159,8 +164,10 @@
 		return refuse(outcome.ReasonBadRequest, outcome.StepParse, 0)
 	}
 	route, ok := table.Match(q.caller.Host, q.caller.URL.Path)
-	if ok && !q.authenticate(table, route) {
-		return refuse(outcome.ReasonUnknownCustomer, outcome.StepIdentify, 0)
+	if ok {
+		if refusal := q.checkKey(table, route, isCurrent); refusal != nil {
+			return refusal
+		}
 	}
 	if limit := table.Limits().HeaderBytes; limit > 0 && headerBytes(q.caller) > limit {
 		return refuse(outcome.ReasonHeaderTooLarge, outcome.StepParse, 0)
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -126,6 +126,10 @@
 	return "", nil, false
 }
 
+func (noCarriers) CurrentCarrier(string, []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
+	return "", nil, false
+}
+
 func (noCarriers) Carrier(string, []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
 	return "", nil, false
 }
--- a/policy/offer/carriers.go
+++ b/policy/offer/carriers.go
@@ -57,11 +57,21 @@
 
 // WithoutCutOff returns the VMs with those that are cut off from targets marked as not
 // usable, unless no usable VM would be left: then being cut off distinguishes none.
-func WithoutCutOff(vms []VM, isCutOff func(VM) bool) []VM {
+func WithoutCutOff(vms []VM, isCutOff func(VM) bool) []VM { return without(vms, isCutOff) }
+
+// WithoutKeysNotCurrent returns the VMs with those that cannot serve requests with keys marked
+// as not usable, unless no usable VM would be left.
+func WithoutKeysNotCurrent(vms []VM, isNotCurrent func(VM) bool) []VM {
+	return without(vms, isNotCurrent)
+}
+
+// without returns the VMs with those that meet a condition marked as not usable, unless no
+// usable VM would be left.
+func without(vms []VM, isLeftOut func(VM) bool) []VM {
 	marked := slices.Clone(vms)
 	left := false
 	for i, vm := range marked {
-		marked[i].Usable = vm.Usable && !isCutOff(vm)
+		marked[i].Usable = vm.Usable && !isLeftOut(vm)
 		left = left || marked[i].Usable
 	}
 	if !left {
