follow, gateway: tests of each failure of confirmations

Cause: the confirmations of routes were tested over whole VMs only.

An instance that lost the store asks as often as one that peers feed.

--- a/entry/follow/ask.go
+++ b/entry/follow/ask.go
@@ -116,7 +116,7 @@
 			vms = append(vms, vm)
 		}
 	}
-	now, readsStore := f.options.Uptime(), !f.hasFeeder()
+	now, readsStore := f.options.Uptime(), !f.hasFeeder() && !f.StoreUnreachable()
 	f.keys.mu.Lock()
 	defer f.keys.mu.Unlock()
 	state := f.keys.state
--- /dev/null
+++ b/entry/follow/keys_fleet_test.go
@@ -0,0 +1,273 @@
+package follow
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
+)
+
+const (
+	// fleetWatchers is the number of instances of a fleet that watch the store.
+	fleetWatchers = 4
+	// hop is the time of a message between two instances.
+	hop = 1500 * time.Microsecond
+)
+
+// keyFleet is a fleet of instances that all serve requests with keys. The first fleetWatchers
+// watch the store and announce it to all others five times a second.
+type keyFleet struct {
+	store     *fakeStore
+	instances []*Follower
+	mu        sync.Mutex
+	down      map[string]bool
+	confirms  int
+}
+
+// linkTo calls an instance of a fleet over the network.
+type linkTo struct {
+	primroseloomv1connect.FeedServiceClient
+	fleet *keyFleet
+	to    int
+}
+
+func (l linkTo) ConfirmRoutes(ctx context.Context, request *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
+	l.fleet.mu.Lock()
+	l.fleet.confirms++
+	l.fleet.mu.Unlock()
+	if l.fleet.isDown(l.to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * hop)
+	return (&feed{follower: l.fleet.instances[l.to], fleet: "f"}).ConfirmRoutes(ctx, request)
+}
+
+func (l linkTo) Follow(ctx context.Context, request *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
+	if l.fleet.isDown(l.to) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	time.Sleep(2 * hop)
+	return (&feed{follower: l.fleet.instances[l.to], fleet: "f"}).Follow(ctx, request)
+}
+
+// fleetView is one instance's membership of a fleet.
+type fleetView struct {
+	fleet *keyFleet
+	self  int
+}
+
+func vmName(i int) string { return fmt.Sprintf("vm-%d", i) }
+
+func (v fleetView) Self() *primroseloomv1.Member {
+	return &primroseloomv1.Member{Vm: vmName(v.self)}
+}
+
+func (v fleetView) Members() []*primroseloomv1.Member {
+	members := []*primroseloomv1.Member{v.Self()}
+	for i := range v.fleet.instances {
+		if i != v.self {
+			members = append(members, &primroseloomv1.Member{Vm: vmName(i)})
+		}
+	}
+	return members
+}
+
+func (v fleetView) Client(string) (primroseloomv1connect.PeerServiceClient, bool) { return nil, false }
+
+func (v fleetView) Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool) {
+	for i := range v.fleet.instances {
+		if vmName(i) == vm {
+			return linkTo{fleet: v.fleet, to: i}, true
+		}
+	}
+	return nil, false
+}
+
+func (k *keyFleet) isDown(i int) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.down[vmName(i)]
+}
+
+// setDown makes instances unreachable for all others, for good.
+func (k *keyFleet) setDown(instances ...int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, i := range instances {
+		k.down[vmName(i)] = true
+	}
+}
+
+// announce sends what each watcher has to all instances.
+func (k *keyFleet) announce() {
+	for w := range fleetWatchers {
+		if k.isDown(w) {
+			continue
+		}
+		told := k.instances[w].Announcement()
+		for i, f := range k.instances {
+			if i != w && !k.isDown(i) {
+				f.Announced(vmName(w), told, true)
+			}
+		}
+	}
+}
+
+// refusing returns the instances, other than those that are down, that are not current.
+func (k *keyFleet) refusing() []int {
+	var refusing []int
+	for i, f := range k.instances {
+		if !k.isDown(i) && !f.KeysCurrent() {
+			refusing = append(refusing, i)
+		}
+	}
+	return refusing
+}
+
+// run lets time pass and returns, by instance, at how many moments, 50 ms apart, it was not
+// current. Requests arrive everywhere meanwhile.
+func (k *keyFleet) run(length time.Duration) map[int]int {
+	refused := make(map[int]int)
+	for i := range int(length / (50 * time.Millisecond)) {
+		if i%4 == 0 {
+			k.announce()
+			for _, f := range k.instances {
+				f.KeyUsed()
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+		for _, vm := range k.refusing() {
+			refused[vm]++
+		}
+	}
+	return refused
+}
+
+// withFleet runs a test with a fleet that has been up for a while.
+func withFleet(t *testing.T, size int, test func(k *keyFleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		k := &keyFleet{store: newStore(), down: make(map[string]bool)}
+		k.store.put("routes", "routes 4")
+		for i := range size {
+			k.instances = append(k.instances, New(Options{
+				Store: k.store, Decoder: keyedDecoder{}, WatchesStore: func() bool { return i < fleetWatchers }, Listener: &recordingListener{},
+				Peers: &Peers{Fleet: "f", Members: fleetView{fleet: k, self: i}}, KeysBound: keysBound,
+				Uptime: func() time.Duration { return time.Since(start) + time.Minute }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+			}))
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		for _, f := range k.instances {
+			running.Go(func() { _ = f.Run(ctx) })
+		}
+		k.run(6 * time.Second)
+		test(k)
+		cancel()
+		running.Wait()
+		time.Sleep(5 * time.Second)
+	})
+}
+
+// TestFleetOfManyStaysCurrent guards against callers who are refused in a large fleet, and
+// against a store or peers that are called too often: 118 and 300 instances that all serve
+// requests with keys, for a minute.
+func TestFleetOfManyStaysCurrent(t *testing.T) {
+	for _, size := range []int{118, 300} {
+		withFleet(t, size, func(k *keyFleet) {
+			k.store.mu.Lock()
+			before := k.store.calls
+			k.store.mu.Unlock()
+			asked := k.confirms
+			refused := k.run(time.Minute)
+			calls, asks := k.store.calls-before, k.confirms-asked
+			t.Logf("%d instances: %d calls to the store in a minute, %.2f calls a second and instance to peers", size, calls, float64(asks)/float64(size)/60)
+			if len(refused) > 0 {
+				t.Errorf("%d instances: not current at so many moments: %v", size, refused)
+			}
+			if most := fleetWatchers*60 + size/10; calls > most {
+				t.Errorf("%d instances: %d calls to the store in a minute, want at most %d", size, calls, most)
+			}
+		})
+	}
+}
+
+// TestFleetStaysCurrentWhileWatchersFail guards against callers who are refused since the
+// instances that read the store lost it, or died, one or all of them.
+func TestFleetStaysCurrentWhileWatchersFail(t *testing.T) {
+	for name, fail := range map[string]func(k *keyFleet){
+		"one watcher dies":       func(k *keyFleet) { k.setDown(1) },
+		"all watchers die":       func(k *keyFleet) { k.setDown(0, 1, 2, 3) },
+		"watches are dropped":    func(k *keyFleet) { k.store.set(func() { k.store.drops++ }) },
+		"half of the VMs die":    func(k *keyFleet) { k.setDown(0, 1); k.setDown(slices.Collect(evenNumbers(118))...) },
+		"a version is published": func(k *keyFleet) { k.store.put("routes", "routes 5") },
+	} {
+		withFleet(t, 118, func(k *keyFleet) {
+			fail(k)
+			if refused := k.run(15 * time.Second); len(refused) > 0 {
+				t.Errorf("%s: not current at so many moments, 50 ms apart: %v", name, refused)
+			}
+		})
+	}
+}
+
+// evenNumbers returns the even numbers from 4 below a number.
+func evenNumbers(below int) func(yield func(int) bool) {
+	return func(yield func(int) bool) {
+		for i := fleetWatchers; i < below; i += 2 {
+			if !yield(i) {
+				return
+			}
+		}
+	}
+}
+
+// TestFleetStopsWithinTheBoundWithoutStore guards against instances that confirm one another's
+// routes while the store is down.
+func TestFleetStopsWithinTheBoundWithoutStore(t *testing.T) {
+	withFleet(t, 118, func(k *keyFleet) {
+		k.store.set(func() { k.store.unavailable = true })
+		down := time.Now()
+		last := time.Duration(0)
+		for range 200 {
+			k.run(50 * time.Millisecond)
+			if len(k.refusing()) < len(k.instances) {
+				last = time.Since(down)
+			}
+		}
+		if last > keysBound {
+			t.Errorf("an instance was current %v after the store went down", last)
+		}
+	})
+}
+
+// TestNewestRoutesReachAllBeforeTheBound guards against instances that are current with routes
+// older than the bound.
+func TestNewestRoutesReachAllBeforeTheBound(t *testing.T) {
+	withFleet(t, 118, func(k *keyFleet) {
+		k.setDown(5)
+		k.instances[5].Announced("vm-6", contract.Announcement{RoutesVersion: 5}, false)
+		k.store.put("routes", "routes 5")
+		k.run(keysBound)
+		for i, f := range k.instances {
+			if f.RoutesVersion() < 5 && f.KeysCurrent() {
+				t.Errorf("instance %d is current with version %d", i, f.RoutesVersion())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/follow/keys_test.go
@@ -0,0 +1,439 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
+	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
+)
+
+const (
+	keysBound = 5 * time.Second
+	// firstVersion is the version of the routes that the store has at the start of a test.
+	firstVersion = 4
+)
+
+// keyedDecoder decodes as textDecoder does, with one customer in each version.
+type keyedDecoder struct{ textDecoder }
+
+func (d keyedDecoder) Decode(item Item, now time.Duration) (Entry, error) {
+	entry, err := d.textDecoder.Decode(item, now)
+	if entry.Routes != nil {
+		entry.Routes.Customers = []routing.Customer{{Name: "acme", Keys: []routing.KeyDigest{routing.DigestKey("k")}}}
+	}
+	return entry, err
+}
+
+// fakePeer is another instance, which answers calls as a function says.
+type fakePeer struct {
+	primroseloomv1connect.FeedServiceClient
+	calls  int
+	answer func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error)
+}
+
+func (p *fakePeer) ConfirmRoutes(ctx context.Context, _ *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
+	p.calls++
+	message, err := p.answer(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(message), nil
+}
+
+func (p *fakePeer) Follow(context.Context, *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
+	return nil, errUnavailable
+}
+
+// fakePeers is a membership of fake peers.
+type fakePeers struct {
+	mu    sync.Mutex
+	peers map[string]*fakePeer
+}
+
+func (p *fakePeers) Self() *primroseloomv1.Member { return &primroseloomv1.Member{Vm: "self"} }
+
+func (p *fakePeers) Client(string) (primroseloomv1connect.PeerServiceClient, bool) { return nil, false }
+
+func (p *fakePeers) Members() []*primroseloomv1.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	members := []*primroseloomv1.Member{p.Self()}
+	for vm := range p.peers {
+		members = append(members, &primroseloomv1.Member{Vm: vm})
+	}
+	return members
+}
+
+func (p *fakePeers) Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	peer, ok := p.peers[vm]
+	return peer, ok
+}
+
+// confirms is a peer that had its version confirmed an age ago at each call.
+func confirms(version uint64, age time.Duration) *fakePeer {
+	return &fakePeer{answer: func(context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		return &primroseloomv1.ConfirmRoutesResponse{RoutesVersion: version, Confirmed: true, ConfirmedAgeMs: uint32(age.Milliseconds())}, nil
+	}}
+}
+
+// knows is a peer that has a version and cannot confirm it.
+func knows(version uint64) *fakePeer {
+	return &fakePeer{answer: func(context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		return &primroseloomv1.ConfirmRoutesResponse{RoutesVersion: version}, nil
+	}}
+}
+
+// fails is a peer whose calls end with an error.
+func fails(err error) *fakePeer {
+	return &fakePeer{answer: func(context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) { return nil, err }}
+}
+
+// silent is a peer that never answers.
+func silent() *fakePeer {
+	return &fakePeer{answer: func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}}
+}
+
+// slow is a peer that confirms its version at once and whose answer comes late.
+func slow(version uint64, delay time.Duration) *fakePeer {
+	return &fakePeer{answer: func(context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		time.Sleep(delay)
+		return &primroseloomv1.ConfirmRoutesResponse{RoutesVersion: version, Confirmed: true}, nil
+	}}
+}
+
+// keyed is a running follower that serves requests with keys.
+type keyed struct {
+	*Follower
+	store *fakeStore
+	peers *fakePeers
+	// suspended is the time for which the instance was suspended so far.
+	suspended time.Duration
+}
+
+func (k *keyed) age() time.Duration {
+	k.keys.mu.Lock()
+	defer k.keys.mu.Unlock()
+	age, _ := k.keys.state.Age(k.options.Uptime())
+	return age
+}
+
+// currentFor returns for how long the follower stays current, at most a time.
+func (k *keyed) currentFor(most time.Duration) time.Duration {
+	start := time.Now()
+	for time.Since(start) < most && k.KeysCurrent() {
+		time.Sleep(10 * time.Millisecond)
+	}
+	return time.Since(start)
+}
+
+// loseStore makes the store unavailable.
+func (k *keyed) loseStore() {
+	k.store.set(func() { k.store.unavailable = true })
+}
+
+// withPeers runs a test with a follower that has a store, which it watches, and peers. Requests
+// with keys arrive all the time.
+func withPeers(t *testing.T, peers map[string]*fakePeer, test func(k *keyed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		k := &keyed{store: newStore(), peers: &fakePeers{peers: peers}}
+		k.store.put("routes", fmt.Sprintf("routes %d", firstVersion))
+		k.Follower = New(Options{
+			Store: k.store, Decoder: keyedDecoder{}, WatchesStore: func() bool { return true }, Listener: &recordingListener{},
+			Peers: &Peers{Fleet: "f", Members: k.peers}, KeysBound: keysBound,
+			Uptime: func() time.Duration { return time.Since(start) + time.Minute + k.suspended },
+			Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = k.Run(ctx) })
+		running.Go(func() {
+			for ctx.Err() == nil {
+				k.KeyUsed()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		time.Sleep(4 * time.Second)
+		test(k)
+		cancel()
+		running.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// TestWithoutStoreAPeerConfirms is a table of peers and of how long an instance that lost the
+// store stays current: as long as a current peer can be reached.
+func TestWithoutStoreAPeerConfirms(t *testing.T) {
+	unimplemented := connect.NewError(connect.CodeUnimplemented, errors.New("no such call"))
+	const long = 20 * time.Second
+	for _, c := range []struct {
+		name  string
+		peers map[string]*fakePeer
+		// isKept is whether the instance stays current.
+		isKept bool
+	}{
+		{"no peer", nil, false},
+		{"a current one", map[string]*fakePeer{"a": confirms(firstVersion, time.Second)}, true},
+		{"one that died and a current one", map[string]*fakePeer{"a": fails(errUnavailable), "b": confirms(firstVersion, time.Second)}, true},
+		{"an older build and a current one", map[string]*fakePeer{"a": fails(unimplemented), "b": confirms(firstVersion, time.Second)}, true},
+		{"two behind a cut and a current one", map[string]*fakePeer{"a": silent(), "b": silent(), "c": confirms(firstVersion, time.Second)}, true},
+		{"older builds only", map[string]*fakePeer{"a": fails(unimplemented), "b": fails(unimplemented)}, false},
+		{"one that is not current itself", map[string]*fakePeer{"a": confirms(firstVersion, keysBound)}, false},
+		{"one with older routes", map[string]*fakePeer{"a": confirms(firstVersion-1, 0)}, false},
+		{"one with newer routes that it does not pass on", map[string]*fakePeer{"a": confirms(firstVersion+1, 0)}, false},
+		{"one without a confirmation", map[string]*fakePeer{"a": knows(firstVersion)}, false},
+		{"a slow one", map[string]*fakePeer{"a": slow(firstVersion, 300*time.Millisecond)}, true},
+	} {
+		withPeers(t, c.peers, func(k *keyed) {
+			k.loseStore()
+			time.Sleep(2 * time.Second) // a watch under way may still be answered
+			kept := k.currentFor(long)
+			if c.isKept && kept < long || !c.isKept && kept > keysBound {
+				t.Errorf("%s: current for %v", c.name, kept)
+			}
+		})
+	}
+}
+
+// TestLateAnswerCountsFromWhenItWasAsked guards against a confirmation that is taken for newer
+// than it is since its answer was slow.
+func TestLateAnswerCountsFromWhenItWasAsked(t *testing.T) {
+	const delay = 350 * time.Millisecond
+	withPeers(t, map[string]*fakePeer{"a": slow(firstVersion, delay)}, func(k *keyed) {
+		k.loseStore()
+		time.Sleep(10 * time.Second)
+		least := keysBound
+		for range 300 {
+			least = min(least, k.age())
+			time.Sleep(10 * time.Millisecond)
+		}
+		if least < delay-20*time.Millisecond {
+			t.Errorf("the youngest confirmation was %v old, answers take %v", least, delay)
+		}
+	})
+}
+
+// TestSuspendedInstanceWakesNotCurrent guards against an instance that was suspended for 10 s
+// and serves the requests that arrived meanwhile by the routes that it had before.
+func TestSuspendedInstanceWakesNotCurrent(t *testing.T) {
+	withPeers(t, map[string]*fakePeer{"a": confirms(firstVersion, time.Second)}, func(k *keyed) {
+		if !k.KeysCurrent() {
+			t.Fatal("not current before")
+		}
+		k.suspended += 10 * time.Second
+		if k.KeysCurrent() || !k.KeysNotCurrent() {
+			t.Error("current right after a suspension of 10 s")
+		}
+		time.Sleep(2 * time.Second)
+		if !k.KeysCurrent() {
+			t.Error("not current 2 s after the suspension")
+		}
+	})
+}
+
+// TestNewInstanceNeedsAConfirmation guards against an instance that serves keys by what a
+// store lists which may come from a copy, before it has heard of its peers' routes.
+func TestNewInstanceNeedsAConfirmation(t *testing.T) {
+	withPeers(t, map[string]*fakePeer{"a": silent(), "b": silent(), "c": silent(), "d": silent()}, func(k *keyed) {
+		if !k.Ready() || k.KeysCurrent() || !k.KeysNotCurrent() {
+			t.Errorf("ready %v, current %v", k.Ready(), k.KeysCurrent())
+		}
+		time.Sleep(2 * keysBound)
+		if !k.KeysCurrent() {
+			t.Error("an instance whose peers never answer is not current although the store is")
+		}
+	})
+	withPeers(t, map[string]*fakePeer{"a": knows(0), "b": knows(0), "c": silent()}, func(k *keyed) {
+		k.peers.mu.Lock()
+		k.peers.peers["c"] = knows(0)
+		k.peers.mu.Unlock()
+		time.Sleep(time.Second)
+		if !k.KeysCurrent() {
+			t.Error("of instances that start together none becomes current")
+		}
+	})
+}
+
+// TestRestoredStoreConfirmsNothingNewerThanItHas guards against an instance that is current by
+// the word of a store that was restored from a copy, although a peer has newer routes.
+func TestRestoredStoreConfirmsNothingNewerThanItHas(t *testing.T) {
+	withPeers(t, map[string]*fakePeer{"a": knows(firstVersion), "b": knows(firstVersion)}, func(k *keyed) {
+		k.store.set(func() { k.store.era++ })
+		k.Announced("b", contract.Announcement{RoutesVersion: firstVersion + 1}, false)
+		time.Sleep(keysBound + 2*time.Second)
+		if k.KeysCurrent() {
+			t.Error("current although a peer has newer routes")
+		}
+		k.store.put("routes", fmt.Sprintf("routes %d", firstVersion+1))
+		time.Sleep(2 * time.Second)
+		if !k.KeysCurrent() {
+			t.Error("not current although the newest routes are in force and the store has them")
+		}
+	})
+}
+
+// TestPeersPassNewerRoutesWithTheirAnswer guards against an instance that hears of newer routes
+// and waits for them although the peer that told of them has them.
+func TestPeersPassNewerRoutesWithTheirAnswer(t *testing.T) {
+	peer := confirms(firstVersion+1, 0)
+	confirmed := peer.answer
+	peer.answer = func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		message, err := confirmed(ctx)
+		message.NewestRoutes = &primroseloomv1.FeedItem{Key: "routes", Value: fmt.Appendf(nil, "routes %d", firstVersion+1)}
+		return message, err
+	}
+	withPeers(t, map[string]*fakePeer{"a": peer}, func(k *keyed) {
+		k.loseStore()
+		time.Sleep(2 * keysBound)
+		if k.RoutesVersion() != firstVersion+1 || !k.KeysCurrent() {
+			t.Errorf("version %d, current %v", k.RoutesVersion(), k.KeysCurrent())
+		}
+	})
+}
+
+// TestInstanceWithoutRequestsAsksNobody guards against calls between hundreds of instances that
+// serve no requests with keys.
+func TestInstanceWithoutRequestsAsksNobody(t *testing.T) {
+	peer := confirms(firstVersion, time.Second)
+	withPeers(t, map[string]*fakePeer{"a": peer}, func(k *keyed) {
+		k.loseStore()
+		time.Sleep(keysBound)
+		asked := peer.calls
+		time.Sleep(7 * time.Second)
+		if peer.calls-asked < 8 || peer.calls-asked > 12 {
+			t.Errorf("%d calls in 7 s while requests arrive", peer.calls-asked)
+		}
+	})
+	idle := confirms(firstVersion, time.Second)
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		store := newStore()
+		store.put("routes", "routes 4")
+		f := New(Options{
+			Store: store, Decoder: keyedDecoder{}, WatchesStore: func() bool { return true }, Listener: &recordingListener{}, KeysBound: keysBound,
+			Peers:  &Peers{Fleet: "f", Members: &fakePeers{peers: map[string]*fakePeer{"a": idle}}},
+			Uptime: func() time.Duration { return time.Since(start) }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		var running sync.WaitGroup
+		running.Go(func() { _ = f.Run(ctx) })
+		time.Sleep(time.Minute)
+		if idle.calls > 2 {
+			t.Errorf("%d calls in a minute without requests", idle.calls)
+		}
+		cancel()
+		running.Wait()
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// TestPeersThatReadTheStoreAreAskedFirst guards against calls to peers that can only pass on
+// what they were told.
+func TestPeersThatReadTheStoreAreAskedFirst(t *testing.T) {
+	peers := map[string]*fakePeer{}
+	for i := range 20 {
+		peers[fmt.Sprintf("vm-%d", i)] = confirms(firstVersion, time.Second)
+	}
+	withPeers(t, peers, func(k *keyed) {
+		k.loseStore()
+		k.heardOf("vm-7", firstVersion, true)
+		k.keys.mu.Lock()
+		k.keys.peers.avoidUntil["vm-8"] = k.options.Uptime() + time.Minute
+		k.keys.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		for range 50 {
+			vms, _ := k.peersToAsk()
+			if len(vms) > 0 && (vms[0] != "vm-7" || slices.Contains(vms, "vm-8")) {
+				t.Fatalf("asked %v", vms)
+			}
+		}
+	})
+}
+
+// TestFedInstanceReadsTheStoreWhenNoPeerConfirms guards against callers who are refused at an
+// instance that peers feed by datagrams but that cannot call them, while it can call the store.
+func TestFedInstanceReadsTheStoreWhenNoPeerConfirms(t *testing.T) {
+	withPeers(t, map[string]*fakePeer{"a": knows(firstVersion)}, func(k *keyed) {
+		k.options.WatchesStore = func() bool { return false }
+		refused, before := 0, k.store.calls
+		for range 600 {
+			k.Announced("a", contract.Announcement{Position: k.Position(), RoutesVersion: firstVersion}, true)
+			time.Sleep(50 * time.Millisecond)
+			if !k.KeysCurrent() {
+				refused++
+			}
+		}
+		if calls := k.store.calls - before; refused > 0 || calls > 12 {
+			t.Errorf("not current at %d of 600 moments in 30 s, %d calls to the store", refused, calls)
+		}
+	})
+}
+
+// TestSilentlyDroppedWatchCostsNoConfirmation guards against callers who are refused since a
+// watch of the store was dropped without notice.
+func TestSilentlyDroppedWatchCostsNoConfirmation(t *testing.T) {
+	withPeers(t, nil, func(k *keyed) {
+		for i := range 40 {
+			if i%4 == 0 {
+				k.store.set(func() { k.store.drops++ })
+			}
+			if kept := k.currentFor(time.Second); kept < time.Second {
+				t.Fatalf("not current after %d s", i)
+			}
+		}
+	})
+}
+
+// TestAnswersTellVersionAndAge checks what an instance tells others, with and without a bound.
+func TestAnswersTellVersionAndAge(t *testing.T) {
+	ask := func(f *Follower, fleet string, version uint64) (*primroseloomv1.ConfirmRoutesResponse, error) {
+		server := &feed{follower: f, fleet: "f"}
+		response, err := server.ConfirmRoutes(t.Context(), connect.NewRequest(&primroseloomv1.ConfirmRoutesRequest{Fleet: fleet, RoutesVersion: version}))
+		if err != nil {
+			return nil, err
+		}
+		return response.Msg, nil
+	}
+	withPeers(t, nil, func(k *keyed) {
+		got, err := ask(k.Follower, "f", firstVersion)
+		if err != nil || got.GetRoutesVersion() != firstVersion || !got.GetConfirmed() || got.GetNewestRoutes() != nil ||
+			time.Duration(got.GetConfirmedAgeMs())*time.Millisecond < k.age() {
+			t.Errorf("answer %v, %v", got, err)
+		}
+		if got, err = ask(k.Follower, "f", 2); err != nil || !strings.Contains(string(got.GetNewestRoutes().GetValue()), "routes") {
+			t.Errorf("answer to older routes %v, %v", got, err)
+		}
+		if _, err = ask(k.Follower, "other", 2); err == nil {
+			t.Error("another fleet gets an answer")
+		}
+	})
+	runFollower(t, true, func(_ *fakeStore, f *Follower, _ *recordingListener) {
+		if got, err := ask(f, "f", 1); err != nil || got.GetConfirmed() || got.GetRoutesVersion() != 4 {
+			t.Errorf("answer without a bound %v, %v", got, err)
+		}
+		if !f.KeysCurrent() || f.KeysNotCurrent() {
+			t.Error("an instance without a bound is not current")
+		}
+	})
+}
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -46,7 +46,7 @@
 
 func (plainDialect) ReadRequest(h http.Header) dialect.Request {
 	ms, _ := strconv.Atoi(h.Get("Left"))
-	return dialect.Request{AttemptID: h.Get("Id"), Remaining: time.Duration(ms) * time.Millisecond}
+	return dialect.Request{AttemptID: h.Get("Id"), Key: h.Get("Key"), Remaining: time.Duration(ms) * time.Millisecond}
 }
 
 func (plainDialect) WriteAttempt(h http.Header, attempt dialect.Attempt) {
