--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -13,7 +13,7 @@
 	ResponseAborted = define(5103, log.WarnLevel, "response aborted",
 		"A response could not be passed on completely; the caller's connection is closed so that the response does not look complete.")
 	RequestForwarded = define(5110, log.InfoLevel, "request forwarded",
-		"This VM reaches no target of the service and forwarded the request to another VM; refused tells why that one did not serve it.")
+		"This VM reaches no target of the service, or cannot show that its keys are current, and forwarded the request to another VM; refused tells why that one did not serve it.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
 		"This VM refused a request that another VM forwarded; that VM tries another one or responds to the caller.")
 )
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
@@ -65,6 +66,21 @@
 	}
 }
 
+// hurriedFetchTime bounds a fetch from other instances while requests with keys wait for the
+// store to confirm the routes.
+const hurriedFetchTime = 400 * time.Millisecond
+
+// fetchDuringFailure fetches changes from any instance between two calls to a store that
+// fails.
+func (f *Follower) fetchDuringFailure(ctx context.Context) {
+	if f.needsStore() {
+		limited, cancel := context.WithTimeout(ctx, hurriedFetchTime)
+		defer cancel()
+		ctx = limited
+	}
+	f.fetchFromPeers(ctx, "")
+}
+
 // fetchFromPeers fetches and applies changes from the named instance, or from any
 // if the name is empty.
 func (f *Follower) fetchFromPeers(ctx context.Context, vm string) {
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -177,7 +177,7 @@
 			break
 		}
 		f.recordStoreFailure(err)
-		f.fetchFromPeers(ctx, "")
+		f.fetchDuringFailure(ctx)
 		pause.For(ctx, jittered(backoff))
 		backoff = min(2*backoff, maxRetryDelay)
 	}
--- a/entry/follow/keys_test.go
+++ b/entry/follow/keys_test.go
@@ -42,8 +42,10 @@
 // fakePeer is another instance, which answers calls as a function says.
 type fakePeer struct {
 	primroseloomv1connect.FeedServiceClient
-	calls  int
-	answer func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error)
+	calls int
+	// isSilent is true when other calls get no answer either.
+	isSilent bool
+	answer   func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error)
 }
 
 func (p *fakePeer) ConfirmRoutes(ctx context.Context, _ *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
@@ -55,7 +57,10 @@
 	return connect.NewResponse(message), nil
 }
 
-func (p *fakePeer) Follow(context.Context, *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
+func (p *fakePeer) Follow(ctx context.Context, _ *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
+	if p.isSilent {
+		<-ctx.Done()
+	}
 	return nil, errUnavailable
 }
 
@@ -405,6 +410,28 @@
 	})
 }
 
+// TestStoreIsTriedAgainSoonBesideSilentPeers guards against callers who are refused for seconds
+// after the store is back, since calls to peers behind a cut come first.
+func TestStoreIsTriedAgainSoonBesideSilentPeers(t *testing.T) {
+	const longest = 1800 * time.Millisecond // a pause of 1 s, a fetch of 0.4 s, a short watch
+	peers := map[string]*fakePeer{"a": knows(firstVersion), "b": knows(firstVersion), "c": knows(firstVersion)}
+	withPeers(t, peers, func(k *keyed) {
+		for _, peer := range peers {
+			peer.answer, peer.isSilent = silent().answer, true
+		}
+		k.loseStore()
+		time.Sleep(3 * keysBound)
+		k.store.set(func() { k.store.unavailable = false })
+		back := time.Now()
+		for !k.KeysCurrent() && time.Since(back) < 10*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if took := time.Since(back); took > longest {
+			t.Errorf("current %v after the store is back", took)
+		}
+	})
+}
+
 // TestAnswersTellVersionAndAge checks what an instance tells others, with and without a bound.
 func TestAnswersTellVersionAndAge(t *testing.T) {
 	ask := func(f *Follower, fleet string, version uint64) (*primroseloomv1.ConfirmRoutesResponse, error) {
