--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
@@ -13,6 +14,7 @@
 // was restored from a copy.
 func (f *Follower) Announced(vm string, other contract.Announcement, replacesWatch bool) {
 	f.tellNewerRoutes(other.RoutesVersion)
+	f.heardOf(vm, other.RoutesVersion, !other.Position.IsZero())
 	f.mu.Lock()
 	if replacesWatch && !other.Position.IsZero() && other.Position.Era >= f.position.Era {
 		f.announcedAt = f.options.Uptime()
@@ -33,7 +35,10 @@
 
 // isFedByPeer reports whether another instance watches the store in place of this
 // one.
-func (f *Follower) isFedByPeer() bool {
+func (f *Follower) isFedByPeer() bool { return f.hasFeeder() && !f.needsStore() }
+
+// hasFeeder reports whether another instance that watches the store feeds this one.
+func (f *Follower) hasFeeder() bool {
 	if f.options.WatchesStore() {
 		return false
 	}
@@ -61,6 +66,21 @@
 	}
 }
 
+// hurriedFetchTime bounds a fetch from other instances while requests with keys wait for the
+// store to confirm the routes.
+const hurriedFetchTime = 400 * time.Millisecond
+
+// fetchDuringFailure fetches changes from any instance between two calls to a store that
+// fails.
+func (f *Follower) fetchDuringFailure(ctx context.Context) {
+	if f.needsStore() {
+		limited, cancel := context.WithTimeout(ctx, hurriedFetchTime)
+		defer cancel()
+		ctx = limited
+	}
+	f.fetchFromPeers(ctx, "")
+}
+
 // fetchFromPeers fetches and applies changes from the named instance, or from any
 // if the name is empty.
 func (f *Follower) fetchFromPeers(ctx context.Context, vm string) {
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -46,7 +46,7 @@
 
 func (plainDialect) ReadRequest(h http.Header) dialect.Request {
 	ms, _ := strconv.Atoi(h.Get("Left"))
-	return dialect.Request{AttemptID: h.Get("Id"), Remaining: time.Duration(ms) * time.Millisecond}
+	return dialect.Request{AttemptID: h.Get("Id"), Key: h.Get("Key"), Remaining: time.Duration(ms) * time.Millisecond}
 }
 
 func (plainDialect) WriteAttempt(h http.Header, attempt dialect.Attempt) {
@@ -126,6 +126,10 @@
 	return "", nil, false
 }
 
+func (noCarriers) CurrentCarrier(string, []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
+	return "", nil, false
+}
+
 func (noCarriers) Carrier(string, []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
 	return "", nil, false
 }
