gateway: bytes held for requests and responses are bounded by machine.memory_mb

Cause: the sum of bodies and responses of up to 1 MB had no bound, and io.ReadAll needs up to twice a response's size. Change: a request reserves memory before its attempt begins, by what its route's responses usually need; without room it is forwarded once or refused (no_memory, 503, not run). A response that outgrows its reservation is streamed. Responses are held in parts that are given back as they are delivered. Large ones are paced by machine.link_mbps, and a caller that takes nothing for 10 s or its time limit is ended (event 5112). Nothing of this without memory_mb.

--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -12,6 +12,8 @@
 		"The caller received the target's own failure response; not_retried tells why no other target was tried.")
 	ResponseAborted = define(5103, log.WarnLevel, "response aborted",
 		"A response could not be passed on completely; the caller's connection is closed so that the response does not look complete.")
+	SlowCallerEnded = define(5112, log.InfoLevel, "slow caller ended",
+		"A caller read nothing of its response for 10 s, or for its own time limit if that is longer; its connection is closed and the attempt, if still in progress, is ended. Only with machine.memory_mb set.")
 	RequestForwarded = define(5110, log.InfoLevel, "request forwarded",
 		"This VM reaches no target of the service and forwarded the request to another VM; refused tells why that one did not serve it.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -171,6 +171,8 @@
 		Fleet:    set.Fleet,
 		VM:       set.VM,
 		Stopping: f.stopping.Load,
+		MemoryMB: set.Machine.MemoryMB,
+		LinkMbps: set.Machine.LinkMbps,
 		Logger:   logger,
 		Scope:    m.Scope(),
 	})
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -15,6 +15,9 @@
 // that it can be sent again after a target proved that it did not run the request.
 const maxBufferedBodyBytes = 1 << 20
 
+// errNoMemory means that the budget has no room for the body.
+var errNoMemory = errors.New("no memory for the body")
+
 // body is a request's body. It is buffered completely, or its beginning is
 // buffered and the rest is streamed.
 type body struct {
@@ -23,6 +26,8 @@
 	rest io.Reader
 	// length is the length of the body, -1 when it is not known.
 	length int64
+	// hold is what is reserved for the request; nil for no bound.
+	hold *hold
 	// streamed is true once rest was passed to an attempt.
 	streamed bool
 }
@@ -43,9 +48,11 @@
 	if err := controller.SetReadDeadline(deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return callerGone(r, err)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(source, maxBufferedBodyBytes+1))
+	buffered, err := b.buffer(source, r.ContentLength)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoMemory):
+		return noMemory()
 	case errors.As(err, &tooLarge):
 		return refuse(outcome.ReasonBodyTooLarge, outcome.StepParse, 0)
 	case err != nil:
@@ -63,6 +70,53 @@
 	return nil
 }
 
+// buffer reads a body up to maxBufferedBodyBytes and one byte. expected is its length, -1
+// when it is not known.
+func (b *body) buffer(source io.Reader, expected int64) ([]byte, error) {
+	if b.hold == nil {
+		return io.ReadAll(io.LimitReader(source, maxBufferedBodyBytes+1))
+	}
+	size := int64(smallPart)
+	if expected >= 0 {
+		size = min(expected, maxBufferedBodyBytes) + 1 // the further byte is where the end is seen
+	}
+	if !b.hold.grow(size) {
+		return nil, errNoMemory
+	}
+	buffer, length := make([]byte, size), 0
+	for {
+		n, err := fill(source, buffer[length:])
+		length += n
+		switch {
+		case errors.Is(err, io.EOF):
+			return buffer[:length], nil
+		case err != nil || length > maxBufferedBodyBytes:
+			return buffer[:length], err
+		}
+		if buffer, err = b.grow(buffer); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// grow returns a buffer of twice the size with the same content.
+func (b *body) grow(buffer []byte) ([]byte, error) {
+	size := min(2*int64(len(buffer)), maxBufferedBodyBytes+1)
+	if !b.hold.grow(size) {
+		return nil, errNoMemory
+	}
+	larger := make([]byte, size)
+	copy(larger, buffer)
+	b.hold.shrink(b.hold.bytes - int64(len(buffer)))
+	return larger, nil
+}
+
+// discard releases the body of a request that makes no further attempt.
+func (b *body) discard() {
+	b.buffered = nil
+	b.hold.shrink(requestBytes)
+}
+
 // callerGone returns the refusal of a request whose connection failed before its
 // body was read.
 func callerGone(r *http.Request, cause error) *outcome.Refusal {
--- a/entry/gateway/counters.go
+++ b/entry/gateway/counters.go
@@ -55,3 +55,10 @@
 func (c *counters) notRetried(reason retry.Reason) {
 	c.tagged("reason", string(reason)).Counter("retries_not_made").Inc(1)
 }
+
+// streamed counts a response that was passed on while it was read, since there was no memory
+// to hold it.
+func (c *counters) streamed() { c.scope.Counter("responses_not_held").Inc(1) }
+
+// slowCaller counts a response that was ended since its caller did not read it.
+func (c *counters) slowCaller() { c.scope.Counter("slow_callers_ended").Inc(1) }
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -109,7 +109,7 @@
 		q.endForward(x)
 		return refusedByVM(vm, refusal)
 	}
-	got, err := readResponse(response)
+	got, err := q.readResponse(response)
 	if err != nil {
 		q.endForward(x)
 		return q.forwardFailed(ctx, vm, err)
@@ -182,7 +182,7 @@
 	}
 	refusal.Outcome = outcome.NotRun
 	switch refusal.Reason {
-	case outcome.ReasonCutOff, outcome.ReasonCarrierFull, outcome.ReasonRoutesBehind, outcome.ReasonNoConfiguration:
+	case outcome.ReasonCutOff, outcome.ReasonCarrierFull, outcome.ReasonRoutesBehind, outcome.ReasonNoConfiguration, outcome.ReasonNoMemory:
 		return forwarded{refusal: refusal, otherMayServe: true}
 	}
 	return forwarded{refusal: refusal}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -46,8 +46,11 @@
 	Fleet, VM string
 	// Stopping reports whether connections are closed after their response.
 	Stopping func() bool
-	Logger   *log.Logger
-	Scope    tally.Scope
+	// MemoryMB is the VM's memory in megabytes; 0 sets no bound on the bytes held. LinkMbps is
+	// its link in megabits a second, which matters only with MemoryMB.
+	MemoryMB, LinkMbps float64
+	Logger             *log.Logger
+	Scope              tally.Scope
 }
 
 // Gateway is the HTTP handler of callers' requests.
@@ -55,13 +58,16 @@
 	options Options
 	metrics *counters
 	rate    rate
+	// memory bounds the bytes held; nil for no bound.
+	memory *memory
 	// forwarded counts the requests of other VMs in progress.
 	forwarded forwarding.InProgress
 }
 
 // New returns a gateway.
 func New(options Options) *Gateway {
-	return &Gateway{options: options, metrics: newCounters(options.Scope.SubScope("gateway"))}
+	scope := options.Scope.SubScope("gateway")
+	return &Gateway{options: options, metrics: newCounters(scope), memory: newMemory(options.MemoryMB, options.LinkMbps, scope)}
 }
 
 // request is the state of one caller's request.
@@ -105,6 +111,9 @@
 	mayHaveRun bool
 	// failure is the last failure response of a target that can be passed on, or nil.
 	failure *targetResponse
+	// holds are the reservations of memory; spare is the one for the next response, or nil.
+	holds []*hold
+	spare *hold
 }
 
 // ServeHTTP serves one request.
@@ -128,6 +137,7 @@
 // serve serves a request, or returns why not. It returns nil without a response when the
 // caller is gone.
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
+	defer q.releaseHolds()
 	if refusal := q.prepare(w); refusal != nil {
 		return refusal
 	}
@@ -172,6 +182,9 @@
 	q.service = q.pickService(rand.Float64())
 	q.deadline = q.start.Add(q.timeLimit())
 	q.gateway.options.Targets.RequestArrived(q.service)
+	if refusal := q.reserveRequest(); refusal != nil {
+		return refusal
+	}
 	if refusal := q.body.read(w, q.caller, table.Limits().BodyBytes, q.deadline); refusal != nil {
 		return refusal
 	}
--- /dev/null
+++ b/entry/gateway/memory.go
@@ -0,0 +1,134 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/policy/bytebudget"
+)
+
+// requestBytes is what a request in progress needs beside its body and response: the
+// goroutines and buffers of two connections.
+const requestBytes = 24 << 10
+
+// memory bounds the bytes that are held for requests and responses, and the part of the link
+// that large responses use. A nil memory sets no bound.
+type memory struct {
+	began time.Time
+	gauge tally.Gauge
+
+	mu     sync.Mutex
+	budget *bytebudget.Budget
+	sizes  bytebudget.Sizes
+	pacer  *bytebudget.Pacer
+}
+
+// newMemory returns the bounds of a VM with the given memory in megabytes and link in
+// megabits a second, or nil when megabytes is 0.
+func newMemory(megabytes, linkMbps float64, scope tally.Scope) *memory {
+	if megabytes <= 0 {
+		return nil
+	}
+	m := &memory{
+		began: time.Now(), gauge: scope.Gauge("bytes_held"),
+		budget: bytebudget.NewBudget(bytebudget.Limit(megabytes)), pacer: bytebudget.NewPacer(linkMbps),
+	}
+	scope.Gauge("bytes_held_limit").Update(float64(m.budget.Limit()))
+	m.gauge.Update(0)
+	return m
+}
+
+// newHold returns an empty part of the budget, nil when there is no bound.
+func (m *memory) newHold() *hold {
+	if m == nil {
+		return nil
+	}
+	return &hold{memory: m}
+}
+
+// estimate returns the bytes that a response of a route usually needs.
+func (m *memory) estimate(route string) int64 {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sizes.Estimate(route, maxBufferedResponseBytes)
+}
+
+// observe records the bytes that a response of a route needed.
+func (m *memory) observe(route string, bytes int64) {
+	if m == nil {
+		return
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.sizes.Observe(route, bytes)
+}
+
+// paceLarge counts bytes of a large response and returns how long to wait before they are
+// written.
+func (m *memory) paceLarge(bytes int64) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.pacer.Large(bytes, time.Since(m.began))
+}
+
+// paceSmall counts bytes of a small response.
+func (m *memory) paceSmall(bytes int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.pacer.Small(bytes, time.Since(m.began))
+}
+
+// held returns the bytes that are held now.
+func (m *memory) held() int64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.budget.Held()
+}
+
+// hold is the part of the budget that a request, or one response, has reserved. Its methods
+// may be called on nil, which has no bound.
+type hold struct {
+	memory *memory
+	bytes  int64
+}
+
+// grow reserves further bytes, all of them or none.
+func (h *hold) grow(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	if !h.memory.budget.Reserve(h.bytes, bytes) {
+		return false
+	}
+	h.bytes += bytes
+	h.memory.gauge.Update(float64(h.memory.budget.Held()))
+	return true
+}
+
+// isReserved reports whether anything is reserved.
+func (h *hold) isReserved() bool { return h != nil && h.bytes > 0 }
+
+// cover makes sure that at least the given bytes are reserved.
+func (h *hold) cover(bytes int64) bool { return h == nil || h.bytes >= bytes || h.grow(bytes-h.bytes) }
+
+// shrink releases what is reserved beyond the given bytes.
+func (h *hold) shrink(bytes int64) {
+	if h == nil || h.bytes <= bytes {
+		return
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.memory.budget.Release(h.bytes - bytes)
+	h.bytes = bytes
+	h.memory.gauge.Update(float64(h.memory.budget.Held()))
+}
+
+// release releases all of it; further calls have no effect.
+func (h *hold) release() { h.shrink(0) }
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -1,17 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/dialect"
-	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
@@ -31,10 +28,11 @@
 
 // targetResponse is a target's response that can be passed on to the caller.
 type targetResponse struct {
-	status   int
-	header   http.Header
-	buffered []byte
-	// rest follows the buffered part; nil when the complete response is buffered.
+	status int
+	header http.Header
+	// held is the response, or its begin.
+	held parts
+	// rest follows the held part; nil when the complete response is held.
 	rest   io.ReadCloser
 	length int64
 	// finish ends the attempt of a streamed response; the error is why it was not
@@ -44,6 +42,7 @@
 
 // discard ends the attempt of a response that is not passed on.
 func (r *targetResponse) discard() {
+	r.held.release()
 	if r.rest != nil {
 		_ = r.rest.Close()
 		r.finish(errDiscarded)
@@ -57,7 +56,7 @@
 		return wrongResponse(err)
 	}
 	attempt.Noticed(metadata.Notice)
-	got, err := readResponse(response)
+	got, err := q.readResponse(response)
 	if err != nil {
 		return q.truncatedResponse(ctx, err)
 	}
@@ -73,17 +72,32 @@
 	return d
 }
 
-// readResponse reads a response, or the beginning of a long one.
-func readResponse(response *http.Response) (*targetResponse, error) {
-	got := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength}
-	buffered, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedResponseBytes+1))
-	got.buffered = buffered
-	if len(buffered) > maxBufferedResponseBytes && err == nil {
+// readResponse reads a response. Of a long one, or one that the budget has no room for, it
+// reads the begin.
+func (q *request) readResponse(response *http.Response) (*targetResponse, error) {
+	got := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength, held: parts{hold: q.takeSpare()}}
+	complete, err := got.held.read(response.Body, response.ContentLength, maxBufferedResponseBytes)
+	if err == nil && !complete {
 		got.rest = response.Body
+		q.observeStreamed(got)
 		return got, nil
 	}
 	_ = response.Body.Close()
-	return got, err
+	if err != nil {
+		got.held.release()
+		return nil, err
+	}
+	q.gateway.memory.observe(q.route.Name, got.held.held)
+	return got, nil
+}
+
+// observeStreamed records a response that is not held completely.
+func (q *request) observeStreamed(got *targetResponse) {
+	needed := min(max(got.length, got.held.held), maxBufferedResponseBytes)
+	q.gateway.memory.observe(q.route.Name, needed)
+	if got.held.size <= maxBufferedResponseBytes {
+		q.gateway.metrics.streamed()
+	}
 }
 
 // checkResponseHead returns an error when the response belongs to another request,
@@ -130,6 +144,7 @@
 // refusedByTarget returns the decision for a response by which the target proves
 // that it did not run the request. Such a response is not passed on.
 func (q *request) refusedByTarget(d decision, metadata dialect.ResponseMetadata) decision {
+	d.response.held.release()
 	d.response, d.notRun, d.reason = nil, true, outcome.ReasonTargetShed
 	d.result.End = suspicion.ResultNeutral
 	d.result.Misplaced = metadata.WrongTarget
@@ -138,42 +153,3 @@
 	}
 	return d
 }
-
-// deliver writes a response to the caller. When the response ends early, the
-// caller's connection is aborted, so that the caller cannot take it for complete.
-func (g *Gateway) deliver(w http.ResponseWriter, q *request, got *targetResponse) {
-	header := w.Header()
-	for name, values := range got.header {
-		header[name] = values
-	}
-	closeConnection := header.Get("Connection") == "close" && !g.options.Stopping()
-	removeHopByHopHeaders(header)
-	if closeConnection || g.options.Stopping() {
-		header.Set("Connection", "close")
-	}
-	if got.rest == nil && q.caller.Method != http.MethodHead {
-		header.Set("Content-Length", strconv.Itoa(len(got.buffered)))
-	} else if got.length >= 0 {
-		header.Set("Content-Length", strconv.FormatInt(got.length, 10))
-	}
-	w.WriteHeader(got.status)
-	_, err := io.Copy(w, bytes.NewReader(got.buffered))
-	if got.rest != nil {
-		err = g.stream(w, got, err)
-	}
-	g.metrics.answered(q.route.Kind, got.status, q.start)
-	if err != nil {
-		events.ResponseAborted.Log(g.options.Logger, "request", q.metadata.AttemptID, "cause", err)
-		panic(http.ErrAbortHandler)
-	}
-}
-
-// stream copies the rest of a large response to the caller and ends its attempt.
-func (g *Gateway) stream(w http.ResponseWriter, got *targetResponse, err error) error {
-	if err == nil {
-		_, err = io.Copy(w, got.rest)
-	}
-	_ = got.rest.Close()
-	got.finish(err)
-	return err
-}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -48,6 +48,9 @@
 		q.refusedAs = as
 		return q.refuseCrashing(remaining)
 	}
+	if !q.reserveResponse() {
+		return q.withoutMemory(ctx)
+	}
 	if got, refusal, ok := q.forwardToPrimary(ctx); ok {
 		return got, refusal
 	}
@@ -56,6 +59,9 @@
 			q.refusedAs = as
 			return q.refuseCrashing(remaining)
 		}
+		if !q.reserveResponse() {
+			return q.withoutMemory(ctx)
+		}
 		attempt, err := q.gateway.options.Targets.Begin(q.placementRequest())
 		if isCutOff(err) {
 			return q.forward(ctx)
