--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -226,14 +226,19 @@
 	return sum
 }
 
-// send sends one request through the gateway and returns the recorded response.
-func (h *harness) send(method, path, body string) *httptest.ResponseRecorder {
-	h.t.Helper()
+// request returns a caller's request.
+func (h *harness) request(method, path, body string) *http.Request {
 	request := httptest.NewRequest(method, "http://"+host+path, strings.NewReader(body))
 	request.Header.Set("Id", "r1")
 	request.Header.Set("Left", "5000")
+	return request
+}
+
+// send sends one request through the gateway and returns the recorded response.
+func (h *harness) send(method, path, body string) *httptest.ResponseRecorder {
+	h.t.Helper()
 	recorder := httptest.NewRecorder()
-	h.gateway.ServeHTTP(recorder, request)
+	h.gateway.ServeHTTP(recorder, h.request(method, path, body))
 	return recorder
 }
 
