front: slow callers end by progress, socket buffers and the runtime's memory are bounded

Cause: a write deadline cuts callers that read slowly, and the kernel's buffers and the garbage collector's headroom count toward a VM's memory, too. Change: entry/slowreader renews write deadlines by progress; TCP_NOTSENT_LOWAT on callers' connections, SO_RCVBUF on those to targets and the runtime's soft limit follow machine.memory_mb; a response whose stated length has no room is streamed at once.

--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -73,7 +73,12 @@
 	if err != nil {
 		return fmt.Errorf("listen for evidence on %s: %w", vmSettings.Listen.Evidence, err)
 	}
+	frontend.LimitMemory(vmSettings.Machine)
 	sockets := network.OS{Source: net.ParseIP(vmSettings.SourceAddress)}
+	callers, targets := sockets, sockets.With(network.Targets)
+	if vmSettings.Machine.MemoryMB > 0 {
+		callers, targets = callers.WithBuffers(network.CallersBuffers), targets.WithBuffers(network.TargetsBuffers)
+	}
 	instance, err := frontend.New(frontend.Options{
 		Settings: vmSettings,
 		Adapter: frontend.Adapter{
@@ -82,8 +87,8 @@
 			Dialect:   platform.Headers{},
 			Directory: platform.DirectoryPages{},
 		},
-		Network: sockets,
-		Targets: sockets.With(network.Targets),
+		Network: callers,
+		Targets: targets,
 		VMs:     sockets.With(network.VMs),
 		Packets: packets,
 		Logger:  logger,
--- /dev/null
+++ b/entry/frontend/memory.go
@@ -0,0 +1,40 @@
+package frontend
+
+import (
+	"net"
+	"os"
+	"runtime/debug"
+
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/slowreader"
+)
+
+// Share of the VM's memory at which the garbage collector begins to work harder. The rest is
+// for what it doesn't count: the program itself and the kernel's socket buffers.
+const (
+	collectedShare   = 0.8
+	bytesPerMegabyte = 1e6
+	// memoryLimitVariable is the runtime's own setting, which goes first.
+	memoryLimitVariable = "GOMEMLIMIT"
+)
+
+// LimitMemory sets the soft memory limit of this process, all instances in it together, from
+// machine.memory_mb. It returns the limit in bytes, or 0 when it leaves the runtime alone:
+// without the setting, and when the environment sets a limit.
+func LimitMemory(machine settings.Machine) int64 {
+	if machine.MemoryMB <= 0 || os.Getenv(memoryLimitVariable) != "" {
+		return 0
+	}
+	limit := int64(machine.MemoryMB * bytesPerMegabyte * collectedShare)
+	debug.SetMemoryLimit(limit)
+	return limit
+}
+
+// watchProgress returns a listener of callers' connections that end when the caller reads
+// nothing; without machine.memory_mb, they are left alone.
+func (f *Frontend) watchProgress(inner net.Listener) net.Listener {
+	if f.options.Settings.Machine.MemoryMB <= 0 {
+		return inner
+	}
+	return slowreader.Listener(inner)
+}
--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -6,6 +6,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/policy/bytebudget"
 )
 
@@ -49,13 +50,17 @@
 }
 
 // estimate returns the bytes that a response of a route usually needs.
-func (m *memory) estimate(route string) int64 {
+func (m *memory) estimate(route *routing.Route) int64 {
 	if m == nil {
 		return 0
 	}
+	first := int64(bytebudget.FirstEstimate)
+	if route.Kind == routing.KindDownload {
+		first = bytebudget.FirstDownloadEstimate
+	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.sizes.Estimate(route, maxBufferedResponseBytes)
+	return m.sizes.Estimate(route.Name, first, maxBufferedResponseBytes)
 }
 
 // observe records the bytes that a response of a route needed.
--- a/entry/gateway/parts.go
+++ b/entry/gateway/parts.go
@@ -29,8 +29,12 @@
 
 // read reads the source until its end, until more than limit bytes were read, or until the
 // budget has no room for another buffer. complete is true at the end of the source. expected
-// is the length of the content, -1 when it is not known.
+// is the length of the content, -1 when it is not known; when there is no room for all of
+// it, one buffer is read.
 func (p *parts) read(source io.Reader, expected, limit int64) (complete bool, err error) {
+	if !p.reserve(min(expected, limit)) {
+		limit = 0
+	}
 	for p.size <= limit {
 		part, ok := p.newPart(expected)
 		if !ok {
@@ -49,6 +53,20 @@
 	return false, nil
 }
 
+// reserve makes sure that content of the expected length has room, and reports whether it
+// has.
+func (p *parts) reserve(expected int64) bool {
+	if expected <= smallPart {
+		return true
+	}
+	buffers := (expected + largePart - 1) / largePart
+	if p.hold.cover(buffers * largePart) {
+		return true
+	}
+	p.hold.shrink(largePart)
+	return false
+}
+
 // fill reads until the buffer is full or the source ends; err is nil when it is full.
 func fill(source io.Reader, buffer []byte) (n int, err error) {
 	for n < len(buffer) && err == nil {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -48,7 +48,7 @@
 // reserveResponse reserves what the next response needs, as far as its route's responses
 // tell.
 func (q *request) reserveResponse() bool {
-	return q.reserveBytes(max(q.gateway.memory.estimate(q.route.Name), largePart))
+	return q.reserveBytes(max(q.gateway.memory.estimate(q.route), largePart))
 }
 
 // reserveBytes reserves bytes for the next response, unless it has a reservation already.
--- a/entry/network/network.go
+++ b/entry/network/network.go
@@ -40,6 +40,8 @@
 	Source net.IP
 	// Patience is that of its connections; the zero value means Callers.
 	Patience Patience
+	// Buffers bounds the kernel's buffers; the zero value leaves them to the kernel.
+	Buffers Buffers
 }
 
 // patience returns the patience of the connections.
@@ -51,11 +53,20 @@
 }
 
 // With returns the same network with another patience.
-func (o OS) With(patience Patience) OS { return OS{Source: o.Source, Patience: patience} }
+func (o OS) With(patience Patience) OS {
+	o.Patience = patience
+	return o
+}
+
+// WithBuffers returns the same network with bounds on the kernel's buffers.
+func (o OS) WithBuffers(buffers Buffers) OS {
+	o.Buffers = buffers
+	return o
+}
 
 // Listen binds a TCP listener to exactly the given "IP:port" address.
 func (o OS) Listen(ctx context.Context, address string) (net.Listener, error) {
-	config := net.ListenConfig{KeepAliveConfig: o.patience().keepAlive(), Control: o.patience().setUserTimeout}
+	config := net.ListenConfig{KeepAliveConfig: o.patience().keepAlive(), Control: o.control}
 	l, err := config.Listen(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen on %s: %w", address, err)
@@ -65,7 +76,7 @@
 
 // DialContext connects to an "IP:port" address.
 func (o OS) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{KeepAliveConfig: o.patience().keepAlive(), Control: o.patience().setUserTimeout}
+	dialer := net.Dialer{KeepAliveConfig: o.patience().keepAlive(), Control: o.control}
 	if o.Source != nil {
 		dialer.LocalAddr = &net.TCPAddr{IP: o.Source}
 	}
--- /dev/null
+++ b/entry/slowreader/conn.go
@@ -0,0 +1,67 @@
+package slowreader
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// Conn is a connection whose write deadline is renewed by progress.
+type Conn struct {
+	net.Conn
+	// patience is the time without progress that is allowed, in nanoseconds; 0 sets no bound.
+	patience atomic.Int64
+}
+
+// SetWriteDeadline allows the time until at without progress; a zero time sets no bound. A
+// time that has passed ends writes at once.
+func (c *Conn) SetWriteDeadline(at time.Time) error {
+	patience := time.Duration(0)
+	if !at.IsZero() {
+		patience = max(time.Until(at), 0)
+	}
+	c.patience.Store(int64(patience))
+	return c.Conn.SetWriteDeadline(at)
+}
+
+// SetDeadline sets the deadlines of reads and writes.
+func (c *Conn) SetDeadline(at time.Time) error {
+	if err := c.SetWriteDeadline(at); err != nil {
+		return err
+	}
+	return c.SetReadDeadline(at)
+}
+
+// Write writes all of p, or returns an error when the peer takes nothing for the allowed
+// time.
+func (c *Conn) Write(p []byte) (written int, err error) {
+	for {
+		n, err := c.Conn.Write(p[written:])
+		written += n
+		if err == nil || n == 0 || !errors.Is(err, os.ErrDeadlineExceeded) || !c.renew() {
+			return written, err
+		}
+	}
+}
+
+// renew moves the deadline ahead after progress and reports whether there is time left.
+func (c *Conn) renew() bool {
+	patience := time.Duration(c.patience.Load())
+	return patience > 0 && c.Conn.SetWriteDeadline(time.Now().Add(patience)) == nil
+}
+
+// Listener returns a listener whose connections renew their write deadlines.
+func Listener(inner net.Listener) net.Listener { return listener{inner} }
+
+type listener struct{ net.Listener }
+
+// Accept returns the next connection.
+func (l listener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &Conn{Conn: conn}, nil
+}
--- a/policy/bytebudget/sizes.go
+++ b/policy/bytebudget/sizes.go
@@ -3,8 +3,10 @@
 import "math"
 
 const (
-	// firstEstimate is assumed for a route without a response so far, in bytes.
-	firstEstimate = 16 << 10
+	// FirstEstimate and FirstDownloadEstimate are assumed for a route without a response so
+	// far, the second for routes of downloads, whose responses are large.
+	FirstEstimate         = 16 << 10
+	FirstDownloadEstimate = 128 << 10
 	// sizeWindow is the number of responses over which sizes are averaged.
 	sizeWindow = 16
 	// spread is the number of mean deviations above the mean that are reserved. A response
@@ -45,11 +47,12 @@
 	s.routes[route] = known
 }
 
-// Estimate returns the bytes that a response of a route usually needs, at most limit.
-func (s *Sizes) Estimate(route string, limit int64) int64 {
+// Estimate returns the bytes that a response of a route usually needs, at most limit; first
+// is assumed for a route that is not known.
+func (s *Sizes) Estimate(route string, first, limit int64) int64 {
 	known, ok := s.routes[route]
 	if !ok {
-		return min(firstEstimate, limit)
+		return min(first, limit)
 	}
 	return min(int64(known.mean+spread*known.deviation), limit)
 }
--- a/policy/bytebudget/sizes_test.go
+++ b/policy/bytebudget/sizes_test.go
@@ -26,7 +26,7 @@
 		for range 500 {
 			sizes.Observe(c.name, c.draw())
 		}
-		estimate := sizes.Estimate(c.name, 1<<20)
+		estimate := sizes.Estimate(c.name, FirstEstimate, 1<<20)
 		if estimate < c.least || estimate > c.most {
 			t.Errorf("%s: estimate %d, want %d to %d", c.name, estimate, c.least, c.most)
 		}
@@ -52,10 +52,10 @@
 	if len(sizes.routes) > maxRoutes {
 		t.Errorf("%d routes are kept", len(sizes.routes))
 	}
-	if got := sizes.Estimate("another", 1<<20); got != firstEstimate {
+	if got := sizes.Estimate("another", FirstDownloadEstimate, 1<<20); got != FirstDownloadEstimate {
 		t.Errorf("estimate %d of a route that isn't kept", got)
 	}
-	if got := sizes.Estimate("another", 100); got != 100 {
+	if got := sizes.Estimate("another", FirstEstimate, 100); got != 100 {
 		t.Errorf("estimate %d over the limit", got)
 	}
 }
