gateway: a request without memory here is served by a VM that has some

Cause: a VM whose budget is full refused, while others of its zone had room. A request reserves 32 KB for itself, with the part of a streamed response.

--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -11,8 +11,8 @@
 )
 
 // requestBytes is what a request in progress needs beside its body and response: the
-// goroutines and buffers of two connections.
-const requestBytes = 24 << 10
+// goroutines and buffers of two connections, and one part of a streamed response.
+const requestBytes = 32 << 10
 
 // memory bounds the bytes that are held for requests and responses, and the part of the link
 // that large responses use. A nil memory sets no bound.
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -46,17 +46,12 @@
 }
 
 // reserveResponse reserves what the next response needs, as far as its route's responses
-// tell.
+// tell, unless it has a reservation already.
 func (q *request) reserveResponse() bool {
-	return q.reserveBytes(max(q.gateway.memory.estimate(q.route), largePart))
-}
-
-// reserveBytes reserves bytes for the next response, unless it has a reservation already.
-func (q *request) reserveBytes(bytes int64) bool {
 	if q.spare == nil {
 		q.spare = q.newHold()
 	}
-	return q.spare.isReserved() || q.spare.grow(bytes)
+	return q.spare.isReserved() || q.spare.grow(max(q.gateway.memory.estimate(q.route), largePart))
 }
 
 // takeSpare returns the reservation for the next response, an empty one if there is none.
@@ -90,7 +85,7 @@
 // not run.
 func (q *request) forwardForRoom(ctx context.Context) (got *targetResponse, refusal *outcome.Refusal, ok bool) {
 	var tried []string
-	for len(tried) < maxRoomCarriers && !q.isForwarded && !q.mayHaveRun && q.body.replayable() && q.reserveBytes(largePart) {
+	for len(tried) < maxRoomCarriers && !q.isForwarded && !q.mayHaveRun && q.body.replayable() {
 		vm, client, found := q.gateway.options.Carriers.Carrier(q.service, tried)
 		if !found {
 			break
--- a/policy/bytebudget/budget.go
+++ b/policy/bytebudget/budget.go
@@ -13,7 +13,7 @@
 	// memory than processBytes.
 	minShare = 0.125
 	// SmallBytes is the size up to which a reservation is small.
-	SmallBytes = 32 << 10
+	SmallBytes = 64 << 10
 	// smallShare is the part of the budget that only small reservations may use.
 	smallShare = 0.125
 )
