--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -111,9 +111,8 @@
 	mayHaveRun bool
 	// failure is the last failure response of a target that can be passed on, or nil.
 	failure *targetResponse
-	// holds are the reservations of memory; spare is the one for the next response, or nil.
-	holds []*hold
-	spare *hold
+	// holds are the reservations of memory.
+	holds reservations
 }
 
 // ServeHTTP serves one request.
--- a/entry/gateway/memory_test.go
+++ b/entry/gateway/memory_test.go
@@ -326,6 +326,21 @@
 	})
 }
 
+// TestLengthWithoutBodyReservesNothing guards against responses to HEAD requests that are
+// taken for as large as the length that they state.
+func TestLengthWithoutBodyReservesNothing(t *testing.T) {
+	withMemory(t, []behavior{servesBytes(downloadBytes, true)}, func(h *harness) {
+		h.leaveRoom(requestBytes + largePart)
+		got := h.send(http.MethodHead, safePath+"1", "")
+		if got.Code != http.StatusOK || got.Header().Get("Content-Length") != strconv.Itoa(downloadBytes) || got.Body.Len() != 0 {
+			t.Errorf("status %d, length %q, %d bytes", got.Code, got.Header().Get("Content-Length"), got.Body.Len())
+		}
+		if estimate := h.gateway.memory.sizes.Estimate("safe", 0, 1<<20); estimate > smallPart {
+			t.Errorf("the next response is expected to need %d bytes", estimate)
+		}
+	})
+}
+
 // TestSlowCallerErrorIsTold guards against slow callers that are counted as other failures.
 func TestSlowCallerErrorIsTold(t *testing.T) {
 	if err := slowCaller(io.ErrClosedPipe); errors.Is(err, errSlowCaller) {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/primroseloom/primroseloom/policy/outcome"
@@ -15,25 +16,39 @@
 	maxRoomCarriers = 2
 )
 
-// newHold returns a part of the budget that is released at the end of the request.
-func (q *request) newHold() *hold {
-	part := q.gateway.memory.newHold()
+// reservations are what a request has reserved; attempts of a request may run at the same
+// time.
+type reservations struct {
+	mu  sync.Mutex
+	all []*hold
+	// spare is the reservation for the next response, or nil.
+	spare *hold
+}
+
+// add returns an empty part of the budget, which is released at the end of the request. The
+// lock is held.
+func (r *reservations) add(m *memory) *hold {
+	part := m.newHold()
 	if part != nil {
-		q.holds = append(q.holds, part)
+		r.all = append(r.all, part)
 	}
 	return part
 }
 
 // releaseHolds releases what the request has reserved.
 func (q *request) releaseHolds() {
-	for _, part := range q.holds {
+	q.holds.mu.Lock()
+	defer q.holds.mu.Unlock()
+	for _, part := range q.holds.all {
 		part.release()
 	}
 }
 
 // reserveRequest reserves what the request itself needs.
 func (q *request) reserveRequest() *outcome.Refusal {
-	q.body.hold = q.newHold()
+	q.holds.mu.Lock()
+	q.body.hold = q.holds.add(q.gateway.memory)
+	q.holds.mu.Unlock()
 	if !q.body.hold.grow(requestBytes) {
 		return noMemory()
 	}
@@ -48,18 +63,22 @@
 // reserveResponse reserves what the next response needs, as far as its route's responses
 // tell, unless it has a reservation already.
 func (q *request) reserveResponse() bool {
-	if q.spare == nil {
-		q.spare = q.newHold()
+	q.holds.mu.Lock()
+	defer q.holds.mu.Unlock()
+	if q.holds.spare == nil {
+		q.holds.spare = q.holds.add(q.gateway.memory)
 	}
-	return q.spare.isReserved() || q.spare.grow(max(q.gateway.memory.estimate(q.route), largePart))
+	return q.holds.spare.isReserved() || q.holds.spare.grow(max(q.gateway.memory.estimate(q.route), largePart))
 }
 
 // takeSpare returns the reservation for the next response, an empty one if there is none.
 func (q *request) takeSpare() *hold {
-	spare := q.spare
-	q.spare = nil
+	q.holds.mu.Lock()
+	defer q.holds.mu.Unlock()
+	spare := q.holds.spare
+	q.holds.spare = nil
 	if spare == nil {
-		return q.newHold()
+		return q.holds.add(q.gateway.memory)
 	}
 	return spare
 }
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -76,7 +76,11 @@
 // reads the begin.
 func (q *request) readResponse(response *http.Response) (*targetResponse, error) {
 	got := &targetResponse{status: response.StatusCode, header: response.Header, length: response.ContentLength, held: parts{hold: q.takeSpare()}}
-	complete, err := got.held.read(response.Body, response.ContentLength, maxBufferedResponseBytes)
+	expected := response.ContentLength
+	if q.caller.Method == http.MethodHead || response.StatusCode == http.StatusNotModified {
+		expected = 0 // the stated length is that of another response
+	}
+	complete, err := got.held.read(response.Body, expected, maxBufferedResponseBytes)
 	if err == nil && !complete {
 		got.rest = response.Body
 		q.observeStreamed(got)
