offer: the rate that a VM tells counts the bytes of its responses

Cause: VMs are offered by requests a second and a fixed average of bytes, so a VM whose link is full of downloads, or whose memory is full of unread responses, got as many callers. Change: with memory_mb, the rate is in requests of average cost by processor, link or memory, whichever is the most. Capacities stay, so that the order of the VMs does.

--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -72,7 +72,7 @@
 		CallersAddress: set.Listen.Callers,
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
-		Capacity:       offer.Capacity(set.Machine.CPUShare*set.Machine.Cores, set.Machine.LinkMbps),
+		Capacity:       capacityOf(set.Machine),
 		Clock:          f.clock.Uptime,
 		TLS:            peer.TLSFiles{Off: true},
 	}, f.options.VMs, logger, m.Scope())
@@ -173,6 +173,7 @@
 		Stopping: f.stopping.Load,
 		MemoryMB: set.Machine.MemoryMB,
 		LinkMbps: set.Machine.LinkMbps,
+		Capacity: capacityOf(set.Machine),
 		Logger:   logger,
 		Scope:    m.Scope(),
 	})
--- a/entry/frontend/memory.go
+++ b/entry/frontend/memory.go
@@ -7,6 +7,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/slowreader"
+	"github.com/primroseloom/primroseloom/policy/offer"
 )
 
 // Share of the VM's memory at which the garbage collector begins to work harder. The rest is
@@ -38,3 +39,8 @@
 	}
 	return slowreader.Listener(inner)
 }
+
+// capacityOf returns the requests a second that a machine can serve.
+func capacityOf(machine settings.Machine) uint32 {
+	return offer.Capacity(machine.CPUShare*machine.Cores, machine.LinkMbps)
+}
--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -91,6 +91,7 @@
 	}
 	_ = d.controller.SetWriteDeadline(time.Now().Add(d.patience)) // not supported: the caller is another VM, which reads
 	_, err := d.writer.Write(part)
+	d.gateway.memory.sent.addAmount(float64(len(part)), time.Now())
 	return slowCaller(err)
 }
 
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -49,8 +49,10 @@
 	// MemoryMB is the VM's memory in megabytes; 0 sets no bound on the bytes held. LinkMbps is
 	// its link in megabits a second, which matters only with MemoryMB.
 	MemoryMB, LinkMbps float64
-	Logger             *log.Logger
-	Scope              tally.Scope
+	// Capacity is the requests a second that the VM can serve.
+	Capacity uint32
+	Logger   *log.Logger
+	Scope    tally.Scope
 }
 
 // Gateway is the HTTP handler of callers' requests.
--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -19,6 +19,8 @@
 type memory struct {
 	began time.Time
 	gauge tally.Gauge
+	// sent is the average bytes a second that are written to callers.
+	sent rate
 
 	mu     sync.Mutex
 	budget *bytebudget.Budget
@@ -95,6 +97,13 @@
 	return m.budget.Held()
 }
 
+// heldShare returns the fraction of the budget that is held.
+func (m *memory) heldShare() float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return float64(m.budget.Held()) / float64(m.budget.Limit())
+}
+
 // hold is the part of the budget that a request, or one response, has reserved. Its methods
 // may be called on nil, which has no bound.
 type hold struct {
--- a/entry/gateway/memory_test.go
+++ b/entry/gateway/memory_test.go
@@ -341,6 +341,26 @@
 	})
 }
 
+// TestRateCountsLargeResponsesByTheirBytes guards against VMs whose links are full and that
+// are offered as many callers as those with small responses; without a bound on memory,
+// requests are counted as before.
+func TestRateCountsLargeResponsesByTheirBytes(t *testing.T) {
+	for _, isBounded := range []bool{true, false} {
+		withHarness(t, []behavior{servesBytes(downloadBytes, true)}, func(h *harness) {
+			if isBounded {
+				h.gateway.memory = newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
+			}
+			for range 10 {
+				h.send(http.MethodGet, safePath+"1", "")
+			}
+			requests, got := h.gateway.rate.perSecond(time.Now()), h.gateway.Rate()
+			if isBounded && got < 20*requests || !isBounded && got != requests {
+				t.Errorf("bounded: %v: %v requests a second are told as %v", isBounded, requests, got)
+			}
+		})
+	}
+}
+
 // TestSlowCallerErrorIsTold guards against slow callers that are counted as other failures.
 func TestSlowCallerErrorIsTold(t *testing.T) {
 	if err := slowCaller(io.ErrClosedPipe); errors.Is(err, errSlowCaller) {
--- a/entry/gateway/rate.go
+++ b/entry/gateway/rate.go
@@ -4,6 +4,8 @@
 	"math"
 	"sync"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/offer"
 )
 
 // rateTimeConstant is the time constant of the exponential average of the request
@@ -19,11 +21,14 @@
 }
 
 // add counts one request.
-func (r *rate) add(now time.Time) {
+func (r *rate) add(now time.Time) { r.addAmount(1, now) }
+
+// addAmount counts an amount, of which the average is the amount a second.
+func (r *rate) addAmount(amount float64, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.decay(now)
-	r.value += 1 / rateTimeConstant.Seconds()
+	r.value += amount / rateTimeConstant.Seconds()
 }
 
 // perSecond returns the average rate in requests per second.
@@ -41,5 +46,18 @@
 	r.updatedAt = now
 }
 
-// Rate returns the average requests per second that this VM receives.
-func (g *Gateway) Rate() float64 { return g.rate.perSecond(time.Now()) }
+// Rate returns the average requests per second that this VM receives. Within a bound on the
+// bytes held, requests count for more while their responses use more of the link or of the
+// memory than average ones.
+func (g *Gateway) Rate() float64 {
+	now := time.Now()
+	requests := g.rate.perSecond(now)
+	if g.memory == nil {
+		return requests
+	}
+	return offer.Rate(offer.Use{
+		Requests: requests, BitsPerSecond: g.memory.sent.perSecond(now) * bitsPerByte, HeldShare: g.memory.heldShare(),
+	}, g.options.Capacity)
+}
+
+const bitsPerByte = 8
--- a/policy/offer/capacity.go
+++ b/policy/offer/capacity.go
@@ -9,6 +9,9 @@
 	// maxCPUShare and maxLinkShare are the fractions of a VM's CPU and network link
 	// that callers may use on average; bursts and the VM's other work need the rest.
 	maxCPUShare, maxLinkShare = 0.5, 0.35
+	// maxHeldShare is the fraction of the bytes that a VM may hold which is held on average
+	// at its capacity; bursts and slow callers need the rest.
+	maxHeldShare = 0.5
 )
 
 // Capacity returns the requests per second that a VM can serve, from its CPU
@@ -18,3 +21,23 @@
 	byLink := linkMbps * 1e6 * maxLinkShare / bitsPerRequest
 	return uint32(max(min(byCPU, byLink), 1))
 }
+
+// Use is what a VM's requests use of it now.
+type Use struct {
+	// Requests are the requests a second.
+	Requests float64
+	// BitsPerSecond is the traffic to callers.
+	BitsPerSecond float64
+	// HeldShare is the fraction of the bytes that the VM may hold which is held.
+	HeldShare float64
+}
+
+// Rate returns the use as requests a second of average cost: by the number of requests, by
+// their traffic or by the bytes held for them, whichever is the most. capacity is that of the
+// VM. VMs compare it with capacities and add it up to a zone's demand, so that more VMs are
+// offered while responses are larger, or read more slowly, than average.
+func Rate(use Use, capacity uint32) float64 {
+	byLink := use.BitsPerSecond / bitsPerRequest
+	byMemory := use.HeldShare / maxHeldShare * float64(capacity)
+	return max(use.Requests, byLink, byMemory)
+}
--- /dev/null
+++ b/policy/offer/capacity_test.go
@@ -0,0 +1,43 @@
+package offer
+
+import "testing"
+
+// TestRateIsThatOfTheBottleneck guards against VMs that are offered callers by their number
+// of requests while their links or memories are full.
+func TestRateIsThatOfTheBottleneck(t *testing.T) {
+	const capacity = 200
+	for _, c := range []struct {
+		name string
+		use  Use
+		want float64
+	}{
+		{"idle", Use{}, 0},
+		{"small responses", Use{Requests: 50, BitsPerSecond: 50 * 8 * 2_000, HeldShare: 0.01}, 50},
+		{"average responses", Use{Requests: 50, BitsPerSecond: 50 * bitsPerRequest}, 50},
+		{"downloads of 90 KB", Use{Requests: 20, BitsPerSecond: 20 * 8 * 90_000}, 144},
+		{"callers that read slowly", Use{Requests: 20, BitsPerSecond: 1000, HeldShare: 0.5}, capacity},
+	} {
+		if got := Rate(c.use, capacity); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// TestLargerResponsesNeedMoreVMs guards against a burst of downloads that stays on as many
+// VMs as small requests need.
+func TestLargerResponsesNeedMoreVMs(t *testing.T) {
+	vms, capacity := fleet(1, 8), Capacity(0.8, 10)
+	primaries := func(use Use) int {
+		for i := range vms {
+			vms[i].Capacity, vms[i].Rate = capacity, 0
+		}
+		for i := range 2 {
+			vms[i].Rate = Rate(use, capacity)
+		}
+		return len(Primaries(vms, vms[0].Zone, Settings{MinPerZone: 2}))
+	}
+	small, large := Use{Requests: 30, BitsPerSecond: 30 * 8 * 2_000}, Use{Requests: 30, BitsPerSecond: 8e6}
+	if few, more := primaries(small), primaries(large); few != 2 || more <= few {
+		t.Errorf("%d VMs for small responses, %d for large ones; the capacity is %d", few, more, capacity)
+	}
+}
