crashes: the end of a target that held much counts less against a request

Cause: a target that ends for lack of memory takes all requests in progress with it, and two such ends refused sound requests. Result: tests of crashes, targetset and gateway pass; two targets that held much don't lead to a quarantine, four do.

--- a/entry/crashes/checker.go
+++ b/entry/crashes/checker.go
@@ -88,7 +88,7 @@
 		c.processes[key] = state
 	}
 	if len(state.lost) < maxLostPerProcess {
-		state.lost[lost.Request] = lostState{at: now, mayCountSurvived: !lost.FromSuspect}
+		state.lost[lost.Request] = lostState{at: now, mayCountSurvived: !lost.FromSuspect, muchSent: lost.MuchSent}
 	}
 	time.AfterFunc(servedOnTime, func() { c.forgetServedOn(key) })
 	if !state.checking {
@@ -188,7 +188,8 @@
 }
 
 // crashesOf returns the crashes that the finding and the published targets show, and
-// forgets the lost attempts behind confirmed ones; the lock is held.
+// forgets the lost attempts behind confirmed ones; the lock is held. The end of a target that
+// held much counts as little as one that it survived: the amount is suspected first.
 func (c *checker) crashesOf(key process, state *checkedProcess) []requestCrash {
 	ended := c.isConfirmed(state)
 	confirmed := ended || state.finding == liveness.Crashed
@@ -204,7 +205,7 @@
 			continue // other VMs reach the process
 		}
 		crashes = append(crashes, requestCrash{request, quarantine.Crash{
-			Target: key.id, Incarnation: key.incarnation, At: lost.at, Presumed: !confirmed,
+			Target: key.id, Incarnation: key.incarnation, At: lost.at, Presumed: !confirmed && !lost.muchSent, Survived: lost.muchSent,
 		}})
 		if confirmed {
 			delete(state.lost, request)
@@ -223,7 +224,7 @@
 		if !lost.mayCountSurvived || !c.tracker.options.ServedSince(key.id, since) || !c.tracker.options.AnsweredSince(since) {
 			continue
 		}
-		state.lost[request] = lostState{at: lost.at}
+		state.lost[request] = lostState{at: lost.at, muchSent: lost.muchSent}
 		crashes = append(crashes, requestCrash{request, quarantine.Crash{
 			Target: key.id, Incarnation: key.incarnation, At: lost.at, Survived: true,
 		}})
--- a/entry/crashes/checker_test.go
+++ b/entry/crashes/checker_test.go
@@ -332,3 +332,33 @@
 		})
 	}
 }
+
+// TestTargetThatHeldMuchIsNotTheRequestsFault guards against sound requests that are refused
+// since their targets ended for lack of memory, and against one that ends targets whatever
+// they hold and goes on.
+func TestTargetThatHeldMuchIsNotTheRequestsFault(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// muchSent tells for each lost attempt whether its target held much.
+		muchSent []bool
+		refused  bool
+	}{
+		{"two targets", []bool{false, false}, true},
+		{"two targets that held much", []bool{true, true}, false},
+		{"one of two held much", []bool{true, false}, false},
+		{"one of three held much", []bool{true, false, false}, true},
+		{"four targets that held much", []bool{true, true, true, true}, true},
+	} {
+		withChecker(t, func(f *checkerFleet) {
+			for i, muchSent := range c.muchSent {
+				f.network.Kill(targetIP(i))
+				f.tracker.AttemptLost(LostAttempt{Request: request7, Target: f.targets[i], MuchSent: muchSent})
+				time.Sleep(time.Second)
+			}
+			if f.refused() != c.refused {
+				t.Errorf("%s: refused %v, want %v", c.name, f.refused(), c.refused)
+			}
+			time.Sleep(time.Minute)
+		})
+	}
+}
--- a/entry/crashes/lost.go
+++ b/entry/crashes/lost.go
@@ -16,6 +16,9 @@
 	Target roster.Target
 	// FromSuspect is true when the target was suspected of a fault before the attempt.
 	FromSuspect bool
+	// MuchSent is true when the target held much of other requests right before, which may
+	// have ended it instead of the request.
+	MuchSent bool
 }
 
 // process identifies one process of a target.
@@ -48,4 +51,6 @@
 	// mayCountSurvived is true until the attempt has counted as a crash that the process
 	// survived; false from the beginning for a process that was suspected of a fault.
 	mayCountSurvived bool
+	// muchSent is LostAttempt.MuchSent.
+	muchSent bool
 }
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -17,6 +17,10 @@
 // checked for a crash, while the attempt goes on.
 const silenceTime = 1500 * time.Millisecond
 
+// muchSentBytes is how many bytes of other requests a target holds when they are suspected
+// first if it ends.
+const muchSentBytes = 1 << 20
+
 // CrashTracker finds the requests that crash their targets.
 type CrashTracker interface {
 	// Refused returns how much longer the request must not run, zero when it may run, and
@@ -36,6 +40,7 @@
 func (q *request) reportLost(attempt *targetset.Attempt) {
 	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{
 		Request: q.identity, Target: attempt.Target(), FromSuspect: attempt.Candidate().IsSuspect(),
+		MuchSent: q.gateway.memory != nil && attempt.OtherBytes() >= muchSentBytes,
 	})
 }
 
--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/primroseloom/primroseloom/policy/quarantine"
 )
 
@@ -142,3 +146,39 @@
 		}
 	}
 }
+
+// TestAttemptLostBesideLargeBodiesIsReportedAsSuch guards against requests that are suspected
+// of the end of a target that held too much, and against a change without a bound on memory.
+func TestAttemptLostBesideLargeBodiesIsReportedAsSuch(t *testing.T) {
+	const length = 900_000
+	dies := func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		time.Sleep(100 * time.Millisecond)
+		panic(http.ErrAbortHandler)
+	}
+	for _, c := range []struct {
+		name      string
+		requests  int
+		isBounded bool
+		much      int
+	}{
+		{"one large body", 1, true, 0},
+		{"three large bodies", 3, true, 3},
+		{"three large bodies without a bound", 3, false, 0},
+	} {
+		withHarness(t, []behavior{dies}, func(h *harness) {
+			h.table = tableWithBodies(t, 2*length)
+			if c.isBounded {
+				h.gateway.memory = newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
+			}
+			var callers sync.WaitGroup
+			for range c.requests {
+				callers.Go(func() { h.send(http.MethodPost, oncePath+"1", string(pattern(length))) })
+			}
+			callers.Wait()
+			if h.crashes.lost != c.requests || h.crashes.lostToMuch != c.much {
+				t.Errorf("%s: %d lost, %d of them beside much, want %d", c.name, h.crashes.lost, h.crashes.lostToMuch, c.much)
+			}
+		})
+	}
+}
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -86,8 +86,10 @@
 // reportedCrashes counts reports; it refuses all requests after refuseAfter lost
 // attempts, unless that is negative.
 type reportedCrashes struct {
-	mu          sync.Mutex
-	lost        int
+	mu   sync.Mutex
+	lost int
+	// lostToMuch counts those of the lost whose target held much.
+	lostToMuch  int
 	answered    int
 	refuseAfter int
 	// suspected is true when the requests are known to have crashed a target before.
@@ -111,9 +113,12 @@
 	c.answered++
 }
 
-func (c *reportedCrashes) AttemptLost(crashes.LostAttempt) {
+func (c *reportedCrashes) AttemptLost(lost crashes.LostAttempt) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if lost.MuchSent {
+		c.lostToMuch++
+	}
 	c.lost++
 }
 
@@ -177,7 +182,10 @@
 	})
 }
 
-func testTable(t *testing.T) *routing.Table {
+func testTable(t *testing.T) *routing.Table { return tableWithBodies(t, 1000) }
+
+// tableWithBodies returns the routes with a limit on bodies in bytes.
+func tableWithBodies(t *testing.T, bodyBytes int64) *routing.Table {
 	t.Helper()
 	one := func(name, prefix string, kind routing.Kind) routing.Route {
 		return routing.Route{
@@ -188,7 +196,7 @@
 	patient := one("patient", patientPath, routing.KindOnce)
 	patient.Timeout = patientTimeout
 	table, err := routing.Compile(routing.Document{
-		Version: 1, Services: []routing.Service{{Name: "s", MaxConnections: 330}}, Limits: routing.Limits{BodyBytes: 1000, HeaderBytes: 2000},
+		Version: 1, Services: []routing.Service{{Name: "s", MaxConnections: 330}}, Limits: routing.Limits{BodyBytes: bodyBytes, HeaderBytes: 2000},
 		Routes: []routing.Route{one("once", oncePath, routing.KindOnce), one("safe", safePath, routing.KindIdempotent), patient},
 	})
 	if err != nil {
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -71,6 +71,8 @@
 	route     string
 	startedAt time.Duration
 	trial     bool
+	// bytes is the size of the request's body.
+	bytes int64
 	// candidate is the target as it was when it was chosen.
 	candidate       placement.Candidate
 	overdue         *time.Timer
@@ -161,9 +163,10 @@
 	t := targets[choice.Index]
 	t.limiter.bucket.Spend()
 	t.ownAttempts++
+	t.bytes.add(wanted.Bytes, now)
 	t.everAttempted = true
 	t.lastAttemptAt = now
-	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
+	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, bytes: wanted.Bytes, trial: choice.Trial, candidate: candidates[choice.Index]}
 	a.silenceLimit = silenceLimit(reference, overallServiceTime, wanted.Route.Objective) + choice.Wait
 	a.idempotent, a.openConnectionOnly = wanted.Route.Kind.Idempotent(), openConnectionOnly || t.unreachable
 	if limit := reference.Overdue(choice.Wait); limit > 0 {
@@ -318,6 +321,7 @@
 	}
 	m.mu.Lock()
 	a.target.ownAttempts--
+	a.target.bytes.remove(a.bytes)
 	m.meanRunTime += (now - a.startedAt - m.meanRunTime) / runTimeWindow
 	a.observePath(result, now)
 	a.target.misplaced = a.target.misplaced || result.Misplaced
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -45,8 +45,10 @@
 	// ownAttempts and remoteAttempts count the attempts in progress from this VM and
 	// from other VMs.
 	ownAttempts, remoteAttempts int
-	load                        dialect.Load
-	loadAt                      time.Duration
+	// bytes counts the bytes of the own attempts' requests.
+	bytes  recentBytes
+	load   dialect.Load
+	loadAt time.Duration
 	// lastAttemptAt is the uptime of the latest known attempt of any VM.
 	lastAttemptAt time.Duration
 	// lastSucceeded is true when the latest evidence about failing was negative, as
