targetset: less at a time to targets of a service of which one ended while it held much

Cause: targets end one after the other when each gets what ended the one before. Change: for a minute after such an end, this VM has at most half as many bytes in progress at each target of the service; one that holds nothing gets any request. Only with memory_mb. Result: tests of targetset, gateway, crashes and quarantine pass.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -38,9 +38,13 @@
 
 // reportLost reports an attempt without a complete response.
 func (q *request) reportLost(attempt *targetset.Attempt) {
+	muchSent := q.gateway.memory != nil && attempt.OtherBytes() >= muchSentBytes
+	if muchSent {
+		attempt.HeldTooMuch()
+	}
 	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{
 		Request: q.identity, Target: attempt.Target(), FromSuspect: attempt.Candidate().IsSuspect(),
-		MuchSent: q.gateway.memory != nil && attempt.OtherBytes() >= muchSentBytes,
+		MuchSent: muchSent,
 	})
 }
 
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -207,6 +207,10 @@
 		if !t.usable() || state.IsLeaving || slices.Contains(wanted.Attempted, t.info.ID) {
 			continue
 		}
+		if !s.bytesBound.allows(t.bytes.inProgress, wanted.Bytes, now) {
+			held.add(placement.ReasonFull, now+defaultAttemptDuration)
+			continue
+		}
 		if reason, until := m.hold(t, state, now); reason != placement.ReasonNone {
 			held.add(reason, until)
 			continue
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -70,6 +70,8 @@
 	overall    suspicion.Reference
 	// breaker is the circuit breaker of the path to the targets.
 	breaker breaker.Breaker
+	// bytesBound bounds the bytes at each target once one may have ended because of them.
+	bytesBound bytesBound
 }
 
 // Manager chooses among the targets of all services and tracks their state.
--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -36,7 +36,8 @@
 // A crash may be survived: the connection of the request ended or fell silent, but the
 // target goes on accepting connections and answers other requests. A worker process
 // behind the listener may have ended, or a network fault may have hit the connection.
-// Such a crash counts half, for SurvivedTime, and only at a distance from others.
+// Such a crash counts half, for SurvivedTime, and only at a distance from others. So does the
+// end of a target that held much of other requests, which may have ended for lack of memory.
 //
 // The numbers of suspects and of quarantines are bounded. When a bound is reached,
 // the suspect with the fewest crashes, and among these the oldest, or the
