frontend: callers' connections fit the VM's memory

Cause: 3,000 idle connections of about 16 KB each need more than the part of a VM of 136 MB that stays with the process. Change: with memory_mb, connections may need 0.3 of the memory; 2,490 on 136 MB.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -100,7 +100,7 @@
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
 	readahead.Watch(callers)
-	go f.serve(callers, readahead.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxCallerConnections))))
+	go f.serve(callers, readahead.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine)))))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
--- a/entry/frontend/memory_test.go
+++ b/entry/frontend/memory_test.go
@@ -31,3 +31,16 @@
 		}
 	}
 }
+
+// TestConnectionsFitTheMemory guards against idle connections that need more than the part of
+// the memory which the process has, and against fewer of them on VMs without a bound.
+func TestConnectionsFitTheMemory(t *testing.T) {
+	for _, c := range []struct {
+		memoryMB float64
+		want     int
+	}{{0, maxCallerConnections}, {0.01, 1}, {136, 2490}, {536, maxCallerConnections}} {
+		if got := maxConnections(settings.Machine{MemoryMB: c.memoryMB}); got != c.want {
+			t.Errorf("%v MB: %d connections, want %d", c.memoryMB, got, c.want)
+		}
+	}
+}
