evidence: failures in quick succession share datagrams to other zones

While many targets fail, each batch of outcomes holds a failure, so each datagram went to all primary VMs of all zones: up to 66 a second from each, with all numbers in progress in each.

The first failure still goes at once (TestFailuresGoToOtherZonesAtOnce is unchanged), the next within 100 ms, or a third of the mean run time if that is shorter. The new test sends a failure each 20 ms and bounds the datagrams in both directions.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -34,6 +34,10 @@
 	// runTimesPerFarDatagram divides the mean run time of attempts into the least time between
 	// two datagrams to other zones that are not urgent.
 	runTimesPerFarDatagram = 3
+	// maxFarFailureDelay bounds the time between two datagrams that take outcomes which count
+	// against their targets to other zones. The first goes at once; while many targets fail,
+	// each datagram would otherwise go everywhere.
+	maxFarFailureDelay = 100 * time.Millisecond
 	// sendsPerOutcome is the number of datagrams that carry an outcome, since a
 	// datagram may be lost.
 	sendsPerOutcome = 2
@@ -73,7 +77,11 @@
 	// latest one did.
 	urgent    bool
 	farSentAt time.Duration
-	senders   map[string]*sender
+	// failurePending is true while an outcome that counts against its target is still to be
+	// sent to other zones; the latest was at farFailureSentAt.
+	failurePending   bool
+	farFailureSentAt time.Duration
+	senders          map[string]*sender
 	// refusalLoggedAt is when a refused datagram was last logged; zero before the first.
 	refusalLoggedAt time.Duration
 }
@@ -104,8 +112,13 @@
 		x.pending = x.pending[over:]
 		x.options.Scope.Counter("outcomes_dropped").Inc(int64(over))
 	}
+	isFirstFailure := outcome.isBad() && !x.failurePending
+	x.failurePending = x.failurePending || outcome.isBad()
 	x.mu.Unlock()
-	x.requestSend(outcome.isBad())
+	x.requestSend(false)
+	if isFirstFailure {
+		time.AfterFunc(x.farFailureDelay(), func() { x.requestSend(false) })
+	}
 }
 
 // AnnouncementChanged schedules a datagram that tells other VMs what this one has of the
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -27,16 +27,24 @@
 	return min(max(x.options.MeanRunTime()/runTimesPerFarDatagram, minBatchDelay), heartbeatInterval)
 }
 
+// farFailureDelay returns the least time between two datagrams that take outcomes which count
+// against their targets to other zones.
+func (x *Exchange) farFailureDelay() time.Duration { return min(x.farDelay(), maxFarFailureDelay) }
+
 // includesFar reports whether the next datagram goes to other zones, too, and records it.
 func (x *Exchange) includesFar(isHeartbeat bool) bool {
-	delay, now := x.farDelay(), x.options.Uptime()
+	delay, failureDelay, now := x.farDelay(), x.farFailureDelay(), x.options.Uptime()
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	isFull := len(x.pending) >= maxOutcomesPerDatagram
-	if !isHeartbeat && !x.urgent && !isFull && now-x.farSentAt < delay {
+	isDue := now-x.farSentAt >= delay || x.failurePending && now-x.farFailureSentAt >= failureDelay
+	if !isHeartbeat && !x.urgent && !isFull && !isDue {
 		return false
 	}
-	x.urgent, x.farSentAt = false, now
+	if x.failurePending {
+		x.farFailureSentAt = now
+	}
+	x.urgent, x.failurePending, x.farSentAt = false, false, now
 	return true
 }
 
--- a/entry/evidence/zones_test.go
+++ b/entry/evidence/zones_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// TestFailuresInQuickSuccessionShareDatagramsToOtherZones guards against the load of a day on
+// which many targets fail: each batch of outcomes holds a failure, and each went to all primary
+// VMs of all zones.
+func TestFailuresInQuickSuccessionShareDatagramsToOtherZones(t *testing.T) {
+	now := time.Hour
+	x, packets := newZonedExchange(&now)
+	const failures, gap = 100, 20 * time.Millisecond
+	for range failures {
+		x.Publish(AttemptEvidence{Target: "t1", FailureNats: 3})
+		x.send(false)
+		now += gap
+	}
+	length := failures * gap
+	most := int(length/maxFarFailureDelay) + failures*sendsPerOutcome/maxOutcomesPerDatagram + 1
+	if packets.sent[near] != failures || packets.sent[far] > most {
+		t.Errorf("%d failures in %v: %d datagrams in the zone, %d to the other, want at most %d", failures, length, packets.sent[near], packets.sent[far], most)
+	}
+	if packets.sent[far] < int(length/maxFarFailureDelay) {
+		t.Errorf("%d datagrams to the other zone: failures arrive more than %v late", packets.sent[far], maxFarFailureDelay)
+	}
+}
+
 // TestOtherZonesGetEachOutcomeTwice guards against outcomes that are lost for other zones
 // since they went to the own zone often enough.
 func TestOtherZonesGetEachOutcomeTwice(t *testing.T) {
