front: rate limits of customers, reported between VMs by datagrams

Cause: policy/quota was not used. Change: entry/quotas holds the accounts; the gateway charges a request after its key and before its body, at the VM that runs it and once; datagrams to all zones carry counts; ForwardHead.quota_charged (20) tells a carrier that it was charged. Result: tests of entry, config and cmd pass; without quotas.window nothing changes.

--- a/config/routing/customers.go
+++ b/config/routing/customers.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"iter"
+	"maps"
 	"slices"
 )
 
@@ -133,6 +135,14 @@
 	return customer, ok
 }
 
+// Customers returns all customers, in no order.
+func (t *Table) Customers() iter.Seq[*Customer] {
+	if t.customers == nil {
+		return func(func(*Customer) bool) {}
+	}
+	return maps.Values(t.customers.byName)
+}
+
 // CustomerCount returns the number of customers.
 func (t *Table) CustomerCount() int {
 	if t.customers == nil {
--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -14,6 +14,8 @@
 		"A response could not be passed on completely; the caller's connection is closed so that the response does not look complete.")
 	RequestForwarded = define(5110, log.InfoLevel, "request forwarded",
 		"This VM reaches no target of the service and forwarded the request to another VM; refused tells why that one did not serve it.")
+	CustomerLimited = define(5130, log.InfoLevel, "customer limited",
+		"The requests of a customer have reached its rate limit of all VMs together; those above it are refused with status 429. Logged again only after 10 s without a refusal.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
 		"This VM refused a request that another VM forwarded; that VM tries another one or responds to the caller.")
 )
--- a/entry/evidence/options.go
+++ b/entry/evidence/options.go
@@ -12,6 +12,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
+	"github.com/primroseloom/primroseloom/policy/quota"
 )
 
 // AttemptEvidence is the evidence from one attempt.
@@ -90,9 +91,15 @@
 	RequestsDigest func() uint64
 	// Notices returns what the next datagram tells of what targets say of themselves: what
 	// has changed lately and, in a heartbeat, a part of all.
-	Notices  func(isHeartbeat bool) []notice.Report
-	Receiver Receiver
-	Uptime   func() time.Duration
-	Logger   *log.Logger
-	Scope    tally.Scope
+	Notices func(isHeartbeat bool) []notice.Report
+	// Admissions returns what the next datagram to all zones tells of the requests of
+	// customers; nil when that is nothing.
+	Admissions func() []quota.Report
+	// AdmissionsReceived applies what a datagram tells of them, also when that is nothing; it
+	// may be nil.
+	AdmissionsReceived func(vm string, instance uint64, reports []quota.Report)
+	Receiver           Receiver
+	Uptime             func() time.Duration
+	Logger             *log.Logger
+	Scope              tally.Scope
 }
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -93,6 +93,7 @@
 			Position:      contract.StorePosition{Era: message.GetStoreEra(), Revision: message.GetRevision()},
 			RoutesVersion: message.GetRoutesVersion(),
 		})
+		x.receiveAdmissions(&message)
 	}
 	for _, outcome := range outcomes {
 		x.options.Receiver.Observed(message.GetVm(), outcomeFromWire(outcome))
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -85,9 +85,10 @@
 		digest = x.options.RequestsDigest()
 	}
 	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
+	admissions := x.nextAdmissions(far)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 {
+	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 && len(admissions) == 0 {
 		return nil
 	}
 	x.sendRequested = false
@@ -108,6 +109,8 @@
 		CutOffServices: cutOff,
 		PathInDoubt:    inDoubt,
 		RequestsDigest: digest,
+
+		CustomerAdmissions: admissions,
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -18,10 +18,12 @@
 	"github.com/primroseloom/primroseloom/entry/gateway"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
+	"github.com/primroseloom/primroseloom/entry/quotas"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/entry/uptime"
 	"github.com/primroseloom/primroseloom/policy/offer"
+	"github.com/primroseloom/primroseloom/policy/quota"
 )
 
 // identity distinguishes this process from all others.
@@ -38,8 +40,8 @@
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(f, options.Settings, options.Logger, options.Metrics, newIdentity()),
-		fx.Provide(newPeers, newFollower, newTargets, newFrontendFleet, newExchange, newCrashTracker, newGateway),
-		fx.Populate(&f.peers, &f.follower, &f.targets, &f.crashes, &f.fleet, &f.evidence, &f.gateway),
+		fx.Provide(newPeers, newFollower, newTargets, newFrontendFleet, newExchange, newCrashTracker, newQuotas, newGateway),
+		fx.Populate(&f.peers, &f.follower, &f.targets, &f.crashes, &f.fleet, &f.evidence, &f.quotas, &f.gateway),
 	)
 	if err := app.Err(); err != nil {
 		return nil, fmt.Errorf("assemble instance %s: %w", options.Settings.VM, err)
@@ -132,6 +134,8 @@
 		Requests:           tracker.NextEvidence,
 		RequestsDigest:     tracker.Digest,
 		Notices:            targets.NextNotices,
+		Admissions:         func() []quota.Report { return f.quotas.Reports() },
+		AdmissionsReceived: func(vm string, instance uint64, reports []quota.Report) { f.quotas.Merge(vm, instance, reports) },
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
 		Logger:             logger,
@@ -161,13 +165,14 @@
 	})
 }
 
-func newGateway(f *Frontend, set settings.Frontend, vms *fleet, follower *follow.Follower, targets *targetset.Manager, tracker *crashes.Tracker, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
+func newGateway(f *Frontend, set settings.Frontend, vms *fleet, follower *follow.Follower, targets *targetset.Manager, tracker *crashes.Tracker, limiter *quotas.Limiter, m *metrics.Metrics, logger *log.Logger) *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Dialect:  f.options.Adapter.Dialect,
 		Table:    follower.Table,
 		Targets:  targets,
 		Crashes:  tracker,
 		Carriers: vms,
+		Quotas:   limiter,
 		Fleet:    set.Fleet,
 		VM:       set.VM,
 		Stopping: f.stopping.Load,
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -23,6 +23,7 @@
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/quotas"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
@@ -83,6 +84,7 @@
 	evidence *evidence.Exchange
 	fleet    *fleet
 	gateway  *gateway.Gateway
+	quotas   *quotas.Limiter
 }
 
 // Run serves until the context ends, then performs a planned stop.
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -139,6 +139,7 @@
 		CallerAddress: q.caller.RemoteAddr,
 		RoutesVersion: q.routesVersion,
 		SentAttempts:  uint32(q.sentAttempts),
+		QuotaCharged:  q.isCharged,
 	}
 }
 
--- a/entry/gateway/forwarded.go
+++ b/entry/gateway/forwarded.go
@@ -59,6 +59,7 @@
 	q := g.newRequest(w, r)
 	q.isForwarded, q.forwardedService = true, head.GetService()
 	q.sentAttempts = int(head.GetSentAttempts())
+	q.isCharged = head.GetQuotaCharged() || q.sentAttempts > 0 // the VM of an earlier attempt charged it
 	q.metadata.Remaining = time.Duration(head.GetDeadlineMs()) * time.Millisecond
 	if table := g.options.Table(); table != nil && table.Version() < head.GetRoutesVersion() {
 		return refuse(outcome.ReasonRoutesBehind, outcome.StepRoute, noConfigurationWait)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -42,6 +42,8 @@
 	Crashes CrashTracker
 	// Carriers chooses the other VMs that serve what this VM can't.
 	Carriers Carriers
+	// Quotas limits the requests of customers; nil limits none.
+	Quotas Quotas
 	// Fleet and VM name this fleet and this VM to other VMs.
 	Fleet, VM string
 	// Stopping reports whether connections are closed after their response.
@@ -75,7 +77,10 @@
 	// key. authenticates is true when callers' credentials end at the proxy.
 	customer      *routing.Customer
 	authenticates bool
-	service       string
+	// isCharged is true once the request was charged to its customer's limit, here or by
+	// another VM.
+	isCharged bool
+	service   string
 	// isForwarded is true when another VM forwards the request, for the service
 	// forwardedService.
 	isForwarded      bool
@@ -171,6 +176,9 @@
 	q.route, q.routesVersion = route, table.Version()
 	q.service = q.pickService(rand.Float64())
 	q.deadline = q.start.Add(q.timeLimit())
+	if refusal := q.chargeOnArrival(); refusal != nil {
+		return refusal
+	}
 	q.gateway.options.Targets.RequestArrived(q.service)
 	if refusal := q.body.read(w, q.caller, table.Limits().BodyBytes, q.deadline); refusal != nil {
 		return refusal
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -51,6 +51,9 @@
 	if got, refusal, ok := q.forwardToPrimary(ctx); ok {
 		return got, refusal
 	}
+	if refusal := q.charge(); refusal != nil {
+		return nil, refusal
+	}
 	for {
 		if remaining, as := q.gateway.options.Crashes.Refused(q.identity); remaining > 0 {
 			q.refusedAs = as
