--- a/entry/evidence/admissions.go
+++ b/entry/evidence/admissions.go
@@ -6,11 +6,11 @@
 )
 
 // nextAdmissions returns what a datagram to all zones tells of the requests of customers.
-func (x *Exchange) nextAdmissions(far bool) []*primroseloomv1.CustomerAdmissions {
+func (x *Exchange) nextAdmissions(isHeartbeat, far bool) []*primroseloomv1.CustomerAdmissions {
 	if x.options.Admissions == nil || !far {
 		return nil
 	}
-	return admissionsToWire(x.options.Admissions())
+	return admissionsToWire(x.options.Admissions(isHeartbeat))
 }
 
 // receiveAdmissions passes on what a datagram tells; it is called for each one that is newer
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -85,7 +85,7 @@
 		digest = x.options.RequestsDigest()
 	}
 	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
-	admissions := x.nextAdmissions(far)
+	admissions := x.nextAdmissions(isHeartbeat, far)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 && len(admissions) == 0 {
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -134,7 +134,7 @@
 		Requests:           tracker.NextEvidence,
 		RequestsDigest:     tracker.Digest,
 		Notices:            targets.NextNotices,
-		Admissions:         func() []quota.Report { return f.quotas.Reports() },
+		Admissions:         func(isHeartbeat bool) []quota.Report { return f.quotas.Reports(isHeartbeat) },
 		AdmissionsReceived: func(vm string, instance uint64, reports []quota.Report) { f.quotas.Merge(vm, instance, reports) },
 		Receiver:           receiver{Manager: targets, Tracker: tracker, follower: follower, fleet: vms},
 		Uptime:             f.clock.Uptime,
--- a/entry/quotas/limiter.go
+++ b/entry/quotas/limiter.go
@@ -103,7 +103,7 @@
 }
 
 // Reports returns what the next datagram tells of this VM's admitted requests.
-func (l *Limiter) Reports() []quota.Report {
+func (l *Limiter) Reports(isHeartbeat bool) []quota.Report {
 	if !l.on.Load() {
 		return nil
 	}
@@ -115,7 +115,7 @@
 		return nil
 	}
 	l.metrics.update(now, l.table.TakeUse)
-	return l.table.Reports(now)
+	return l.table.Reports(now, isHeartbeat)
 }
 
 // Merge applies the reports of another VM's datagram, also of one without reports.
--- a/policy/quota/account.go
+++ b/policy/quota/account.go
@@ -164,11 +164,14 @@
 	return max(share*(max(a.tokens, 0)+a.unheard+a.margin), minUnheard)
 }
 
+// isClose reports whether less than half of the burst is left.
+func (a *account) isClose() bool { return a.tokens < a.aim.Burst/2 }
+
 // needsReport reports whether other VMs should hear of this VM's requests at once: less than
 // half of the burst is left, and the bound is at risk if each VM has admitted as many
 // requests that it has not reported as this one.
 func (a *account) needsReport(serving int) bool {
-	return serving > 1 && a.own.reporting && a.tokens < a.aim.Burst/2 &&
+	return serving > 1 && a.own.reporting && a.isClose() &&
 		float64(a.own.unreported())*float64(serving) >= max(a.tokens, 0)+a.margin/2
 }
 
--- a/policy/quota/reports.go
+++ b/policy/quota/reports.go
@@ -8,6 +8,8 @@
 const (
 	// MaxReports is the number of customers in a datagram; 16 bytes each.
 	MaxReports = 32
+	// maxVisits bounds the customers that are looked at for a datagram.
+	maxVisits = 1024
 	// reportedShare is the part of an even share of the limit from which a VM's use is
 	// reported. VMs with less use admit a tenth of the limit together at most.
 	reportedShare = 0.1
@@ -53,13 +55,15 @@
 	t.reporting = append(t.reporting, a)
 }
 
-// Reports returns what the next datagram tells: at most MaxReports customers, in rotation.
-func (t *Table) Reports(now time.Duration) []Report {
+// Reports returns what the next datagram tells: at most MaxReports customers, in rotation. A
+// heartbeat tells of all customers, another datagram only of those that are close to their
+// limit, since the others' counts may come later without harm.
+func (t *Table) Reports(now time.Duration, isHeartbeat bool) []Report {
 	if t.serving <= 1 {
 		return nil
 	}
 	var reports []Report
-	for visits := len(t.reporting); visits > 0 && len(reports) < MaxReports; visits-- {
+	for visits := min(len(t.reporting), maxVisits); visits > 0 && len(reports) < MaxReports; visits-- {
 		if t.nextReport >= len(t.reporting) {
 			t.nextReport = 0
 		}
@@ -70,6 +74,9 @@
 			continue
 		}
 		t.nextReport++
+		if !isHeartbeat && !a.isClose() {
+			continue
+		}
 		a.own.reported, a.own.reportedAt = a.own.admitted, now
 		reports = append(reports, Report{Customer: a.customer, Admitted: a.own.admitted})
 	}
