entry/quotas: all customers are told a few times a second, not in each heartbeat

Cause: heartbeats go to all VMs of a zone; 512 bytes of counts in each would go to dozens of VMs that serve nobody. Change: heartbeats tell of all customers only while no other datagram does.

--- a/entry/evidence/options.go
+++ b/entry/evidence/options.go
@@ -93,8 +93,7 @@
 	// has changed lately and, in a heartbeat, a part of all.
 	Notices func(isHeartbeat bool) []notice.Report
 	// Admissions returns what the next datagram to all zones tells of the requests of
-	// customers: in a heartbeat of all, in others of those close to their limit. It may be
-	// nil.
+	// customers; it may be nil.
 	Admissions func(isHeartbeat bool) []quota.Report
 	// AdmissionsReceived applies what a datagram tells of them, also when that is nothing; it
 	// may be nil.
--- a/entry/quotas/limiter.go
+++ b/entry/quotas/limiter.go
@@ -13,8 +13,16 @@
 	"github.com/primroseloom/primroseloom/policy/quota"
 )
 
-// refreshInterval is the time between two updates of the VMs that serve callers.
-const refreshInterval = 100 * time.Millisecond
+const (
+	// refreshInterval is the time between two updates of the VMs that serve callers.
+	refreshInterval = 100 * time.Millisecond
+	// allInterval is the least time between two datagrams that tell of all customers.
+	allInterval = 150 * time.Millisecond
+	// allInHeartbeatInterval is the same for heartbeats. It is longer, since heartbeats go to
+	// all VMs of the zone, and just less than the time between two heartbeats, which tell of
+	// all customers while no other datagrams do.
+	allInHeartbeatInterval = 190 * time.Millisecond
+)
 
 // Options configures a Limiter.
 type Options struct {
@@ -44,6 +52,8 @@
 	mu     sync.Mutex
 	table  *quota.Table
 	limits limits
+	// allAt is when a datagram last told of all customers.
+	allAt time.Duration
 }
 
 // New returns a limiter.
@@ -115,7 +125,21 @@
 		return nil
 	}
 	l.metrics.update(now, l.table.TakeUse)
-	return l.table.Reports(now, isHeartbeat)
+	return l.table.Reports(now, l.tellsAll(now, isHeartbeat))
+}
+
+// tellsAll reports whether a datagram tells of all customers, not only of those close to their
+// limit. The lock is held.
+func (l *Limiter) tellsAll(now time.Duration, isHeartbeat bool) bool {
+	interval := allInterval
+	if isHeartbeat {
+		interval = allInHeartbeatInterval
+	}
+	if now-l.allAt < interval {
+		return false
+	}
+	l.allAt = now
+	return true
 }
 
 // Merge applies the reports of another VM's datagram, also of one without reports.
--- a/entry/quotas/limiter_test.go
+++ b/entry/quotas/limiter_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -116,6 +117,46 @@
 	}
 }
 
+// TestHeartbeatsTellOfAllCustomersWhenNothingElseDoes guards against heartbeats to all VMs of a
+// zone that repeat what the primary VMs have just been told, and against counts that are told
+// in no datagram.
+func TestHeartbeatsTellOfAllCustomersWhenNothingElseDoes(t *testing.T) {
+	v := newVM(t, specified, "vm-2")
+	for _, c := range []struct {
+		after       time.Duration
+		isHeartbeat bool
+		want        int
+	}{
+		{0, true, 1}, {200 * time.Millisecond, true, 1}, {100 * time.Millisecond, false, 0}, {50 * time.Millisecond, false, 1},
+		{100 * time.Millisecond, true, 0}, {50 * time.Millisecond, false, 1}, {200 * time.Millisecond, true, 1},
+	} {
+		v.now += c.after
+		v.admitted("a", 1)
+		if got := v.Reports(c.isHeartbeat); len(got) != c.want {
+			t.Errorf("heartbeat %v after %v: reports %v", c.isHeartbeat, c.after, got)
+		}
+	}
+}
+
+// TestCallsAtTheSameTimeAreSafe runs all calls beside each other, for the race detector.
+func TestCallsAtTheSameTimeAreSafe(t *testing.T) {
+	v := newVM(t, specified, "vm-2")
+	v.options.ReportSoon = func() {}
+	var running sync.WaitGroup
+	for i := range 4 {
+		running.Go(func() {
+			for n := range 500 {
+				v.Admit(customer(fmt.Sprint(n % 40)))
+				v.Merge("vm-2", 1, v.Reports(n%2 == 0))
+				if n%100 == i {
+					v.SetSettings(quota.Settings{Window: time.Duration(n%3) * time.Second})
+				}
+			}
+		})
+	}
+	running.Wait()
+}
+
 // TestUnknownCustomersOfReportsAreIgnored guards against accounts for whatever datagrams name.
 func TestUnknownCustomersOfReportsAreIgnored(t *testing.T) {
 	v := newVM(t, specified, "vm-2")
--- a/policy/quota/reports.go
+++ b/policy/quota/reports.go
@@ -55,10 +55,10 @@
 	t.reporting = append(t.reporting, a)
 }
 
-// Reports returns what the next datagram tells: at most MaxReports customers, in rotation. A
-// heartbeat tells of all customers, another datagram only of those that are close to their
-// limit, since the others' counts may come later without harm.
-func (t *Table) Reports(now time.Duration, isHeartbeat bool) []Report {
+// Reports returns what the next datagram tells: at most MaxReports customers, in rotation;
+// all of them, or only those that are close to their limit, since the others' counts may come
+// a little later without harm.
+func (t *Table) Reports(now time.Duration, all bool) []Report {
 	if t.serving <= 1 {
 		return nil
 	}
@@ -74,7 +74,7 @@
 			continue
 		}
 		t.nextReport++
-		if !isHeartbeat && !a.isClose() {
+		if !all && !a.isClose() {
 			continue
 		}
 		a.own.reported, a.own.reportedAt = a.own.admitted, now
