--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -94,9 +94,10 @@
 		digest = x.options.RequestsDigest()
 	}
 	notices := noticesToWire(x.options.Notices(isHeartbeat), x.options.Uptime())
+	admissions := x.nextAdmissions(isHeartbeat, far)
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 {
+	if !isPrimary && !x.sendRequested && len(x.pending) == 0 && len(uses) == 0 && len(requests) == 0 && len(admissions) == 0 {
 		return nil
 	}
 	x.sendRequested = false
@@ -114,10 +115,11 @@
 		RoutesVersion: announced.RoutesVersion,
 		Rate:          uint32(rate + 0.5),
 
-		CutOffServices: cutOff,
-		PathInDoubt:    inDoubt,
-		RequestsDigest: digest,
-		KeysNotCurrent: keysNotCurrent,
+		CutOffServices:     cutOff,
+		PathInDoubt:        inDoubt,
+		RequestsDigest:     digest,
+		KeysNotCurrent:     keysNotCurrent,
+		CustomerAdmissions: admissions,
 	}
 	for target, count := range uses {
 		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -44,6 +44,8 @@
 	Carriers Carriers
 	// Keys tells whether requests with keys may be served by the routes; nil means always.
 	Keys KeyFreshness
+	// Quotas limits the requests of customers; nil limits none.
+	Quotas Quotas
 	// Fleet and VM name this fleet and this VM to other VMs.
 	Fleet, VM string
 	// Stopping reports whether connections are closed after their response.
@@ -87,7 +89,10 @@
 	authenticates bool
 	// keysNotCurrent is true when another VM has to authenticate the request.
 	keysNotCurrent bool
-	service        string
+	// isCharged is true once the request was charged to its customer's limit, here or by
+	// another VM.
+	isCharged bool
+	service   string
 	// isForwarded is true when another VM forwards the request, for the service
 	// forwardedService.
 	isForwarded      bool
@@ -189,6 +194,9 @@
 	q.route, q.routesVersion = route, table.Version()
 	q.service = q.pickService(rand.Float64())
 	q.deadline = q.start.Add(q.timeLimit())
+	if refusal := q.chargeOnArrival(); refusal != nil {
+		return refusal
+	}
 	q.gateway.options.Targets.RequestArrived(q.service)
 	if refusal := q.reserveRequest(); refusal != nil {
 		return refusal
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -81,14 +81,15 @@
 		return http.StatusNotFound
 	case outcome.ReasonUnknownCustomer:
 		return http.StatusUnauthorized
-	case outcome.ReasonRateLimit:
-		return http.StatusTooManyRequests
 	case outcome.ReasonHeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
 	case outcome.ReasonBodyTooLarge:
 		return http.StatusRequestEntityTooLarge
 	}
-	if refusal.Outcome == outcome.NotRun {
+	switch {
+	case refusal.Outcome == outcome.NotRun && refusal.Reason == outcome.ReasonRateLimit:
+		return http.StatusTooManyRequests
+	case refusal.Outcome == outcome.NotRun:
 		return http.StatusServiceUnavailable
 	}
 	if refusal.Reason == outcome.ReasonTargetTimeout {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -57,6 +57,9 @@
 	if q.keysNotCurrent {
 		return q.forwardToCurrent(ctx)
 	}
+	if refusal := q.charge(); refusal != nil {
+		return nil, refusal
+	}
 	for {
 		if remaining, as := q.gateway.options.Crashes.Refused(q.identity); remaining > 0 {
 			q.refusedAs = as
