--- a/policy/retry/share.go
+++ b/policy/retry/share.go
@@ -17,6 +17,10 @@
 	allowanceFactor = 0.8
 )
 
+// maxSurplus is the number of hedges that a VM can save up. It is small, since what is
+// saved adds to the retries of the next window.
+const maxSurplus = 1.0
+
 // Share is one VM's part of a service's retry budget, which all VMs draw on. In
 // any window the fleet may retry a ratio of the requests plus a fixed allowance.
 // Each VM earns the ratio with the requests that it receives; the allowance is
@@ -25,6 +29,9 @@
 	mu         sync.Mutex
 	tokens     float64
 	refilledAt time.Duration
+	// surplus is what was earned while tokens were at their capacity. Only hedges use
+	// it, so that they never take a token that a retry could have used.
+	surplus float64
 	// ratio is the number of tokens earned with each request; allowance is this
 	// VM's part of the allowance of a window.
 	ratio, allowance float64
@@ -65,7 +72,15 @@
 		return
 	}
 	s.refilledAt = now
-	s.tokens = min(s.tokens+s.allowance/2*elapsed.Seconds()/budgetWindow.Seconds(), max(s.tokens, s.capacity()))
+	s.add(s.allowance / 2 * elapsed.Seconds() / budgetWindow.Seconds())
+}
+
+// add credits tokens; what exceeds the capacity becomes surplus. The caller holds the
+// lock.
+func (s *Share) add(earned float64) {
+	kept := min(earned, max(s.capacity()-s.tokens, 0))
+	s.tokens += kept
+	s.surplus = min(s.surplus+earned-kept, maxSurplus)
 }
 
 // Earn credits one request.
@@ -73,7 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.refill(now)
-	s.tokens = min(s.tokens+s.ratio, max(s.tokens, s.capacity()))
+	s.add(s.ratio)
 }
 
 // Spend takes the token of one retry and reports whether one was available.
@@ -88,6 +103,19 @@
 	return true
 }
 
+// SpendSurplus takes the token of one hedge from what retries left over and reports
+// whether one was available. Hedges and retries together stay within the budget.
+func (s *Share) SpendSurplus(now time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refill(now)
+	if s.surplus < 1 {
+		return false
+	}
+	s.surplus--
+	return true
+}
+
 // Refund returns the token of a retry that was not made.
 func (s *Share) Refund() {
 	s.mu.Lock()
