gateway, targetset: second attempts of slow idempotent requests

Cause: a request that hangs at one target waits for it until its time is up. Change: beside a slow attempt a second one begins at a sound target with a free slot; the first response that serves the request wins.

--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -16,4 +16,6 @@
 		"This VM reaches no target of the service and forwarded the request to another VM; refused tells why that one did not serve it.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
 		"This VM refused a request that another VM forwarded; that VM tries another one or responds to the caller.")
+	HedgeWon = define(5120, log.DebugLevel, "second attempt won",
+		"An idempotent request was slow at its first target; its second attempt responded first, and the first one was cancelled.")
 )
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -97,6 +97,7 @@
 		Zone:      set.Zone,
 		Network:   f.options.Targets,
 		Budget:    targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance},
+		Hedging:   hedgingOf(set),
 		Sharers:   vms.sharers,
 		RateShare: vms.rateShare,
 		Uptime:    f.clock.Uptime,
--- a/entry/frontend/reload.go
+++ b/entry/frontend/reload.go
@@ -71,5 +71,6 @@
 		f.options.Logger.SetLevel(level)
 	}
 	f.targets.SetBudget(targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance})
+	f.targets.SetHedging(hedgingOf(set))
 	events.SettingsReloaded.Log(f.options.Logger, "vm", set.VM)
 }
--- a/entry/gateway/counters.go
+++ b/entry/gateway/counters.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/policy/hedge"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/retry"
 )
@@ -55,3 +56,14 @@
 func (c *counters) notRetried(reason retry.Reason) {
 	c.tagged("reason", string(reason)).Counter("retries_not_made").Inc(1)
 }
+
+// hedged counts a second attempt beside one in progress.
+func (c *counters) hedged() { c.scope.Counter("hedges").Inc(1) }
+
+// hedgeWon counts a second attempt whose response was passed on in place of the first one's.
+func (c *counters) hedgeWon() { c.scope.Counter("hedges_won").Inc(1) }
+
+// notHedged counts a request that was slow and got no second attempt, by the latest reason.
+func (c *counters) notHedged(reason hedge.Reason) {
+	c.tagged("reason", string(reason)).Counter("hedges_not_made").Inc(1)
+}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -30,6 +30,11 @@
 type Targets interface {
 	RequestArrived(service string)
 	Begin(wanted targetset.AttemptRequest) (*targetset.Attempt, error)
+	// HedgeAfter returns the time after which a second attempt beside one that has just begun
+	// may be due; zero for never.
+	HedgeAfter(first *targetset.Attempt) time.Duration
+	// Hedge begins a second attempt beside one in progress, if that is allowed now.
+	Hedge(first *targetset.Attempt, wanted targetset.AttemptRequest) targetset.HedgeAnswer
 }
 
 // Options are what a Gateway is built from.
@@ -98,6 +103,8 @@
 	// retryPaid is true when the retry budget was already charged for the next
 	// attempt.
 	retryPaid bool
+	// isHedged is true once the request has had a second attempt beside its first.
+	isHedged bool
 	// notRetried is why the last attempt was not followed by another.
 	notRetried string
 	// mayHaveRun is true once an attempt ended without proof that the request did
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -41,6 +41,11 @@
 	step   outcome.Step
 }
 
+// isServed reports whether the attempt's response serves the request.
+func (d decision) isServed() bool {
+	return d.response != nil && d.result.End == suspicion.ResultServed
+}
+
 // run makes attempts until a target serves the request or another attempt is not
 // allowed or not useful.
 func (q *request) run(ctx context.Context) (*targetResponse, *outcome.Refusal) {
@@ -63,8 +68,8 @@
 		if err != nil {
 			return q.giveUp(err)
 		}
-		d := q.runAttempt(ctx, attempt)
-		if d.response != nil && d.result.End == suspicion.ResultServed {
+		attempt, d := q.runHedged(ctx, attempt)
+		if d.isServed() {
 			q.keepFailure(nil)
 			if d.response.rest == nil {
 				q.gateway.options.Crashes.Answered(q.identity)
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -87,7 +87,11 @@
 	trip         *contract.RoundTrip
 	// responded is true once the head of the response was read, ended once Done was called.
 	responded, ended bool
-	exchange         *targetconn.Exchange
+	// isHedge is true for the second attempt of a request whose first one is in progress.
+	isHedge bool
+	// outrunAt is the uptime at which the other attempt of the request won; zero if none has.
+	outrunAt time.Duration
+	exchange *targetconn.Exchange
 }
 
 // Refusal is the error that says why there is no target for an attempt.
@@ -111,6 +115,7 @@
 func (m *Manager) RequestArrived(name string) {
 	m.mu.Lock()
 	s := m.service(name)
+	s.hedging.budget.Earn(m.options.Hedging.Ratio, m.options.Uptime())
 	earned := explorationsPerRequest + explorationsPerSuspectShare*max(s.suspectShare-fewSuspectsShare, 0)
 	s.explorationCredit = min(s.explorationCredit+earned, maxExplorationCredit)
 	m.mu.Unlock()
@@ -158,19 +163,33 @@
 	if choice.Exploratory {
 		s.explorationCredit -= exploreCost(wanted.Route.Kind)
 	}
-	t := targets[choice.Index]
+	a := m.start(s, targets[choice.Index], candidates[choice.Index], wanted, now)
+	a.trial, a.openConnectionOnly = choice.Trial, openConnectionOnly || a.target.unreachable
+	a.expectWait(choice.Wait, overallServiceTime, wanted.Route.Objective)
+	return a, nil
+}
+
+// start counts an attempt as in progress at its target; the lock is held.
+func (m *Manager) start(s *service, t *target, candidate placement.Candidate, wanted AttemptRequest, now time.Duration) *Attempt {
 	t.limiter.bucket.Spend()
 	t.ownAttempts++
 	t.everAttempted = true
 	t.lastAttemptAt = now
-	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
-	a.silenceLimit = silenceLimit(reference, overallServiceTime, wanted.Route.Objective) + choice.Wait
-	a.idempotent, a.openConnectionOnly = wanted.Route.Kind.Idempotent(), openConnectionOnly || t.unreachable
-	if limit := reference.Overdue(choice.Wait); limit > 0 {
+	m.notifier.InProgressChanged()
+	return &Attempt{
+		manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, candidate: candidate,
+		idempotent: wanted.Route.Kind.Idempotent(), openConnectionOnly: t.unreachable,
+	}
+}
+
+// expectWait sets the times from which the attempt counts as silent and as slow, given its wait
+// for a slot; the lock is held.
+func (a *Attempt) expectWait(wait, overallServiceTime, objective time.Duration) {
+	reference := a.service.reference(a.route)
+	a.silenceLimit = silenceLimit(reference, overallServiceTime, objective) + wait
+	if limit := reference.Overdue(wait); limit > 0 {
 		a.overdue = time.AfterFunc(limit, a.reportOverdue)
 	}
-	m.notifier.InProgressChanged()
-	return a, nil
 }
 
 // suspectShare returns the share of candidates that are suspects.
@@ -313,11 +332,12 @@
 	}
 	m := a.manager
 	now := m.options.Uptime()
-	if a.trial && result.End == suspicion.ResultServed {
+	m.mu.Lock()
+	if a.trial && (result.End == suspicion.ResultServed || a.isOutrun(result)) {
 		a.service.budget.Refund()
 	}
-	m.mu.Lock()
-	a.target.ownAttempts--
+	a.releaseSlot(result)
+	a.recordDuration(result, now)
 	m.meanRunTime += (now - a.startedAt - m.meanRunTime) / runTimeWindow
 	a.observePath(result, now)
 	a.target.misplaced = a.target.misplaced || result.Misplaced
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -15,6 +15,7 @@
 	"github.com/primroseloom/primroseloom/entry/internal/cursor"
 	"github.com/primroseloom/primroseloom/entry/targetconn"
 	"github.com/primroseloom/primroseloom/policy/breaker"
+	"github.com/primroseloom/primroseloom/policy/hedge"
 	"github.com/primroseloom/primroseloom/policy/notice"
 	"github.com/primroseloom/primroseloom/policy/retry"
 	"github.com/primroseloom/primroseloom/policy/roster"
@@ -44,6 +45,8 @@
 	Zone    string
 	Network contract.Network
 	Budget  Budget
+	// Hedging allows second attempts of slow idempotent requests.
+	Hedging hedge.Settings
 	// Sharers returns the number of VMs that share the budget.
 	Sharers func() int
 	// RateShare returns the rate, in requests a second, at which this VM may send requests
@@ -60,6 +63,7 @@
 type service struct {
 	targets []*target
 	budget  *retry.Share
+	hedging hedging
 	// explorationCredit is the credit for attempts at targets that had none for long.
 	explorationCredit float64
 	// suspectShare is the share of the targets that were suspects at the latest attempt.
