--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -94,7 +94,18 @@
 	suspected bool
 }
 
-func (c *reportedCrashes) Suspected(quarantine.Identity) bool { return c.suspected }
+func (c *reportedCrashes) Suspected(quarantine.Identity) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspected
+}
+
+// suspect makes the requests known to have crashed a target, while they are in progress.
+func (c *reportedCrashes) suspect() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspected = true
+}
 
 func (c *reportedCrashes) Refused(quarantine.Identity) (time.Duration, quarantine.Fingerprint) {
 	c.mu.Lock()
