--- a/entry/gateway/hedge_test.go
+++ b/entry/gateway/hedge_test.go
@@ -318,6 +318,9 @@
 				t.Fatalf("status %d", got.Code)
 			}
 			time.Sleep(100 * time.Millisecond)
+			for range 10 { // the target is sound again
+				h.send(http.MethodGet, safePath+"usual", "")
+			}
 		}
 		if h.targets.PathInDoubt() || len(h.targets.CutOffServices()) != 0 {
 			t.Error("the path counts as lost")
--- a/entry/targetset/hedge.go
+++ b/entry/targetset/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/policy/breaker"
 	"github.com/primroseloom/primroseloom/policy/hedge"
 	"github.com/primroseloom/primroseloom/policy/placement"
@@ -77,9 +78,8 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := first.service
-	reason, again := hedge.Due(m.options.Hedging, s.hedging.of(first.route), hedge.Moment{
-		Elapsed: now - first.startedAt, Remaining: wanted.Remaining, TargetSuspect: first.target.suspect(now),
-	})
+	moment := hedge.Moment{Elapsed: now - first.startedAt, Remaining: wanted.Remaining, TargetSuspect: first.target.suspect(now)}
+	reason, again := hedge.Due(m.options.Hedging, s.hedging.of(first.route), moment)
 	if reason != hedge.Allowed {
 		return HedgeAnswer{Reason: reason, Again: again}
 	}
@@ -212,3 +212,10 @@
 	}
 	a.service.hedging.of(a.route).Add(now - a.startedAt)
 }
+
+// mayBeOutrun reports whether evidence may be that of an attempt that was slow and lost
+// against its hedge. Its target has not succeeded, so that its next trial waits for the trial
+// interval: trials that are cut short would otherwise follow one another at once.
+func (m *Manager) mayBeOutrun(outcome evidence.AttemptEvidence) bool {
+	return m.options.Hedging.Ratio > 0 && outcome.SlowNats > 0 && outcome.FailureNats == 0
+}
--- a/entry/targetset/hedge_test.go
+++ b/entry/targetset/hedge_test.go
@@ -296,3 +296,16 @@
 		t.Errorf("%d hedges, retry budget %.1f before and %.1f after", hedges, before, after)
 	}
 }
+
+// TestTrialsThatAreCutShortKeepTheirInterval guards against many trials of a slow target, one after
+// the other, because each ends soon by its hedge; without hedging nothing changes.
+func TestTrialsThatAreCutShortKeepTheirInterval(t *testing.T) {
+	for ratio, want := range map[float64]bool{0: true, hedgeRatio: false} {
+		f := newHedgeFixture(t, 2)
+		f.SetHedging(hedge.Settings{Ratio: ratio})
+		f.Observed("vm-2", evidence.AttemptEvidence{Target: "t0", SlowNats: suspicion.OverdueNats})
+		if got := f.targets["t0"].lastSucceeded; got != want {
+			t.Errorf("ratio %v: counts as succeeded: %v", ratio, got)
+		}
+	}
+}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -254,6 +254,9 @@
 	if outcome.FailureNats != 0 {
 		t.lastSucceeded = outcome.FailureNats < 0
 	}
+	if m.mayBeOutrun(outcome) {
+		t.lastSucceeded = false
+	}
 	if outcome.FailureNats < 0 {
 		t.lastServedAt = now
 	}
