policy/hedge: half of the ratio for requests that are not urgent while targets are suspects

Cause: while targets are slow, requests that end soon anyway used the budget that those at slow targets need. Change: beside suspects only half of the ratio is usable for requests at sound targets before two delays.

--- a/entry/targetset/hedge.go
+++ b/entry/targetset/hedge.go
@@ -79,17 +79,19 @@
 	defer m.mu.Unlock()
 	s := first.service
 	moment := hedge.Moment{Elapsed: now - first.startedAt, Remaining: wanted.Remaining, TargetSuspect: first.target.suspect(now)}
-	reason, again := hedge.Due(m.options.Hedging, s.hedging.of(first.route), moment)
+	durations := s.hedging.of(first.route)
+	reason, again := hedge.Due(m.options.Hedging, durations, moment)
 	if reason != hedge.Allowed {
 		return HedgeAnswer{Reason: reason, Again: again}
 	}
 	if s.breaker.State() != breaker.Closed {
 		return HedgeAnswer{Reason: hedge.PathInDoubt, Again: hedge.Later()}
 	}
-	if reason, again = hedge.Fits(m.room(s, now)); reason != hedge.Allowed {
+	room := m.room(s, now)
+	if reason, again = hedge.Fits(room); reason != hedge.Allowed {
 		return HedgeAnswer{Reason: reason, Again: again}
 	}
-	return m.beginHedge(s, first, wanted, now)
+	return m.beginHedge(first, wanted, hedge.UsableRatio(m.options.Hedging, durations, moment, room), now)
 }
 
 // room returns what is free in a service; the lock is held.
@@ -101,6 +103,7 @@
 		}
 		c := t.candidate(m.options.Zone, false, now)
 		room.Slots += c.Slots
+		room.HasSuspects = room.HasSuspects || c.IsSuspect()
 		if !isSound(c) {
 			continue
 		}
@@ -117,19 +120,19 @@
 
 // beginHedge begins a hedge at a sound target with a free slot, if the budgets allow it; the
 // lock is held.
-func (m *Manager) beginHedge(s *service, first *Attempt, wanted AttemptRequest, now time.Duration) HedgeAnswer {
+func (m *Manager) beginHedge(first *Attempt, wanted AttemptRequest, usableRatio float64, now time.Duration) HedgeAnswer {
+	s := first.service
 	wanted.Attempted = append(slices.Clone(wanted.Attempted), first.info.ID)
 	candidate, t := m.hedgeTarget(s, wanted, now)
-	ratio := m.options.Hedging.Ratio
 	switch {
 	case t == nil:
 		return HedgeAnswer{Reason: hedge.NoTarget, Again: hedge.Later()}
-	case !s.hedging.budget.Available(ratio, now):
+	case !s.hedging.budget.Available(usableRatio, now):
 		return HedgeAnswer{Reason: hedge.BudgetSpent, Again: hedge.Later()}
 	case !s.budget.SpendSurplus(now):
 		return HedgeAnswer{Reason: hedge.RetryBudget, Again: hedge.Later()}
 	}
-	s.hedging.budget.Spend(ratio, now)
+	s.hedging.budget.Spend(usableRatio, now)
 	second := m.start(s, t, candidate, wanted, now)
 	second.isHedge = true
 	second.expectWait(0, s.overall.MeanServiceTime(defaultAttemptDuration), wanted.Route.Objective)
--- a/policy/hedge/decide.go
+++ b/policy/hedge/decide.go
@@ -49,6 +49,12 @@
 	// freeShare is the share of a service's slots that must be free at sound targets:
 	// hedging stops before requests would have to wait.
 	freeShare = 0.1
+	// usualShare is the part of the ratio for requests that are not urgent while some targets
+	// are suspects. The others are at slow targets and would wait longest.
+	usualShare = 0.5
+	// urgentDelays is the number of delays after which a request at a target that is no
+	// suspect is urgent.
+	urgentDelays = 2
 )
 
 // Settings are what an operator allows.
@@ -98,6 +104,8 @@
 	Slots, Free int
 	// Waiting is true when requests wait at a sound target.
 	Waiting bool
+	// HasSuspects is true when some targets are suspects.
+	HasSuspects bool
 }
 
 // Moment describes the first attempt of a request that may be hedged.
@@ -128,6 +136,16 @@
 	return TooEarly, min(wait, max(untilSuspicionCounts, askAgain))
 }
 
+// UsableRatio returns the ratio of the requests up to which the budget may be used for a hedge
+// that is due.
+func UsableRatio(settings Settings, durations *Durations, moment Moment, room Room) float64 {
+	urgent := moment.TargetSuspect || moment.Elapsed >= urgentDelays*durations.Delay(settings.MinDelay, false)
+	if room.HasSuspects && !urgent {
+		return usualShare * settings.Ratio
+	}
+	return settings.Ratio
+}
+
 // Fits returns Allowed when the service has room for a hedge, and otherwise the reason
 // against it and the time after which to ask again.
 func Fits(room Room) (reason Reason, again time.Duration) {
--- a/policy/hedge/decide_test.go
+++ b/policy/hedge/decide_test.go
@@ -135,3 +135,24 @@
 		t.Errorf("delay %v after the route became slower", got)
 	}
 }
+
+// TestUsableRatio guards against requests at slow targets without a hedge because others, which
+// end soon anyway, have used the budget; while all targets are sound the whole ratio is usable.
+func TestUsableRatio(t *testing.T) {
+	on := Settings{Ratio: 0.02}
+	for _, c := range []struct {
+		name     string
+		moment   Moment
+		suspects bool
+		want     float64
+	}{
+		{"all targets are sound", Moment{Elapsed: 100 * time.Millisecond}, false, 0.02},
+		{"at a sound target beside slow ones", Moment{Elapsed: 100 * time.Millisecond}, true, 0.01},
+		{"at a suspect", Moment{Elapsed: 60 * time.Millisecond, TargetSuspect: true}, true, 0.02},
+		{"much too long", Moment{Elapsed: 192 * time.Millisecond}, true, 0.02},
+	} {
+		if got := UsableRatio(on, measured(), c.moment, Room{HasSuspects: c.suspects}); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
--- a/policy/hedge/model_test.go
+++ b/policy/hedge/model_test.go
@@ -391,7 +391,8 @@
 	if reason != hedge.Allowed {
 		return reason, again
 	}
-	if reason, again = hedge.Fits(m.room()); reason != hedge.Allowed {
+	room := m.room()
+	if reason, again = hedge.Fits(room); reason != hedge.Allowed {
 		return reason, again
 	}
 	choice := placement.Choose(m.candidates(r.first), placement.AttemptRequest{
@@ -401,7 +402,7 @@
 	switch {
 	case choice.Reason != placement.ReasonNone:
 		return hedge.NoTarget, hedge.Later()
-	case !m.budget.Available(m.settings.Ratio, m.now):
+	case !m.budget.Available(hedge.UsableRatio(m.settings, &m.durations, moment, room), m.now):
 		return hedge.BudgetSpent, hedge.Later()
 	case !m.share.SpendSurplus(m.now):
 		return hedge.RetryBudget, hedge.Later()
@@ -417,6 +418,7 @@
 	for _, c := range m.candidates(nil) {
 		room.Slots += c.Slots
 		if c.IsSuspect() {
+			room.HasSuspects = true
 			continue
 		}
 		room.Free += max(c.Slots-c.InUse, 0)
--- a/policy/hedge/table_test.go
+++ b/policy/hedge/table_test.go
@@ -30,7 +30,7 @@
 
 const (
 	modelWarmup, modelLength = 10 * time.Second, 40 * time.Second
-	modelSeeds               = 2
+	modelSeeds               = 4
 )
 
 // play runs a cell for one ratio.
