--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -169,29 +169,6 @@
 	return a, nil
 }
 
-// start counts an attempt as in progress at its target; the lock is held.
-func (m *Manager) start(s *service, t *target, candidate placement.Candidate, wanted AttemptRequest, now time.Duration) *Attempt {
-	t.limiter.bucket.Spend()
-	t.ownAttempts++
-	t.everAttempted = true
-	t.lastAttemptAt = now
-	m.notifier.InProgressChanged()
-	return &Attempt{
-		manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, candidate: candidate,
-		idempotent: wanted.Route.Kind.Idempotent(), openConnectionOnly: t.unreachable,
-	}
-}
-
-// expectWait sets the times from which the attempt counts as silent and as slow, given its wait
-// for a slot; the lock is held.
-func (a *Attempt) expectWait(wait, overallServiceTime, objective time.Duration) {
-	reference := a.service.reference(a.route)
-	a.silenceLimit = silenceLimit(reference, overallServiceTime, objective) + wait
-	if limit := reference.Overdue(wait); limit > 0 {
-		a.overdue = time.AfterFunc(limit, a.reportOverdue)
-	}
-}
-
 // suspectShare returns the share of candidates that are suspects.
 func suspectShare(candidates []placement.Candidate) float64 {
 	suspects := 0
