--- a/policy/hedge/budget.go
+++ b/policy/hedge/budget.go
@@ -29,6 +29,9 @@
 
 // Earn records one request; ratio is in hedges a request.
 func (b *Budget) Earn(ratio float64, now time.Duration) {
+	if ratio <= 0 {
+		return
+	}
 	b.advance(now)
 	b.requests[b.newest%int64(hedgeSlots)]++
 	b.tokens = min(b.tokens+ratio, max(1, ratio*float64(b.windowRequests())))
--- a/policy/hedge/decide.go
+++ b/policy/hedge/decide.go
@@ -51,7 +51,7 @@
 	freeShare = 0.1
 	// usualShare is the part of the ratio for requests that are not urgent while some targets
 	// are suspects. The others are at slow targets and would wait longest.
-	usualShare = 0.5
+	usualShare = 0.8
 	// urgentDelays is the number of delays after which a request at a target that is no
 	// suspect is urgent.
 	urgentDelays = 2
