--- /dev/null
+++ b/entry/gateway/hedge_count_test.go
@@ -0,0 +1,70 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/policy/hedge"
+)
+
+// TestHedgesAreCounted guards against hedges that operators can't see: how many began and won, and
+// why a slow request got none.
+func TestHedgesAreCounted(t *testing.T) {
+	slow := after(10*usualTime, serves)
+	for name, c := range map[string]struct {
+		ratio   float64
+		suspect bool
+		want    map[string]int64
+	}{
+		"won":               {0.2, false, map[string]int64{"hedges+": 1, "hedges_won+": 1}},
+		"budget is spent":   {0.001, false, map[string]int64{"hedges_not_made+reason=budget": 1}},
+		"may crash targets": {0.2, true, map[string]int64{"hedges_not_made+reason=crash_suspect": 1}},
+	} {
+		withHedging(t, c.ratio, []behavior{slow}, func(h *hedgeHarness) {
+			scope := tally.NewTestScope("", nil)
+			h.gateway.metrics = newCounters(scope)
+			h.crashes.suspected = c.suspect
+			h.send(http.MethodGet, safePath+"1", "")
+			h.send(http.MethodGet, safePath+"usual", "")
+			got := make(map[string]int64)
+			for id, counter := range scope.Snapshot().Counters() {
+				if strings.HasPrefix(id, "hedges") {
+					got[id] = counter.Value()
+				}
+			}
+			for id, want := range c.want {
+				if got[id] != want || len(got) != len(c.want) {
+					t.Errorf("%s: %v, want %v", name, got, c.want)
+				}
+			}
+		})
+	}
+}
+
+// TestBodyThatIsNotHeldIsNotHedged guards against a second attempt with a part of the body only.
+func TestBodyThatIsNotHeldIsNotHedged(t *testing.T) {
+	q := &request{route: &routing.Route{Kind: routing.KindIdempotent, MaxAttempts: 2}}
+	if got := q.hedgeable(false); got != hedge.Allowed {
+		t.Errorf("held: %s", got)
+	}
+	q.body.rest = strings.NewReader("rest")
+	if got := q.hedgeable(false); got != hedge.BodyNotHeld {
+		t.Errorf("not held: %s", got)
+	}
+}
+
+// TestHedgeNeedsTimeThatIsLeft guards against a second attempt that could not end in time.
+func TestHedgeNeedsTimeThatIsLeft(t *testing.T) {
+	withHedging(t, 0.2, []behavior{after(10*usualTime, serves)}, func(h *hedgeHarness) {
+		route, _ := h.table.Match(host, safePath)
+		route.Timeout = 20 * time.Millisecond // the hedge would be due after 15, and takes 10
+		if h.send(http.MethodGet, safePath+"1", ""); h.attempts() != 1 {
+			t.Errorf("%d attempts", h.attempts())
+		}
+	})
+}
