--- a/policy/hedge/decide.go
+++ b/policy/hedge/decide.go
@@ -125,11 +125,12 @@
 		return Off, 0
 	case !durations.Known():
 		return NotMeasured, 0
-	case moment.Remaining < durations.Median():
-		return DeadlineTooNear, 0
 	}
 	wait := durations.Delay(settings.MinDelay, moment.TargetSuspect) - moment.Elapsed
-	if wait <= 0 {
+	switch {
+	case wait <= 0 && moment.Remaining < durations.Median():
+		return DeadlineTooNear, 0
+	case wait <= 0:
 		return Allowed, 0
 	}
 	untilSuspicionCounts := durations.Delay(settings.MinDelay, true) - moment.Elapsed
