--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -20,4 +20,6 @@
 		"The requests of a customer have reached its rate limit of all VMs together; those above it are refused with status 429. Logged again only after 10 s without a refusal.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
 		"This VM refused a request that another VM forwarded; that VM tries another one or responds to the caller.")
+	HedgeWon = define(5120, log.DebugLevel, "second attempt won",
+		"An idempotent request was slow at its first target; its second attempt responded first, and the first one was cancelled.")
 )
--- a/entry/frontend/reload.go
+++ b/entry/frontend/reload.go
@@ -72,5 +72,6 @@
 	}
 	f.targets.SetBudget(targetset.Budget{Ratio: set.Retries.Ratio, Allowance: set.Retries.Allowance})
 	f.quotas.SetSettings(quotaSettings(set))
+	f.targets.SetHedging(hedgingOf(set))
 	events.SettingsReloaded.Log(f.options.Logger, "vm", set.VM)
 }
