follow: a peer is found among many behind a cut; comparison takes a second

Cause: an instance without the store asked one peer after the other, 0.4 s each, and rested 0.7 s after a round without an answer; among many peers behind a cut its confirmation could age beyond the bound. A comparison with three peers that had all just started could end before a heartbeat told of newer routes.

Change: the next peer is called after 150 ms, a round without any answer is followed by the next after 100 ms, an instance that fails to answer is the last choice as a carrier, and a comparison of versions takes at least a second.

--- a/entry/follow/ask.go
+++ b/entry/follow/ask.go
@@ -7,9 +7,6 @@
 	"slices"
 	"time"
 
-	"connectrpc.com/connect"
-
-	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/freshness"
 )
 
@@ -17,9 +14,12 @@
 const (
 	// askInterval is the time between two rounds of calls.
 	askInterval = 700 * time.Millisecond
-	// compareInterval is the same while the versions are compared after a start or after the
-	// store was restored, when requests wait for it.
-	compareInterval = 100 * time.Millisecond
+	// hurriedInterval is the same after a round in which no peer confirmed the routes, and while
+	// the versions are compared after a start or after the store was restored.
+	hurriedInterval = 100 * time.Millisecond
+	// nextPeerDelay is how long a call may take before the next peer is called, too; an answer
+	// takes a few milliseconds within a region.
+	nextPeerDelay = 150 * time.Millisecond
 	// askTimeout is the timeout of one call.
 	askTimeout = 400 * time.Millisecond
 	// maxAskedPeers is the number of peers called in one round.
@@ -84,7 +84,7 @@
 	if f.keys.state == nil || f.options.Peers == nil {
 		return
 	}
-	interval := compareInterval
+	interval := hurriedInterval
 	for {
 		timer := time.NewTimer(interval)
 		select {
@@ -95,15 +95,12 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		interval = compareInterval
+		interval = askInterval
 		if !f.authenticates() {
 			continue
 		}
 		peers, compared := f.peersToAsk()
-		if compared {
-			interval = askInterval
-		}
-		f.ask(ctx, peers)
+		interval = intervalAfter(f.ask(ctx, peers), len(peers), compared)
 	}
 }
 
@@ -121,9 +118,11 @@
 	defer f.keys.mu.Unlock()
 	state := f.keys.state
 	state.PeersKnown(len(vms), now)
-	if !state.ShouldAsk(f.keys.isUsed(now), readsStore, now) {
+	isTooSoon := !state.WantsAnswers() && now-f.keys.askedAt < askInterval && !f.keys.asksFail
+	if isTooSoon || !state.ShouldAsk(f.keys.isUsed(now), readsStore, now) {
 		return nil, state.Compared()
 	}
+	f.keys.askedAt = now
 	f.keys.peers.prune(now)
 	rank := func(vm string) int {
 		if state.HasAnswered(vm) {
@@ -135,53 +134,3 @@
 	slices.SortStableFunc(vms, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	return vms[:min(len(vms), maxAskedPeers)], state.Compared()
 }
-
-// ask calls peers, one after the other, until one has confirmed the routes.
-func (f *Follower) ask(ctx context.Context, vms []string) {
-	for _, vm := range vms {
-		sent := f.options.Uptime()
-		answer, newest, err := f.options.Peers.confirm(ctx, vm, f.RoutesVersion())
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			f.recordAskFailure(vm, err)
-			continue
-		}
-		if newest != nil {
-			f.applyNewestRoutes(*newest)
-		}
-		if f.recordAnswer(vm, answer, sent) {
-			return
-		}
-	}
-}
-
-// recordAnswer records a peer's answer to a call that was sent at an uptime, and reports
-// whether it ends the round.
-func (f *Follower) recordAnswer(vm string, answer freshness.Answer, sent time.Duration) bool {
-	f.options.Scope.Counter("confirmations_answered").Inc(1)
-	f.keys.mu.Lock()
-	defer f.keys.mu.Unlock()
-	f.keys.asksFail = false
-	f.keys.state.ConfirmedByPeer(vm, answer, sent)
-	return f.keys.state.Useful(answer)
-}
-
-// recordAskFailure records that a peer did not answer; only the first failure in a row is
-// logged.
-func (f *Follower) recordAskFailure(vm string, cause error) {
-	f.options.Scope.Counter("confirmations_failed").Inc(1)
-	avoid := failedTime
-	if connect.CodeOf(cause) == connect.CodeUnimplemented {
-		avoid = olderBuildTime
-	}
-	f.keys.mu.Lock()
-	f.keys.peers.avoidUntil[vm] = f.options.Uptime() + avoid
-	isFirst := !f.keys.asksFail
-	f.keys.asksFail = true
-	f.keys.mu.Unlock()
-	if isFirst {
-		events.ConfirmationFailed.Log(f.options.Logger, "peer", vm, "version", f.RoutesVersion(), "cause", cause)
-	}
-}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -71,6 +71,8 @@
 	WatchesStore func() bool
 	// Announce makes the other instances learn soon what this one has.
 	Announce func()
+	// Unreachable records that an instance did not answer a call; nil for nobody.
+	Unreachable func(vm string)
 	// KeysBound is the age of the routes from which requests with keys are not served by them;
 	// zero sets no bound.
 	KeysBound time.Duration
--- a/entry/follow/keys.go
+++ b/entry/follow/keys.go
@@ -25,6 +25,8 @@
 	usedAt time.Duration
 	used   bool
 	peers  askedPeers
+	// askedAt is when the latest round of calls began.
+	askedAt time.Duration
 	// promptedAt is when a watch was last made to end soon.
 	promptedAt time.Duration
 	// wasNotCurrent is whether NotCurrent was last true, for the log.
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -86,6 +86,7 @@
 		Decoder:      f.options.Adapter.Decoder,
 		WatchesStore: func() bool { return f.fleet == nil || f.fleet.watchesStore() },
 		Announce:     func() { f.evidence.AnnouncementChanged() },
+		Unreachable:  func(vm string) { f.fleet.CarrierUnreachable(vm) },
 		KeysBound:    set.Keys.RevokedWithin.Std(),
 		Uptime:       f.clock.Uptime,
 		Listener:     f,
--- a/policy/freshness/ask.go
+++ b/policy/freshness/ask.go
@@ -26,7 +26,7 @@
 // ShouldAsk reports whether this VM asks a peer: for the comparison of versions or, if it
 // serves requests with keys, since its confirmation has aged.
 func (s *State) ShouldAsk(servesKeys, readsStore bool, now time.Duration) bool {
-	if !s.compared.done {
+	if s.WantsAnswers() {
 		return true
 	}
 	fraction := askFraction
--- a/policy/freshness/compare.go
+++ b/policy/freshness/compare.go
@@ -6,6 +6,9 @@
 	// peersToCompare is the number of peers with which a VM compares its version before it
 	// takes the store at its word; all of them when it knows fewer.
 	peersToCompare = 3
+	// leastCompareTime is the least time of a comparison. Several heartbeats fit into it, by which
+	// a VM hears of the routes of others than those that it asks.
+	leastCompareTime = time.Second
 	// aloneTime is how long a VM waits for the first peer; joining takes less than a second.
 	aloneTime = 2 * time.Second
 	// silentBounds multiplied by the bound is how long a VM waits for answers of peers that it
@@ -19,6 +22,8 @@
 	since time.Duration
 	// answered holds the peers that answered calls sent since then.
 	answered map[string]bool
+	// wanted is the number of answers that are needed, as far as peers are known.
+	wanted int
 	// knewPeers is true once this VM has known any peer.
 	knewPeers bool
 	done      bool
@@ -34,19 +39,26 @@
 // Compared reports whether the store's word counts.
 func (s *State) Compared() bool { return s.compared.done }
 
+// WantsAnswers reports whether peers are to be asked for the comparison.
+func (s *State) WantsAnswers() bool {
+	return !s.compared.done && len(s.compared.answered) < s.compared.wanted
+}
+
 // HasAnswered reports whether a peer needs not be asked again for the comparison.
 func (s *State) HasAnswered(peer string) bool { return s.compared.answered[peer] }
 
-// PeersKnown records the number of peers that this VM knows, which may end the comparison:
-// all of them have answered, or there is nobody to answer.
+// PeersKnown records the number of peers that this VM knows, and ends the comparison when
+// enough of them have answered, or there is nobody to answer. It is called regularly.
 func (s *State) PeersKnown(peers int, now time.Duration) {
 	s.compared.knewPeers = s.compared.knewPeers || peers > 0
 	waits := aloneTime
 	if s.compared.knewPeers {
 		waits = silentBounds * s.bound
 	}
-	enough := min(peersToCompare, peers)
-	if enough > 0 && len(s.compared.answered) >= enough || now-s.compared.since >= waits {
+	passed := now - s.compared.since
+	s.compared.wanted = min(peersToCompare, peers)
+	hasAnswers := peers > 0 && !s.WantsAnswers()
+	if hasAnswers && passed >= leastCompareTime || passed >= waits {
 		s.endComparison()
 	}
 }
@@ -60,9 +72,6 @@
 		s.compared.answered = make(map[string]bool)
 	}
 	s.compared.answered[peer] = true
-	if len(s.compared.answered) >= peersToCompare {
-		s.endComparison()
-	}
 }
 
 // endComparison makes the store's word count, also what it said meanwhile.
