follow: more peers are called in a round while none answers

Change: the next peer is called after 60 ms, up to eight a round or three answers; the round ends once the confirmation is younger than 0.6 of the bound. The tests' fakes are free of data races.

--- a/entry/follow/ask.go
+++ b/entry/follow/ask.go
@@ -17,13 +17,15 @@
 	// hurriedInterval is the same after a round in which no peer confirmed the routes, and while
 	// the versions are compared after a start or after the store was restored.
 	hurriedInterval = 100 * time.Millisecond
-	// nextPeerDelay is how long a call may take before the next peer is called, too; an answer
-	// takes a few milliseconds within a region.
-	nextPeerDelay = 150 * time.Millisecond
+	// nextPeerDelay is how long a call may take before the next peer is called, too. An answer
+	// takes a few milliseconds within a region; less than a second may be left when the peers
+	// that were asked before are cut off.
+	nextPeerDelay = 60 * time.Millisecond
 	// askTimeout is the timeout of one call.
 	askTimeout = 400 * time.Millisecond
-	// maxAskedPeers is the number of peers called in one round.
-	maxAskedPeers = 3
+	// maxAskedPeers is the number of peers called in one round, maxAnswers the number of answers
+	// after which it ends.
+	maxAskedPeers, maxAnswers = 8, 3
 	// failedTime is how long a peer that did not answer is asked last; about the time in which
 	// the membership notices that it has ended.
 	failedTime = 2 * time.Second
--- a/entry/follow/ask_round.go
+++ b/entry/follow/ask_round.go
@@ -44,9 +44,9 @@
 	calls, cancel := context.WithCancel(ctx)
 	defer cancel()
 	results := make(chan askResult, len(vms))
-	for next, pending := 0, 0; ; {
+	for next, pending, answers := 0, 0, 0; ; {
 		delay := askTimeout
-		if next < len(vms) {
+		if next < len(vms) && answers < maxAnswers {
 			vm := vms[next]
 			go func() { results <- f.askOne(calls, vm) }()
 			next, pending, delay = next+1, pending+1, nextPeerDelay
@@ -59,6 +59,9 @@
 		case result := <-results:
 			pending--
 			best = max(best, result)
+			if result >= askAnswered {
+				answers++
+			}
 		case <-timer.C:
 		}
 		timer.Stop()
@@ -88,7 +91,7 @@
 	defer f.keys.mu.Unlock()
 	f.keys.asksFail = false
 	f.keys.state.ConfirmedByPeer(vm, answer, sent)
-	if f.keys.state.Useful(answer) {
+	if f.keys.state.HasEnough(f.options.Uptime()) {
 		return askConfirmed
 	}
 	return askAnswered
--- a/entry/follow/keys_fleet_test.go
+++ b/entry/follow/keys_fleet_test.go
@@ -5,7 +5,10 @@
 	"fmt"
 	"io"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,11 +34,12 @@
 type keyFleet struct {
 	store     *fakeStore
 	instances []*Follower
+	members   []*primroseloomv1.Member
 	mu        sync.Mutex
 	down      map[string]bool
 	// cut holds pairs of instances, from and to, between which nothing passes.
 	cut      map[[2]int]bool
-	confirms int
+	confirms atomic.Int64
 }
 
 // linkTo calls an instance of a fleet over the network.
@@ -53,9 +57,7 @@
 }
 
 func (l linkTo) ConfirmRoutes(ctx context.Context, request *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
-	l.fleet.mu.Lock()
-	l.fleet.confirms++
-	l.fleet.mu.Unlock()
+	l.fleet.confirms.Add(1)
 	if l.isCut() {
 		<-ctx.Done()
 		return nil, ctx.Err()
@@ -73,6 +75,30 @@
 	return (&feed{follower: l.fleet.instances[l.to], fleet: "f"}).Follow(ctx, request)
 }
 
+// storeIndex stands for the store among the instances between which links are cut.
+const storeIndex = -1
+
+// storeOf is the store as one instance sees it.
+type storeOf struct {
+	*fakeStore
+	fleet    *keyFleet
+	instance int
+}
+
+func (s storeOf) List(ctx context.Context) (Listing, error) {
+	if s.fleet.isCut(s.instance, storeIndex) {
+		return Listing{}, errUnavailable
+	}
+	return s.fakeStore.List(ctx)
+}
+
+func (s storeOf) Watch(ctx context.Context, after uint64, wait time.Duration) (Listing, error) {
+	if s.fleet.isCut(s.instance, storeIndex) {
+		return Listing{}, errUnavailable
+	}
+	return s.fakeStore.Watch(ctx, after, wait)
+}
+
 // fleetView is one instance's membership of a fleet.
 type fleetView struct {
 	fleet *keyFleet
@@ -86,24 +112,14 @@
 }
 
 func (v fleetView) Members() []*primroseloomv1.Member {
-	members := []*primroseloomv1.Member{v.Self()}
-	for i := range v.fleet.instances {
-		if i != v.self {
-			members = append(members, &primroseloomv1.Member{Vm: vmName(i)})
-		}
-	}
-	return members
+	return v.fleet.members
 }
 
 func (v fleetView) Client(string) (primroseloomv1connect.PeerServiceClient, bool) { return nil, false }
 
 func (v fleetView) Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool) {
-	for i := range v.fleet.instances {
-		if vmName(i) == vm {
-			return linkTo{fleet: v.fleet, from: v.self, to: i}, true
-		}
-	}
-	return nil, false
+	to, err := strconv.Atoi(strings.TrimPrefix(vm, "vm-"))
+	return linkTo{fleet: v.fleet, from: v.self, to: to}, err == nil
 }
 
 func (k *keyFleet) isDown(i int) bool {
@@ -185,8 +201,9 @@
 		k := &keyFleet{store: newStore(), down: make(map[string]bool), cut: make(map[[2]int]bool)}
 		k.store.put("routes", "routes 4")
 		for i := range size {
+			k.members = append(k.members, &primroseloomv1.Member{Vm: vmName(i)})
 			k.instances = append(k.instances, New(Options{
-				Store: k.store, Decoder: keyedDecoder{}, WatchesStore: func() bool { return i < fleetWatchers }, Listener: &recordingListener{},
+				Store: storeOf{fakeStore: k.store, fleet: k, instance: i}, Decoder: keyedDecoder{}, WatchesStore: func() bool { return i < fleetWatchers }, Listener: &recordingListener{},
 				Peers: &Peers{Fleet: "f", Members: fleetView{fleet: k, self: i}}, KeysBound: keysBound,
 				Uptime: func() time.Duration { return time.Since(start) + time.Minute }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 			}))
@@ -210,12 +227,9 @@
 func TestFleetOfManyStaysCurrent(t *testing.T) {
 	for _, size := range []int{118, 300} {
 		withFleet(t, size, func(k *keyFleet) {
-			k.store.mu.Lock()
-			before := k.store.calls
-			k.store.mu.Unlock()
-			asked := k.confirms
+			before, asked := k.store.callCount(), k.confirms.Load()
 			refused := k.run(time.Minute)
-			calls, asks := k.store.calls-before, k.confirms-asked
+			calls, asks := k.store.callCount()-before, k.confirms.Load()-asked
 			t.Logf("%d instances: %d calls to the store in a minute, %.2f calls a second and instance to peers", size, calls, float64(asks)/float64(size)/60)
 			if len(refused) > 0 {
 				t.Errorf("%d instances: not current at so many moments: %v", size, refused)
@@ -252,8 +266,7 @@
 func TestInstanceBehindCutsFindsACurrentPeer(t *testing.T) {
 	withFleet(t, 118, func(k *keyFleet) {
 		const cut = 7
-		k.instances[cut].options.Store = &fakeStore{unavailable: true}
-		k.cutOff(cut, 0, 1, 2, 3)
+		k.cutOff(cut, storeIndex, 0, 1, 2, 3)
 		k.cutOff(cut, slices.Collect(evenNumbers(118))...)
 		refused := k.run(30 * time.Second)
 		t.Logf("not current at %d of 600 moments", refused[cut])
--- a/entry/follow/keys_test.go
+++ b/entry/follow/keys_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,14 +43,14 @@
 // fakePeer is another instance, which answers calls as a function says.
 type fakePeer struct {
 	primroseloomv1connect.FeedServiceClient
-	calls int
+	calls atomic.Int64
 	// isSilent is true when other calls get no answer either.
 	isSilent bool
 	answer   func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error)
 }
 
 func (p *fakePeer) ConfirmRoutes(ctx context.Context, _ *connect.Request[primroseloomv1.ConfirmRoutesRequest]) (*connect.Response[primroseloomv1.ConfirmRoutesResponse], error) {
-	p.calls++
+	p.calls.Add(1)
 	message, err := p.answer(ctx)
 	if err != nil {
 		return nil, err
@@ -112,7 +113,7 @@
 
 // silent is a peer that never answers.
 func silent() *fakePeer {
-	return &fakePeer{answer: func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
+	return &fakePeer{isSilent: true, answer: func(ctx context.Context) (*primroseloomv1.ConfirmRoutesResponse, error) {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}}
@@ -126,13 +127,22 @@
 	}}
 }
 
+// callCount returns the number of calls so far.
+func (s *fakeStore) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // keyed is a running follower that serves requests with keys.
 type keyed struct {
 	*Follower
 	store *fakeStore
 	peers *fakePeers
 	// suspended is the time for which the instance was suspended so far.
-	suspended time.Duration
+	suspended atomic.Int64
+	// watches is whether it is among those that watch the store.
+	watches atomic.Bool
 }
 
 func (k *keyed) age() time.Duration {
@@ -163,11 +173,12 @@
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
 		k := &keyed{store: newStore(), peers: &fakePeers{peers: peers}}
+		k.watches.Store(true)
 		k.store.put("routes", fmt.Sprintf("routes %d", firstVersion))
 		k.Follower = New(Options{
-			Store: k.store, Decoder: keyedDecoder{}, WatchesStore: func() bool { return true }, Listener: &recordingListener{},
+			Store: k.store, Decoder: keyedDecoder{}, WatchesStore: k.watches.Load, Listener: &recordingListener{},
 			Peers: &Peers{Fleet: "f", Members: k.peers}, KeysBound: keysBound,
-			Uptime: func() time.Duration { return time.Since(start) + time.Minute + k.suspended },
+			Uptime: func() time.Duration { return time.Since(start) + time.Minute + time.Duration(k.suspended.Load()) },
 			Logger: log.New(io.Discard), Scope: tally.NoopScope,
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -246,7 +257,7 @@
 		if !k.KeysCurrent() {
 			t.Fatal("not current before")
 		}
-		k.suspended += 10 * time.Second
+		k.suspended.Add(int64(10 * time.Second))
 		if k.KeysCurrent() || !k.KeysNotCurrent() {
 			t.Error("current right after a suspension of 10 s")
 		}
@@ -324,10 +335,10 @@
 	withPeers(t, map[string]*fakePeer{"a": peer}, func(k *keyed) {
 		k.loseStore()
 		time.Sleep(keysBound)
-		asked := peer.calls
+		asked := peer.calls.Load()
 		time.Sleep(7 * time.Second)
-		if peer.calls-asked < 8 || peer.calls-asked > 12 {
-			t.Errorf("%d calls in 7 s while requests arrive", peer.calls-asked)
+		if calls := peer.calls.Load() - asked; calls < 8 || calls > 12 {
+			t.Errorf("%d calls in 7 s while requests arrive", calls)
 		}
 	})
 	idle := confirms(firstVersion, time.Second)
@@ -344,8 +355,8 @@
 		var running sync.WaitGroup
 		running.Go(func() { _ = f.Run(ctx) })
 		time.Sleep(time.Minute)
-		if idle.calls > 2 {
-			t.Errorf("%d calls in a minute without requests", idle.calls)
+		if calls := idle.calls.Load(); calls > 2 {
+			t.Errorf("%d calls in a minute without requests", calls)
 		}
 		cancel()
 		running.Wait()
@@ -380,8 +391,8 @@
 // instance that peers feed by datagrams but that cannot call them, while it can call the store.
 func TestFedInstanceReadsTheStoreWhenNoPeerConfirms(t *testing.T) {
 	withPeers(t, map[string]*fakePeer{"a": knows(firstVersion)}, func(k *keyed) {
-		k.options.WatchesStore = func() bool { return false }
-		refused, before := 0, k.store.calls
+		k.watches.Store(false)
+		refused, before := 0, k.store.callCount()
 		for range 600 {
 			k.Announced("a", contract.Announcement{Position: k.Position(), RoutesVersion: firstVersion}, true)
 			time.Sleep(50 * time.Millisecond)
@@ -389,7 +400,7 @@
 				refused++
 			}
 		}
-		if calls := k.store.calls - before; refused > 0 || calls > 12 {
+		if calls := k.store.callCount() - before; refused > 0 || calls > 12 {
 			t.Errorf("not current at %d of 600 moments in 30 s, %d calls to the store", refused, calls)
 		}
 	})
@@ -416,9 +427,11 @@
 	const longest = 1800 * time.Millisecond // a pause of 1 s, a fetch of 0.4 s, a short watch
 	peers := map[string]*fakePeer{"a": knows(firstVersion), "b": knows(firstVersion), "c": knows(firstVersion)}
 	withPeers(t, peers, func(k *keyed) {
-		for _, peer := range peers {
-			peer.answer, peer.isSilent = silent().answer, true
+		k.peers.mu.Lock()
+		for vm := range k.peers.peers {
+			k.peers.peers[vm] = silent()
 		}
+		k.peers.mu.Unlock()
 		k.loseStore()
 		time.Sleep(3 * keysBound)
 		k.store.set(func() { k.store.unavailable = false })
--- a/policy/freshness/ask.go
+++ b/policy/freshness/ask.go
@@ -9,9 +9,9 @@
 	// readerAskFraction is the same of a VM that reads the store: in regular use the age stays
 	// below it most of the time, and three more calls fit in before the bound.
 	readerAskFraction = 0.6
-	// usefulFraction of the bound is the age above which a peer's confirmation does not end a
-	// round of calls.
-	usefulFraction = 0.8
+	// enoughFraction of the bound is the age of the confirmation below which a peer's answer ends
+	// a round of calls; three more rounds fit in before the bound.
+	enoughFraction = 0.6
 	// storeFraction of the bound is the age from which a VM that peers feed calls the store
 	// itself, since no peer can confirm its routes.
 	storeFraction = 0.8
@@ -36,9 +36,9 @@
 	return servesKeys && s.olderThan(fraction, now)
 }
 
-// Useful reports whether a peer's answer ends a round of calls.
-func (s *State) Useful(answer Answer) bool {
-	return s.compared.done && answer.Confirmed && answer.Version >= s.version && float64(answer.Age) < usefulFraction*float64(s.bound)
+// HasEnough reports whether a round of calls ends.
+func (s *State) HasEnough(now time.Duration) bool {
+	return !s.WantsAnswers() && !s.olderThan(enoughFraction, now)
 }
 
 // NeedsStore reports whether a VM that serves requests with keys calls the store itself
