--- a/entry/gateway/rate.go
+++ b/entry/gateway/rate.go
@@ -57,7 +57,7 @@
 	}
 	return offer.Rate(offer.Use{
 		Requests: requests, BitsPerSecond: g.memory.sent.perSecond(now) * bitsPerByte, HeldShare: g.memory.heldShare(),
-	}, g.options.Capacity)
+	}, g.options.Capacity, g.options.LinkMbps)
 }
 
 const bitsPerByte = 8
--- a/policy/offer/capacity.go
+++ b/policy/offer/capacity.go
@@ -32,12 +32,13 @@
 	HeldShare float64
 }
 
-// Rate returns the use as requests a second of average cost: by the number of requests, by
-// their traffic or by the bytes held for them, whichever is the most. capacity is that of the
-// VM. VMs compare it with capacities and add it up to a zone's demand, so that more VMs are
-// offered while responses are larger, or read more slowly, than average.
-func Rate(use Use, capacity uint32) float64 {
-	byLink := use.BitsPerSecond / bitsPerRequest
+// Rate returns the use as requests a second of average cost: by the number of requests, or by
+// the part of the link or of the memory that is used, whichever is the most. capacity is that
+// of the VM, linkMbps its link in megabits a second. VMs compare it with capacities and add it
+// up to a zone's demand, so that more VMs are offered while responses are larger, or read more
+// slowly, than average. A VM whose processor is its bottleneck has room on its link.
+func Rate(use Use, capacity uint32, linkMbps float64) float64 {
+	byLink := use.BitsPerSecond / (linkMbps * 1e6 * maxLinkShare) * float64(capacity)
 	byMemory := use.HeldShare / maxHeldShare * float64(capacity)
 	return max(use.Requests, byLink, byMemory)
 }
