--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -28,7 +28,7 @@
 	// a request must exceed for a trial or an exploratory attempt.
 	minTrialServiceTimes = 3
 	// maxQueuePerSlot is the number of requests that may wait at a target for each
-	// of its slots.
+	// of its slots, unless the request names another one.
 	maxQueuePerSlot = 2.0
 	// lowestMinUtility is the expected utility below which a request of priority 0
 	// or 1 does not wait. The limit rises by minUtilityStep for each further
@@ -55,6 +55,8 @@
 	Unused bool
 	// Blocked is true while this VM cannot reach the target.
 	Blocked bool
+	// Full is true from a refusal of the target for lack of room until a place is free again.
+	Full bool
 	// SinceAttempt is the time since any VM was last known to attempt it.
 	SinceAttempt time.Duration
 	// LastSucceeded is true when the latest attempt that succeeded or failed at the
@@ -96,6 +98,19 @@
 	UsefulTime time.Duration
 	// Priority is the route's priority; 0 is the highest.
 	Priority int
+	// QueuePerSlot is the number of requests that may wait at a target for each of its slots;
+	// zero for the usual number.
+	QueuePerSlot float64
+	// SpreadsTies makes VMs that see about the same load choose different targets.
+	SpreadsTies bool
+}
+
+// queuePerSlot returns the number of requests that may wait at a target for each slot.
+func (r AttemptRequest) queuePerSlot() float64 {
+	if r.QueuePerSlot > 0 {
+		return r.QueuePerSlot
+	}
+	return maxQueuePerSlot
 }
 
 // Reason is why no target was chosen.
@@ -225,10 +240,13 @@
 // full or whose response would have too little expected utility.
 func admit(c Candidate, index int, request AttemptRequest) Choice {
 	wait := expectedWait(c, request.QueueServiceTime)
+	if c.Full {
+		return Choice{Reason: ReasonFull, Wait: max(wait, request.QueueServiceTime/time.Duration(max(c.Slots, 1)))}
+	}
 	if wait == 0 {
 		return Choice{Index: index}
 	}
-	if float64(c.InUse-c.Slots) >= maxQueuePerSlot*float64(c.Slots) {
+	if float64(c.InUse-c.Slots) >= request.queuePerSlot()*float64(c.Slots) {
 		return Choice{Reason: ReasonFull, Wait: wait}
 	}
 	if expectedUtility(c, request) < minUtilityToWait(request.Priority) {
--- /dev/null
+++ b/policy/room/model_test.go
@@ -0,0 +1,373 @@
+package room_test
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/primroseloom/primroseloom/policy/placement"
+	"github.com/primroseloom/primroseloom/policy/room"
+)
+
+// source is one stream of requests, in time order of its arrivals.
+type source struct {
+	customer string
+	priority int
+	// rate returns the requests a second at a time.
+	rate func(at time.Duration) float64
+}
+
+// model is a fleet before the targets of one service, in virtual time. Attempts wait in the
+// queues of the targets, first in first out; a VM learns of the attempts of the others by
+// datagrams that are minDelay to maxDelay late.
+type model struct {
+	vms, targets, slots int
+	// queue is the number of requests that may wait at a target.
+	queue              int
+	meanRun            time.Duration
+	objective, timeout time.Duration
+	minDelay, maxDelay time.Duration
+	sources            []source
+	length, warmUp     time.Duration
+	// usesRoom lets policy/room decide before the placement of a request; spreads makes
+	// placement choose at random among targets that are about equal.
+	usesRoom, spreads bool
+	// remembersFull excludes targets that have just refused for lack of room.
+	remembersFull bool
+	seed          uint64
+}
+
+// result counts the requests of one source after the warm-up.
+type result struct {
+	customer string
+	priority int
+	arrived, refused, served,
+	// inObjective and inTime count the responses within the objective and the time limit.
+	inObjective, inTime int
+	// work is the run time of the responses within the objective.
+	work time.Duration
+	// latencies are those of all responses.
+	latencies []time.Duration
+}
+
+// servedShare returns the share of the requests that was answered within the time limit.
+func (r *result) servedShare() float64 { return float64(r.inTime) / float64(max(r.arrived, 1)) }
+
+// p99 returns the 99th percentile of the durations.
+func p99(durations []time.Duration) time.Duration {
+	if len(durations) == 0 {
+		return 0
+	}
+	slices.Sort(durations)
+	return durations[len(durations)*99/100]
+}
+
+// event is something that happens at a time.
+type event struct {
+	at    time.Duration
+	order int
+	do    func(at time.Duration)
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].order < e[j].order
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// job is one request on its way.
+type job struct {
+	from      *result
+	run       time.Duration
+	arrivedAt time.Duration
+	vm        int
+	attempted []int
+	priority  int
+}
+
+// view is what one VM knows of one target.
+type view struct {
+	inUse int
+	// held is the number of requests that the target holds, as far as is known since it has
+	// refused at heldFrom; it is used until heldUntil.
+	places, held int
+	heldUntil    time.Duration
+}
+
+// run is one execution of a model.
+type run struct {
+	model
+	random     *rand.Rand
+	events     events
+	order      int
+	views      [][]view
+	running    []int
+	waiting    [][]*job
+	services   []*room.Service
+	results    []*result
+	attempts   int
+	turnedAway int
+}
+
+// play runs the model and returns the result of each source.
+func (m model) play() *run {
+	r := &run{model: m, random: rand.New(rand.NewPCG(m.seed, 7)), running: make([]int, m.targets), waiting: make([][]*job, m.targets)}
+	for range m.vms {
+		r.views = append(r.views, make([]view, m.targets))
+		r.services = append(r.services, &room.Service{})
+	}
+	for _, s := range m.sources {
+		result := &result{customer: s.customer, priority: s.priority}
+		r.results = append(r.results, result)
+		r.scheduleArrival(s, result, 0)
+	}
+	for len(r.events) > 0 {
+		e := heap.Pop(&r.events).(event)
+		e.do(e.at)
+	}
+	return r
+}
+
+func (r *run) schedule(at time.Duration, do func(at time.Duration)) {
+	r.order++
+	heap.Push(&r.events, event{at: at, order: r.order, do: do})
+}
+
+// scheduleArrival schedules the next arrival of a source, a Poisson process whose rate may
+// change.
+func (r *run) scheduleArrival(s source, result *result, after time.Duration) {
+	rate := s.rate(after)
+	at := after + time.Duration(r.random.ExpFloat64()/rate*float64(time.Second))
+	if at >= r.length {
+		return
+	}
+	r.schedule(at, func(at time.Duration) {
+		r.arrive(result, at)
+		r.scheduleArrival(s, result, at)
+	})
+}
+
+// gamma4 returns a random duration of the given mean; its coefficient of variation is 0.5.
+func (r *run) gamma4(mean time.Duration) time.Duration {
+	sum := 0.0
+	for range 4 {
+		sum += r.random.ExpFloat64()
+	}
+	return time.Duration(sum / 4 * float64(mean))
+}
+
+func (r *run) arrive(result *result, at time.Duration) {
+	j := &job{from: result, run: r.gamma4(r.meanRun), arrivedAt: at, vm: r.random.IntN(r.vms), priority: result.priority}
+	if r.counts(j) {
+		result.arrived++
+	}
+	r.attempt(j, at)
+}
+
+// counts reports whether a request belongs to the result.
+func (r *run) counts(j *job) bool { return j.arrivedAt >= r.warmUp }
+
+func (r *run) refuse(j *job) {
+	if r.counts(j) {
+		j.from.refused++
+	}
+}
+
+// attempt chooses a target for a request.
+func (r *run) attempt(j *job, at time.Duration) {
+	candidates, indices := r.candidates(j, at)
+	remaining, useful := r.timeout-(at-j.arrivedAt), r.objective-(at-j.arrivedAt)
+	request := placement.AttemptRequest{
+		Retry: len(j.attempted) > 0, MayRetry: len(j.attempted) < 2, ServiceTime: r.meanRun, QueueServiceTime: r.meanRun,
+		Remaining: remaining, UsefulTime: useful, Priority: j.priority, SpreadsTies: r.spreads,
+	}
+	if r.usesRoom {
+		request.QueuePerSlot = room.QueuePerSlot
+		load := room.Load{MeanRunTime: r.meanRun}
+		for _, c := range candidates {
+			load.Slots += float64(c.Slots)
+			load.InProgress += float64(c.InUse)
+		}
+		decision := r.services[j.vm].Decide(load, room.Request{
+			Priority: j.priority, Customer: j.from.customer, RunTime: r.meanRun, Remaining: remaining, Useful: useful, IsRetry: len(j.attempted) > 0,
+		}, at)
+		if !decision.Admitted() {
+			r.refuse(j)
+			return
+		}
+	}
+	choice := placement.Choose(candidates, request, r.random)
+	if choice.Reason != placement.ReasonNone {
+		r.refuse(j)
+		return
+	}
+	r.send(j, indices[choice.Index], at)
+}
+
+func (r *run) candidates(j *job, at time.Duration) ([]placement.Candidate, []int) {
+	candidates, indices := make([]placement.Candidate, 0, r.targets), make([]int, 0, r.targets)
+	for t, v := range r.views[j.vm] {
+		if slices.Contains(j.attempted, t) {
+			continue
+		}
+		c := placement.Candidate{ID: strconv.Itoa(t), SameZone: t%3 == j.vm%3, Slots: r.slots, InUse: v.inUse}
+		if r.remembersFull && at < v.heldUntil {
+			c.InUse, c.Full = max(c.InUse, v.held), v.held >= v.places
+		}
+		candidates = append(candidates, c)
+		indices = append(indices, t)
+	}
+	return candidates, indices
+}
+
+// tell changes what the VMs know of the attempts at a target: the VM itself at once, the others
+// by its next datagram.
+func (r *run) tell(vm, target, change int, at time.Duration) {
+	r.learn(vm, target, change)
+	delay := r.minDelay + time.Duration(r.random.Int64N(int64(r.maxDelay-r.minDelay)+1))
+	r.schedule(at+delay, func(time.Duration) {
+		for other := range r.vms {
+			if other != vm {
+				r.learn(other, target, change)
+			}
+		}
+	})
+}
+
+func (r *run) learn(vm, target, change int) {
+	r.views[vm][target].inUse += change
+	r.views[vm][target].held += change
+}
+
+// tellFull makes the VMs know that a target has refused for lack of room.
+func (r *run) tellFull(vm, target int, at time.Duration) {
+	held := r.running[target] + len(r.waiting[target])
+	full := view{places: held, held: held, heldUntil: at + time.Duration(float64(held)/float64(r.slots)*float64(r.meanRun))}
+	set := func(vm int) { full.inUse = r.views[vm][target].inUse; r.views[vm][target] = full }
+	set(vm)
+	delay := r.minDelay + time.Duration(r.random.Int64N(int64(r.maxDelay-r.minDelay)+1))
+	r.schedule(at+delay, func(time.Duration) {
+		for other := range r.vms {
+			if other != vm {
+				set(other)
+			}
+		}
+	})
+}
+
+func (r *run) send(j *job, target int, at time.Duration) {
+	if r.counts(j) {
+		r.attempts++
+	}
+	j.attempted = append(j.attempted, target)
+	switch {
+	case r.running[target] < r.slots:
+		r.tell(j.vm, target, 1, at)
+		r.start(j, target, at)
+	case len(r.waiting[target]) < r.queue:
+		r.tell(j.vm, target, 1, at)
+		r.waiting[target] = append(r.waiting[target], j)
+	default:
+		if r.counts(j) {
+			r.turnedAway++
+		}
+		r.tellFull(j.vm, target, at)
+		if len(j.attempted) < 3 {
+			r.attempt(j, at)
+			return
+		}
+		r.refuse(j)
+	}
+}
+
+func (r *run) start(j *job, target int, at time.Duration) {
+	r.running[target]++
+	r.schedule(at+j.run, func(at time.Duration) { r.end(j, target, at) })
+}
+
+func (r *run) end(j *job, target int, at time.Duration) {
+	r.running[target]--
+	r.tell(j.vm, target, -1, at)
+	r.record(j, at-j.arrivedAt)
+	if len(r.waiting[target]) > 0 {
+		next := r.waiting[target][0]
+		r.waiting[target] = r.waiting[target][1:]
+		r.start(next, target, at)
+	}
+}
+
+func (r *run) record(j *job, took time.Duration) {
+	if !r.counts(j) {
+		return
+	}
+	j.from.served++
+	j.from.latencies = append(j.from.latencies, took)
+	if took <= r.timeout {
+		j.from.inTime++
+	}
+	if took <= r.objective {
+		j.from.inObjective++
+		j.from.work += j.run
+	}
+}
+
+// capacity returns the requests a second that the targets can run.
+func (m model) capacity() float64 { return float64(m.targets*m.slots) / m.meanRun.Seconds() }
+
+// goodput returns the work of the responses within the objective as a share of the capacity.
+func (r *run) goodput() float64 {
+	work := time.Duration(0)
+	for _, result := range r.results {
+		work += result.work
+	}
+	return work.Seconds() / ((r.length - r.warmUp).Seconds() * float64(r.targets*r.slots))
+}
+
+// steady returns a constant rate.
+func steady(rate float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return rate }
+}
+
+// bursts returns a rate that is factor times as high for length at the end of each period.
+func bursts(rate, factor float64, length, period time.Duration) func(time.Duration) float64 {
+	return func(at time.Duration) float64 {
+		if at%period >= period-length {
+			return factor * rate
+		}
+		return rate
+	}
+}
+
+// serviceTwo is a service like the second one of deployment A before six primary VMs.
+func serviceTwo(usesRoom bool, seed uint64) model {
+	return model{
+		vms: 6, targets: 20, slots: 4, queue: 24, meanRun: 270 * time.Millisecond, objective: time.Second, timeout: 4 * time.Second,
+		minDelay: 15 * time.Millisecond, maxDelay: 200 * time.Millisecond, length: 90 * time.Second, warmUp: 20 * time.Second,
+		usesRoom: usesRoom, seed: seed,
+	}
+}
+
+// zipf returns the shares of count customers; the largest has 2 to 3 times the share of the
+// third.
+func zipf(count int) []float64 {
+	shares, sum := make([]float64, count), 0.0
+	for i := range shares {
+		shares[i] = 1 / math.Pow(float64(i+1), 0.7)
+		sum += shares[i]
+	}
+	for i := range shares {
+		shares[i] /= sum
+	}
+	return shares
+}
