--- a/entry/events/targetset.go
+++ b/entry/events/targetset.go
@@ -26,6 +26,10 @@
 		"This VM can open a connection to the target again.")
 	PathLost = define(4111, log.WarnLevel, "no target of the service reachable from here",
 		"Connections to several targets failed, or several targets that answer other VMs lost this VM's requests (observed tells which): the path from this VM is at fault. 4112 follows when a response arrives.")
+	RoomShort = define(4113, log.WarnLevel, "service short of room",
+		"A request was refused (no_room) since others go first while the service is full: those of higher priority (cause urgency), or of customers that send no more than usual (excess); too_late could not end in its time. Logged for the first refusal; the counter targets_room_refused has all.")
+	RoomRegained = define(4114, log.InfoLevel, "service has room again",
+		"No request was refused for lack of room (4113) for 5 s.")
 	PathFound = define(4112, log.InfoLevel, "service reachable from here again",
 		"A target of the service answered this VM again.")
 )
--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -93,6 +93,7 @@
 		FailureNats: float32(outcome.FailureNats),
 		SlowNats:    float32(outcome.SlowNats),
 		ShedNats:    float32(outcome.ShedNats),
+		RefusedFull: outcome.RefusedFull,
 	}
 	if outcome.Load != nil {
 		message.HasLoad = true
--- a/entry/evidence/options.go
+++ b/entry/evidence/options.go
@@ -23,6 +23,9 @@
 	FailureNats, SlowNats, ShedNats float64
 	// Load is the load that the target reported, or nil.
 	Load *dialect.Load
+	// RefusedFull is true when the target refused the attempt for lack of room; Load is then
+	// what it held.
+	RefusedFull bool
 }
 
 // isBad reports whether the outcome counts against its target.
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -139,6 +139,7 @@
 		FailureNats: float64(message.GetFailureNats()),
 		SlowNats:    float64(message.GetSlowNats()),
 		ShedNats:    float64(message.GetShedNats()),
+		RefusedFull: message.GetRefusedFull() && message.GetHasLoad(),
 	}
 	if message.GetHasLoad() {
 		outcome.Load = &dialect.Load{Running: int(message.GetRunning()), Waiting: int(message.GetWaiting())}
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -136,6 +136,7 @@
 	if metadata.Load == nil || metadata.Load.Running+metadata.Load.Waiting < metadata.Load.Slots {
 		d.result.End = suspicion.ResultShed
 	}
+	d.result.RefusedFull = d.result.End == suspicion.ResultNeutral
 	return d
 }
 
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -132,6 +132,10 @@
 	reference, overallServiceTime := s.reference(wanted.Route.Name), s.overall.MeanServiceTime(defaultAttemptDuration)
 	candidates, targets, held := m.candidates(s, wanted, openConnectionOnly, now)
 	s.suspectShare = suspectShare(candidates)
+	m.markFull(candidates, targets, overallServiceTime, now)
+	if refusal := m.admit(s, wanted, candidates, reference.MeanServiceTime(overallServiceTime), overallServiceTime, now); refusal != nil {
+		return nil, refusal
+	}
 	mayRetry := wanted.SentAttempts+1 < wanted.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.AttemptRequest{
 		Idempotent:       wanted.Route.Kind.Idempotent(),
@@ -145,6 +149,7 @@
 		Remaining:        wanted.Remaining,
 		UsefulTime:       wanted.Useful,
 		Priority:         wanted.Priority,
+		QueuePerSlot:     s.queuePerSlot(),
 	}, m.random)
 	if choice.Reason == placement.ReasonNoTarget && s.hasUnreachable() {
 		return nil, &Refusal{Reason: ReasonCutOff}
@@ -161,6 +166,7 @@
 	t := targets[choice.Index]
 	t.limiter.bucket.Spend()
 	t.ownAttempts++
+	t.held.Begun(1)
 	t.everAttempted = true
 	t.lastAttemptAt = now
 	a := &Attempt{manager: m, service: s, target: t, info: t.info, route: wanted.Route.Name, startedAt: now, trial: choice.Trial, candidate: candidates[choice.Index]}
@@ -297,6 +303,8 @@
 	Err error
 	// Sent is true once a byte of the request was written.
 	Sent bool
+	// RefusedFull is true when the target refused the attempt for lack of room, as Load shows.
+	RefusedFull bool
 	// Misplaced is true when another instance answered at the target's address.
 	Misplaced bool
 }
@@ -318,6 +326,7 @@
 	}
 	m.mu.Lock()
 	a.target.ownAttempts--
+	a.target.held.Ended(endsOf(result))
 	m.meanRunTime += (now - a.startedAt - m.meanRunTime) / runTimeWindow
 	a.observePath(result, now)
 	a.target.misplaced = a.target.misplaced || result.Misplaced
--- a/entry/targetset/evaluate.go
+++ b/entry/targetset/evaluate.go
@@ -23,7 +23,7 @@
 
 // evaluate converts the result of an attempt to evidence; the lock is held.
 func (a *Attempt) evaluate(result Result, now time.Duration) evidence.AttemptEvidence {
-	outcome := evidence.AttemptEvidence{Target: a.target.info.ID, Load: result.Load, FailureNats: suspicion.FailureNats(result.End), ShedNats: suspicion.ShedNats(result.End)}
+	outcome := evidence.AttemptEvidence{Target: a.target.info.ID, Load: result.Load, RefusedFull: result.RefusedFull, FailureNats: suspicion.FailureNats(result.End), ShedNats: suspicion.ShedNats(result.End)}
 	inDoubt := a.pathInDoubt(result, now)
 	if inDoubt {
 		outcome.FailureNats = 0
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -68,6 +68,8 @@
 	// slowness is evaluated; overall holds those of all routes together.
 	references map[string]*suspicion.Reference
 	overall    suspicion.Reference
+	// room decides who goes first when the service is full.
+	room roomState
 	// breaker is the circuit breaker of the path to the targets.
 	breaker breaker.Breaker
 }
@@ -81,6 +83,10 @@
 	targets  map[string]*target
 	services map[string]*service
 	table    *routing.Table
+	// rankedServices are those whose requests differ in rank; remembersFull is true when any do:
+	// targets that have refused for lack of room are then avoided.
+	rankedServices map[string]bool
+	remembersFull  bool
 	// notices holds what the targets say of themselves.
 	notices *notice.Table
 	// repeated is the position in the notices from which the next heartbeat repeats them.
@@ -118,6 +124,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.table = table
+	m.updateRanks()
 	for _, t := range m.targets {
 		t.pool.SetMaxConnections(m.connectionLimit(t.info.Service))
 	}
@@ -215,6 +222,7 @@
 			budget:     retry.NewShare(budget.Ratio, budget.Allowance, m.options.Sharers(), m.options.Uptime()),
 			references: make(map[string]*suspicion.Reference),
 		}
+		s.room.isRanked = m.isRanked(name)
 		m.services[name] = s
 	}
 	return s
@@ -260,6 +268,9 @@
 	if outcome.Load != nil {
 		t.load, t.loadAt = *outcome.Load, now
 	}
+	if outcome.RefusedFull {
+		t.refusedFull(now)
+	}
 	if after := t.suspect(now); after != before {
 		event := events.TargetSuspected
 		if !after {
@@ -292,6 +303,7 @@
 	now := m.options.Uptime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.countHeld(m.inProgressByVM[vm], attempts)
 	for id, count := range m.inProgressByVM[vm] {
 		if t, ok := m.targets[id]; ok {
 			t.remoteAttempts -= count
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -6,6 +6,7 @@
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/targetconn"
 	"github.com/primroseloom/primroseloom/policy/placement"
+	"github.com/primroseloom/primroseloom/policy/room"
 	"github.com/primroseloom/primroseloom/policy/roster"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
@@ -47,6 +48,8 @@
 	ownAttempts, remoteAttempts int
 	load                        dialect.Load
 	loadAt                      time.Duration
+	// held is what it held when it last refused for lack of room.
+	held room.Held
 	// lastAttemptAt is the uptime of the latest known attempt of any VM.
 	lastAttemptAt time.Duration
 	// lastSucceeded is true when the latest evidence about failing was negative, as
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -47,6 +47,7 @@
 	for name, s := range m.services {
 		s.budget.Reconfigure(m.options.Budget.Ratio, m.options.Budget.Allowance, sharers, now)
 		m.updateGauges(name, s, now)
+		m.updateRoom(name, s, now)
 	}
 }
 
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -64,6 +64,9 @@
 	LastSucceeded bool
 }
 
+// isIdle reports whether this VM can reach the target and nothing is known to run there.
+func (c Candidate) isIdle() bool { return !c.Blocked && !c.Full && c.InUse == 0 }
+
 // IsSuspect reports whether the target is a suspect.
 func (c Candidate) IsSuspect() bool { return IsSuspect(c.Failing, c.Slow) }
 
@@ -101,8 +104,6 @@
 	// QueuePerSlot is the number of requests that may wait at a target for each of its slots;
 	// zero for the usual number.
 	QueuePerSlot float64
-	// SpreadsTies makes VMs that see about the same load choose different targets.
-	SpreadsTies bool
 }
 
 // queuePerSlot returns the number of requests that may wait at a target for each slot.
@@ -189,7 +190,7 @@
 // slot for the retry after a failed trial.
 func hasFreeHealthyTarget(candidates []Candidate) bool {
 	for _, c := range candidates {
-		if !c.Blocked && !c.IsSuspect() && c.InUse < c.Slots {
+		if !c.Blocked && !c.Full && !c.IsSuspect() && c.InUse < c.Slots {
 			return true
 		}
 	}
@@ -199,7 +200,7 @@
 // isDueForTrial reports whether a suspect gets a trial: trialInterval after a
 // failure, but at once after a success, because a few successes clear it.
 func (c Candidate) isDueForTrial() bool {
-	return !c.Blocked && c.IsSuspect() && c.InUse == 0 && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
+	return c.isIdle() && c.IsSuspect() && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
 }
 
 // mayHaveRecovered reports whether a suspect has served its latest attempt. It gets the next
@@ -207,7 +208,7 @@
 // next failure, and one that has recovered is cleared by a few successes, which explorations
 // alone would bring only after many seconds.
 func (c Candidate) mayHaveRecovered() bool {
-	return !c.Blocked && c.InUse == 0 && c.LastSucceeded && c.Failing >= minSuspicion && c.Slow < minSuspicion
+	return c.isIdle() && c.LastSucceeded && c.Failing >= minSuspicion && c.Slow < minSuspicion
 }
 
 // isDueForRequest reports whether an idle target gets the request because it had
@@ -218,7 +219,7 @@
 		limit = maxIdleIdempotent
 	}
 	near := c.SameZone || request.Bytes <= maxExploreBytes
-	return !c.Blocked && c.InUse == 0 && near && c.SinceAttempt >= limit
+	return c.isIdle() && near && c.SinceAttempt >= limit
 }
 
 // pickRandom returns the index of a random matching candidate, or -1.
--- a/policy/room/customers.go
+++ b/policy/room/customers.go
@@ -12,10 +12,10 @@
 	// 1.7 times as much as usual for some seconds stays within it.
 	entitlementFactor = 2.0
 	// bucketTime is the time for which a full bucket provides the entitlement.
-	bucketTime = time.Second
+	bucketTime = 500 * time.Millisecond
 	// bucketRequests is the number of requests of mean run time that a full bucket provides at
 	// least, since the requests of a small customer come in clusters.
-	bucketRequests = 4
+	bucketRequests = 6
 	// learnBelow is the load up to which usual use is learned.
 	learnBelow = 0.9
 	// learnTime is the time in which everything is learned, and within which no customer exceeds
@@ -34,6 +34,8 @@
 	shared account
 	// total is the usual use of all customers.
 	total use
+	// growth is the present use over the usual use, of most customers.
+	growth growth
 	// learned is the time during which usual use was learned; learning is true while it is.
 	learned   time.Duration
 	learning  bool
@@ -45,6 +47,9 @@
 // account is what is known of one customer.
 type account struct {
 	usual use
+	// recent is its recent work, as an exponentially weighted sum in slot-seconds until recentAt.
+	recent   float64
+	recentAt time.Duration
 	// tokens is the work in slot-seconds that is left of the entitlement.
 	tokens   float64
 	filledAt time.Duration
@@ -131,6 +136,8 @@
 		a.usual.add(work, c.learned)
 		c.total.add(work, c.learned)
 	}
+	a.addRecent(work, now)
+	c.updateGrowth(now)
 	rate := c.entitlement(a)
 	depth := max(rate*bucketTime.Seconds(), bucketRequests*meanWork)
 	a.tokens = min(a.tokens+rate*(now-a.filledAt).Seconds(), depth)
@@ -145,7 +152,7 @@
 // entitlement returns the work in slot-seconds a second to which a customer is entitled.
 func (c *customers) entitlement(a *account) float64 {
 	even := c.total.rate(c.learned) / float64(max(len(c.accounts), 1))
-	return entitlementFactor * max(even, a.usual.rate(c.learned))
+	return entitlementFactor * c.growth.factor() * max(even, a.usual.rate(c.learned))
 }
 
 // passes adds the admitted part of the requests to the credit, and reports whether the request
--- a/policy/room/goals_test.go
+++ b/policy/room/goals_test.go
@@ -1,8 +1,8 @@
 package room_test
 
 import (
-	"strconv"
 	"testing"
+	"time"
 )
 
 // loads are multiples of the capacity under overload.
@@ -16,14 +16,6 @@
 	return m
 }
 
-// manyCustomers divides the load among 79 customers, a few of them large.
-func manyCustomers(m model, load float64) model {
-	for i, share := range zipf(79) {
-		m.sources = append(m.sources, source{customer: "c" + strconv.Itoa(i), priority: 1, rate: steady(share * load * m.capacity())})
-	}
-	return m
-}
-
 // TestGoodputUnderOverload guards against idle slots beside refused requests, and against work
 // that is completed too late.
 func TestGoodputUnderOverload(t *testing.T) {
@@ -39,3 +31,51 @@
 		}
 	}
 }
+
+// TestLessUrgentIsNeverServedBetter guards against a less urgent priority that is served while a
+// more urgent one is refused.
+func TestLessUrgentIsNeverServedBetter(t *testing.T) {
+	const tolerance = 0.005
+	for _, load := range []float64{0.9, 1.1, 1.5, 2, 3, 5} {
+		results := threePriorities(serviceTwo(true, 2), load).play().results
+		for i := 1; i < len(results); i++ {
+			if results[i].servedShare() > results[i-1].servedShare()+tolerance {
+				t.Errorf("load %.1f: priority %d is served %.3f, priority %d %.3f", load, i, results[i].servedShare(), i-1, results[i-1].servedShare())
+			}
+		}
+	}
+}
+
+// TestNothingIsRefusedBelowTheCapacity guards against refusals that today's rule does not make:
+// random arrivals, without and with bursts of 1.7 times the rate for 3 s of each 20 s.
+func TestNothingIsRefusedBelowTheCapacity(t *testing.T) {
+	for _, build := range []func(model, float64) model{threePriorities, manyCustomers} {
+		for _, load := range []float64{0.5, 0.7, 0.85} {
+			for _, burst := range []float64{1, 1.7} {
+				for seed := range uint64(3) {
+					before := build(serviceTwo(false, seed), load)
+					for i := range before.sources {
+						before.sources[i].rate = bursts(before.sources[i].rate(0), burst, 3*time.Second, 20*time.Second)
+					}
+					after := before
+					after.usesRoom = true
+					arrived, today, now := refusals(before.play(), after.play())
+					t.Logf("%d sources, load %.2f, bursts %.1f, seed %d: of %d refused %d, by today's rule %d", len(before.sources), load, burst, seed, arrived, now, today)
+					if now > today {
+						t.Errorf("%d sources, load %.2f, bursts %.1f, seed %d: of %d refused %d, by today's rule %d", len(before.sources), load, burst, seed, arrived, now, today)
+					}
+				}
+			}
+		}
+	}
+}
+
+// refusals returns the arrivals and the requests refused in two runs.
+func refusals(before, after *run) (arrived, refusedBefore, refusedAfter int) {
+	for i := range before.results {
+		arrived += before.results[i].arrived
+		refusedBefore += before.results[i].refused
+		refusedAfter += after.results[i].refused
+	}
+	return arrived, refusedBefore, refusedAfter
+}
--- a/policy/room/mix.go
+++ b/policy/room/mix.go
@@ -17,10 +17,10 @@
 type mix struct {
 	// classes is ordered by priority.
 	classes []class
-	// spare is the time in seconds that requests could wait without loss of value, and count
-	// their number, both with the same weights.
-	spare, count float64
-	updatedAt    time.Duration
+	// useful and run are the sums of the useful times and of the run times in seconds, and count
+	// is the number of requests, all with the same weights.
+	useful, run, count float64
+	updatedAt          time.Duration
 }
 
 // class is the arriving work of one priority, in slot-seconds.
@@ -46,7 +46,8 @@
 	} else {
 		c.within += work
 	}
-	m.spare += max(min(request.Useful, request.Remaining)-request.RunTime, 0).Seconds()
+	m.useful += max(min(request.Useful, request.Remaining), 0).Seconds()
+	m.run += work
 	m.count++
 }
 
@@ -57,7 +58,8 @@
 func (m *mix) decay(now time.Duration) {
 	factor := math.Exp(-(now - m.updatedAt).Seconds() / mixTimeConstant.Seconds())
 	m.updatedAt = now
-	m.spare *= factor
+	m.useful *= factor
+	m.run *= factor
 	m.count *= factor
 	for i := range m.classes {
 		m.classes[i].within *= factor
@@ -92,10 +94,20 @@
 	return band{from: before / total, until: (before + own.within + own.excess) / total, within: own.within / total}
 }
 
-// meanSpare returns the mean time in seconds that requests can wait without loss of value.
-func (m *mix) meanSpare() (seconds float64, known bool) {
+// excessPart returns the part of the arriving work that exceeds the entitlements.
+func (m *mix) excessPart() float64 {
+	excess, total := 0.0, 0.0
+	for _, c := range m.classes {
+		excess += c.excess
+		total += c.within + c.excess
+	}
+	return excess / max(total, math.SmallestNonzeroFloat64)
+}
+
+// means returns the mean useful time and the mean run time in seconds.
+func (m *mix) means() (useful, run float64, known bool) {
 	if m.count <= 0 {
-		return 0, false
+		return 0, 0, false
 	}
-	return m.spare / m.count, true
+	return m.useful / m.count, m.run / m.count, true
 }
--- a/policy/room/model_test.go
+++ b/policy/room/model_test.go
@@ -32,12 +32,15 @@
 	minDelay, maxDelay time.Duration
 	sources            []source
 	length, warmUp     time.Duration
-	// usesRoom lets policy/room decide before the placement of a request; spreads makes
-	// placement choose at random among targets that are about equal.
-	usesRoom, spreads bool
+	// usesRoom lets policy/room decide before the placement of a request.
+	usesRoom bool
 	// remembersFull excludes targets that have just refused for lack of room.
 	remembersFull bool
-	seed          uint64
+	// leaving is the share of the requests whose callers leave after patience. Their VMs count
+	// them no longer; the targets run them nevertheless.
+	leaving  float64
+	patience time.Duration
+	seed     uint64
 }
 
 // result counts the requests of one source after the warm-up.
@@ -94,17 +97,22 @@
 	vm        int
 	attempted []int
 	priority  int
+	// left is true once its caller has left.
+	left bool
 }
 
 // view is what one VM knows of one target.
 type view struct {
 	inUse int
-	// held is the number of requests that the target holds, as far as is known since it has
-	// refused at heldFrom; it is used until heldUntil.
-	places, held int
-	heldUntil    time.Duration
+	held  room.Held
+	// reported is what the target held at reportedAt, which is used for reportAge.
+	reported   int
+	reportedAt time.Duration
 }
 
+// reportAge is how long a report of a target is used today.
+const reportAge = 100 * time.Millisecond
+
 // run is one execution of a model.
 type run struct {
 	model
@@ -190,7 +198,7 @@
 	remaining, useful := r.timeout-(at-j.arrivedAt), r.objective-(at-j.arrivedAt)
 	request := placement.AttemptRequest{
 		Retry: len(j.attempted) > 0, MayRetry: len(j.attempted) < 2, ServiceTime: r.meanRun, QueueServiceTime: r.meanRun,
-		Remaining: remaining, UsefulTime: useful, Priority: j.priority, SpreadsTies: r.spreads,
+		Remaining: remaining, UsefulTime: useful, Priority: j.priority,
 	}
 	if r.usesRoom {
 		request.QueuePerSlot = room.QueuePerSlot
@@ -222,8 +230,11 @@
 			continue
 		}
 		c := placement.Candidate{ID: strconv.Itoa(t), SameZone: t%3 == j.vm%3, Slots: r.slots, InUse: v.inUse}
-		if r.remembersFull && at < v.heldUntil {
-			c.InUse, c.Full = max(c.InUse, v.held), v.held >= v.places
+		if v.reported > 0 && at-v.reportedAt < reportAge {
+			c.InUse = max(c.InUse, v.reported)
+		}
+		if r.remembersFull {
+			c.Full = v.held.IsFull(r.meanRun, at)
 		}
 		candidates = append(candidates, c)
 		indices = append(indices, t)
@@ -246,26 +257,46 @@
 }
 
 func (r *run) learn(vm, target, change int) {
-	r.views[vm][target].inUse += change
-	r.views[vm][target].held += change
+	v := &r.views[vm][target]
+	v.inUse += change
+	if change > 0 {
+		v.held.Begun(change)
+	} else {
+		v.held.Ended(-change)
+	}
 }
 
 // tellFull makes the VMs know that a target has refused for lack of room.
 func (r *run) tellFull(vm, target int, at time.Duration) {
 	held := r.running[target] + len(r.waiting[target])
-	full := view{places: held, held: held, heldUntil: at + time.Duration(float64(held)/float64(r.slots)*float64(r.meanRun))}
-	set := func(vm int) { full.inUse = r.views[vm][target].inUse; r.views[vm][target] = full }
-	set(vm)
+	set := func(vm int, at time.Duration) {
+		v := &r.views[vm][target]
+		v.held, v.reported, v.reportedAt = room.RefusedFull(held, r.slots, at), held, at
+	}
+	set(vm, at)
 	delay := r.minDelay + time.Duration(r.random.Int64N(int64(r.maxDelay-r.minDelay)+1))
-	r.schedule(at+delay, func(time.Duration) {
+	r.schedule(at+delay, func(at time.Duration) {
 		for other := range r.vms {
 			if other != vm {
-				set(other)
+				set(other, at)
 			}
 		}
 	})
 }
 
+// leave lets some callers leave before the response.
+func (r *run) leave(j *job, target int, at time.Duration) {
+	if r.random.Float64() >= r.leaving {
+		return
+	}
+	r.schedule(at+r.patience, func(at time.Duration) {
+		if j.from != nil {
+			j.left = true
+			r.tell(j.vm, target, -1, at)
+		}
+	})
+}
+
 func (r *run) send(j *job, target int, at time.Duration) {
 	if r.counts(j) {
 		r.attempts++
@@ -274,9 +305,11 @@
 	switch {
 	case r.running[target] < r.slots:
 		r.tell(j.vm, target, 1, at)
+		r.leave(j, target, at)
 		r.start(j, target, at)
 	case len(r.waiting[target]) < r.queue:
 		r.tell(j.vm, target, 1, at)
+		r.leave(j, target, at)
 		r.waiting[target] = append(r.waiting[target], j)
 	default:
 		if r.counts(j) {
@@ -298,8 +331,11 @@
 
 func (r *run) end(j *job, target int, at time.Duration) {
 	r.running[target]--
-	r.tell(j.vm, target, -1, at)
-	r.record(j, at-j.arrivedAt)
+	if !j.left {
+		r.tell(j.vm, target, -1, at)
+		r.record(j, at-j.arrivedAt)
+		j.from = nil
+	}
 	if len(r.waiting[target]) > 0 {
 		next := r.waiting[target][0]
 		r.waiting[target] = r.waiting[target][1:]
--- a/policy/room/room.go
+++ b/policy/room/room.go
@@ -58,6 +58,8 @@
 	Cause Cause
 	// RetryAfter is the middle of the time in which room is expected for the request.
 	RetryAfter time.Duration
+	// Level is the share of the arriving work that is admitted now.
+	Level float64
 }
 
 // Admitted reports whether the request is admitted.
@@ -67,23 +69,23 @@
 	// maxWaiting is the number of waiting requests for each slot at which nothing more is
 	// admitted. It leaves room above the 2 at which placement refuses elsewhere, since the most
 	// urgent requests need places while the least urgent ones are already refused.
-	maxWaiting = 2.4
+	maxWaiting = 2.6
 	// burstLevelPart and lastingLevelPart are the parts of the most waiting requests up to which
 	// everything is admitted, in a burst and in a lasting overload. The slope above is gentle
 	// enough for load reports that are 100 ms old.
-	burstLevelPart, lastingLevelPart = 2.0 / 3, 0.1
+	burstLevelPart, lastingLevelPart = 0.85, 0.2
+	// burstPart and lastingPart are the multiples of the useful time within which responses are
+	// expected when nothing more is admitted. Placement lets no request wait for longer than 1.27
+	// times its useful time; in a lasting overload most responses keep their full value.
+	burstPart, lastingPart = 1.25, 0.6
 	// minMaxWaiting keeps all slots busy where responses are due at once.
 	minMaxWaiting = 0.3
-	// standingWaiting is the number of waiting requests for each slot from which on the service
-	// is overloaded. Overload that lasts longer than burstTime is no burst; within settleTime
-	// the waiting requests are then reduced to lastingPart of what the time of the requests
-	// allows, so that most responses keep their full value.
-	standingWaiting       = 0.25
-	burstTime, settleTime = 4 * time.Second, 2 * time.Second
-	lastingPart           = 0.5
 	// excessFrom and excessUntil are the loads, in attempts for each slot, between which the
 	// excess of customers is admitted in part.
-	excessFrom, excessUntil = 0.95, 1.05
+	excessFrom, excessUntil = 0.75, 0.95
+	// minExcessPart is the part of the arriving work from which excess is told apart; less comes
+	// from chance.
+	minExcessPart = 0.05
 	// leastUrgentPart is the part of the arriving work that may be less urgent than a priority
 	// that still counts as the least urgent one.
 	leastUrgentPart = 0.01
@@ -100,16 +102,13 @@
 type Service struct {
 	mix       mix
 	customers customers
-	// waitsSince is the uptime since which requests have waited at all times; waits is true
-	// while they do.
-	waitsSince time.Duration
-	waits      bool
+	overload  overload
 }
 
 // Decide returns whether a request is admitted, and counts it among the arrivals. The uptime
 // must not decrease from call to call.
 func (s *Service) Decide(load Load, request Request, now time.Duration) Decision {
-	s.observe(load, now)
+	s.overload.observe(load.waiting(), now)
 	account := s.customers.account(request.Customer, now)
 	inExcess := false
 	if !request.IsRetry {
@@ -122,22 +121,24 @@
 	if wait > 0 && wait+request.RunTime > request.Remaining {
 		return refuse(CauseTooLate, 1, load)
 	}
-	part, cause := s.part(load, request, inExcess, now)
+	part, cause := s.part(load, request, inExcess)
 	if account.passes(part) {
-		return Decision{}
+		return Decision{Level: s.level(load)}
 	}
-	return refuse(cause, part, load)
+	decision := refuse(cause, part, load)
+	decision.Level = s.level(load)
+	return decision
 }
 
 // part returns the part of the requests like this one that is admitted, and the cause for the
 // others.
-func (s *Service) part(load Load, request Request, inExcess bool, now time.Duration) (float64, Cause) {
+func (s *Service) part(load Load, request Request, inExcess bool) (float64, Cause) {
 	band := s.mix.band(request.Priority)
-	level := s.level(load, now)
+	level := s.level(load)
 	if request.IsRetry {
 		return firstOf(level, band.from), CauseUrgency
 	}
-	if !inExcess {
+	if !inExcess || s.mix.excessPart() < minExcessPart {
 		return partOf(level, band.from, band.from+band.within), CauseUrgency
 	}
 	part := partOf(level, band.from+band.within, band.until)
@@ -147,43 +148,26 @@
 	return part, CauseExcess
 }
 
-// observe notes since when requests wait.
-func (s *Service) observe(load Load, now time.Duration) {
-	waits := load.waiting() >= standingWaiting
-	if waits && !s.waits {
-		s.waitsSince = now
-	}
-	s.waits = waits
-}
-
 // level returns the share of the arriving work that is admitted.
-func (s *Service) level(load Load, now time.Duration) float64 {
+func (s *Service) level(load Load) float64 {
 	burst, lasting := s.maxWaiting(load.MeanRunTime)
-	lasted := s.lasted(now)
+	lasted := s.overload.lasted()
 	none := burst + lasted*(lasting-burst)
 	all := burst*burstLevelPart + lasted*(lasting*lastingLevelPart-burst*burstLevelPart)
 	return partOf(none-load.waiting(), 0, none-all)
 }
 
-// lasted returns 0 in a burst and 1 in a lasting overload.
-func (s *Service) lasted(now time.Duration) float64 {
-	if !s.waits {
-		return 0
-	}
-	return partOf((now - s.waitsSince).Seconds(), burstTime.Seconds(), (burstTime + settleTime).Seconds())
-}
-
 // maxWaiting returns the waiting requests for each slot at which nothing more is admitted, in a
 // burst and in a lasting overload: fewer where the responses would lose their full value.
 func (s *Service) maxWaiting(meanRunTime time.Duration) (burst, lasting float64) {
-	spare, known := s.mix.meanSpare()
+	useful, run, known := s.mix.means()
 	if !known || meanRunTime <= 0 {
 		return maxWaiting, maxWaiting
 	}
-	inRunTimes := spare / meanRunTime.Seconds()
-	burst = min(max(inRunTimes, minMaxWaiting), maxWaiting)
-	lasting = min(max(lastingPart*inRunTimes, minMaxWaiting), maxWaiting)
-	return burst, lasting
+	limit := func(part float64) float64 {
+		return min(max((part*useful-run)/meanRunTime.Seconds(), minMaxWaiting), maxWaiting)
+	}
+	return limit(burstPart), limit(lastingPart)
 }
 
 // partOf returns which part of the band between from and until lies below the level.
