--- a/policy/room/customers.go
+++ b/policy/room/customers.go
@@ -18,7 +18,7 @@
 	bucketRequests = 4
 	// minOwnExcessPart is the part of a customer's recent work from which its excess is told
 	// apart; less comes from chance.
-	minOwnExcessPart = 0.15
+	minOwnExcessPart = 0.1
 	// learnBelow is the load up to which usual use is learned while no customer exceeds its
 	// entitlement, learnExcessBelow the one up to which it is learned in any case.
 	learnBelow, learnExcessBelow = 0.9, 0.6
--- a/policy/room/growth.go
+++ b/policy/room/growth.go
@@ -7,7 +7,7 @@
 
 const (
 	// recentTimeConstant is the time constant of the recent use.
-	recentTimeConstant = 1500 * time.Millisecond
+	recentTimeConstant = 1200 * time.Millisecond
 	// growthInterval is the time between two measurements of the growth.
 	growthInterval = 500 * time.Millisecond
 	// growthSteps is the number of steps in which growth is measured, stepsPerDoubling of them
--- a/policy/room/mix.go
+++ b/policy/room/mix.go
@@ -11,7 +11,7 @@
 	mixTimeConstant = 2 * time.Second
 	// minExcessPart is the part of the arriving work from which excess is told apart; less comes
 	// from chance.
-	minExcessPart = 0.05
+	minExcessPart = 0.09
 	// maxPriority is the largest rank that is told apart; larger ones count as this one.
 	maxPriority = 63
 )
--- a/policy/room/room.go
+++ b/policy/room/room.go
@@ -82,7 +82,7 @@
 	minMaxWaiting = 0.3
 	// excessFrom and excessUntil are the loads, in attempts for each slot, between which the
 	// excess of customers is admitted in part.
-	excessFrom, excessUntil = 0.75, 0.95
+	excessFrom, excessUntil = 0.65, 0.85
 	// leastUrgentPart is the part of the arriving work that may be less urgent than a priority
 	// that still counts as the least urgent one.
 	leastUrgentPart = 0.01
