--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -98,6 +98,20 @@
 	}
 }
 
+// TestRefusalForLackOfRoomReachesOtherVMs checks that other VMs learn that a target was full.
+func TestRefusalForLackOfRoomReachesOtherVMs(t *testing.T) {
+	p := newPair()
+	want := AttemptEvidence{Target: "t1", RefusedFull: true, Load: &dialect.Load{Running: 4, Waiting: 24}}
+	p.from.Publish(want)
+	p.from.send(false)
+	for _, datagram := range p.packets.sent {
+		p.to.HandleDatagram(datagram)
+	}
+	if !reflect.DeepEqual(p.got.outcomes, []AttemptEvidence{want}) {
+		t.Errorf("outcomes %+v", p.got.outcomes)
+	}
+}
+
 // TestEvidenceAboutRequestsArrivesWithItsAge checks that the times of crashes and of
 // a response arrive unchanged on the receiver's own clock.
 func TestEvidenceAboutRequestsArrivesWithItsAge(t *testing.T) {
--- a/entry/targetset/room.go
+++ b/entry/targetset/room.go
@@ -117,6 +117,9 @@
 // updateRoom updates the metrics of a service's room and logs when it has room again; the lock
 // is held.
 func (m *Manager) updateRoom(name string, s *service, now time.Duration) {
+	if m.remembersFull {
+		m.updateFull(name, s, now)
+	}
 	if !s.room.isRanked {
 		return
 	}
@@ -127,6 +130,17 @@
 	}
 }
 
+// updateFull updates the number of full targets; the lock is held.
+func (m *Manager) updateFull(name string, s *service, now time.Duration) {
+	full, serviceTime := 0, s.overall.MeanServiceTime(defaultAttemptDuration)
+	for _, t := range s.targets {
+		if t.held.IsFull(serviceTime, now) {
+			full++
+		}
+	}
+	m.options.Scope.Tagged(map[string]string{"service": name}).Gauge("full").Update(float64(full))
+}
+
 // markFull marks the candidates that have refused for lack of room and have none yet; the lock
 // is held.
 func (m *Manager) markFull(candidates []placement.Candidate, targets []*target, meanServiceTime, now time.Duration) {
--- a/entry/targetset/room_test.go
+++ b/entry/targetset/room_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,11 +76,19 @@
 	return decisions
 }
 
+// orderedFixture returns a fixture whose random choices are the same each time: its targets are
+// ordered.
+func orderedFixture(targets int) *fixture {
+	f := newFixture(targets)
+	slices.SortFunc(f.services["s"].targets, func(a, b *target) int { return strings.Compare(a.info.ID, b.info.ID) })
+	return f
+}
+
 // TestEqualRanksAreDecidedAsWithoutRoom guards deployments without customers whose routes have
 // one priority: under overload each decision is the one without the rules of package room.
 func TestEqualRanksAreDecidedAsWithoutRoom(t *testing.T) {
 	const length = 10 * time.Second
-	without, equal, ranked := newFixture(4), newFixture(4), newFixture(4)
+	without, equal, ranked := orderedFixture(4), orderedFixture(4), orderedFixture(4)
 	equal.RoutesChanged(tableWith(t, nil, 1, 1))
 	ranked.RoutesChanged(tableWith(t, nil, 0, 1))
 	want, got, other := without.overload(length), equal.overload(length), ranked.overload(length)
