--- a/policy/room/mix.go
+++ b/policy/room/mix.go
@@ -9,9 +9,9 @@
 const (
 	// mixTimeConstant is the time constant of the averages over arrivals.
 	mixTimeConstant = 2 * time.Second
-	// minExcessPart is the part of the arriving work from which excess is told apart; less comes
-	// from chance.
-	minExcessPart = 0.09
+	// minExcessPart is the part of the arriving work, and minExcessRequests the number of recent
+	// requests of mean run time, from which excess is told apart; less comes from chance.
+	minExcessPart, minExcessRequests = 0.09, 5
 	// maxPriority is the largest rank that is told apart; larger ones count as this one.
 	maxPriority = 63
 )
@@ -98,14 +98,14 @@
 }
 
 // hasExcess reports whether more of the arriving work exceeds the entitlements than comes from
-// chance.
-func (m *mix) hasExcess() bool {
+// chance, and at least minWork slot-seconds.
+func (m *mix) hasExcess(minWork float64) bool {
 	excess, total := 0.0, 0.0
 	for _, c := range m.classes {
 		excess += c.excess
 		total += c.within + c.excess
 	}
-	return excess > minExcessPart*total
+	return excess > max(minExcessPart*total, minWork)
 }
 
 // means returns the mean useful time and the mean run time in seconds.
--- a/policy/room/overload.go
+++ b/policy/room/overload.go
@@ -6,9 +6,10 @@
 )
 
 const (
-	// standingWaiting is the number of waiting requests for each slot from which on a service is
-	// overloaded.
-	standingWaiting = 0.15
+	// standingWaiting is the number of waiting requests for each slot from which on a service with
+	// many slots is overloaded. By chance more wait where there are few slots: standingByChance
+	// over the square root of their number.
+	standingWaiting, standingByChance = 0.1, 1.0
 	// burstTime is the time for which an overload is taken for a burst; within settleTime after
 	// that it becomes a lasting one.
 	burstTime, settleTime = 6 * time.Second, 2 * time.Second
@@ -33,13 +34,15 @@
 	at      time.Duration
 }
 
-// observe notes the waiting requests for each slot.
-func (o *overload) observe(waiting float64, now time.Duration) {
+// observe notes the load of the service.
+func (o *overload) observe(load Load, now time.Duration) {
+	waiting := load.waiting()
+	standing := standingWaiting + standingByChance/math.Sqrt(max(load.Slots, 1))
 	step := now - o.at
 	o.at = now
 	o.average += (waiting - o.average) * (1 - math.Exp(-step.Seconds()/trendTime.Seconds()))
 	switch {
-	case waiting < standingWaiting:
+	case waiting < standing:
 		o.time = max(o.time-recoveryFactor*min(step, maxStep), 0)
 	case waiting > o.average-fallingBy:
 		o.time += min(step, maxStep)
--- a/policy/room/room.go
+++ b/policy/room/room.go
@@ -26,7 +26,8 @@
 type Request struct {
 	// Priority is its rank; 0 is the most urgent.
 	Priority int
-	// Customer is the name of its customer; empty when it has none.
+	// Customer is the name of its customer; empty when it has none. Such a request never exceeds
+	// an entitlement.
 	Customer string
 	// RunTime is the expected duration of its attempt, without waiting.
 	RunTime time.Duration
@@ -105,13 +106,15 @@
 // Decide returns whether a request is admitted, and counts it among the arrivals. The uptime
 // must not decrease from call to call.
 func (s *Service) Decide(load Load, request Request, now time.Duration) Decision {
-	s.overload.observe(load.waiting(), now)
+	s.overload.observe(load, now)
 	account := s.customers.account(request.Customer, now)
 	inExcess := false
 	if !request.IsRetry {
 		work := request.RunTime.Seconds()
-		s.customers.advance(load.share(), s.mix.hasExcess(), now)
-		inExcess = s.customers.charge(account, work, load.MeanRunTime.Seconds(), now)
+		s.customers.advance(load.share(), s.hasExcess(load), now)
+		if request.Customer != "" {
+			inExcess = s.customers.charge(account, work, load.MeanRunTime.Seconds(), now)
+		}
 		s.mix.add(request, inExcess, now)
 	}
 	wait := time.Duration(load.waiting() * float64(load.MeanRunTime))
@@ -135,7 +138,7 @@
 	if request.IsRetry {
 		return firstOf(level, band.from), CauseUrgency
 	}
-	if !inExcess || !s.mix.hasExcess() {
+	if !inExcess || !s.hasExcess(load) {
 		return partOf(level, band.from, band.from+band.within), CauseUrgency
 	}
 	part := partOf(level, band.from+band.within, band.until)
@@ -145,6 +148,11 @@
 	return part, CauseExcess
 }
 
+// hasExcess reports whether customers exceed their entitlements by more than comes from chance.
+func (s *Service) hasExcess(load Load) bool {
+	return s.mix.hasExcess(minExcessRequests * load.MeanRunTime.Seconds())
+}
+
 // level returns the share of the arriving work that is admitted.
 func (s *Service) level(load Load) float64 {
 	burst, lasting := s.maxWaiting(load.MeanRunTime)
