--- a/policy/room/overload.go
+++ b/policy/room/overload.go
@@ -9,7 +9,7 @@
 	// standingWaiting is the number of waiting requests for each slot from which on a service with
 	// many slots is overloaded. By chance more wait where there are few slots: standingByChance
 	// over the square root of their number.
-	standingWaiting, standingByChance = 0.1, 1.0
+	standingWaiting, standingByChance = 0.1, 1.8
 	// burstTime is the time for which an overload is taken for a burst; within settleTime after
 	// that it becomes a lasting one.
 	burstTime, settleTime = 6 * time.Second, 2 * time.Second
