--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -345,10 +345,3 @@
 	defer m.mu.Unlock()
 	return m.meanRunTime
 }
-
-// SetBudget changes the retry budget of the fleet.
-func (m *Manager) SetBudget(budget Budget) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.options.Budget = budget
-}
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// SetBudget changes the retry budget of the fleet.
+func (m *Manager) SetBudget(budget Budget) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.options.Budget = budget
+}
+
 func (m *Manager) sweep() {
 	sharers, now := m.options.Sharers(), m.options.Uptime()
 	m.mu.Lock()
