--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -139,6 +139,10 @@
 	reference, overallServiceTime := s.reference(wanted.Route.Name), s.overall.MeanServiceTime(defaultAttemptDuration)
 	candidates, targets, held := m.candidates(s, wanted, openConnectionOnly, now)
 	s.suspectShare = suspectShare(candidates)
+	m.markFull(candidates, targets, overallServiceTime, now)
+	if refusal := m.admit(s, wanted, candidates, reference.MeanServiceTime(overallServiceTime), overallServiceTime, now); refusal != nil {
+		return nil, refusal
+	}
 	mayRetry := wanted.SentAttempts+1 < wanted.Route.MaxAttempts
 	choice := placement.Choose(candidates, placement.AttemptRequest{
 		Idempotent:       wanted.Route.Kind.Idempotent(),
@@ -152,6 +156,7 @@
 		Remaining:        wanted.Remaining,
 		UsefulTime:       wanted.Useful,
 		Priority:         wanted.Priority,
+		QueuePerSlot:     s.queuePerSlot(),
 	}, m.random)
 	if choice.Reason == placement.ReasonNoTarget && s.hasUnreachable() {
 		return nil, &Refusal{Reason: ReasonCutOff}
@@ -299,6 +304,8 @@
 	Err error
 	// Sent is true once a byte of the request was written.
 	Sent bool
+	// RefusedFull is true when the target refused the attempt for lack of room, as Load shows.
+	RefusedFull bool
 	// Misplaced is true when another instance answered at the target's address.
 	Misplaced bool
 }
@@ -320,6 +327,7 @@
 		a.service.budget.Refund()
 	}
 	a.releaseSlot(result)
+	a.target.held.Ended(endsOf(result))
 	a.target.bytes.remove(a.bytes)
 	a.recordDuration(result, now)
 	m.meanRunTime += (now - a.startedAt - m.meanRunTime) / runTimeWindow
--- a/entry/targetset/start.go
+++ b/entry/targetset/start.go
@@ -10,6 +10,7 @@
 func (m *Manager) start(s *service, t *target, candidate placement.Candidate, wanted AttemptRequest, now time.Duration) *Attempt {
 	t.limiter.bucket.Spend()
 	t.ownAttempts++
+	t.held.Begun(1)
 	t.bytes.add(wanted.Bytes, now)
 	t.everAttempted = true
 	t.lastAttemptAt = now
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -35,6 +35,13 @@
 	}
 }
 
+// SetBudget changes the retry budget of the fleet.
+func (m *Manager) SetBudget(budget Budget) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.options.Budget = budget
+}
+
 func (m *Manager) sweep() {
 	sharers, now := m.options.Sharers(), m.options.Uptime()
 	m.mu.Lock()
@@ -47,6 +54,7 @@
 	for name, s := range m.services {
 		s.budget.Reconfigure(m.options.Budget.Ratio, m.options.Budget.Allowance, sharers, now)
 		m.updateGauges(name, s, now)
+		m.updateRoom(name, s, now)
 	}
 }
 
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -28,7 +28,7 @@
 	// a request must exceed for a trial or an exploratory attempt.
 	minTrialServiceTimes = 3
 	// maxQueuePerSlot is the number of requests that may wait at a target for each
-	// of its slots.
+	// of its slots, unless the request names another one.
 	maxQueuePerSlot = 2.0
 	// lowestMinUtility is the expected utility below which a request of priority 0
 	// or 1 does not wait. The limit rises by minUtilityStep for each further
@@ -55,6 +55,8 @@
 	Unused bool
 	// Blocked is true while this VM cannot reach the target.
 	Blocked bool
+	// Full is true from a refusal of the target for lack of room until a place is free again.
+	Full bool
 	// SinceAttempt is the time since any VM was last known to attempt it.
 	SinceAttempt time.Duration
 	// LastSucceeded is true when the latest attempt that succeeded or failed at the
@@ -62,6 +64,9 @@
 	LastSucceeded bool
 }
 
+// isIdle reports whether this VM can reach the target and nothing is known to run there.
+func (c Candidate) isIdle() bool { return !c.Blocked && !c.Full && c.InUse == 0 }
+
 // IsSuspect reports whether the target is a suspect.
 func (c Candidate) IsSuspect() bool { return IsSuspect(c.Failing, c.Slow) }
 
@@ -96,6 +101,17 @@
 	UsefulTime time.Duration
 	// Priority is the route's priority; 0 is the highest.
 	Priority int
+	// QueuePerSlot is the number of requests that may wait at a target for each of its slots;
+	// zero for the usual number.
+	QueuePerSlot float64
+}
+
+// queuePerSlot returns the number of requests that may wait at a target for each slot.
+func (r AttemptRequest) queuePerSlot() float64 {
+	if r.QueuePerSlot > 0 {
+		return r.QueuePerSlot
+	}
+	return maxQueuePerSlot
 }
 
 // Reason is why no target was chosen.
@@ -174,7 +190,7 @@
 // slot for the retry after a failed trial.
 func hasFreeHealthyTarget(candidates []Candidate) bool {
 	for _, c := range candidates {
-		if !c.Blocked && !c.IsSuspect() && c.InUse < c.Slots {
+		if !c.Blocked && !c.Full && !c.IsSuspect() && c.InUse < c.Slots {
 			return true
 		}
 	}
@@ -184,7 +200,7 @@
 // isDueForTrial reports whether a suspect gets a trial: trialInterval after a
 // failure, but at once after a success, because a few successes clear it.
 func (c Candidate) isDueForTrial() bool {
-	return !c.Blocked && c.IsSuspect() && c.InUse == 0 && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
+	return c.isIdle() && c.IsSuspect() && (c.LastSucceeded || c.SinceAttempt >= trialInterval)
 }
 
 // mayHaveRecovered reports whether a suspect has served its latest attempt. It gets the next
@@ -192,7 +208,7 @@
 // next failure, and one that has recovered is cleared by a few successes, which explorations
 // alone would bring only after many seconds.
 func (c Candidate) mayHaveRecovered() bool {
-	return !c.Blocked && c.InUse == 0 && c.LastSucceeded && c.Failing >= minSuspicion && c.Slow < minSuspicion
+	return c.isIdle() && c.LastSucceeded && c.Failing >= minSuspicion && c.Slow < minSuspicion
 }
 
 // isDueForRequest reports whether an idle target gets the request because it had
@@ -203,7 +219,7 @@
 		limit = maxIdleIdempotent
 	}
 	near := c.SameZone || request.Bytes <= maxExploreBytes
-	return !c.Blocked && c.InUse == 0 && near && c.SinceAttempt >= limit
+	return c.isIdle() && near && c.SinceAttempt >= limit
 }
 
 // pickRandom returns the index of a random matching candidate, or -1.
@@ -225,10 +241,13 @@
 // full or whose response would have too little expected utility.
 func admit(c Candidate, index int, request AttemptRequest) Choice {
 	wait := expectedWait(c, request.QueueServiceTime)
+	if c.Full {
+		return Choice{Reason: ReasonFull, Wait: max(wait, request.QueueServiceTime/time.Duration(max(c.Slots, 1)))}
+	}
 	if wait == 0 {
 		return Choice{Index: index}
 	}
-	if float64(c.InUse-c.Slots) >= maxQueuePerSlot*float64(c.Slots) {
+	if float64(c.InUse-c.Slots) >= request.queuePerSlot()*float64(c.Slots) {
 		return Choice{Reason: ReasonFull, Wait: wait}
 	}
 	if expectedUtility(c, request) < minUtilityToWait(request.Priority) {
