--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -179,6 +179,11 @@
 			return Choice{Index: index}, true
 		}
 	}
+	// A sound target of the own zone is as good as another, so it needs no credit.
+	isSound := func(c Candidate) bool { return c.SameZone && !c.IsSuspect() && c.isDueForRequest(request) }
+	if index := pickRandom(candidates, random, isSound); index >= 0 {
+		return Choice{Index: index}, true
+	}
 	if !request.MayExplore {
 		return Choice{}, false
 	}
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -214,3 +214,21 @@
 		}
 	}
 }
+
+// TestSoundTargetsOfTheZoneStayInUseUnderLightLoad guards against sound targets that get nothing
+// for seconds in a service with many more slots than requests, since each VM prefers the same
+// few: targets that then fail, or recover, are noticed late, and the rest carry all requests.
+func TestSoundTargetsOfTheZoneStayInUseUnderLightLoad(t *testing.T) {
+	idle, far, suspect := healthyTarget("idle"), healthyTarget("far"), healthyTarget("suspect")
+	idle.SinceAttempt, far.SinceAttempt, suspect.SinceAttempt = maxIdleIdempotent, maxIdleIdempotent, maxIdleIdempotent
+	idle.Slots = 1 // less attractive than the one in use
+	far.SameZone, suspect.Failing = false, 0.9
+	request := idempotentRequest()
+	request.MayRunTrial, request.MayExplore = false, false
+	if got := Choose([]Candidate{healthyTarget("used"), far, suspect, idle}, request, newRNG()); got.Index != 3 || got.Exploratory {
+		t.Errorf("chose %+v, want the idle sound target of the zone", got)
+	}
+	if got := Choose([]Candidate{healthyTarget("used"), far, suspect}, request, newRNG()); got.Index != 0 {
+		t.Errorf("chose %+v, want neither the far target nor the suspect without credit", got)
+	}
+}
