--- a/config/routing/table.go
+++ b/config/routing/table.go
@@ -37,7 +37,7 @@
 	}
 	for i := range document.Routes {
 		route := &document.Routes[i]
-		if err := t.validateRoute(route); err != nil {
+		if err := route.Validate(t.hasService); err != nil {
 			return nil, fmt.Errorf("compile routes version %d: %w", document.Version, err)
 		}
 		host := strings.ToLower(route.Host)
@@ -60,26 +60,27 @@
 // Problems returns the parts of the document that are left out or restricted.
 func (t *Table) Problems() []Problem { return t.problems }
 
-// validateRoute returns an error for a route that cannot be served.
-func (t *Table) validateRoute(route *Route) error {
-	if !strings.HasPrefix(route.Prefix, "/") || !strings.HasSuffix(route.Prefix, "/") {
-		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", route.Name, route.Prefix)
+// Validate returns an error for a route that cannot be served with the services that
+// hasService knows by name.
+func (r *Route) Validate(hasService func(name string) bool) error {
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return fmt.Errorf("route %s: prefix %q does not begin and end with a slash", r.Name, r.Prefix)
 	}
-	if len(route.Split) == 0 {
-		return fmt.Errorf("route %s has no service", route.Name)
+	if len(r.Split) == 0 {
+		return fmt.Errorf("route %s has no service", r.Name)
 	}
 	total := 0.0
-	for _, share := range route.Split {
-		if _, ok := t.services[share.Service]; !ok {
-			return fmt.Errorf("route %s refers to the unknown service %s", route.Name, share.Service)
+	for _, share := range r.Split {
+		if !hasService(share.Service) {
+			return fmt.Errorf("route %s refers to the unknown service %s", r.Name, share.Service)
 		}
 		if share.Weight < 0 {
-			return fmt.Errorf("route %s: weight %v of service %s is negative", route.Name, share.Weight, share.Service)
+			return fmt.Errorf("route %s: weight %v of service %s is negative", r.Name, share.Weight, share.Service)
 		}
 		total += share.Weight
 	}
 	if total <= 0 {
-		return fmt.Errorf("route %s: the sum of the weights is zero", route.Name)
+		return fmt.Errorf("route %s: the sum of the weights is zero", r.Name)
 	}
 	return nil
 }
@@ -96,6 +97,11 @@
 	return service, ok
 }
 
+func (t *Table) hasService(name string) bool {
+	_, ok := t.services[name]
+	return ok
+}
+
 // ServiceCount returns the number of services.
 func (t *Table) ServiceCount() int { return len(t.services) }
 
