--- a/cmd/primroseloom/check.go
+++ b/cmd/primroseloom/check.go
@@ -20,14 +20,24 @@
 
 func newCheck() *cobra.Command {
 	var asJSON, asSettings bool
+	var published publishedOptions
 	command := &cobra.Command{
-		Use:   "check FILE...",
-		Short: "Check deployments or VM settings before they are published",
-		Long:  "Check deployments (services, routes, templates and customers), or with\n--settings the settings of VMs. All problems are reported at once; exits with 1 if there are any.",
+		Use:   "check FILE... | check --published FILE [--against FILE] [--settings FILE]",
+		Short: "Check deployments, published routes or VM settings before they are published",
+		Long: "Check deployments (services, routes, templates and customers), or with\n--settings the settings of VMs. All problems are reported at once; exits with 1 if there are any.\n\n" +
+			"With --published, check routes in the platform's form; --against prints what\ndiffers from the version in force, and --settings names the settings of a VM of\n`primroseloomd front`. Exits with 1 if there are errors; warnings do not count.",
 		Example: "  primroseloom check deployment.json\n" +
-			"  primroseloom check --settings vm-1.json vm-2.json --json",
-		Args: cobra.MinimumNArgs(1),
+			"  primroseloom check --settings vm-1.json vm-2.json --json\n" +
+			"  primroseloom check --published new.json\n" +
+			"  primroseloom check --published new.json --against in-force.json --settings vm-1.json\n" +
+			"  primroseloom check --published new.json --targets berth=190,manifest=20 --capacity berth=900,manifest=90",
 		RunE: func(command *cobra.Command, files []string) error {
+			if err := published.validate(files, asSettings); err != nil {
+				return err
+			}
+			if published.file != "" {
+				return checkPublished(command, &published, files, asJSON)
+			}
 			failed := 0
 			for _, file := range files {
 				result, err := checkFile(file, asSettings)
@@ -49,6 +59,7 @@
 	}
 	command.Flags().BoolVar(&asJSON, "json", false, "print one line of JSON per file")
 	command.Flags().BoolVar(&asSettings, "settings", false, "the files are VM settings")
+	addPublishedFlags(command, &published)
 	return command
 }
 
