check: warns of services without routes in our own documents

Cause: a deployment may define a service that no route uses, unnoticed. Change: config/check.Warnings; check prints them after ok, and as warnings in JSON. They do not fail the check.

--- a/cmd/primroseloom/check.go
+++ b/cmd/primroseloom/check.go
@@ -16,6 +16,8 @@
 	File     string          `json:"file"`
 	OK       bool            `json:"ok"`
 	Problems []check.Problem `json:"problems"`
+	// Warnings do not make the check fail.
+	Warnings []check.Problem `json:"warnings,omitempty"`
 }
 
 func newCheck() *cobra.Command {
@@ -72,8 +74,11 @@
 	if asSettings {
 		result.Problems = append(result.Problems, settingsProblems(content)...)
 	} else {
-		_, problems := check.Parse(content)
+		deployment, problems := check.Parse(content)
 		result.Problems = append(result.Problems, problems...)
+		if len(problems) == 0 {
+			result.Warnings = check.Warnings(deployment)
+		}
 	}
 	result.OK = len(result.Problems) == 0
 	return result, nil
@@ -98,8 +103,14 @@
 		return writeJSON(out, result)
 	}
 	if result.OK {
-		_, err := fmt.Fprintf(out, "%s: ok\n", result.File)
-		return err
+		if _, err := fmt.Fprintf(out, "%s: ok\n", result.File); err != nil {
+			return err
+		}
+	}
+	for _, warning := range result.Warnings {
+		if _, err := fmt.Fprintf(out, "%s: warning: %v\n", result.File, warning); err != nil {
+			return err
+		}
 	}
 	for _, problem := range result.Problems {
 		if _, err := fmt.Fprintf(out, "%s: %v\n", result.File, problem); err != nil {
--- a/cmd/primroseloom/check_published_test.go
+++ b/cmd/primroseloom/check_published_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"testing"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/routing/review"
 	"github.com/primroseloom/primroseloom/operator/exit"
 )
@@ -84,3 +85,17 @@
 		t.Errorf("output %q holds a key", out)
 	}
 }
+
+// TestCheckWarnsOfServiceWithoutRoute guards against a warning that fails the check, or is not
+// printed.
+func TestCheckWarnsOfServiceWithoutRoute(t *testing.T) {
+	file := deploymentFile(t, func(d *document.Deployment) {
+		for i := range d.Routes {
+			d.Routes[i].Service = d.Services[0].Name
+		}
+	})
+	out, code := run(t, "check", file)
+	if code != exit.CodeSuccess || !strings.Contains(out, "warning: services[1].name") {
+		t.Errorf("code %d, output %q", code, out)
+	}
+}
