soak: callers with keys, withdrawn keys and a customer's limit

Beside another build these settings are left out, since older builds refuse settings that they don't know.

--- a/entry/settings/frontend.go
+++ b/entry/settings/frontend.go
@@ -28,11 +28,11 @@
 	// Retries bounds the retries that all instances together may make.
 	Retries Retries `json:"repeats"`
 	// Keys bounds how long a withdrawn key may be served.
-	Keys Keys `json:"keys"`
+	Keys Keys `json:"keys,omitzero"`
 	// Quotas bounds how far customers may exceed their rate limits, which the routes hold.
-	Quotas Quotas `json:"quotas"`
+	Quotas Quotas `json:"quotas,omitzero"`
 	// Hedging allows second attempts of slow idempotent requests.
-	Hedging Hedging `json:"hedging"`
+	Hedging Hedging `json:"hedging,omitzero"`
 	// Directory controls what callers are told about the VMs to use.
 	Directory FrontendDirectory `json:"directory"`
 	// Stop bounds a planned stop.
@@ -66,7 +66,7 @@
 	// LinkMbps is the bandwidth of the VM's link in megabits a second.
 	LinkMbps float64 `json:"link_mbps" validate:"min=0.1,max=1000000"`
 	// MemoryMB is the memory that the instance may use, in megabytes; 0 sets no bound on the bytes that are held for requests and responses.
-	MemoryMB float64 `json:"memory_mb" validate:"min=0,max=10000000"`
+	MemoryMB float64 `json:"memory_mb,omitzero" validate:"min=0,max=10000000"`
 }
 
 // Keys bounds how long a withdrawn key may be served.
--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -21,6 +21,8 @@
 	statusServed = http.StatusOK
 	// statusNoRoute is the status of a response when no route matches.
 	statusNoRoute = http.StatusNotFound
+	// statusNoKey is the status of a response to a request without a valid key.
+	statusNoKey = http.StatusUnauthorized
 	// routeTimeout is the timeout of all routes.
 	routeTimeout = 1200 * time.Millisecond
 	// callerTimeout is how long a caller waits for a response; longer than routeTimeout.
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -51,6 +51,9 @@
 	PromisePartitioned      Promise = "daemon that reaches no target serves like the others"
 	PromiseRateLimit        Promise = "target's own limit holds"
 	PromisePause            Promise = "target gets the pause that it asks for"
+	PromiseCustomer         Promise = "target learns the customer and never the key"
+	PromiseKeyWithdrawn     Promise = "withdrawn key runs nowhere"
+	PromiseQuota            Promise = "customer's limit holds over all daemons"
 )
 
 // timeBoundPromises are the promises that depend on how fast the machine is.
@@ -129,6 +132,9 @@
 	partitions []partitionRecord
 	// arrivals holds, by process of a target, the requests that reached it.
 	arrivals map[string][]arrival
+	// keyedRequests are the requests with keys, keyedRuns their executions.
+	keyedRequests []keyedRequest
+	keyedRuns     []keyedRun
 	// lastFaultEnd is when fault injection ended.
 	lastFaultEnd time.Time
 	violations   []Violation
@@ -273,6 +279,7 @@
 	c.checkSoundRefusals()
 	c.checkPartitions()
 	c.checkNotices()
+	c.checkKeys()
 	if timeBounds {
 		return c.violations
 	}
--- a/operator/soak/fleet.go
+++ b/operator/soak/fleet.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/entry/settings"
 )
 
@@ -106,7 +107,7 @@
 			index:        i,
 			settingsFile: filepath.Join(options.Directory, "vm-"+strconv.Itoa(i)+".json"),
 			logFile:      filepath.Join(options.Directory, "vm-"+strconv.Itoa(i)+".log"),
-			settings:     daemonSettings(options.AddressBase, i),
+			settings:     daemonSettingsFor(options, i),
 		}
 		var err error
 		if v.callersLink, err = newLink(ctx, address(options.AddressBase, kindCallersLink, i, portCallers), v.settings.Listen.Callers); err != nil {
@@ -137,11 +138,23 @@
 		Callers: at(portCallers), Readiness: at(portReadiness), Directory: at(portDirectory),
 		Peers: at(portPeers), Evidence: at(portEvidence), Admin: at(portAdmin),
 	}
+	set.Keys.RevokedWithin = document.Duration(keysRevokedWithin)
+	set.Quotas = settings.Quotas{Window: document.Duration(quotaWindow), Overrun: quotaOverrun, Slack: quotaSlack}
 	set.SourceAddress = addressIP(base, kindDaemon, i)
 	set.FirstPeers = []string{address(base, kindDaemon, 0, portPeers), address(base, kindDaemon, 1, portPeers)}
 	return set
 }
 
+// daemonSettingsFor returns a daemon's settings. Builds from before customers had keys refuse
+// settings that they don't know, so these are left out beside another build.
+func daemonSettingsFor(options Options, i int) settings.Frontend {
+	set := daemonSettings(options.AddressBase, i)
+	if options.OtherDaemonPath != "" {
+		set.Keys, set.Quotas, set.Hedging = settings.Keys{}, settings.Quotas{}, settings.Hedging{}
+	}
+	return set
+}
+
 // zoneOf spreads VMs and targets over two availability zones.
 func zoneOf(i int) string { return []string{"zone-a", "zone-b"}[i%2] }
 
--- a/operator/soak/restore.go
+++ b/operator/soak/restore.go
@@ -57,7 +57,8 @@
 func (s *soak) republishRoutes() {
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
-	s.store.PublishRoutes(routesOf(s.newestVersion()))
+	version := s.newestVersion()
+	s.store.PublishRoutes(routesOf(version), s.customersOf(version)...)
 }
 
 // runningTargets returns the targets that have not ended.
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -123,6 +123,10 @@
 		c := s.newRowCaller(i)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	for i := range s.keyedCallers() {
+		c := s.newKeyedCaller(i)
+		load.Go(func() { c.run(loadCtx) })
+	}
 	for i := range options.CrashingRequests {
 		c := s.newCrashingCaller(i)
 		load.Go(func() { c.run(loadCtx) })
@@ -211,7 +215,7 @@
 	s.publishing.Lock()
 	defer s.publishing.Unlock()
 	next := s.newestVersion() + 1
-	s.store.PublishRoutes(routesOf(next))
+	s.store.PublishRoutes(routesOf(next), s.customersOf(next)...)
 	s.checker.recordPublication(next, time.Now())
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -226,6 +230,7 @@
 		return routing.Route{
 			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout,
 			Objective: routeTimeout / 2, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
+			Public: prefix != keyedPrefix,
 		}
 	}
 	return routing.Document{
@@ -234,7 +239,7 @@
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []routing.Route{
 			route("/book"+name+"/", routing.KindOnce), route("/look"+name+"/", routing.KindIdempotent),
-			route(crashOncePrefix, routing.KindOnce), route(crashPrefix, routing.KindIdempotent),
+			route(crashOncePrefix, routing.KindOnce), route(crashPrefix, routing.KindIdempotent), route(keyedPrefix, routing.KindOnce),
 		},
 	}
 }
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -162,6 +163,9 @@
 		panic(http.ErrAbortHandler)
 	}
 	t.checker.recordRun(run{requestID: attempt.AttemptID, target: t.id(), at: time.Now(), vm: sender, linkHarmed: t.link.harmedWithin(StabilityTime), targetFaulty: fault != targetHealthy})
+	if strings.HasPrefix(r.URL.Path, keyedPrefix) {
+		t.checker.recordKeyedRun(keyedRun{requestID: attempt.AttemptID, target: t.id(), customer: attempt.Customer, hasKey: attempt.Key != "", at: time.Now()})
+	}
 	metadata.Signed = true
 	t.respond(r.Context(), w, metadata, fault, expectedBody(attempt.AttemptID, body))
 }
