--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -30,6 +30,10 @@
 short=$(echo "$packages" | grep -vE '/entry/(config|daemon|proxy)$')
 known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow|TestLostEvidenceArrivesByACall)$'
 go test -race -count=1 -timeout 20m -skip "$known_red" $short
+# Bounds of real time and of a process's memory hold for the product, not for code with the
+# race detector, so these tests run without it once more.
+go test -count=1 -timeout 20m -run '^(TestReviewOfLargeRoutesIsFast|FuzzReviewRoutes)$' ./platform
+go test -count=1 -timeout 20m -run '^TestSlowReadersStayWithinTheMemory$' ./entry/gateway
 go test -count=1 -timeout 20m $long
 for package in $long; do
   if go test -race -count=1 -timeout 20m "$package" >"$bin/race.log" 2>&1; then
