quotas: a VM that is no primary VM any more reserves no part of the limits

While a fleet finds its members one by one, each VM is a primary VM for a moment in views that hold few others; for 6 s each of them then counted as a silent VM, for which an even share is reserved. Now only VMs that were lost as primary VMs count on.

--- a/entry/frontend/quotas.go
+++ b/entry/frontend/quotas.go
@@ -30,12 +30,20 @@
 	return &servingVMs{fleet: vms, primaryAt: make(map[string]time.Duration)}
 }
 
-// peers returns the other VMs that are primary VMs or were so lately.
+// peers returns the other VMs that are primary VMs, or were so when they were lost lately. A
+// VM that is well but no primary VM any more gets no callers and sends no heartbeats; counted
+// as silent it would reserve a part of each limit, as dozens of VMs did while a fleet that had
+// restarted found its members one by one.
 func (s *servingVMs) peers() []quota.Peer {
-	now, self := s.fleet.now(), s.fleet.members.Self().GetVm()
+	now, self, v := s.fleet.now(), s.fleet.members.Self().GetVm(), s.fleet.view.Load()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for vm := range s.fleet.view.Load().primaries {
+	for _, vm := range v.vms {
+		if vm.Usable && !v.primaries[vm.Name] {
+			delete(s.primaryAt, vm.Name)
+		}
+	}
+	for vm := range v.primaries {
 		s.primaryAt[vm] = now
 	}
 	var peers []quota.Peer
--- a/entry/frontend/quotas_test.go
+++ b/entry/frontend/quotas_test.go
@@ -37,6 +37,34 @@
 	}
 }
 
+// TestVMThatIsNoPrimaryVMAnyMoreReservesNothing guards against customers that are refused far
+// below their limits after all VMs have restarted: each VM was a primary VM for a moment in a
+// view that held few others, and then counted as silent.
+func TestVMThatIsNoPrimaryVMAnyMoreReservesNothing(t *testing.T) {
+	now := time.Minute
+	all := members("vm-1", "vm-2", "vm-3", "vm-4", "vm-5")
+	f := newTestFleet(all[:3], fakePeerReports{}, &now)
+	serving := newServingVMs(f)
+	f.updateView()
+	if got := serving.peers(); len(got) != 2 {
+		t.Fatalf("%v", got)
+	}
+	for _, larger := range all[3:] {
+		larger.Capacity = 100
+	}
+	all[0].Capacity = 100
+	f.members = all
+	f.updateView()
+	now += 100 * time.Millisecond
+	names := make(map[string]bool)
+	for _, peer := range serving.peers() {
+		names[peer.VM] = true
+	}
+	if len(names) != 2 || !names["vm-4"] || !names["vm-5"] {
+		t.Errorf("%v share the limits, want the larger VMs only", names)
+	}
+}
+
 // TestDefaultSettingsLimitNobody guards against limits that act without the setting.
 func TestDefaultSettingsLimitNobody(t *testing.T) {
 	if got := quotaSettings(settings.DefaultFrontend()); got.Window != 0 {
