--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -181,8 +181,10 @@
 	}
 	// A sound target of the own zone is as good as another for a request that may be retried, so
 	// it needs no credit. One that has failed before becomes sound again by time alone.
-	isSound := func(c Candidate) bool { return c.SameZone && !c.IsSuspect() && c.isDueForRequest(request) }
-	if index := pickRandom(candidates, random, isSound); request.Idempotent && index >= 0 {
+	isSound := func(c Candidate) bool {
+		return request.Idempotent && c.SameZone && !c.IsSuspect() && c.isDueForRequest(request)
+	}
+	if index := pickRandom(candidates, random, isSound); index >= 0 {
 		return Choice{Index: index}, true
 	}
 	if !request.MayExplore {
