Names and comments after a reading by a newcomer; room: the level of a late refusal is told

Renamed with all uses: Supersede, progressTimeout, Fullness, PrimaryVMs, responseSize, buckets, takePromptWatch, takeFullReport. Tests of policy, entry, config and operator/soak pass (short).

--- a/config/routing/routing.go
+++ b/config/routing/routing.go
@@ -70,8 +70,8 @@
 	Timeout time.Duration
 	// Objective is the latency objective: a response within this time has its full utility.
 	Objective time.Duration
-	// Priority ranks routes under overload; 0 is served first. A customer's own priority goes
-	// before it.
+	// Priority ranks routes under overload; 0 is served first. A customer's own priority takes
+	// precedence.
 	Priority int
 	// Public is true when callers need no key.
 	Public bool
--- a/entry/crashes/checker.go
+++ b/entry/crashes/checker.go
@@ -188,8 +188,8 @@
 }
 
 // crashesOf returns the crashes that the finding and the published targets show, and
-// forgets the lost attempts behind confirmed ones; the lock is held. The end of a target that
-// held much counts as little as one that it survived: the amount is suspected first.
+// forgets the lost attempts behind confirmed ones; the lock is held. A crash of a target
+// that held many bytes of other requests is weak evidence: those bytes may have ended it.
 func (c *checker) crashesOf(key process, state *checkedProcess) []requestCrash {
 	ended := c.isConfirmed(state)
 	confirmed := ended || state.finding == liveness.Crashed
--- a/entry/follow/ask.go
+++ b/entry/follow/ask.go
@@ -14,9 +14,9 @@
 const (
 	// askInterval is the time between two rounds of calls.
 	askInterval = 700 * time.Millisecond
-	// hurriedInterval is the same after a round in which no peer confirmed the routes, and while
+	// shortAskInterval is the same after a round in which no peer confirmed the routes, and while
 	// the versions are compared after a start or after the store was restored.
-	hurriedInterval = 100 * time.Millisecond
+	shortAskInterval = 100 * time.Millisecond
 	// nextPeerDelay is how long a call may take before the next peer is called, too. An answer
 	// takes a few milliseconds within a region; less than a second may be left when the peers
 	// that were asked before are cut off.
@@ -86,7 +86,7 @@
 	if f.keys.state == nil || f.options.Peers == nil {
 		return
 	}
-	interval := hurriedInterval
+	interval := shortAskInterval
 	for {
 		timer := time.NewTimer(interval)
 		select {
@@ -97,7 +97,7 @@
 			timer.Stop()
 		case <-timer.C:
 		}
-		interval = hurriedInterval
+		interval = shortAskInterval
 		if f.table.Load() == nil {
 			continue
 		}
--- a/entry/follow/ask_round.go
+++ b/entry/follow/ask_round.go
@@ -32,7 +32,7 @@
 	isSearching := peers > 0 && best == askFailed
 	isComparing := !compared && best != askUnknown
 	if isSearching || isComparing {
-		return hurriedInterval
+		return shortAskInterval
 	}
 	return askInterval
 }
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -66,15 +66,15 @@
 	}
 }
 
-// hurriedFetchTime bounds a fetch from other instances while requests with keys wait for the
+// shortFetchTimeout bounds a fetch from other instances while requests with keys wait for the
 // store to confirm the routes.
-const hurriedFetchTime = 400 * time.Millisecond
+const shortFetchTimeout = 400 * time.Millisecond
 
 // fetchDuringFailure fetches changes from any instance between two calls to a store that
 // fails.
 func (f *Follower) fetchDuringFailure(ctx context.Context) {
 	if f.needsStore() {
-		limited, cancel := context.WithTimeout(ctx, hurriedFetchTime)
+		limited, cancel := context.WithTimeout(ctx, shortFetchTimeout)
 		defer cancel()
 		ctx = limited
 	}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -201,7 +201,7 @@
 	if lost {
 		wait = firstWatchWait // the store may have come back from a copy, and have no change to tell
 	}
-	if f.needsPromptAnswer() {
+	if f.takePromptWatch() {
 		wait = firstWatchWait
 	}
 	sent := f.options.Uptime()
--- a/entry/follow/keys.go
+++ b/entry/follow/keys.go
@@ -120,8 +120,8 @@
 	return f.keys.isUsed(now) && f.keys.state.NeedsStore(now)
 }
 
-// needsPromptAnswer reports whether the next watch is to end soon, and records that it does.
-func (f *Follower) needsPromptAnswer() bool {
+// takePromptWatch reports whether the next watch is to end soon, and records that it does.
+func (f *Follower) takePromptWatch() bool {
 	if !f.authenticates() {
 		return false
 	}
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -48,8 +48,8 @@
 // view is a snapshot of the fleet.
 type view struct {
 	vms []offer.VM
-	// arrangement holds the primary VMs by zone.
-	arrangement offer.Arrangement
+	// primaryVMs holds the primary VMs by zone.
+	primaryVMs offer.PrimaryVMs
 	// primaries names the primary VMs of all zones; senders are the same VMs, among which
 	// the limits of targets are shared.
 	primaries map[string]bool
@@ -156,14 +156,14 @@
 	}
 	v.vms = offer.WithoutCutOff(v.vms, func(vm offer.VM) bool { return f.cutOff(vm.Name, v) })
 	v.vms = offer.WithoutKeysNotCurrent(v.vms, func(vm offer.VM) bool { return f.notCurrent(vm.Name, v) })
-	v.arrangement = offer.Arrange(v.vms, f.settings)
-	for _, vm := range v.arrangement.All() {
+	v.primaryVMs = offer.ChoosePrimaryVMs(v.vms, f.settings)
+	for _, vm := range v.primaryVMs.All() {
 		v.primaries[vm.Name] = true
 		v.senders = append(v.senders, vm.Name)
 	}
 	v.isPrimary, v.sharers = v.primaries[self.GetVm()], max(len(v.primaries), 1)
 	v.peers = f.selectPeers(members, v.primaries)
-	for _, vm := range v.arrangement.StoreWatchers() {
+	for _, vm := range v.primaryVMs.StoreWatchers() {
 		v.storeWatchers[vm.Name] = true
 	}
 	v.watchesStore = v.storeWatchers[self.GetVm()]
@@ -260,7 +260,7 @@
 // advertised returns the addresses that are advertised to one caller of a zone.
 func (f *fleet) advertised(zone string) []string {
 	v := f.view.Load()
-	shown := f.carriers.sample(v.arrangement.ForZone(zone))
+	shown := f.carriers.sample(v.primaryVMs.ForZone(zone))
 	addresses := make([]string, 0, len(shown))
 	for _, vm := range shown {
 		addresses = append(addresses, vm.Address)
--- a/entry/frontend/quotas.go
+++ b/entry/frontend/quotas.go
@@ -30,10 +30,9 @@
 	return &servingVMs{fleet: vms, primaryAt: make(map[string]time.Duration)}
 }
 
-// peers returns the other VMs that are primary VMs, or were so when they were lost lately. A
-// VM that is well but no primary VM any more gets no callers and sends no heartbeats; counted
-// as silent it would reserve a part of each limit, as dozens of VMs did while a fleet that had
-// restarted found its members one by one.
+// peers returns the other VMs that are primary VMs, and those that were lost lately while they
+// were. A usable VM that is no longer a primary VM is left out: it gets no callers and sends no
+// heartbeats, so it would count as silent and reserve a part of each limit.
 func (s *servingVMs) peers() []quota.Peer {
 	now, self, v := s.fleet.now(), s.fleet.members.Self().GetVm(), s.fleet.view.Load()
 	s.mu.Lock()
--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -13,9 +13,9 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 )
 
-// minReadPatience is how long a caller may read nothing of its response; callers whose time
+// minProgressTimeout is how long a caller may read nothing of its response; callers whose time
 // limit is later have until then.
-const minReadPatience = 10 * time.Second
+const minProgressTimeout = 10 * time.Second
 
 // errSlowCaller ends a response of which its caller reads nothing.
 var errSlowCaller = errors.New("the caller does not read its response")
@@ -26,10 +26,10 @@
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	ctx        context.Context
-	// patience is how long the caller may read nothing; isLarge is true when the response
+	// progressTimeout is how long the caller may read nothing; isLarge is true when the response
 	// shares a part of the link with other large ones.
-	patience time.Duration
-	isLarge  bool
+	progressTimeout time.Duration
+	isLarge         bool
 }
 
 // deliver writes a response to the caller. When the response ends early, the
@@ -54,7 +54,7 @@
 	}
 	d := &delivery{
 		gateway: g, writer: w, controller: http.NewResponseController(w), ctx: q.caller.Context(),
-		patience: max(minReadPatience, q.deadline.Sub(q.start)), isLarge: got.rest != nil || got.held.size > largePart,
+		progressTimeout: max(minProgressTimeout, q.deadline.Sub(q.start)), isLarge: got.rest != nil || got.held.size > largePart,
 	}
 	w.WriteHeader(got.status)
 	err := got.held.deliver(d.write)
@@ -80,7 +80,7 @@
 }
 
 // write writes a part of the response. Within a budget, parts of large responses wait for
-// their turn on the link, and the caller must take something within its patience.
+// their turn on the link, and the caller must take something within its progressTimeout.
 func (d *delivery) write(part []byte) error {
 	if d.gateway.memory == nil {
 		_, err := d.writer.Write(part)
@@ -89,7 +89,7 @@
 	if err := d.awaitTurn(int64(len(part))); err != nil {
 		return err
 	}
-	_ = d.controller.SetWriteDeadline(time.Now().Add(d.patience)) // not supported: the caller is another VM, which reads
+	_ = d.controller.SetWriteDeadline(time.Now().Add(d.progressTimeout)) // not supported: the caller is another VM, which reads
 	_, err := d.writer.Write(part)
 	d.gateway.memory.sent.addAmount(float64(len(part)), time.Now())
 	return slowCaller(err)
@@ -157,7 +157,7 @@
 	}
 }
 
-// end writes what is still buffered, within the caller's patience, and removes the deadline
+// end writes what is still buffered, within the caller's progressTimeout, and removes the deadline
 // for the connection's next response.
 func (d *delivery) end(err error) error {
 	if d.gateway.memory == nil || err != nil {
--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -11,8 +11,8 @@
 	"github.com/primroseloom/primroseloom/policy/hedge"
 )
 
-// errOutrun cancels an attempt because the other one of its request has won.
-var errOutrun = errors.New("the other attempt of the request responded first")
+// errSuperseded cancels an attempt because the other one of its request has won.
+var errSuperseded = errors.New("the other attempt of the request responded first")
 
 // race is an attempt in progress and the second one beside it, if there is one. The first
 // attempt runs in the goroutine of the request, the second in its own.
@@ -120,8 +120,8 @@
 	r.secondResult = d
 	if d.isServed() && !r.isOver {
 		r.secondWon = true
-		r.first.Outrun()
-		r.cancelFirst(errOutrun)
+		r.first.Supersede()
+		r.cancelFirst(errSuperseded)
 	}
 }
 
@@ -175,8 +175,8 @@
 	case <-r.secondEnded:
 		r.secondLost()
 	default:
-		r.second.Outrun()
-		r.cancelSecond(errOutrun)
+		r.second.Supersede()
+		r.cancelSecond(errSuperseded)
 		go func() {
 			<-r.secondEnded
 			discard(r.secondResult)
--- a/entry/gateway/link_test.go
+++ b/entry/gateway/link_test.go
@@ -197,11 +197,11 @@
 			h.leaveRoom(room)
 			filled := h.gateway.memory.held()
 			conn := h.dialAndAsk(h.serveOver(slowreader.Listener))
-			time.Sleep(minReadPatience / 2)
+			time.Sleep(minProgressTimeout / 2)
 			if held := h.gateway.memory.held() - filled; name == "held" && held < downloadBytes/2 {
-				t.Errorf("%s: %d bytes are held after %v", name, held, minReadPatience/2)
+				t.Errorf("%s: %d bytes are held after %v", name, held, minProgressTimeout/2)
 			}
-			time.Sleep(minReadPatience)
+			time.Sleep(minProgressTimeout)
 			if held := h.gateway.memory.held() - filled; held != 0 || len(h.targets.AttemptsInProgress()) != 0 {
 				t.Errorf("%s: %d bytes are held, attempts in progress: %v", name, held, h.targets.AttemptsInProgress())
 			}
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -11,9 +11,9 @@
 const (
 	// memoryWait is about the time in which responses that are being delivered free memory.
 	memoryWait = 300 * time.Millisecond
-	// maxRoomCarriers is the number of other VMs that are asked to serve a request for which
+	// maxMemoryCarriers is the number of other VMs that are asked to serve a request for which
 	// this VM has no memory.
-	maxRoomCarriers = 2
+	maxMemoryCarriers = 2
 )
 
 // reservations are what a request has reserved; attempts of a request may run at the same
@@ -91,7 +91,7 @@
 		q.logFailure()
 		return q.failure, nil
 	}
-	if got, refusal, ok := q.forwardForRoom(ctx); ok {
+	if got, refusal, ok := q.forwardForMemory(ctx); ok {
 		return got, refusal
 	}
 	refusal := noMemory()
@@ -99,12 +99,12 @@
 	return nil, refusal
 }
 
-// forwardForRoom lets another VM with memory serve the request. That VM holds the response,
+// forwardForMemory lets another VM with memory serve the request. That VM holds the response,
 // which is passed on here at the caller's pace. ok is false when none serves it and it did
 // not run.
-func (q *request) forwardForRoom(ctx context.Context) (got *targetResponse, refusal *outcome.Refusal, ok bool) {
+func (q *request) forwardForMemory(ctx context.Context) (got *targetResponse, refusal *outcome.Refusal, ok bool) {
 	var tried []string
-	for len(tried) < maxRoomCarriers && !q.isForwarded && !q.mayHaveRun && q.body.replayable() {
+	for len(tried) < maxMemoryCarriers && !q.isForwarded && !q.mayHaveRun && q.body.replayable() {
 		vm, client, found := q.gateway.options.Carriers.Carrier(q.service, tried)
 		if !found {
 			break
--- a/entry/quotas/limiter.go
+++ b/entry/quotas/limiter.go
@@ -125,12 +125,12 @@
 		return nil
 	}
 	l.metrics.update(now, l.table.TakeUse)
-	return l.table.Reports(now, l.tellsAll(now, isHeartbeat))
+	return l.table.Reports(now, l.takeFullReport(now, isHeartbeat))
 }
 
-// tellsAll reports whether a datagram tells of all customers, not only of those close to their
+// takeFullReport reports whether a datagram tells of all customers, not only of those close to their
 // limit. The lock is held.
-func (l *Limiter) tellsAll(now time.Duration, isHeartbeat bool) bool {
+func (l *Limiter) takeFullReport(now time.Duration, isHeartbeat bool) bool {
 	interval := allInterval
 	if isHeartbeat {
 		interval = allInHeartbeatInterval
--- a/entry/slowreader/conn.go
+++ b/entry/slowreader/conn.go
@@ -11,18 +11,18 @@
 // Conn is a connection whose write deadline is renewed by progress.
 type Conn struct {
 	net.Conn
-	// patience is the time without progress that is allowed, in nanoseconds; 0 sets no bound.
-	patience atomic.Int64
+	// progressTimeout is the time without progress that is allowed, in nanoseconds; 0 sets no bound.
+	progressTimeout atomic.Int64
 }
 
 // SetWriteDeadline allows the time until at without progress; a zero time sets no bound. A
 // time that has passed ends writes at once.
 func (c *Conn) SetWriteDeadline(at time.Time) error {
-	patience := time.Duration(0)
+	progressTimeout := time.Duration(0)
 	if !at.IsZero() {
-		patience = max(time.Until(at), 0)
+		progressTimeout = max(time.Until(at), 0)
 	}
-	c.patience.Store(int64(patience))
+	c.progressTimeout.Store(int64(progressTimeout))
 	return c.Conn.SetWriteDeadline(at)
 }
 
@@ -34,20 +34,20 @@
 	return c.SetReadDeadline(at)
 }
 
-// checksPerPatience is how often a write that waits looks for progress within the allowed
+// checksPerTimeout is how often a write that waits looks for progress within the allowed
 // time, so that a peer is ended at most a quarter of it late.
-const checksPerPatience = 4
+const checksPerTimeout = 4
 
 // Write writes all of p, or returns an error when the peer takes nothing for the allowed
 // time.
 func (c *Conn) Write(p []byte) (written int, err error) {
-	patience := time.Duration(c.patience.Load())
-	if patience <= 0 {
+	progressTimeout := time.Duration(c.progressTimeout.Load())
+	if progressTimeout <= 0 {
 		return c.Conn.Write(p)
 	}
 	progress := time.Now()
 	for {
-		if err := c.Conn.SetWriteDeadline(time.Now().Add(patience / checksPerPatience)); err != nil {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(progressTimeout / checksPerTimeout)); err != nil {
 			return written, err
 		}
 		n, err := c.Conn.Write(p[written:])
@@ -58,7 +58,7 @@
 		if n > 0 {
 			progress = time.Now()
 		}
-		if time.Since(progress) >= patience {
+		if time.Since(progress) >= progressTimeout {
 			return written, err
 		}
 	}
--- a/entry/slowreader/conn_test.go
+++ b/entry/slowreader/conn_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	patience = 10 * time.Second
+	progressTimeout = 10 * time.Second
 	// length is several times what a connection buffers, in bytes.
 	length = 4 * memnet.BufferBytes
 )
@@ -61,13 +61,13 @@
 func TestPeerThatReadsSlowlyIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn, peer := connect(t)
-		ended := startReader(peer, memnet.BufferBytes/4, patience*9/10)
-		_ = conn.SetWriteDeadline(time.Now().Add(patience))
+		ended := startReader(peer, memnet.BufferBytes/4, progressTimeout*9/10)
+		_ = conn.SetWriteDeadline(time.Now().Add(progressTimeout))
 		began := time.Now()
 		if n, err := conn.Write(make([]byte, length)); err != nil || n != length {
 			t.Errorf("%d bytes written, %v", n, err)
 		}
-		if took := time.Since(began); took < 5*patience {
+		if took := time.Since(began); took < 5*progressTimeout {
 			t.Errorf("the peer read all in %v; it was not slow", took)
 		}
 		_ = conn.Close()
@@ -78,10 +78,10 @@
 func TestPeerThatReadsNothingIsEnded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn, _ := connect(t)
-		_ = conn.SetWriteDeadline(time.Now().Add(patience))
+		_ = conn.SetWriteDeadline(time.Now().Add(progressTimeout))
 		began := time.Now()
 		_, err := conn.Write(make([]byte, length))
-		if took := time.Since(began); !errors.Is(err, os.ErrDeadlineExceeded) || took < patience || took > patience+patience/checksPerPatience {
+		if took := time.Since(began); !errors.Is(err, os.ErrDeadlineExceeded) || took < progressTimeout || took > progressTimeout+progressTimeout/checksPerTimeout {
 			t.Errorf("%v after %v", err, took)
 		}
 	})
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -91,9 +91,9 @@
 	responded, ended bool
 	// isHedge is true for the second attempt of a request whose first one is in progress.
 	isHedge bool
-	// outrunAt is the uptime at which the other attempt of the request won; zero if none has.
-	outrunAt time.Duration
-	exchange *targetconn.Exchange
+	// supersededAt is the uptime at which the other attempt of the request won; zero if none has.
+	supersededAt time.Duration
+	exchange     *targetconn.Exchange
 }
 
 // Refusal is the error that says why there is no target for an attempt.
@@ -323,7 +323,7 @@
 	m := a.manager
 	now := m.options.Uptime()
 	m.mu.Lock()
-	if a.trial && (result.End == suspicion.ResultServed || a.isOutrun(result)) {
+	if a.trial && (result.End == suspicion.ResultServed || a.isSuperseded(result)) {
 		a.service.budget.Refund()
 	}
 	a.releaseSlot(result)
--- a/entry/targetset/evaluate.go
+++ b/entry/targetset/evaluate.go
@@ -45,8 +45,8 @@
 	if result.End == suspicion.ResultServed && !a.overdueReported {
 		outcome.SlowNats = a.evaluateDuration(now, result.Load)
 	}
-	if a.isOutrun(result) {
-		outcome.SlowNats = a.evaluateOutrun(result.Load)
+	if a.isSuperseded(result) {
+		outcome.SlowNats = a.evaluateSuperseded(result.Load)
 	}
 	return outcome
 }
--- a/entry/targetset/hedge.go
+++ b/entry/targetset/hedge.go
@@ -162,37 +162,37 @@
 	return free[choice.Index], freeTargets[choice.Index]
 }
 
-// Outrun records that the other attempt of the request has won and that this one is cancelled
-// now. An attempt that has ended is left as it is.
-func (a *Attempt) Outrun() {
+// Supersede records that the other attempt of the request responded first and that this one is
+// now cancelled. It has no effect on an attempt that has ended.
+func (a *Attempt) Supersede() {
 	m := a.manager
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !a.ended {
-		a.outrunAt = m.options.Uptime()
+		a.supersededAt = m.options.Uptime()
 	}
 }
 
-// isOutrun reports whether the attempt ended because the other one of its request won, so that
+// isSuperseded reports whether the attempt ended because the other one of its request won, so that
 // the target was not known to be at fault; the lock is held.
-func (a *Attempt) isOutrun(result Result) bool {
-	return a.outrunAt > 0 && result.End == suspicion.ResultNeutral
+func (a *Attempt) isSuperseded(result Result) bool {
+	return a.supersededAt > 0 && result.End == suspicion.ResultNeutral
 }
 
-// evaluateOutrun returns the evidence of slowness in the time until the attempt was outrun, which
+// evaluateSuperseded returns the evidence of slowness in the time until the attempt was outrun, which
 // is the least that its response would have taken; the lock is held. A time that is not slow says
 // nothing.
-func (a *Attempt) evaluateOutrun(load *dialect.Load) float64 {
-	if a.overdueReported || a.service.reference(a.route).SlowNats(a.outrunAt-a.startedAt) <= 0 {
+func (a *Attempt) evaluateSuperseded(load *dialect.Load) float64 {
+	if a.overdueReported || a.service.reference(a.route).SlowNats(a.supersededAt-a.startedAt) <= 0 {
 		return 0
 	}
-	return a.evaluateDuration(a.outrunAt, load)
+	return a.evaluateDuration(a.supersededAt, load)
 }
 
 // releaseSlot ends the use of the target's slot, when the target of a cancelled attempt has
 // seen that; the lock is held.
 func (a *Attempt) releaseSlot(result Result) {
-	if !a.isOutrun(result) || !result.Sent {
+	if !a.isSuperseded(result) || !result.Sent {
 		a.target.ownAttempts--
 		return
 	}
@@ -209,16 +209,16 @@
 // its route are hedged; the lock is held. Suspects are left out, so that some slow targets don't
 // delay the hedges of their requests.
 func (a *Attempt) recordDuration(result Result, now time.Duration) {
-	isFull := result.End == suspicion.ResultServed
-	if a.manager.options.Hedging.Ratio <= 0 || a.isHedge || a.target.suspect(now) || !isFull && !a.isOutrun(result) {
+	isComplete := result.End == suspicion.ResultServed
+	if a.manager.options.Hedging.Ratio <= 0 || a.isHedge || a.target.suspect(now) || !isComplete && !a.isSuperseded(result) {
 		return
 	}
 	a.service.hedging.of(a.route).Add(now - a.startedAt)
 }
 
-// mayBeOutrun reports whether evidence may be that of an attempt that was slow and lost
+// mayBeSuperseded reports whether evidence may be that of an attempt that was slow and lost
 // against its hedge. Its target has not succeeded, so that its next trial waits for the trial
 // interval: trials that are cut short would otherwise follow one another at once.
-func (m *Manager) mayBeOutrun(outcome evidence.AttemptEvidence) bool {
+func (m *Manager) mayBeSuperseded(outcome evidence.AttemptEvidence) bool {
 	return m.options.Hedging.Ratio > 0 && outcome.SlowNats > 0 && outcome.FailureNats == 0
 }
--- a/entry/targetset/hedge_test.go
+++ b/entry/targetset/hedge_test.go
@@ -232,7 +232,7 @@
 			first.Done(served())
 		}
 		f.now += c.ran
-		loser.Outrun()
+		loser.Supersede()
 		published := len(f.notifier.outcomes)
 		loser.Done(cancelled(loser))
 		got := f.notifier.outcomes[published]
@@ -265,7 +265,7 @@
 	hedged := attemptsToSuspicion(func(f *fixture, a *Attempt) {
 		f.now += 12 * usualTime / 10 // the delay
 		f.now += usualTime
-		a.Outrun()
+		a.Supersede()
 		a.Done(cancelled(a))
 		time.Sleep(2 * cancelSeenTime) // its slot is free again
 	})
@@ -288,7 +288,7 @@
 			hedges++
 			second.Done(served())
 		}
-		first.Outrun()
+		first.Supersede()
 		first.Done(cancelled(first))
 		time.Sleep(2 * cancelSeenTime) // its slot is free again
 	}
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -264,7 +264,7 @@
 	if outcome.FailureNats != 0 {
 		t.lastSucceeded = outcome.FailureNats < 0
 	}
-	if m.mayBeOutrun(outcome) {
+	if m.mayBeSuperseded(outcome) {
 		t.lastSucceeded = false
 	}
 	if outcome.FailureNats < 0 {
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -51,7 +51,7 @@
 	load   dialect.Load
 	loadAt time.Duration
 	// held is what it held when it last refused for lack of room.
-	held room.Held
+	held room.Fullness
 	// lastAttemptAt is the uptime of the latest known attempt of any VM.
 	lastAttemptAt time.Duration
 	// lastSucceeded is true when the latest evidence about failing was negative, as
--- a/operator/soak/keyed_callers.go
+++ b/operator/soak/keyed_callers.go
@@ -45,8 +45,8 @@
 // be from before customers had keys.
 func (s *soak) hasCustomers() bool { return s.options.OtherDaemonPath == "" }
 
-// keyedCallers returns the number of callers with keys.
-func (s *soak) keyedCallers() int {
+// keyedCallerCount returns the number of callers with keys.
+func (s *soak) keyedCallerCount() int {
 	if !s.hasCustomers() {
 		return 0
 	}
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -123,7 +123,7 @@
 		c := s.newRowCaller(i)
 		load.Go(func() { c.run(loadCtx) })
 	}
-	for i := range s.keyedCallers() {
+	for i := range s.keyedCallerCount() {
 		c := s.newKeyedCaller(i)
 		load.Go(func() { c.run(loadCtx) })
 	}
--- a/policy/hedge/budget.go
+++ b/policy/hedge/budget.go
@@ -5,17 +5,16 @@
 const (
 	// Window is the time over which hedges are compared with requests.
 	Window = 10 * time.Second
-	// slotTime is the resolution of the window.
-	slotTime = time.Second
-	// requestSlots are the slots that lie within a window that ends now. hedgeSlots
-	// has one more, so that they cover at least a window: the bound then holds for
-	// every window, wherever it begins.
-	requestSlots = int(Window / slotTime)
-	hedgeSlots   = requestSlots + 1
+	// bucketTime is the resolution of the window.
+	bucketTime = time.Second
+	// requestBuckets is the number of buckets within a window that ends now. hedgeBuckets is
+	// one more, so that they cover at least one whole window wherever it begins.
+	requestBuckets = int(Window / bucketTime)
+	hedgeBuckets   = requestBuckets + 1
 )
 
 // Budget limits the hedges of one service on one VM: to a ratio of the requests
-// since the begin, and in each Window to the same ratio of its requests. A VM whose
+// since the start, and in each Window to the same ratio of its requests. A VM whose
 // requests earn less than one hedge in a Window saves up for one. The zero value is
 // empty and ready for use.
 type Budget struct {
@@ -23,7 +22,7 @@
 	tokens float64
 	// requests and hedges count by slot of the window; newest is the latest slot's
 	// number.
-	requests, hedges [hedgeSlots]int
+	requests, hedges [hedgeBuckets]int
 	newest           int64
 }
 
@@ -33,7 +32,7 @@
 		return
 	}
 	b.advance(now)
-	b.requests[b.newest%int64(hedgeSlots)]++
+	b.requests[b.newest%int64(hedgeBuckets)]++
 	b.tokens = min(b.tokens+ratio, max(1, ratio*float64(b.windowRequests())))
 }
 
@@ -53,29 +52,29 @@
 		return false
 	}
 	b.tokens--
-	b.hedges[b.newest%int64(hedgeSlots)]++
+	b.hedges[b.newest%int64(hedgeBuckets)]++
 	return true
 }
 
 // advance clears the slots that begin since the latest call.
 func (b *Budget) advance(now time.Duration) {
-	slot := int64(now / slotTime)
-	for cleared := 0; b.newest < slot && cleared < hedgeSlots; cleared++ {
+	slot := int64(now / bucketTime)
+	for cleared := 0; b.newest < slot && cleared < hedgeBuckets; cleared++ {
 		b.newest++
-		b.requests[b.newest%int64(hedgeSlots)] = 0
-		b.hedges[b.newest%int64(hedgeSlots)] = 0
+		b.requests[b.newest%int64(hedgeBuckets)] = 0
+		b.hedges[b.newest%int64(hedgeBuckets)] = 0
 	}
 	b.newest = max(b.newest, slot)
 }
 
 func (b *Budget) windowRequests() int {
-	oldest := (b.newest + 1) % int64(hedgeSlots)
+	oldest := (b.newest + 1) % int64(hedgeBuckets)
 	return sum(b.requests) - b.requests[oldest]
 }
 
 func (b *Budget) windowHedges() int { return sum(b.hedges) }
 
-func sum(counts [hedgeSlots]int) int {
+func sum(counts [hedgeBuckets]int) int {
 	total := 0
 	for _, count := range counts {
 		total += count
--- a/policy/offer/capacity.go
+++ b/policy/offer/capacity.go
@@ -32,11 +32,11 @@
 	HeldShare float64
 }
 
-// Rate returns the use as requests a second of average cost: by the number of requests, or by
-// the part of the link or of the memory that is used, whichever is the most. capacity is that
-// of the VM, linkMbps its link in megabits a second. VMs compare it with capacities and add it
-// up to a zone's demand, so that more VMs are offered while responses are larger, or read more
-// slowly, than average. A VM whose processor is its bottleneck has room on its link.
+// Rate returns the load of a VM in requests a second of average cost: the largest of the number
+// of requests, the used part of the link and the used part of the memory, each scaled to
+// capacity. VMs add these rates up to the demand of a zone, so that more VMs are advertised
+// while responses are large or read slowly. capacity is in requests a second, linkMbps in
+// megabits a second.
 func Rate(use Use, capacity uint32, linkMbps float64) float64 {
 	byLink := use.BitsPerSecond / (linkMbps * 1e6 * maxLinkShare) * float64(capacity)
 	byMemory := use.HeldShare / maxHeldShare * float64(capacity)
--- a/policy/offer/carriers.go
+++ b/policy/offer/carriers.go
@@ -11,7 +11,7 @@
 // primary VM may carry the request, any other usable VM does: the primary VMs may all have
 // ended, which takes a while to be known. ok is false when there is none.
 func Carrier(vms []VM, zone string, settings Settings, mayCarry func(VM) bool, random *rand.Rand) (carrier VM, ok bool) {
-	if carrier, ok = carrierAmong(Arrange(vms, settings).All(), zone, mayCarry, random); ok {
+	if carrier, ok = carrierAmong(ChoosePrimaryVMs(vms, settings).All(), zone, mayCarry, random); ok {
 		return carrier, true
 	}
 	return carrierAmong(vms, zone, mayCarry, random)
--- a/policy/offer/carriers_test.go
+++ b/policy/offer/carriers_test.go
@@ -36,7 +36,7 @@
 func TestOtherVMsCarryWhenNoPrimaryVMMay(t *testing.T) {
 	vms, random := fleet(2, 4), rand.New(rand.NewPCG(1, 2))
 	ended := make(map[string]bool)
-	for _, vm := range Arrange(vms, twoPerZone).All() {
+	for _, vm := range ChoosePrimaryVMs(vms, twoPerZone).All() {
 		ended[vm.Name] = true
 	}
 	carrier, ok := Carrier(vms, "z1", twoPerZone, func(vm VM) bool { return !ended[vm.Name] }, random)
@@ -75,10 +75,10 @@
 func TestCutOffVMsAreNotOffered(t *testing.T) {
 	vms := fleet(2, 3)
 	reaching := WithoutCutOff(vms, func(vm VM) bool { return vm.Zone == "z0" })
-	if got := Arrange(reaching, threePerZone).ForZone("z0"); len(got) != 3 || got[0].Zone != "z1" {
+	if got := ChoosePrimaryVMs(reaching, threePerZone).ForZone("z0"); len(got) != 3 || got[0].Zone != "z1" {
 		t.Errorf("offered %v while the zone is cut off", got)
 	}
-	if got := Arrange(WithoutCutOff(vms, anyVM), threePerZone).ForZone("z0"); len(got) != 3 || got[0].Zone != "z0" {
+	if got := ChoosePrimaryVMs(WithoutCutOff(vms, anyVM), threePerZone).ForZone("z0"); len(got) != 3 || got[0].Zone != "z0" {
 		t.Errorf("offered %v while all VMs are cut off", got)
 	}
 }
--- a/policy/offer/offer.go
+++ b/policy/offer/offer.go
@@ -59,7 +59,7 @@
 		if usable[size-1].Capacity == 0 {
 			return size
 		}
-		capacity := servable(usable[:size])
+		capacity := combinedCapacity(usable[:size])
 		if capacity >= demand {
 			return size
 		}
@@ -70,17 +70,17 @@
 	return best
 }
 
-// Arrangement holds the primary VMs of each zone.
-type Arrangement struct {
+// PrimaryVMs holds the primary VMs of each zone.
+type PrimaryVMs struct {
 	settings Settings
 	// zones are the sorted names of the VMs' zones.
 	zones     []string
 	primaries map[string][]VM
 }
 
-// Arrange chooses the primary VMs of each zone.
-func Arrange(vms []VM, settings Settings) Arrangement {
-	a := Arrangement{settings: settings, zones: zones(vms), primaries: make(map[string][]VM)}
+// ChoosePrimaryVMs chooses the primary VMs of each zone.
+func ChoosePrimaryVMs(vms []VM, settings Settings) PrimaryVMs {
+	a := PrimaryVMs{settings: settings, zones: zones(vms), primaries: make(map[string][]VM)}
 	for _, zone := range a.zones {
 		a.primaries[zone] = Primaries(vms, zone, settings)
 	}
@@ -89,7 +89,7 @@
 
 // ForZone returns the VMs to advertise to callers of a zone: its primary VMs, and
 // those of all other zones when it has fewer than settings.MinAdvertised.
-func (a Arrangement) ForZone(zone string) []VM {
+func (a PrimaryVMs) ForZone(zone string) []VM {
 	advertised := slices.Clone(a.primaries[zone])
 	if len(advertised) >= a.settings.MinAdvertised {
 		return advertised
@@ -103,7 +103,7 @@
 }
 
 // All returns the primary VMs of all zones.
-func (a Arrangement) All() []VM {
+func (a PrimaryVMs) All() []VM {
 	var all []VM
 	for _, zone := range a.zones {
 		all = append(all, a.primaries[zone]...)
@@ -119,7 +119,7 @@
 // StoreWatchers returns the VMs that watch the store and notify the others: the
 // first primary VM of each zone, or all primary VMs when these are fewer than
 // minStoreWatchers.
-func (a Arrangement) StoreWatchers() []VM {
+func (a PrimaryVMs) StoreWatchers() []VM {
 	var watchers []VM
 	for _, zone := range a.zones {
 		if primaries := a.primaries[zone]; len(primaries) > 0 {
--- a/policy/offer/offer_test.go
+++ b/policy/offer/offer_test.go
@@ -21,7 +21,7 @@
 }
 
 func TestCallersGetAFewVMsOfTheirZone(t *testing.T) {
-	advertised := Arrange(fleet(3, 10), threePerZone).ForZone("z1")
+	advertised := ChoosePrimaryVMs(fleet(3, 10), threePerZone).ForZone("z1")
 	if len(advertised) != 3 {
 		t.Fatalf("advertised %d VMs, want 3", len(advertised))
 	}
@@ -60,8 +60,8 @@
 	}
 	vms[3].Usable = false
 	// An answer shows two VMs, so the large one gets half of the 320 requests a second.
-	if primaries := Primaries(vms, "z0", twoPerZone); len(primaries) != 5 || servable(primaries) < 320 {
-		t.Errorf("with one large VM: %d primary VMs that can serve %.0f, want 5 that can serve 320", len(primaries), servable(primaries))
+	if primaries := Primaries(vms, "z0", twoPerZone); len(primaries) != 5 || combinedCapacity(primaries) < 320 {
+		t.Errorf("with one large VM: %d primary VMs that can serve %.0f, want 5 that can serve 320", len(primaries), combinedCapacity(primaries))
 	}
 	vms[7].Rate = 2000
 	if primaries := Primaries(vms, "z0", twoPerZone); len(primaries) != 11 {
@@ -80,7 +80,7 @@
 	for i := range vms {
 		vms[i].Usable = vms[i].Zone != "z0"
 	}
-	if advertised := Arrange(vms, threePerZone).ForZone("z0"); len(advertised) != 6 {
+	if advertised := ChoosePrimaryVMs(vms, threePerZone).ForZone("z0"); len(advertised) != 6 {
 		t.Errorf("advertised %v, want the 6 primary VMs of the other zones", advertised)
 	}
 }
@@ -99,7 +99,7 @@
 
 func TestFirstPrimaryOfEachZoneWatchesTheStore(t *testing.T) {
 	for _, c := range []struct{ zones, watchers int }{{4, 4}, {3, 3}, {2, 6}, {1, 3}} {
-		if watchers := Arrange(fleet(c.zones, 5), threePerZone).StoreWatchers(); len(watchers) != c.watchers {
+		if watchers := ChoosePrimaryVMs(fleet(c.zones, 5), threePerZone).StoreWatchers(); len(watchers) != c.watchers {
 			t.Errorf("%d zones: %d VMs watch the store, want %d", c.zones, len(watchers), c.watchers)
 		}
 	}
@@ -107,13 +107,13 @@
 
 func TestAnotherVMWatchesTheStoreWhenTheFirstIsLost(t *testing.T) {
 	vms := fleet(3, 5)
-	first := Arrange(vms, threePerZone).StoreWatchers()[1]
+	first := ChoosePrimaryVMs(vms, threePerZone).StoreWatchers()[1]
 	for i := range vms {
 		if vms[i].Name == first.Name {
 			vms[i].Usable = false
 		}
 	}
-	watchers := Arrange(vms, threePerZone).StoreWatchers()
+	watchers := ChoosePrimaryVMs(vms, threePerZone).StoreWatchers()
 	if len(watchers) != 3 || watchers[1].Zone != first.Zone || watchers[1].Name == first.Name {
 		t.Errorf("after %s was lost: %v", first.Name, watchers)
 	}
--- a/policy/offer/spread.go
+++ b/policy/offer/spread.go
@@ -5,20 +5,20 @@
 	"math/rand/v2"
 )
 
-// minAnswer is the least number of VMs in an answer to a caller, so that it has another one
+// minResponseVMs is the least number of VMs in an answer to a caller, so that it has another one
 // when the first does not accept it.
-const minAnswer = 2
+const minResponseVMs = 2
 
-// Sample draws the VMs of one answer to a caller. Callers spread their requests evenly over
-// the VMs that they are shown, so a VM of less capacity is shown in fewer answers: over many
-// answers each VM gets its share of the requests. VMs of equal capacity are all shown.
+// Sample draws the VMs of one directory response. Callers spread their requests evenly over the
+// VMs of a response, so a VM is advertised in proportion to its capacity. VMs of equal capacity
+// are all advertised.
 func Sample(vms []VM, random *rand.Rand) []VM {
-	size := answerSize(vms)
+	size := responseSize(vms)
 	if size >= len(vms) {
 		return vms
 	}
 	order := random.Perm(len(vms))
-	shown := inclusion(vms, size)
+	shown := advertiseProbabilities(vms, size)
 	drawn := make([]VM, 0, size)
 	// Systematic sampling: VM i is drawn with probability shown[i], and size VMs in all.
 	reached := random.Float64()
@@ -32,9 +32,9 @@
 	return drawn
 }
 
-// answerSize returns the number of VMs in an answer: as many as allow the largest VM its
-// share of the requests by capacity, but at least minAnswer.
-func answerSize(vms []VM) int {
+// responseSize returns the number of VMs in an answer: as many as allow the largest VM its
+// share of the requests by capacity, but at least minResponseVMs.
+func responseSize(vms []VM) int {
 	total, largest := 0.0, 0.0
 	for _, vm := range vms {
 		if vm.Capacity == 0 {
@@ -46,12 +46,12 @@
 	if largest == 0 {
 		return len(vms)
 	}
-	return min(max(int(total/largest), minAnswer), len(vms))
+	return min(max(int(total/largest), minResponseVMs), len(vms))
 }
 
-// inclusion returns the probability with which an answer of a size shows each VM: in
+// advertiseProbabilities returns the probability with which an answer of a size shows each VM: in
 // proportion to its capacity, at most 1. The probabilities sum to the size.
-func inclusion(vms []VM, size int) []float64 {
+func advertiseProbabilities(vms []VM, size int) []float64 {
 	shown := make([]float64, len(vms))
 	free, rest := float64(size), 0.0
 	for _, vm := range vms {
@@ -75,12 +75,12 @@
 	return shown
 }
 
-// servable returns the requests a second that VMs can serve together when callers spread as
+// combinedCapacity returns the requests a second that VMs can serve together when callers spread as
 // Sample makes them.
-func servable(vms []VM) float64 {
-	size := answerSize(vms)
+func combinedCapacity(vms []VM) float64 {
+	size := responseSize(vms)
 	most := math.Inf(1)
-	for i, shown := range inclusion(vms, size) {
+	for i, shown := range advertiseProbabilities(vms, size) {
 		most = min(most, float64(vms[i].Capacity)*float64(size)/shown)
 	}
 	return most
--- a/policy/offer/spread_test.go
+++ b/policy/offer/spread_test.go
@@ -28,8 +28,8 @@
 				got[vm.Name] += 1 / float64(len(sample)) / answers
 			}
 		}
-		size := answerSize(vms)
-		for i, shown := range inclusion(vms, size) {
+		size := responseSize(vms)
+		for i, shown := range advertiseProbabilities(vms, size) {
 			want := shown / float64(size)
 			if math.Abs(got[vms[i].Name]-want) > 0.01 {
 				t.Errorf("capacities %v: VM %d gets %.3f of the requests, want %.3f", capacities, i, got[vms[i].Name], want)
@@ -53,7 +53,7 @@
 	vms := withCapacities(500, 10, 10, 10)
 	for range 1000 {
 		sample := Sample(vms, random)
-		if len(sample) != minAnswer || sample[0].Name == sample[1].Name {
+		if len(sample) != minResponseVMs || sample[0].Name == sample[1].Name {
 			t.Fatalf("answer %v", sample)
 		}
 	}
@@ -77,7 +77,7 @@
 		if len(primaries) != c.want {
 			t.Errorf("demand %.0f: %d primary VMs, want %d", c.demand, len(primaries), c.want)
 		}
-		if got := servable(primaries); got < c.demand {
+		if got := combinedCapacity(primaries); got < c.demand {
 			t.Errorf("demand %.0f: the primary VMs can serve %.0f", c.demand, got)
 		}
 	}
--- a/policy/quarantine/table.go
+++ b/policy/quarantine/table.go
@@ -69,9 +69,9 @@
 type Table struct {
 	entries map[Fingerprint]*entry
 	answers *recentAnswers
-	// digest is the sum of the entries' digests, expiries when the entries next change by
-	// themselves. A digest of all entries for each datagram took most of a VM's time while
-	// many requests were suspects.
+	// digest is the sum of the entries' digests; expiries holds when entries next change without
+	// new evidence. Both are kept up to date because computing the digest for each datagram is
+	// too expensive with many suspects.
 	digest   uint64
 	expiries expiryHeap
 }
--- a/policy/quota/doc.go
+++ b/policy/quota/doc.go
@@ -12,10 +12,10 @@
 // even share of the rate and of the burst stays reserved for it, and is corrected when it is
 // heard again. Both sides of a partition thus share the limit.
 //
-// Two measures bound what VMs admit before they hear of one another. A VM whose own requests
-// come close to what is left asks for a report at once. And while other VMs serve the
-// customer, too, a VM admits in unheardTime no more than its share of what is left and of the
-// overrun that is allowed.
+// Two rules bound what VMs admit before they receive one another's reports. A VM whose
+// unreported requests come close to what is left sends a report at once. And while other VMs
+// also serve the customer, a VM admits within unheardTime at most its share of what is left and
+// of the allowed overrun.
 //
 // The bucket aims a little above the limit, so that late or lost reports do not cost a
 // customer requests that are within it. The rest of the allowed overrun is for what VMs
--- a/policy/room/held.go
+++ b/policy/room/fullness.go
@@ -2,10 +2,10 @@
 
 import "time"
 
-// Held is what a target has said that it holds when it refused a request for lack of room. It
-// may hold more than the VMs count: it still runs requests whose callers have left. The zero
-// value stands for a target that has not refused.
-type Held struct {
+// Fullness estimates whether a target that refused a request for lack of room is still full. It
+// may run more than the VMs count: it goes on with requests whose callers have left. The zero
+// value is a target that has not refused.
+type Fullness struct {
 	// places is the number of requests that the target holds at most, running and waiting.
 	places int
 	// slots is the number of them that run at a time.
@@ -18,20 +18,20 @@
 
 // RefusedFull returns what is known of a target that has just refused a request while it held
 // this many others.
-func RefusedFull(held, slots int, now time.Duration) Held {
-	return Held{places: held, slots: slots, at: now}
+func RefusedFull(held, slots int, now time.Duration) Fullness {
+	return Fullness{places: held, slots: slots, at: now}
 }
 
 // Begun counts attempts that this VM has begun since.
-func (h *Held) Begun(count int) { h.begun += count }
+func (h *Fullness) Begun(count int) { h.begun += count }
 
 // Ended counts attempts that are known to have ended since.
-func (h *Held) Ended(count int) { h.ended += count }
+func (h *Fullness) Ended(count int) { h.ended += count }
 
 // IsFull reports whether the target has no place for another request: no more attempts have
 // ended than this VM has begun since. Once all of the work that it reported can be done, while
 // attempts take runTime in the mean, it is full no longer.
-func (h *Held) IsFull(runTime, now time.Duration) bool {
+func (h *Fullness) IsFull(runTime, now time.Duration) bool {
 	if h.places == 0 || runTime <= 0 {
 		return false
 	}
--- a/policy/room/overload.go
+++ b/policy/room/overload.go
@@ -51,5 +51,5 @@
 
 // lasted returns 0 in a burst and 1 in a lasting overload.
 func (o *overload) lasted() float64 {
-	return partOf(o.time.Seconds(), burstTime.Seconds(), (burstTime + settleTime).Seconds())
+	return fractionBelow(o.time.Seconds(), burstTime.Seconds(), (burstTime + settleTime).Seconds())
 }
--- a/policy/room/room.go
+++ b/policy/room/room.go
@@ -119,7 +119,9 @@
 	}
 	wait := time.Duration(load.waiting() * float64(load.MeanRunTime))
 	if wait > 0 && wait+request.RunTime > request.Remaining {
-		return refuse(CauseTooLate, 1, load)
+		decision := refuse(CauseTooLate, 1, load)
+		decision.Level = s.level(load)
+		return decision
 	}
 	part, cause := s.part(load, request, inExcess)
 	if account.passes(part) {
@@ -136,14 +138,14 @@
 	band := s.mix.band(request.Priority)
 	level := s.level(load)
 	if request.IsRetry {
-		return firstOf(level, band.from), CauseUrgency
+		return oneIfBelow(level, band.from), CauseUrgency
 	}
 	if !inExcess || !s.hasExcess(load) {
-		return partOf(level, band.from, band.from+band.within), CauseUrgency
+		return fractionBelow(level, band.from, band.from+band.within), CauseUrgency
 	}
-	part := partOf(level, band.from+band.within, band.until)
+	part := fractionBelow(level, band.from+band.within, band.until)
 	if band.until >= 1-leastUrgentPart {
-		part = min(part, partOf(excessUntil-load.share(), 0, excessUntil-excessFrom))
+		part = min(part, fractionBelow(excessUntil-load.share(), 0, excessUntil-excessFrom))
 	}
 	return part, CauseExcess
 }
@@ -159,7 +161,7 @@
 	lasted := s.overload.lasted()
 	none := burst + lasted*(lasting-burst)
 	all := burst*burstLevelPart + lasted*(lasting*lastingLevelPart-burst*burstLevelPart)
-	return partOf(none-load.waiting(), 0, none-all)
+	return fractionBelow(none-load.waiting(), 0, none-all)
 }
 
 // maxWaiting returns the waiting requests for each slot at which nothing more is admitted, in a
@@ -175,16 +177,16 @@
 	return limit(burstPart), limit(lastingPart)
 }
 
-// partOf returns which part of the band between from and until lies below the level.
-func partOf(level, from, until float64) float64 {
+// fractionBelow returns which part of the band between from and until lies below the level.
+func fractionBelow(level, from, until float64) float64 {
 	if until <= from {
-		return firstOf(level, from)
+		return oneIfBelow(level, from)
 	}
 	return min(max((level-from)/(until-from), 0), 1)
 }
 
-// firstOf returns 1 when the beginning of a band lies below the level, and otherwise 0.
-func firstOf(level, from float64) float64 {
+// oneIfBelow returns 1 when the beginning of a band lies below the level, and otherwise 0.
+func oneIfBelow(level, from float64) float64 {
 	if level > from {
 		return 1
 	}
--- a/policy/room/room_test.go
+++ b/policy/room/room_test.go
@@ -114,14 +114,14 @@
 	h := RefusedFull(4, slots, time.Second)
 	for _, c := range []struct {
 		name   string
-		change func(h *Held)
+		change func(h *Fullness)
 		at     time.Duration
 		want   bool
 	}{
-		{"at once", func(*Held) {}, time.Second, true},
-		{"an attempt has ended", func(h *Held) { h.Ended(1) }, time.Second, false},
-		{"another one has begun in its place", func(h *Held) { h.Ended(1); h.Begun(1) }, time.Second, true},
-		{"its work is done", func(*Held) {}, time.Second + 4*runTime/slots, false},
+		{"at once", func(*Fullness) {}, time.Second, true},
+		{"an attempt has ended", func(h *Fullness) { h.Ended(1) }, time.Second, false},
+		{"another one has begun in its place", func(h *Fullness) { h.Ended(1); h.Begun(1) }, time.Second, true},
+		{"its work is done", func(*Fullness) {}, time.Second + 4*runTime/slots, false},
 	} {
 		held := h
 		c.change(&held)
@@ -129,7 +129,7 @@
 			t.Errorf("%s: full is %v", c.name, got)
 		}
 	}
-	if never := (Held{}); never.IsFull(runTime, time.Second) {
+	if never := (Fullness{}); never.IsFull(runTime, time.Second) {
 		t.Error("a target that has not refused is full")
 	}
 }
--- a/policy/room/views_test.go
+++ b/policy/room/views_test.go
@@ -12,7 +12,7 @@
 // view is what one VM knows of one target.
 type view struct {
 	inUse int
-	held  room.Held
+	held  room.Fullness
 	// reported is what the target held at reportedAt, which is used for reportAge.
 	reported   int
 	reportedAt time.Duration
