placement: only targets without a record of faults are explored without credit

Estimates of faults stay above their long-term shares for as long, so only targets at these shares need no credit.

--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -21,6 +21,10 @@
 	// requests come first because their limit is shorter.
 	maxIdleIdempotent    = 1200 * time.Millisecond
 	maxIdleNonIdempotent = 1600 * time.Millisecond
+	// maxCleanFailing and maxCleanSlow are the probabilities of faults up to which none is known
+	// to be recent: just above the long-term shares of faulty targets, which estimates approach
+	// for many seconds after a fault.
+	maxCleanFailing, maxCleanSlow = 0.1, 0.03
 	// maxExploreBytes is the largest body of a request that is sent to an idle
 	// target in another availability zone.
 	maxExploreBytes = 10_000
@@ -179,10 +183,10 @@
 			return Choice{Index: index}, true
 		}
 	}
-	// A sound target of the own zone is as good as another for a request that may be retried, so
-	// it needs no credit. One that has failed before becomes sound again by time alone.
+	// A target of the own zone without a record of faults is as good as another for a request
+	// that may be retried, so it needs no credit.
 	isSound := func(c Candidate) bool {
-		return request.Idempotent && c.SameZone && !c.IsSuspect() && c.isDueForRequest(request)
+		return request.Idempotent && c.SameZone && c.hasNoRecord() && c.isDueForRequest(request)
 	}
 	if index := pickRandom(candidates, random, isSound); index >= 0 {
 		return Choice{Index: index}, true
@@ -205,6 +209,9 @@
 	return false
 }
 
+// hasNoRecord reports whether no recent fault of the target is known.
+func (c Candidate) hasNoRecord() bool { return c.Failing <= maxCleanFailing && c.Slow <= maxCleanSlow }
+
 // isDueForTrial reports whether a suspect gets a trial: trialInterval after a
 // failure, but at once after a success, because a few successes clear it.
 func (c Candidate) isDueForTrial() bool {
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -228,7 +228,9 @@
 	if got := Choose([]Candidate{healthyTarget("used"), far, suspect, idle}, request, newRNG()); got.Index != 3 || got.Exploratory {
 		t.Errorf("chose %+v, want the idle sound target of the zone", got)
 	}
-	if got := Choose([]Candidate{healthyTarget("used"), far, suspect}, request, newRNG()); got.Index != 0 {
-		t.Errorf("chose %+v, want neither the far target nor the suspect without credit", got)
+	doubtful := idle
+	doubtful.Failing = 0.2 // it has failed some seconds ago
+	if got := Choose([]Candidate{healthyTarget("used"), far, suspect, doubtful}, request, newRNG()); got.Index != 0 {
+		t.Errorf("chose %+v, want neither the far target nor one with a record without credit", got)
 	}
 }
