--- a/entry/logsink/logsink_test.go
+++ b/entry/logsink/logsink_test.go
@@ -64,3 +64,30 @@
 		}
 	})
 }
+
+// TestFloodOfOneEventDisplacesNoOther guards against logs that lack what explains a failure:
+// at a planned stop, one line for each forwarded request used up the limit of all lines.
+func TestFloodOfOneEventDisplacesNoOther(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		sink := New(&out, Limits{Queue: 1000, InfoPerSecond: 30, WarningsPerSecond: 5, EventPerSecond: 10}, func() {})
+		for range 100 {
+			_, _ = sink.Write([]byte("level=info msg=forwarded event=5110 vm=a\n"))
+		}
+		_, _ = sink.Write([]byte("level=info msg=failed event=5102 vm=a\n"))
+		time.Sleep(time.Second)
+		_, _ = sink.Write([]byte("level=info msg=later\n"))
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		sink.Run(ctx)
+		text := out.String()
+		for _, want := range []string{"msg=failed", "msg=later", "lines=90", `events="5110:90"`, "event=1006"} {
+			if !strings.Contains(text, want) {
+				t.Errorf("the output lacks %q:\n%s", want, text)
+			}
+		}
+		if forwarded := strings.Count(text, "msg=forwarded"); forwarded != 10 {
+			t.Errorf("%d lines of the flood, want 10", forwarded)
+		}
+	})
+}
