targetset: a lost path and an attempt that is given up are logged with their evidence

Cause: event 4111 did not tell which losses opened the breaker of a path, so a path at fault and a VM with nothing but long requests look alike; an attempt that this VM ended looked like one that failed, without its time at the target. The breaker keeps its losses typed. No decision changes.

--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -139,7 +139,7 @@
 	chosen := attempt.Candidate()
 	events.AttemptFailed.Log(q.gateway.options.Logger, "request", q.metadata.AttemptID, "target", attempt.ID(),
 		"reason", d.reason, "not_run", d.notRun, "fingerprint", q.fingerprint, "caller", q.caller.RemoteAddr, "resource", q.identity.ResourceText(), "query", q.identity.Query, "trial", attempt.Trial(), "service", q.service, "failing", percent(chosen.Failing), "slow", percent(chosen.Slow), "shedding", percent(chosen.Shedding),
-		"in_use", chosen.InUse, "slots", chosen.Slots, "after_ms", time.Since(q.start).Milliseconds(), "cause", d.result.Err)
+		"in_use", chosen.InUse, "slots", chosen.Slots, "after_ms", time.Since(q.start).Milliseconds(), "at_target_ms", attempt.SinceWrite().Milliseconds(), "cause", d.result.Err)
 }
 
 // keepFailure replaces the failure response that is passed on when no target serves
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -235,6 +235,15 @@
 // before Send.
 func (a *Attempt) OnAbandoned(abandon func()) { a.abandon = abandon }
 
+// SinceWrite returns the time since bytes of the request were last written to the target; zero
+// when none were.
+func (a *Attempt) SinceWrite() time.Duration {
+	if a.trip == nil {
+		return 0
+	}
+	return a.trip.SinceWrite()
+}
+
 // Trial reports whether the attempt tests if a suspect target has recovered.
 func (a *Attempt) Trial() bool { return a.trial }
 
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -55,7 +55,7 @@
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		if s.breaker.Checked(reached, m.options.Uptime()) {
-			m.pathLost(name, s, "connects failed")
+			m.pathLost(name, s, "connects failed", nil)
 		}
 	}()
 }
@@ -98,19 +98,6 @@
 	return conn.Close()
 }
 
-// pathLost logs that the breaker of a service has opened; the lock is held.
-func (m *Manager) pathLost(name string, s *service, observed string) {
-	m.options.Scope.Tagged(map[string]string{"service": name}).Counter("paths_lost").Inc(1)
-	events.PathLost.Log(m.options.Logger, "service", name, "observed", observed, "targets", len(s.targets))
-	m.notifier.PathChanged()
-}
-
-// pathFound logs that the breaker of a service has closed; the lock is held.
-func (m *Manager) pathFound(name string) {
-	events.PathFound.Log(m.options.Logger, "service", name)
-	m.notifier.PathChanged()
-}
-
 // responded tells the breaker of a response; the lock is held.
 func (m *Manager) responded(a *Attempt, onNewConnection bool) {
 	a.responded = true
@@ -145,6 +132,8 @@
 	m.examineLosses(a.info.Service, a.service)
 	if a.service.breaker.State() == breaker.Open && a.idempotent && a.abandon != nil {
 		m.options.Scope.Counter("attempts_abandoned").Inc(1)
+		events.AttemptGivenUp.Log(m.options.Logger, "target", a.info.ID, "service", a.info.Service, "at_target_ms", a.trip.SinceWrite().Milliseconds(),
+			"answered_here_ms", age(a.service.answeredHereAt(), m.options.Uptime()))
 		a.abandon()
 		return
 	}
@@ -159,8 +148,9 @@
 	if !enough || s.servedSince(since+reportTime) < minServing && !s.lostServesOthers(now) {
 		return
 	}
+	losses := s.breaker.Losses(now)
 	s.breaker.OpenByLosses(now)
-	m.pathLost(name, s, "requests lost")
+	m.pathLost(name, s, "requests lost", losses)
 }
 
 // lostServesOthers reports whether a target that lost a request of this VM has answered another
@@ -209,7 +199,7 @@
 // lock is held.
 func (m *Manager) lost(a *Attempt, ended bool, now time.Duration) {
 	before := a.service.breaker.InDoubt(now)
-	a.service.breaker.Lost(a.info.ID, ended, now)
+	a.service.breaker.Lost(breaker.Loss{Target: a.info.ID, At: now, BegunAt: a.startedAt, Ended: ended})
 	if !before && a.service.breaker.InDoubt(now) {
 		m.notifier.PathChanged()
 	}
--- a/policy/breaker/breaker.go
+++ b/policy/breaker/breaker.go
@@ -1,6 +1,10 @@
 package breaker
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 const (
 	// connectFailuresToCheck is the number of targets to which no connection opened, and
@@ -66,13 +70,23 @@
 	Block
 )
 
+// Loss is a request that a target lost.
+type Loss struct {
+	Target string
+	// At is the uptime at which the loss was observed, BegunAt that at which the attempt began.
+	At, BegunAt time.Duration
+	// Ended is false when the attempt has only not responded for long.
+	Ended bool
+}
+
 // Breaker is the circuit breaker of the path to the targets of one service. The zero value
 // is closed.
 type Breaker struct {
 	state State
-	// unconnected and lost hold, by target, the uptime of the latest failed connect and of
-	// the latest lost request.
-	unconnected, lost map[string]time.Duration
+	// unconnected holds, by target, the uptime of the latest failed connect, lost the first
+	// lost request that still counts.
+	unconnected map[string]time.Duration
+	lost        map[string]Loss
 	// lossesInRow counts the attempts that were lost since the latest response, without those
 	// that are only late.
 	lossesInRow int
@@ -97,7 +111,7 @@
 
 // InDoubt reports whether the path may be at fault for failures of targets.
 func (b *Breaker) InDoubt(now time.Duration) bool {
-	return b.state != Closed || countRecent(b.unconnected, now) >= connectFailuresToCheck || countRecent(b.lost, now) >= lossesToDoubt
+	return b.state != Closed || countRecent(b.unconnected, now) >= connectFailuresToCheck || len(b.Losses(now)) >= lossesToDoubt
 }
 
 // ConnectFailed records that no connection to a target opened. It reports whether the path
@@ -132,19 +146,30 @@
 	return true
 }
 
-// Lost records that a target lost a request of this VM; ended is false when it has only not
-// responded for long.
-func (b *Breaker) Lost(target string, ended bool, now time.Duration) {
-	b.endTrial(now)
-	if ended {
+// Lost records that a target lost a request of this VM.
+func (b *Breaker) Lost(loss Loss) {
+	b.endTrial(loss.At)
+	if loss.Ended {
 		b.lossesInRow++
 	}
 	if b.lost == nil {
-		b.lost = make(map[string]time.Duration)
+		b.lost = make(map[string]Loss)
+	}
+	if known, ok := b.lost[loss.Target]; !ok || loss.At-known.At >= failureLifetime {
+		b.lost[loss.Target] = loss
 	}
-	if at, known := b.lost[target]; !known || now-at >= failureLifetime {
-		b.lost[target] = now
+}
+
+// Losses returns the losses without a response in between that still count, by target.
+func (b *Breaker) Losses(now time.Duration) []Loss {
+	var losses []Loss
+	for _, loss := range b.lost {
+		if now-loss.At < failureLifetime {
+			losses = append(losses, loss)
+		}
 	}
+	slices.SortFunc(losses, func(x, y Loss) int { return strings.Compare(x.Target, y.Target) })
+	return losses
 }
 
 // LossesSince returns the uptime of the first of the losses without a response in between;
@@ -158,22 +183,21 @@
 	case b.lossesInRow >= lossesInRowToOpen:
 		needed = lossesToDoubt
 	}
-	if b.state != Closed || countRecent(b.lost, now) < needed {
+	losses := b.Losses(now)
+	if b.state != Closed || len(losses) < needed {
 		return 0, false
 	}
 	since = now
-	for _, at := range b.lost {
-		if now-at < failureLifetime {
-			since = min(since, at)
-		}
+	for _, loss := range losses {
+		since = min(since, loss.At)
 	}
 	return since, true
 }
 
 // LostAt returns the uptime of a target's loss without a response in between, if it counts.
 func (b *Breaker) LostAt(target string, now time.Duration) (at time.Duration, ok bool) {
-	at, ok = b.lost[target]
-	return at, ok && now-at < failureLifetime
+	loss, ok := b.lost[target]
+	return loss.At, ok && now-loss.At < failureLifetime
 }
 
 // OpenByLosses opens the breaker, since other VMs are answered.
--- a/policy/breaker/breaker_test.go
+++ b/policy/breaker/breaker_test.go
@@ -25,6 +25,11 @@
 	return b
 }
 
+// lose records a loss of an attempt that has just begun.
+func lose(b *Breaker, target string, ended bool, now time.Duration) {
+	b.Lost(Loss{Target: target, At: now, BegunAt: now, Ended: ended})
+}
+
 func TestCheckDecidesWhenConnectsFail(t *testing.T) {
 	opened(t)
 	b := &Breaker{}
@@ -42,15 +47,15 @@
 // connections that open but carry nothing.
 func TestLossesOpenWithoutResponseInBetween(t *testing.T) {
 	b := &Breaker{}
-	b.Lost("t1", true, start)
-	b.Lost("t2", true, start)
+	lose(b, "t1", true, start)
+	lose(b, "t2", true, start)
 	b.Answered(false, start)
-	b.Lost("t3", true, start)
+	lose(b, "t3", true, start)
 	if _, enough := b.LossesSince(start); enough {
 		t.Error("losses suffice although a target answered in between")
 	}
-	b.Lost("t1", true, start+time.Millisecond)
-	b.Lost("t2", true, start+time.Millisecond)
+	lose(b, "t1", true, start+time.Millisecond)
+	lose(b, "t2", true, start+time.Millisecond)
 	if since, enough := b.LossesSince(start + time.Millisecond); !enough || since != start {
 		t.Errorf("three targets lost requests without a response in between: since %v, enough %v", since, enough)
 	}
@@ -97,7 +102,7 @@
 	if first, second := b.Admit(true, false, start), b.Admit(true, false, start); first != PassAsTrial || second != Block {
 		t.Errorf("first %v, second %v", first, second)
 	}
-	b.Lost("t1", true, start+100*time.Millisecond)
+	lose(b, "t1", true, start+100*time.Millisecond)
 	if b.State() != Open {
 		t.Errorf("after a failed trial: %v", b.State())
 	}
@@ -145,7 +150,7 @@
 func TestOpeningConnectionsShowLittleAfterLosses(t *testing.T) {
 	b := &Breaker{}
 	for _, target := range []string{"t1", "t2", "t3"} {
-		b.Lost(target, true, start)
+		lose(b, target, true, start)
 	}
 	b.OpenByLosses(start)
 	b.Connected(start)
@@ -155,7 +160,7 @@
 	if b.Settle(start+settleTimeOfLosses-1) || !b.Settle(start+settleTimeOfLosses) {
 		t.Error("did not close after settleTimeOfLosses")
 	}
-	b.Lost("t1", true, start+settleTimeOfLosses)
+	lose(b, "t1", true, start+settleTimeOfLosses)
 	if _, enough := b.LossesSince(start + settleTimeOfLosses); !enough {
 		t.Error("one loss does not open the breaker that closed without a response")
 	}
@@ -178,15 +183,15 @@
 		if _, enough := b.LossesSince(now); enough {
 			t.Fatalf("%d losses at two targets suffice", i)
 		}
-		b.Lost([]string{"t1", "t2"}[i%2], true, now)
+		lose(&b, []string{"t1", "t2"}[i%2], true, now)
 		now += 100 * time.Millisecond
 	}
 	if _, enough := b.LossesSince(now); !enough {
 		t.Errorf("%d losses in a row at two targets do not suffice", lossesInRowToOpen)
 	}
 	b.Answered(false, now)
-	b.Lost("t1", true, now)
-	b.Lost("t2", true, now)
+	lose(&b, "t1", true, now)
+	lose(&b, "t2", true, now)
 	if _, enough := b.LossesSince(now); enough {
 		t.Error("losses before a response count")
 	}
@@ -197,7 +202,7 @@
 func TestLateRequestsAreNoLossesInRow(t *testing.T) {
 	var b Breaker
 	for i := range 4 * lossesInRowToOpen {
-		b.Lost([]string{"t1", "t2"}[i%2], false, time.Hour)
+		lose(&b, []string{"t1", "t2"}[i%2], false, time.Hour)
 	}
 	if _, enough := b.LossesSince(time.Hour); enough {
 		t.Error("late requests at two targets suffice")
