breaker: late requests of a VM without other responses lose no path

Callers saw: a VM that was stopped answered 502 to requests at which targets worked (LOST); the rest of such requests ran twice at targets for one answer. Cause: an attempt without a response for three mean durations counted as lost, and three of them without a response in between opened the breaker of the path while other VMs were answered. A VM that stops forwards what arrives and begins no attempts, so that after a second only its long requests are left: of all requests those that say nothing about the path. A VM with few requests sees the same by chance. Change: a late attempt counts only if it began after the latest response to this VM, and lateness alone opens no breaker: up to three targets that lately answered other VMs are asked for a response first (event 4116). An attempt that reaches its time limit is late, not lost. Attempts on open connections over which responses come are not given up. Why this works: silence decides nothing any more; a response, or its absence where one must come, does.

--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -74,8 +74,10 @@
 	overall    suspicion.Reference
 	// room decides who goes first when the service is full.
 	room roomState
-	// breaker is the circuit breaker of the path to the targets.
-	breaker breaker.Breaker
+	// breaker is the circuit breaker of the path to the targets, silenceCheck the check that
+	// decides whether late requests mean that the path is at fault.
+	breaker      breaker.Breaker
+	silenceCheck silenceCheck
 	// bytesBound bounds the bytes at each target once one may have ended because of them.
 	bytesBound bytesBound
 }
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -116,38 +116,67 @@
 }
 
 // examine counts an attempt that has no response yet as lost and, once the path is known to
-// be at fault, ends it if its request may run again.
+// be at fault, gives it up if its request may run again.
 func (a *Attempt) examine() {
+	pathLost, since := a.examineSilence()
+	if pathLost && a.idempotent && a.abandon != nil {
+		a.giveUp(since)
+	}
+}
+
+// examineSilence counts an attempt that has been without a response for its silence limit as
+// lost, and starts the timer of the next examination. pathLost is true when no request takes
+// the path; answeredHereAt is the uptime of the service's latest response to this VM.
+func (a *Attempt) examineSilence() (pathLost bool, answeredHereAt time.Duration) {
 	m := a.manager
+	now := m.options.Uptime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if a.responded || a.ended {
-		return
+		return false, 0
 	}
 	if left := a.silenceLimit - a.trip.SinceWrite(); left > 0 {
 		a.silence = time.AfterFunc(left, a.examine)
-		return
+		return false, 0
 	}
-	m.lost(a, false, m.options.Uptime())
+	m.lost(a, false, now)
 	m.examineLosses(a.info.Service, a.service)
-	if a.service.breaker.State() == breaker.Open && a.idempotent && a.abandon != nil {
-		m.options.Scope.Counter("attempts_abandoned").Inc(1)
-		events.AttemptGivenUp.Log(m.options.Logger, "target", a.info.ID, "service", a.info.Service, "at_target_ms", a.trip.SinceWrite().Milliseconds(),
-			"answered_here_ms", age(a.service.answeredHereAt(), m.options.Uptime()))
-		a.abandon()
-		return
-	}
 	a.silence = time.AfterFunc(examineInterval, a.examine)
+	return a.service.breaker.Blocks(now), a.service.answeredHereAt()
 }
 
-// examineLosses opens the breaker of a service when enough requests were lost while other
-// VMs were answered; the lock is held.
+// giveUp ends an attempt that is late because the path is at fault.
+func (a *Attempt) giveUp(answeredHereAt time.Duration) {
+	m := a.manager
+	m.options.Scope.Counter("attempts_abandoned").Inc(1)
+	events.AttemptGivenUp.Log(m.options.Logger, "target", a.info.ID, "service", a.info.Service, "at_target_ms", a.trip.SinceWrite().Milliseconds(),
+		"answered_here_ms", age(answeredHereAt, m.options.Uptime()))
+	a.abandon()
+}
+
+// examineLosses opens the breaker of a service when enough attempts ended without a response
+// while other VMs were answered, and checks the path when they are only late; the lock is held.
 func (m *Manager) examineLosses(name string, s *service) {
 	now := m.options.Uptime()
-	since, enough := s.breaker.LossesSince(now)
-	if !enough || s.servedSince(since+reportTime) < minServing && !s.lostServesOthers(now) {
-		return
+	switch s.finding(now) {
+	case breaker.PathLost:
+		m.openByLosses(name, s, now)
+	case breaker.PathSilent:
+		m.checkSilence(name, s, now)
+	}
+}
+
+// finding returns what the losses show of the path, given that other VMs are answered.
+func (s *service) finding(now time.Duration) breaker.Finding {
+	finding, since := s.breaker.Examine(now)
+	if finding != breaker.NoFinding && s.servedSince(since+reportTime) < minServing && !s.lostServesOthers(now) {
+		return breaker.NoFinding
 	}
+	return finding
+}
+
+// openByLosses opens the breaker of a service; the lock is held.
+func (m *Manager) openByLosses(name string, s *service, now time.Duration) {
 	losses := s.breaker.Losses(now)
 	s.breaker.OpenByLosses(now)
 	m.pathLost(name, s, "requests lost", losses)
@@ -184,8 +213,12 @@
 	switch {
 	case failure.Kind == contract.AttemptCanceled:
 		return
-	case failure.Kind == contract.AttemptTimedOut && now-a.startedAt < minSilence:
-		return // the request had little time
+	case failure.Kind == contract.AttemptTimedOut:
+		if now-a.startedAt >= minSilence { // otherwise the request had little time
+			a.manager.lost(a, false, now)
+			a.manager.examineLater(a.info.Service, a.service)
+		}
+		return
 	case failure.Kind == contract.AttemptRefused:
 		a.manager.connectFailed(a, now)
 		return
--- a/policy/breaker/breaker.go
+++ b/policy/breaker/breaker.go
@@ -1,18 +1,14 @@
 package breaker
 
-import (
-	"slices"
-	"strings"
-	"time"
-)
+import "time"
 
 const (
 	// connectFailuresToCheck is the number of targets to which no connection opened, and
 	// none to others since, after which the path is checked.
 	connectFailuresToCheck = 2
 	// lossesToOpen is the number of targets that lost requests without a response to this VM,
-	// after which the breaker opens if other VMs are answered; lossesToDoubt the number from
-	// which the path is in doubt.
+	// after which the breaker opens if other VMs are answered, or, if requests are only late,
+	// the path is checked; lossesToDoubt the number from which the path is in doubt.
 	lossesToOpen, lossesToDoubt = 3, 2
 	// lossesInRowToOpen is the number of losses in a row that open the breaker, too, when they
 	// are of lossesToDoubt targets: requests go mostly to the targets that look best, so a VM
@@ -70,15 +66,6 @@
 	Block
 )
 
-// Loss is a request that a target lost.
-type Loss struct {
-	Target string
-	// At is the uptime at which the loss was observed, BegunAt that at which the attempt began.
-	At, BegunAt time.Duration
-	// Ended is false when the attempt has only not responded for long.
-	Ended bool
-}
-
 // Breaker is the circuit breaker of the path to the targets of one service. The zero value
 // is closed.
 type Breaker struct {
@@ -90,6 +77,8 @@
 	// lossesInRow counts the attempts that were lost since the latest response, without those
 	// that are only late.
 	lossesInRow int
+	// answeredAt is the uptime of the latest response of any target; zero before the first.
+	answeredAt time.Duration
 	// changedAt is the uptime of the latest change of the state, checkedAt that of the
 	// latest check, zero before the first.
 	changedAt, checkedAt time.Duration
@@ -146,60 +135,6 @@
 	return true
 }
 
-// Lost records that a target lost a request of this VM.
-func (b *Breaker) Lost(loss Loss) {
-	b.endTrial(loss.At)
-	if loss.Ended {
-		b.lossesInRow++
-	}
-	if b.lost == nil {
-		b.lost = make(map[string]Loss)
-	}
-	if known, ok := b.lost[loss.Target]; !ok || loss.At-known.At >= failureLifetime {
-		b.lost[loss.Target] = loss
-	}
-}
-
-// Losses returns the losses without a response in between that still count, by target.
-func (b *Breaker) Losses(now time.Duration) []Loss {
-	var losses []Loss
-	for _, loss := range b.lost {
-		if now-loss.At < failureLifetime {
-			losses = append(losses, loss)
-		}
-	}
-	slices.SortFunc(losses, func(x, y Loss) int { return strings.Compare(x.Target, y.Target) })
-	return losses
-}
-
-// LossesSince returns the uptime of the first of the losses without a response in between;
-// enough is true when they open a closed breaker, provided that other VMs are answered. One
-// suffices for a breaker that closed without a response.
-func (b *Breaker) LossesSince(now time.Duration) (since time.Duration, enough bool) {
-	needed := lossesToOpen
-	switch {
-	case b.unproven:
-		needed = 1
-	case b.lossesInRow >= lossesInRowToOpen:
-		needed = lossesToDoubt
-	}
-	losses := b.Losses(now)
-	if b.state != Closed || len(losses) < needed {
-		return 0, false
-	}
-	since = now
-	for _, loss := range losses {
-		since = min(since, loss.At)
-	}
-	return since, true
-}
-
-// LostAt returns the uptime of a target's loss without a response in between, if it counts.
-func (b *Breaker) LostAt(target string, now time.Duration) (at time.Duration, ok bool) {
-	loss, ok := b.lost[target]
-	return loss.At, ok && now-loss.At < failureLifetime
-}
-
 // OpenByLosses opens the breaker, since other VMs are answered.
 func (b *Breaker) OpenByLosses(now time.Duration) { b.open(true, now) }
 
@@ -221,7 +156,7 @@
 // over a connection that was open before, a response shows only that such connections live.
 func (b *Breaker) Answered(onNewConnection bool, now time.Duration) (closed bool) {
 	clear(b.lost)
-	b.unproven, b.lossesInRow = false, 0
+	b.unproven, b.lossesInRow, b.answeredAt = false, 0, now
 	if onNewConnection {
 		clear(b.unconnected)
 	}
@@ -281,6 +216,10 @@
 	return Block
 }
 
+// Blocks reports whether the breaker is open and responses don't come over open connections
+// either.
+func (b *Breaker) Blocks(now time.Duration) bool { return b.state == Open && now >= b.liveUntil }
+
 // endTrial opens a half-open breaker whose trial failed.
 func (b *Breaker) endTrial(now time.Duration) {
 	if b.state != HalfOpen {
--- a/policy/breaker/breaker_test.go
+++ b/policy/breaker/breaker_test.go
@@ -51,16 +51,16 @@
 	lose(b, "t2", true, start)
 	b.Answered(false, start)
 	lose(b, "t3", true, start)
-	if _, enough := b.LossesSince(start); enough {
+	if finding, _ := b.Examine(start); finding != NoFinding {
 		t.Error("losses suffice although a target answered in between")
 	}
 	lose(b, "t1", true, start+time.Millisecond)
 	lose(b, "t2", true, start+time.Millisecond)
-	if since, enough := b.LossesSince(start + time.Millisecond); !enough || since != start {
-		t.Errorf("three targets lost requests without a response in between: since %v, enough %v", since, enough)
+	if finding, since := b.Examine(start + time.Millisecond); finding != PathLost || since != start {
+		t.Errorf("three targets lost requests without a response in between: since %v, finding %v", since, finding)
 	}
 	b.OpenByLosses(start + time.Millisecond)
-	if _, enough := b.LossesSince(start + time.Millisecond); enough || b.State() != Open {
+	if finding, _ := b.Examine(start + time.Millisecond); finding != NoFinding || b.State() != Open {
 		t.Error("not open, or losses open it again")
 	}
 }
@@ -161,7 +161,7 @@
 		t.Error("did not close after settleTimeOfLosses")
 	}
 	lose(b, "t1", true, start+settleTimeOfLosses)
-	if _, enough := b.LossesSince(start + settleTimeOfLosses); !enough {
+	if finding, _ := b.Examine(start + settleTimeOfLosses); finding != PathLost {
 		t.Error("one loss does not open the breaker that closed without a response")
 	}
 	b.OpenByLosses(start)
@@ -180,19 +180,19 @@
 	var b Breaker
 	now := time.Hour
 	for i := range lossesInRowToOpen {
-		if _, enough := b.LossesSince(now); enough {
+		if finding, _ := b.Examine(now); finding != NoFinding {
 			t.Fatalf("%d losses at two targets suffice", i)
 		}
 		lose(&b, []string{"t1", "t2"}[i%2], true, now)
 		now += 100 * time.Millisecond
 	}
-	if _, enough := b.LossesSince(now); !enough {
+	if finding, _ := b.Examine(now); finding != PathLost {
 		t.Errorf("%d losses in a row at two targets do not suffice", lossesInRowToOpen)
 	}
 	b.Answered(false, now)
 	lose(&b, "t1", true, now)
 	lose(&b, "t2", true, now)
-	if _, enough := b.LossesSince(now); enough {
+	if finding, _ := b.Examine(now); finding != NoFinding {
 		t.Error("losses before a response count")
 	}
 }
@@ -204,7 +204,7 @@
 	for i := range 4 * lossesInRowToOpen {
 		lose(&b, []string{"t1", "t2"}[i%2], false, time.Hour)
 	}
-	if _, enough := b.LossesSince(time.Hour); enough {
+	if finding, _ := b.Examine(time.Hour); finding != NoFinding {
 		t.Error("late requests at two targets suffice")
 	}
 }
--- a/policy/breaker/doc.go
+++ b/policy/breaker/doc.go
@@ -6,8 +6,11 @@
 // point to that: connections to several targets could not be opened, and none to others
 // since; and several targets lost this VM's requests without any response in between,
 // although targets of the service have answered other VMs since. The first kind asks for a
-// check of some other targets, since several targets may be down at once; the second needs
-// none.
+// check of some other targets, since several targets may be down at once. So does the second
+// kind while requests are only late: they may take long. A VM that begins few requests, or
+// none since it stops, has nothing but long ones in progress after a while, so a late request
+// counts only if it began after the latest response. Attempts that ended without a response
+// need no check.
 //
 // A closed breaker lets all requests pass. An open one lets none pass, but for those on open
 // connections while responses keep coming over such connections. Once a connection to any
