gateway: an attempt is given up only where another VM may serve its request

Callers saw: 502 for a request that was forwarded, or had used its attempts, as soon as its VM took the path for lost, although its target might still answer. Cause: attempts were ended on a lost path whatever could follow. A forwarded request is not forwarded again, and one without attempts, time or a held body can't be sent once more. Change: an attempt is given up only if another VM that reaches the service may take the request.

--- a/entry/events/targetset.go
+++ b/entry/events/targetset.go
@@ -27,7 +27,7 @@
 	PathLost = define(4111, log.WarnLevel, "no target of the service reachable from here",
 		"Connections to several targets failed, or several targets that answer other VMs lost this VM's requests (observed tells which): the path from this VM is at fault. lost lists these requests by target, with the time since each began and whether it ended or is only late; answered_here_ms and answered_any_ms tell how old the latest response is to this VM and to any VM, -1 for none, in_progress how many attempts go on here. 4112 follows when a response arrives.")
 	AttemptGivenUp = define(4115, log.WarnLevel, "attempt given up",
-		"This VM ended an idempotent attempt at which the target may still work, since no target of the service is reachable from here (4111); at_target_ms tells how long after its request was written.")
+		"This VM ended an idempotent attempt at which the target may still work, since no target of the service is reachable from here (4111) and another VM may serve the request; at_target_ms tells how long after its request was written.")
 	SilenceChecked = define(4116, log.InfoLevel, "path with late requests checked",
 		"Several requests of this VM are late although targets of the service answer other VMs, so some targets were asked for a response; result tells whether one came (response: the requests take long; none: 4111 follows) or whether none could be asked. The other fields are those of 4111.")
 	RoomShort = define(4113, log.WarnLevel, "service short of room",
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -234,7 +234,7 @@
 		trip.MaxIdle = onceMaxIdle
 	}
 	ctx, abandon := context.WithCancelCause(ctx)
-	attempt.OnAbandoned(func() { abandon(errAbandoned) })
+	attempt.OnAbandoned(func() { abandon(errAbandoned) }, q.anotherMayFollow(attempt))
 	outgoing := q.outgoing(contract.WithRoundTrip(ctx, trip), attempt)
 	allSent := q.body.attach(outgoing)
 	defer q.watchSilence(attempt, trip)()
@@ -266,6 +266,25 @@
 	return d
 }
 
+// anotherMayFollow returns a function that reports whether another VM may serve the request when
+// an attempt is given up because this VM reaches no target. It may be called while the attempt
+// is in progress.
+func (q *request) anotherMayFollow(attempt *targetset.Attempt) func() bool {
+	inProgress := 1
+	if attempt.IsHedge() {
+		inProgress = 2
+	}
+	isAllowed := !q.isForwarded && q.body.rest == nil && q.sentAttempts+inProgress < q.route.MaxAttempts
+	service, deadline, carriers := q.service, q.deadline, q.gateway.options.Carriers
+	return func() bool {
+		if !isAllowed || time.Until(deadline) < minRetryTime {
+			return false
+		}
+		_, _, found := carriers.Carrier(service, nil)
+		return found
+	}
+}
+
 // outgoing builds the request to the target.
 func (q *request) outgoing(ctx context.Context, attempt *targetset.Attempt) *http.Request {
 	out := q.caller.Clone(ctx)
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -80,8 +80,10 @@
 	// idempotent is true when the request may run more than once, openConnectionOnly when no
 	// connection may be opened for it.
 	idempotent, openConnectionOnly bool
-	// abandon ends the attempt when the path to its target is at fault; nil for none.
-	abandon func()
+	// abandon ends the attempt when the path to its target is at fault; nil for none. mayFollow
+	// reports whether another attempt can follow then.
+	abandon   func()
+	mayFollow func() bool
 	// silence examines the attempt while it has no response, from silenceLimit after the last
 	// write of its request on, which trip tells.
 	silence      *time.Timer
@@ -231,9 +233,11 @@
 func (a *Attempt) Address() string { return a.info.Address }
 
 // OnAbandoned sets the function that ends the attempt when the path to its target is at
-// fault, which it is called for only if the request may run more than once. It must be set
-// before Send.
-func (a *Attempt) OnAbandoned(abandon func()) { a.abandon = abandon }
+// fault. It is called only if the request may run more than once and mayFollow reports that
+// another attempt can follow. Both must be set before Send.
+func (a *Attempt) OnAbandoned(abandon func(), mayFollow func() bool) {
+	a.abandon, a.mayFollow = abandon, mayFollow
+}
 
 // SinceWrite returns the time since bytes of the request were last written to the target; zero
 // when none were.
--- a/entry/targetset/hedge.go
+++ b/entry/targetset/hedge.go
@@ -173,6 +173,9 @@
 	}
 }
 
+// IsHedge reports whether the attempt runs beside an earlier one of its request.
+func (a *Attempt) IsHedge() bool { return a.isHedge }
+
 // isSuperseded reports whether the attempt ended because the other one of its request won, so that
 // the target was not known to be at fault; the lock is held.
 func (a *Attempt) isSuperseded(result Result) bool {
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -116,10 +116,10 @@
 }
 
 // examine counts an attempt that has no response yet as lost and, once the path is known to
-// be at fault, gives it up if its request may run again.
+// be at fault, gives it up if another attempt can follow.
 func (a *Attempt) examine() {
 	pathLost, since := a.examineSilence()
-	if pathLost && a.idempotent && a.abandon != nil {
+	if pathLost && a.idempotent && a.abandon != nil && a.mayFollow() {
 		a.giveUp(since)
 	}
 }
@@ -145,7 +145,8 @@
 	return a.service.breaker.Blocks(now), a.service.answeredHereAt()
 }
 
-// giveUp ends an attempt that is late because the path is at fault.
+// giveUp ends an attempt that is late because the path is at fault. Without another attempt that
+// can follow, nothing would be gained: the response may still arrive.
 func (a *Attempt) giveUp(answeredHereAt time.Duration) {
 	m := a.manager
 	m.options.Scope.Counter("attempts_abandoned").Inc(1)
--- a/entry/targetset/silence_test.go
+++ b/entry/targetset/silence_test.go
@@ -69,12 +69,12 @@
 
 // leaveLate begins attempts that get no response while other VMs are answered, and lets time
 // pass. It returns how many of them were given up.
-func (f *fixture) leaveLate(t *testing.T, attempts int) (givenUp int) {
+func (f *fixture) leaveLate(t *testing.T, attempts int, mayFollow bool) (givenUp int) {
 	t.Helper()
 	abandoned := make([]bool, attempts)
 	for i := range attempts {
 		attempt := f.begin(t, wanted(routing.KindIdempotent))
-		attempt.OnAbandoned(func() { abandoned[i] = true })
+		attempt.OnAbandoned(func() { abandoned[i] = true }, func() bool { return mayFollow })
 		trip := &contract.RoundTrip{}
 		trip.MarkWrote()
 		attempt.startTimer(trip)
@@ -106,14 +106,16 @@
 // a lost path, and ends them while their targets work (LOST).
 func TestLateRequestsAloneLoseNoPath(t *testing.T) {
 	for _, c := range []struct {
-		name    string
-		path    pathState
-		cutOff  bool
-		givenUp bool
+		name      string
+		path      pathState
+		mayFollow bool
+		cutOff    bool
+		givenUp   bool
 	}{
-		{"the targets answer", pathWorks, false, false},
-		{"connections hang", pathHangs, true, true},
-		{"connections open and carry nothing", pathSwallows, true, true},
+		{"the targets answer", pathWorks, true, false, false},
+		{"connections hang", pathHangs, true, true, true},
+		{"connections open and carry nothing", pathSwallows, true, true, true},
+		{"connections hang and no other attempt can follow", pathHangs, false, true, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -121,7 +123,7 @@
 				setPath := f.startTargets(t, memnet.New(), 8)
 				f.publishHealthPath()
 				setPath(c.path)
-				givenUp := f.leaveLate(t, lossesForTest)
+				givenUp := f.leaveLate(t, lossesForTest, c.mayFollow)
 				if cutOff := len(f.CutOffServices()) > 0; cutOff != c.cutOff {
 					t.Errorf("cut off %v, want %v", cutOff, c.cutOff)
 				}
