crashes: a request at which a target still works is no suspect

Callers saw: four requests sent alike at which targets worked for over 1.5 s, at 400 ms from one another, were enough to refuse the next one as if it crashed its targets; before that, it was not retried after a lost attempt. An attempt without a response for 1.5 s was told as lost, and its target, which accepted connections and answered others, as one that survived a crash. Change: the target is still checked after 1.5 s, and counts if it ended; one that lives counts only once the attempt has ended without a response. The bound on bytes at targets begins only then, too. Result: the case 'four targets that still work' of TestRequestLostAtManyServingTargetsIsRefused fails on the checker before and passes now.

--- a/entry/crashes/checker.go
+++ b/entry/crashes/checker.go
@@ -88,7 +88,7 @@
 		c.processes[key] = state
 	}
 	if len(state.lost) < maxLostPerProcess {
-		state.lost[lost.Request] = lostState{at: now, mayCountSurvived: !lost.FromSuspect, muchSent: lost.MuchSent}
+		state.lost[lost.Request] = lostState{at: now, mayCountSurvived: !lost.FromSuspect && !lost.InProgress, muchSent: lost.MuchSent}
 	}
 	time.AfterFunc(servedOnTime, func() { c.forgetServedOn(key) })
 	if !state.checking {
--- a/entry/crashes/checker_test.go
+++ b/entry/crashes/checker_test.go
@@ -282,7 +282,7 @@
 // TestRequestLostAtManyServingTargetsIsRefused guards against sending on a request that
 // ends a worker process of each target behind a listener that goes on accepting, and
 // against refusing a request whose connections were hit by a fault of the targets or of
-// the network.
+// the network, or at which targets still work.
 func TestRequestLostAtManyServingTargetsIsRefused(t *testing.T) {
 	const spacing = 400 * time.Millisecond
 	for _, c := range []struct {
@@ -293,11 +293,14 @@
 		// suspect tells whether the targets are suspected of a fault, served whether they
 		// answer other requests, and answered whether this VM gets answers of targets.
 		suspect, served, answered bool
+		// inProgress tells whether the attempts have only been waiting for long.
+		inProgress bool
 		// between takes place after the second lost attempt.
 		between func(f *checkerFleet)
 		refused bool
 	}{
 		{name: "four targets", lost: 4, spacing: spacing, served: true, answered: true, refused: true},
+		{name: "four targets that still work", lost: 4, spacing: spacing, served: true, answered: true, inProgress: true},
 		{name: "three targets", lost: 3, spacing: spacing, served: true, answered: true},
 		{name: "suspected targets", lost: 6, spacing: spacing, suspect: true, served: true, answered: true},
 		{name: "targets that answer nobody", lost: 6, spacing: spacing, answered: true},
@@ -318,7 +321,7 @@
 				if i == 2 && c.between != nil {
 					c.between(f)
 				}
-				f.tracker.AttemptLost(LostAttempt{Request: request7, Target: f.targets[i], FromSuspect: c.suspect})
+				f.tracker.AttemptLost(LostAttempt{Request: request7, Target: f.targets[i], FromSuspect: c.suspect, InProgress: c.inProgress})
 				time.Sleep(c.spacing)
 			}
 			time.Sleep(2 * time.Second)
--- a/entry/crashes/lost.go
+++ b/entry/crashes/lost.go
@@ -16,6 +16,8 @@
 	Target roster.Target
 	// FromSuspect is true when the target was suspected of a fault before the attempt.
 	FromSuspect bool
+	// InProgress is true when the attempt has only been waiting for long.
+	InProgress bool
 	// MuchSent is true when the target held much of other requests right before, which may
 	// have ended it instead of the request.
 	MuchSent bool
@@ -49,7 +51,8 @@
 type lostState struct {
 	at time.Duration
 	// mayCountSurvived is true until the attempt has counted as a crash that the process
-	// survived; false from the beginning for a process that was suspected of a fault.
+	// survived; false from the beginning for a process that was suspected of a fault, and while
+	// the attempt is in progress: a process that lives may still work on it.
 	mayCountSurvived bool
 	// muchSent is LostAttempt.MuchSent.
 	muchSent bool
--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -36,15 +36,16 @@
 	Answered(request quarantine.Identity)
 }
 
-// reportLost reports an attempt without a complete response.
-func (q *request) reportLost(attempt *targetset.Attempt) {
+// reportLost reports an attempt without a complete response; inProgress is true while it is
+// only late.
+func (q *request) reportLost(attempt *targetset.Attempt, inProgress bool) {
 	muchSent := q.gateway.memory != nil && attempt.OtherBytes() >= muchSentBytes
-	if muchSent {
+	if muchSent && !inProgress {
 		attempt.HeldTooMuch()
 	}
 	q.gateway.options.Crashes.AttemptLost(crashes.LostAttempt{
 		Request: q.identity, Target: attempt.Target(), FromSuspect: attempt.Candidate().IsSuspect(),
-		MuchSent: muchSent,
+		InProgress: inProgress, MuchSent: muchSent,
 	})
 }
 
@@ -53,7 +54,7 @@
 func (q *request) watchSilence(attempt *targetset.Attempt, trip *contract.RoundTrip) (stop func() bool) {
 	return time.AfterFunc(silenceTime, func() {
 		if trip.Written() {
-			q.reportLost(attempt)
+			q.reportLost(attempt, true)
 		}
 	}).Stop
 }
@@ -110,7 +111,7 @@
 	case err == nil && result == suspicion.ResultServed:
 		q.gateway.options.Crashes.Answered(q.identity)
 	case q.brokenOff(err):
-		q.reportLost(attempt)
+		q.reportLost(attempt, false)
 	}
 }
 
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -261,7 +261,7 @@
 	abandon(nil)
 	attempt.Done(d.result)
 	if d.lost {
-		q.reportLost(attempt)
+		q.reportLost(attempt, false)
 	}
 	return d
 }
--- a/policy/quarantine/doc.go
+++ b/policy/quarantine/doc.go
@@ -33,8 +33,8 @@
 // which may also be a fault of the path. Such a crash counts for PresumedTime only,
 // unless it is confirmed.
 //
-// A crash may be survived: the connection of the request ended or fell silent, but the
-// target goes on accepting connections and answers other requests. A worker process
+// A crash may be survived: the connection of the request ended, or was silent until the time
+// limit, but the target goes on accepting connections and answers other requests. A worker process
 // behind the listener may have ended, or a network fault may have hit the connection.
 // Such a crash counts half, for SurvivedTime, and only at a distance from others. So does the
 // end of a target that held much of other requests, which may have ended for lack of memory.
