contract: the time of an attempt's latest write is read from the monotonic clock

Callers saw: on a VM whose time of day steps forward by seconds, all attempts in progress count as silent at once, and idempotent ones may be given up. Cause: the time was kept as Unix nanoseconds, without the monotonic reading. Change: the time keeps its monotonic reading.

--- a/entry/contract/roundtrip.go
+++ b/entry/contract/roundtrip.go
@@ -30,8 +30,9 @@
 	ReusedStallLimit time.Duration
 
 	written atomic.Bool
-	// wroteAt is when bytes of the request were last written, in nanoseconds of Unix time.
-	wroteAt atomic.Int64
+	// wroteAt is when bytes of the request were last written, with the monotonic clock's
+	// reading: a step of the time of day is no silence of the target.
+	wroteAt atomic.Pointer[time.Time]
 	reused  atomic.Bool
 }
 
@@ -43,16 +44,19 @@
 func (r *RoundTrip) Written() bool { return r.written.Load() }
 
 // MarkWrote records that bytes of the request have been passed to the operating system.
-func (r *RoundTrip) MarkWrote() { r.wroteAt.Store(time.Now().UnixNano()) }
+func (r *RoundTrip) MarkWrote() {
+	now := time.Now()
+	r.wroteAt.Store(&now)
+}
 
 // SinceWrite returns the time since bytes of the request were last written; zero before the
 // first.
 func (r *RoundTrip) SinceWrite() time.Duration {
 	at := r.wroteAt.Load()
-	if at == 0 {
+	if at == nil {
 		return 0
 	}
-	return time.Since(time.Unix(0, at))
+	return time.Since(*at)
 }
 
 // MarkReused records that the connection had carried a request before.
