proxy: the time of an upload's latest read is taken from the monotonic clock

Change: the time keeps its monotonic reading. Result: TestReadTimeOfABodyIsMonotonic fails before and passes now.

--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -205,7 +205,8 @@
 // upload does not count as the target's response time.
 type timedBody struct {
 	io.ReadCloser
-	last atomic.Int64
+	// last is when the body was last read, with the monotonic clock's reading.
+	last atomic.Pointer[time.Time]
 }
 
 // asRequestBody returns the body, or http.NoBody when there is none.
@@ -219,17 +220,17 @@
 // Read reads from the body and records the time.
 func (b *timedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	b.last.Store(time.Now().UnixNano())
+	now := time.Now()
+	b.last.Store(&now)
 	return n, err
 }
 
 // lastRead returns the time of the last read, or the start when it is later.
 func (b *timedBody) lastRead(start time.Time) time.Time {
-	last := time.Unix(0, b.last.Load())
-	if last.Before(start) {
-		return start
+	if last := b.last.Load(); last != nil && last.After(start) {
+		return *last
 	}
-	return last
+	return start
 }
 
 func earlier(a, b time.Time) time.Time {
