frontend: a stop answers the requests in a row that were read before it closes a connection

Callers saw: a caller that sends several lookups before the first is answered gets one answer of a VM that stops, and then the end of the connection: requests that the VM had read whole, up to seconds before, go unanswered (LOST). Cause: each response of a stopping VM announced the close of its connection, whatever had arrived behind it. net/http drops what is left. Requests that are read ahead, to notice callers that leave, were dropped with it. Evidence: TestStopAnswersTheRequestsInARowThatWereRead fails before with one answer of three, in one segment and one after another. Result: the test passes, the others of requests in a row and of stops, too.

--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -39,11 +39,8 @@
 	for name, values := range got.header {
 		header[name] = values
 	}
-	closeConnection := header.Get("Connection") == "close" && !g.options.Stopping()
 	removeHopByHopHeaders(header)
-	if closeConnection || g.options.Stopping() {
-		header.Set("Connection", "close")
-	}
+	g.announceClose(header, q.caller)
 	if got.rest == nil && q.caller.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(got.held.size, 10))
 	} else if got.length >= 0 {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/forwarding"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
@@ -136,14 +137,20 @@
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := g.newRequest(w, r)
-	if g.options.Stopping() {
-		w.Header().Set("Connection", "close")
-	}
 	if refusal := g.serve(w, q); refusal != nil {
+		g.announceClose(w.Header(), r)
 		g.refuse(w, q, refusal)
 	}
 }
 
+// announceClose tells the caller, while the VM stops, that its connection ends with this response,
+// unless further requests of it have arrived: they would go unanswered.
+func (g *Gateway) announceClose(header http.Header, r *http.Request) {
+	if g.options.Stopping() && !readahead.HasFurther(r) {
+		header.Set("Connection", "close")
+	}
+}
+
 // newRequest returns the state of a request that has just arrived.
 func (g *Gateway) newRequest(w http.ResponseWriter, r *http.Request) *request {
 	q := &request{gateway: g, caller: r, writer: w, metadata: g.options.Dialect.ReadRequest(r.Header), start: time.Now()}
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -33,6 +33,8 @@
 	deadline time.Time
 	timer    *time.Timer
 	closed   bool
+	// counter counts the requests.
+	counter counter
 	// onEnd are the functions to be called when the caller has closed the connection.
 	onEnd   map[int]func()
 	nextKey int
@@ -56,12 +58,27 @@
 		return c.readBuffer(p)
 	}
 	n, err := c.Conn.Read(p)
+	c.count(p[:n])
 	if err == nil && len(p) == 1 {
 		c.startAhead()
 	}
 	return n, err
 }
 
+// count counts the requests in bytes that were read.
+func (c *Conn) count(content []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counter.add(content)
+}
+
+// begin records that a request is begun.
+func (c *Conn) begin(r *http.Request) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counter.begin(r)
+}
+
 // readBuffer waits for bytes in the buffer. What a caller sent before it closed the connection
 // is dropped with it.
 func (c *Conn) readBuffer(p []byte) (int, error) {
@@ -102,6 +119,7 @@
 		n, err := c.Conn.Read(content)
 		c.mu.Lock()
 		c.buffer = append(c.buffer, content[:n]...)
+		c.counter.add(content[:n])
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		if err != nil {
@@ -208,9 +226,10 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
-// Watch makes a server end the contexts of requests whose caller has closed the connection.
-// The server's connections must come from Listener.
-func Watch(server *http.Server) {
+// Watch makes a server end the contexts of requests whose caller has closed the connection, and
+// count the requests of its connections. These must come from Listener.
+func Watch(server *http.Server) *Watcher {
+	watcher := &Watcher{conns: make(map[*Conn]struct{})}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
@@ -224,6 +243,10 @@
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		defer conn.notify(cancel)()
+		conn.begin(r)
+		watcher.add(conn)
+		defer watcher.remove(conn)
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
+	return watcher
 }
--- a/entry/readahead/doc.go
+++ b/entry/readahead/doc.go
@@ -5,4 +5,7 @@
 // has arrived, that byte is there, and the end of the connection behind it is seen only after
 // the response. A Conn of this package reads on from then, into a bounded buffer, and calls
 // those who wait for the end.
+//
+// It also counts the whole requests that have arrived, so that a server that stops closes a
+// connection only behind the last of them.
 package readahead
