targetset: a check of a path decides by a response or by connections that fail

Callers would see: a VM behind a middle box that drops what is sent never finds out, where the routes name no health path or all its connections are in use; a VM of busy targets that answer a check after 0.9 s takes the path for lost, and gives its requests up. A response that arrived while its attempt was given up was cut. Cause: an open connection counted as a response, a check that could not ask decided nothing for good, and one that got no response for 450 ms decided at once. The attempt was ended without a second look. All VMs asked the same three targets. The clock was read without the lock. Change: only failed connections open the breaker at once. A check that decides nothing opens it if the losses go on for a second. The targets are drawn from those that have lately answered. The attempt is looked at again, with the lock held, before it is given up.

--- a/entry/events/targetset.go
+++ b/entry/events/targetset.go
@@ -29,7 +29,7 @@
 	AttemptGivenUp = define(4115, log.WarnLevel, "attempt given up",
 		"This VM ended an idempotent attempt at which the target may still work, since no target of the service is reachable from here (4111) and another VM may serve the request; at_target_ms tells how long after its request was written.")
 	SilenceChecked = define(4116, log.InfoLevel, "path with late requests checked",
-		"Several requests of this VM are late although targets of the service answer other VMs, so some targets were asked for a response; result tells whether one came (response: the requests take long; none: 4111 follows) or whether none could be asked. The other fields are those of 4111.")
+		"Several requests of this VM are late although targets of the service answer other VMs, so some targets were asked for a response; result is response when one came (the requests take long), failed when none could be reached (4111 follows), and undecided otherwise (4111 follows if the losses go on). The other fields are those of 4111.")
 	RoomShort = define(4113, log.WarnLevel, "service short of room",
 		"A request was refused (no_room) since others go first while the service is full: those of higher priority (cause urgency), or of customers that send no more than usual (excess); too_late could not end in its time. Logged for the first refusal; the counter targets_room_refused has all.")
 	RoomRegained = define(4114, log.InfoLevel, "service has room again",
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -118,40 +118,46 @@
 // examine counts an attempt that has no response yet as lost and, once the path is known to
 // be at fault, gives it up if another attempt can follow.
 func (a *Attempt) examine() {
-	pathLost, since := a.examineSilence()
-	if pathLost && a.idempotent && a.abandon != nil && a.mayFollow() {
-		a.giveUp(since)
+	if a.examineSilence() && a.idempotent && a.abandon != nil && a.mayFollow() {
+		a.giveUp()
 	}
 }
 
 // examineSilence counts an attempt that has been without a response for its silence limit as
 // lost, and starts the timer of the next examination. pathLost is true when no request takes
-// the path; answeredHereAt is the uptime of the service's latest response to this VM.
-func (a *Attempt) examineSilence() (pathLost bool, answeredHereAt time.Duration) {
+// the path.
+func (a *Attempt) examineSilence() (pathLost bool) {
 	m := a.manager
-	now := m.options.Uptime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	now := m.options.Uptime()
 	if a.responded || a.ended {
-		return false, 0
+		return false
 	}
 	if left := a.silenceLimit - a.trip.SinceWrite(); left > 0 {
 		a.silence = time.AfterFunc(left, a.examine)
-		return false, 0
+		return false
 	}
 	m.lost(a, false, now)
 	m.examineLosses(a.info.Service, a.service)
 	a.silence = time.AfterFunc(examineInterval, a.examine)
-	return a.service.breaker.Blocks(now), a.service.answeredHereAt()
+	return a.service.breaker.Blocks(now)
 }
 
 // giveUp ends an attempt that is late because the path is at fault. Without another attempt that
-// can follow, nothing would be gained: the response may still arrive.
-func (a *Attempt) giveUp(answeredHereAt time.Duration) {
+// can follow, nothing would be gained: the response may still arrive, and may have since the
+// attempt was examined.
+func (a *Attempt) giveUp() {
 	m := a.manager
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.options.Uptime()
+	if a.responded || a.ended || !a.service.breaker.Blocks(now) {
+		return
+	}
 	m.options.Scope.Counter("attempts_abandoned").Inc(1)
 	events.AttemptGivenUp.Log(m.options.Logger, "target", a.info.ID, "service", a.info.Service, "at_target_ms", a.trip.SinceWrite().Milliseconds(),
-		"answered_here_ms", age(answeredHereAt, m.options.Uptime()))
+		"answered_here_ms", age(a.service.answeredHereAt(), now))
 	a.abandon()
 }
 
@@ -159,7 +165,7 @@
 // while other VMs were answered, and checks the path when they are only late; the lock is held.
 func (m *Manager) examineLosses(name string, s *service) {
 	now := m.options.Uptime()
-	switch s.finding(now) {
+	switch finding, _ := s.finding(now); finding {
 	case breaker.PathLost:
 		m.openByLosses(name, s, now)
 	case breaker.PathSilent:
@@ -167,13 +173,14 @@
 	}
 }
 
-// finding returns what the losses show of the path, given that other VMs are answered.
-func (s *service) finding(now time.Duration) breaker.Finding {
+// finding returns what the losses show of the path, given that other VMs are answered, and the
+// uptime of the first of them.
+func (s *service) finding(now time.Duration) (breaker.Finding, time.Duration) {
 	finding, since := s.breaker.Examine(now)
 	if finding != breaker.NoFinding && s.servedSince(since+reportTime) < minServing && !s.lostServesOthers(now) {
-		return breaker.NoFinding
+		return breaker.NoFinding, 0
 	}
-	return finding
+	return finding, since
 }
 
 // openByLosses opens the breaker of a service; the lock is held.
--- a/entry/targetset/silence.go
+++ b/entry/targetset/silence.go
@@ -1,8 +1,8 @@
 package targetset
 
 import (
-	"cmp"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"slices"
@@ -14,10 +14,13 @@
 )
 
 const (
-	// silenceCheckInterval is the minimum time between the begins of two checks of a service.
+	// silenceCheckInterval is the minimum time from the start of a check of a service to the next.
 	silenceCheckInterval = 500 * time.Millisecond
-	// maxCheckWait bounds how long a check waits for a response.
-	maxCheckWait = time.Second
+	// checkWait bounds how long a check waits for a response: a busy target may need a while.
+	// A check that decides nothing opens the breaker only if the losses go on for as long.
+	checkWait = time.Second
+	// recentlyServed is how long ago targets have answered a VM that are asked first.
+	recentlyServed = 500 * time.Millisecond
 	// maxHealthBytes bounds what is read of a target's response to a check.
 	maxHealthBytes = 64 << 10
 )
@@ -41,32 +44,34 @@
 
 // The answers.
 const (
-	noAnswer answer = iota
+	// failed means that no connection opened, or that it ended without a response.
+	failed answer = iota
+	// undecided means that a connection opened and no response came in time, or that nothing
+	// could be asked for.
+	undecided
+	// answered means that a response arrived.
 	answered
-	// notAsked means that this VM may open no further connection to the target.
-	notAsked
 )
 
 // String returns the answer as it is logged.
-func (a answer) String() string { return [...]string{"none", "response", "not_asked"}[a] }
+func (a answer) String() string { return [...]string{"failed", "undecided", "response"}[a] }
 
-// checkSilence asks some targets that have lately answered other VMs for a response and opens
-// the breaker of the service if none comes. It returns at once; the lock is held. Where only a
-// connection was asked for, one that opens would not show that the path carries requests.
+// checkSilence asks some targets that have lately answered other VMs for a response. It opens
+// the breaker of the service if none can be reached, or if the check decides nothing and the
+// losses go on. It returns at once; the lock is held.
 func (m *Manager) checkSilence(name string, s *service, now time.Duration) {
 	check := &s.silenceCheck
 	if check.inProgress || check.begunAt > 0 && now-check.begunAt < silenceCheckInterval {
 		return
 	}
-	questions := s.questions(now)
+	questions := m.questions(s, now)
 	if len(questions) == 0 {
 		return
 	}
 	check.inProgress, check.begunAt = true, now
 	path := m.healthPath(name)
-	wait := min(max(minSilence, silentServiceTimes*s.overall.MeanServiceTime(defaultAttemptDuration)), maxCheckWait)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), wait)
+		ctx, cancel := context.WithTimeout(context.Background(), checkWait)
 		defer cancel()
 		result := m.ask(ctx, questions, path)
 		m.mu.Lock()
@@ -80,12 +85,14 @@
 	now := m.options.Uptime()
 	s.silenceCheck.inProgress = false
 	m.logSilenceChecked(name, s, result, now)
-	switch {
-	case result == answered:
+	if result == answered {
 		if s.breaker.Answered(true, now) {
 			m.pathFound(name)
 		}
-	case result == noAnswer && s.finding(now) != breaker.NoFinding:
+		return
+	}
+	finding, since := s.finding(now)
+	if finding != breaker.NoFinding && (result == failed || now-since >= checkWait) {
 		m.openByLosses(name, s, now)
 	}
 }
@@ -100,22 +107,25 @@
 	return definition.HealthPath
 }
 
-// questions returns the targets that have answered any VM most recently. Those that have lost
-// a request of this VM come last: their requests may take long.
-func (s *service) questions(now time.Duration) []question {
-	var sound, late []*target
-	for _, t := range s.targets {
+// questions returns random targets of those that have lately answered any VM, or of the others
+// where these are too few. Those that have lost a request of this VM come last: their requests
+// may take long. The lock is held.
+func (m *Manager) questions(s *service, now time.Duration) []question {
+	var recent, others, late []*target
+	for _, i := range m.random.Perm(len(s.targets)) {
+		t := s.targets[i]
 		switch _, lost := s.breaker.LostAt(t.info.ID, now); {
 		case !t.usable() || t.unreachable:
 		case lost:
 			late = append(late, t)
+		case t.lastServedAt > 0 && now-t.lastServedAt < recentlyServed:
+			recent = append(recent, t)
 		default:
-			sound = append(sound, t)
+			others = append(others, t)
 		}
 	}
-	slices.SortFunc(sound, func(x, y *target) int { return cmp.Compare(y.lastServedAt, x.lastServedAt) })
 	var questions []question
-	for _, t := range append(sound, late...) {
+	for _, t := range slices.Concat(recent, others, late) {
 		if len(questions) < maxPathChecks {
 			questions = append(questions, question{pool: t.pool, id: t.info.ID, address: t.info.Address})
 		}
@@ -123,41 +133,39 @@
 	return questions
 }
 
-// ask returns whether one of the targets answers a request at the path, whatever it answers, or
-// accepts a connection where there is no path.
+// ask returns the best answer to the questions: whether one of the targets responds to a request
+// at the path, whatever it says. Without a path only a failed connection decides.
 func (m *Manager) ask(ctx context.Context, questions []question, path string) answer {
-	if path == "" {
-		return m.askForConnections(questions)
-	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(questions))
 	for _, q := range questions {
-		go func() { answers <- q.ask(ctx, path) }()
+		go func() {
+			if path == "" {
+				answers <- q.connect(ctx, m.options.Network)
+				return
+			}
+			answers <- q.ask(ctx, path)
+		}()
 	}
-	result := notAsked
+	best := failed
 	for range questions {
-		switch <-answers {
-		case answered:
-			return answered
-		case noAnswer:
-			result = noAnswer
-		case notAsked:
+		best = max(best, <-answers)
+		if best == answered {
+			break
 		}
 	}
-	return result
+	return best
 }
 
-// askForConnections returns whether one of the targets accepts a connection.
-func (m *Manager) askForConnections(questions []question) answer {
-	var addresses []string
-	for _, q := range questions {
-		addresses = append(addresses, q.address)
-	}
-	if reachesAny(m.options.Network, addresses) {
-		return answered
+// connect opens a connection, which does not show that it carries requests.
+func (q question) connect(ctx context.Context, network contract.Network) answer {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	if connect(ctx, network, q.address) != nil {
+		return failed
 	}
-	return noAnswer
+	return undecided
 }
 
 // ask sends one request over a new connection.
@@ -165,16 +173,26 @@
 	trip := &contract.RoundTrip{NewConnection: true}
 	request, err := http.NewRequestWithContext(contract.WithRoundTrip(ctx, trip), http.MethodGet, "http://"+q.address+path, nil)
 	if err != nil {
-		return notAsked // the routes hold a malformed path
+		return undecided // the routes hold a malformed path
 	}
 	x, response, err := targetconn.Send(q.pool, q.id, request)
-	switch {
-	case targetconn.IsConnectionLimit(err):
-		return notAsked
-	case err != nil:
-		return noAnswer // as at the end of the check's time
+	if err != nil {
+		return answerOf(err)
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes))
 	x.Finish(err == nil && !response.Close)
 	return answered
 }
+
+// answerOf returns what an error of a question shows.
+func answerOf(err error) answer {
+	var failure *contract.RoundTripError
+	if !errors.As(err, &failure) {
+		return undecided
+	}
+	switch failure.Kind {
+	case contract.AttemptRefused, contract.AttemptReset, contract.AttemptWrong, contract.AttemptTruncated:
+		return failed
+	}
+	return undecided // the check has ended, or this VM may open no further connection
+}
