breaker: an attempt from before the breaker opened ends no trial

Cause: each examination of a late attempt, 200 ms apart, opened the half-open breaker again, although the attempt began long before. Change: only an attempt that began since the latest change of the state is a trial. Result: TestLateAttemptFromBeforeEndsNoTrial fails before and passes now.

--- a/policy/breaker/losses.go
+++ b/policy/breaker/losses.go
@@ -36,7 +36,9 @@
 	if !loss.Ended && loss.BegunAt < b.answeredAt {
 		return
 	}
-	b.endTrial(loss.At)
+	if loss.BegunAt >= b.changedAt { // an earlier attempt is no trial
+		b.endTrial(loss.At)
+	}
 	if loss.Ended {
 		b.lossesInRow++
 	}
