gateway: an attempt is given up only while the retry budget has room

Cause: whether another attempt can follow did not ask for the retry budget. Change: this VM's share of the budget tells whether the other VM is likely to have a retry left.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -31,6 +31,8 @@
 type Targets interface {
 	RequestArrived(service string)
 	Begin(wanted targetset.AttemptRequest) (*targetset.Attempt, error)
+	// MayRetry reports whether the retry budget of a service has room for another attempt.
+	MayRetry(service string) bool
 	// HedgeAfter returns the time after which a second attempt beside one that has just begun
 	// may be due; zero for never.
 	HedgeAfter(first *targetset.Attempt) time.Duration
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -268,16 +268,17 @@
 
 // anotherMayFollow returns a function that reports whether another VM may serve the request when
 // an attempt is given up because this VM reaches no target. It may be called while the attempt
-// is in progress.
+// is in progress. The other VM pays for the retry; this VM's share of the budget tells whether
+// it can.
 func (q *request) anotherMayFollow(attempt *targetset.Attempt) func() bool {
 	inProgress := 1
 	if attempt.IsHedge() {
 		inProgress = 2
 	}
 	isAllowed := !q.isForwarded && q.body.rest == nil && q.sentAttempts+inProgress < q.route.MaxAttempts
-	service, deadline, carriers := q.service, q.deadline, q.gateway.options.Carriers
+	service, deadline, carriers, targets := q.service, q.deadline, q.gateway.options.Carriers, q.gateway.options.Targets
 	return func() bool {
-		if !isAllowed || time.Until(deadline) < minRetryTime {
+		if !isAllowed || time.Until(deadline) < minRetryTime || !targets.MayRetry(service) {
 			return false
 		}
 		_, _, found := carriers.Carrier(service, nil)
--- a/entry/targetset/hedge.go
+++ b/entry/targetset/hedge.go
@@ -173,6 +173,13 @@
 	}
 }
 
+// MayRetry reports whether the retry budget of a service has room for another attempt.
+func (m *Manager) MayRetry(service string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.service(service).budget.Available(m.options.Uptime()) >= 1
+}
+
 // IsHedge reports whether the attempt runs beside an earlier one of its request.
 func (a *Attempt) IsHedge() bool { return a.isHedge }
 
