Tests: a late attempt is reported as in progress, one that has ended is not

Change: TestSilentTargetIsReportedBeforeTheTimeLimit checks which of the reported attempts are in progress. Result: passes; with watchSilence reporting an ended attempt it fails.

--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -67,12 +67,15 @@
 		}()
 		time.Sleep(silenceTime + 100*time.Millisecond)
 		h.crashes.mu.Lock()
-		lost := h.crashes.lost
+		lost, inProgress := h.crashes.lost, h.crashes.inProgress
 		h.crashes.mu.Unlock()
-		if lost != 1 {
-			t.Errorf("%d lost attempts reported while the request waits", lost)
+		if lost != 1 || inProgress != 1 {
+			t.Errorf("%d lost attempts reported while the request waits, %d of them in progress", lost, inProgress)
 		}
 		<-ended
+		if h.crashes.lost != 2 || h.crashes.inProgress != 1 {
+			t.Errorf("%d lost attempts reported at the end, %d of them in progress", h.crashes.lost, h.crashes.inProgress)
+		}
 	})
 }
 
--- a/entry/gateway/harness_test.go
+++ b/entry/gateway/harness_test.go
@@ -89,7 +89,9 @@
 	mu   sync.Mutex
 	lost int
 	// lostToMuch counts those of the lost whose target held much.
-	lostToMuch  int
+	lostToMuch int
+	// inProgress counts those of the lost that were only late.
+	inProgress  int
 	answered    int
 	refuseAfter int
 	// suspected is true when the requests are known to have crashed a target before.
@@ -130,6 +132,9 @@
 	if lost.MuchSent {
 		c.lostToMuch++
 	}
+	if lost.InProgress {
+		c.inProgress++
+	}
 	c.lost++
 }
 
