gateway: no forwarded request begins after a stop has waited for them

Callers could see: a request that another VM forwarded to one that was about to end runs at its target, and its answer is lost. Cause: a forwarded request was accepted until the process ended. Change: once none is in progress, further ones are refused as not run. Result: TestNoForwardedRequestBeginsAfterTheStopHasWaited fails before and passes now.

--- a/entry/forwarding/inprogress.go
+++ b/entry/forwarding/inprogress.go
@@ -11,18 +11,24 @@
 const pollInterval = 20 * time.Millisecond
 
 // InProgress counts the requests of other VMs that are being served. Its zero value is ready.
-type InProgress struct{ count atomic.Int64 }
+type InProgress struct {
+	count  atomic.Int64
+	closed atomic.Bool
+}
 
 // Begin counts one more; ok is false when there are as many as the limit allows, which is
-// zero for none. The returned function must be called once the request has ended.
+// zero for none, or after Close. The returned function must be called once the request has ended.
 func (i *InProgress) Begin(limit int64) (end func(), ok bool) {
-	if now := i.count.Add(1); limit > 0 && now > limit {
+	if now := i.count.Add(1); limit > 0 && now > limit || i.closed.Load() {
 		i.count.Add(-1)
 		return nil, false
 	}
 	return func() { i.count.Add(-1) }, true
 }
 
+// Close lets no further request begin.
+func (i *InProgress) Close() { i.closed.Store(true) }
+
 // Await waits until no request is in progress.
 func (i *InProgress) Await(ctx context.Context) error {
 	ticker := time.NewTicker(pollInterval)
--- a/entry/gateway/forwarded.go
+++ b/entry/gateway/forwarded.go
@@ -20,8 +20,15 @@
 // own callers do not starve.
 const maxForwarded = 64
 
-// AwaitForwarded waits until no forwarded request of another VM is in progress.
-func (g *Gateway) AwaitForwarded(ctx context.Context) error { return g.forwarded.Await(ctx) }
+// AwaitForwarded waits until no forwarded request of another VM is in progress. After it, none
+// begins: the process ends, and its response would be lost.
+func (g *Gateway) AwaitForwarded(ctx context.Context) error {
+	if err := g.forwarded.Await(ctx); err != nil {
+		return err
+	}
+	g.forwarded.Close()
+	return g.forwarded.Await(ctx)
+}
 
 // Forward serves a request that another VM forwards, since that VM can't serve it. It is not
 // forwarded again.
