frontend: an idle connection is closed by the server's own wait

Callers could see: a request that arrives as its idle connection is closed runs, and its answer is lost. Cause: net/http calls a connection idle until it has parsed the next head, and the connection was closed from outside meanwhile. Change: the wait for the next request ends by its deadline, which a request that was read in time is not subject to.

--- a/entry/frontend/idle.go
+++ b/entry/frontend/idle.go
@@ -74,5 +74,7 @@
 		return
 	}
 	delete(l.idleConns, conn)
-	_ = conn.Close() // the server notices and reports the connection as closed
+	// The server ends its wait for a request and closes the connection, unless it has just read
+	// one, which a close here would leave unanswered.
+	_ = conn.SetReadDeadline(time.Now())
 }
