targetset: silence is no evidence against a target while this VM hears of none

Callers of other VMs could see: targets that answer them are suspected, since a VM that is cut off tells that its requests from before the cut reached their time limits there. Found by the review. Change: a time limit, or an overdue attempt, counts against a target only if this VM has had a response of the service lately, or if the target has answered no other VM since.

--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -271,13 +271,18 @@
 }
 
 // reportOverdue counts evidence of slowness against a target whose attempt is
-// still running after an unusually long time.
+// still running after an unusually long time, unless this VM hears of no target.
 func (a *Attempt) reportOverdue() {
 	m := a.manager
 	m.mu.Lock()
+	now := m.options.Uptime()
+	if a.heardNothing(now) {
+		m.mu.Unlock()
+		return
+	}
 	a.overdueReported = true
 	outcome := evidence.AttemptEvidence{Target: a.target.info.ID, SlowNats: suspicion.OverdueNats}
-	m.observe(a.target, outcome, m.options.Uptime())
+	m.observe(a.target, outcome, now)
 	m.mu.Unlock()
 	m.notifier.Publish(outcome)
 }
--- a/entry/targetset/evaluate.go
+++ b/entry/targetset/evaluate.go
@@ -25,7 +25,7 @@
 func (a *Attempt) evaluate(result Result, now time.Duration) evidence.AttemptEvidence {
 	outcome := evidence.AttemptEvidence{Target: a.target.info.ID, Load: result.Load, RefusedFull: result.RefusedFull, FailureNats: suspicion.FailureNats(result.End), ShedNats: suspicion.ShedNats(result.End)}
 	inDoubt := a.pathInDoubt(result, now)
-	if inDoubt {
+	if inDoubt || result.End == suspicion.ResultTimedOut && a.heardNothing(now) {
 		outcome.FailureNats = 0
 	}
 	if result.Err != nil && !result.Sent && result.End != suspicion.ResultNeutral {
@@ -51,6 +51,13 @@
 	return outcome
 }
 
+// heardNothing reports whether the silence of the attempt's target says nothing about it: the
+// target has answered another VM since the attempt began, and this VM has had no response of the
+// service for the time after which an attempt is late. The lock is held.
+func (a *Attempt) heardNothing(now time.Duration) bool {
+	return a.target.lastServedAt > a.startedAt && now-a.service.answeredHereAt() >= a.silenceLimit
+}
+
 // evaluateDuration returns the evidence of slowness in an attempt's duration and
 // adds the duration to the reference of the route; the lock is held. An attempt
 // that had to wait for a slot gives no evidence about the target itself.
