targetset: a time limit that was reached is no failed connection

Cause: a target without a response in time is avoided until a connection opens, and counted as one that can't be connected to meanwhile. Change: the two are told apart; only failed connections cut a VM off.

--- a/entry/targetset/evaluate.go
+++ b/entry/targetset/evaluate.go
@@ -29,7 +29,7 @@
 		outcome.FailureNats = 0
 	}
 	if result.Err != nil && !result.Sent && result.End != suspicion.ResultNeutral {
-		a.markUnreachable(result.Err)
+		a.markUnreachable(result.Err, true)
 		if inDoubt {
 			return outcome
 		}
@@ -40,7 +40,7 @@
 		return outcome
 	}
 	if result.End == suspicion.ResultTimedOut {
-		a.markUnreachable(result.Err)
+		a.markUnreachable(result.Err, false)
 	}
 	if result.End == suspicion.ResultServed && !a.overdueReported {
 		outcome.SlowNats = a.evaluateDuration(now, result.Load)
@@ -86,12 +86,14 @@
 }
 
 // markUnreachable excludes the target from attempts of this VM until a
-// connection opens, unless the attempt was canceled; the lock is held.
-func (a *Attempt) markUnreachable(cause error) {
+// connection opens, unless the attempt was canceled; connectFailed is true when no connection
+// opened for it. The lock is held.
+func (a *Attempt) markUnreachable(cause error, connectFailed bool) {
 	var failure *contract.RoundTripError
 	if errors.As(cause, &failure) && failure.Kind == contract.AttemptCanceled {
 		return
 	}
+	a.target.connectFailed = a.target.connectFailed || connectFailed
 	if !a.target.unreachable {
 		a.target.unreachable = true
 		events.TargetUnreachable.Log(a.manager.options.Logger, "target", a.target.info.ID,
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -313,7 +313,7 @@
 		return true
 	}
 	for _, t := range s.targets {
-		if t.usable() && !t.unreachable {
+		if t.usable() && !t.connectFailed {
 			return false
 		}
 	}
--- a/entry/targetset/target.go
+++ b/entry/targetset/target.go
@@ -64,8 +64,9 @@
 	answeredHereAt time.Duration
 	// everAttempted is true once any VM has made an attempt.
 	everAttempted bool
-	// unreachable is true while this VM cannot open a connection.
-	unreachable bool
+	// unreachable is true while this VM cannot open a connection, or none has opened since an
+	// attempt reached its time limit; connectFailed is true in the first case.
+	unreachable, connectFailed bool
 	// misplaced is true once another instance answered at its address.
 	misplaced bool
 	// removed is true once the target is no longer published.
--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -128,10 +128,11 @@
 	}
 }
 
-// reconnectFailed tells the breaker that no connection to a target opened.
+// reconnectFailed records that no connection to a target opened, and tells the breaker.
 func (m *Manager) reconnectFailed(t *target) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	t.connectFailed = t.unreachable
 	if s, ok := m.services[t.info.Service]; ok && !t.unreachable {
 		s.breaker.ReconnectFailed()
 	}
@@ -153,7 +154,7 @@
 		s.breaker.Connected(m.options.Uptime())
 	}
 	if t.unreachable {
-		t.unreachable = false
+		t.unreachable, t.connectFailed = false, false
 		events.TargetReachable.Log(m.options.Logger, "target", t.info.ID, "service", t.info.Service)
 	}
 }
