soak: long requests are in progress at planned stops and must not be broken off

The soak stops daemons in each run, but its requests took 40 ms, and a broken-off attempt was seen only if its caller's connection closed; one that a retry made up for, or that ended with the daemon's 502, was not. Change: a request may ask its target for work (query work_ms). Two callers send lookups and bookings of 1.0 to 1.08 s, time limit 1.2 s; at four planned stops in five, 8 to 12 are sent to the daemon from 60 ms before SIGTERM to 80 ms after it. They draw from streams of their own. Targets record whether the sender leaves while they work. The checker reports each execution that is broken off by a stopping daemon (idempotent, or its caller got 502, 503, 504 or a closed connection), unless the daemons, their links, the target or its link were disturbed, the time limit was reached, or another attempt was answered first. The report counts the executions that were checked.

--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -117,7 +117,7 @@
 	if asJSON {
 		return writeJSON(out, report)
 	}
-	_, err := fmt.Fprintf(out, "seed %d: %d of %d served, faults %v, %d violations\n", report.Seed, report.Served, report.Requests, report.Faults, len(report.Violations))
+	_, err := fmt.Fprintf(out, "seed %d: %d of %d served, %d executions across stops, faults %v, %d violations\n", report.Seed, report.Served, report.Requests, report.AcrossStops, report.Faults, len(report.Violations))
 	shown := make(map[soak.Promise]int)
 	for _, v := range report.Violations {
 		if shown[v.Promise]++; shown[v.Promise] > maxShownPerPromise || err != nil {
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -130,6 +130,10 @@
 	soundRefusals []soundRefusal
 	// partitions are the partitions of daemons from all targets.
 	partitions []partitionRecord
+	// executions holds, by identifier, how the work on requests ended; finishedAcrossStops is
+	// the number of those that ended during a planned stop and had to end with a response.
+	executions          map[string][]execution
+	finishedAcrossStops int
 	// arrivals holds, by process of a target, the requests that reached it.
 	arrivals map[string][]arrival
 	// keyedRequests are the requests with keys, keyedRuns their executions.
@@ -144,7 +148,7 @@
 	return &checker{
 		start: start, runs: make(map[string][]run), disturbances: make(map[int][]interval), interruptions: make(map[int][]interval), plannedStops: make(map[int][]interval),
 		publishedAt: make(map[uint64]time.Time), drainedAt: make(map[string]time.Time), drainPublishedAt: make(map[string]time.Time),
-		crashes: make(map[string][]run), crashingVMs: make(map[string]int), arrivals: make(map[string][]arrival),
+		crashes: make(map[string][]run), crashingVMs: make(map[string]int), executions: make(map[string][]execution), arrivals: make(map[string][]arrival),
 	}
 }
 
@@ -273,6 +277,7 @@
 		c.checkOutcome(request)
 		c.checkTiming(request)
 	}
+	c.checkStops()
 	c.checkConfigRollback()
 	c.checkRecovery()
 	c.checkCrashes()
--- /dev/null
+++ b/operator/soak/checker_stops.go
@@ -0,0 +1,97 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/settings"
+)
+
+// timeLimitSlack is how long before the time limit of its route a request may have ended at it:
+// the daemon measures from when it reads the request, the checker from when the caller sends it.
+const timeLimitSlack = 50 * time.Millisecond
+
+// stopGrace is how long after SIGTERM a daemon waits for requests in progress.
+var stopGrace = settings.DefaultFrontend().Stop.Grace.Std()
+
+// execution is one run and how its work at the target ended.
+type execution struct {
+	run
+	endedAt time.Time
+	// senderLeft is true when the sender closed the connection while the target worked.
+	senderLeft bool
+	// undisturbed is true when neither the target nor its link had a fault in the
+	// StabilityTime before the run, nor in the run.
+	undisturbed bool
+}
+
+func (c *checker) recordExecution(e execution) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.executions[e.requestID] = append(c.executions[e.requestID], e)
+}
+
+// checkStops checks that planned stops end no request that a target works on.
+func (c *checker) checkStops() {
+	for _, request := range c.requests {
+		for _, e := range c.executions[request.id] {
+			vm, stopping := c.stoppingVM(request, e)
+			if !stopping || !c.mustFinish(request, e) {
+				continue
+			}
+			c.finishedAcrossStops++
+			if !isBrokenOff(request, e) {
+				continue
+			}
+			c.addViolation(PromisePlannedStop, e.endedAt, "request %s through VM %d, status %d, was broken off at target %s, to which VM %d had sent it, by the planned stop of VM %d: after %v at the target, %v after it was sent",
+				request.id, request.vm, request.status, e.target, e.vm, vm, e.endedAt.Sub(e.at).Round(time.Millisecond), e.endedAt.Sub(request.startedAt).Round(time.Millisecond))
+		}
+	}
+}
+
+// stoppingVM returns the daemon that sent the request to the target, or the one that the caller
+// sent it to, if its planned stop began before the execution ended, and its grace ended after
+// that.
+func (c *checker) stoppingVM(request callerRequest, e execution) (vm int, stopping bool) {
+	for _, vm := range []int{e.vm, request.vm} {
+		if slices.ContainsFunc(c.plannedStops[vm], func(stop interval) bool {
+			end := stop.to.Add(exitSlack)
+			if graceEnd := stop.from.Add(stopGrace); graceEnd.Before(end) {
+				end = graceEnd
+			}
+			return stop.from.Before(e.endedAt) && e.endedAt.Before(end)
+		}) {
+			return vm, true
+		}
+	}
+	return 0, false
+}
+
+// mustFinish reports whether nothing but a daemon's mistake can end an execution before the
+// target responds: the target, its link, the daemons and their links were undisturbed, the time
+// limit was not reached, and no other attempt of the request was answered meanwhile. A caller
+// that leaves by itself does so after the time limit.
+func (c *checker) mustFinish(request callerRequest, e execution) bool {
+	if !e.undisturbed || e.endedAt.Sub(request.startedAt) >= routeTimeout-timeLimitSlack {
+		return false
+	}
+	for _, vm := range []int{request.vm, e.vm} {
+		if vm < 0 || !c.daemonUndisturbed(vm, request.startedAt, e.endedAt) || c.heldUp(vm, request.startedAt) || c.heldUp(vm, e.endedAt) {
+			return false
+		}
+	}
+	return !slices.ContainsFunc(c.executions[request.id], func(other execution) bool {
+		return !other.senderLeft && other.endedAt.After(e.at) && other.endedAt.Before(e.endedAt)
+	})
+}
+
+// isBrokenOff reports whether the sender left while the target worked, although the request may
+// run again, or whether the caller was answered by a daemon's failure or by a closed connection.
+func isBrokenOff(request callerRequest, e execution) bool {
+	switch request.status {
+	case 0, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		return e.senderLeft || request.endedAt.Before(e.endedAt)
+	}
+	return e.senderLeft && !request.atMostOnce
+}
--- /dev/null
+++ b/operator/soak/checker_stops_test.go
@@ -0,0 +1,88 @@
+package soak
+
+import (
+	"testing"
+	"time"
+)
+
+// TestCheckerDetectsRequestsBrokenOffByAPlannedStop gives the checker an execution that ends
+// while its daemon stops. It guards against a stop that breaks off what targets work on, and
+// against findings for what other faults, the time limit or the caller ended.
+func TestCheckerDetectsRequestsBrokenOffByAPlannedStop(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	// The daemon gets SIGTERM at 20 s; the sender leaves at 20.6 s, and a retry is answered.
+	type records struct {
+		request callerRequest
+		first   execution
+		stop    interval
+	}
+	for _, c := range []struct {
+		name   string
+		change func(r *records, k *checker)
+		broken bool
+	}{
+		{"broken off, a retry is answered", func(*records, *checker) {}, true},
+		{"broken off, 502", func(r *records, _ *checker) { r.request.status = 502 }, true},
+		{"must not run twice, broken off, 502", func(r *records, _ *checker) { r.request.status, r.request.atMostOnce = 502, true }, true},
+		{"must not run twice, 504 while the target works", func(r *records, _ *checker) {
+			r.request.status, r.request.atMostOnce, r.request.endedAt, r.first.senderLeft = 504, true, at(20.5), false
+		}, true},
+		{"connection closed while the target works", func(r *records, _ *checker) { r.request.status, r.request.endedAt = 0, at(20.6) }, true},
+		{"forwarded to another daemon, broken off", func(r *records, _ *checker) { r.first.vm = 1 }, true},
+		{"forwarded by another daemon to the stopping one, broken off", func(r *records, _ *checker) { r.request.vm = 1 }, true},
+		{"an earlier attempt failed, the next is broken off", func(r *records, k *checker) {
+			k.recordExecution(execution{run: run{requestID: "a", target: "u", at: at(19.8)}, endedAt: at(19.81), undisturbed: true})
+		}, true},
+		{"another attempt, at a disturbed target, is broken off first", func(_ *records, k *checker) {
+			k.recordExecution(execution{run: run{requestID: "a", target: "u", at: at(20.1)}, endedAt: at(20.59), senderLeft: true})
+		}, true},
+		{"disturbed long before", func(_ *records, k *checker) { k.recordDisturbance(0, at(15), at(16)) }, true},
+		{"target answers", func(r *records, _ *checker) { r.first.senderLeft = false }, false},
+		{"502 after the target's response", func(r *records, _ *checker) { r.first.senderLeft, r.request.status = false, 502 }, false},
+		{"no stop", func(r *records, _ *checker) { r.stop = interval{at(30), at(33)} }, false},
+		{"stop begins afterwards", func(r *records, _ *checker) { r.stop.from = at(20.61) }, false},
+		{"stopped long before", func(r *records, _ *checker) { r.stop = interval{at(15), at(18)} }, false},
+		{"the grace has ended", func(r *records, _ *checker) { r.stop = interval{at(14.5), at(21)} }, false},
+		{"the time limit is reached", func(r *records, _ *checker) { r.request.startedAt = at(20.6).Add(-routeTimeout) }, false},
+		{"caller leaves", func(r *records, _ *checker) {
+			r.request.status, r.first.endedAt = 0, r.request.startedAt.Add(callerTimeout)
+			r.request.endedAt = r.first.endedAt
+		}, false},
+		{"target or its link was disturbed", func(r *records, _ *checker) { r.first.undisturbed = false }, false},
+		{"daemon is killed or its link disturbed", func(_ *records, k *checker) { k.recordDisturbance(0, at(20.5), at(23)) }, false},
+		{"daemon was paused before", func(_ *records, k *checker) { k.recordInterruption(0, at(17), at(18)) }, false},
+		{"forwarded to a daemon that is killed", func(r *records, k *checker) {
+			r.first.vm = 1
+			k.recordInterruption(1, at(20.5), at(23))
+		}, false},
+		{"daemon is cut off from targets", func(_ *records, k *checker) { k.recordPartition([]*vm{{index: 0}}, at(20.3), at(26)) }, false},
+		{"daemon was cut off from targets", func(_ *records, k *checker) { k.recordPartition([]*vm{{index: 0}}, at(12), at(17)) }, false},
+		{"sender is unknown", func(r *records, _ *checker) { r.first.vm = -1 }, false},
+		{"another attempt was answered first", func(_ *records, k *checker) {
+			k.recordExecution(execution{run: run{requestID: "a", target: "u", at: at(20.1)}, endedAt: at(20.59), undisturbed: true})
+		}, false},
+		{"must not run twice, served", func(r *records, _ *checker) { r.request.atMostOnce = true }, false},
+	} {
+		k := newChecker(start)
+		k.recordPublication(1, at(1))
+		k.recordEndOfFaults(at(30))
+		k.recordRequest(servedAfterFaults(at(40)))
+		r := records{
+			request: callerRequest{id: "a", version: 1, startedAt: at(19.8), endedAt: at(20.8), status: statusServed, timeout: routeTimeout},
+			first:   execution{run: run{requestID: "a", target: "t", at: at(19.82)}, endedAt: at(20.6), senderLeft: true, undisturbed: true},
+			stop:    interval{at(20), at(24)},
+		}
+		c.change(&r, k)
+		k.recordRequest(r.request)
+		k.recordExecution(r.first)
+		if r.request.status == statusServed && !r.request.atMostOnce {
+			k.recordExecution(execution{run: run{requestID: "a", target: "u", at: at(20.61)}, endedAt: at(20.7), undisturbed: true})
+		}
+		k.recordStop(0, r.stop.from, r.stop.to)
+		got := k.check(true)
+		if c.broken && (len(got) != 1 || got[0].Promise != PromisePlannedStop) || !c.broken && len(got) > 0 {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/operator/soak/crashing.go
+++ b/operator/soak/crashing.go
@@ -31,6 +31,7 @@
 // loses power, and starts it again after crashDowntime. A crash of a worker ends only the
 // connection of the request: another process of the target goes on accepting connections.
 func (s *soak) crash(t *target, r *http.Request) {
+	t.disturb()
 	s.mu.Lock()
 	draw := s.crashRandom.Float64()
 	s.mu.Unlock()
@@ -64,7 +65,7 @@
 		return // the run is over, or the address cannot be bound again: the target stays down
 	}
 	t.mu.Lock()
-	t.down = false
+	t.down, t.disturbedAt = false, time.Now()
 	t.restarts++
 	before := t.info.ID
 	t.info.StartedAt, t.info.Sequence, t.said = time.Now(), 0, notice.Notice{}
--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -16,7 +16,9 @@
 // each time, and beside them, rarely, sound requests on their paths; a crashed target closes
 // its connections or falls silent, and starts anew after a while. Targets also limit their requests, ask for pauses and say that
 // they leave in their responses, and the store comes back from copies that are some seconds
-// old. Some callers have keys, of which each version of the routes withdraws one, and send more
+// old. Some lookups and bookings ask their targets to work for long; at most planned stops several
+// of them are in progress at the daemon that stops, and the targets record whether the sender
+// leaves while they work. Some callers have keys, of which each version of the routes withdraws one, and send more
 // than their customer's limit to random daemons. The checker records every request of a caller and every
 // execution at a target, and compares them once the run is over.
 //
--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -111,8 +111,10 @@
 	s.soak.checker.recordInterruption(v.index, from, time.Now())
 }
 
-// stop stops a daemon as planned, by SIGTERM, and starts it again.
+// stop stops a daemon as planned, by SIGTERM, mostly while it has long requests in progress, and
+// starts it again.
 func (s *series) stop(v *vm) {
+	s.soak.sendLongAtStop(v)
 	from := time.Now()
 	v.signal(syscall.SIGTERM)
 	v.waitForExit()
@@ -191,6 +193,7 @@
 	s.soak.countFault("target")
 	switch s.random.IntN(4) {
 	case 0:
+		t.disturb()
 		t.link.stallAll()
 	case 1:
 		s.disturbLink(t.link)
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -52,11 +52,14 @@
 
 // Report is the result of a run.
 type Report struct {
-	Seed       uint64         `json:"seed"`
-	Requests   int            `json:"asked"`
-	Served     int            `json:"served"`
-	Faults     map[string]int `json:"faults"`
-	Violations []Violation    `json:"violations"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"asked"`
+	Served   int    `json:"served"`
+	// AcrossStops is the number of executions that ended during a planned stop of an
+	// undisturbed daemon and had to end with a response.
+	AcrossStops int            `json:"across_stops"`
+	Faults      map[string]int `json:"faults"`
+	Violations  []Violation    `json:"violations"`
 }
 
 const (
@@ -123,6 +126,10 @@
 		c := s.newRowCaller(i)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	for i := range longCallers {
+		c := s.newLongCaller("long"+strconv.Itoa(i), longStream+uint64(i))
+		load.Go(func() { c.run(loadCtx) })
+	}
 	for i := range s.keyedCallerCount() {
 		c := s.newKeyedCaller(i)
 		load.Go(func() { c.run(loadCtx) })
@@ -319,6 +326,7 @@
 
 func (s *soak) report() *Report {
 	report := &Report{Seed: s.options.Seed, Faults: s.faults, Violations: s.checker.check(s.options.CheckTimeBounds)}
+	report.AcrossStops = s.checker.finishedAcrossStops
 	for _, request := range s.checker.requests {
 		report.Requests++
 		if request.status == statusServed {
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -54,6 +54,8 @@
 	mu      sync.Mutex
 	fault   targetFault
 	running int
+	// disturbedAt is when a fault of the target last began or ended.
+	disturbedAt time.Time
 	// said is what the target says of itself in its responses. While it holds a pause, the
 	// target refuses all requests.
 	said notice.Notice
@@ -105,13 +107,24 @@
 func (t *target) say(change func(said *notice.Notice)) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	pause := t.said.Pause
 	change(&t.said)
+	if t.said.Pause != pause {
+		t.disturbedAt = time.Now()
+	}
 }
 
 func (t *target) setFault(fault targetFault) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.fault = fault
+	t.fault, t.disturbedAt = fault, time.Now()
+}
+
+// disturb records a fault that is over at once.
+func (t *target) disturb() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.disturbedAt = time.Now()
 }
 
 // admit takes a slot for a request; ok is false when all slots are in use, or the target
@@ -162,25 +175,18 @@
 		t.crash(t, r)
 		panic(http.ErrAbortHandler)
 	}
-	t.checker.recordRun(run{requestID: attempt.AttemptID, target: t.id(), at: time.Now(), vm: sender, linkHarmed: t.link.harmedWithin(StabilityTime), targetFaulty: fault != targetHealthy})
+	begun := run{requestID: attempt.AttemptID, target: t.id(), at: time.Now(), vm: sender, linkHarmed: t.link.harmedWithin(StabilityTime), targetFaulty: fault != targetHealthy}
+	t.checker.recordRun(begun)
 	if strings.HasPrefix(r.URL.Path, keyedPrefix) {
 		t.checker.recordKeyedRun(keyedRun{requestID: attempt.AttemptID, target: t.id(), customer: attempt.Customer, hasKey: attempt.Key != "", at: time.Now()})
 	}
+	t.work(r, begun, fault)
 	metadata.Signed = true
 	t.respond(r.Context(), w, metadata, fault, expectedBody(attempt.AttemptID, body))
 }
 
-// respond waits for the time of the work and writes the response, or fails as the
-// fault demands.
+// respond writes the response, or fails as the fault demands.
 func (t *target) respond(ctx context.Context, w http.ResponseWriter, metadata dialect.ResponseMetadata, fault targetFault, body string) {
-	work := workTime
-	if fault == targetSlow {
-		work = slowWorkTime
-	}
-	select {
-	case <-time.After(work):
-	case <-ctx.Done():
-	}
 	platform.Headers{}.WriteResponse(w.Header(), metadata)
 	switch fault {
 	case targetFails:
