--- a/cmd/primroseloom/soak.go
+++ b/cmd/primroseloom/soak.go
@@ -54,6 +54,7 @@
 	flags.Float64Var(&options.WorkerCrashShare, "worker-crashes", options.WorkerCrashShare, "share of these crashes in which only a worker process of the target ends")
 	flags.BoolVar(&options.VaryCrashing, "vary-crashing", true, "make the caller's address, the query or the spelling of these requests change, and send sound requests on their paths")
 	flags.BoolVar(&options.PartitionsOnly, "partitions-only", false, "inject no other fault than partitions of daemons from all targets")
+	flags.BoolVar(&options.StopsOnly, "stops-only", false, "inject no other fault than planned stops of daemons")
 	flags.IntVar(&options.AddressBase, "base", options.AddressBase, "second byte of the loopback addresses; runs at the same time need different ones")
 	flags.BoolVar(&regressions, "regressions", false, "run the seeds that failed before, each with its own duration and numbers of VMs, targets and callers")
 	flags.BoolVar(&untimed, "untimed", false, "skip the promises that depend on the machine's speed")
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -130,10 +130,12 @@
 	soundRefusals []soundRefusal
 	// partitions are the partitions of daemons from all targets.
 	partitions []partitionRecord
-	// executions holds, by identifier, how the work on requests ended; finishedAcrossStops is
-	// the number of those that ended during a planned stop and had to end with a response.
+	// executions holds, by identifier, how the work on requests ended, lastExecution the latest
+	// of a known daemon; finishedAcrossStops is the number of those that ended during a planned
+	// stop and had to end with a response.
 	executions          map[string][]execution
 	finishedAcrossStops int
+	lastExecution       execution
 	// arrivals holds, by process of a target, the requests that reached it.
 	arrivals map[string][]arrival
 	// keyedRequests are the requests with keys, keyedRuns their executions.
--- a/operator/soak/checker_stops.go
+++ b/operator/soak/checker_stops.go
@@ -30,6 +30,16 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.executions[e.requestID] = append(c.executions[e.requestID], e)
+	if e.vm >= 0 {
+		c.lastExecution = e
+	}
+}
+
+// latestSender returns the index of the daemon that sent the latest recorded execution.
+func (c *checker) latestSender() (vm int, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastExecution.vm, len(c.executions) > 0
 }
 
 // checkStops checks that planned stops end no request that a target works on.
--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -111,6 +111,22 @@
 	s.soak.checker.recordInterruption(v.index, from, time.Now())
 }
 
+// stopBusy stops a daemon as planned, mostly that of the latest execution at a target: few
+// daemons send requests to targets, the others forward to these.
+func (s *series) stopBusy() {
+	const randomOneIn = 4 // one draw in four takes a daemon by drawVM
+	v := s.drawVM()
+	if sender, ok := s.soak.checker.latestSender(); ok && s.random.IntN(randomOneIn) > 0 {
+		v = s.soak.fleet.vms[sender]
+	}
+	if !v.processFault.TryLock() {
+		return // another series stops it
+	}
+	defer v.processFault.Unlock()
+	s.soak.countFault("stop")
+	s.stop(v)
+}
+
 // stop stops a daemon as planned, by SIGTERM, mostly while it has long requests in progress, and
 // starts it again.
 func (s *series) stop(v *vm) {
--- a/operator/soak/regressions.go
+++ b/operator/soak/regressions.go
@@ -9,7 +9,7 @@
 	// VMs, Targets, Callers and CrashingRequests are the number of each in the run.
 	VMs, Targets, Callers, CrashingRequests int
 	SilentCrashShare, WorkerCrashShare      float64
-	VaryCrashing, PartitionsOnly            bool
+	VaryCrashing, PartitionsOnly, StopsOnly bool
 	// Cause is the bug in the daemon, since fixed.
 	Cause string
 }
@@ -55,6 +55,10 @@
 			Seed: 9901, Duration: 20 * time.Second, VMs: 12, Targets: 12, Callers: 36, PartitionsOnly: true,
 			Cause: "a VM that reached no target refused all requests; see TestVMThatReachesNoTargetServesItsCallers",
 		},
+		{
+			Seed: 33, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, StopsOnly: true,
+			Cause: "a VM that stopped took its long requests for a lost path and broke them off; see TestStopBreaksOffNoLongRequest",
+		},
 	}
 }
 
@@ -63,5 +67,5 @@
 	options.Seed, options.Duration = r.Seed, r.Duration
 	options.VMs, options.Targets, options.Callers = r.VMs, r.Targets, r.Callers
 	options.CrashingRequests, options.SilentCrashShare, options.WorkerCrashShare = r.CrashingRequests, r.SilentCrashShare, r.WorkerCrashShare
-	options.VaryCrashing, options.PartitionsOnly = r.VaryCrashing, r.PartitionsOnly
+	options.VaryCrashing, options.PartitionsOnly, options.StopsOnly = r.VaryCrashing, r.PartitionsOnly, r.StopsOnly
 }
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -46,6 +46,8 @@
 	OtherDaemonPath string
 	// PartitionsOnly injects no other fault than partitions of daemons from all targets.
 	PartitionsOnly bool
+	// StopsOnly injects no other fault than planned stops of daemons.
+	StopsOnly bool
 	// CheckTimeBounds enables the check of the time-bound promises.
 	CheckTimeBounds bool
 }
@@ -72,8 +74,14 @@
 	maxTargetAddresses = 250
 )
 
-// partitionStream is the random stream of the partitions.
-const partitionStream = 11
+const (
+	// partitionStream is the random stream of the partitions.
+	partitionStream = 11
+	// stopStream is the first random stream of the planned stops in a run with nothing else.
+	stopStream = 12
+	// stopSeries is the number of series of stops in such a run.
+	stopSeries = 3
+)
 
 // soak is the state of one run.
 type soak struct {
@@ -203,6 +211,13 @@
 		running.Wait()
 		return
 	}
+	if s.options.StopsOnly {
+		for i := range stopSeries {
+			start(uint64(stopStream+i), func(faults *series) func() { return faults.stopBusy })
+		}
+		running.Wait()
+		return
+	}
 	start(1, func(faults *series) func() { return faults.disturbProcess })
 	start(2, func(faults *series) func() { return faults.disturbProcess })
 	start(3, func(faults *series) func() { return faults.disturbCallersLink })
