--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -46,17 +46,22 @@
 	OtherDaemonPath string
 	// PartitionsOnly injects no other fault than partitions of daemons from all targets.
 	PartitionsOnly bool
+	// StopsOnly injects no other fault than planned stops of daemons.
+	StopsOnly bool
 	// CheckTimeBounds enables the check of the time-bound promises.
 	CheckTimeBounds bool
 }
 
 // Report is the result of a run.
 type Report struct {
-	Seed       uint64         `json:"seed"`
-	Requests   int            `json:"asked"`
-	Served     int            `json:"served"`
-	Faults     map[string]int `json:"faults"`
-	Violations []Violation    `json:"violations"`
+	Seed     uint64 `json:"seed"`
+	Requests int    `json:"asked"`
+	Served   int    `json:"served"`
+	// AcrossStops is the number of executions that ended during a planned stop of an
+	// undisturbed daemon and had to end with a response.
+	AcrossStops int            `json:"across_stops"`
+	Faults      map[string]int `json:"faults"`
+	Violations  []Violation    `json:"violations"`
 }
 
 const (
@@ -69,8 +74,14 @@
 	maxTargetAddresses = 250
 )
 
-// partitionStream is the random stream of the partitions.
-const partitionStream = 11
+const (
+	// partitionStream is the random stream of the partitions.
+	partitionStream = 11
+	// stopStream is the first random stream of the planned stops in a run with nothing else.
+	stopStream = 12
+	// stopSeries is the number of series of stops in such a run.
+	stopSeries = 3
+)
 
 // soak is the state of one run.
 type soak struct {
@@ -123,6 +134,10 @@
 		c := s.newRowCaller(i)
 		load.Go(func() { c.run(loadCtx) })
 	}
+	for i := range longCallers {
+		c := s.newLongCaller("long"+strconv.Itoa(i), longStream+uint64(i))
+		load.Go(func() { c.run(loadCtx) })
+	}
 	for i := range s.keyedCallerCount() {
 		c := s.newKeyedCaller(i)
 		load.Go(func() { c.run(loadCtx) })
@@ -196,6 +211,13 @@
 		running.Wait()
 		return
 	}
+	if s.options.StopsOnly {
+		for i := range stopSeries {
+			start(uint64(stopStream+i), func(faults *series) func() { return faults.stopBusy })
+		}
+		running.Wait()
+		return
+	}
 	start(1, func(faults *series) func() { return faults.disturbProcess })
 	start(2, func(faults *series) func() { return faults.disturbProcess })
 	start(3, func(faults *series) func() { return faults.disturbCallersLink })
@@ -319,6 +341,7 @@
 
 func (s *soak) report() *Report {
 	report := &Report{Seed: s.options.Seed, Faults: s.faults, Violations: s.checker.check(s.options.CheckTimeBounds)}
+	report.AcrossStops = s.checker.finishedAcrossStops
 	for _, request := range s.checker.requests {
 		report.Requests++
 		if request.status == statusServed {
