--- a/entry/targetset/silence_test.go
+++ b/entry/targetset/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"testing"
@@ -10,6 +11,7 @@
 
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/policy/suspicion"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 )
 
@@ -37,6 +39,7 @@
 			t.Fatal(err)
 		}
 		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.checks.Add(1)
 			select {
 			case <-swallows:
 				<-r.Context().Done()
@@ -157,3 +160,67 @@
 		t.Error("the path is in doubt")
 	}
 }
+
+// TestTimeLimitsAloneLoseNoPath guards against a VM with few requests, which takes some that
+// reached their time limit for a lost path (LOST).
+func TestTimeLimitsAloneLoseNoPath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(8)
+		f.startTargets(t, memnet.New(), 8)
+		f.publishHealthPath()
+		var attempts []*Attempt
+		for range lossesForTest {
+			attempts = append(attempts, f.begin(t, wanted(routing.KindOnce)))
+		}
+		f.passTime(time.Second)
+		for _, attempt := range attempts {
+			failure := &contract.RoundTripError{Kind: contract.AttemptTimedOut, Target: attempt.ID(), Cause: errors.New("deadline")}
+			attempt.Done(Result{End: suspicion.ResultTimedOut, Err: failure, Sent: true})
+		}
+		f.passTime(time.Second)
+		if names := f.CutOffServices(); len(names) > 0 {
+			t.Errorf("cut off from %v", names)
+		}
+		if f.checks.Load() == 0 || f.PathInDoubt() {
+			t.Errorf("%d checks were answered, the path is in doubt: %v", f.checks.Load(), f.PathInDoubt())
+		}
+	})
+}
+
+// TestChecksOfAPathAreFew guards against a service whose requests all take long, of which each
+// examination of an attempt asks targets for their health.
+func TestChecksOfAPathAreFew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(8)
+		setPath := f.startTargets(t, memnet.New(), 8)
+		f.publishHealthPath()
+		setPath(pathSwallows)
+		f.mu.Lock()
+		for range 50 {
+			f.checkSilence("s", f.services["s"], f.now)
+		}
+		f.mu.Unlock()
+		synctest.Wait()
+		if checks := f.checks.Load(); checks == 0 || checks > maxPathChecks {
+			t.Errorf("%d targets were asked at once, want at most %d", checks, maxPathChecks)
+		}
+		time.Sleep(2 * checkWait)
+	})
+}
+
+// TestAttemptsOnLiveConnectionsAreNotGivenUp guards against a response that is lost since new
+// connections are refused, while open ones go on carrying responses (LOST).
+func TestAttemptsOnLiveConnectionsAreNotGivenUp(t *testing.T) {
+	f := newFixture(8)
+	attempt := f.begin(t, wanted(routing.KindIdempotent))
+	attempt.OnAbandoned(func() { t.Error("the attempt was given up") }, func() bool { return true })
+	attempt.trip = &contract.RoundTrip{}
+	attempt.trip.MarkWrote()
+	attempt.silenceLimit = 0
+	f.mu.Lock()
+	f.services["s"].breaker.OpenByLosses(f.now)
+	f.services["s"].breaker.Answered(false, f.now)
+	f.mu.Unlock()
+	attempt.examine()
+	attempt.stopTimers()
+}
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -45,6 +46,8 @@
 	now      time.Duration
 	// holds is this VM's part of the limits of targets.
 	holds float64
+	// checks counts the requests that targets got at their health path.
+	checks atomic.Int64
 }
 
 func newFixture(targets int) *fixture {
