targetconn: a connection carries no request that its target refused on it

What callers saw: a request that a target ran was told as not run (503), or ran at a second target, when its caller had sent it before with the same attempt identifier, it was refused, and the target wrote that refusal once more on the kept connection. The same happened to a request that came through another VM.

Cause: a response counts as a request's own by its X-Attempt-Id. A caller's identifier stays the same over VMs and when the caller sends the request again, so the earlier refusal matched.

Evidence (before): TestDuplicateOfARefusalIsNoProof failed in 8 of 96 cases (refusal, 421, refusal with status 200 and 101, each as the next request is written and while it runs, with the same identifier): "/book/: told as not run although 2 targets received it: HTTP/1.1 503", "received 2 times". TestEarlyRefusalOfAnUploadIsItsOwn (same identifier) and TestDuplicateReachesNoForwardedRequest failed likewise. The other 88 cases, with another identifier or none, passed: those duplicates were told as may-have-run or closed the connection.

Change: a connection keeps the hashes of the identifiers that were refused on it (64 at most, then it is replaced), and no request with one of them is written to it.

Result: the three tests pass, and so do TestConnectionCarriesNoRequestThatItsTargetRefused and TestConnectionIsReplacedAfterManyRefusals (3 connections for 192 refusals) and the tests of entry/targetconn, entry/targetset, entry/targets and entry/gateway.

--- a/entry/contract/roundtrip.go
+++ b/entry/contract/roundtrip.go
@@ -23,6 +23,10 @@
 	// MaxIdle limits how long a connection from the pool may have been idle;
 	// zero means the pool's own limit.
 	MaxIdle time.Duration
+	// RequestID identifies the request, also when its caller sends it again; empty for none. No
+	// connection on which a request with the same identifier was refused is used: the target
+	// may write that refusal once more, which then looks like one of this attempt.
+	RequestID string
 	// StallLimit limits the time from the write of the request to the first byte
 	// of the response on a new connection; zero means no limit but the context.
 	StallLimit time.Duration
--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -150,7 +150,7 @@
 func (q *request) refusedByTarget(d decision, metadata dialect.ResponseMetadata) decision {
 	d.response.held.release()
 	d.response, d.notRun, d.reason = nil, true, outcome.ReasonTargetShed
-	d.result.End = suspicion.ResultNeutral
+	d.result.End, d.result.Refused = suspicion.ResultNeutral, true
 	d.result.Misplaced = metadata.WrongTarget
 	if metadata.Load == nil || metadata.Load.Running+metadata.Load.Waiting < metadata.Load.Slots {
 		d.result.End = suspicion.ResultShed
--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,8 +24,15 @@
 	opened     time.Time
 	idleSince  time.Time
 	usedBefore bool
+	// refused holds the hashes of the identifiers of the requests that the target refused on
+	// this connection.
+	refused []uint64
 }
 
+// hasRefused reports whether the target has refused a request with the identifier's hash on this
+// connection.
+func (c *connection) hasRefused(id uint64) bool { return slices.Contains(c.refused, id) }
+
 // watchedConn observes the bytes of the attempt in progress. It calls
 // BeforeWrite before the first byte and detects a stall before the response
 // begins.
--- a/entry/targetconn/pool.go
+++ b/entry/targetconn/pool.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +21,9 @@
 	maxConnectionAge = 5 * time.Minute
 	// maxResponseHeadBytes bounds the head of a response.
 	maxResponseHeadBytes = 64 << 10
+	// maxRefusals is the number of refusals after which a connection is no longer reused. It
+	// bounds the memory for their identifiers.
+	maxRefusals = 64
 	// connectTimeout bounds the time to open a connection by default.
 	connectTimeout = time.Second
 )
@@ -50,6 +55,8 @@
 	address   string
 	options   Options
 	transport *http.Transport
+	// seed is that of the hashes of request identifiers.
+	seed maphash.Seed
 
 	mu    sync.Mutex
 	limit int
@@ -61,7 +68,7 @@
 
 // New returns a pool of connections to an "IP:port" address.
 func New(address string, network contract.Network, options Options) *Pool {
-	p := &Pool{address: address, limit: options.MaxConnections, options: options}
+	p := &Pool{address: address, limit: options.MaxConnections, options: options, seed: maphash.MakeSeed()}
 	p.transport = &http.Transport{
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxResponseHeadBytes,
@@ -107,17 +114,15 @@
 	defer p.mu.Unlock()
 	now := time.Now()
 	toClose = p.dropUnusable(now)
-	last := len(p.idle) - 1
-	canReuse := last >= 0 && !trip.NewConnection && (trip.MaxIdle == 0 || now.Sub(p.idle[last].idleSince) < trip.MaxIdle)
-	if canReuse {
-		reused = p.idle[last]
-		p.idle = p.idle[:last]
+	if i := p.reusable(trip, now); i >= 0 {
+		reused = p.idle[i]
+		p.idle = slices.Delete(p.idle, i, i+1)
 		return reused, toClose, nil
 	}
 	if trip.OpenConnectionOnly {
 		return nil, toClose, errNoOpenConnection
 	}
-	if p.open >= p.limit && last >= 0 {
+	if p.open >= p.limit && len(p.idle) > 0 {
 		toClose = append(toClose, p.idle[0])
 		p.idle = p.idle[1:]
 		p.open--
@@ -129,6 +134,27 @@
 	return nil, toClose, nil
 }
 
+// reusable returns the index of the idle connection that was used last of those that the attempt
+// may use, -1 if there is none; the lock must be held.
+func (p *Pool) reusable(trip *contract.RoundTrip, now time.Time) int {
+	if trip.NewConnection {
+		return -1
+	}
+	id := p.hashOf(trip.RequestID)
+	for i, c := range slices.Backward(p.idle) {
+		if trip.MaxIdle > 0 && now.Sub(c.idleSince) >= trip.MaxIdle {
+			return -1 // those before it have been idle for longer
+		}
+		if trip.RequestID == "" || !c.hasRefused(id) {
+			return i
+		}
+	}
+	return -1
+}
+
+// hashOf returns the hash of a request identifier.
+func (p *Pool) hashOf(id string) uint64 { return maphash.String(p.seed, id) }
+
 func (p *Pool) dial(ctx context.Context) (*connection, error) {
 	ctx, cancel := context.WithTimeout(ctx, p.options.ConnectTimeout)
 	defer cancel()
@@ -144,7 +170,8 @@
 func (p *Pool) put(c *connection, reusable bool) {
 	now := time.Now()
 	p.mu.Lock()
-	if reusable && !p.closed && c.client.Err() == nil && now.Sub(c.opened) < maxConnectionAge && p.open <= p.limit {
+	isFresh := now.Sub(c.opened) < maxConnectionAge && len(c.refused) < maxRefusals
+	if reusable && isFresh && !p.closed && c.client.Err() == nil && p.open <= p.limit {
 		c.idleSince, c.usedBefore = now, true
 		p.idle = append(p.idle, c)
 		p.mu.Unlock()
--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -18,6 +18,8 @@
 	cancel context.CancelCauseFunc
 	ctx    context.Context
 	body   *responseBody
+	// requestID is that of the round trip.
+	requestID string
 }
 
 // Send writes the request to a connection of the pool and reads the head of the
@@ -35,7 +37,7 @@
 		limit = trip.ReusedStallLimit
 	}
 	ctx, cancel := context.WithCancelCause(request.Context())
-	x := &Exchange{pool: p, target: target, conn: conn, cancel: cancel, ctx: ctx}
+	x := &Exchange{pool: p, target: target, conn: conn, cancel: cancel, ctx: ctx, requestID: trip.RequestID}
 	conn.watch.startAttempt(trip, limit, cancel)
 	outgoing := request.WithContext(ctx)
 	outgoing.GetBody = nil
@@ -50,6 +52,12 @@
 	return x, response, nil
 }
 
+// MarkRefused records that the response says that the request was not run. It must be called
+// before Finish.
+func (x *Exchange) MarkRefused() {
+	x.conn.refused = append(x.conn.refused, x.pool.hashOf(x.requestID))
+}
+
 // Finish ends the exchange. The connection is kept only when the response was
 // read to its end and trusted is true.
 func (x *Exchange) Finish(trusted bool) {
--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -317,6 +317,8 @@
 	Err error
 	// Sent is true once a byte of the request was written.
 	Sent bool
+	// Refused is true when the target refused the attempt, which it did not run.
+	Refused bool
 	// RefusedFull is true when the target refused the attempt for lack of room, as Load shows.
 	RefusedFull bool
 	// Misplaced is true when another instance answered at the target's address.
@@ -327,6 +329,9 @@
 // exactly once.
 func (a *Attempt) Done(result Result) {
 	if a.exchange != nil {
+		if result.Refused {
+			a.exchange.MarkRefused()
+		}
 		a.exchange.Finish(result.Reuse)
 	}
 	a.stopTimers()
