targetconn: a target that switches protocols gave no response

What callers saw: a 101 of a target was passed on, so that the caller's connection ended its use as HTTP; with an Upgrade header the caller got nothing for longer than its time (10 s and more, 1.5 s allowed), and the stop of the VM failed with "finish requests in progress: context deadline exceeded".

Cause: net/http returns 101 as a final response. With an Upgrade header its body is the connection, whose reads end neither with the request nor with the pool.

Evidence (before): TestSwitchedProtocolReachesNoCaller: 'with "": response "HTTP/1.1 101 Switching Protocols"', 'with "Connection: Upgrade...": after 10s response "[... i/o timeout]"'.

Change: Send ends the connection and returns the response as a wrong one. Both gateway and proxy send no Upgrade header.

--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -10,6 +10,9 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 )
 
+// errNotFinal means that the target switched protocols, which no request asks for.
+var errNotFinal = errors.New("the response is not final")
+
 // Exchange is one request sent over one connection, and its response.
 type Exchange struct {
 	pool   *Pool
@@ -47,6 +50,11 @@
 		x.Finish(false)
 		return nil, nil, failure
 	}
+	if response.StatusCode < http.StatusOK {
+		_ = response.Body.Close() // after a switch of protocols it is the connection
+		x.Finish(false)
+		return nil, nil, &contract.RoundTripError{Kind: contract.AttemptWrong, Target: target, Cause: errNotFinal}
+	}
 	x.body = &responseBody{ReadCloser: response.Body, exchange: x, complete: response.Body == http.NoBody}
 	response.Body = x.body
 	return x, response, nil
