gateway: a response that serves and says that it was not run is wrong

What callers saw: a request that must not run twice was sent to a second target, and told as not run (503), after a response with X-Not-Executed whose status was a success or a redirect.

Cause: the header alone counted as proof. Such a response contradicts itself: the request may have run.

Evidence (before): TestRefusalWithAnotherStatusIsNoProof, statuses 200, 204, 302 and 101: "received 2 times, response HTTP/1.1 503".

Change: with a status below 400 the header is no proof; the response is wrong, the request may have run.

Result: the test passes: received once, 502. Tests of entry/gateway pass.

--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -23,6 +23,7 @@
 	errOtherRequest = errors.New("the response belongs to another request")
 	errUnsigned     = errors.New("the response lacks the target's signature")
 	errDiscarded    = errors.New("the response is not passed on")
+	errContradicts  = errors.New("the response says that the request was not run, its status that it was")
 	errEncoded      = errors.New("the response has a Content-Encoding that was not requested")
 )
 
@@ -104,13 +105,16 @@
 	}
 }
 
-// checkResponseHead returns an error when the response belongs to another request,
-// has an unrequested Content-Encoding or is unsigned. A response by which the target
+// checkResponseHead returns an error when the response belongs to another request, contradicts
+// itself, has an unrequested Content-Encoding or is unsigned. A response by which the target
 // proves that the request did not run needs no signature.
 func (q *request) checkResponseHead(response *http.Response, metadata dialect.ResponseMetadata, trip *contract.RoundTrip) error {
 	if metadata.AttemptID != q.metadata.AttemptID && (metadata.AttemptID != "" || trip.Reused()) {
 		return fmt.Errorf("%w: its request identifier is %q", errOtherRequest, metadata.AttemptID)
 	}
+	if metadata.NotRun && response.StatusCode < http.StatusBadRequest {
+		return errContradicts
+	}
 	if metadata.NotRun {
 		return nil
 	}
