targetconn: a response within the head of an earlier one is wrong

What callers saw: 503, which says "not run, try again", for a request that its target had run and answered with 200.

Cause: the target wrote a part of an earlier refusal on the kept connection while the next request ran, and then its response. A part that ends in the status line or in the value of a field takes the status line behind it as its rest: the head is valid, with the refusal's status and fields before the cut and the response's attempt identifier and signature.

Change: on a connection that was used before, a head is wrong whose status, or a field of it, ends in a status line. The request may have run.

--- /dev/null
+++ b/entry/targetconn/head.go
@@ -0,0 +1,56 @@
+package targetconn
+
+import (
+	"errors"
+	"net/http"
+	"regexp"
+	"strings"
+
+	"github.com/primroseloom/primroseloom/entry/contract"
+)
+
+// Faults of a response's head.
+var (
+	// errNotFinal means that the target switched protocols, which no request asks for.
+	errNotFinal = errors.New("the response is not final")
+	// errTwoHeads means that the target wrote its response within the head of an earlier one.
+	errTwoHeads = errors.New("the head of the response holds a second status line")
+)
+
+// statusLineStart is how each status line begins; statusLine matches one at the end of a text.
+const statusLineStart = "HTTP/1."
+
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( [^:]*)?$`)
+
+// checkHead returns an error when the head is not that of a final response to the request.
+func checkHead(response *http.Response, trip *contract.RoundTrip) error {
+	if response.StatusCode < http.StatusOK {
+		return errNotFinal
+	}
+	if trip.Reused() && hasTwoHeads(response) {
+		return errTwoHeads
+	}
+	return nil
+}
+
+// hasTwoHeads reports whether the head begins with a part of another response's, as when a
+// target writes an earlier response once more, in pieces: a status line then follows on the
+// part, at the end of its status or of a field. The status would be that of the other response,
+// and so would be the fields before the cut.
+func hasTwoHeads(response *http.Response) bool {
+	if endsInStatusLine(response.Status) {
+		return true
+	}
+	for _, values := range response.Header {
+		for _, value := range values {
+			if endsInStatusLine(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func endsInStatusLine(text string) bool {
+	return strings.Contains(text, statusLineStart) && statusLine.MatchString(text)
+}
--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -10,9 +10,6 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 )
 
-// errNotFinal means that the target switched protocols, which no request asks for.
-var errNotFinal = errors.New("the response is not final")
-
 // Exchange is one request sent over one connection, and its response.
 type Exchange struct {
 	pool   *Pool
@@ -50,10 +47,10 @@
 		x.Finish(false)
 		return nil, nil, failure
 	}
-	if response.StatusCode < http.StatusOK {
+	if err := checkHead(response, trip); err != nil {
 		_ = response.Body.Close() // after a switch of protocols it is the connection
 		x.Finish(false)
-		return nil, nil, &contract.RoundTripError{Kind: contract.AttemptWrong, Target: target, Cause: errNotFinal}
+		return nil, nil, &contract.RoundTripError{Kind: contract.AttemptWrong, Target: target, Cause: err}
 	}
 	x.body = &responseBody{ReadCloser: response.Body, exchange: x, complete: response.Body == http.NoBody}
 	response.Body = x.body
