gateway: a response that breaks off is reset for a caller of HTTP/1.0

What callers saw: a caller of HTTP/1.0 got the begin of a long response without a length, in chunks at the target or ended by a reset there, and took it for whole (200, 1,200,007 of 3,200,000 bytes).

Cause: for HTTP/1.0 a response without a length ends with the connection. An aborted response ended with a plain close, which looks like its end. entry/proxy refuses such responses; the gateway streams those of over 1 MiB.

Evidence (before): TestCutLongResponseIsNeverWhole: all cases "chunks to HTTP/1.0" and "no length to HTTP/1.0, reset": "HTTP/1.0 200 with 1200007 of 3200000 bytes looks whole: true", with memory bounded or not, forwarded or not. All cases with HTTP/1.1 passed.

Change: an aborted response resets the caller's connection if the caller speaks HTTP/1.0. The layers of a caller's connection pass SetLinger on, and memnet has it.

Result: the test passes (48 cases of 3 cuts each), and TestAbortedResponseOfHTTP10IsReset over real sockets. Tests of platform, entry/proxy, entry/gateway, entry/readahead, entry/slowreader, entry/frontend and standin/memnet pass.

--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 )
 
 // minProgressTimeout is how long a caller may read nothing of its response; callers whose time
@@ -69,8 +70,12 @@
 	}
 }
 
-// aborted logs and counts a response that was not passed on completely.
+// aborted logs and counts a response that was not passed on completely. For a caller of HTTP/1.0
+// a response without a length ends with its connection, which therefore is reset.
 func (g *Gateway) aborted(q *request, err error) {
+	if !q.caller.ProtoAtLeast(1, 1) {
+		readahead.ResetOnClose(q.caller.Context())
+	}
 	if errors.Is(err, errSlowCaller) {
 		g.metrics.slowCaller()
 		events.SlowCallerEnded.Log(g.options.Logger, "request", q.metadata.AttemptID, "caller", q.caller.RemoteAddr, "cause", err)
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -13,6 +13,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
 // maxConcurrentStreams bounds the requests in progress on one HTTP/2 connection.
@@ -129,6 +130,9 @@
 	release func()
 }
 
+// SetLinger sets the linger time, in seconds.
+func (c *limitedConn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
+
 // Close closes the connection and makes room for another one.
 func (c *limitedConn) Close() error {
 	c.release()
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -7,6 +7,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
 const (
@@ -179,6 +181,9 @@
 	return c.SetReadDeadline(at)
 }
 
+// SetLinger sets the linger time, in seconds.
+func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
+
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -208,6 +213,15 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// ResetOnClose makes the connection of a request be reset when it is closed, so that its caller
+// does not take the end of the connection for that of the response. ctx is the request's context,
+// on a server that Watch has prepared; with another one nothing changes.
+func ResetOnClose(ctx context.Context) {
+	if conn, ok := ctx.Value(connKey{}).(*Conn); ok {
+		_ = conn.SetLinger(0) // not supported, or closed already: the connection just ends
+	}
+}
+
 // Watch makes a server end the contexts of requests whose caller has closed the connection.
 // The server's connections must come from Listener.
 func Watch(server *http.Server) {
--- a/entry/slowreader/conn.go
+++ b/entry/slowreader/conn.go
@@ -6,6 +6,8 @@
 	"os"
 	"sync/atomic"
 	"time"
+
+	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
 // Conn is a connection whose write deadline is renewed by progress.
@@ -34,6 +36,9 @@
 	return c.SetReadDeadline(at)
 }
 
+// SetLinger sets the linger time, in seconds.
+func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
+
 // checksPerTimeout is how often a write that waits looks for progress within the allowed
 // time, so that a peer is ended at most a quarter of it late.
 const checksPerTimeout = 4
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -36,6 +36,7 @@
 	closed        bool
 	reset         bool
 	stalled       bool
+	resetOnClose  bool
 	readDeadline  deadline
 	writeDeadline deadline
 }
@@ -176,11 +177,24 @@
 	c.out.senderClosed = true
 	c.readDeadline.stop()
 	c.writeDeadline.stop()
+	if c.resetOnClose {
+		c.resetLocked()
+		return nil
+	}
 	delete(n.conns, c)
 	c.wakeBothLocked()
 	return nil
 }
 
+// SetLinger makes Close reset the connection if the time is 0; other times have no effect.
+func (c *Conn) SetLinger(seconds int) error {
+	n := c.network
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	c.resetOnClose = seconds == 0
+	return nil
+}
+
 // CloseWrite closes the sending direction only.
 func (c *Conn) CloseWrite() error {
 	n := c.network
