targetset: a reconnect reads its target's address under the lock

What callers see: nothing known; a connection could be tried to an address that is being written.

Cause: reconnectTarget runs in its own goroutine and read the published target while TargetsChanged replaced it.

Evidence (before): go test -race -run TestCutLong ./platform: "DATA RACE ... Manager.reconnectTarget upkeep.go:143 ... Manager.putTarget manager.go:194", in 2 of 2 runs; TestTargetsMayChangeWhileTheyAreReconnected with -race: in 3 of 3 runs.

Change: the address is passed to the goroutine.

With -race, TestUploadInProgressIsNotSilent and TestLateRequestsAloneLoseNoPath of entry/targetset fail before and after: their fixture's clock is written without a lock. Not changed here.

--- a/entry/targetset/upkeep.go
+++ b/entry/targetset/upkeep.go
@@ -110,7 +110,7 @@
 		}
 		for _, t := range s.targets {
 			if t.unreachable {
-				go m.reconnectTarget(ctx, t)
+				go m.reconnectTarget(ctx, t, t.info.Address)
 			}
 		}
 	}
@@ -123,7 +123,7 @@
 	for _, index := range m.random.Perm(len(s.targets)) {
 		if t := s.targets[index]; !t.unreachable && connects < maxPathChecks {
 			connects++
-			go m.reconnectTarget(ctx, t)
+			go m.reconnectTarget(ctx, t, t.info.Address)
 		}
 	}
 }
@@ -137,10 +137,11 @@
 	}
 }
 
-func (m *Manager) reconnectTarget(ctx context.Context, t *target) {
+// reconnectTarget connects to a target at its address.
+func (m *Manager) reconnectTarget(ctx context.Context, t *target, address string) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := m.options.Network.DialContext(ctx, "tcp", t.info.Address)
+	conn, err := m.options.Network.DialContext(ctx, "tcp", address)
 	if err != nil {
 		m.options.Scope.Counter("reconnects_failed").Inc(1)
 		m.reconnectFailed(t)
