--- a/entry/proxy/connections_test.go
+++ b/entry/proxy/connections_test.go
@@ -95,6 +95,25 @@
 // withRealConnections runs a test of one VM that uses the package targets for its
 // connections to one target.
 func withRealConnections(t *testing.T, script func(got string) string, test func(t *testing.T, f *fleet, w *connRecorder)) {
+	t.Helper()
+	w := &connRecorder{}
+	serve := func(listener net.Listener) {
+		w.serve(listener, func(got string) string {
+			if strings.HasPrefix(got, "GET /health") {
+				return healthResponse
+			}
+			return script(got)
+		})
+	}
+	withRealTarget(t, serve, func(t *testing.T, f *fleet) { test(t, f, w) })
+}
+
+// healthResponse answers a health check.
+const healthResponse = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// withRealTarget runs a test of one VM that uses the package targets for its connections to one
+// target, which serves a listener.
+func withRealTarget(t *testing.T, serve func(listener net.Listener), test func(t *testing.T, f *fleet)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t.Context(), 0, oneTarget(), nil)
@@ -109,13 +128,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		w := &connRecorder{}
-		go w.serve(listener, func(got string) string {
-			if strings.HasPrefix(got, "GET /health") {
-				return "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-			}
-			return script(got)
-		})
+		go serve(listener)
 		f.start(0)
 		defer func() {
 			_ = listener.Close()
@@ -124,7 +137,7 @@
 			time.Sleep(10 * time.Minute)
 		}()
 		time.Sleep(time.Second)
-		test(t, f, w)
+		test(t, f)
 	})
 }
 
