targetconn: a response of HTTP/1.0 in chunks is wrong

What callers saw: 200 with a Content-Length and a body that held the framing of chunks, or a part of it, as whole.

Cause: net/http drops Transfer-Encoding from a response of HTTP/1.0 and takes the end of the connection, or a Content-Length beside it, for that of the content. RFC 9112, 6.1: the framing of such a message is faulty.

Change: the head of a response of HTTP/1.0 is kept as it arrives; one with a Transfer-Encoding is wrong. The request may have run.

--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -47,6 +47,8 @@
 	writeErr error
 	// responseBegun is true once a byte of the response has been read.
 	responseBegun bool
+	// old is the head of the response if that is of HTTP/1.0.
+	old oldHead
 }
 
 // startAttempt starts observing an attempt. If limit is positive, cancel is
@@ -54,7 +56,7 @@
 func (w *watchedConn) startAttempt(trip *contract.RoundTrip, limit time.Duration, cancel context.CancelCauseFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.trip, w.stallLimit, w.writeErr, w.responseBegun = trip, limit, nil, false
+	w.trip, w.stallLimit, w.writeErr, w.responseBegun, w.old = trip, limit, nil, false, oldHead{}
 	if limit > 0 {
 		w.stallTimer = time.AfterFunc(limit, func() { cancel(errStalled) })
 		w.stallTimer.Stop()
@@ -83,11 +85,11 @@
 	return n, err
 }
 
-// Read records when the first byte of the response arrives.
+// Read records when the first byte of the response arrives, and the head of one of HTTP/1.0.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n > 0 {
-		w.markResponseBegun()
+		w.markResponseBegun(p[:n])
 	}
 	return n, err
 }
@@ -123,9 +125,18 @@
 	}
 }
 
-func (w *watchedConn) markResponseBegun() {
+// hasFaultyFraming reports whether the response is of HTTP/1.0 and has a Transfer-Encoding.
+func (w *watchedConn) hasFaultyFraming() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	return w.old.hasTransferEncoding()
+}
+
+// markResponseBegun records the next bytes of the response.
+func (w *watchedConn) markResponseBegun(p []byte) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.old.observe(p)
 	if w.responseBegun {
 		return
 	}
--- a/entry/targetconn/head.go
+++ b/entry/targetconn/head.go
@@ -15,6 +15,8 @@
 	errNotFinal = errors.New("the response is not final")
 	// errTwoHeads means that the target wrote its response within the head of an earlier one.
 	errTwoHeads = errors.New("the head of the response holds a second status line")
+	// errFraming means that the end of the response can't be told.
+	errFraming = errors.New("the response is of HTTP/1.0 and has a Transfer-Encoding")
 )
 
 // statusLineStart is how each status line begins; statusLine matches one at the end of a text.
@@ -22,13 +24,16 @@
 
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( [^:]*)?$`)
 
-// checkHead returns an error when the head is not that of a final response to the request.
-func checkHead(response *http.Response, trip *contract.RoundTrip) error {
-	if response.StatusCode < http.StatusOK {
+// checkHead returns an error when the head that came on a connection is not that of a final
+// response to the request, whose end can be told.
+func checkHead(response *http.Response, trip *contract.RoundTrip, watch *watchedConn) error {
+	switch {
+	case response.StatusCode < http.StatusOK:
 		return errNotFinal
-	}
-	if trip.Reused() && hasTwoHeads(response) {
+	case trip.Reused() && hasTwoHeads(response):
 		return errTwoHeads
+	case watch.hasFaultyFraming():
+		return errFraming
 	}
 	return nil
 }
--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -47,7 +47,7 @@
 		x.Finish(false)
 		return nil, nil, failure
 	}
-	if err := checkHead(response, trip); err != nil {
+	if err := checkHead(response, trip, conn.watch); err != nil {
 		_ = response.Body.Close() // after a switch of protocols it is the connection
 		x.Finish(false)
 		return nil, nil, &contract.RoundTripError{Kind: contract.AttemptWrong, Target: target, Cause: err}
