--- a/entry/gateway/response.go
+++ b/entry/gateway/response.go
@@ -23,6 +23,7 @@
 	errOtherRequest = errors.New("the response belongs to another request")
 	errUnsigned     = errors.New("the response lacks the target's signature")
 	errDiscarded    = errors.New("the response is not passed on")
+	errContradicts  = errors.New("the response says that the request was not run, its status that it was")
 	errEncoded      = errors.New("the response has a Content-Encoding that was not requested")
 )
 
@@ -104,13 +105,16 @@
 	}
 }
 
-// checkResponseHead returns an error when the response belongs to another request,
-// has an unrequested Content-Encoding or is unsigned. A response by which the target
+// checkResponseHead returns an error when the response belongs to another request, contradicts
+// itself, has an unrequested Content-Encoding or is unsigned. A response by which the target
 // proves that the request did not run needs no signature.
 func (q *request) checkResponseHead(response *http.Response, metadata dialect.ResponseMetadata, trip *contract.RoundTrip) error {
 	if metadata.AttemptID != q.metadata.AttemptID && (metadata.AttemptID != "" || trip.Reused()) {
 		return fmt.Errorf("%w: its request identifier is %q", errOtherRequest, metadata.AttemptID)
 	}
+	if metadata.NotRun && response.StatusCode < http.StatusBadRequest {
+		return errContradicts
+	}
 	if metadata.NotRun {
 		return nil
 	}
@@ -150,7 +154,7 @@
 func (q *request) refusedByTarget(d decision, metadata dialect.ResponseMetadata) decision {
 	d.response.held.release()
 	d.response, d.notRun, d.reason = nil, true, outcome.ReasonTargetShed
-	d.result.End = suspicion.ResultNeutral
+	d.result.End, d.result.Refused = suspicion.ResultNeutral, true
 	d.result.Misplaced = metadata.WrongTarget
 	if metadata.Load == nil || metadata.Load.Running+metadata.Load.Waiting < metadata.Load.Slots {
 		d.result.End = suspicion.ResultShed
