gateway: a request that ends without a response aborts its connection

Cause: when the context of a request had ended, its handler returned without a response, and net/http answers 200 then. The caller may still read: the context ends, too, when the server's watch of the connection fails for another reason, or when a caller has closed its own direction. Change: such a request aborts its connection. Three tests in which callers leave expect the abort.

--- a/entry/gateway/crash_test.go
+++ b/entry/gateway/crash_test.go
@@ -47,12 +47,17 @@
 
 // sendToEnd sends a request whose response the gateway may abort.
 func sendToEnd(h *harness, method, path string) {
+	h.serveToEnd(httptest.NewRecorder(), h.request(method, path, "x"))
+}
+
+// serveToEnd serves a request whose response the gateway may abort.
+func (h *harness) serveToEnd(w http.ResponseWriter, r *http.Request) {
 	defer func() {
 		if cause := recover(); cause != nil && cause != http.ErrAbortHandler {
 			panic(cause)
 		}
 	}()
-	h.send(method, path, "x")
+	h.gateway.ServeHTTP(w, r)
 }
 
 // TestSilentTargetIsReportedBeforeTheTimeLimit guards against a request with a long
@@ -118,7 +123,7 @@
 		time.AfterFunc(100*time.Millisecond, leave)
 		request := httptest.NewRequest(http.MethodGet, "http://"+host+safePath+"1", nil).WithContext(ctx)
 		request.Header.Set("Id", "r1")
-		h.gateway.ServeHTTP(httptest.NewRecorder(), request)
+		h.serveToEnd(httptest.NewRecorder(), request)
 		if h.crashes.lost != 0 {
 			t.Errorf("%d lost attempts reported", h.crashes.lost)
 		}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -160,8 +160,9 @@
 	return q
 }
 
-// serve serves a request, or returns why not. It returns nil without a response when the
-// caller is gone.
+// serve serves a request, or returns why not. When the caller is gone, it panics with
+// http.ErrAbortHandler: a return without a response would be a success to a caller that still
+// reads.
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
 	defer q.releaseHolds()
 	if refusal := q.prepare(w); refusal != nil {
@@ -177,6 +178,7 @@
 		if got != nil {
 			got.discard()
 		}
+		panic(http.ErrAbortHandler)
 	case refusal != nil:
 		return refusal
 	default:
--- a/entry/gateway/hedge_test.go
+++ b/entry/gateway/hedge_test.go
@@ -242,7 +242,7 @@
 		request := httptest.NewRequest(http.MethodGet, "http://"+host+safePath+"1", nil).WithContext(ctx)
 		request.Header.Set("Id", "r1")
 		start := time.Now()
-		h.gateway.ServeHTTP(httptest.NewRecorder(), request)
+		h.serveToEnd(httptest.NewRecorder(), request)
 		if took := time.Since(start); took != 100*time.Millisecond {
 			t.Errorf("ended after %v", took)
 		}
--- a/entry/gateway/memory_test.go
+++ b/entry/gateway/memory_test.go
@@ -152,7 +152,7 @@
 				request := h.request(http.MethodPost, path+"1", strings.Repeat("b", 900))
 				func() {
 					defer func() { _ = recover() }() // an aborted response
-					h.gateway.ServeHTTP(httptest.NewRecorder(), request)
+					h.serveToEnd(httptest.NewRecorder(), request)
 				}()
 				if held := h.gateway.memory.held(); held != 0 {
 					t.Errorf("%s: %d bytes are still held", name, held)
