gateway: the end of a forwarded request leaves the watch for its caller

Cause: a body that is not sent 20 ms after the exchange has ended counted as one that waits for the caller, and the read deadline that ends such a wait ended the server's watch of the connection. On a VM short of processor time a body that is held in memory takes longer, too. Change: the deadline is set only for a body that is streamed from the caller.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -159,18 +159,25 @@
 	}
 }
 
-// endForward ends an exchange and waits until nothing more of the caller's body is read. Only
-// a read that is still waiting for the caller is ended: the deadline would also end the watch
-// for a caller that leaves.
+// endForward ends an exchange and waits until nothing more of the caller's body is read.
 func (q *request) endForward(x *forwarding.Exchange) {
 	x.Close()
+	q.awaitBody(x.BodySent())
+}
+
+// awaitBody waits until the body of a forwarded request is no longer sent. Only a read that is
+// still waiting for the caller is ended, and none where the body is held: the deadline would also
+// end the server's watch for a caller that leaves, as if it had left.
+func (q *request) awaitBody(sent <-chan struct{}) {
 	select {
-	case <-x.BodySent():
+	case <-sent:
 		return
 	case <-time.After(bodyEndTime):
 	}
-	_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now()) // not supported: the body ends with the caller
-	<-x.BodySent()
+	if q.body.rest != nil {
+		_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now()) // not supported: the body ends with the caller
+	}
+	<-sent
 }
 
 // forwardFailed returns the result of a forwarded request without a response. Unless no
