membership: suspicions can be refuted for longer after an isolation

A VM without contact to any other took a member for dead right after the contact was back, and did not use it until it heard otherwise. Cause: the time to refute a suspicion went on while the VM heard nothing. It held the decision back while isolated, and took it with the first response. A pause of the process extends the time already. Change: the first response after an isolation extends the time limits of suspicions and challenges by the time without contact.

--- a/policy/membership/receive.go
+++ b/policy/membership/receive.go
@@ -100,15 +100,29 @@
 }
 
 // markContact records that another instance responded. Members marked
-// unreachable while this instance was isolated are considered reachable again.
+// unreachable while this instance was isolated are considered reachable again, and
+// suspicions and challenges can be refuted for longer: no refutation could arrive meanwhile.
 func (s *State) markContact(now time.Duration) {
 	if s.Isolated(now) {
 		s.clearUnreachable()
+		s.extendTimeouts(now - s.lastContact)
 	}
 	s.lastContact = now
 	s.revalidating = false
 }
 
+// extendTimeouts extends the time limits of suspicions and challenges.
+func (s *State) extendTimeouts(length time.Duration) {
+	for _, r := range s.members {
+		if r.Status == Suspect {
+			r.suspectUntil += length
+		}
+		if r.challengedUntil > 0 {
+			r.challengedUntil += length
+		}
+	}
+}
+
 func (s *State) clearUnreachable() {
 	for _, r := range s.members {
 		r.unreachable = false
@@ -161,14 +175,7 @@
 	for _, e := range s.edges {
 		s.cancelProbe(e.vm)
 	}
-	for _, r := range s.members {
-		if r.Status == Suspect {
-			r.suspectUntil += length
-		}
-		if r.challengedUntil > 0 {
-			r.challengedUntil += length
-		}
-	}
+	s.extendTimeouts(length)
 	for _, e := range s.edges {
 		e.next = now
 	}
