evidence: a pause of this VM is no silence of the others

After a pause of over 1 s a VM could send to targets whose slots the requests of other VMs held. Cause: the first tick after the pause found the latest datagrams of all VMs to be older than 1 s and cleared their attempts in progress, before the datagrams that wait in the socket were read. Change: silence counts from the end of a pause, which is two ticks 500 ms or more apart. Result: TestAttemptsOfOthersAreKeptAfterAPauseOfThisVM fails before (uses map[vm-1:map[]]) and passes now; tests of entry/evidence, entry/crashes and entry/frontend pass with the race detector.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -23,6 +23,9 @@
 	// silenceTimeout is the time since the last datagram of a VM after which its
 	// attempts count as ended.
 	silenceTimeout = time.Second
+	// pauseThreshold is the time between two heartbeats of this VM that counts as a pause of its
+	// process.
+	pauseThreshold = silenceTimeout / 2
 	// maxDatagramBytes is the size from which no further outcome is added to a
 	// datagram, so that it usually fits into one network packet.
 	maxDatagramBytes = 1400
@@ -82,6 +85,9 @@
 	failurePending   bool
 	farFailureSentAt time.Duration
 	senders          map[string]*sender
+	// expiredAt is when silent senders were last looked for, zero before the first time;
+	// resumedAt is when this process last ran again after a pause.
+	expiredAt, resumedAt time.Duration
 	// refusalLoggedAt is when a refused datagram was last logged; zero before the first.
 	refusalLoggedAt time.Duration
 }
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -189,6 +189,30 @@
 	}
 }
 
+// TestAttemptsOfOthersAreKeptAfterAPauseOfThisVM guards against a VM that sends to targets
+// without room after it was paused, since it took the attempts of all others for ended: it could
+// not receive their datagrams meanwhile.
+func TestAttemptsOfOthersAreKeptAfterAPauseOfThisVM(t *testing.T) {
+	p := newPair()
+	p.to.expireSilentSenders()
+	p.from.send(true)
+	p.to.HandleDatagram(p.packets.sent[0])
+	p.now += 3 * silenceTimeout // no tick in between
+	p.to.expireSilentSenders()
+	for range silenceTimeout/heartbeatInterval - 1 {
+		p.now += heartbeatInterval
+		p.to.expireSilentSenders()
+	}
+	if p.got.uses["vm-1"]["t1"] != 2 {
+		t.Errorf("after a pause: uses %v", p.got.uses)
+	}
+	p.now += heartbeatInterval
+	p.to.expireSilentSenders()
+	if len(p.got.uses["vm-1"]) != 0 {
+		t.Errorf("after silence without a pause: uses %v", p.got.uses)
+	}
+}
+
 func TestDatagramsOfAnotherFleetAndMalformedOnesAreRefused(t *testing.T) {
 	p := newPair()
 	p.from.options.Fleet = "another"
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -149,13 +149,18 @@
 	return outcome
 }
 
-// expireSilentSenders clears the attempts of VMs whose datagrams no longer arrive.
+// expireSilentSenders clears the attempts of VMs whose datagrams no longer arrive. Time in which
+// this process did not run is no silence of others.
 func (x *Exchange) expireSilentSenders() {
 	now := x.options.Uptime()
 	var silent []string
 	x.mu.Lock()
+	if x.expiredAt > 0 && now-x.expiredAt >= pauseThreshold {
+		x.resumedAt = now
+	}
+	x.expiredAt = now
 	for vm, from := range x.senders {
-		if !from.silent && now-from.lastReceived >= silenceTimeout {
+		if !from.silent && now-max(from.lastReceived, x.resumedAt) >= silenceTimeout {
 			from.silent = true
 			silent = append(silent, vm)
 		}
