frontend: silence of all primary VMs refuses no request with a key

A VM that is cut off from the targets of a service and has just been paused, or gets no datagrams, refused requests with keys at once although other VMs could serve them. Cause: a primary VM without a datagram for 450 ms counts as ended, also when none arrives of any VM; CurrentCarrier returns no such VM. Change: silence counts only while datagrams of another primary VM arrive. A VM that could not be connected to is left out as before. Result: TestSilenceOfAllVMsRefusesNoRequest fails before ("no carrier while all other VMs are silent") and passes now; tests of entry/frontend pass.

--- a/entry/frontend/carriers.go
+++ b/entry/frontend/carriers.go
@@ -106,7 +106,7 @@
 }
 
 // mayHaveEnded reports whether a VM could lately not be connected to, or is silent although
-// it sends heartbeats to this VM; the lock of the carriers is held.
+// it sends heartbeats to this VM and others are heard; the lock of the carriers is held.
 func (f *fleet) mayHaveEnded(vm string, v *view) bool {
 	if f.now() < f.carriers.unreachableUntil[vm] {
 		return true
@@ -115,5 +115,16 @@
 		return false // no heartbeats of the VM may be due here
 	}
 	age, _, heard := f.peerReports.LastReceived(vm)
-	return heard && age >= carrierSilence
+	return heard && age >= carrierSilence && f.hearsPrimaries(v)
+}
+
+// hearsPrimaries reports whether datagrams of any primary VM arrive. Otherwise the silence of one
+// of them says nothing of it: this VM was paused, or datagrams to it are lost.
+func (f *fleet) hearsPrimaries(v *view) bool {
+	for vm := range v.primaries {
+		if age, _, heard := f.peerReports.LastReceived(vm); heard && age < carrierSilence {
+			return true
+		}
+	}
+	return false
 }
--- a/entry/frontend/current_test.go
+++ b/entry/frontend/current_test.go
@@ -104,3 +104,28 @@
 		t.Error("no carrier for public routes while no VM is current")
 	}
 }
+
+// TestSilenceOfAllVMsRefusesNoRequest guards against requests with keys that a VM refuses since
+// it has just been paused, or gets no datagrams: that all others are silent says nothing of them.
+func TestSilenceOfAllVMsRefusesNoRequest(t *testing.T) {
+	now := time.Minute
+	all := members("vm-1", "vm-2", "vm-3")
+	reports := keyReports{fakePeerReports: fakePeerReports{"vm-2": 0, "vm-3": 0}}
+	f := newTestFleet(all, fakePeerReports{}, &now)
+	f.members, f.peerReports = reachable{all}, reports
+	f.cutOffServices = func() []string { return []string{"s"} }
+	f.updateView()
+	reports.fakePeerReports["vm-2"], reports.fakePeerReports["vm-3"] = carrierSilence, carrierSilence
+	if _, _, ok := f.CurrentCarrier("s", nil); !ok {
+		t.Error("no carrier while all other VMs are silent")
+	}
+	reports.fakePeerReports["vm-3"] = 0
+	for range 20 {
+		if vm, _, ok := f.CurrentCarrier("s", nil); !ok || vm != "vm-3" {
+			t.Fatalf("carrier %q, want the one that is heard", vm)
+		}
+	}
+	if vm, _, ok := f.CurrentCarrier("s", []string{"vm-3"}); ok {
+		t.Errorf("carrier %q, which alone is silent", vm)
+	}
+}
