freshness: only time spent asking ends the wait for silent peers

A VM could serve a key that was withdrawn, by a store restored from a copy, without having asked any peer. Cause: the wait for peers that don't answer, twice the bound, ran from the start of the process or the restoration, also while the process was paused or its routes needed no confirmations. The first look at the peers afterwards ended the comparison. Change: the wait counts the time between two looks at the peers, of each at most 1 s. Result: TestPeersAreAskedBeforeTheStoreCountsWithoutThem fails before (both cases: compared after 0 ms of asking) and passes now; tests of policy/freshness and entry/follow pass.

--- a/policy/freshness/compare.go
+++ b/policy/freshness/compare.go
@@ -14,6 +14,9 @@
 	// silentBounds multiplied by the bound is how long a VM waits for answers of peers that it
 	// has known, before it takes the store at its word without them.
 	silentBounds = 2
+	// maxWaitStep bounds what the time between two looks at the peers adds to that wait. It exceeds
+	// the interval of the calls: in longer ones the VM was paused, or did not ask.
+	maxWaitStep = time.Second
 )
 
 // comparison is the progress of comparing versions with peers.
@@ -26,7 +29,10 @@
 	wanted int
 	// knewPeers is true once this VM has known any peer.
 	knewPeers bool
-	done      bool
+	// waited is how long this VM has been asking peers, lookedAt when it last knew their number.
+	waited   time.Duration
+	lookedAt moment
+	done     bool
 }
 
 // StoreRestored records that the store came back from a copy: what it has lost is to be
@@ -51,18 +57,26 @@
 // enough of them have answered, or there is nobody to answer. It is called regularly.
 func (s *State) PeersKnown(peers int, now time.Duration) {
 	s.compared.knewPeers = s.compared.knewPeers || peers > 0
-	waits := aloneTime
+	passed := now - s.compared.since
+	isAlone := !s.compared.knewPeers && passed >= aloneTime
 	if s.compared.knewPeers {
-		waits = silentBounds * s.bound
+		s.compared.wait(now)
 	}
-	passed := now - s.compared.since
 	s.compared.wanted = min(peersToCompare, peers)
 	hasAnswers := peers > 0 && !s.WantsAnswers()
-	if hasAnswers && passed >= leastCompareTime || passed >= waits {
+	if hasAnswers && passed >= leastCompareTime || isAlone || s.compared.waited >= silentBounds*s.bound {
 		s.endComparison()
 	}
 }
 
+// wait adds the time since the last look at the peers to the time that this VM has been asking.
+func (c *comparison) wait(now time.Duration) {
+	if c.lookedAt.known {
+		c.waited += min(now-c.lookedAt.at, maxWaitStep)
+	}
+	c.lookedAt.advance(now)
+}
+
 // compareWith records that a peer has answered a call that was sent at a moment.
 func (s *State) compareWith(peer string, sent time.Duration) {
 	if s.compared.done || sent < s.compared.since {
--- a/policy/freshness/freshness_test.go
+++ b/policy/freshness/freshness_test.go
@@ -189,6 +189,40 @@
 	}
 }
 
+// TestPeersAreAskedBeforeTheStoreCountsWithoutThem guards against a VM that takes a restored
+// store at its word without any peer's answer although it had no time to ask: its process was
+// paused, or its routes first needed no confirmations.
+func TestPeersAreAskedBeforeTheStoreCountsWithoutThem(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// before are the milliseconds at which peers are known before 60 s.
+		before []int
+	}{
+		{"first asked after a minute", nil},
+		{"a pause of a minute", []int{100, 200}},
+	} {
+		s := New(bound, start)
+		s.Applied(7)
+		for _, ms := range c.before {
+			s.PeersKnown(5, at(ms))
+		}
+		silent := silentBounds * int(bound.Milliseconds())
+		for ms := 60_000; ms < 60_000+silent-2000; ms += 100 {
+			s.PeersKnown(5, at(ms))
+			if s.Compared() {
+				t.Errorf("%s: compared after %d ms of asking", c.name, ms-60_000)
+				break
+			}
+		}
+		for ms := 60_000 + silent - 2000; ms <= 60_000+silent; ms += 100 {
+			s.PeersKnown(5, at(ms))
+		}
+		if !s.Compared() {
+			t.Errorf("%s: waits for silent peers for ever", c.name)
+		}
+	}
+}
+
 // TestWhenAVMAsks is a table of the age of the confirmation and what a VM does.
 func TestWhenAVMAsks(t *testing.T) {
 	for _, c := range []struct {
