follow: an entry that cannot be used is logged once and briefly

Operators saw: line 2104 at each write of an odd entry and at each listing that holds it, with the key, and what the entry's writer chose, in full: a number, an address or a state of 1 MB made lines of 999,134 to 999,204 bytes. The log's queue takes 1,024 lines, and 60 of one event a second, so that one writer could fill the memory of a small VM. Cause: each failed decoding was logged, with the whole key and the whole error. Change: an entry is logged when its key becomes unusable, and again only after it was usable; keys and causes are cut at 300 bytes. The gauge follow_unusable counts such entries. A panic of the decoder makes one entry unusable, as configurations do that cannot be compiled (entry/config): none is known, but it would end the process at each start.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -11,7 +11,7 @@
 	StoreHistoryGone = define(2103, log.InfoLevel, "store history gone",
 		"The store no longer has the changes after the revision; all entries are listed again.")
 	EntryUnusable = define(2104, log.WarnLevel, "published entry unusable",
-		"The entry cannot be decoded and yields no target or routes; the other entries stay in use. Contact whoever wrote it.")
+		"The entry cannot be decoded and yields no target or routes; the other entries stay in use. Logged once until the entry can be used; the gauge follow_unusable counts such entries. Contact whoever wrote it.")
 	RoutesInForce = define(2105, log.InfoLevel, "routes in force",
 		"This version of the routes is used from now on.")
 	RoutesRefused = define(2106, log.ErrorLevel, "routes refused",
--- a/entry/follow/apply.go
+++ b/entry/follow/apply.go
@@ -28,18 +28,17 @@
 	}
 	f.position = listing.Position
 	f.options.Scope.Gauge("store_era").Update(float64(f.position.Era))
+	decoded := f.decode(listing, now)
 	f.history.add(listing)
+	f.recordUnusable(listing, decoded)
 	changed := false
 	present := make(map[string]bool, len(listing.Items))
-	for _, item := range listing.Items {
-		entry, err := f.options.Decoder.Decode(item, now)
-		if err != nil {
-			events.EntryUnusable.Log(f.options.Logger, "key", item.Key, "revision", item.Revision, "cause", err)
-		}
+	for i, item := range listing.Items {
+		entry := decoded[i].entry
 		if entry.Routes != nil {
 			f.applyRoutes(entry.Routes, item)
 		}
-		changed = f.applyTarget(entry, err, now) || changed
+		changed = f.applyTarget(entry, decoded[i].err, now) || changed
 		if entry.Target != nil {
 			present[entry.TargetID] = true
 		}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -103,6 +103,8 @@
 	storeLost   bool
 	// dropsListings is true while the latest listing was dropped as older.
 	dropsListings bool
+	// unusable holds the keys whose values cannot be used.
+	unusable map[string]bool
 	// announcedAt is when an announcement last replaced a watch.
 	announcedAt time.Duration
 	// newestRoutes is the item with the routes in force.
@@ -121,7 +123,7 @@
 	options.Scope = options.Scope.SubScope("follow")
 	return &Follower{
 		options: options, targets: roster.New(), history: newHistory(), catchUpRequests: make(chan struct{}, 1),
-		keys: newKeys(options.KeysBound, options.Uptime()),
+		unusable: make(map[string]bool), keys: newKeys(options.KeysBound, options.Uptime()),
 	}
 }
 
--- a/entry/follow/routes.go
+++ b/entry/follow/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"slices"
 	"time"
 
@@ -45,15 +46,21 @@
 	f.options.Listener.RoutesChanged(table)
 }
 
+// errNoRoutes means that an item which another instance passed as its routes holds none.
+var errNoRoutes = errors.New("the item holds no routes")
+
 // applyNewestRoutes applies the routes that another instance has in force.
 func (f *Follower) applyNewestRoutes(item Item) {
-	entry, err := f.options.Decoder.Decode(item, f.options.Uptime())
-	if err != nil || entry.Routes == nil {
-		events.EntryUnusable.Log(f.options.Logger, "key", item.Key, "revision", item.Revision, "cause", err)
-		return
+	entry, err := f.decodeItem(item, f.options.Uptime())
+	if err == nil && entry.Routes == nil {
+		err = errNoRoutes
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if err != nil {
+		f.logUnusable(item, err)
+		return
+	}
 	f.applyRoutes(entry.Routes, item)
 }
 
