follow: large values that cannot be used are not passed on to other instances

Operators saw: instances that other instances feed followed no further change once three odd entries of 1 MB were in the store; their announcements went on, so they did not read the store themselves either. Cause: an instance passes each published item on as it is, and a message between instances holds at most 1,114,112 bytes. The response to an instance that is behind grew beyond that, for good. Change: values of more than 1 KiB that name neither routes nor a target are passed on empty, which is unusable, too. Smaller ones stay as they are: an instance of a newer build may use what this one cannot. Result: TestLargeUnusableValuesAreNotPassedOn fails on the code before ("t/large is passed with 1000000 bytes, want 0") and passes now.

--- a/entry/follow/apply.go
+++ b/entry/follow/apply.go
@@ -29,7 +29,7 @@
 	f.position = listing.Position
 	f.options.Scope.Gauge("store_era").Update(float64(f.position.Era))
 	decoded := f.decode(listing, now)
-	f.history.add(listing)
+	f.history.add(forPeers(listing, decoded))
 	f.recordUnusable(listing, decoded)
 	changed := false
 	present := make(map[string]bool, len(listing.Items))
--- a/entry/follow/unusable.go
+++ b/entry/follow/unusable.go
@@ -3,15 +3,22 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/events"
 )
 
-// maxLoggedBytes is the part of a key, or of the reason why an entry cannot be used, that is
-// logged. Both may hold what the entry's writer chose.
-const maxLoggedBytes = 300
+const (
+	// maxUnusableBytes is the largest value in bytes that is passed on to other instances although
+	// this one cannot use it; an instance of another build may. Larger ones would soon fill the
+	// messages between instances, and then no change would get through.
+	maxUnusableBytes = 1 << 10
+	// maxLoggedBytes is the part of a key, or of the reason why an entry cannot be used, that is
+	// logged. Both may hold what the entry's writer chose.
+	maxLoggedBytes = 300
+)
 
 // decodedItem is what the decoder made of an item.
 type decodedItem struct {
@@ -40,6 +47,18 @@
 	return f.options.Decoder.Decode(item, now)
 }
 
+// forPeers returns a listing without the large values that name neither routes nor a target.
+func forPeers(listing Listing, decoded []decodedItem) Listing {
+	listing.Items = slices.Clone(listing.Items)
+	for i := range listing.Items {
+		isUsed := decoded[i].entry.Routes != nil || decoded[i].entry.Target != nil
+		if !isUsed && len(listing.Items[i].Value) > maxUnusableBytes {
+			listing.Items[i].Value = nil
+		}
+	}
+	return listing
+}
+
 // recordUnusable records and logs which entries of a listing cannot be used; the lock is held.
 func (f *Follower) recordUnusable(listing Listing, decoded []decodedItem) {
 	listed := make(map[string]bool, len(listing.Items))
--- a/entry/follow/unusable_test.go
+++ b/entry/follow/unusable_test.go
@@ -127,3 +127,27 @@
 		t.Errorf("targets %v, routes %d", l.listener.targets, l.listener.version)
 	}
 }
+
+// TestLargeUnusableValuesAreNotPassedOn guards against odd entries that make the responses to
+// other instances larger than a message may be, so that these follow no further change. Small
+// ones are passed on, since an instance of another build may use them.
+func TestLargeUnusableValuesAreNotPassedOn(t *testing.T) {
+	l := newListed()
+	large, small := strings.Repeat("x", 1_000_000), strings.Repeat("x", 500)
+	l.list(true, "routes", "routes 4", "t/a", "target "+large, "t/large", large, "t/small", small)
+	passed, _, ok := l.history.after(contract.StorePosition{})
+	if !ok || len(passed.Items) != 4 {
+		t.Fatalf("%d items, %v", len(passed.Items), ok)
+	}
+	for i, want := range []int{len("routes 4"), len("target " + large), 0, len(small)} {
+		if item := passed.Items[i]; len(item.Value) != want || item.Removed {
+			t.Errorf("%s is passed with %d bytes, want %d", item.Key, len(item.Value), want)
+		}
+	}
+	reader := newListed()
+	reader.list(true, "t/large", "target 10.0.0.9:80")
+	reader.apply(passed, contract.StorePosition{})
+	if !reader.listener.has(4, "a") {
+		t.Errorf("an instance that is fed has targets %.200v", reader.listener.targets)
+	}
+}
