platform: one malformed item stops neither a listing nor a watch

Operators would see: VMs without targets after a start, and VMs that follow no change, as long as the store returns one item whose value is not base64, or whose revision, key or tombstone has another type or range: each call failed on the whole response (2101), and the next watch asked for the same changes. An item with a revision beyond the store's own counted as newer than all later ones of its key in what VMs pass on to others. A page whose items have no keys was read 1,000 times. Cause: a response was decoded as a whole; the revisions of items and the last key were not checked. Change: items are decoded one by one. A malformed one carries the problem and makes its key unusable (2104); one without a key is logged, too.

--- a/entry/follow/source.go
+++ b/entry/follow/source.go
@@ -27,6 +27,8 @@
 	Value    []byte
 	Revision uint64
 	Removed  bool
+	// Problem is why the source could not read the item; nil when it could.
+	Problem error
 }
 
 // Listing is a set of items, either all or the changes after some revision, and
