routing: no requests go to a service without a weight

Operators would see: requests at a service whose weight is zero, once the other weights are so small that their sum is rounded; and all requests of a route at its last service, once the sum of the weights is infinite. Cause: the last service of a route takes what rounding leaves behind the last weight, whatever its own weight is; and the sum was compared with zero only. Change: the last service with a weight takes it. A version of the routes with an infinite sum is refused (2106) like one with a negative weight, and the previous one stays in force.

--- a/config/routing/table.go
+++ b/config/routing/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"slices"
 	"strings"
@@ -79,8 +80,8 @@
 		}
 		total += share.Weight
 	}
-	if total <= 0 {
-		return fmt.Errorf("route %s: the sum of the weights is zero", r.Name)
+	if !(total > 0) || math.IsInf(total, 1) {
+		return fmt.Errorf("route %s: the sum of the weights is %v", r.Name, total)
 	}
 	return nil
 }
@@ -132,12 +133,15 @@
 	for _, share := range r.Split {
 		total += share.Weight
 	}
-	rest := point * total
+	rest, last := point*total, r.Split[len(r.Split)-1].Service
 	for _, share := range r.Split {
 		if rest < share.Weight {
 			return share.Service
 		}
+		if share.Weight > 0 { // rounding may leave a rest behind the last weight
+			last = share.Service
+		}
 		rest -= share.Weight
 	}
-	return r.Split[len(r.Split)-1].Service
+	return last
 }
--- a/config/routing/table_test.go
+++ b/config/routing/table_test.go
@@ -55,6 +55,8 @@
 		"unknown service":      route("r", "a.example", "/x/", Share{Service: "nowhere", Weight: 1}),
 		"negative weight":      route("r", "a.example", "/x/", Share{Service: "berth", Weight: -1}),
 		"no weight":            route("r", "a.example", "/x/", Share{Service: "berth"}),
+		"infinite weights":     route("r", "a.example", "/x/", Share{Service: "berth", Weight: 1.7e308}, Share{Service: "manifest", Weight: 1.7e308}),
+		"weight not a number":  route("r", "a.example", "/x/", Share{Service: "berth", Weight: math.NaN()}),
 		"no service":           {Name: "r", Host: "a.example", Prefix: "/x/"},
 	} {
 		if _, err := Compile(document(bad)); err == nil {
@@ -77,3 +79,16 @@
 		t.Errorf("last point picked %s", got)
 	}
 }
+
+// TestPickAvoidsServicesWithoutWeight guards against requests to a service without a weight,
+// whose targets may not be ready, when the sum of tiny or huge weights is rounded.
+func TestPickAvoidsServicesWithoutWeight(t *testing.T) {
+	for _, weight := range []float64{math.SmallestNonzeroFloat64, 1e-300, 1, 1e300, 1.7e308} {
+		r := route("r", "a.example", "/", Share{Service: "berth", Weight: weight}, Share{Service: "manifest"})
+		for _, point := range []float64{0, 0.3, 0.5, 0.9, math.Nextafter(1, 0)} {
+			if got := r.Pick(point); got != "berth" {
+				t.Errorf("weight %v, point %v: picked %s", weight, point, got)
+			}
+		}
+	}
+}
