vmlist: one odd entry of the VM list does not hide the others

Operators of `primroseloom serve` would see: with one entry of another type in the platform's list of VMs, the list was read again each second (2008 each time), and no leaving target was announced to the other VMs, neither those of the new list nor those of the last one. Cause: the list was decoded as a whole, and its version was noted only after it was applied. Change: entries are decoded one by one; those that cannot be read, or have no name, are left out and logged once for each version (new event 2009). A list of which nothing can be read is logged once, and the last one goes on to be announced until there is another version. Result: TestOddEntriesOfTheListAreLeftOut (8 kinds) and TestUnreadableListIsReadOnce (3 kinds) fail on the code before ("announced 0 times", "parse VM list: [...] exceeded max depth" at each watch) and pass now.

--- a/entry/events/config.go
+++ b/entry/events/config.go
@@ -20,4 +20,6 @@
 		"The newest generation could not be applied yet; it is retried.")
 	VMListReadFailed = define(2008, log.WarnLevel, "VM list read failed",
 		"The platform's list of VMs could not be read; this reader keeps using the last one.")
+	VMListEntriesLeftOut = define(2009, log.WarnLevel, "entries of the VM list left out",
+		"Some entries of the platform's list of VMs cannot be read; the others are used. Logged once for each version of the list. Contact whoever wrote it.")
 )
--- a/entry/vmlist/vmlist.go
+++ b/entry/vmlist/vmlist.go
@@ -97,8 +97,8 @@
 		return fmt.Errorf("watch VM list: %w", err)
 	}
 	if value.Version != f.version {
-		if err := f.apply(value.Content); err != nil {
-			return err
+		if err := f.apply(value.Content); err != nil { // the same version would be no better
+			events.VMListReadFailed.Log(f.options.Logger, "version", value.Version, "error", err)
 		}
 		f.version = value.Version
 	}
@@ -106,17 +106,50 @@
 	return nil
 }
 
+// apply passes a list on, without the entries that cannot be read.
 func (f *Follower) apply(content []byte) error {
-	var list document.VMList
-	if err := json.Unmarshal(content, &list); err != nil {
+	var published struct {
+		Entries []json.RawMessage `json:"entries"`
+	}
+	if err := json.Unmarshal(content, &published); err != nil {
 		return fmt.Errorf("parse VM list: %w", err)
 	}
+	var list document.VMList
+	leftOut := 0
+	var cause error
+	for _, value := range published.Entries {
+		entry, err := parseEntry(value)
+		if err != nil {
+			leftOut++
+			cause = err
+			continue
+		}
+		list.Entries = append(list.Entries, entry)
+	}
+	if leftOut > 0 {
+		events.VMListEntriesLeftOut.Log(f.options.Logger, "entries", leftOut, "of", len(published.Entries), "cause", cause)
+	}
 	for _, consumer := range f.options.Consumers {
 		consumer.ApplyVMList(list)
 	}
 	return nil
 }
 
+// parseEntry decodes an entry; the error quotes no more than the name of a field.
+func parseEntry(content []byte) (document.VMEntry, error) {
+	var entry document.VMEntry
+	var odd *json.UnmarshalTypeError
+	switch err := json.Unmarshal(content, &entry); {
+	case errors.As(err, &odd):
+		return entry, fmt.Errorf("field %q has another type", odd.Field)
+	case err != nil:
+		return entry, errors.New("the entry cannot be decoded")
+	case entry.Name == "":
+		return entry, errors.New("the name is missing")
+	}
+	return entry, nil
+}
+
 func pause(ctx context.Context, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/entry/vmlist/vmlist_test.go
+++ b/entry/vmlist/vmlist_test.go
@@ -1,10 +1,13 @@
 package vmlist
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -71,3 +74,57 @@
 		}
 	}
 }
+
+// announcer counts the announcements of leaving targets.
+type announcer int
+
+func (a *announcer) AnnounceLeaving() { *a++ }
+
+// TestOddEntriesOfTheListAreLeftOut guards against one odd entry of the list for which the
+// leaving VMs of all others are not announced, and the same list is read again each second.
+func TestOddEntriesOfTheListAreLeftOut(t *testing.T) {
+	for _, odd := range []string{
+		`7`, `null`, `{"name":7}`, `{"name":"vm-9","leaving":1e400}`, `{"name":"vm-9","address":{"port":70000}}`, `{"name":"","leaving":true}`,
+		strings.Repeat("[", 5000) + strings.Repeat("]", 5000), `{"name":7,"address":"` + strings.Repeat("x", 1_000_000) + `"}`,
+	} {
+		var logged bytes.Buffer
+		platform, c, announced := &fakePlatform{}, &consumer{}, announcer(0)
+		f := New(Options{Platform: platform, Role: c, Consumers: []Consumer{c}, Notifier: &announced, Logger: log.New(&logged)})
+		platform.value = contract.Value{Version: 9, Content: fmt.Appendf(nil, `{"entries":[%s,{"name":"vm-1","leaving":true}]}`, odd)}
+		for range 3 {
+			if err := f.watchOnce(t.Context()); err != nil {
+				t.Errorf("%.50s: %.200v", odd, err)
+			}
+		}
+		if lines := strings.Count(logged.String(), "event="); c.leaving != "vm-1" || announced != 3 || lines != 1 || logged.Len() > 1000 {
+			t.Errorf("%.50s: %q is leaving, announced %d times, %d lines of %d bytes", odd, c.leaving, announced, lines, logged.Len())
+		}
+	}
+}
+
+// TestUnreadableListIsReadOnce guards against a list that no part can be read of and that is
+// read and logged each second, while the leaving targets of the last one are not announced.
+func TestUnreadableListIsReadOnce(t *testing.T) {
+	for _, odd := range []string{``, `{"entries":7}`, `{"entries":` + strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000) + `}`} {
+		var logged bytes.Buffer
+		platform, c, announced := &fakePlatform{}, &consumer{}, announcer(0)
+		f := New(Options{Platform: platform, Role: c, Consumers: []Consumer{c}, Notifier: &announced, Logger: log.New(&logged)})
+		platform.publish(t, 9, "vm-1")
+		if err := f.watchOnce(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		platform.value = contract.Value{Version: 10, Content: []byte(odd)}
+		for range 3 {
+			if err := f.watchOnce(t.Context()); err != nil {
+				t.Errorf("%.50s: %.200v", odd, err)
+			}
+		}
+		if lines := strings.Count(logged.String(), "event="); c.leaving != "vm-1" || announced != 4 || lines != 1 {
+			t.Errorf("%.50s: %q is leaving, announced %d times, %d lines", odd, c.leaving, announced, lines)
+		}
+		platform.publish(t, 11, "vm-2")
+		if err := f.watchOnce(t.Context()); err != nil || c.leaving != "vm-2" {
+			t.Errorf("%.50s: %q is leaving by the next list, error %v", odd, c.leaving, err)
+		}
+	}
+}
