--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,8 +26,8 @@
 # or a failed internal check (KNOWN-RED.txt, entry 7). They therefore run in full
 # without the race detector first, and then with it; in the second run, only these
 # crashes are tolerated, and printed.
-long=$(echo "$packages" | grep -E '/entry/(config|daemon|proxy)$|primroseloom/platform$')
-short=$(echo "$packages" | grep -vE '/entry/(config|daemon|proxy)$|primroseloom/platform$')
+long=$(echo "$packages" | grep -E '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
+short=$(echo "$packages" | grep -vE '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
 known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow)$'
 go test -race -count=1 -timeout 20m -skip "$known_red" $short
 # Bounds of real time and of a process's memory hold for the product, not for code with the
