targetset: the check of a silent path is named by the terms of probing

Questions, answers and asking are private terms for active probes, and the type comment did not say why a check exists. Types and functions are now probe, probeResult, selectProbes and runProbes; log values are unchanged.

--- a/entry/targetset/before_cut_test.go
+++ b/entry/targetset/before_cut_test.go
@@ -5,7 +5,6 @@
 	"testing"
 	"time"
 
-	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/policy/suspicion"
 )
@@ -15,19 +14,7 @@
 // time limit, while the targets answer other VMs.
 func TestRequestsFromBeforeTheCutConvictNoTarget(t *testing.T) {
 	f := newFixture(8)
-	var long []*Attempt
-	for range lossesForTest {
-		long = append(long, f.begin(t, wanted(routing.KindIdempotent)))
-	}
-	f.now += 10 * time.Millisecond
-	short := f.begin(t, wanted(routing.KindIdempotent))
-	f.mu.Lock()
-	f.responded(short, false)
-	f.now += time.Second // the path is cut after the response
-	for _, attempt := range long {
-		f.lost(attempt, false, f.now)
-	}
-	f.mu.Unlock()
+	long := f.beginLateBeforeResponse(t) // the path is cut after the response
 	for _, attempt := range long {
 		f.Observed("vm-2", servedBy(attempt.ID()))
 	}
--- a/entry/targetset/path.go
+++ b/entry/targetset/path.go
@@ -115,8 +115,8 @@
 	}
 }
 
-// examine counts an attempt that has no response yet as lost and, once the path is known to
-// be at fault, gives it up if another attempt can follow.
+// examine records a late attempt as lost. Once the breaker is open, it gives up the attempt, but
+// only if the request may run again and another attempt can follow.
 func (a *Attempt) examine() {
 	if a.examineSilence() && a.idempotent && a.abandon != nil && a.mayFollow() {
 		a.giveUp()
@@ -144,9 +144,8 @@
 	return a.service.breaker.Blocks(now)
 }
 
-// giveUp ends an attempt that is late because the path is at fault. Without another attempt that
-// can follow, nothing would be gained: the response may still arrive, and may have since the
-// attempt was examined.
+// giveUp ends a late attempt unless it has responded, or the breaker has closed, since it was
+// examined. An attempt that none can follow is not given up: its response may still arrive.
 func (a *Attempt) giveUp() {
 	m := a.manager
 	m.mu.Lock()
--- a/entry/targetset/pathlog.go
+++ b/entry/targetset/pathlog.go
@@ -21,7 +21,7 @@
 
 // logSilenceChecked logs and counts the result of a check of a path on which requests are late;
 // the lock is held.
-func (m *Manager) logSilenceChecked(name string, s *service, result answer, now time.Duration) {
+func (m *Manager) logSilenceChecked(name string, s *service, result probeResult, now time.Duration) {
 	m.options.Scope.Tagged(map[string]string{"service": name, "result": result.String()}).Counter("silence_checks").Inc(1)
 	events.SilenceChecked.Log(m.options.Logger, "service", name, "result", result, "lost", describeLosses(s.breaker.Losses(now), now),
 		"answered_here_ms", age(s.answeredHereAt(), now), "answered_any_ms", age(s.latestServed(), now), "in_progress", s.attemptsInProgress())
--- a/entry/targetset/silence.go
+++ b/entry/targetset/silence.go
@@ -16,64 +16,66 @@
 const (
 	// silenceCheckInterval is the minimum time from the start of a check of a service to the next.
 	silenceCheckInterval = 500 * time.Millisecond
-	// checkWait bounds how long a check waits for a response: a busy target may need a while.
-	// A check that decides nothing opens the breaker only if the losses go on for as long.
-	checkWait = time.Second
-	// recentlyServed is how long ago targets have answered a VM that are asked first.
+	// probeTimeout bounds how long a check waits for a response: a busy target may need a while.
+	// An inconclusive check opens the breaker only if the losses go on for as long.
+	probeTimeout = time.Second
+	// recentlyServed is the age of a target's latest response to any VM up to which the target is
+	// probed before others.
 	recentlyServed = 500 * time.Millisecond
-	// maxHealthBytes bounds what is read of a target's response to a check.
+	// maxHealthBytes bounds what is read of a target's response to a probe.
 	maxHealthBytes = 64 << 10
 )
 
-// silenceCheck is the state of the checks that decide, for one service, whether late requests
-// mean that the path is at fault or that they take long.
+// silenceCheck is the state of a service's active checks. A response that is late has one of two
+// causes: the path from this VM has failed, or the requests take long at the targets. A check
+// probes several targets to tell these apart, so that slow requests alone don't open the breaker.
 type silenceCheck struct {
 	inProgress bool
 	// begunAt is the uptime at which the latest check began; zero before the first.
 	begunAt time.Duration
 }
 
-// question is a target that a check asks.
-type question struct {
+// probe is one request, or one connection, to a target in a check.
+type probe struct {
 	pool        *targetconn.Pool
 	id, address string
 }
 
-// answer is what a question shows.
-type answer int
+// probeResult is the result of a probe, or the best one of a check's probes.
+type probeResult int
 
-// The answers.
+// The results, the best one last.
 const (
-	// failed means that no connection opened, or that it ended without a response.
-	failed answer = iota
-	// undecided means that a connection opened and no response came in time, or that nothing
-	// could be asked for.
-	undecided
-	// answered means that a response arrived.
-	answered
+	// probeFailed means that no connection opened, or that it ended without a response.
+	probeFailed probeResult = iota
+	// probeInconclusive means that a connection opened and no response arrived in time, or that
+	// the service has no health path to send a request to.
+	probeInconclusive
+	// probeAnswered means that a response arrived, of any status.
+	probeAnswered
 )
 
-// String returns the answer as it is logged.
-func (a answer) String() string { return [...]string{"failed", "undecided", "response"}[a] }
+// String returns the result as it is logged.
+func (r probeResult) String() string { return [...]string{"failed", "undecided", "response"}[r] }
 
-// checkSilence asks some targets that have lately answered other VMs for a response. It opens
-// the breaker of the service if none can be reached, or if the check decides nothing and the
-// losses go on. It returns at once; the lock is held.
+// checkSilence starts a check of the service's path unless one is in progress or began less than
+// silenceCheckInterval ago. The check opens the breaker if no target can be reached, or if it is
+// inconclusive and the losses go on. It returns at once; the lock is held.
 func (m *Manager) checkSilence(name string, s *service, now time.Duration) {
 	check := &s.silenceCheck
 	if check.inProgress || check.begunAt > 0 && now-check.begunAt < silenceCheckInterval {
 		return
 	}
-	questions := m.questions(s, now)
-	if len(questions) == 0 {
+	probes := m.selectProbes(s, now)
+	if len(probes) == 0 {
 		return
 	}
 	check.inProgress, check.begunAt = true, now
 	path := m.healthPath(name)
 	go func() {
-		ctx, cancel := context.WithTimeout(context.Background(), checkWait)
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 		defer cancel()
-		result := m.ask(ctx, questions, path)
+		result := m.runProbes(ctx, probes, path)
 		m.mu.Lock()
 		defer m.mu.Unlock()
 		m.silenceChecked(name, s, result)
@@ -81,24 +83,24 @@
 }
 
 // silenceChecked applies the result of a check; the lock is held.
-func (m *Manager) silenceChecked(name string, s *service, result answer) {
+func (m *Manager) silenceChecked(name string, s *service, result probeResult) {
 	now := m.options.Uptime()
 	s.silenceCheck.inProgress = false
 	m.logSilenceChecked(name, s, result, now)
-	if result == answered {
+	if result == probeAnswered {
 		if s.breaker.Answered(true, now) {
 			m.pathFound(name)
 		}
 		return
 	}
 	finding, since := s.finding(now)
-	if finding != breaker.NoFinding && (result == failed || now-since >= checkWait) {
+	if finding != breaker.NoFinding && (result == probeFailed || now-since >= probeTimeout) {
 		m.openByLosses(name, s, now)
 	}
 }
 
-// healthPath returns the path at which the targets of a service tell of their health; empty when
-// the routes name none. The lock is held.
+// healthPath returns the URL path of the health checks of a service's targets; empty when the
+// routes name none. The lock is held.
 func (m *Manager) healthPath(name string) string {
 	if m.table == nil {
 		return ""
@@ -107,10 +109,10 @@
 	return definition.HealthPath
 }
 
-// questions returns random targets of those that have lately answered any VM, or of the others
-// where these are too few. Those that have lost a request of this VM come last: their requests
-// may take long. The lock is held.
-func (m *Manager) questions(s *service, now time.Duration) []question {
+// selectProbes returns probes of up to maxPathChecks random targets, so that VMs in the same
+// situation don't all probe the same ones. Targets that have recently answered any VM come first,
+// those that have lost a request of this VM last: their requests may take long. The lock is held.
+func (m *Manager) selectProbes(s *service, now time.Duration) []probe {
 	var recent, others, late []*target
 	for _, i := range m.random.Perm(len(s.targets)) {
 		t := s.targets[i]
@@ -124,34 +126,34 @@
 			others = append(others, t)
 		}
 	}
-	var questions []question
+	var probes []probe
 	for _, t := range slices.Concat(recent, others, late) {
-		if len(questions) < maxPathChecks {
-			questions = append(questions, question{pool: t.pool, id: t.info.ID, address: t.info.Address})
+		if len(probes) < maxPathChecks {
+			probes = append(probes, probe{pool: t.pool, id: t.info.ID, address: t.info.Address})
 		}
 	}
-	return questions
+	return probes
 }
 
-// ask returns the best answer to the questions: whether one of the targets responds to a request
-// at the path, whatever it says. Without a path only a failed connection decides.
-func (m *Manager) ask(ctx context.Context, questions []question, path string) answer {
+// runProbes runs the probes at the same time and returns the best result; it stops at the first
+// response. Without a path it only opens connections, so that no result is probeAnswered.
+func (m *Manager) runProbes(ctx context.Context, probes []probe, path string) probeResult {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	answers := make(chan answer, len(questions))
-	for _, q := range questions {
+	results := make(chan probeResult, len(probes))
+	for _, p := range probes {
 		go func() {
 			if path == "" {
-				answers <- q.connect(ctx, m.options.Network)
+				results <- p.connect(ctx, m.options.Network)
 				return
 			}
-			answers <- q.ask(ctx, path)
+			results <- p.send(ctx, path)
 		}()
 	}
-	best := failed
-	for range questions {
-		best = max(best, <-answers)
-		if best == answered {
+	best := probeFailed
+	for range probes {
+		best = max(best, <-results)
+		if best == probeAnswered {
 			break
 		}
 	}
@@ -159,40 +161,40 @@
 }
 
 // connect opens a connection, which does not show that it carries requests.
-func (q question) connect(ctx context.Context, network contract.Network) answer {
+func (p probe) connect(ctx context.Context, network contract.Network) probeResult {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	if connect(ctx, network, q.address) != nil {
-		return failed
+	if connect(ctx, network, p.address) != nil {
+		return probeFailed
 	}
-	return undecided
+	return probeInconclusive
 }
 
-// ask sends one request over a new connection.
-func (q question) ask(ctx context.Context, path string) answer {
+// send sends one request over a new connection.
+func (p probe) send(ctx context.Context, path string) probeResult {
 	trip := &contract.RoundTrip{NewConnection: true}
-	request, err := http.NewRequestWithContext(contract.WithRoundTrip(ctx, trip), http.MethodGet, "http://"+q.address+path, nil)
+	request, err := http.NewRequestWithContext(contract.WithRoundTrip(ctx, trip), http.MethodGet, "http://"+p.address+path, nil)
 	if err != nil {
-		return undecided // the routes hold a malformed path
+		return probeInconclusive // the routes hold a malformed path
 	}
-	x, response, err := targetconn.Send(q.pool, q.id, request)
+	x, response, err := targetconn.Send(p.pool, p.id, request)
 	if err != nil {
-		return answerOf(err)
+		return resultOf(err)
 	}
 	_, err = io.Copy(io.Discard, io.LimitReader(response.Body, maxHealthBytes))
 	x.Finish(err == nil && !response.Close)
-	return answered
+	return probeAnswered
 }
 
-// answerOf returns what an error of a question shows.
-func answerOf(err error) answer {
+// resultOf returns the result of a probe that ended with an error.
+func resultOf(err error) probeResult {
 	var failure *contract.RoundTripError
 	if !errors.As(err, &failure) {
-		return undecided
+		return probeInconclusive
 	}
 	switch failure.Kind {
 	case contract.AttemptRefused, contract.AttemptReset, contract.AttemptWrong, contract.AttemptTruncated:
-		return failed
+		return probeFailed
 	}
-	return undecided // the check has ended, or this VM may open no further connection
+	return probeInconclusive // the check has ended, or this VM may open no further connection
 }
--- a/entry/targetset/silence_choice_test.go
+++ b/entry/targetset/silence_choice_test.go
@@ -9,11 +9,11 @@
 	"time"
 )
 
-// TestVMsAskDifferentTargets guards against a service that is slow everywhere, of which all VMs
-// ask the same three targets at the same time.
-func TestVMsAskDifferentTargets(t *testing.T) {
+// TestVMsProbeDifferentTargets guards against a service that is slow everywhere, of which all VMs
+// probe the same three targets at the same time.
+func TestVMsProbeDifferentTargets(t *testing.T) {
 	const targets = 20
-	asked := make(map[string]bool)
+	probed := make(map[string]bool)
 	for vm := range uint64(10) {
 		f := newFixture(targets)
 		f.random = rand.New(rand.NewPCG(vm, 0))
@@ -22,12 +22,12 @@
 			f.Observed("vm-2", servedBy("t"+strconv.Itoa(i)))
 		}
 		f.mu.Lock()
-		for _, q := range f.questions(f.services["s"], f.now) {
-			asked[q.id] = true
+		for _, p := range f.selectProbes(f.services["s"], f.now) {
+			probed[p.id] = true
 		}
 		f.mu.Unlock()
 	}
-	if len(asked) <= maxPathChecks {
-		t.Errorf("ten VMs that heard the same ask %v only, of %d targets that answer", slices.Sorted(maps.Keys(asked)), targets)
+	if len(probed) <= maxPathChecks {
+		t.Errorf("ten VMs that heard the same probe %v only, of %d targets that answer", slices.Sorted(maps.Keys(probed)), targets)
 	}
 }
--- a/entry/targetset/silence_test.go
+++ b/entry/targetset/silence_test.go
@@ -143,22 +143,30 @@
 // were answered.
 func TestLongRequestsBesideAnsweredOnesAreNoEvidence(t *testing.T) {
 	f := newFixture(8)
-	var long []*Attempt
+	f.beginLateBeforeResponse(t)
+	if f.PathInDoubt() {
+		t.Error("the path is in doubt")
+	}
+}
+
+// beginLateBeforeResponse returns attempts that are late and began before the latest response of
+// their service.
+func (f *fixture) beginLateBeforeResponse(t *testing.T) []*Attempt {
+	t.Helper()
+	var late []*Attempt
 	for range lossesForTest {
-		long = append(long, f.begin(t, wanted(routing.KindIdempotent)))
+		late = append(late, f.begin(t, wanted(routing.KindIdempotent)))
 	}
 	f.now += 10 * time.Millisecond
 	short := f.begin(t, wanted(routing.KindIdempotent))
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.responded(short, false)
 	f.now += time.Second
-	for _, attempt := range long {
+	for _, attempt := range late {
 		f.lost(attempt, false, f.now)
 	}
-	f.mu.Unlock()
-	if f.PathInDoubt() {
-		t.Error("the path is in doubt")
-	}
+	return late
 }
 
 // TestTimeLimitsAloneLoseNoPath guards against a VM with few requests, which takes some that
@@ -204,7 +212,7 @@
 		if checks := f.checks.Load(); checks == 0 || checks > maxPathChecks {
 			t.Errorf("%d targets were asked at once, want at most %d", checks, maxPathChecks)
 		}
-		time.Sleep(2 * checkWait)
+		time.Sleep(2 * probeTimeout)
 	})
 }
 
