readahead: requests behind the one in progress are called pipelined

The files, the methods and their callers in gateway and frontend are renamed together, since they do not compile apart.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -101,7 +101,7 @@
 		HeaderBytes: maxCallerHeaderBytes, HeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout, Logger: f.options.Logger,
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
-	rows := readahead.Watch(callers)
+	connections := readahead.Watch(callers)
 	go f.serve(callers, readahead.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine)))))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
@@ -112,7 +112,7 @@
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
 
 	<-ctx.Done()
-	return f.stop(context.WithoutCancel(ctx), callers, rows, pages)
+	return f.stop(context.WithoutCancel(ctx), callers, connections, pages)
 }
 
 // servePage starts to serve the readiness, directory or admin interface.
@@ -162,7 +162,7 @@
 // stop performs a planned stop: it takes this VM out of the directory, for a
 // while still serves callers that hold an older directory response, and finishes
 // the requests in progress.
-func (f *Frontend) stop(ctx context.Context, callers *http.Server, rows *readahead.Watcher, pages []*http.Server) error {
+func (f *Frontend) stop(ctx context.Context, callers *http.Server, connections *readahead.Watcher, pages []*http.Server) error {
 	set := f.settings.Load()
 	events.FrontendStopping.Log(f.options.Logger, "vm", set.VM, "grace", set.Stop.Grace.Std())
 	f.stopping.Store(true)
@@ -171,7 +171,7 @@
 	ctx, cancel := context.WithTimeout(ctx, set.Stop.Grace.Std()-stopMargin)
 	defer cancel()
 	pause.For(ctx, set.Stop.Linger.Std())
-	awaitRows(ctx, rows)
+	awaitPipelined(ctx, connections)
 	err := errors.Join(callers.Shutdown(ctx), f.gateway.AwaitForwarded(ctx))
 	events.FrontendStopped.Log(f.options.Logger, "vm", set.VM, "requests_cut", err != nil)
 	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
@@ -186,16 +186,17 @@
 	return nil
 }
 
-// awaitRows waits until the callers that sent several requests in a row are answered, for half of
-// the time that the context has left: the rest is for requests in progress.
-func awaitRows(ctx context.Context, rows *readahead.Watcher) {
+// awaitPipelined waits until pipelined requests are answered, for at most half of the time that the
+// context has left: the rest is for requests in progress. The server's Shutdown would close their
+// connections after the request in progress.
+func awaitPipelined(ctx context.Context, connections *readahead.Watcher) {
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
 	defer cancel()
-	rows.AwaitFurther(ctx)
+	connections.AwaitPipelined(ctx)
 }
 
 // RoutesChanged passes new routes on to the children.
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -146,9 +146,9 @@
 }
 
 // announceClose tells the caller, while the VM stops, that its connection ends with this response,
-// unless further requests of it have arrived: they would go unanswered.
+// unless pipelined requests have arrived on it: they would get no response.
 func (g *Gateway) announceClose(header http.Header, r *http.Request) {
-	if g.options.Stopping() && !readahead.HasFurther(r) {
+	if g.options.Stopping() && !readahead.HasPipelined(r) {
 		header.Set("Connection", "close")
 	}
 }
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -35,8 +35,7 @@
 	deadline time.Time
 	timer    *time.Timer
 	closed   bool
-	// counter counts the requests.
-	counter counter
+	counter  requestCounter
 	// onEnd are the functions to be called when the caller has closed the connection.
 	onEnd   map[int]func()
 	nextKey int
@@ -67,14 +66,14 @@
 	return n, err
 }
 
-// count counts the requests in bytes that were read.
+// count counts the requests that end in the bytes.
 func (c *Conn) count(content []byte) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counter.add(content)
 }
 
-// begin records that a request is begun.
+// begin counts a request that is passed to the handler.
 func (c *Conn) begin(r *http.Request) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -241,7 +240,7 @@
 }
 
 // Watch makes a server end the contexts of requests whose caller has closed the connection, and
-// count the requests of its connections. These must come from Listener.
+// returns a Watcher of its connections. These must come from Listener.
 func Watch(server *http.Server) *Watcher {
 	watcher := &Watcher{conns: make(map[*Conn]struct{})}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
--- a/entry/readahead/further_test.go
+++ b/entry/readahead/pipelined_test.go
@@ -27,22 +27,22 @@
 		{"a body like the end of a head", lookup + "\r\n\r\n", []*http.Request{withBody}, false},
 	} {
 		for split := range len(c.stream) {
-			counted := &counter{}
+			counted := &requestCounter{}
 			counted.add([]byte(c.stream[:split]))
 			counted.add([]byte(c.stream[split:]))
 			for _, request := range c.begun {
 				counted.begin(request)
 			}
-			if got := counted.hasFurther(); got != c.want {
-				t.Errorf("%s, split at %d: a further request %v, want %v", c.name, split, got, c.want)
+			if got := counted.hasPipelined(); got != c.want {
+				t.Errorf("%s, split at %d: a pipelined request %v, want %v", c.name, split, got, c.want)
 			}
 		}
 	}
 }
 
-// TestWaitForFurtherRequestsIsBounded guards against a stop that a caller holds up by sending
+// TestWaitForPipelinedRequestsIsBounded guards against a stop that a caller holds up by sending
 // one request after another.
-func TestWaitForFurtherRequestsIsBounded(t *testing.T) {
+func TestWaitForPipelinedRequestsIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		conn := NewConn(nil)
 		conn.count([]byte(lookup + lookup))
@@ -52,13 +52,13 @@
 		ctx, cancel := context.WithTimeout(t.Context(), bound)
 		defer cancel()
 		began := time.Now()
-		watcher.AwaitFurther(ctx)
+		watcher.AwaitPipelined(ctx)
 		if waited := time.Since(began); waited != bound {
 			t.Errorf("waited for %v", waited)
 		}
 		conn.begin(&http.Request{})
 		began = time.Now()
-		watcher.AwaitFurther(t.Context())
+		watcher.AwaitPipelined(t.Context())
 		if waited := time.Since(began); waited != 0 {
 			t.Errorf("waited for %v although no request is left", waited)
 		}
