--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -47,8 +47,8 @@
 	writeErr error
 	// responseBegun is true once a byte of the response has been read.
 	responseBegun bool
-	// old is the head of the response if that is of HTTP/1.0.
-	old oldHead
+	// http10 is the head of the response if that is of HTTP/1.0.
+	http10 http10Head
 }
 
 // startAttempt starts observing an attempt. If limit is positive, cancel is
@@ -56,7 +56,7 @@
 func (w *watchedConn) startAttempt(trip *contract.RoundTrip, limit time.Duration, cancel context.CancelCauseFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.trip, w.stallLimit, w.writeErr, w.responseBegun, w.old = trip, limit, nil, false, oldHead{}
+	w.trip, w.stallLimit, w.writeErr, w.responseBegun, w.http10 = trip, limit, nil, false, http10Head{}
 	if limit > 0 {
 		w.stallTimer = time.AfterFunc(limit, func() { cancel(errStalled) })
 		w.stallTimer.Stop()
@@ -89,7 +89,7 @@
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n > 0 {
-		w.markResponseBegun(p[:n])
+		w.observeResponse(p[:n])
 	}
 	return n, err
 }
@@ -125,18 +125,19 @@
 	}
 }
 
-// hasFaultyFraming reports whether the response is of HTTP/1.0 and has a Transfer-Encoding.
-func (w *watchedConn) hasFaultyFraming() bool {
+// hasHTTP10TransferEncoding reports whether the response is of HTTP/1.0 and has a Transfer-Encoding.
+func (w *watchedConn) hasHTTP10TransferEncoding() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.old.hasTransferEncoding()
+	return w.http10.hasTransferEncoding()
 }
 
-// markResponseBegun records the next bytes of the response.
-func (w *watchedConn) markResponseBegun(p []byte) {
+// observeResponse records the next bytes of the response. The first ones end the detection of a
+// stall.
+func (w *watchedConn) observeResponse(p []byte) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.old.observe(p)
+	w.http10.observe(p)
 	if w.responseBegun {
 		return
 	}
--- a/entry/targetconn/head.go
+++ b/entry/targetconn/head.go
@@ -15,7 +15,7 @@
 	errNotFinal = errors.New("the response is not final")
 	// errTwoHeads means that the target wrote its response within the head of an earlier one.
 	errTwoHeads = errors.New("the head of the response holds a second status line")
-	// errFraming means that the end of the response can't be told.
+	// errFraming means that the end of the response is unknown, since its framing is faulty.
 	errFraming = errors.New("the response is of HTTP/1.0 and has a Transfer-Encoding")
 )
 
@@ -24,24 +24,24 @@
 
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( [^:]*)?$`)
 
-// checkHead returns an error when the head that came on a connection is not that of a final
-// response to the request, whose end can be told.
+// checkHead returns an error unless the head is that of a final response whose end is known. On a
+// reused connection it also returns one when an earlier response is mixed into the head.
 func checkHead(response *http.Response, trip *contract.RoundTrip, watch *watchedConn) error {
 	switch {
 	case response.StatusCode < http.StatusOK:
 		return errNotFinal
 	case trip.Reused() && hasTwoHeads(response):
 		return errTwoHeads
-	case watch.hasFaultyFraming():
+	case watch.hasHTTP10TransferEncoding():
 		return errFraming
 	}
 	return nil
 }
 
-// hasTwoHeads reports whether the head begins with a part of another response's, as when a
-// target writes an earlier response once more, in pieces: a status line then follows on the
-// part, at the end of its status or of a field. The status would be that of the other response,
-// and so would be the fields before the cut.
+// hasTwoHeads reports whether the head begins with a part of another response's head, as when a
+// target writes a part of an earlier response once more before this one. This one's status line
+// then stands at the end of the status, or of a field, in which the part ends. The status and the
+// fields before it belong to the earlier response, so that neither can be trusted.
 func hasTwoHeads(response *http.Response) bool {
 	if endsInStatusLine(response.Status) {
 		return true
--- a/entry/targetconn/oldhead_test.go
+++ b/entry/targetconn/http10head_test.go
@@ -13,7 +13,7 @@
 		"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n\r\n":       false,
 	} {
 		for size := 1; size <= len(text); size++ {
-			var head oldHead
+			var head http10Head
 			for at := 0; at < len(text); at += size {
 				head.observe([]byte(text[at:min(at+size, len(text))]))
 			}
