breaker: comments say when late requests count, and why

The findings' comments did not match the condition in Examine, and the package comment gave the reason for ignoring early requests before the rule.

Run: gofmt, go vet, go test ./policy/breaker: ok.

--- a/policy/breaker/losses.go
+++ b/policy/breaker/losses.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Loss is a request that a target lost.
+// Loss is an attempt of this VM that ended without a response, or is late.
 type Loss struct {
 	Target string
 	// At is the uptime at which the loss was observed, BegunAt that at which the attempt began.
@@ -22,16 +22,16 @@
 const (
 	// NoFinding means that the losses are too few.
 	NoFinding Finding = iota
-	// PathSilent means that enough requests are late; the path may be at fault, or the requests
-	// take long. A check of the path decides.
+	// PathSilent means that enough attempts are lost, but too few of them have ended: the path may
+	// be at fault, or the late requests take long. A check of the path decides.
 	PathSilent
 	// PathLost means that enough attempts ended without a response.
 	PathLost
 )
 
 // Lost records that a target lost a request of this VM. A late attempt that began before the
-// latest response is ignored: the path has worked since, and of the attempts of that time only
-// the long ones are left, however many were answered.
+// latest response is ignored: the path has worked since, and a VM that begins few requests has
+// only its long ones left in progress, which say nothing about the path.
 func (b *Breaker) Lost(loss Loss) {
 	if !loss.Ended && loss.BegunAt < b.answeredAt {
 		return
@@ -62,9 +62,9 @@
 	return losses
 }
 
-// Examine returns what the losses without a response in between show of a closed breaker's
-// path, provided that other VMs are answered, and the uptime of the first of them. One suffices
-// for a breaker that closed without a response.
+// Examine returns what the losses since the latest response show of a closed breaker's path, and
+// the uptime of the first of them. It assumes that other VMs are answered, which the caller has to
+// check. One loss suffices for a breaker that closed without a response.
 func (b *Breaker) Examine(now time.Duration) (finding Finding, since time.Duration) {
 	needed := lossesToOpen
 	switch {
