crashes: comments explain pulls by digests and evidence

'Knows the same' and 'is asked' hid that a pull compares digests and fetches evidence, and nothing said why heartbeats alone are not enough.

Run: gofmt, go vet, go test ./entry/crashes: ok.

--- a/entry/crashes/pulls.go
+++ b/entry/crashes/pulls.go
@@ -9,28 +9,31 @@
 )
 
 const (
-	// pullDelay is the time without an equal digest of any VM of a zone after which one of them
-	// is asked. Each primary VM sends seven heartbeats meanwhile, so on links that lose few
-	// datagrams nothing is asked while all VMs agree.
+	// pullDelay is the time without an equal digest of any VM of a zone after which this VM pulls
+	// from one of them. Each primary VM sends seven heartbeats meanwhile, so on links that lose few
+	// datagrams there are no pulls while all VMs agree.
 	pullDelay = 1500 * time.Millisecond
 	// maxQuickPulls is the number of pulls in a row at that interval. News reaches all VMs
 	// within three of them, also when no datagram arrives.
 	maxQuickPulls = 4
-	// slowPullDelay is the interval afterwards, and the time for which a VM that did not answer
-	// is not asked again: it may be of an older build, or gone.
+	// slowPullDelay is the interval afterwards, and the time before the next pull from a VM that
+	// did not answer: it may be of an older build, or gone.
 	slowPullDelay = 8 * time.Second
 	// pullJitterShare divides the delay into the greatest random addition to it, so that the
-	// VMs of a zone do not ask its primary VMs at the same time.
+	// VMs of a zone do not call its primary VMs at the same time.
 	pullJitterShare = 3
 )
 
 // Peer is a VM whose heartbeats this VM gets.
 type Peer struct{ VM, Zone string }
 
-// pulls decides when this VM asks another one whether they know the same, without having been
-// told that they differ: datagrams that do not arrive say nothing about what is known elsewhere.
+// pulls schedules the pulls: calls that compare this VM's digest with that of another VM and fetch
+// its evidence if they differ. The reconciler calls a VM only after a heartbeat with another digest;
+// without pulls, a VM that gets no heartbeats would never learn what others know. Times are
+// uptimes; the reconciler's lock guards all.
 type pulls struct {
-	// agreedAt holds, by VM, when it last told a digest about which no call is needed.
+	// agreedAt holds, by VM, when its digest last needed no call: it was equal, or the difference
+	// is known to remain after a call.
 	agreedAt map[string]time.Duration
 	// failedAt holds, by VM, when it last did not answer a pull.
 	failedAt map[string]time.Duration
@@ -40,7 +43,7 @@
 // zonePulls is the state of the pulls from the VMs of one zone.
 type zonePulls struct {
 	agreedAt, dueAt time.Duration
-	// own is the digest of this VM when last looked at.
+	// own is the digest of this VM at the latest update.
 	own uint64
 	// count is the number of pulls since a VM of the zone agreed or this VM's digest changed.
 	count int
@@ -77,7 +80,8 @@
 	z.dueAt = min(z.dueAt, now+z.delay())
 }
 
-// duePull returns a VM that is to be asked now; ok is false for none.
+// duePull returns the VM from which a pull is due now and schedules the next one of its zone; ok
+// is false for none.
 func (r *reconciler) duePull(own uint64, peers []Peer, now time.Duration) (vm string, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -93,7 +97,7 @@
 		zone.count++
 		zone.dueAt = now + zone.delay()
 		if len(vms) == 0 {
-			continue // none has answered lately
+			continue // no VM of the zone has answered lately
 		}
 		r.nextAt = now + reconcileInterval
 		return vms[rand.IntN(len(vms))], true
@@ -102,7 +106,7 @@
 }
 
 // updateZones brings the state of the zones up to date, forgets VMs that are no peers any more
-// and returns the VMs that may be asked by zone; the lock is held.
+// and returns, by zone, the VMs whose latest pull has not just failed; the lock is held.
 func (r *reconciler) updateZones(own uint64, peers []Peer, now time.Duration) map[string][]string {
 	byZone, listed := make(map[string][]string), make(map[string]bool, len(peers))
 	for _, peer := range peers {
@@ -148,8 +152,8 @@
 	r.pulls.failedAt[vm] = now
 }
 
-// pull asks a VM for what it knows unless both know the same, and tells it all when it lacks
-// some of what this VM knows.
+// pull fetches a VM's evidence unless the digests are equal. If they still differ afterwards, that
+// VM lacks some of this VM's evidence, and a full exchange follows.
 func (t *Tracker) pull(ctx context.Context, vm string) {
 	limited, cancel := context.WithTimeout(ctx, reconcileTimeout)
 	defer cancel()
@@ -167,7 +171,7 @@
 	}
 }
 
-// HandlePull returns all that this VM knows, or only its digest when the caller has the same.
+// HandlePull returns this VM's evidence and digest, or only the digest when the caller's is equal.
 func (t *Tracker) HandlePull(digest uint64) Reconciled {
 	own := t.Digest()
 	if own == digest {
