--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -145,40 +145,54 @@
 	if refusal := m.admit(s, wanted, candidates, reference.MeanServiceTime(overallServiceTime), overallServiceTime, now); refusal != nil {
 		return nil, refusal
 	}
+	choice := placement.Choose(candidates, s.placementRequest(wanted, reference.MeanServiceTime(overallServiceTime), overallServiceTime, now), m.random)
+	if choice.Reason == placement.ReasonNoTarget && s.hasUnreachable() {
+		return nil, &Refusal{Reason: ReasonCutOff}
+	}
+	if choice.Reason != placement.ReasonNone {
+		return nil, held.refusal(choice, now)
+	}
+	if (choice.Trial || wanted.SentAttempts > 0 && !wanted.RetryPaid) && !s.budget.Spend(now) {
+		return nil, &Refusal{Reason: ReasonBudget}
+	}
+	if choice.Exploratory {
+		s.payExploration(candidates[choice.Index], wanted.Route.Kind)
+	}
+	a := m.start(s, targets[choice.Index], candidates[choice.Index], wanted, now)
+	a.trial, a.openConnectionOnly = choice.Trial, openConnectionOnly || a.target.unreachable
+	a.expectWait(choice.Wait, overallServiceTime, wanted.Route.Objective)
+	return a, nil
+}
+
+// placementRequest returns what the placement needs to know of an attempt, given the mean duration
+// of attempts of its route and of all; the lock is held.
+func (s *service) placementRequest(wanted AttemptRequest, serviceTime, overallServiceTime, now time.Duration) placement.AttemptRequest {
 	mayRetry := wanted.SentAttempts+1 < wanted.Route.MaxAttempts
-	choice := placement.Choose(candidates, placement.AttemptRequest{
+	return placement.AttemptRequest{
 		Idempotent:        wanted.Route.Kind.Idempotent(),
 		Retry:             len(wanted.Attempted) > 0,
 		MayRunTrial:       mayRetry && s.budget.Available(now) >= minTrialBudget,
 		MayExplore:        s.explorationCredit >= exploreCost,
 		MayExploreSuspect: s.explorationCredit >= suspectCost(wanted.Route.Kind),
 		MayRetry:          mayRetry && s.budget.Available(now) >= 1,
-		ServiceTime:       reference.MeanServiceTime(overallServiceTime),
+		ServiceTime:       serviceTime,
 		QueueServiceTime:  overallServiceTime,
 		Bytes:             wanted.Bytes,
 		Remaining:         wanted.Remaining,
 		UsefulTime:        wanted.Useful,
 		Priority:          wanted.Priority,
 		QueuePerSlot:      s.queuePerSlot(),
-	}, m.random)
-	if choice.Reason == placement.ReasonNoTarget && s.hasUnreachable() {
-		return nil, &Refusal{Reason: ReasonCutOff}
-	}
-	if choice.Reason != placement.ReasonNone {
-		return nil, held.refusal(choice, now)
-	}
-	if (choice.Trial || wanted.SentAttempts > 0 && !wanted.RetryPaid) && !s.budget.Spend(now) {
-		return nil, &Refusal{Reason: ReasonBudget}
 	}
-	if choice.Exploratory && candidates[choice.Index].IsSuspect() {
-		s.explorationCredit -= suspectCost(wanted.Route.Kind)
-	} else if choice.Exploratory {
-		s.explorationCredit -= exploreCost
+}
+
+// payExploration takes the cost of an exploration of the candidate from the credit; the lock is
+// held.
+func (s *service) payExploration(chosen placement.Candidate, kind routing.Kind) {
+	if chosen.IsSuspect() {
+		s.explorationCredit -= suspectCost(kind)
+		return
 	}
-	a := m.start(s, targets[choice.Index], candidates[choice.Index], wanted, now)
-	a.trial, a.openConnectionOnly = choice.Trial, openConnectionOnly || a.target.unreachable
-	a.expectWait(choice.Wait, overallServiceTime, wanted.Route.Objective)
-	return a, nil
+	s.explorationCredit -= exploreCost
 }
 
 // suspectShare returns the share of candidates that are suspects.
