--- a/entry/logsink/logsink_test.go
+++ b/entry/logsink/logsink_test.go
@@ -48,11 +48,7 @@
 			_, _ = sink.Write([]byte("level=info msg=plain\n"))
 		}
 		_, _ = sink.Write([]byte("level=warn msg=serious\n"))
-		time.Sleep(time.Second)
-		_, _ = sink.Write([]byte("level=info msg=later\n"))
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		sink.Run(ctx)
+		runInLaterSecond(t, sink)
 		text := out.String()
 		for _, want := range []string{"msg=serious", "msg=later", "lines=990"} {
 			if !strings.Contains(text, want) {
@@ -65,6 +61,17 @@
 	})
 }
 
+// runInLaterSecond writes a line in the next second, which reports the dropped ones, and all that
+// the sink has queued.
+func runInLaterSecond(t *testing.T, sink *Sink) {
+	t.Helper()
+	time.Sleep(time.Second)
+	_, _ = sink.Write([]byte("level=info msg=later\n"))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	sink.Run(ctx)
+}
+
 // TestFloodOfOneEventDisplacesNoOther guards against logs that lack what explains a failure:
 // at a planned stop, one line for each forwarded request used up the limit of all lines.
 func TestFloodOfOneEventDisplacesNoOther(t *testing.T) {
@@ -75,11 +82,7 @@
 			_, _ = sink.Write([]byte("level=info msg=forwarded event=5110 vm=a\n"))
 		}
 		_, _ = sink.Write([]byte("level=info msg=failed event=5102 vm=a\n"))
-		time.Sleep(time.Second)
-		_, _ = sink.Write([]byte("level=info msg=later\n"))
-		ctx, cancel := context.WithCancel(t.Context())
-		cancel()
-		sink.Run(ctx)
+		runInLaterSecond(t, sink)
 		text := out.String()
 		for _, want := range []string{"msg=failed", "msg=later", "lines=90", `events="5110:90"`, "event=1006"} {
 			if !strings.Contains(text, want) {
