--- a/entry/progress/progress.go
+++ b/entry/progress/progress.go
@@ -1,4 +1,5 @@
-// Package progress ends calls that make no progress, however long those take that do.
+// Package progress ends calls whose response stalls. Unlike a fixed time limit, it does not end a
+// large response that keeps arriving, until a generous limit on the whole call.
 package progress
 
 import (
@@ -14,18 +15,20 @@
 	// Stall is the longest time without a further byte of a response that has begun. It does not
 	// end a call before its Timeout.
 	Stall time.Duration
-	// Reading is the longest time that a response takes beyond the Timeout.
+	// Reading is the longest time beyond the Timeout that a response may take while its bytes
+	// keep arriving.
 	Reading time.Duration
 }
 
-// Deadline moves the end of a call while bytes arrive.
+// Deadline ends a call unless bytes of its response keep arriving.
 type Deadline struct {
 	limits Limits
 	begun  time.Time
 	timer  *time.Timer
 }
 
-// Begin returns the context of a call that begins now. The caller must call the cancel function.
+// Begin returns the context of a call that begins now, which is canceled at a limit. The response
+// must be read from the Deadline's Reader. The caller must call the cancel function.
 func Begin(parent context.Context, limits Limits) (context.Context, *Deadline, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(parent, limits.Timeout+limits.Reading)
 	d := &Deadline{limits: limits, begun: time.Now(), timer: time.AfterFunc(limits.Timeout, cancel)}
@@ -35,7 +38,7 @@
 	}
 }
 
-// Reader returns a reader of the call's response that moves the end of the call.
+// Reader returns a reader of the call's response that postpones the Deadline with each read.
 func (d *Deadline) Reader(response io.Reader) io.Reader {
 	return &reader{response: response, deadline: d}
 }
