--- a/entry/follow/unusable.go
+++ b/entry/follow/unusable.go
@@ -36,8 +36,8 @@
 	return decoded
 }
 
-// decodeItem decodes an item. It turns a panic into an error, so that no published value ends
-// the instances that read it. The item then names nothing.
+// decodeItem decodes an item. It turns a panic of the decoder into an error with an empty entry:
+// otherwise one published value would end all instances, again after each restart.
 func (f *Follower) decodeItem(item Item, now time.Duration) (entry Entry, err error) {
 	defer func() {
 		if cause := recover(); cause != nil {
@@ -47,7 +47,8 @@
 	return f.options.Decoder.Decode(item, now)
 }
 
-// forPeers returns a listing without the large values that name neither routes nor a target.
+// forPeers returns a copy of a listing for other instances, without the values that hold neither
+// routes nor a target and are larger than maxUnusableBytes. Their keys and revisions stay.
 func forPeers(listing Listing, decoded []decodedItem) Listing {
 	listing.Items = slices.Clone(listing.Items)
 	for i := range listing.Items {
@@ -87,7 +88,7 @@
 		"cause", beginning(cause.Error()))
 }
 
-// beginning returns the part of a text that is logged.
+// beginning returns the first maxLoggedBytes bytes of a text, as valid UTF-8.
 func beginning(text string) string {
 	if len(text) <= maxLoggedBytes {
 		return text
