--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -165,9 +165,10 @@
 	q.awaitBody(x.BodySent())
 }
 
-// awaitBody waits until the body of a forwarded request is no longer sent. Only a read that is
-// still waiting for the caller is ended, and none where the body is held: the deadline would also
-// end the server's watch for a caller that leaves, as if it had left.
+// awaitBody waits until the body of a forwarded request is no longer sent. After bodyEndTime it
+// ends a read that still waits for the caller by a read deadline. It sets none if the whole body is
+// held: nothing is read then, and net/http would take the deadline for a caller that has left and
+// cancel the request.
 func (q *request) awaitBody(sent <-chan struct{}) {
 	select {
 	case <-sent:
--- a/entry/gateway/forwarded.go
+++ b/entry/gateway/forwarded.go
@@ -20,8 +20,9 @@
 // own callers do not starve.
 const maxForwarded = 64
 
-// AwaitForwarded waits until no forwarded request of another VM is in progress. After it, none
-// begins: the process ends, and its response would be lost.
+// AwaitForwarded waits until no forwarded request of another VM is in progress, and then lets none
+// begin: the process ends, and its response would be lost. The second wait is for those that began
+// between the first one and Close.
 func (g *Gateway) AwaitForwarded(ctx context.Context) error {
 	if err := g.forwarded.Await(ctx); err != nil {
 		return err
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -161,8 +161,8 @@
 }
 
 // serve serves a request, or returns why not. When the caller is gone, it panics with
-// http.ErrAbortHandler: a return without a response would be a success to a caller that still
-// reads.
+// http.ErrAbortHandler: net/http sends a response of status 200 for a handler that returns without
+// one, and a caller that has closed only its sending direction would take it for a success.
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
 	defer q.releaseHolds()
 	if refusal := q.prepare(w); refusal != nil {
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -266,10 +266,11 @@
 	return d
 }
 
-// anotherMayFollow returns a function that reports whether another VM may serve the request when
-// an attempt is given up because this VM reaches no target. It may be called while the attempt
-// is in progress. The other VM pays for the retry; this VM's share of the budget tells whether
-// it can.
+// anotherMayFollow returns a function that reports whether the request can be forwarded to another
+// VM if an attempt is given up because this VM reaches no target. Otherwise the caller would get a
+// failure for a response that may still arrive. The function may be called from any goroutine while
+// the attempt is in progress. The other VM spends its own retry budget, which this VM doesn't know;
+// this VM's budget of the service stands in for it.
 func (q *request) anotherMayFollow(attempt *targetset.Attempt) func() bool {
 	inProgress := 1
 	if attempt.IsHedge() {
