--- a/entry/forwarding/inprogress.go
+++ b/entry/forwarding/inprogress.go
@@ -19,6 +19,7 @@
 // Begin counts one more; ok is false when there are as many as the limit allows, which is
 // zero for none, or after Close. The returned function must be called once the request has ended.
 func (i *InProgress) Begin(limit int64) (end func(), ok bool) {
+	// The count comes first, so that an Await after Close sees each request that Close let pass.
 	if now := i.count.Add(1); limit > 0 && now > limit || i.closed.Load() {
 		i.count.Add(-1)
 		return nil, false
@@ -26,7 +27,7 @@
 	return func() { i.count.Add(-1) }, true
 }
 
-// Close lets no further request begin.
+// Close makes Begin refuse all requests from now on.
 func (i *InProgress) Close() { i.closed.Store(true) }
 
 // Await waits until no request is in progress.
