--- a/entry/vmlist/vmlist.go
+++ b/entry/vmlist/vmlist.go
@@ -97,7 +97,7 @@
 		return fmt.Errorf("watch VM list: %w", err)
 	}
 	if value.Version != f.version {
-		if err := f.apply(value.Content); err != nil { // the same version would be no better
+		if err := f.apply(value.Content); err != nil { // reading the same version again would fail, too
 			events.VMListReadFailed.Log(f.options.Logger, "version", value.Version, "error", err)
 		}
 		f.version = value.Version
@@ -135,13 +135,13 @@
 	return nil
 }
 
-// parseEntry decodes an entry; the error quotes no more than the name of a field.
+// parseEntry decodes an entry. Its errors quote nothing of the content but the name of a field.
 func parseEntry(content []byte) (document.VMEntry, error) {
 	var entry document.VMEntry
-	var odd *json.UnmarshalTypeError
+	var mismatch *json.UnmarshalTypeError
 	switch err := json.Unmarshal(content, &entry); {
-	case errors.As(err, &odd):
-		return entry, fmt.Errorf("field %q has another type", odd.Field)
+	case errors.As(err, &mismatch):
+		return entry, fmt.Errorf("field %q has another type", mismatch.Field)
 	case err != nil:
 		return entry, errors.New("the entry cannot be decoded")
 	case entry.Name == "":
