soak: comments of long requests and of the check of planned stops

What is broken off, and which times the constants bound, could be told from the code only.

Run: gofmt, go vet, go test ./operator/soak -run 'Stop|Long|Checker': ok.

--- a/operator/soak/checker_stops.go
+++ b/operator/soak/checker_stops.go
@@ -8,8 +8,9 @@
 	"github.com/primroseloom/primroseloom/entry/settings"
 )
 
-// timeLimitSlack is how long before the time limit of its route a request may have ended at it:
-// the daemon measures from when it reads the request, the checker from when the caller sends it.
+// timeLimitSlack is the time before the time limit of its route from which a request may have been
+// ended by that limit. It covers the differences between the daemon's clock reading, when it reads
+// the request, and the checker's, when the caller sends it.
 const timeLimitSlack = 50 * time.Millisecond
 
 // stopGrace is how long after SIGTERM a daemon waits for requests in progress.
@@ -42,7 +43,7 @@
 	return c.lastExecution.vm, len(c.executions) > 0
 }
 
-// checkStops checks that planned stops end no request that a target works on.
+// checkStops checks that planned stops break off no request on which a target is working.
 func (c *checker) checkStops() {
 	for _, request := range c.requests {
 		for _, e := range c.executions[request.id] {
@@ -96,8 +97,10 @@
 	})
 }
 
-// isBrokenOff reports whether the sender left while the target worked, although the request may
-// run again, or whether the caller was answered by a daemon's failure or by a closed connection.
+// isBrokenOff reports whether a daemon ended the request before its target could respond: the
+// caller got a failure of the daemon or a closed connection, and the sender had left or the target
+// was still working. If the caller got another response, an execution that its sender left counts
+// only when the request may run twice.
 func isBrokenOff(request callerRequest, e execution) bool {
 	switch request.status {
 	case 0, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
--- a/operator/soak/long_requests.go
+++ b/operator/soak/long_requests.go
@@ -18,19 +18,20 @@
 	// target works.
 	workQuery = "work_ms"
 	// minLongWork and maxLongWork bound the work of a long request: many times that of others,
-	// and less than routeTimeout. They outlast the responses to other requests that a daemon
-	// still gets after SIGTERM, for up to 0.9 s on a busy machine.
+	// and less than routeTimeout. After SIGTERM a daemon still gets responses to other requests,
+	// for up to 0.9 s on a busy machine; long requests outlast these.
 	minLongWork, maxLongWork = time.Second, 1080 * time.Millisecond
-	// longOnceOneIn is the share of long requests that must not run twice.
+	// One in longOnceOneIn long requests must not run twice.
 	longOnceOneIn = 4
 	// longCallers is the number of callers that send long requests all the time.
 	longCallers = 2
 	// minLongAtStop and maxLongAtStop bound the number of long requests that are sent to a
-	// daemon at its planned stop; at one stop in noLongAtStopOneIn there are none.
+	// daemon at its planned stop. At one stop in noLongAtStopOneIn there are none.
 	minLongAtStop, maxLongAtStop = 8, 12
 	noLongAtStopOneIn            = 5
-	// longAtStopTime is the time in which these requests are sent, longHeadStart when in it the
-	// daemon is stopped. A daemon serves for some 100 ms yet what arrives.
+	// longAtStopTime is the time over which these requests are sent, longHeadStart the time from
+	// its beginning to the daemon's SIGTERM. A daemon still accepts requests for some 100 ms
+	// after that.
 	longAtStopTime, longHeadStart = 140 * time.Millisecond, 60 * time.Millisecond
 	// longStream separates the random numbers of these callers from those of others,
 	// longStopStream those of requests before stops.
@@ -49,7 +50,8 @@
 	return work
 }
 
-// work waits for the time of a request's work, or until its sender leaves, and records which.
+// work waits for the time of a request's work, or until the daemon that sent it closes the
+// connection, and records the execution.
 func (t *target) work(r *http.Request, asked run, fault targetFault) {
 	done := execution{run: asked}
 	select {
@@ -70,7 +72,8 @@
 	return t.fault == targetHealthy && !t.down && t.said.Pause == 0 && time.Since(t.disturbedAt) > span && !t.link.harmedWithin(span)
 }
 
-// longCaller sends requests that take long at their targets.
+// longCaller sends requests that take long at their targets. A daemon with few short requests has
+// only such ones in progress, which it must not take for lost.
 type longCaller struct {
 	*caller
 }
@@ -121,8 +124,9 @@
 	}
 }
 
-// sendLongAtStop begins to send some long requests to a daemon, past the callers' link, and
-// returns when the daemon is to be stopped.
+// sendLongAtStop starts callers that send long requests directly to a daemon, without the faults
+// of the callers' link, and returns when the daemon is to get its SIGTERM: some of the requests
+// arrive before, some after it.
 func (s *soak) sendLongAtStop(v *vm) {
 	v.mu.Lock()
 	name, stream := fmt.Sprintf("stop%d.%d", v.index, v.starts), uint64(longStopStream+100*v.index+v.starts)
