--- a/entry/events/daemon.go
+++ b/entry/events/daemon.go
@@ -13,7 +13,7 @@
 	LibraryMessage = define(1005, log.WarnLevel, "library message",
 		"A library reported something to the standard logger, such as bytes that a target sent after a complete response; the text is shortened.")
 	LogLinesDropped = define(1006, log.WarnLevel, "log lines dropped",
-		"More lines were written than the limits allow, or than the output took; events tells how many of each event number are missing.")
+		"More lines were written than the limits allow, or than the output could take; events lists the dropped lines as event number and count.")
 	ChildRestarted = define(1004, log.ErrorLevel, "child restarted",
 		"A supervised component failed and is restarted after a back-off.")
 )
--- a/entry/events/targetset.go
+++ b/entry/events/targetset.go
@@ -25,11 +25,11 @@
 	TargetReachable = define(4107, log.InfoLevel, "target reachable again",
 		"This VM can open a connection to the target again.")
 	PathLost = define(4111, log.WarnLevel, "no target of the service reachable from here",
-		"Connections to several targets failed, or several targets that answer other VMs lost this VM's requests (observed tells which): the path from this VM is at fault. lost lists these requests by target, with the time since each began and whether it ended or is only late; answered_here_ms and answered_any_ms tell how old the latest response is to this VM and to any VM, -1 for none, in_progress how many attempts go on here. 4112 follows when a response arrives.")
+		"Connections to several targets failed, or several targets that answer other VMs lost this VM's requests (observed tells which): the path from this VM is at fault. lost lists these requests, each as target, milliseconds since it began, and ended or late; answered_here_ms and answered_any_ms are the age of the latest response to this VM and to any VM (-1 for none), in_progress is the number of this VM's attempts in progress. 4112 follows when a response arrives.")
 	AttemptGivenUp = define(4115, log.WarnLevel, "attempt given up",
-		"This VM ended an idempotent attempt at which the target may still work, since no target of the service is reachable from here (4111) and another VM may serve the request; at_target_ms tells how long after its request was written.")
+		"This VM ended an idempotent attempt at which the target may still work, since no target of the service is reachable from here (4111) and another VM may serve the request; at_target_ms is the time since the last bytes of its request were written.")
 	SilenceChecked = define(4116, log.InfoLevel, "path with late requests checked",
-		"Several requests of this VM are late although targets of the service answer other VMs, so some targets were asked for a response; result is response when one came (the requests take long), failed when none could be reached (4111 follows), and undecided otherwise (4111 follows if the losses go on). The other fields are those of 4111.")
+		"Several requests of this VM are late although targets of the service answer other VMs, so this VM probed some targets; result is response when one responded (the requests take long), failed when none could be reached (4111 follows), and undecided otherwise (4111 follows if the losses go on). The other fields are those of 4111.")
 	RoomShort = define(4113, log.WarnLevel, "service short of room",
 		"A request was refused (no_room) since others go first while the service is full: those of higher priority (cause urgency), or of customers that send no more than usual (excess); too_late could not end in its time. Logged for the first refusal; the counter targets_room_refused has all.")
 	RoomRegained = define(4114, log.InfoLevel, "service has room again",
