--- a/entry/targetset/attempt.go
+++ b/entry/targetset/attempt.go
@@ -289,12 +289,12 @@
 }
 
 // reportOverdue counts evidence of slowness against a target whose attempt is
-// still running after an unusually long time, unless this VM hears of no target.
+// still running after an unusually long time, unless the path from this VM may be at fault.
 func (a *Attempt) reportOverdue() {
 	m := a.manager
 	m.mu.Lock()
 	now := m.options.Uptime()
-	if a.heardNothing(now) {
+	if a.isPathSilent(now) {
 		m.mu.Unlock()
 		return
 	}
--- a/entry/targetset/evaluate.go
+++ b/entry/targetset/evaluate.go
@@ -25,7 +25,7 @@
 func (a *Attempt) evaluate(result Result, now time.Duration) evidence.AttemptEvidence {
 	outcome := evidence.AttemptEvidence{Target: a.target.info.ID, Load: result.Load, RefusedFull: result.RefusedFull, FailureNats: suspicion.FailureNats(result.End), ShedNats: suspicion.ShedNats(result.End)}
 	inDoubt := a.pathInDoubt(result, now)
-	if inDoubt || result.End == suspicion.ResultTimedOut && a.heardNothing(now) {
+	if inDoubt || result.End == suspicion.ResultTimedOut && a.isPathSilent(now) {
 		outcome.FailureNats = 0
 	}
 	if result.Err != nil && !result.Sent && result.End != suspicion.ResultNeutral {
@@ -51,10 +51,11 @@
 	return outcome
 }
 
-// heardNothing reports whether the silence of the attempt's target says nothing about it: the
-// target has answered another VM since the attempt began, and this VM has had no response of the
-// service for the time after which an attempt is late. The lock is held.
-func (a *Attempt) heardNothing(now time.Duration) bool {
+// isPathSilent reports whether a missing response is no evidence against the attempt's target, since
+// the path from this VM may be at fault: the target has answered another VM since the attempt began,
+// and no target of the service has answered this VM for the attempt's silence limit. The lock is
+// held.
+func (a *Attempt) isPathSilent(now time.Duration) bool {
 	return a.target.lastServedAt > a.startedAt && now-a.service.answeredHereAt() >= a.silenceLimit
 }
 
