--- a/entry/crashes/reconcile_rpc.go
+++ b/entry/crashes/reconcile_rpc.go
@@ -19,8 +19,8 @@
 // errNotMember means that a VM is not a member of the fleet any more.
 var errNotMember = errors.New("not a member of the fleet")
 
-// digestHeader is the request header with the caller's digest in hexadecimal. A VM that knows
-// the same returns its digest only; older builds don't read it and return all that they know.
+// digestHeader is the request header with the caller's digest in hexadecimal. A VM with an equal
+// digest returns no evidence; older builds ignore the header and return all evidence.
 const digestHeader = "Primroseloom-Requests-Digest"
 
 // EvidencePeers returns the clients of the other VMs.
@@ -45,7 +45,8 @@
 	}
 }
 
-// Pull returns a function that asks another VM over connect-go for what it knows.
+// Pull returns a function that fetches another VM's digest over connect-go, and its evidence unless
+// the digests are equal.
 func Pull(fleet, self string, peers EvidencePeers, uptime func() time.Duration) func(context.Context, string, uint64) (Reconciled, error) {
 	return func(ctx context.Context, vm string, digest uint64) (Reconciled, error) {
 		client, ok := peers.Evidence(vm)
--- a/entry/crashes/reconciler.go
+++ b/entry/crashes/reconciler.go
@@ -175,7 +175,8 @@
 	t.reconciler.heard(vm, t.Digest(), digest, t.options.Uptime())
 }
 
-// reconcileDue calls a VM that knows something else than this one, or may do so, if one is due.
+// reconcileDue exchanges evidence with a VM whose digest differs, or pulls from one that has told
+// no equal digest for a while, if such a call is due.
 func (t *Tracker) reconcileDue(ctx context.Context) {
 	if t.options.Reconcile == nil {
 		return
--- a/entry/crashes/tracker.go
+++ b/entry/crashes/tracker.go
@@ -27,7 +27,7 @@
 	// Reconcile tells another VM all that this one knows and returns what that one knows; nil
 	// for never.
 	Reconcile func(ctx context.Context, vm string, all []quarantine.Evidence) (Reconciled, error)
-	// Pull returns what another VM knows, without evidence when its digest is the given one; it
+	// Pull returns another VM's digest, and its evidence unless the digest is the given one; it
 	// must be set with Reconcile.
 	Pull func(ctx context.Context, vm string, digest uint64) (Reconciled, error)
 	// Peers returns the other VMs whose heartbeats this VM gets; it must be set with Reconcile.
