--- a/policy/freshness/compare.go
+++ b/policy/freshness/compare.go
@@ -14,8 +14,9 @@
 	// silentBounds multiplied by the bound is how long a VM waits for answers of peers that it
 	// has known, before it takes the store at its word without them.
 	silentBounds = 2
-	// maxWaitStep bounds what the time between two looks at the peers adds to that wait. It exceeds
-	// the interval of the calls: in longer ones the VM was paused, or did not ask.
+	// maxWaitStep bounds what the time between two calls of PeersKnown adds to that wait. It exceeds
+	// their usual interval: in a longer one the VM was paused, or did not ask its peers, so that
+	// their silence in it means nothing.
 	maxWaitStep = time.Second
 )
 
@@ -29,7 +30,8 @@
 	wanted int
 	// knewPeers is true once this VM has known any peer.
 	knewPeers bool
-	// waited is how long this VM has been asking peers, lookedAt when it last knew their number.
+	// waited is how long this VM has been asking peers, lookedAt the time of the latest call of
+	// PeersKnown.
 	waited   time.Duration
 	lookedAt moment
 	done     bool
@@ -69,7 +71,8 @@
 	}
 }
 
-// wait adds the time since the last look at the peers to the time that this VM has been asking.
+// wait adds the time since the previous call of PeersKnown, up to maxWaitStep, to the time that
+// this VM has been asking.
 func (c *comparison) wait(now time.Duration) {
 	if c.lookedAt.known {
 		c.waited += min(now-c.lookedAt.at, maxWaitStep)
