--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -20,8 +20,8 @@
 // of its head. The content of a body may look the same, so that the counts mean nothing once a
 // request with a body has begun.
 type requestCounter struct {
-	// received is the number of whole requests that have arrived, begun that of the requests
-	// passed to the handler.
+	// received is the number of requests that have arrived, those with a body counted at the end
+	// of their head; begun is the number of requests passed to the handler.
 	received, begun int
 	// matched is the number of bytes of endOfHead that the latest bytes match.
 	matched int
