--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -146,9 +146,9 @@
 }
 
 // announceClose tells the caller, while the VM stops, that its connection ends with this response,
-// unless further requests of it have arrived: they would go unanswered.
+// unless pipelined requests have arrived on it: they would get no response.
 func (g *Gateway) announceClose(header http.Header, r *http.Request) {
-	if g.options.Stopping() && !readahead.HasFurther(r) {
+	if g.options.Stopping() && !readahead.HasPipelined(r) {
 		header.Set("Connection", "close")
 	}
 }
@@ -161,8 +161,8 @@
 }
 
 // serve serves a request, or returns why not. When the caller is gone, it panics with
-// http.ErrAbortHandler: a return without a response would be a success to a caller that still
-// reads.
+// http.ErrAbortHandler: net/http sends a response of status 200 for a handler that returns without
+// one, and a caller that has closed only its sending direction would take it for a success.
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
 	defer q.releaseHolds()
 	if refusal := q.prepare(w); refusal != nil {
