--- /dev/null
+++ b/review/harness/upload.go
@@ -0,0 +1,191 @@
+package main
+
+import (
+	"bytes"
+	"crypto/rand"
+	"io"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	recordsHost   = "records.example"
+	uploadBytes   = 3 << 20
+	uploadTimeout = 10 * time.Second
+	// uploadRounds is how often machines are partitioned from all upstreams, partitionTime how long.
+	uploadRounds  = 4
+	partitionTime = 9 * time.Second
+	// busyTime is how long look-ups come after the partition has begun.
+	busyTime = 1500 * time.Millisecond
+)
+
+// recordsConfig is a configuration with a service of reads and uploads.
+func recordsConfig(version int) map[string]any {
+	route := func(name, prefix, kind string, timeoutMs int) map[string]any {
+		return map[string]any{
+			"name": name, "path_prefix": prefix, "kind": kind, "timeout_ms": timeoutMs, "target_latency_ms": 2500,
+			"priority": 1, "service": "guest-records", "max_attempts": 2,
+		}
+	}
+	return map[string]any{
+		"version": version,
+		"services": []any{
+			map[string]any{"name": "guest-records", "health_path": "/health", "max_connections": 330, "protocol": "h1", "tls": false},
+		},
+		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"hosts": []any{map[string]any{"host": recordsHost, "paths": []any{
+			route("visits", "/visits/", "safe", 3000), route("forms", "/forms/", "upload", 10000),
+		}}},
+	}
+}
+
+// startSmall starts a deployment with a machine for each zone that is named, and upstreams of one service.
+func startSmall(d *deployment, zones []string, upstreams int) error {
+	d.store.put("op/config", recordsConfig(7))
+	for i := range upstreams {
+		if _, err := d.addUpstream("i-"+string(rune('a'+i))+"0c41d7e", "guest-records", "zone-a", 3, 60*time.Millisecond); err != nil {
+			return err
+		}
+	}
+	for _, zone := range zones {
+		if _, err := d.addFront(zone, 284); err != nil {
+			return err
+		}
+	}
+	for _, f := range d.fronts {
+		if err := f.awaitReady(10 * time.Second); err != nil {
+			return err
+		}
+	}
+	time.Sleep(4 * time.Second)
+	return nil
+}
+
+// playUpload: the machines that callers of a zone are sent to are partitioned from all upstreams for
+// seconds. Callers that were told of another machine meanwhile send it large forms in chunks.
+func playUpload(d *deployment, trouble bool) (int, error) {
+	if err := startSmall(d, []string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-b"}, 6); err != nil {
+		return cantRun, err
+	}
+	var uploads []sent
+	for round := range uploadRounds {
+		done, err := d.uploadRound(round, trouble)
+		if err != nil {
+			return cantRun, err
+		}
+		uploads = append(uploads, done...)
+		time.Sleep(6 * time.Second)
+	}
+	return d.judgeBodies(uploads), nil
+}
+
+// uploadRound plays one partition: some busy seconds, and then a pause in which only forms come.
+func (d *deployment) uploadRound(round int, trouble bool) ([]sent, error) {
+	first, err := d.fronts[0].resolve(recordsHost, "zone-a")
+	if err != nil {
+		return nil, err
+	}
+	var cut []string
+	for _, address := range first.Addresses {
+		cut = append(cut, ipOf(address))
+	}
+	d.record.note("round %d: callers of zone-a are sent to %v", round+1, first.Addresses)
+	if trouble {
+		d.record.note("these machines are partitioned from all upstreams for %v", partitionTime)
+		d.partition(cut, true)
+	}
+	began := time.Now()
+	d.lookups(began.Add(busyTime))
+	d.record.note("no look-ups from now on")
+	var mu sync.Mutex
+	var uploads []sent
+	var wait sync.WaitGroup
+	for time.Since(began) < partitionTime-4*time.Second {
+		wait.Go(func() {
+			s, ok := d.uploadLater(first)
+			mu.Lock()
+			defer mu.Unlock()
+			if ok {
+				uploads = append(uploads, s)
+			}
+		})
+		time.Sleep(300 * time.Millisecond)
+	}
+	wait.Wait()
+	time.Sleep(time.Until(began.Add(partitionTime)))
+	if trouble {
+		d.record.note("the partition ends")
+		d.partition(cut, false)
+	}
+	return uploads, nil
+}
+
+// lookups sends look-ups from both zones until a time. Each requester asks for the machines to use
+// once a second.
+func (d *deployment) lookups(until time.Time) {
+	var wait sync.WaitGroup
+	for _, zone := range []string{"zone-a", "zone-b"} {
+		for range 2 {
+			wait.Go(func() {
+				for time.Now().Before(until) {
+					told, err := d.fronts[len(d.fronts)-1].resolve(recordsHost, zone)
+					if err != nil {
+						continue
+					}
+					for i := range 5 {
+						request(d.record, told.Addresses[i%len(told.Addresses)], recordsHost, "GET", "/visits/17", 3*time.Second, nil, nil)
+						time.Sleep(50 * time.Millisecond)
+					}
+				}
+			})
+		}
+	}
+	wait.Wait()
+}
+
+// partition begins or ends the partition of machines from all upstreams.
+func (d *deployment) partition(ips []string, isCut bool) {
+	for _, u := range d.upstreams {
+		u.cut(ips, isCut)
+	}
+}
+
+// uploadLater asks for the machines to use, keeps the answer for up to three times its ttl_s, and
+// sends a form to a machine of the answer at the end of that time: to one that callers were not
+// sent to at first, if the answer names one.
+func (d *deployment) uploadLater(first resolved) (sent, bool) {
+	told, err := d.fronts[len(d.fronts)-1].resolve(recordsHost, "zone-a")
+	if err != nil {
+		return sent{}, false
+	}
+	at, address := time.Now(), told.Addresses[0]
+	if i := slices.IndexFunc(told.Addresses, func(a string) bool { return !slices.Contains(first.Addresses, a) }); i >= 0 {
+		address = told.Addresses[i]
+	}
+	kept := time.Duration(2.9 * told.TTL * float64(time.Second))
+	d.record.note("a requester is told %v for %.1f s", told.Addresses, told.TTL)
+	time.Sleep(time.Until(at.Add(kept)))
+	body := make([]byte, uploadBytes)
+	_, _ = rand.Read(body)
+	return request(d.record, address, recordsHost, "POST", "/forms/new", uploadTimeout, body, chunked{bytes.NewReader(body)}), true
+}
+
+// chunked hides the length of a body, so that it is sent in chunks.
+type chunked struct{ io.Reader }
+
+// judgeBodies compares what upstreams ran with what was sent.
+func (d *deployment) judgeBodies(uploads []sent) int {
+	verdict := held
+	for _, one := range d.book.all() {
+		d.record.noteAt(one.at, "%s", describe(one))
+		for _, s := range uploads {
+			if s.id != one.id || s.bodyHash == one.bodyHash {
+				continue
+			}
+			verdict = broken
+			d.record.note("UNASKED: request %s was sent with %d bytes of body and ran with %d; it was answered %d", s.id, s.bodyBytes, one.bodyBytes, s.status)
+		}
+	}
+	return verdict
+}
--- /dev/null
+++ b/review/harness/upstream.go
@@ -0,0 +1,194 @@
+package main
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// run is one request that an upstream has begun to work on.
+type run struct {
+	at        time.Time
+	id        string
+	upstream  string
+	service   string
+	fromIP    string
+	method    string
+	target    string
+	bodyBytes int64
+	bodyHash  string
+}
+
+// upstream is a stand-in of a sound upstream. It reads the whole request, works and answers.
+type upstream struct {
+	id, service, address string
+	slots                int
+	work                 time.Duration
+	book                 *book
+	server               *http.Server
+	leaving              atomic.Bool
+	// cutFrom holds the machines, by IP address, that can't reach the upstream: their connections
+	// are reset.
+	mu      sync.Mutex
+	cutFrom map[string]bool
+	conns   map[net.Conn]struct{}
+}
+
+// book is what all upstreams together have run.
+type book struct {
+	mu   sync.Mutex
+	runs []run
+}
+
+func (b *book) add(r run) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.runs = append(b.runs, r)
+}
+
+func (b *book) all() []run {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]run(nil), b.runs...)
+}
+
+// cutListener resets the connections of machines that are cut off from the upstream.
+type cutListener struct {
+	net.Listener
+	u *upstream
+}
+
+func (l cutListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.u.isCutFrom(ipOf(conn.RemoteAddr().String())) {
+			reset(conn)
+			continue
+		}
+		l.u.mu.Lock()
+		l.u.conns[conn] = struct{}{}
+		l.u.mu.Unlock()
+		return conn, nil
+	}
+}
+
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+func ipOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+func newUpstream(id, service, address string, slots int, work time.Duration, b *book) (*upstream, error) {
+	u := &upstream{
+		id: id, service: service, address: address, slots: slots, work: work, book: b,
+		cutFrom: make(map[string]bool), conns: make(map[net.Conn]struct{}),
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	u.server = &http.Server{Handler: http.HandlerFunc(u.serve)}
+	go func() { _ = u.server.Serve(cutListener{listener, u}) }()
+	return u, nil
+}
+
+func (u *upstream) isCutFrom(ip string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.cutFrom[ip]
+}
+
+// cut begins or ends the partition between the upstream and some machines.
+func (u *upstream) cut(ips []string, isCut bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for _, ip := range ips {
+		u.cutFrom[ip] = isCut
+	}
+	if !isCut {
+		return
+	}
+	for conn := range u.conns {
+		if u.cutFrom[ipOf(conn.RemoteAddr().String())] {
+			reset(conn)
+			delete(u.conns, conn)
+		}
+	}
+}
+
+// entry is what the upstream writes into the store.
+func (u *upstream) entry(zone, state string, seq int) map[string]any {
+	return map[string]any{
+		"address": u.address,
+		"info":    map[string]any{"service": u.service, "version": "v1", "zone": zone, "slots": u.slots},
+		"status":  map[string]any{"state": state, "seq": seq, "cold_left_ms": 0},
+	}
+}
+
+func (u *upstream) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Instance-Id", u.id)
+		if u.leaving.Load() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	if id != "" {
+		w.Header().Set("X-Attempt-Id", id)
+	}
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.id {
+		w.Header().Set("X-Instance-Id", u.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	hash := sha256.New()
+	size, err := io.Copy(hash, r.Body)
+	if err != nil {
+		return // the request isn't whole: it doesn't run
+	}
+	sum := hex.EncodeToString(hash.Sum(nil))
+	u.book.add(run{
+		at: time.Now(), id: id, upstream: u.id, service: u.service, fromIP: ipOf(r.RemoteAddr),
+		method: r.Method, target: r.RequestURI, bodyBytes: size, bodyHash: sum,
+	})
+	select {
+	case <-time.After(u.work):
+	case <-r.Context().Done():
+		return
+	}
+	body := fmt.Sprintf("request %s ran at %s with %d bytes of body\n", id, u.id, size)
+	seal := sha256.Sum256([]byte(id + u.id + body))
+	w.Header().Set("X-Response-Seal", hex.EncodeToString(seal[:8]))
+	w.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d", u.slots))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = io.WriteString(w, body)
+}
+
+// stop ends the upstream at once, as a crash does.
+func (u *upstream) stop() {
+	if err := u.server.Close(); err != nil && !errors.Is(err, context.Canceled) {
+		return
+	}
+}
