review: case 2, machines that the store serves handle requests by old routes

The store gives the machines that watch it no response; the others wait for them for longer than the bound.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -34,12 +34,12 @@
 // request sends one request over a new connection and waits for its answer. A chunked body is
 // sent in chunks, another one with its length.
 func request(r *record, address, host, method, path string, limit time.Duration, body []byte, reader io.Reader) sent {
+	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
+	defer transport.CloseIdleConnections()
 	s := sent{id: newID(), method: method, path: path, address: address, at: time.Now(), bodyBytes: int64(len(body))}
 	sum := sha256.Sum256(body)
 	s.bodyHash = hex.EncodeToString(sum[:])
 	r.note("request %s %s %s is sent to %s with %d bytes of body", s.id, method, path, address, s.bodyBytes)
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	defer transport.CloseIdleConnections()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	out, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, reader)
--- a/review/harness/store.go
+++ b/review/harness/store.go
@@ -34,10 +34,15 @@
 	// changed is closed and replaced at each write; cut is closed and replaced when all
 	// waiting watches are cut.
 	changed, cut chan struct{}
+	// silentTo holds the machines, by IP address, that get no response. watchedAt is when a
+	// machine last began a watch.
+	silentTo  map[string]bool
+	watchedAt map[string]time.Time
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{address: address, revision: 100, items: make(map[string]item), changed: make(chan struct{}), cut: make(chan struct{})}
+	s := &store{address: address, revision: 100, items: make(map[string]item), changed: make(chan struct{}), cut: make(chan struct{}),
+		silentTo: make(map[string]bool), watchedAt: make(map[string]time.Time)}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -47,7 +52,7 @@
 	mux.HandleFunc("GET /kv-key", s.serveKey)
 	mux.HandleFunc("GET /kv-range", s.serveRange)
 	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	go func() { _ = http.Serve(listener, mux) }()
+	go func() { _ = http.Serve(listener, s.onlyTo(mux)) }()
 	return s, nil
 }
 
@@ -83,6 +88,46 @@
 	return time.Now()
 }
 
+// onlyTo leaves calls of machines that the store is silent to without a response.
+func (s *store) onlyTo(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.isSilentTo(r) {
+			<-r.Context().Done()
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (s *store) isSilentTo(r *http.Request) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silentTo[ipOf(r.RemoteAddr)]
+}
+
+// setSilent begins or ends the time in which the store gives some machines no response.
+func (s *store) setSilent(ips []string, isSilent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, ip := range ips {
+		s.silentTo[ip] = isSilent
+	}
+}
+
+// watchers returns the machines that have begun a watch within a time.
+func (s *store) watchers(within time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var ips []string
+	for ip, at := range s.watchedAt {
+		if time.Since(at) < within {
+			ips = append(ips, ip)
+		}
+	}
+	sort.Strings(ips)
+	return ips
+}
+
 // cutWatches ends the connections of all waiting watches, as the platform's page allows.
 func (s *store) cutWatches() {
 	s.mu.Lock()
@@ -142,6 +187,9 @@
 	wait, _ := strconv.Atoi(query.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
 	defer timer.Stop()
+	s.mu.Lock()
+	s.watchedAt[ipOf(r.RemoteAddr)] = time.Now()
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		found := []item{}
@@ -152,6 +200,10 @@
 		}
 		at, changed, cut := s.revision, s.changed, s.cut
 		s.mu.Unlock()
+		if s.isSilentTo(r) {
+			<-r.Context().Done()
+			return
+		}
 		if len(found) > 0 {
 			answer(w, map[string]any{"events": found, "at": at})
 			return
--- a/review/harness/upload.go
+++ b/review/harness/upload.go
@@ -20,29 +20,32 @@
 	busyTime = 1500 * time.Millisecond
 )
 
-// recordsConfig is a configuration with a service of reads and uploads.
-func recordsConfig(version int) map[string]any {
-	route := func(name, prefix, kind string, timeoutMs int) map[string]any {
+// recordsConfig is a configuration with a service of reads and uploads. Reads of visits go to the
+// service that is named, forms have a timeout.
+func recordsConfig(version int, visits string, forms time.Duration) map[string]any {
+	route := func(name, prefix, kind, service string, timeoutMs int) map[string]any {
 		return map[string]any{
 			"name": name, "path_prefix": prefix, "kind": kind, "timeout_ms": timeoutMs, "target_latency_ms": 2500,
-			"priority": 1, "service": "guest-records", "max_attempts": 2,
+			"priority": 1, "service": service, "max_attempts": 2,
 		}
 	}
+	service := func(name string) map[string]any {
+		return map[string]any{"name": name, "health_path": "/health", "max_connections": 330, "protocol": "h1", "tls": false}
+	}
 	return map[string]any{
-		"version": version,
-		"services": []any{
-			map[string]any{"name": "guest-records", "health_path": "/health", "max_connections": 330, "protocol": "h1", "tls": false},
-		},
-		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"version":  version,
+		"services": []any{service("booking-desk"), service("guest-records")},
+		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"hosts": []any{map[string]any{"host": recordsHost, "paths": []any{
-			route("visits", "/visits/", "safe", 3000), route("forms", "/forms/", "upload", 10000),
+			route("visits", "/visits/", "safe", visits, 3000), route("forms", "/forms/", "upload", "guest-records", int(forms.Milliseconds())),
+			route("bookings", "/bookings/", "unsafe", "guest-records", 3000),
 		}}},
 	}
 }
 
 // startSmall starts a deployment with a machine for each zone that is named, and upstreams of one service.
 func startSmall(d *deployment, zones []string, upstreams int) error {
-	d.store.put("op/config", recordsConfig(7))
+	d.store.put("op/config", recordsConfig(7, "guest-records", 10*time.Second))
 	for i := range upstreams {
 		if _, err := d.addUpstream("i-"+string(rune('a'+i))+"0c41d7e", "guest-records", "zone-a", 3, 60*time.Millisecond); err != nil {
 			return err
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -1,10 +1,8 @@
 package main
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -15,6 +13,10 @@
 	"time"
 )
 
+// oneWay is the time of one way between zones, as in the site files. Loopback has none of its own, so
+// upstreams add it on arrival and before they answer.
+const oneWay = 1400 * time.Microsecond
+
 // run is one request that an upstream has begun to work on.
 type run struct {
 	at        time.Time
@@ -163,6 +165,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	time.Sleep(oneWay)
+	deadline := time.NewTimer(timeLeft(r))
+	defer deadline.Stop()
 	hash := sha256.New()
 	size, err := io.Copy(hash, r.Body)
 	if err != nil {
@@ -173,8 +178,11 @@
 		at: time.Now(), id: id, upstream: u.id, service: u.service, fromIP: ipOf(r.RemoteAddr),
 		method: r.Method, target: r.RequestURI, bodyBytes: size, bodyHash: sum,
 	})
+	status := http.StatusOK
 	select {
 	case <-time.After(u.work):
+	case <-deadline.C:
+		status = http.StatusGatewayTimeout
 	case <-r.Context().Done():
 		return
 	}
@@ -183,12 +191,20 @@
 	w.Header().Set("X-Response-Seal", hex.EncodeToString(seal[:8]))
 	w.Header().Set("X-Server-Load", fmt.Sprintf("1,0,%d", u.slots))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	time.Sleep(oneWay)
+	w.WriteHeader(status)
 	_, _ = io.WriteString(w, body)
 }
 
-// stop ends the upstream at once, as a crash does.
-func (u *upstream) stop() {
-	if err := u.server.Close(); err != nil && !errors.Is(err, context.Canceled) {
-		return
+// timeLeft returns the time that the request leaves for an answer.
+func timeLeft(r *http.Request) time.Duration {
+	const most = time.Minute
+	ms, err := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	if err != nil {
+		return most
 	}
+	return time.Duration(ms) * time.Millisecond
 }
+
+// stop ends the upstream at once, as a crash does.
+func (u *upstream) stop() { _ = u.server.Close() }
