--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -74,7 +74,7 @@
 
 // addUpstream starts an upstream and registers it.
 func (d *deployment) addUpstream(id, service, zone string, slots int, work time.Duration) (*upstream, error) {
-	address := fmt.Sprintf("127.%d.2.%d:%d", d.base, len(d.upstreams)+1, d.ports.front)
+	address := fmt.Sprintf("127.%d.2.%d:%d", d.base, len(d.upstreams)%200+1, d.ports.front+len(d.upstreams)/200)
 	u, err := newUpstream(id, service, address, slots, work, d.book)
 	if err != nil {
 		return nil, err
--- a/review/harness/upload.go
+++ b/review/harness/upload.go
@@ -38,6 +38,7 @@
 		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
 		"hosts": []any{map[string]any{"host": recordsHost, "paths": []any{
 			route("visits", "/visits/", "safe", visits, 3000), route("forms", "/forms/", "upload", "guest-records", int(forms.Milliseconds())),
+			route("offers", "/visits/offers/", "safe", "booking-desk", 3000),
 			route("bookings", "/bookings/", "unsafe", "guest-records", 3000),
 		}}},
 	}
