--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -13,6 +13,9 @@
 	"strconv"
 	"syscall"
 	"time"
+
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/platform"
 )
 
 // ports are those of all machines of a deployment.
@@ -80,7 +83,7 @@
 		return nil, err
 	}
 	d.upstreams = append(d.upstreams, u)
-	d.store.put("servers/"+id, u.entry(zone, "ready", 1))
+	d.store.publishTarget(u.entry(zone))
 	return u, nil
 }
 
@@ -154,7 +157,7 @@
 func (f *front) awaitReady(limit time.Duration) error {
 	end := time.Now().Add(limit)
 	for time.Now().Before(end) {
-		response, err := http.Get("http://" + f.at(f.d.ports.ready) + "/readiness")
+		response, err := http.Get("http://" + f.at(f.d.ports.ready) + platform.DirectoryPages{}.ReadinessPath())
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -166,16 +169,16 @@
 	return fmt.Errorf("%s isn't ready after %v", f.name, limit)
 }
 
-// resolved is an answer of the directory.
+// resolved is an answer of the directory; keep is how long it may be kept, as the settings say by default.
 type resolved struct {
-	Addresses []string `json:"addresses"`
-	TTL       float64  `json:"ttl_s"`
+	Addresses []string
+	keep      time.Duration
 }
 
 // resolve asks the directory of a machine, as a requester of the zone does.
 func (f *front) resolve(host, zone string) (resolved, error) {
 	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s/resolve?name=%s&region=region-1&zone=%s", f.at(f.d.ports.directory), host, zone))
+	response, err := client.Get(fmt.Sprintf("http://%s%s?name=%s&region=region-1&zone=%s", f.at(f.d.ports.directory), platform.DirectoryPages{}.DirectoryPath(), host, zone))
 	if err != nil {
 		return resolved{}, err
 	}
@@ -184,7 +187,7 @@
 	if err != nil {
 		return resolved{}, err
 	}
-	var found resolved
+	found := resolved{keep: settings.DefaultFrontend().Directory.KeepFor.Std()}
 	if err := json.Unmarshal(content, &found); err != nil {
 		return resolved{}, err
 	}
--- a/review/harness/leaving.go
+++ b/review/harness/leaving.go
@@ -82,7 +82,7 @@
 		d.record.note("waiting watches are cut")
 		d.store.cutWatches()
 	}
-	gone := d.store.remove("servers/" + leaver.id)
+	gone := d.store.removeTarget(leaver.id)
 	d.record.noteAt(gone, "the entry of %s is removed", leaver.id)
 	time.Sleep(time.Until(gone.Add(drainTime + servesOn)))
 	leaver.stop()
