--- a/review/harness/fleet.go
+++ b/review/harness/fleet.go
@@ -197,6 +197,26 @@
 	return found, nil
 }
 
+// resolveNear asks up to three machines, those of the zone first, as requesters do.
+func (d *deployment) resolveNear(zone string) (resolved, error) {
+	var near, far []*front
+	for _, f := range d.fronts {
+		if f.zone == zone {
+			near = append(near, f)
+		} else {
+			far = append(far, f)
+		}
+	}
+	err := errors.New("no machine")
+	for _, f := range append(near, far...)[:min(3, len(d.fronts))] {
+		var found resolved
+		if found, err = f.resolve(recordsHost, zone); err == nil {
+			return found, nil
+		}
+	}
+	return resolved{}, err
+}
+
 // close ends all processes.
 func (d *deployment) close() {
 	for _, f := range d.fronts {
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -19,7 +21,7 @@
 type play func(d *deployment, trouble bool) (verdict int, err error)
 
 func main() {
-	cases := map[string]play{"upload": playUpload, "routes": playRoutes, "leaving": playLeaving, "smuggled": playSmuggled, "encoded": playEncoded}
+	cases := map[string]play{"upload": playUpload, "routes": playRoutes, "smuggled": playSmuggled, "encoded": playEncoded}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER, in the root of the repository")
 		os.Exit(cantRun)
@@ -40,6 +42,13 @@
 		return cantRun
 	}
 	defer d.close()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-stopped
+		d.close()
+		os.Exit(cantRun)
+	}()
 	verdict, err := one(d, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		r.note("the case couldn't run: %v", err)
--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/dialect"
@@ -19,6 +21,9 @@
 // healthPath is the path of the status checks of all services.
 const healthPath = "/health"
 
+// healthTime is how long a status check takes.
+const healthTime = 25 * time.Millisecond
+
 // oneWay is the time of one way between zones, as in the site files. Loopback has none of its own, so
 // upstreams add it on arrival and before they answer.
 const oneWay = 1400 * time.Microsecond
@@ -48,6 +53,78 @@
 	mu      sync.Mutex
 	cutFrom map[string]bool
 	conns   map[net.Conn]struct{}
+	// running and waiting count the requests that have a slot, and those in the queue.
+	running, waiting int
+	free             chan struct{}
+	born             time.Time
+	leaving          atomic.Bool
+}
+
+// queueLength is how many requests wait for a slot, as in the site files.
+const queueLength = 12
+
+// take waits for a slot; ok is false when the queue is full or the time is over. load counts the
+// other requests.
+func (u *upstream) take(ctx context.Context, over <-chan time.Time) (load dialect.Load, ok bool) {
+	u.mu.Lock()
+	load = dialect.Load{Running: u.running, Waiting: u.waiting, Slots: u.slots}
+	if u.waiting >= queueLength {
+		u.mu.Unlock()
+		return load, false
+	}
+	u.waiting++
+	u.mu.Unlock()
+	select {
+	case <-u.free:
+		ok = true
+	case <-over:
+	case <-ctx.Done():
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.waiting--
+	load = dialect.Load{Running: u.running, Waiting: u.waiting, Slots: u.slots}
+	if ok {
+		u.running++
+	}
+	return load, ok
+}
+
+// release gives a slot back and returns the load of the other requests.
+func (u *upstream) release() dialect.Load {
+	u.mu.Lock()
+	u.running--
+	load := dialect.Load{Running: u.running, Waiting: u.waiting, Slots: u.slots}
+	u.mu.Unlock()
+	u.free <- struct{}{}
+	return load
+}
+
+// respond writes the head of a response. An upstream that leaves says so in all its answers.
+func (u *upstream) respond(w http.ResponseWriter, metadata dialect.ResponseMetadata, status int) {
+	metadata.Notice.IsLeaving = u.leaving.Load()
+	if metadata.Notice.IsLeaving {
+		w.Header().Set("Connection", "close")
+	}
+	w.Header().Set("X-Instance-Id", u.id)
+	platform.Headers{}.WriteResponse(w.Header(), metadata)
+	w.WriteHeader(status)
+}
+
+// serveHealth answers a status check, which needs a slot as any other request.
+func (u *upstream) serveHealth(w http.ResponseWriter, r *http.Request) {
+	load, ok := u.take(r.Context(), time.After(time.Second))
+	if !ok {
+		u.respond(w, dialect.ResponseMetadata{NotRun: true, Load: &load}, http.StatusServiceUnavailable)
+		return
+	}
+	time.Sleep(healthTime)
+	load = u.release()
+	status := http.StatusOK
+	if u.leaving.Load() {
+		status = http.StatusServiceUnavailable
+	}
+	u.respond(w, dialect.ResponseMetadata{Load: &load}, status)
 }
 
 // book is what all upstreams together have run.
@@ -109,7 +186,10 @@
 func newUpstream(id, service, address string, slots int, work time.Duration, b *book) (*upstream, error) {
 	u := &upstream{
 		id: id, service: service, address: address, slots: slots, work: work, book: b,
-		cutFrom: make(map[string]bool), conns: make(map[net.Conn]struct{}),
+		cutFrom: make(map[string]bool), conns: make(map[net.Conn]struct{}), free: make(chan struct{}, slots), born: time.Now(),
+	}
+	for range slots {
+		u.free <- struct{}{}
 	}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -148,20 +228,20 @@
 func (u *upstream) entry(zone string) roster.Target {
 	return roster.Target{
 		ID: u.id, Service: u.service, Address: u.address, Zone: zone, SoftwareVersion: "v1", Slots: u.slots,
-		State: roster.StateReady, Sequence: 1,
+		State: roster.StateReady, Sequence: 1, StartedAt: u.born,
 	}
 }
 
 // ServeHTTP runs one request, unless its body is truncated or it is meant for another upstream.
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == healthPath {
+		u.serveHealth(w, r)
 		return
 	}
 	attempt := platform.Headers{}.ReadAttempt(r.Header)
 	metadata := dialect.ResponseMetadata{AttemptID: attempt.AttemptID}
 	if attempt.TargetID != "" && attempt.TargetID != u.id {
-		platform.Headers{}.WriteResponse(w.Header(), metadata)
-		w.WriteHeader(http.StatusMisdirectedRequest)
+		u.respond(w, metadata, http.StatusMisdirectedRequest)
 		return
 	}
 	time.Sleep(oneWay)
@@ -172,6 +252,12 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // the request isn't whole: it doesn't run
 	}
+	load, ok := u.take(r.Context(), deadline.C)
+	if !ok {
+		metadata.NotRun, metadata.Load = true, &load
+		u.respond(w, metadata, http.StatusServiceUnavailable)
+		return
+	}
 	u.book.add(run{
 		at: time.Now(), id: attempt.AttemptID, upstream: u.id, service: u.service, fromIP: ipOf(r.RemoteAddr),
 		method: r.Method, target: r.RequestURI, bodyBytes: size, bodyHash: hex.EncodeToString(hash.Sum(nil)),
@@ -182,14 +268,15 @@
 	case <-deadline.C:
 		status = http.StatusGatewayTimeout
 	case <-r.Context().Done():
+		u.release()
 		return
 	}
+	load = u.release()
 	time.Sleep(oneWay)
-	metadata.Signed, metadata.Load = true, &dialect.Load{Slots: u.slots}
-	platform.Headers{}.WriteResponse(w.Header(), metadata)
+	metadata.Signed, metadata.Load = true, &load
 	body := fmt.Sprintf("request %s ran at %s with %d bytes of body\n", attempt.AttemptID, u.id, size)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
+	u.respond(w, metadata, status)
 	_, _ = io.WriteString(w, body)
 }
 
