Review: an upload that is answered early reaches its upstream with a hole

Cause: a long response is passed on while the attempt still sends the caller's body; the server of net/http discards up to 256 KB of the unread body when it writes the head of the response.

--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -39,6 +39,8 @@
 	target    string
 	bodyBytes int64
 	bodyHash  string
+	// bodyErr is why reading the body ended early; nil when it was whole.
+	bodyErr error
 }
 
 // upstream is a stand-in of a sound upstream. It reads the whole request, works and answers.
@@ -58,6 +60,8 @@
 	free             chan struct{}
 	born             time.Time
 	leaving          atomic.Bool
+	// photos is how uploads are served; nil for as other requests.
+	photos atomic.Pointer[photos]
 }
 
 // queueLength is how many requests wait for a slot, as in the site files.
@@ -244,6 +248,10 @@
 		u.respond(w, metadata, http.StatusMisdirectedRequest)
 		return
 	}
+	if p := u.photos.Load(); p != nil && r.Method == http.MethodPost {
+		u.servePhoto(w, r, attempt, *p)
+		return
+	}
 	time.Sleep(oneWay)
 	deadline := time.NewTimer(timeLeft(attempt))
 	defer deadline.Stop()
@@ -280,6 +288,20 @@
 	_, _ = io.WriteString(w, body)
 }
 
+// setPhotos sets how uploads are served.
+func (u *upstream) setPhotos(p *photos) { u.photos.Store(p) }
+
+// servePhoto serves an upload once it has a slot.
+func (u *upstream) servePhoto(w http.ResponseWriter, r *http.Request, attempt platform.StandInRequest, p photos) {
+	load, ok := u.take(r.Context(), time.After(timeLeft(attempt)))
+	if !ok {
+		u.respond(w, dialect.ResponseMetadata{AttemptID: attempt.AttemptID, NotRun: true, Load: &load}, http.StatusServiceUnavailable)
+		return
+	}
+	defer u.release()
+	p.serve(u, w, r, attempt, load)
+}
+
 // timeLeft returns the time that the request leaves for an answer.
 func timeLeft(attempt platform.StandInRequest) time.Duration {
 	const most = time.Minute
