Review: bookings that have run are answered with an upstream's own 503

Cause: a target's failure response is passed on whatever its status; 503 promises that the request has not run.

--- a/review/harness/upstream.go
+++ b/review/harness/upstream.go
@@ -62,6 +62,8 @@
 	leaving          atomic.Bool
 	// photos is how uploads are served; nil for as other requests.
 	photos atomic.Pointer[photos]
+	// grey is true while the upstream fails a part of its requests.
+	grey atomic.Bool
 }
 
 // queueLength is how many requests wait for a slot, as in the site files.
@@ -279,6 +281,9 @@
 		u.release()
 		return
 	}
+	if status == http.StatusOK && u.failsNow() {
+		status = http.StatusServiceUnavailable
+	}
 	load = u.release()
 	time.Sleep(oneWay)
 	metadata.Signed, metadata.Load = true, &load
