--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -21,7 +21,7 @@
 type play func(d *deployment, trouble bool) (verdict int, err error)
 
 func main() {
-	cases := map[string]play{"upload": playUpload, "routes": playRoutes, "smuggled": playSmuggled, "encoded": playEncoded, "early": playEarly, "row": playRow, "linger": playLinger, "grey": playGrey}
+	cases := map[string]play{"upload": playUpload, "routes": playRoutes, "smuggled": playSmuggled, "encoded": playEncoded, "early": playEarly, "row": playRow, "linger": playLinger, "grey": playGrey, "odd": playOdd}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER, in the root of the repository")
 		os.Exit(cantRun)
