--- a/entry/events/gateway.go
+++ b/entry/events/gateway.go
@@ -20,6 +20,10 @@
 		"The requests of a customer have reached its rate limit of all VMs together; those above it are refused with status 429. Logged again only after 10 s without a refusal.")
 	ForwardedNotServed = define(5111, log.InfoLevel, "forwarded request not served",
 		"This VM refused a request that another VM forwarded; that VM tries another one or responds to the caller.")
+	RequestCut = define(5113, log.WarnLevel, "request cut by a stop",
+		"The grace period of a planned stop ended while the request was in progress; its caller's connection ends without a response. at names the VM or the target that had it, arrived_after_ms is the time from the beginning of the stop to its arrival.")
+	CallerGoneAtStop = define(5114, log.InfoLevel, "caller gone during a stop",
+		"While the instance was stopping, the connection of a request's caller ended, and with it the request; the cause tells how that was noticed.")
 	HedgeWon = define(5120, log.DebugLevel, "second attempt won",
 		"An idempotent request was slow at its first target; its second attempt responded first, and the first one was cancelled.")
 )
--- a/entry/gateway/counters.go
+++ b/entry/gateway/counters.go
@@ -64,6 +64,9 @@
 // slowCaller counts a response that was ended since its caller did not read it.
 func (c *counters) slowCaller() { c.scope.Counter("slow_callers_ended").Inc(1) }
 
+// cut counts a request in progress at the end of a planned stop.
+func (c *counters) cut() { c.scope.Counter("requests_cut").Inc(1) }
+
 // hedged counts a second attempt beside one in progress.
 func (c *counters) hedged() { c.scope.Counter("hedges").Inc(1) }
 
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -112,6 +112,7 @@
 
 // forwardTo lets one VM serve the request.
 func (q *request) forwardTo(ctx context.Context, vm string, client primroseloomv1connect.PeerServiceClient) forwarded {
+	q.moveTo(vm)
 	x, err := forwarding.Start(ctx, client, q.forwardHead(), q.body.open())
 	if err != nil {
 		return q.forwardFailed(ctx, vm, err)
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/charmbracelet/log"
@@ -76,6 +77,8 @@
 	memory *memory
 	// forwarded counts the requests of other VMs in progress.
 	forwarded forwarding.InProgress
+	// inProgress holds all requests in progress.
+	inProgress requestsInProgress
 }
 
 // New returns a gateway.
@@ -134,6 +137,8 @@
 	failure *targetResponse
 	// holds are the reservations of memory.
 	holds reservations
+	// peer is the VM or the target that the request was passed on to last.
+	peer atomic.Pointer[string]
 }
 
 // ServeHTTP serves one request.
@@ -164,6 +169,7 @@
 // http.ErrAbortHandler: net/http sends a response of status 200 for a handler that returns without
 // one, and a caller that has closed only its sending direction would take it for a success.
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
+	defer g.inProgress.begin(q)()
 	defer q.releaseHolds()
 	if refusal := q.prepare(w); refusal != nil {
 		return refusal
@@ -175,6 +181,7 @@
 	switch {
 	case r.Context().Err() != nil:
 		g.metrics.refused(outcome.ReasonCallerGone)
+		q.logCallerGone()
 		if got != nil {
 			got.discard()
 		}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -229,6 +229,7 @@
 
 // runAttempt sends the request to one target and evaluates the result.
 func (q *request) runAttempt(ctx context.Context, attempt *targetset.Attempt) decision {
+	q.moveTo(attempt.ID())
 	trip := &contract.RoundTrip{RequestID: q.metadata.AttemptID}
 	if !q.route.Kind.Idempotent() {
 		trip.MaxIdle = onceMaxIdle
