gateway: a stopping VM refuses what it can't finish

Cause: a stopping VM took requests until its listener closed, 3.2 s after the SIGTERM, and up to 4.4 s while requests in a row waited at any connection, but its process ends after 5.6 s. A request with a time limit of 3 s that came later than 2.6 s could run longer than the process, and was cut. Change: from the begin of a planned stop the gateway knows when the process ends. A request whose time limit ends later is refused at once as not run, also one that another VM forwards, which then tries the next VM or serves it itself. Why it works: what is begun has its whole time limit before the process ends; nothing is left to cut.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -209,7 +209,7 @@
 	refusal.Outcome = outcome.NotRun
 	switch refusal.Reason {
 	case outcome.ReasonCutOff, outcome.ReasonCarrierFull, outcome.ReasonRoutesBehind, outcome.ReasonNoConfiguration,
-		outcome.ReasonKeysNotCurrent, outcome.ReasonNoMemory:
+		outcome.ReasonKeysNotCurrent, outcome.ReasonNoMemory, outcome.ReasonStopping:
 		return forwarded{refusal: refusal, otherMayServe: true}
 	}
 	return forwarded{refusal: refusal}
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -79,6 +79,8 @@
 	forwarded forwarding.InProgress
 	// inProgress holds all requests in progress.
 	inProgress requestsInProgress
+	// stopBy is when the VM's process ends; nil before its planned stop.
+	stopBy atomic.Pointer[time.Time]
 }
 
 // New returns a gateway.
@@ -219,6 +221,9 @@
 	q.route, q.routesVersion = route, table.Version()
 	q.service = q.pickService(rand.Float64())
 	q.deadline = q.start.Add(q.timeLimit())
+	if refusal := q.refuseAtStop(); refusal != nil {
+		return refusal
+	}
 	if refusal := q.chargeOnArrival(); refusal != nil {
 		return refusal
 	}
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -84,6 +84,7 @@
 	ReasonHeaderTooLarge      Reason = "header_too_large"
 	ReasonCallerGone          Reason = "caller_gone"
 	ReasonPaused              Reason = "paused"
+	ReasonStopping            Reason = "stopping"
 )
 
 // Refusal is the error that ends a request without a response from a target.
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,15 +28,15 @@
 # crashes are tolerated, and printed.
 long=$(echo "$packages" | grep -E '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
 short=$(echo "$packages" | grep -vE '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
-known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow|TestStopTakesNoRequestThatItCannotFinish)$'
+known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow)$'
 go test -race -count=1 -timeout 20m -skip "$known_red" $short
 # Bounds of real time and of a process's memory hold for the product, not for code with the
 # race detector, so these tests run without it once more.
 go test -count=1 -timeout 20m -run '^(TestReviewOfLargeRoutesIsFast|FuzzReviewRoutes)$' ./platform
 go test -count=1 -timeout 20m -run '^TestSlowReadersStayWithinTheMemory$' ./entry/gateway
-go test -count=1 -timeout 20m -skip "$known_red" $long
+go test -count=1 -timeout 20m $long
 for package in $long; do
-  if go test -race -count=1 -timeout 20m -skip "$known_red" "$package" >"$bin/race.log" 2>&1; then
+  if go test -race -count=1 -timeout 20m "$package" >"$bin/race.log" 2>&1; then
     cat "$bin/race.log"
   elif grep -qE '^SIGSEGV: segmentation violation|^ThreadSanitizer: CHECK failed' "$bin/race.log" && ! grep -qE -- '--- FAIL|DATA RACE' "$bin/race.log"; then
     echo "KNOWN-RED 7: the race runtime crashed in $package"
@@ -60,4 +60,3 @@
 }
 run_known_red 10 ./policy/hedge TestP99IsHalvedWhileTargetsAreSlow
 run_known_red 11 ./policy/hedge TestP999IsHalvedWhileTargetsAreSlow
-run_known_red 23 ./platform TestStopTakesNoRequestThatItCannotFinish
