frontend: a stopping VM answers requests in a row until it ends

Cause: the stop waited for rows for at most half of the time that was left after the linger, up to 4.4 s after the SIGTERM, and then shut the server down, which closes a connection after the request in progress. The wait also kept the listener open, so that callers with old directory responses went on coming. Change: the listener closes after the linger; the server is shut down only when no request is in progress or waits behind one, or at the end of the grace period.

--- a/entry/events/frontend.go
+++ b/entry/events/frontend.go
@@ -11,7 +11,7 @@
 	FrontendStopping = define(1103, log.InfoLevel, "front-end instance stopping",
 		"A planned stop began: the instance leaves the directory and finishes the requests in progress.")
 	FrontendStopped = define(1104, log.InfoLevel, "front-end instance stopped",
-		"The listeners are closed; requests_cut tells whether requests were still in progress, cut how many. latest_request_ms is the time from the beginning of the stop to the arrival of the latest request, row_wait_ms how long the listener stayed open for pipelined requests.")
+		"The listeners are closed; requests_cut tells whether requests were still in progress, cut how many. latest_request_ms is the time from the beginning of the stop to the arrival of the latest request.")
 	SettingsReloaded = define(1105, log.InfoLevel, "settings reloaded",
 		"The settings file was read again; those settings that may change while running are in force.")
 	SettingsRefused = define(1106, log.ErrorLevel, "settings refused",
--- /dev/null
+++ b/entry/frontend/drain.go
@@ -0,0 +1,42 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/internal/pause"
+	"github.com/primroseloom/primroseloom/entry/readahead"
+)
+
+// drainPollInterval is the time between two looks at the requests in progress.
+const drainPollInterval = 20 * time.Millisecond
+
+// requestHandler serves the requests of a VM that stops.
+type requestHandler interface {
+	// InProgress returns the number of requests that are being served.
+	InProgress() int
+	// AwaitForwarded waits for the requests of other VMs, and then lets none begin.
+	AwaitForwarded(ctx context.Context) error
+}
+
+// drain closes the listener of callers and waits until the requests in progress and those that have
+// arrived behind them on the same connections are answered, or until the context ends. Only then may
+// the server shut down, since it closes a connection after the request in progress.
+func drain(ctx context.Context, server *http.Server, listener net.Listener, connections *readahead.Watcher, handler requestHandler) error {
+	_ = listener.Close() // the process ends; nothing is left to do for a listener that fails to close
+	return errors.Join(awaitAnswered(ctx, connections, handler), server.Shutdown(ctx), handler.AwaitForwarded(ctx))
+}
+
+// awaitAnswered waits until no request is in progress or has arrived behind one.
+func awaitAnswered(ctx context.Context, connections *readahead.Watcher, handler requestHandler) error {
+	for handler.InProgress() > 0 || connections.Pending() {
+		if !pause.For(ctx, drainPollInterval) {
+			return fmt.Errorf("finish %d requests: %w", handler.InProgress(), ctx.Err())
+		}
+	}
+	return nil
+}
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -112,7 +112,7 @@
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
 
 	<-ctx.Done()
-	return f.stop(context.WithoutCancel(ctx), callers, connections, pages)
+	return f.stop(context.WithoutCancel(ctx), callers, listeners.callers, connections, pages)
 }
 
 // servePage starts to serve the readiness, directory or admin interface.
@@ -123,7 +123,9 @@
 }
 
 func (f *Frontend) serve(server *http.Server, listener net.Listener) {
-	if err := server.Serve(listener); err != nil && !errors.Is(err, http.ErrServerClosed) {
+	err := server.Serve(listener)
+	isExpected := errors.Is(err, http.ErrServerClosed) || f.stopping.Load() && errors.Is(err, net.ErrClosed)
+	if !isExpected {
 		events.ListenerFailed.Log(f.options.Logger, "address", listener.Addr(), "cause", err)
 	}
 }
@@ -162,7 +164,7 @@
 // stop performs a planned stop: it takes this VM out of the directory, for a
 // while still serves callers that hold an older directory response, and finishes
 // the requests in progress.
-func (f *Frontend) stop(ctx context.Context, callers *http.Server, connections *readahead.Watcher, pages []*http.Server) error {
+func (f *Frontend) stop(ctx context.Context, callers *http.Server, listener net.Listener, connections *readahead.Watcher, pages []*http.Server) error {
 	set := f.settings.Load()
 	events.FrontendStopping.Log(f.options.Logger, "vm", set.VM, "grace", set.Stop.Grace.Std())
 	began := time.Now()
@@ -174,13 +176,10 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	pause.For(ctx, set.Stop.Linger.Std())
-	lingered := time.Now()
-	awaitPipelined(ctx, connections)
-	rowWait := time.Since(lingered)
-	err := errors.Join(callers.Shutdown(ctx), f.gateway.AwaitForwarded(ctx))
+	err := drain(ctx, callers, listener, connections, f.gateway)
 	cut, latest := f.gateway.LogCut(began)
 	events.FrontendStopped.Log(f.options.Logger, "vm", set.VM, "requests_cut", err != nil, "cut", cut,
-		"after_ms", time.Since(began).Milliseconds(), "latest_request_ms", latest.Milliseconds(), "row_wait_ms", rowWait.Milliseconds())
+		"after_ms", time.Since(began).Milliseconds(), "latest_request_ms", latest.Milliseconds())
 	leaving, done := context.WithTimeout(context.WithoutCancel(ctx), stopMargin/2)
 	defer done()
 	f.peers.Depart(leaving)
@@ -193,19 +192,6 @@
 	return nil
 }
 
-// awaitPipelined waits until pipelined requests are answered, for at most half of the time that the
-// context has left: the rest is for requests in progress. The server's Shutdown would close their
-// connections after the request in progress.
-func awaitPipelined(ctx context.Context, connections *readahead.Watcher) {
-	deadline, ok := ctx.Deadline()
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, time.Until(deadline)/2)
-	defer cancel()
-	connections.AwaitPipelined(ctx)
-}
-
 // RoutesChanged passes new routes on to the children.
 func (f *Frontend) RoutesChanged(table *routing.Table) {
 	f.targets.RoutesChanged(table)
--- a/entry/gateway/inprogress.go
+++ b/entry/gateway/inprogress.go
@@ -43,6 +43,13 @@
 	return requests, p.latest
 }
 
+// InProgress returns the number of requests that are being served, those of other VMs included.
+func (g *Gateway) InProgress() int {
+	g.inProgress.mu.Lock()
+	defer g.inProgress.mu.Unlock()
+	return len(g.inProgress.requests)
+}
+
 // LogCut logs the requests that are in progress at the end of a planned stop, which began at a time.
 // It returns their number and how long after its begin the latest request arrived.
 func (g *Gateway) LogCut(stopBegan time.Time) (cut int, latest time.Duration) {
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -96,6 +96,9 @@
 	}
 }
 
+// Pending reports whether a connection is known to hold a whole request that has not begun.
+func (w *Watcher) Pending() bool { return w.anyPipelined() }
+
 func (w *Watcher) anyPipelined() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
