readahead: count whole requests also on connections that carried a body

Cause: requestCounter recognized the end of a request by the end of its head only. It therefore ignored a connection for good once a request with a body had begun on it, so that announceClose and AwaitPipelined saw no row there. The Watcher, besides, held a connection only while a handler ran. Change: an incremental framer finds the ends of HTTP/1 requests as net/http's server does: bodies by length and in chunks, with extensions and trailers. It keeps at most 512 bytes of a line that arrived in part. After bytes that are no HTTP/1, an HTTP/2 preface, a request with a length and chunks, or one that closes the connection, nothing further is counted. A request whose body is incomplete isn't counted, so its caller can't hold up a stop. The Watcher holds each open connection, by the server's ConnState, and has Pending. Requests that the server answers without the handler (OPTIONS *) count as begun; otherwise such a connection would hold up each stop to its bound. Why not a library: the parsers of net/http pull from a reader and block, and none of the modules that entry requires has one that is fed with bytes.

--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -74,10 +74,17 @@
 }
 
 // begin counts a request that is passed to the handler.
-func (c *Conn) begin(r *http.Request) {
+func (c *Conn) begin() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.counter.begin(r)
+	c.counter.begin()
+}
+
+// endRequest ends a request whose response leaves the connection open.
+func (c *Conn) endRequest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.counter.end()
 }
 
 // readBuffer waits for bytes in the buffer. What a caller sent before it closed the connection
@@ -240,9 +247,17 @@
 }
 
 // Watch makes a server end the contexts of requests whose caller has closed the connection, and
-// returns a Watcher of its connections. These must come from Listener.
+// returns a Watcher of its connections. These must come from Listener. The server's Handler and
+// ConnState are to be set before.
 func Watch(server *http.Server) *Watcher {
 	watcher := &Watcher{conns: make(map[*Conn]struct{})}
+	onStateChange := server.ConnState
+	server.ConnState = func(conn net.Conn, state http.ConnState) {
+		watcher.onStateChange(conn, state)
+		if onStateChange != nil {
+			onStateChange(conn, state)
+		}
+	}
 	server.ConnContext = func(ctx context.Context, conn net.Conn) context.Context {
 		return context.WithValue(ctx, connKey{}, conn)
 	}
@@ -256,9 +271,7 @@
 		ctx, cancel := context.WithCancel(r.Context())
 		defer cancel()
 		defer conn.notify(cancel)()
-		conn.begin(r)
-		watcher.add(conn)
-		defer watcher.remove(conn)
+		conn.begin()
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 	return watcher
