offer: directory responses expire before a stopping VM has to refuse

Callers that keep a directory response for three times its time came to a stopping VM up to 3.15 s after its SIGTERM; since it refuses what it can't finish, those with a time limit of 3 s were refused from 2.5 s on, and those who don't come back were not served. Cause: the stated time, 1 s, didn't depend on what the routes allow requests to take. Change: callers are told a shorter time where the routes' longest timeout calls for it, 0.78 s for 3 s, and no less than 0.5 s.

--- a/config/routing/table.go
+++ b/config/routing/table.go
@@ -6,6 +6,7 @@
 	"net"
 	"slices"
 	"strings"
+	"time"
 )
 
 // Table finds routes. It is immutable and safe for concurrent use.
@@ -18,6 +19,8 @@
 	// customers is nil when callers need no key.
 	customers *customers
 	problems  []Problem
+	// longestTimeout is the longest timeout of the routes.
+	longestTimeout time.Duration
 }
 
 // Compile checks a document and builds its table.
@@ -44,6 +47,7 @@
 		host := strings.ToLower(route.Host)
 		t.hosts[host] = append(t.hosts[host], route)
 		t.routes[route.Name] = route
+		t.longestTimeout = max(t.longestTimeout, route.Timeout)
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -92,6 +96,9 @@
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
+// LongestTimeout returns the longest timeout of the routes; 0 when none sets one.
+func (t *Table) LongestTimeout() time.Duration { return t.longestTimeout }
+
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
 	service, ok := t.services[name]
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -29,6 +29,7 @@
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/entry/uptime"
+	"github.com/primroseloom/primroseloom/policy/offer"
 	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
@@ -146,7 +147,14 @@
 	return ready
 }
 
-func (f *Frontend) keepFor() time.Duration { return f.settings.Load().Directory.KeepFor.Std() }
+// keepFor returns how long callers may keep a directory response.
+func (f *Frontend) keepFor() time.Duration {
+	set, longest := f.settings.Load(), time.Duration(0)
+	if table := f.follower.Table(); table != nil {
+		longest = table.LongestTimeout()
+	}
+	return offer.KeepFor(set.Directory.KeepFor.Std(), set.Stop.Grace.Std()-stopMargin, longest)
+}
 
 // startTree starts the children that work in the background. The returned
 // function stops them and waits until they have returned.
--- a/entry/settings/frontend.go
+++ b/entry/settings/frontend.go
@@ -103,7 +103,7 @@
 
 // FrontendDirectory controls what callers are told about the VMs to use.
 type FrontendDirectory struct {
-	// KeepFor is how long callers may keep a directory response; 500ms to 5m.
+	// KeepFor is how long callers may keep a directory response; 500ms to 5m. They are told a shorter time, but no less than 500ms, if otherwise a stopping VM had to refuse their requests because the routes' longest timeout ends after its grace period.
 	KeepFor document.Duration `json:"keep_for" validate:"min=500000000,max=300000000000"`
 	// PerZone is the minimum number of VMs that are advertised to the callers of an availability zone; more are advertised when the load needs their capacity.
 	PerZone int `json:"per_zone" validate:"min=1,max=64"`
