signals: a repeated signal does not cut a planned stop short

SIGHUP ended `serve` during a stop, and `front` before its handler was registered, which was after the UDP socket was bound, and once it was removed at the end of a stop. Change: entry/signals registers all handlers before the settings are read. A signal during a stop is logged as event 1007 and changes nothing; a second SIGINT without a SIGTERM still ends the process, by the signal's default action. SIGHUP outside of a stop still ends `serve`, as before.

--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -7,9 +7,7 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
@@ -18,9 +16,13 @@
 	"github.com/primroseloom/primroseloom/entry/logsink"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/signals"
 	"github.com/primroseloom/primroseloom/operator/exit"
 )
 
+// signalsDuringStop describes the signals during a planned stop, for the help texts.
+const signalsDuringStop = "A signal during the stop changes nothing, except that a second SIGINT (Ctrl-C) without a\nSIGTERM ends the daemon at once."
+
 func newRoot() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "primroseloomd",
@@ -37,15 +39,16 @@
 	command := &cobra.Command{
 		Use:     "serve --settings FILE",
 		Short:   "Serve callers until a signal stops the daemon",
-		Long:    "Serve callers until a signal stops the daemon.\n\nSIGTERM or SIGINT begins a planned stop, which finishes every request in progress.\nA second signal stops at once.",
+		Long:    "Serve callers until a signal stops the daemon.\n\nSIGTERM or SIGINT begins a planned stop, which finishes every request in progress.\n" + signalsDuringStop,
 		Example: "  primroseloomd serve --settings vm-1.json",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
+			received := signals.Register()
 			vmSettings, err := readSettings(file)
 			if err != nil {
 				return err
 			}
-			return serve(command.Context(), vmSettings)
+			return serve(command.Context(), vmSettings, received)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "settings file of this VM (JSON)")
@@ -125,9 +128,8 @@
 	return vmSettings, nil
 }
 
-// serve runs the instance. The first signal begins a planned stop and a second
-// one ends the process at once.
-func serve(ctx context.Context, vmSettings settings.Settings) error {
+// serve runs the instance until a signal ends it.
+func serve(ctx context.Context, vmSettings settings.Settings, received *signals.Handler) error {
 	level, err := log.ParseLevel(vmSettings.LogLevel)
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
@@ -138,20 +140,9 @@
 	if err != nil {
 		return err
 	}
-	ctx = untilSignal(ctx)
+	ctx = received.StopContext(ctx, logger)
 	if err := instance.Run(ctx); err != nil {
 		return exit.Failuref("serve: %w", err)
 	}
 	return nil
 }
-
-// untilSignal returns a context that the first SIGTERM or SIGINT cancels; a
-// second one ends the process at once.
-func untilSignal(ctx context.Context) context.Context {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	context.AfterFunc(ctx, func() {
-		stop()
-		signal.Reset(syscall.SIGTERM, os.Interrupt)
-	})
-	return ctx
-}
--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -6,8 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/charmbracelet/log"
 	"github.com/spf13/cobra"
@@ -17,6 +15,7 @@
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/signals"
 	"github.com/primroseloom/primroseloom/operator/exit"
 	"github.com/primroseloom/primroseloom/platform"
 )
@@ -27,18 +26,20 @@
 		Use:   "front",
 		Short: "Serve callers with the routes and targets that a store publishes",
 		Long: "Serve callers with the routes and targets that a store publishes, until a signal\nstops the daemon.\n\n" +
-			"SIGTERM or SIGINT begins a planned stop, SIGHUP reads the settings file again.",
+			"SIGTERM or SIGINT begins a planned stop, SIGHUP reads the settings file again.\n" +
+			signalsDuringStop,
 		Example: "  primroseloomd front --settings vm-1.json\n  primroseloomd front --settings-variable PRIMROSELOOM_NODE_FILE",
 		Args:    cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if variable != "" {
 				file = os.Getenv(variable)
 			}
+			received := signals.RegisterWithReloads()
 			vmSettings, err := frontend.ReadSettings(file)
 			if err != nil {
 				return err
 			}
-			return front(command.Context(), file, vmSettings)
+			return front(command.Context(), file, vmSettings, received)
 		},
 	}
 	command.Flags().StringVar(&file, "settings", "", "settings file of this VM (JSON)")
@@ -48,9 +49,8 @@
 	return command
 }
 
-// front runs the instance. The first signal begins a planned stop and a second one
-// ends the process at once.
-func front(ctx context.Context, file string, vmSettings settings.Frontend) error {
+// front runs the instance until a signal ends it.
+func front(ctx context.Context, file string, vmSettings settings.Frontend, received *signals.Handler) error {
 	level, err := log.ParseLevel(vmSettings.LogLevel)
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
@@ -97,11 +97,8 @@
 	if err != nil {
 		return err
 	}
-	ctx = untilSignal(ctx)
-	hangUps := make(chan os.Signal, 1)
-	signal.Notify(hangUps, syscall.SIGHUP)
-	defer signal.Stop(hangUps)
-	go instance.FollowSettings(ctx, file, hangUps)
+	ctx = received.StopContext(ctx, logger)
+	go instance.FollowSettings(ctx, file, received.Reloads())
 	if err := instance.Run(ctx); err != nil {
 		return exit.Failuref("front: %w", err)
 	}
--- a/entry/events/daemon.go
+++ b/entry/events/daemon.go
@@ -14,6 +14,8 @@
 		"A library reported something to the standard logger, such as bytes that a target sent after a complete response; the text is shortened.")
 	LogLinesDropped = define(1006, log.WarnLevel, "log lines dropped",
 		"More lines were written than the limits allow, or than the output could take; events lists the dropped lines as event number and count.")
+	SignalIgnored = define(1007, log.InfoLevel, "signal ignored",
+		"A signal arrived during a planned stop, which goes on unchanged; after_ms is the time since the stop began.")
 	ChildRestarted = define(1004, log.ErrorLevel, "child restarted",
 		"A supervised component failed and is restarted after a back-off.")
 )
