gateway: a target's status is no promise that a request has not run

Cause: the gateway knew that such a request may have run and made no further attempt, but passed the target's response on with whatever status it had. Only a response with proof (X-Not-Executed, or 421 on the platform) was replaced by a refusal. Change: all responses reach callers through passOn (entry/gateway/unproven.go). One with such a status, for a request that isn't idempotent, is replaced by a refusal with the outcome may_have_run and the new reason target_unproven: 502 without the target's seal, header and body. It covers the VM's own attempts, the last failure after a retry, and responses that a primary VM or a carrier passes on, also of a build that doesn't know this rule yet. The reason's counter counts it, 5101 logs it with the status and the target. Idempotent requests get the target's own status as before; docs/CALLERS.md says what was weighed. 5105 is logged where the failure is passed on, no longer where it is about to be. Why it works: after this, a status that means not run comes only from a refusal whose outcome is not_run. A forwarded request carries that outcome between VMs, not a status. serve (entry/proxy) has no such fault: its outcome header is the promise, and says answered for a target's own status; TestTargetsOwnStatusIsNoRefusal holds it.

--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -52,7 +52,6 @@
 	}
 	if q.failure != nil {
 		q.notRetried = string(outcome.ReasonCutOff)
-		q.logFailure()
 		return q.failure, nil
 	}
 	return nil, &outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonCutOff, Step: outcome.StepChoose, Peer: q.service, RetryAfter: noTargetWait}
@@ -92,7 +91,6 @@
 	}
 	if q.failure != nil {
 		q.notRetried = string(refusal.Reason)
-		q.logFailure()
 		return q.failure, nil
 	}
 	refusal.Outcome = q.outcome()
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -190,10 +190,8 @@
 		panic(http.ErrAbortHandler)
 	case refusal != nil:
 		return refusal
-	default:
-		g.deliver(w, q, got)
 	}
-	return nil
+	return q.passOn(w, got)
 }
 
 // prepare checks the request, finds its route and reads its body.
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -185,7 +185,6 @@
 	}
 	if q.failure != nil {
 		q.notRetried = string(refusal.Reason)
-		q.logFailure()
 		return q.failure, nil
 	}
 	return nil, &outcome.Refusal{
@@ -200,7 +199,6 @@
 // finish returns the response or refusal of a request after its last attempt.
 func (q *request) finish(target string, d decision) (*targetResponse, *outcome.Refusal) {
 	if q.failure != nil && q.mayHaveRun {
-		q.logFailure()
 		return q.failure, nil
 	}
 	return nil, &outcome.Refusal{
--- a/policy/outcome/outcome.go
+++ b/policy/outcome/outcome.go
@@ -72,6 +72,7 @@
 	ReasonTargetTimeout       Reason = "target_timeout"
 	ReasonTargetTruncated     Reason = "target_truncated"
 	ReasonTargetWrongAnswer   Reason = "target_wrong_answer"
+	ReasonTargetUnproven      Reason = "target_unproven"
 	ReasonQuarantined         Reason = "quarantined"
 	ReasonKeyMalformed        Reason = "key_malformed"
 	ReasonKeyWindowClosed     Reason = "key_window_closed"
