proxy: a stopping VM refuses what ends after its grace period

Cause: the same as in entry/gateway; found by looking for it elsewhere. Change: Drain remembers when its context ends, and a call whose deadline, with the time for its reply, ends later is refused as stopping. One with a key keeps the outcome may_have_run, since an earlier request with its key may have run.

--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -86,7 +86,9 @@
 	counters      counters
 	bufferedBytes atomic.Int64
 	draining      atomic.Bool
-	pauses        pauseMonitor
+	// stopBy is when the grace period of a planned stop ends; nil before it.
+	stopBy atomic.Pointer[time.Time]
+	pauses pauseMonitor
 	// forwardedRequests is the number of requests in progress that other VMs
 	// forwarded to this one.
 	forwardedRequests forwarding.InProgress
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -85,6 +85,9 @@
 		return nil, err
 	}
 	c.deadline = time.Now().Add(timeout)
+	if err := p.refuseAtStop(c.deadline, r.RemoteAddr); err != nil {
+		return nil, err
+	}
 	c.expiresAtUptime = p.options.Clock.Uptime() + timeout
 	c.ctx, c.cancel = context.WithDeadline(r.Context(), c.deadline)
 	c.upload = newUpload(r, p.limits, c.deadline, c.key != nil)
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -85,6 +85,9 @@
 	if p.options.Logger != nil {
 		events.ProxyDraining.Log(p.options.Logger, "linger", linger)
 	}
+	if end, ok := ctx.Deadline(); ok {
+		p.stopBy.Store(&end)
+	}
 	p.draining.Store(true)
 	timer := time.NewTimer(linger)
 	defer timer.Stop()
