gateway: a long failure that is not passed on counts against its target

A target whose failures are too long to be held (over 1 MB) looked healthy where they were discarded: each counted as neutral, the evidence for a response that its caller stopped reading. Change: the evidence of a discarded failure is that of its begin. A discarded response that would have served the request still says nothing: it was not read to its end. Evidence: TestDiscardedFailureIsEvidence failed on the code before and passes; go test ./entry/gateway passes.

--- a/entry/gateway/crash.go
+++ b/entry/gateway/crash.go
@@ -87,11 +87,14 @@
 
 // streamResult returns the evidence of a streamed response that ended with an error, or
 // without one, given the evidence of its begin. A target that breaks off has failed. A
-// response that was not complete in time, or whose caller stopped reading, says nothing.
+// response that was not complete in time, or whose caller stopped reading, says nothing. A failure
+// that is discarded remains one.
 func (q *request) streamResult(begin suspicion.Result, err error) suspicion.Result {
 	switch {
 	case err == nil:
 		return begin
+	case errors.Is(err, errDiscarded) && begin == suspicion.ResultFailed:
+		return begin
 	case q.brokenOff(err):
 		return suspicion.ResultFailed
 	}
--- a/entry/gateway/unproven_test.go
+++ b/entry/gateway/unproven_test.go
@@ -18,6 +18,7 @@
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/hedge"
 	"github.com/primroseloom/primroseloom/policy/outcome"
+	"github.com/primroseloom/primroseloom/policy/suspicion"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
@@ -285,3 +286,20 @@
 		})
 	}
 }
+
+// TestDiscardedFailureIsEvidence guards against a failing target that counts as healthy since its
+// failures are too long to be held and are not passed on; a response that would have served its request
+// says nothing when it is discarded.
+func TestDiscardedFailureIsEvidence(t *testing.T) {
+	withHarness(t, nil, func(h *harness) {
+		q := &request{gateway: h.gateway, caller: h.request(http.MethodPost, oncePath, "")}
+		for begin, want := range map[suspicion.Result]suspicion.Result{
+			suspicion.ResultFailed: suspicion.ResultFailed,
+			suspicion.ResultServed: suspicion.ResultNeutral,
+		} {
+			if got := q.streamResult(begin, errDiscarded); got != want {
+				t.Errorf("%v: %v, want %v", begin, got, want)
+			}
+		}
+	})
+}
