gateway, proxy: find routes by the path as it was sent

The target gets the path as it was sent and takes it for a part of the segment. In serve, a request could so count as idempotent and run twice. Other escapes are decoded as before: a caller that writes /b%6Fok/ means /book/ (RFC 3986, 6.2.2.2), and prefixes are published unescaped. Matching the raw text would have refused these with 404. Why it works: a prefix ends only where a slash was sent as a slash.

--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/dialect"
 	"github.com/primroseloom/primroseloom/entry/forwarding"
+	"github.com/primroseloom/primroseloom/entry/internal/requestpath"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
@@ -204,7 +205,7 @@
 	if q.metadata.AttemptID == "" {
 		return refuse(outcome.ReasonBadRequest, outcome.StepParse, 0)
 	}
-	route, ok := table.Match(q.caller.Host, q.caller.URL.Path)
+	route, ok := table.Match(q.caller.Host, requestpath.ForRoutes(q.caller.URL))
 	if ok {
 		if refusal := q.checkKey(table, route, isCurrent); refusal != nil {
 			return refusal
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -11,6 +11,7 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/internal/requestpath"
 	"github.com/primroseloom/primroseloom/policy/dispatch"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
@@ -116,7 +117,7 @@
 	if !ok {
 		return nil, nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonUnknownCustomer, outcome.StepIdentify, r.RemoteAddr, nil)
 	}
-	route, ok := snap.Route(r.Host, r.URL.Path)
+	route, ok := snap.Route(r.Host, requestpath.ForRoutes(r.URL))
 	if !ok {
 		return nil, nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonUnknownHost, outcome.StepRoute, r.RemoteAddr, nil)
 	}
@@ -152,7 +153,7 @@
 
 func isIdempotent(service *document.Service, r *http.Request) bool {
 	for _, rule := range service.Idempotent {
-		if rule.Method == r.Method && strings.HasPrefix(r.URL.Path, rule.PathPrefix) {
+		if rule.Method == r.Method && strings.HasPrefix(requestpath.ForRoutes(r.URL), rule.PathPrefix) {
 			return true
 		}
 	}
