frontend: a stop without requests in progress does not end with an error

Cause: drain closes the listener and then shuts the server down, which closes its listener again unless Serve has returned, and returns that error. Change: net.ErrClosed of Shutdown is no error; Shutdown returns it only once all connections are idle.

--- a/entry/frontend/drain.go
+++ b/entry/frontend/drain.go
@@ -28,7 +28,16 @@
 // the server shut down, since it closes a connection after the request in progress.
 func drain(ctx context.Context, server *http.Server, listener net.Listener, connections *readahead.Watcher, handler requestHandler) error {
 	_ = listener.Close() // the process ends; nothing is left to do for a listener that fails to close
-	return errors.Join(awaitAnswered(ctx, connections, handler), server.Shutdown(ctx), handler.AwaitForwarded(ctx))
+	return errors.Join(awaitAnswered(ctx, connections, handler), shutdown(ctx, server), handler.AwaitForwarded(ctx))
+}
+
+// shutdown shuts a server down whose listener is closed. The server closes the listener once more if it
+// has not noticed that yet, and returns the error of that when all else has succeeded.
+func shutdown(ctx context.Context, server *http.Server) error {
+	if err := server.Shutdown(ctx); !errors.Is(err, net.ErrClosed) {
+		return err
+	}
+	return nil
 }
 
 // awaitAnswered waits until no request is in progress or has arrived behind one.
