frontend: the time of directory responses leaves room for the slack after a time limit

Callers that got a directory response while the other VMs had not heard of a stop yet, and kept it for three times its time, were refused by the stopping VM in their last 80 ms. Cause: the gateway refuses a request whose time limit and 80 ms end after the process; keep_for was computed without these 80 ms. Evidence: TestResponseGivenDuringTheNoticeExpiresBeforeTheStopRefuses got 503 before, gets 200 now; the tests of stops in ./platform, and ./entry/frontend and ./entry/gateway, pass.

--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -153,7 +153,7 @@
 	if table := f.follower.Table(); table != nil {
 		longest = table.LongestTimeout()
 	}
-	return offer.KeepFor(set.Directory.KeepFor.Std(), set.Stop.Grace.Std()-stopMargin, longest)
+	return offer.KeepFor(set.Directory.KeepFor.Std(), set.Stop.Grace.Std()-stopMargin-gateway.ResponseSlack, longest)
 }
 
 // startTree starts the children that work in the background. The returned
--- a/entry/gateway/stop.go
+++ b/entry/gateway/stop.go
@@ -10,6 +10,9 @@
 // again: other VMs can serve it at once.
 const stoppingWait = 50 * time.Millisecond
 
+// ResponseSlack is how long after its time limit a request may still be in progress.
+const ResponseSlack = timeoutResponseSlack
+
 // StopBy makes the gateway refuse, from now on, each request that it may be unable to finish before
 // a time, at which the VM's process ends: it would be cut without a response, and may have run.
 func (g *Gateway) StopBy(end time.Time) { g.stopBy.Store(&end) }
