--- a/entry/daemon/world_test.go
+++ b/entry/daemon/world_test.go
@@ -49,6 +49,8 @@
 	stops      map[string]context.CancelFunc
 	done       map[string]chan error
 	client     *http.Client
+	// configure changes the settings of the VMs that are started; nil for no change.
+	configure func(set *settings.Settings)
 }
 
 // inWorld runs a test in a world with the given number of VMs, after they have settled.
@@ -136,6 +138,9 @@
 	if i > 0 {
 		set.FirstPeers = []string{vmIP(0) + ":81"}
 	}
+	if w.configure != nil {
+		w.configure(&set)
+	}
 	instance, err := New(Options{
 		Settings: set,
 		Network:  w.network.Host(vmIP(i)),
