soak: long requests, rows and further signals until a stopping daemon has ended

Its requests took 1.08 s at most, its routes' only timeout was 1.2 s, hardly any request was sent later than 0.1 s after SIGTERM, no signal was repeated, and of a row only the first request without a response was looked at, if it had run. Change: routes with a timeout of 3 s. At each planned stop, 14 callers with old directory responses send one request each, directly to the daemon and up to 6 s after its SIGTERM, with 2.25 to 2.8 s of work: idempotent or not, with a length or in chunks, on new connections or on such that carried a lookup before; four rows of lookups run at other connections; at two of three stops SIGTERM and SIGHUP are repeated. One stop in three takes any daemon, mostly one that forwards (one in four of these took one before). Checks: the time limit is that of the request's own route; a connection that ends without a response counts also after the target's response, and up to 1 s after the grace period (before: up to its end); a cut is excused only if its request was sent no later than 3 s after SIGTERM and its target worked in the last sixth of the grace period; a row that was read is answered to its end. The case "the grace has ended" of the checker's test lay 6.1 s after SIGTERM, where a cut counts now; the case is 7.1 s now, and one at 6.1 s must be found.

--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -23,7 +23,7 @@
 	statusNoRoute = http.StatusNotFound
 	// statusNoKey is the status of a response to a request without a valid key.
 	statusNoKey = http.StatusUnauthorized
-	// routeTimeout is the timeout of all routes.
+	// routeTimeout is the timeout of all routes but those of long requests (reserveTimeout).
 	routeTimeout = 1200 * time.Millisecond
 	// callerTimeout is how long a caller waits for a response; longer than routeTimeout.
 	callerTimeout = 3 * time.Second
@@ -110,7 +110,7 @@
 // send sends one request and records its result in the checker.
 func (c *caller) send(ctx context.Context, vm int) {
 	c.sent++
-	record := callerRequest{id: c.name + "-" + strconv.Itoa(c.sent), vm: vm, version: c.newestVersion(), timeout: routeTimeout, atMostOnce: c.random.IntN(3) > 0}
+	record := callerRequest{id: c.name + "-" + strconv.Itoa(c.sent), vm: vm, version: c.newestVersion(), timeout: routeTimeout, limit: routeTimeout, atMostOnce: c.random.IntN(3) > 0}
 	if record.version > 1 && c.random.IntN(4) == 0 {
 		record.version-- // a dropped route shows whether the older version is still in force
 	}
--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -81,7 +81,9 @@
 	// wrongResponse is true when a served response has another body than the
 	// target's response to this request.
 	wrongResponse bool
-	timeout       time.Duration
+	// timeout is the time after which the response is late, limit that after which the timeout of
+	// the route may have ended the request.
+	timeout, limit time.Duration
 }
 
 // run is one execution of a request at a target.
@@ -136,6 +138,8 @@
 	executions          map[string][]execution
 	finishedAcrossStops int
 	lastExecution       execution
+	// rows are the rows of requests on one connection.
+	rows []rowRecord
 	// arrivals holds, by process of a target, the requests that reached it.
 	arrivals map[string][]arrival
 	// keyedRequests are the requests with keys, keyedRuns their executions.
@@ -280,6 +284,7 @@
 		c.checkTiming(request)
 	}
 	c.checkStops()
+	c.checkRows()
 	c.checkConfigRollback()
 	c.checkRecovery()
 	c.checkCrashes()
--- a/operator/soak/checker_stops.go
+++ b/operator/soak/checker_stops.go
@@ -13,9 +13,19 @@
 // the request, and the checker's, when the caller sends it.
 const timeLimitSlack = 50 * time.Millisecond
 
-// stopGrace is how long after SIGTERM a daemon waits for requests in progress.
+// stopGrace is how long after SIGTERM a daemon waits for requests in progress, before its process
+// may be ended.
 var stopGrace = settings.DefaultFrontend().Stop.Grace.Std()
 
+const (
+	// stopAftermath is how long after the grace period an execution may still end by the stop, as
+	// callers and targets notice the end of the process late.
+	stopAftermath = time.Second
+	// promisedArrival is the time after SIGTERM from which a daemon must not begin what it can't
+	// finish. Before it, a request may be cut in the last sixth of the grace period.
+	promisedArrival = 3 * time.Second
+)
+
 // execution is one run and how its work at the target ended.
 type execution struct {
 	run
@@ -62,32 +72,51 @@
 }
 
 // stoppingVM returns the daemon that sent the request to the target, or the one that the caller
-// sent it to, if its planned stop began before the execution ended, and its grace ended after
-// that.
+// sent it to, if the execution ended during its planned stop.
 func (c *checker) stoppingVM(request callerRequest, e execution) (vm int, stopping bool) {
 	for _, vm := range []int{e.vm, request.vm} {
-		if slices.ContainsFunc(c.plannedStops[vm], func(stop interval) bool {
-			end := stop.to.Add(exitSlack)
-			if graceEnd := stop.from.Add(stopGrace); graceEnd.Before(end) {
-				end = graceEnd
-			}
-			return stop.from.Before(e.endedAt) && e.endedAt.Before(end)
-		}) {
+		if len(c.stopsAt(vm, e.endedAt)) > 0 {
 			return vm, true
 		}
 	}
 	return 0, false
 }
 
+// stopsAt returns the planned stops of a daemon that may have ended something at a time. The caller
+// holds c.mu.
+func (c *checker) stopsAt(vm int, at time.Time) []interval {
+	var stops []interval
+	for _, stop := range c.plannedStops[vm] {
+		end := stop.to.Add(exitSlack)
+		if graceEnd := stop.from.Add(stopGrace + stopAftermath); graceEnd.Before(end) {
+			end = graceEnd
+		}
+		if stop.from.Before(at) && at.Before(end) {
+			stops = append(stops, stop)
+		}
+	}
+	return stops
+}
+
+// mayBeCut reports whether a planned stop may cut a request that was sent at a time and at which the
+// target worked up to another.
+func mayBeCut(stop interval, sentAt, workedUntil time.Time) bool {
+	return !sentAt.After(stop.from.Add(promisedArrival)) && !workedUntil.Before(stop.from.Add(stopGrace*5/6))
+}
+
 // mustFinish reports whether nothing but a daemon's mistake can end an execution before the
-// target responds: the target, its link, the daemons and their links were undisturbed, the time
-// limit was not reached, and no other attempt of the request was answered meanwhile. A caller
+// target responds: the target, its link, the daemons and their links were undisturbed, neither the
+// time limit nor the end of the grace period was reached, and no other attempt of the request was
+// answered meanwhile. A caller
 // that leaves by itself does so after the time limit.
 func (c *checker) mustFinish(request callerRequest, e execution) bool {
-	if !e.undisturbed || e.endedAt.Sub(request.startedAt) >= routeTimeout-timeLimitSlack {
+	if !e.undisturbed || e.endedAt.Sub(request.startedAt) >= request.limit-timeLimitSlack {
 		return false
 	}
 	for _, vm := range []int{request.vm, e.vm} {
+		if slices.ContainsFunc(c.stopsAt(vm, e.endedAt), func(stop interval) bool { return mayBeCut(stop, request.startedAt, e.endedAt) }) {
+			return false
+		}
 		if vm < 0 || !c.daemonUndisturbed(vm, request.startedAt, e.endedAt) || c.heldUp(vm, request.startedAt) || c.heldUp(vm, e.endedAt) {
 			return false
 		}
@@ -98,12 +127,14 @@
 }
 
 // isBrokenOff reports whether a daemon ended the request before its target could respond: the
-// caller got a failure of the daemon or a closed connection, and the sender had left or the target
+// caller got a closed connection, or a failure of the daemon and the sender had left or the target
 // was still working. If the caller got another response, an execution that its sender left counts
 // only when the request may run twice.
 func isBrokenOff(request callerRequest, e execution) bool {
 	switch request.status {
-	case 0, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+	case 0:
+		return true
+	case http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout:
 		return e.senderLeft || request.endedAt.Before(e.endedAt)
 	}
 	return e.senderLeft && !request.atMostOnce
--- a/operator/soak/checker_stops_test.go
+++ b/operator/soak/checker_stops_test.go
@@ -43,7 +43,7 @@
 		{"no stop", func(r *records, _ *checker) { r.stop = interval{at(30), at(33)} }, false},
 		{"stop begins afterwards", func(r *records, _ *checker) { r.stop.from = at(20.61) }, false},
 		{"stopped long before", func(r *records, _ *checker) { r.stop = interval{at(15), at(18)} }, false},
-		{"the grace has ended", func(r *records, _ *checker) { r.stop = interval{at(14.5), at(21)} }, false},
+		{"the grace has ended long ago", func(r *records, _ *checker) { r.stop = interval{at(13.5), at(21)} }, false},
 		{"the time limit is reached", func(r *records, _ *checker) { r.request.startedAt = at(20.6).Add(-routeTimeout) }, false},
 		{"caller leaves", func(r *records, _ *checker) {
 			r.request.status, r.first.endedAt = 0, r.request.startedAt.Add(callerTimeout)
@@ -69,7 +69,7 @@
 		k.recordEndOfFaults(at(30))
 		k.recordRequest(servedAfterFaults(at(40)))
 		r := records{
-			request: callerRequest{id: "a", version: 1, startedAt: at(19.8), endedAt: at(20.8), status: statusServed, timeout: routeTimeout},
+			request: callerRequest{id: "a", version: 1, startedAt: at(19.8), endedAt: at(20.8), status: statusServed, timeout: routeTimeout, limit: routeTimeout},
 			first:   execution{run: run{requestID: "a", target: "t", at: at(19.82)}, endedAt: at(20.6), senderLeft: true, undisturbed: true},
 			stop:    interval{at(20), at(24)},
 		}
@@ -86,3 +86,38 @@
 		}
 	}
 }
+
+// TestCheckerDetectsRequestsCutAtTheEndOfAStop gives the checker requests whose connection ends
+// without a response around the end of a stopping daemon's process. It guards against a daemon that
+// begins what it can't finish, and against findings for what a stop may cut.
+func TestCheckerDetectsRequestsCutAtTheEndOfAStop(t *testing.T) {
+	start := time.Now()
+	term := start.Add(20 * time.Second)
+	for _, c := range []struct {
+		name string
+		// sentAfter and endedAfter are the times from SIGTERM to the request and to its end.
+		sentAfter, endedAfter time.Duration
+		// answered is true when the target ended its work before the connection ended.
+		answered, broken bool
+	}{
+		{"sent 3.1 s after SIGTERM, cut with the process", 3100 * time.Millisecond, 5600 * time.Millisecond, false, true},
+		{"sent 3.1 s after SIGTERM, cut after the grace period", 3300 * time.Millisecond, 6100 * time.Millisecond, false, true},
+		{"sent 2.9 s after SIGTERM, cut in the last sixth of the grace period", 2900 * time.Millisecond, 5600 * time.Millisecond, false, false},
+		{"sent 2.9 s after SIGTERM, cut before the last sixth of the grace period", 2900 * time.Millisecond, 4900 * time.Millisecond, false, true},
+		{"sent 2 s before SIGTERM, cut by a second signal", -2 * time.Second, 500 * time.Millisecond, false, true},
+		{"response of the target is lost", time.Second, 2 * time.Second, true, true},
+		{"time limit is reached", 2500*time.Millisecond - reserveTimeout, 2500 * time.Millisecond, false, false},
+	} {
+		k := newChecker(start)
+		k.recordEndOfFaults(start.Add(30 * time.Second))
+		k.recordRequest(servedAfterFaults(start.Add(40 * time.Second)))
+		sentAt, endedAt := term.Add(c.sentAfter), term.Add(c.endedAfter)
+		k.recordRequest(callerRequest{id: "a", startedAt: sentAt, endedAt: endedAt, timeout: reserveTimeout, limit: reserveTimeout, atMostOnce: true})
+		k.recordExecution(execution{run: run{requestID: "a", target: "t", at: sentAt}, endedAt: endedAt.Add(-time.Millisecond), senderLeft: !c.answered, undisturbed: true})
+		k.recordStop(0, term, endedAt)
+		got := k.check(true)
+		if c.broken && (len(got) != 1 || got[0].Promise != PromisePlannedStop) || !c.broken && len(got) > 0 {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -18,7 +18,9 @@
 // they leave in their responses, and the store comes back from copies that are some seconds
 // old. Some lookups and bookings ask their targets to work for long; at most planned stops several
 // of them are in progress at the daemon that stops, and the targets record whether the sender
-// leaves while they work. Some callers have keys, of which each version of the routes withdraws one, and send more
+// leaves while they work. At each planned stop, callers with old directory responses send requests
+// whose targets work for nearly the time limit, and rows of lookups, until the daemon's process has
+// ended, and the daemon gets further signals. Some callers have keys, of which each version of the routes withdraws one, and send more
 // than their customer's limit to random daemons. The checker records every request of a caller and every
 // execution at a target, and compares them once the run is over.
 //
--- a/operator/soak/faults.go
+++ b/operator/soak/faults.go
@@ -21,6 +21,10 @@
 	minTargets = 4
 	// massKillOneIn: one in this many kills hits half of the daemons at once.
 	massKillOneIn = 5
+	// minSignalGap and maxSignalGap bound the time between two signals during a planned stop.
+	minSignalGap, maxSignalGap = 300 * time.Millisecond, 2500 * time.Millisecond
+	// quietStopOneIn: at one in this many planned stops no signal is repeated.
+	quietStopOneIn = 3
 )
 
 // series draws and injects faults of one kind, one after another. Several series
@@ -114,8 +118,8 @@
 // stopBusy stops a daemon as planned, mostly that of the latest execution at a target: few
 // daemons send requests to targets, the others forward to these.
 func (s *series) stopBusy() {
-	const randomOneIn = 4 // one draw in four takes a daemon by drawVM
-	v := s.drawVM()
+	const randomOneIn = 3 // one draw in three takes any daemon, which mostly forwards
+	v := s.soak.fleet.vms[s.random.IntN(len(s.soak.fleet.vms))]
 	if sender, ok := s.soak.checker.latestSender(); ok && s.random.IntN(randomOneIn) > 0 {
 		v = s.soak.fleet.vms[sender]
 	}
@@ -127,17 +131,34 @@
 	s.stop(v)
 }
 
-// stop stops a daemon as planned, by SIGTERM, mostly while it has long requests in progress, and
-// starts it again.
+// stop stops a daemon as planned, by SIGTERM, mostly while it has long requests in progress and
+// while callers with old directory responses go on coming, and starts it again.
 func (s *series) stop(v *vm) {
+	s.soak.sendLateAtStop(v)
 	s.soak.sendLongAtStop(v)
 	from := time.Now()
 	v.signal(syscall.SIGTERM)
-	v.waitForExit()
+	s.repeatSignals(v)
 	s.soak.checker.recordStop(v.index, from, time.Now())
 	s.soak.fleet.restart(v, s.drawDuration(0, minFaultTime))
 }
 
+// repeatSignals repeats SIGTERM, and sends SIGHUP, until a daemon that got SIGTERM has exited; at one
+// stop in quietStopOneIn it only waits. Neither may shorten the stop.
+func (s *series) repeatSignals(v *vm) {
+	if s.random.IntN(quietStopOneIn) == 0 {
+		v.waitForExit()
+		return
+	}
+	for !v.exitedWithin(s.drawDuration(minSignalGap, maxSignalGap)) {
+		repeated := syscall.SIGTERM
+		if s.random.IntN(2) == 0 {
+			repeated = syscall.SIGHUP
+		}
+		v.signal(repeated)
+	}
+}
+
 // reload changes the settings file and in half of the cases sends SIGHUP, on which
 // the daemon reads the file again.
 func (s *series) reload(v *vm) {
--- a/operator/soak/fleet.go
+++ b/operator/soak/fleet.go
@@ -233,6 +233,19 @@
 	<-exited
 }
 
+// exitedWithin waits for a while and reports whether the daemon's process has exited.
+func (v *vm) exitedWithin(wait time.Duration) bool {
+	v.mu.Lock()
+	exited := v.exited
+	v.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(wait):
+		return false
+	}
+}
+
 // restart waits until the daemon's process has exited and starts it again after
 // the downtime.
 func (f *fleet) restart(v *vm, downtime time.Duration) {
--- a/operator/soak/long_requests.go
+++ b/operator/soak/long_requests.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -99,25 +100,49 @@
 
 // sendLong sends one long request to a daemon at an address and records its result.
 func (c longCaller) sendLong(ctx context.Context, vm int, address string) {
-	c.sent++
-	record := callerRequest{id: c.name + "-" + strconv.Itoa(c.sent), vm: vm, version: c.newestVersion(), timeout: routeTimeout, atMostOnce: c.random.IntN(longOnceOneIn) == 0}
-	method, prefix, body := http.MethodGet, "look", ""
-	if record.atMostOnce {
-		method, prefix, body = http.MethodPost, "book", "slot"
+	long := workRequest{prefix: "look", method: http.MethodGet, limit: routeTimeout, patience: callerTimeout}
+	if c.random.IntN(longOnceOneIn) == 0 {
+		long.prefix, long.method, long.body, long.atMostOnce = "book", http.MethodPost, "slot", true
 	}
-	work := minLongWork + time.Duration(c.random.Int64N(int64(maxLongWork-minLongWork)))
-	url := fmt.Sprintf("http://%s/%s%d/x?%s=%d", address, prefix, record.version, workQuery, work.Milliseconds())
-	requestCtx, cancel := context.WithTimeout(ctx, callerTimeout)
+	long.work = drawBetween(c.random, minLongWork, maxLongWork)
+	c.sendWork(ctx, vm, address, long)
+}
+
+// workRequest is a request that its target works on for a time.
+type workRequest struct {
+	// prefix is that of its route, without the version.
+	prefix, method, body string
+	// inChunks sends the body without its length.
+	inChunks, atMostOnce bool
+	// work is the time at the target, limit the timeout of the route, patience how long the caller
+	// waits for the response.
+	work, limit, patience time.Duration
+}
+
+// reader returns the body. A reader of a type that net/http does not know has no length.
+func (w workRequest) reader() io.Reader {
+	if w.inChunks {
+		return struct{ io.Reader }{strings.NewReader(w.body)}
+	}
+	return strings.NewReader(w.body)
+}
+
+// sendWork sends one request to a daemon at an address and records its result.
+func (c longCaller) sendWork(ctx context.Context, vm int, address string, w workRequest) {
+	c.sent++
+	record := callerRequest{id: c.name + "-" + strconv.Itoa(c.sent), vm: vm, version: c.newestVersion(), timeout: w.limit, limit: w.limit, atMostOnce: w.atMostOnce}
+	url := fmt.Sprintf("http://%s/%s%d/x?%s=%d", address, w.prefix, record.version, workQuery, w.work.Milliseconds())
+	requestCtx, cancel := context.WithTimeout(ctx, w.patience)
 	defer cancel()
-	request, err := http.NewRequestWithContext(requestCtx, method, url, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(requestCtx, w.method, url, w.reader())
 	if err != nil {
 		return // cannot happen: the soak itself chose the address
 	}
 	request.Host = host
 	forbidResending(request)
-	platform.Headers{}.WriteRequest(request.Header, dialect.Request{AttemptID: record.id, Remaining: callerTimeout})
+	platform.Headers{}.WriteRequest(request.Header, dialect.Request{AttemptID: record.id, Remaining: w.patience})
 	record.startedAt = time.Now()
-	record.status, record.wrongResponse = c.exchange(request, expectedBody(record.id, []byte(body)))
+	record.status, record.wrongResponse = c.exchange(request, expectedBody(record.id, []byte(w.body)))
 	record.endedAt = time.Now()
 	if ctx.Err() == nil { // skip requests that were canceled at the end of the load
 		c.checker.recordRequest(record)
--- a/operator/soak/row_callers.go
+++ b/operator/soak/row_callers.go
@@ -46,16 +46,18 @@
 			c.queryDirectory(ctx)
 		}
 		if len(c.vms) > 0 {
-			c.sendRow(ctx, c.vms[c.random.IntN(len(c.vms))])
+			vm := c.vms[c.random.IntN(len(c.vms))]
+			c.sendRow(ctx, vm, c.fleet.vms[vm].callersLink.address(), 0)
 		}
 		time.Sleep(callerPause)
 	}
 }
 
-// sendRow sends a row of lookups to a daemon on a connection of its own.
-func (c rowCaller) sendRow(ctx context.Context, vm int) {
+// sendRow sends a row of lookups to a daemon at an address on a connection of its own. Targets work
+// on each lookup for the given time, if that is longer than usual.
+func (c rowCaller) sendRow(ctx context.Context, vm int, address string, work time.Duration) {
 	dialer := net.Dialer{Timeout: time.Second}
-	conn, err := dialer.DialContext(ctx, "tcp", c.fleet.vms[vm].callersLink.address())
+	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return // the link is disturbed; nothing was sent
 	}
@@ -64,7 +66,7 @@
 	var stream bytes.Buffer
 	for i := range row {
 		row[i] = c.lookup(vm, i)
-		if err := c.request(row[i]).Write(&stream); err != nil {
+		if err := c.request(row[i], work).Write(&stream); err != nil {
 			return // cannot happen: the buffer takes everything
 		}
 	}
@@ -76,7 +78,7 @@
 		time.Sleep(time.Duration(c.random.Int64N(int64(200 * time.Millisecond))))
 		return
 	}
-	c.readRow(ctx, conn, row)
+	c.readRow(ctx, conn, row, time.Now())
 }
 
 // lookup returns the record of the next lookup, which waits behind others: its own time begins
@@ -85,13 +87,13 @@
 	c.sent++
 	return callerRequest{
 		id: c.name + "-" + strconv.Itoa(c.sent), vm: vm, version: c.newestVersion(), startedAt: time.Now(),
-		timeout: time.Duration(behind+1) * routeTimeout,
+		timeout: time.Duration(behind+1) * routeTimeout, limit: routeTimeout,
 	}
 }
 
 // request returns the request of a lookup.
-func (c rowCaller) request(record callerRequest) *http.Request {
-	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/look%d/x", host, record.version), nil)
+func (c rowCaller) request(record callerRequest, work time.Duration) *http.Request {
+	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/look%d/x?%s=%d", host, record.version, workQuery, work.Milliseconds()), nil)
 	if err != nil {
 		panic(err) // the soak itself chose the URL
 	}
@@ -112,10 +114,15 @@
 	return nil
 }
 
-// readRow reads the responses and records the lookups up to the first without one: those
-// behind it were not begun.
-func (c rowCaller) readRow(ctx context.Context, conn net.Conn, row []callerRequest) {
+// readRow reads the responses and records the row, and its lookups up to the first without a
+// response: those behind it were not begun.
+func (c rowCaller) readRow(ctx context.Context, conn net.Conn, row []callerRequest, sentAt time.Time) {
 	reader := bufio.NewReader(conn)
+	whole := rowRecord{vm: row[0].vm, sentAt: sentAt}
+	for _, record := range row {
+		whole.requests = append(whole.requests, record.id)
+	}
+	defer func() { c.checker.recordRow(whole) }()
 	for _, record := range row {
 		record.status, record.wrongResponse = readInRow(reader, record.id)
 		record.endedAt = time.Now()
@@ -123,9 +130,11 @@
 			return // the load has ended
 		}
 		c.checker.recordRequest(record)
+		whole.endedAt = record.endedAt
 		if record.status == 0 {
 			return
 		}
+		whole.answered++
 	}
 }
 
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -248,10 +248,10 @@
 // replace those of the previous version.
 func routesOf(version uint64) routing.Document {
 	name := strconv.FormatUint(version, 10)
-	route := func(prefix string, kind routing.Kind) routing.Route {
+	route := func(prefix string, kind routing.Kind, timeout time.Duration) routing.Route {
 		return routing.Route{
-			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: routeTimeout,
-			Objective: routeTimeout / 2, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
+			Name: prefix, Host: host, Prefix: prefix, Kind: kind, Timeout: timeout,
+			Objective: timeout / 2, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
 			Public: prefix != keyedPrefix,
 		}
 	}
@@ -260,8 +260,10 @@
 		Services: []routing.Service{{Name: service, MaxConnections: 330}},
 		Limits:   routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
 		Routes: []routing.Route{
-			route("/book"+name+"/", routing.KindOnce), route("/look"+name+"/", routing.KindIdempotent),
-			route(crashOncePrefix, routing.KindOnce), route(crashPrefix, routing.KindIdempotent), route(keyedPrefix, routing.KindOnce),
+			route("/book"+name+"/", routing.KindOnce, routeTimeout), route("/look"+name+"/", routing.KindIdempotent, routeTimeout),
+			route("/reserve"+name+"/", routing.KindOnce, reserveTimeout), route("/report"+name+"/", routing.KindIdempotent, reserveTimeout),
+			route(crashOncePrefix, routing.KindOnce, routeTimeout), route(crashPrefix, routing.KindIdempotent, routeTimeout),
+			route(keyedPrefix, routing.KindOnce, routeTimeout),
 		},
 	}
 }
