soak: a request at a target has a complete answer, also apart from stops

Cause: a connection that ended without a response counted only around planned stops. Change: a request without a complete response that was at an undisturbed target, through undisturbed daemons, within its time limit and outside of planned stops, breaks "request at a target has a complete answer".

--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -43,6 +43,7 @@
 	PromiseNoConfigRollback Promise = "configuration never goes back"
 	PromiseDrain            Promise = "leaving target gets no work"
 	PromisePlannedStop      Promise = "planned stop cuts nothing"
+	PromiseAnswered         Promise = "request at a target has a complete answer"
 	PromiseResponseInTime   Promise = "final answer in time"
 	PromiseRecovered        Promise = "serves again after faults"
 	PromiseNoUnexpectedExit Promise = "daemon ends only when told"
@@ -57,7 +58,7 @@
 )
 
 // timeBoundPromises are the promises that depend on how fast the machine is.
-var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped, PromisePartitioned, PromiseRateLimit, PromisePause}
+var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseAnswered, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped, PromisePartitioned, PromiseRateLimit, PromisePause}
 
 // Violation is one broken promise.
 type Violation struct {
@@ -285,6 +286,7 @@
 	}
 	c.checkStops()
 	c.checkRows()
+	c.checkAnswered()
 	c.checkConfigRollback()
 	c.checkRecovery()
 	c.checkCrashes()
--- a/operator/soak/checker_stops.go
+++ b/operator/soak/checker_stops.go
@@ -71,6 +71,21 @@
 	}
 }
 
+// checkAnswered checks, apart from planned stops, that no connection ends without a complete response
+// to a request that was at an undisturbed target and had not used up its time limit.
+func (c *checker) checkAnswered() {
+	for _, request := range c.requests {
+		if request.status != 0 || c.inPlannedStop(request.vm, request.startedAt, request.endedAt) {
+			continue
+		}
+		for _, e := range c.executions[request.id] {
+			if c.mustFinish(request, e) && !c.inPlannedStop(e.vm, request.startedAt, e.endedAt) {
+				c.addViolation(PromiseAnswered, request.endedAt, "request %s through VM %d, %v at target %s, to which VM %d had sent it, got no complete response", request.id, request.vm, e.endedAt.Sub(e.at).Round(time.Millisecond), e.target, e.vm)
+			}
+		}
+	}
+}
+
 // stoppingVM returns the daemon that sent the request to the target, or the one that the caller
 // sent it to, if the execution ended during its planned stop.
 func (c *checker) stoppingVM(request callerRequest, e execution) (vm int, stopping bool) {
--- a/operator/soak/checker_stops_test.go
+++ b/operator/soak/checker_stops_test.go
@@ -87,6 +87,41 @@
 	}
 }
 
+// TestCheckerDetectsRequestsWithoutAResponse guards against a daemon that closes the connection of a
+// request at which a target works while nothing is disturbed, and against findings for what the time
+// limit, a fault or a planned stop ended.
+func TestCheckerDetectsRequestsWithoutAResponse(t *testing.T) {
+	start := time.Now()
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	for _, c := range []struct {
+		name   string
+		change func(request *callerRequest, e *execution, k *checker)
+		broken bool
+	}{
+		{"cut while the target works", func(*callerRequest, *execution, *checker) {}, true},
+		{"response of the target is lost", func(_ *callerRequest, e *execution, _ *checker) { e.senderLeft = false }, true},
+		{"forwarded, cut", func(_ *callerRequest, e *execution, _ *checker) { e.vm = 1 }, true},
+		{"502", func(request *callerRequest, _ *execution, _ *checker) { request.status = 502 }, false},
+		{"time limit is reached", func(request *callerRequest, _ *execution, _ *checker) { request.limit = time.Second }, false},
+		{"target was disturbed", func(_ *callerRequest, e *execution, _ *checker) { e.undisturbed = false }, false},
+		{"daemon was disturbed", func(_ *callerRequest, _ *execution, k *checker) { k.recordDisturbance(0, at(18), at(19)) }, false},
+		{"planned stop that has begun long ago", func(_ *callerRequest, _ *execution, k *checker) { k.recordStop(0, at(10), at(22)) }, false},
+	} {
+		k := newChecker(start)
+		k.recordEndOfFaults(at(30))
+		k.recordRequest(servedAfterFaults(at(40)))
+		request := callerRequest{id: "a", startedAt: at(20), endedAt: at(21), timeout: reserveTimeout, limit: reserveTimeout}
+		e := execution{run: run{requestID: "a", target: "t", at: at(20)}, endedAt: at(21), senderLeft: true, undisturbed: true}
+		c.change(&request, &e, k)
+		k.recordRequest(request)
+		k.recordExecution(e)
+		got := k.check(true)
+		if c.broken && (len(got) != 1 || got[0].Promise != PromiseAnswered) || !c.broken && len(got) > 0 {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
+
 // TestCheckerDetectsRequestsCutAtTheEndOfAStop gives the checker requests whose connection ends
 // without a response around the end of a stopping daemon's process. It guards against a daemon that
 // begins what it can't finish, and against findings for what a stop may cut.
