--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -11,6 +11,7 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/internal/requestpath"
 	"github.com/primroseloom/primroseloom/policy/dispatch"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/quarantine"
@@ -85,6 +86,9 @@
 		return nil, err
 	}
 	c.deadline = time.Now().Add(timeout)
+	if err := p.refuseAtStop(c.deadline, r.RemoteAddr); err != nil {
+		return nil, err
+	}
 	c.expiresAtUptime = p.options.Clock.Uptime() + timeout
 	c.ctx, c.cancel = context.WithDeadline(r.Context(), c.deadline)
 	c.upload = newUpload(r, p.limits, c.deadline, c.key != nil)
@@ -113,7 +117,7 @@
 	if !ok {
 		return nil, nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonUnknownCustomer, outcome.StepIdentify, r.RemoteAddr, nil)
 	}
-	route, ok := snap.Route(r.Host, r.URL.Path)
+	route, ok := snap.Route(r.Host, requestpath.ForRoutes(r.URL))
 	if !ok {
 		return nil, nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonUnknownHost, outcome.StepRoute, r.RemoteAddr, nil)
 	}
@@ -149,7 +153,7 @@
 
 func isIdempotent(service *document.Service, r *http.Request) bool {
 	for _, rule := range service.Idempotent {
-		if rule.Method == r.Method && strings.HasPrefix(r.URL.Path, rule.PathPrefix) {
+		if rule.Method == r.Method && strings.HasPrefix(requestpath.ForRoutes(r.URL), rule.PathPrefix) {
 			return true
 		}
 	}
