--- a/operator/soak/checker.go
+++ b/operator/soak/checker.go
@@ -43,6 +43,7 @@
 	PromiseNoConfigRollback Promise = "configuration never goes back"
 	PromiseDrain            Promise = "leaving target gets no work"
 	PromisePlannedStop      Promise = "planned stop cuts nothing"
+	PromiseAnswered         Promise = "request at a target has a complete answer"
 	PromiseResponseInTime   Promise = "final answer in time"
 	PromiseRecovered        Promise = "serves again after faults"
 	PromiseNoUnexpectedExit Promise = "daemon ends only when told"
@@ -57,7 +58,7 @@
 )
 
 // timeBoundPromises are the promises that depend on how fast the machine is.
-var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped, PromisePartitioned, PromiseRateLimit, PromisePause}
+var timeBoundPromises = []Promise{PromiseConfigInForce, PromiseNoConfigRollback, PromiseDrain, PromisePlannedStop, PromiseAnswered, PromiseResponseInTime, PromiseRecovered, PromiseCrashingStopped, PromisePartitioned, PromiseRateLimit, PromisePause}
 
 // Violation is one broken promise.
 type Violation struct {
@@ -81,7 +82,9 @@
 	// wrongResponse is true when a served response has another body than the
 	// target's response to this request.
 	wrongResponse bool
-	timeout       time.Duration
+	// timeout is the time after which the response is late, limit that after which the timeout of
+	// the route may have ended the request.
+	timeout, limit time.Duration
 }
 
 // run is one execution of a request at a target.
@@ -136,6 +139,8 @@
 	executions          map[string][]execution
 	finishedAcrossStops int
 	lastExecution       execution
+	// rows are the rows of requests on one connection.
+	rows []rowRecord
 	// arrivals holds, by process of a target, the requests that reached it.
 	arrivals map[string][]arrival
 	// keyedRequests are the requests with keys, keyedRuns their executions.
@@ -280,6 +285,8 @@
 		c.checkTiming(request)
 	}
 	c.checkStops()
+	c.checkRows()
+	c.checkAnswered()
 	c.checkConfigRollback()
 	c.checkRecovery()
 	c.checkCrashes()
