gateway: a streamed body has one owner that counts what it hands out

Cause: a VM that is no primary VM forwarded the body, the primary VM refused after it had got more than the part that is held, and the VM then made an attempt of its own with what was left of the caller's stream. A body in chunks ends properly though bytes are missing.

Change: bodyStream alone reads the caller's connection and hands the body to one reader at a time, from its first byte. Once it has been read beyond the held part no further reader begins; run and forwardTo begin no attempt without one, and forwardToPrimary returns the refusal of the primary VM. A reader that was ended gets an error, never the end of the body, so that net/http closes the connection to the target without a last chunk. The part read ahead uses the buffer of the held part, so that no more memory is held than before. A body that no attempt has read beyond its held part stays replayable, which it did not before.

awaitBody is gone: nothing has to wait for another reader to stop. It ended a read that waited for the caller by a deadline, which net/http takes for a caller that has left.

--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -22,14 +23,12 @@
 // buffered and the rest is streamed.
 type body struct {
 	buffered []byte
-	// rest follows the buffered part; nil when the complete body is buffered.
-	rest io.Reader
+	// rest is the body when it is longer than its buffered part; nil when that is all of it.
+	rest *bodyStream
 	// length is the length of the body, -1 when it is not known.
 	length int64
 	// hold is what is reserved for the request; nil for no bound.
 	hold *hold
-	// streamed is true once rest was passed to an attempt.
-	streamed bool
 }
 
 // read buffers the body up to maxBufferedBodyBytes. It stops at the deadline.
@@ -61,7 +60,7 @@
 	b.buffered = buffered
 	b.length = int64(len(buffered))
 	if len(buffered) > maxBufferedBodyBytes {
-		b.rest, b.length = source, r.ContentLength
+		b.rest, b.length = newBodyStream(buffered, restOf(r.Body, limit, len(buffered))), r.ContentLength
 		return nil
 	}
 	if err := controller.SetReadDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -70,6 +69,15 @@
 	return nil
 }
 
+// restOf returns what is left of a body, up to the limit on all of it. It doesn't tell the writer of a
+// body that is too large, as that changes the response's header, which another goroutine may write.
+func restOf(source io.ReadCloser, limit int64, read int) io.Reader {
+	if limit <= 0 {
+		return source
+	}
+	return http.MaxBytesReader(nil, source, limit-int64(read))
+}
+
 // buffer reads a body up to maxBufferedBodyBytes and one byte. expected is its length, -1
 // when it is not known.
 func (b *body) buffer(source io.Reader, expected int64) ([]byte, error) {
@@ -125,57 +133,83 @@
 	}
 }
 
-// replayable reports whether the body can be sent to another target.
-func (b *body) replayable() bool { return b.rest == nil || !b.streamed }
+// replayable reports whether an attempt can get the body from its first byte.
+func (b *body) replayable() bool { return b.rest == nil || b.rest.replayable() }
+
+// close ends the reading of the caller's body.
+func (b *body) close() {
+	if b.rest != nil {
+		b.rest.close()
+	}
+}
 
 // size returns the length of the body, or of its buffered part when the length is
 // not known.
 func (b *body) size() int64 { return max(b.length, int64(len(b.buffered))) }
 
-// open returns the body as it is forwarded to another VM.
-func (b *body) open() io.ReadCloser {
-	buffered := io.Reader(bytes.NewReader(b.buffered))
+// open returns the body for one attempt, or nil when it is not replayable. The attempt before it
+// gets no more of a body that is streamed.
+func (b *body) open() *bodyReader {
+	r := &bodyReader{length: int64(len(b.buffered))}
 	if b.rest == nil {
-		return io.NopCloser(buffered)
+		r.Reader = bytes.NewReader(b.buffered)
+		return r
+	}
+	stream := b.rest.open()
+	if stream == nil {
+		return nil
 	}
-	b.streamed = true
-	return io.NopCloser(io.MultiReader(buffered, b.rest))
+	r.Reader, r.stream, r.length = stream, stream, b.length
+	return r
 }
 
-// attach sets the body of an outgoing request. The returned function reports
-// whether all of the body was sent.
-func (b *body) attach(outgoing *http.Request) (sent func() bool) {
-	if len(b.buffered) == 0 {
+// bodyReader reads the body for one attempt and records how much of it was read.
+type bodyReader struct {
+	io.Reader
+	// stream is the reader of a body that is streamed; otherwise nil.
+	stream *streamReader
+	// length is the length of the body, -1 when it is not known.
+	length int64
+	read   atomic.Int64
+	ended  atomic.Bool
+}
+
+// attach sets the body of an outgoing request.
+func (r *bodyReader) attach(outgoing *http.Request) {
+	if r.length == 0 {
 		outgoing.Body = http.NoBody
-		return func() bool { return true }
+		return
 	}
-	reader := &sentReader{Reader: io.Reader(bytes.NewReader(b.buffered))}
-	outgoing.ContentLength = b.length
-	if b.rest != nil {
-		b.streamed = true
-		reader.Reader = io.MultiReader(reader.Reader, b.rest)
+	outgoing.Body, outgoing.ContentLength = r, r.length
+}
+
+// closeAfter ends the reading of a streamed body when the context ends: an attempt that waits for
+// the caller would otherwise end with the caller's next bytes only.
+func (r *bodyReader) closeAfter(ctx context.Context) {
+	if r.stream != nil {
+		context.AfterFunc(ctx, r.stream.end)
 	}
-	outgoing.Body = reader
-	length := b.length
-	return func() bool { return reader.ended.Load() || (length >= 0 && reader.read.Load() >= length) }
 }
 
-// sentReader records how much of a body was read.
-type sentReader struct {
-	io.Reader
-	read  atomic.Int64
-	ended atomic.Bool
+// allSent reports whether all of the body was read.
+func (r *bodyReader) allSent() bool {
+	return r.ended.Load() || (r.length >= 0 && r.read.Load() >= r.length)
 }
 
 // Read reads from the body and counts the bytes.
-func (s *sentReader) Read(p []byte) (int, error) {
-	n, err := s.Reader.Read(p)
-	s.read.Add(int64(n))
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read.Add(int64(n))
 	if errors.Is(err, io.EOF) {
-		s.ended.Store(true)
+		r.ended.Store(true)
 	}
 	return n, err
 }
 
-// Close does nothing; the caller's connection stays open.
-func (s *sentReader) Close() error { return nil }
+// Close ends the reading for this attempt; the caller's connection stays open.
+func (r *bodyReader) Close() error {
+	if r.stream != nil {
+		r.stream.end()
+	}
+	return nil
+}
--- a/entry/gateway/forward.go
+++ b/entry/gateway/forward.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/events"
@@ -13,9 +12,6 @@
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
 
-// bodyEndTime is how long the sending of a body may take to notice that its exchange has ended.
-const bodyEndTime = 20 * time.Millisecond
-
 // maxCarriers is the number of other VMs that a request is forwarded to, one after the other.
 const maxCarriers = 3
 
@@ -113,29 +109,38 @@
 // forwardTo lets one VM serve the request.
 func (q *request) forwardTo(ctx context.Context, vm string, client primroseloomv1connect.PeerServiceClient) forwarded {
 	q.moveTo(vm)
-	x, err := forwarding.Start(ctx, client, q.forwardHead(), q.body.open())
+	body := q.body.open()
+	if body == nil {
+		_, refusal := q.withoutBody()
+		return forwarded{refusal: refusal}
+	}
+	x, err := forwarding.Start(ctx, client, q.forwardHead(), body)
 	if err != nil {
 		return q.forwardFailed(ctx, vm, err)
 	}
+	end := func() {
+		x.Close()
+		_ = body.Close() // never fails
+	}
 	response, refusal, err := x.Response()
 	if err != nil {
-		q.endForward(x)
+		end()
 		return q.forwardFailed(ctx, vm, err)
 	}
 	if refusal != nil {
-		q.endForward(x)
+		end()
 		return refusedByVM(vm, refusal)
 	}
 	got, err := q.readResponse(response)
 	if err != nil {
-		q.endForward(x)
+		end()
 		return q.forwardFailed(ctx, vm, err)
 	}
 	if got.rest != nil {
-		got.finish = func(error) { q.endForward(x) }
+		got.finish = func(error) { end() }
 		return forwarded{response: got}
 	}
-	q.endForward(x)
+	end()
 	return forwarded{response: got}
 }
 
@@ -160,28 +165,6 @@
 	}
 }
 
-// endForward ends an exchange and waits until nothing more of the caller's body is read.
-func (q *request) endForward(x *forwarding.Exchange) {
-	x.Close()
-	q.awaitBody(x.BodySent())
-}
-
-// awaitBody waits until the body of a forwarded request is no longer sent. After bodyEndTime it
-// ends a read that still waits for the caller by a read deadline. It sets none if the whole body is
-// held: nothing is read then, and net/http would take the deadline for a caller that has left and
-// cancel the request.
-func (q *request) awaitBody(sent <-chan struct{}) {
-	select {
-	case <-sent:
-		return
-	case <-time.After(bodyEndTime):
-	}
-	if q.body.rest != nil {
-		_ = http.NewResponseController(q.writer).SetReadDeadline(time.Now()) // not supported: the body ends with the caller
-	}
-	<-sent
-}
-
 // forwardFailed returns the result of a forwarded request without a response. Unless no
 // connection to the VM opened, the request may have run.
 func (q *request) forwardFailed(ctx context.Context, vm string, err error) forwarded {
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -173,6 +173,7 @@
 func (g *Gateway) serve(w http.ResponseWriter, q *request) *outcome.Refusal {
 	defer g.inProgress.begin(q)()
 	defer q.releaseHolds()
+	defer q.body.close()
 	if refusal := q.prepare(w); refusal != nil {
 		return refusal
 	}
--- a/entry/gateway/given_up_test.go
+++ b/entry/gateway/given_up_test.go
@@ -30,7 +30,7 @@
 		{"it was forwarded", func(q *request) { q.isForwarded = true }, false},
 		{"its attempts are used up", func(q *request) { q.sentAttempts = allowed - 1 }, false},
 		{"no time is left", func(q *request) { q.deadline = time.Now() }, false},
-		{"its body is not held", func(q *request) { q.body.rest = q.caller.Body }, false},
+		{"its body is not held", func(q *request) { q.body.rest = newBodyStream(nil, q.caller.Body) }, false},
 		{"no other VM reaches the service", func(q *request) { q.gateway.options.Carriers = noCarriers{} }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -41,18 +41,18 @@
 // runHedged runs an attempt and, when that is slow and hedging is allowed, a second one beside
 // it at another target. It returns the attempt that decides on the request: the first one
 // with a response that serves it, otherwise the first attempt.
-func (q *request) runHedged(ctx context.Context, attempt *targetset.Attempt) (*targetset.Attempt, decision) {
+func (q *request) runHedged(ctx context.Context, attempt *targetset.Attempt, body *bodyReader) (*targetset.Attempt, decision) {
 	if q.hedgeable(false) != hedge.Allowed {
-		return attempt, q.runAttempt(ctx, attempt)
+		return attempt, q.runAttempt(ctx, attempt, body)
 	}
 	after := q.gateway.options.Targets.HedgeAfter(attempt)
 	if after == 0 {
-		return attempt, q.runAttempt(ctx, attempt)
+		return attempt, q.runAttempt(ctx, attempt, body)
 	}
 	r := &race{q: q, ctx: ctx, first: attempt, notMade: hedge.TooEarly}
 	ctx, r.cancelFirst = context.WithCancelCause(ctx)
 	r.considerAfter(after)
-	return r.finish(q.runAttempt(ctx, attempt))
+	return r.finish(q.runAttempt(ctx, attempt, body))
 }
 
 // hedgeable returns hedge.Allowed when the request may be hedged at all.
@@ -113,7 +113,7 @@
 // runSecond runs the second attempt, which wins if it serves the request while the first one
 // runs. Its response is discarded when the first one has won.
 func (r *race) runSecond(ctx context.Context) {
-	d := r.q.runAttempt(ctx, r.second)
+	d := r.q.runAttempt(ctx, r.second, r.q.body.open())
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer close(r.secondEnded)
--- a/entry/gateway/hedge_count_test.go
+++ b/entry/gateway/hedge_count_test.go
@@ -52,7 +52,7 @@
 	if got := q.hedgeable(false); got != hedge.Allowed {
 		t.Errorf("held: %s", got)
 	}
-	q.body.rest = strings.NewReader("rest")
+	q.body.rest = newBodyStream([]byte("begin"), strings.NewReader("rest"))
 	if got := q.hedgeable(false); got != hedge.BodyNotHeld {
 		t.Errorf("not held: %s", got)
 	}
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -73,6 +73,10 @@
 		if !q.reserveResponse() {
 			return q.withoutMemory(ctx)
 		}
+		body := q.body.open()
+		if body == nil {
+			return q.withoutBody()
+		}
 		attempt, err := q.gateway.options.Targets.Begin(q.placementRequest())
 		if isCutOff(err) {
 			return q.forward(ctx)
@@ -80,7 +84,7 @@
 		if err != nil {
 			return q.giveUp(err)
 		}
-		attempt, d := q.runHedged(ctx, attempt)
+		attempt, d := q.runHedged(ctx, attempt, body)
 		if d.isServed() {
 			q.keepFailure(nil)
 			if d.response.rest == nil {
@@ -95,6 +99,12 @@
 	}
 }
 
+// withoutBody returns the response or refusal of a request that no attempt can serve any more: an
+// earlier one has got a part of the body that is not held.
+func (q *request) withoutBody() (*targetResponse, *outcome.Refusal) {
+	return q.afterForward(&outcome.Refusal{Outcome: q.outcome(), Reason: outcome.ReasonForwardFailed, Step: outcome.StepForward, Peer: q.service, RetryAfter: noTargetWait})
+}
+
 // isCutOff reports whether an attempt was refused because this VM reaches no target.
 func isCutOff(err error) bool {
 	var refusal *targetset.Refusal
@@ -227,8 +237,9 @@
 	return outcome.NotRun
 }
 
-// runAttempt sends the request to one target and evaluates the result.
-func (q *request) runAttempt(ctx context.Context, attempt *targetset.Attempt) decision {
+// runAttempt sends the request to one target and evaluates the result. It ends the body with the
+// attempt.
+func (q *request) runAttempt(ctx context.Context, attempt *targetset.Attempt, body *bodyReader) decision {
 	q.moveTo(attempt.ID())
 	trip := &contract.RoundTrip{RequestID: q.metadata.AttemptID}
 	if !q.route.Kind.Idempotent() {
@@ -237,7 +248,12 @@
 	ctx, abandon := context.WithCancelCause(ctx)
 	attempt.OnAbandoned(func() { abandon(errAbandoned) }, q.anotherMayFollow(attempt))
 	outgoing := q.outgoing(contract.WithRoundTrip(ctx, trip), attempt)
-	allSent := q.body.attach(outgoing)
+	body.attach(outgoing)
+	body.closeAfter(ctx)
+	end := func() {
+		abandon(nil)
+		_ = body.Close() // never fails
+	}
 	defer q.watchSilence(attempt, trip)()
 	response, err := attempt.Send(outgoing)
 	var d decision
@@ -246,11 +262,11 @@
 	} else {
 		d = q.evaluateResponse(ctx, attempt, response, trip)
 		d.result.Sent = true
-		d.result.Reuse = d.result.Reuse && allSent()
+		d.result.Reuse = d.result.Reuse && body.allSent()
 	}
 	if d.response != nil && d.response.rest != nil {
 		d.response.finish = func(err error) {
-			defer abandon(nil)
+			defer end()
 			result := d.result
 			result.Reuse = result.Reuse && err == nil
 			result.End = q.streamResult(result.End, err)
@@ -259,7 +275,7 @@
 		}
 		return d
 	}
-	abandon(nil)
+	end()
 	attempt.Done(d.result)
 	if d.lost {
 		q.reportLost(attempt, false)
