gateway: a response that comes before the body leaves the body to its reader

A caller that paused its upload got an early response, or a refusal, only once it sent more, or none.

Cause: net/http's server discards up to 256 KB of a request's body when the head of the response is written, while the attempt still reads the same body; to do so it waits for a read in progress.

Change: while a streamed body has not been read to its end, the response is written in full duplex, in which the server leaves the body alone, and the connection ends with the response, so that the rest of a body is never taken for a request. A forwarded request ends the reading of its stream, which left a goroutine behind for each upload answered early.

--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -42,6 +42,7 @@
 	}
 	removeHopByHopHeaders(header)
 	g.announceClose(header, q.caller)
+	q.leaveBody(w)
 	if got.rest == nil && q.caller.Method != http.MethodHead {
 		header.Set("Content-Length", strconv.FormatInt(got.held.size, 10))
 	} else if got.length >= 0 {
@@ -67,6 +68,22 @@
 	}
 }
 
+// leaveBody makes net/http's server leave the rest of the caller's body to its one reader. By default
+// the server discards a part of it when the head of a response is written, or waits for a read in
+// progress, while an attempt may still send the body. What follows on the connection may be the rest
+// of the body, so that it ends with the response.
+func (q *request) leaveBody(w http.ResponseWriter) {
+	if q.body.rest == nil || q.body.rest.hasEnded() {
+		return
+	}
+	if err := http.NewResponseController(w).EnableFullDuplex(); err != nil {
+		return // not supported: the caller is another VM, of whose body nothing is discarded
+	}
+	if q.caller.ProtoMajor == 1 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // aborted logs and counts a response that was not passed on completely. For a caller of HTTP/1.0
 // a response without a length ends with its connection, which therefore is reset.
 func (g *Gateway) aborted(q *request, err error) {
--- a/entry/gateway/forwarded.go
+++ b/entry/gateway/forwarded.go
@@ -45,6 +45,9 @@
 	if err != nil {
 		return connect.NewError(connect.CodeInvalidArgument, err)
 	}
+	if body, ok := r.Body.(*forwarding.RequestBody); ok {
+		defer body.CancelReads()
+	}
 	w := forwarding.NewResponseWriter(stream, r.Body)
 	end, ok := g.forwarded.Begin(maxForwarded)
 	if !ok {
--- a/entry/gateway/left_test.go
+++ b/entry/gateway/left_test.go
@@ -6,8 +6,29 @@
 	"net/http/httptest"
 	"testing"
 	"time"
+
+	"github.com/primroseloom/primroseloom/policy/outcome"
 )
 
+// TestCallerThatPausesItsUploadGetsItsResponse guards against a caller that counts as gone, and gets
+// no response, since a read of its body is ended by a deadline once another VM has refused the
+// request, whether that body is held or streamed.
+func TestCallerThatPausesItsUploadGetsItsResponse(t *testing.T) {
+	const refusedAfter = 2 << 20
+	for _, length := range []int{900_000, 3 << 20} {
+		withUploads(t, nil, func(h *uploadHarness) {
+			h.gateway.options.Carriers = otherVM{client: h.startOther(refusesForwarded(int64(min(length, refusedAfter)), outcome.ReasonTargetShed)), isPrimary: true}
+			u := upload{path: patientPath + "1", content: pattern(length), isChunked: true}
+			if length > maxBufferedBodyBytes {
+				u.stallAfter, u.stall = refusedAfter, time.Second
+			}
+			if status, _, err := h.sendUpload(u); err != nil || status != http.StatusServiceUnavailable {
+				t.Errorf("%d bytes: status %d, %v", length, status, err)
+			}
+		})
+	}
+}
+
 // TestRequestWhoseCallerLeftGetsNoSuccess guards against a success that no target gave: net/http
 // answers 200 for a handler that returns without a response, and the caller may still read, as
 // one that has closed only its own direction (MIXED).
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -68,6 +68,7 @@
 		retryAfter = addJitter(refusal)
 	}
 	g.options.Dialect.WriteRefusal(w.Header(), retryAfter)
+	q.leaveBody(w)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
