gateway: a second attempt has its body before the first one can discard it

Callers could see: a target runs an idempotent request with an empty body, beside the attempt that serves it.

Cause: the second attempt took the body in its own goroutine. If the first one won right then, the body had been discarded when the response was delivered, and a request of length 0 was sent; its context had ended, but net/http writes a request to an open connection without looking at it.

Change: the body is opened when the second attempt begins, under the lock by which the first one ends the race.

Measured: TestHedgeHasTheBodyThoughTheFirstAttemptWins fails on (a target takes 0 bytes of 1000 for the whole body) and passes, with the race detector, too.

--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -101,19 +101,20 @@
 	r.timer = time.AfterFunc(after, r.consider)
 }
 
-// begin begins the second attempt; the lock is held.
+// begin begins the second attempt; the lock is held. The body is opened here: once the first
+// attempt has ended, it may have been discarded.
 func (r *race) begin(second *targetset.Attempt) {
 	r.q.gateway.metrics.hedged()
 	r.second, r.secondEnded = second, make(chan struct{})
 	var ctx context.Context
 	ctx, r.cancelSecond = context.WithCancelCause(r.ctx)
-	go r.runSecond(ctx)
+	go r.runSecond(ctx, r.q.body.open())
 }
 
 // runSecond runs the second attempt, which wins if it serves the request while the first one
 // runs. Its response is discarded when the first one has won.
-func (r *race) runSecond(ctx context.Context) {
-	d := r.q.runAttempt(ctx, r.second, r.q.body.open())
+func (r *race) runSecond(ctx context.Context, body *bodyReader) {
+	d := r.q.runAttempt(ctx, r.second, body)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer close(r.secondEnded)
--- a/entry/gateway/hedge_count_test.go
+++ b/entry/gateway/hedge_count_test.go
@@ -68,3 +68,28 @@
 		}
 	})
 }
+
+// TestHedgeHasTheBodyThoughTheFirstAttemptWins guards against a target that runs a request with an
+// empty body: the first attempt serves the request, and its body is discarded, right when the
+// second one begins.
+func TestHedgeHasTheBodyThoughTheFirstAttemptWins(t *testing.T) {
+	withUploads(t, []uploadBehavior{answersAfter(-1, http.StatusOK, 10)}, func(h *uploadHarness) {
+		content := pattern(1000)
+		for range 20 {
+			route, _ := h.table.Match(host, safePath)
+			q := &request{
+				gateway: h.gateway, caller: h.request(http.MethodPost, safePath+"1", string(content)), route: route, service: "s",
+				start: time.Now(), deadline: time.Now().Add(routeTimeout), body: body{buffered: content, length: int64(len(content))},
+			}
+			attempt, err := h.targets.Begin(q.placementRequest())
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := &race{q: q, ctx: h.t.Context()}
+			r.begin(attempt)
+			q.body.discard()
+			<-r.secondEnded
+		}
+		h.check("hedge", content)
+	})
+}
