--- a/entry/gateway/hedge.go
+++ b/entry/gateway/hedge.go
@@ -41,18 +41,18 @@
 // runHedged runs an attempt and, when that is slow and hedging is allowed, a second one beside
 // it at another target. It returns the attempt that decides on the request: the first one
 // with a response that serves it, otherwise the first attempt.
-func (q *request) runHedged(ctx context.Context, attempt *targetset.Attempt) (*targetset.Attempt, decision) {
+func (q *request) runHedged(ctx context.Context, attempt *targetset.Attempt, body *bodyReader) (*targetset.Attempt, decision) {
 	if q.hedgeable(false) != hedge.Allowed {
-		return attempt, q.runAttempt(ctx, attempt)
+		return attempt, q.runAttempt(ctx, attempt, body)
 	}
 	after := q.gateway.options.Targets.HedgeAfter(attempt)
 	if after == 0 {
-		return attempt, q.runAttempt(ctx, attempt)
+		return attempt, q.runAttempt(ctx, attempt, body)
 	}
 	r := &race{q: q, ctx: ctx, first: attempt, notMade: hedge.TooEarly}
 	ctx, r.cancelFirst = context.WithCancelCause(ctx)
 	r.considerAfter(after)
-	return r.finish(q.runAttempt(ctx, attempt))
+	return r.finish(q.runAttempt(ctx, attempt, body))
 }
 
 // hedgeable returns hedge.Allowed when the request may be hedged at all.
@@ -101,19 +101,20 @@
 	r.timer = time.AfterFunc(after, r.consider)
 }
 
-// begin begins the second attempt; the lock is held.
+// begin begins the second attempt; the lock is held. The body is opened here: once the first
+// attempt has ended, it may have been discarded.
 func (r *race) begin(second *targetset.Attempt) {
 	r.q.gateway.metrics.hedged()
 	r.second, r.secondEnded = second, make(chan struct{})
 	var ctx context.Context
 	ctx, r.cancelSecond = context.WithCancelCause(r.ctx)
-	go r.runSecond(ctx)
+	go r.runSecond(ctx, r.q.body.open())
 }
 
 // runSecond runs the second attempt, which wins if it serves the request while the first one
 // runs. Its response is discarded when the first one has won.
-func (r *race) runSecond(ctx context.Context) {
-	d := r.q.runAttempt(ctx, r.second)
+func (r *race) runSecond(ctx context.Context, body *bodyReader) {
+	d := r.q.runAttempt(ctx, r.second, body)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	defer close(r.secondEnded)
--- a/entry/gateway/left_test.go
+++ b/entry/gateway/left_test.go
@@ -5,36 +5,25 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"testing/synctest"
 	"time"
-)
-
-// readDeadlines records the read deadline that is set on its connection.
-type readDeadlines struct {
-	*httptest.ResponseRecorder
-	deadlines int
-}
 
-func (w *readDeadlines) SetReadDeadline(time.Time) error {
-	w.deadlines++
-	return nil
-}
+	"github.com/primroseloom/primroseloom/policy/outcome"
+)
 
-// TestHeldBodyOfAForwardedRequestEndsNoWatch guards against a caller that counts as gone, and gets
-// no response of its own, since a busy VM takes long to end the exchange with another one.
-func TestHeldBodyOfAForwardedRequestEndsNoWatch(t *testing.T) {
-	for _, streamed := range []bool{false, true} {
-		synctest.Test(t, func(t *testing.T) {
-			w := &readDeadlines{ResponseRecorder: httptest.NewRecorder()}
-			q := &request{writer: w}
-			if streamed {
-				q.body.rest = http.NoBody
+// TestCallerThatPausesItsUploadGetsItsResponse guards against a caller that counts as gone, and gets
+// no response, since a read of its body is ended by a deadline once another VM has refused the
+// request, whether that body is held or streamed.
+func TestCallerThatPausesItsUploadGetsItsResponse(t *testing.T) {
+	const refusedAfter = 2 << 20
+	for _, length := range []int{900_000, 3 << 20} {
+		withUploads(t, nil, func(h *uploadHarness) {
+			h.gateway.options.Carriers = otherVM{client: h.startOther(refusesForwarded(int64(min(length, refusedAfter)), outcome.ReasonTargetShed)), isPrimary: true}
+			u := upload{path: patientPath + "1", content: pattern(length), isChunked: true}
+			if length > maxBufferedBodyBytes {
+				u.stallAfter, u.stall = refusedAfter, time.Second
 			}
-			sent := make(chan struct{})
-			time.AfterFunc(2*bodyEndTime, func() { close(sent) })
-			q.awaitBody(sent)
-			if (w.deadlines > 0) != streamed {
-				t.Errorf("the body is streamed: %v, %d read deadlines were set", streamed, w.deadlines)
+			if status, _, err := h.sendUpload(u); err != nil || status != http.StatusServiceUnavailable {
+				t.Errorf("%d bytes: status %d, %v", length, status, err)
 			}
 		})
 	}
--- a/entry/gateway/unproven_test.go
+++ b/entry/gateway/unproven_test.go
@@ -24,7 +24,7 @@
 )
 
 const (
-	otherVM   = "10.0.0.2"
+	olderVMIP = "10.0.0.2"
 	peersPort = "91"
 )
 
@@ -68,11 +68,11 @@
 }
 
 func (o otherVMs) Primary(_ string, tried []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
-	return otherVM, o.primary, o.primary != nil && len(tried) == 0
+	return olderVMIP, o.primary, o.primary != nil && len(tried) == 0
 }
 
 func (o otherVMs) Carrier(_ string, tried []string) (string, primroseloomv1connect.PeerServiceClient, bool) {
-	return otherVM, o.carrier, o.carrier != nil && len(tried) == 0
+	return olderVMIP, o.carrier, o.carrier != nil && len(tried) == 0
 }
 
 // cutOffTargets are targets that this VM doesn't reach.
@@ -114,8 +114,8 @@
 // startOlderVM starts such a VM. The returned function ends it.
 func (h *harness) startOlderVM(o olderVM) (client primroseloomv1connect.PeerServiceClient, end func()) {
 	h.t.Helper()
-	address := net.JoinHostPort(otherVM, peersPort)
-	listener, err := h.network.Host(otherVM).Listen(h.t.Context(), address)
+	address := net.JoinHostPort(olderVMIP, peersPort)
+	listener, err := h.network.Host(olderVMIP).Listen(h.t.Context(), address)
 	if err != nil {
 		h.t.Fatal(err)
 	}
