--- a/operator/soak/regressions.go
+++ b/operator/soak/regressions.go
@@ -59,6 +59,14 @@
 			Seed: 33, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, StopsOnly: true,
 			Cause: "a VM that stopped took its long requests for a lost path and broke them off; see TestStopBreaksOffNoLongRequest",
 		},
+		{
+			Seed: 52, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, StopsOnly: true,
+			Cause: "a second SIGTERM ended a VM that stopped, with its requests in progress; see TestSignalsDuringAStopCutNoRequest",
+		},
+		{
+			Seed: 61, Duration: 12 * time.Second, VMs: 12, Targets: 12, Callers: 36, StopsOnly: true,
+			Cause: "a VM that stopped passed on requests that it could not finish; see TestStopTakesNoRequestThatItCannotFinish",
+		},
 	}
 }
 
