frontend: a stop answers the first requests of connections that it accepted last

Callers whose connection was accepted just before the listener of a stopping VM closed, and whose request arrived after that, saw the connection end without a status although the request had been read. Cause: an idle VM shuts its server down in the moment in which the listener closes; net/http then reads the request and closes the connection without a response. Change: once the listener is closed, the stop waits up to 0.3 s until no connection is new. Most stops have none, and a connection on which nothing is sent held up a stop before, too, to its bound.

--- a/entry/frontend/drain.go
+++ b/entry/frontend/drain.go
@@ -12,8 +12,13 @@
 	"github.com/primroseloom/primroseloom/entry/readahead"
 )
 
-// drainPollInterval is the time between two looks at the requests in progress.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the time between two looks at the requests in progress.
+	drainPollInterval = 20 * time.Millisecond
+	// maxNewWait bounds the wait for the first requests of connections that were accepted just before
+	// the listener closed, some of which never send one.
+	maxNewWait = 300 * time.Millisecond
+)
 
 // requestHandler serves the requests of a VM that stops.
 type requestHandler interface {
@@ -28,6 +33,7 @@
 // the server shut down, since it closes a connection after the request in progress.
 func drain(ctx context.Context, server *http.Server, listener net.Listener, connections *readahead.Watcher, handler requestHandler) error {
 	_ = listener.Close() // the process ends; nothing is left to do for a listener that fails to close
+	awaitFirstRequests(ctx, connections)
 	return errors.Join(awaitAnswered(ctx, connections, handler), shutdown(ctx, server), handler.AwaitForwarded(ctx))
 }
 
@@ -40,6 +46,16 @@
 	return nil
 }
 
+// awaitFirstRequests waits until no connection is new. A server that shuts down reads their requests and
+// closes them without a response.
+func awaitFirstRequests(ctx context.Context, connections *readahead.Watcher) {
+	ctx, cancel := context.WithTimeout(ctx, maxNewWait)
+	defer cancel()
+	for connections.HasNew() && pause.For(ctx, drainPollInterval) {
+		continue
+	}
+}
+
 // awaitAnswered waits until no request is in progress or has arrived behind one.
 func awaitAnswered(ctx context.Context, connections *readahead.Watcher, handler requestHandler) error {
 	for handler.InProgress() > 0 || connections.Pending() {
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -250,7 +250,7 @@
 // returns a Watcher of its connections. These must come from Listener. The server's Handler and
 // ConnState are to be set before.
 func Watch(server *http.Server) *Watcher {
-	watcher := &Watcher{conns: make(map[*Conn]struct{})}
+	watcher := &Watcher{conns: make(map[*Conn]bool)}
 	onStateChange := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		watcher.onStateChange(conn, state)
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -59,8 +59,9 @@
 
 // Watcher holds the open connections of a server. It is safe for concurrent use.
 type Watcher struct {
-	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	mu sync.Mutex
+	// conns holds whether a connection is new: nothing has arrived on it yet.
+	conns map[*Conn]bool
 }
 
 // onStateChange follows the state of a server's connection.
@@ -71,7 +72,9 @@
 	}
 	switch state {
 	case http.StateNew:
-		w.add(c)
+		w.set(c, true)
+	case http.StateActive:
+		w.set(c, false)
 	case http.StateIdle:
 		c.endRequest()
 	case http.StateClosed, http.StateHijacked:
@@ -79,10 +82,10 @@
 	}
 }
 
-func (w *Watcher) add(c *Conn) {
+func (w *Watcher) set(c *Conn, isNew bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.conns[c] = struct{}{}
+	w.conns[c] = isNew
 }
 
 func (w *Watcher) remove(c *Conn) {
@@ -104,6 +107,18 @@
 	return false
 }
 
+// HasNew reports whether nothing has arrived yet on any of the connections.
+func (w *Watcher) HasNew() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, isNew := range w.conns {
+		if isNew {
+			return true
+		}
+	}
+	return false
+}
+
 // AwaitPipelined waits until no connection is known to hold a whole request that has not begun, or
 // until the context ends.
 func (w *Watcher) AwaitPipelined(ctx context.Context) {
--- a/entry/readahead/pipelined_test.go
+++ b/entry/readahead/pipelined_test.go
@@ -94,7 +94,7 @@
 		conn := NewConn(nil)
 		conn.count([]byte(lookup + lookup))
 		conn.begin()
-		watcher := &Watcher{conns: map[*Conn]struct{}{conn: {}}}
+		watcher := &Watcher{conns: map[*Conn]bool{conn: false}}
 		const bound = time.Second
 		ctx, cancel := context.WithTimeout(t.Context(), bound)
 		defer cancel()
