gateway: tests of what a refusal at a stop costs and of the count of requests in progress

No test failed when the refusal at a stop came after the charge to the customer, or when a request whose response was aborted stayed in the count of requests in progress, which holds each stop to its bound.

--- a/entry/gateway/stop_test.go
+++ b/entry/gateway/stop_test.go
@@ -60,3 +60,35 @@
 		})
 	}
 }
+
+// TestRefusalAtAStopCostsNothing guards against a request that is charged to its customer, or whose body
+// is read, although a stopping VM refuses it.
+func TestRefusalAtAStopCostsNothing(t *testing.T) {
+	withQuotas(t, []behavior{serves}, 1, func(h *harness, quotas *countedQuotas) {
+		h.gateway.StopBy(time.Now().Add(routeTimeout / 2))
+		if got := h.postWithKey(oncePath+"1", "k1", unreadBody{t}); got.Code != http.StatusServiceUnavailable || quotas.asked != 0 {
+			t.Errorf("status %d, charged %d times", got.Code, quotas.asked)
+		}
+	})
+}
+
+// TestRequestsAreInProgressUntilTheyEnd guards against a stop that ends while requests are in progress,
+// and against one that waits for requests that have ended, also by an aborted response.
+func TestRequestsAreInProgressUntilTheyEnd(t *testing.T) {
+	for name, ends := range map[string]behavior{"served": serves, "broken off": breaksOffLongBody} {
+		withHarness(t, []behavior{after(usualTime, ends)}, func(h *harness) {
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				defer func() { _ = recover() }()
+				h.send(http.MethodGet, safePath+"1", "")
+			}()
+			time.Sleep(usualTime / 2)
+			during := h.gateway.InProgress()
+			<-ended
+			if left := h.gateway.InProgress(); during != 1 || left != 0 {
+				t.Errorf("%s: %d requests in progress, and %d after the end, want 1 and 0", name, during, left)
+			}
+		})
+	}
+}
