--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -107,7 +107,7 @@
 	return false
 }
 
-// HasNew reports whether nothing has arrived yet on any of the connections.
+// HasNew reports whether a connection is open on which nothing has arrived yet.
 func (w *Watcher) HasNew() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
