routing: the longest timeout counts routes that set none

Result: TestLongestTimeoutCountsRoutesThatSetNone gives 10 s, 1 s before; the tests of config/routing, cmd/primroseloom and entry/frontend pass.

--- a/config/routing/table.go
+++ b/config/routing/table.go
@@ -19,8 +19,9 @@
 	// customers is nil when callers need no key.
 	customers *customers
 	problems  []Problem
-	// longestTimeout is the longest timeout of the routes.
-	longestTimeout time.Duration
+	// longestTimeout is the longest timeout of the routes; hasUnsetTimeout is true when one sets none.
+	longestTimeout  time.Duration
+	hasUnsetTimeout bool
 }
 
 // Compile checks a document and builds its table.
@@ -48,6 +49,7 @@
 		t.hosts[host] = append(t.hosts[host], route)
 		t.routes[route.Name] = route
 		t.longestTimeout = max(t.longestTimeout, route.Timeout)
+		t.hasUnsetTimeout = t.hasUnsetTimeout || route.Timeout == 0
 	}
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -96,8 +98,13 @@
 // Limits returns the limits on what callers may send.
 func (t *Table) Limits() Limits { return t.limits }
 
-// LongestTimeout returns the longest timeout of the routes; 0 when none sets one.
-func (t *Table) LongestTimeout() time.Duration { return t.longestTimeout }
+// LongestTimeout returns the longest timeout of the routes, where those that set none have unset.
+func (t *Table) LongestTimeout(unset time.Duration) time.Duration {
+	if t.hasUnsetTimeout {
+		return max(t.longestTimeout, unset)
+	}
+	return t.longestTimeout
+}
 
 // Service returns a service by name.
 func (t *Table) Service(name string) (Service, bool) {
--- a/config/routing/table_test.go
+++ b/config/routing/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"testing"
+	"time"
 )
 
 func document(routes ...Route) Document {
@@ -92,3 +93,30 @@
 		}
 	}
 }
+
+// TestLongestTimeoutCountsRoutesThatSetNone guards against a limit that is computed from the longest
+// time limit of requests and leaves out those of routes without a timeout.
+func TestLongestTimeoutCountsRoutesThatSetNone(t *testing.T) {
+	const unset = 10 * time.Second
+	for _, c := range []struct {
+		timeouts []time.Duration
+		want     time.Duration
+	}{
+		{nil, 0},
+		{[]time.Duration{time.Second, 3 * time.Second, 2 * time.Second}, 3 * time.Second},
+		{[]time.Duration{time.Second, 0}, unset},
+		{[]time.Duration{0, 12 * time.Second}, 12 * time.Second},
+	} {
+		document := Document{Version: 1, Services: []Service{{Name: "s"}}}
+		for _, timeout := range c.timeouts {
+			document.Routes = append(document.Routes, Route{Host: "a.example", Prefix: "/", Timeout: timeout, Split: []Share{{Service: "s", Weight: 1}}})
+		}
+		table, err := Compile(document)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := table.LongestTimeout(unset); got != c.want {
+			t.Errorf("timeouts %v: %v, want %v", c.timeouts, got, c.want)
+		}
+	}
+}
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -151,7 +151,7 @@
 func (f *Frontend) keepFor() time.Duration {
 	set, longest := f.settings.Load(), time.Duration(0)
 	if table := f.follower.Table(); table != nil {
-		longest = table.LongestTimeout()
+		longest = table.LongestTimeout(gateway.DefaultTimeout)
 	}
 	return offer.KeepFor(set.Directory.KeepFor.Std(), set.Stop.Grace.Std()-stopMargin-gateway.ResponseSlack, longest)
 }
--- a/entry/gateway/gateway.go
+++ b/entry/gateway/gateway.go
@@ -21,9 +21,9 @@
 )
 
 const (
-	// defaultTimeout is the time limit of a request whose route sets none; a caller
+	// DefaultTimeout is the time limit of a request whose route sets none; a caller
 	// may shorten it.
-	defaultTimeout = 10 * time.Second
+	DefaultTimeout = 10 * time.Second
 	// timeoutResponseSlack is how long after a request's deadline the gateway waits
 	// for the target's own timeout response.
 	timeoutResponseSlack = 80 * time.Millisecond
@@ -242,7 +242,7 @@
 // timeLimit returns the shorter of the route's timeout and the time that the
 // caller waits.
 func (q *request) timeLimit() time.Duration {
-	limit := defaultTimeout
+	limit := DefaultTimeout
 	if q.route.Timeout > 0 {
 		limit = q.route.Timeout
 	}
