framing: refuse requests with two lengths

Cause: net/http's server drops the Content-Length of such a request and serves it, and a handler can't tell any more. The Connection: close that was set for each chunked request is lost where the gateway replaces the connection's header fields (entry/gateway/deliver.go); it would also close the connections of all sound callers that send chunks. Change: entry/framing follows the requests on a caller's connection and, behind the second of the two fields, hands a malformed line to the server, which answers 400 and closes the connection. What follows is discarded. Requests before it on the connection are served. It is used by front and serve. The wrapping of accepted connections, which entry/slowreader had as well, is now entry/internal/connwrap. Why it works: the server never sees the end of such a head. The scanner is as strict as the server or stricter; where it loses track (a malformed chunk or length) it refuses, too. HTTP/2 passes unchanged.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/directory"
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
@@ -65,7 +66,7 @@
 	defer stopTree()
 	callers := d.callerServer()
 	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
-	go serve(callers, proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections))
+	go serve(callers, framing.Listener(proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections)))
 	go serve(operators, listeners.admin)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
+	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/gateway"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/entry/metrics"
@@ -103,7 +104,7 @@
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
 	connections := readahead.Watch(callers)
-	go f.serve(callers, readahead.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine)))))
+	go f.serve(callers, readahead.Listener(framing.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine))))))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
--- a/entry/slowreader/conn.go
+++ b/entry/slowreader/conn.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/primroseloom/primroseloom/entry/internal/connwrap"
 	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
@@ -70,15 +71,6 @@
 }
 
 // Listener returns a listener whose connections renew their write deadlines.
-func Listener(inner net.Listener) net.Listener { return listener{inner} }
-
-type listener struct{ net.Listener }
-
-// Accept returns the next connection.
-func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &Conn{Conn: conn}, nil
+func Listener(inner net.Listener) net.Listener {
+	return connwrap.Listener(inner, func(conn net.Conn) net.Conn { return &Conn{Conn: conn} })
 }
