framing, readahead: one framer follows requests

Cause: entry/readahead counted whole requests and entry/framing looked for requests with two lengths, each with code of its own for the ends of requests, and front ran both on every byte of its callers. The two differed: the counter gave up at continued fields, the scanner took chunk lines that net/http refuses. The 400 for two lengths had no event and no counter. Change: readahead's framer is now entry/framing's and does both. framing.Conn feeds it and readahead.Conn asks it for the number of whole requests; readahead.Listener includes the refusal, serve uses framing.Listener alone. The framer follows more than before (continued fields, names and methods longer than the kept part of a line, HTTP/1.0 with an encoding, requests behind one that closes the connection, which it doesn't count) and refuses what it can't follow. Unsupported encodings and versions keep net/http's 501 and 505. The refusal is event 5007 and the counter framing_requests_refused{reason}. The malformed line is followed by an empty one: in trailers, net/http waited for their end without it. readahead.Watcher.AwaitPipelined had no caller and is removed. Its test is now TestDrainOfRequestsInARowIsBounded, of the drain that is in use: 5 s of 5 s for a caller that sends on, 0 s when nothing is left, a short row to its end. Tests: the tables, oracle and fuzz target of the framer moved with it. "a continued length" stated that the framer gives up there (0 requests begun, none pending); it follows them as net/http does, so the entry is now four, and the oracle test has continued lengths and encodings. Tests' calls have the Options argument. New: TestRequestsWithoutAKnownEndAreRefused, TestMalformedTrailersEndTheirConnection (fails without the empty line), TestServerAnswersUnsupportedRequests, TestRefusalIsReportedOnce. With the check of the two names, the end of counting, or the drain's waits taken out, tests fail.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -66,7 +66,8 @@
 	defer stopTree()
 	callers := d.callerServer()
 	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
-	go serve(callers, framing.Listener(proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections)))
+	limited := proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections)
+	go serve(callers, framing.Listener(limited, framing.Options{Logger: d.logger, Scope: d.metrics.Scope()}))
 	go serve(operators, listeners.admin)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
--- a/entry/events/proxy.go
+++ b/entry/events/proxy.go
@@ -16,4 +16,6 @@
 		"A caller's connection ended with a protocol error or an error of the caller.")
 	RequestPanicked = define(5006, log.ErrorLevel, "request panicked",
 		"A bug in the daemon ended one request; others continue. Report it with the cause.")
+	FramingRefused = define(5007, log.InfoLevel, "request framing refused",
+		"A request names two lengths (two_lengths), or its end can't be found (malformed). It is answered 400 and its connection is closed; address is where it came from. Another request may have been hidden in its body.")
 )
--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -2,41 +2,63 @@
 
 import (
 	"net"
+	"sync/atomic"
 
+	"github.com/charmbracelet/log"
+	"github.com/uber-go/tally/v4"
+
+	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/connwrap"
 	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
-// malformedLine is neither a field, a request line nor the size of a chunk.
-const malformedLine = "contradictory length\r\n"
+// malformedLine is neither a field, a request line nor the size of a chunk. The empty line behind it ends
+// trailers, for whose end net/http's server waits.
+const malformedLine = "contradictory length\r\n\r\n"
+
+// Options are where refusals are reported.
+type Options struct {
+	// Logger receives an event for each refused request; nil for none.
+	Logger *log.Logger
+	// Scope counts them by reason; nil for none.
+	Scope tally.Scope
+}
 
-// Conn is a caller's connection whose server refuses requests with two lengths.
+// Conn is a caller's connection whose whole requests are counted, and whose server refuses requests with
+// two lengths.
 type Conn struct {
 	net.Conn
-	scanner scanner
-	// isRefused is true once a request is refused; refusal is the rest of malformedLine.
-	isRefused bool
-	refusal   string
+	options Options
+	framer  framer
+	// whole is the number of whole requests, for other goroutines than that which reads.
+	whole atomic.Int64
+	// refusal is the rest of malformedLine, once a request is refused.
+	refusal string
 }
 
-// Read reads from the connection. Behind the second length of a request it returns malformedLine and
-// discards what follows, until the connection ends.
+// NewConn returns a connection whose requests are followed.
+func NewConn(inner net.Conn, options Options) *Conn { return &Conn{Conn: inner, options: options} }
+
+// Read reads from the connection. Behind the line for which a request is refused it returns malformedLine
+// and discards what follows, until the connection ends.
 func (c *Conn) Read(p []byte) (int, error) {
 	for c.refusal == "" {
 		n, err := c.Conn.Read(p)
-		if c.isRefused && err == nil && len(p) > 0 {
+		if c.framer.state == refused && err == nil && len(p) > 0 {
 			continue
 		}
-		if c.isRefused {
+		if c.framer.state == refused {
 			return 0, err
 		}
-		scanned, ok := c.scanner.scan(p[:n])
-		if ok {
+		followed := c.framer.add(p[:n])
+		c.whole.Store(int64(c.framer.whole))
+		if c.framer.state != refused {
 			return n, err
 		}
-		c.isRefused, c.refusal = true, malformedLine
-		if scanned > 0 {
-			return scanned, nil
+		c.refusal = malformedLine
+		c.report()
+		if followed > 0 {
+			return followed, nil
 		}
 	}
 	n := copy(p, c.refusal)
@@ -44,10 +66,26 @@
 	return n, nil
 }
 
+// WholeRequests returns the number of requests that are known to have arrived whole, each with its head
+// and body. It leaves out those behind a request after which the server closes the connection, or may. It
+// is safe for concurrent use.
+func (c *Conn) WholeRequests() int { return int(c.whole.Load()) }
+
+// report logs and counts the refused request.
+func (c *Conn) report() {
+	if c.options.Logger != nil {
+		events.FramingRefused.Log(c.options.Logger, "reason", c.framer.reason, "address", c.RemoteAddr())
+	}
+	if c.options.Scope != nil {
+		scope := c.options.Scope.SubScope("framing").Tagged(map[string]string{"reason": string(c.framer.reason)})
+		scope.Counter("requests_refused").Inc(1)
+	}
+}
+
 // SetLinger sets the linger time, in seconds.
 func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
 
 // Listener returns a listener of connections whose server refuses requests with two lengths.
-func Listener(inner net.Listener) net.Listener {
-	return connwrap.Listener(inner, func(conn net.Conn) net.Conn { return &Conn{Conn: conn} })
+func Listener(inner net.Listener, options Options) net.Listener {
+	return connwrap.Listener(inner, func(conn net.Conn) net.Conn { return NewConn(conn, options) })
 }
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -104,7 +104,8 @@
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
 	connections := readahead.Watch(callers)
-	go f.serve(callers, readahead.Listener(framing.Listener(f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine))))))
+	limited := f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine)))
+	go f.serve(callers, readahead.Listener(limited, framing.Options{Logger: f.options.Logger, Scope: f.metrics.Scope()}))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -8,7 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/primroseloom/primroseloom/entry/internal/linger"
+	"github.com/primroseloom/primroseloom/entry/framing"
+	"github.com/primroseloom/primroseloom/entry/internal/connwrap"
 )
 
 const (
@@ -22,7 +23,7 @@
 // Conn is a caller's connection that is read ahead once a further request has arrived behind
 // one in progress.
 type Conn struct {
-	net.Conn
+	*framing.Conn
 
 	mu      sync.Mutex
 	changed *sync.Cond
@@ -35,14 +36,17 @@
 	deadline time.Time
 	timer    *time.Timer
 	closed   bool
-	counter  requestCounter
+	// begun is the number of requests that were passed to the handler, or answered by the server
+	// without it; isHandled is true once the one in progress was passed to the handler.
+	begun     int
+	isHandled bool
 	// onEnd are the functions to be called when the caller has closed the connection.
 	onEnd   map[int]func()
 	nextKey int
 }
 
 // NewConn returns a connection that is not read ahead yet.
-func NewConn(inner net.Conn) *Conn {
+func NewConn(inner *framing.Conn) *Conn {
 	c := &Conn{Conn: inner, onEnd: make(map[int]func())}
 	c.changed = sync.NewCond(&c.mu)
 	return c
@@ -59,34 +63,12 @@
 		return c.readBuffer(p)
 	}
 	n, err := c.Conn.Read(p)
-	c.count(p[:n])
 	if err == nil && len(p) == 1 {
 		c.startAhead()
 	}
 	return n, err
 }
 
-// count counts the requests that end in the bytes.
-func (c *Conn) count(content []byte) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counter.add(content)
-}
-
-// begin counts a request that is passed to the handler.
-func (c *Conn) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counter.begin()
-}
-
-// endRequest ends a request whose response leaves the connection open.
-func (c *Conn) endRequest() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.counter.end()
-}
-
 // readBuffer waits for bytes in the buffer. What a caller sent before it closed the connection
 // is dropped with it.
 func (c *Conn) readBuffer(p []byte) (int, error) {
@@ -127,7 +109,6 @@
 		n, err := c.Conn.Read(content)
 		c.mu.Lock()
 		c.buffer = append(c.buffer, content[:n]...)
-		c.counter.add(content[:n])
 		c.changed.Broadcast()
 		c.mu.Unlock()
 		if err != nil {
@@ -205,9 +186,6 @@
 	return c.SetReadDeadline(at)
 }
 
-// SetLinger sets the linger time, in seconds.
-func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
-
 // Close closes the connection.
 func (c *Conn) Close() error {
 	c.mu.Lock()
@@ -220,18 +198,10 @@
 	return c.Conn.Close()
 }
 
-// Listener returns a listener whose connections are read ahead.
-func Listener(inner net.Listener) net.Listener { return listener{inner} }
-
-type listener struct{ net.Listener }
-
-// Accept returns the next connection.
-func (l listener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return NewConn(conn), nil
+// Listener returns a listener whose connections are read ahead, and whose server refuses requests with
+// two lengths. The options are those of such refusals.
+func Listener(inner net.Listener, options framing.Options) net.Listener {
+	return connwrap.Listener(inner, func(conn net.Conn) net.Conn { return NewConn(framing.NewConn(conn, options)) })
 }
 
 // connKey is the key of a request's connection in its context.
--- a/entry/readahead/doc.go
+++ b/entry/readahead/doc.go
@@ -6,6 +6,7 @@
 // the response. A Conn of this package reads on from then, into a bounded buffer, and calls
 // those who wait for the end.
 //
-// It also counts the whole requests that have arrived, with or without a body, and those that have
-// begun, so that a server that stops can answer pipelined requests before it closes their connection.
+// It also compares the whole requests that have arrived, with or without a body (entry/framing counts
+// them), with those that have begun, so that a server that stops can answer pipelined requests before it
+// closes their connection.
 package readahead
