proxy: keep connections open after chunked requests

Cause: NewServer set Connection: close for each HTTP/1 request in chunks, against requests hidden in the body of one that also names a length. A refusal of the gateway kept the field, so that a request behind a refused one in chunks got no response. Change: closeAfterChunkedRequest is removed. The listeners of both of its users, front (entry/readahead) and serve (entry/framing), refuse such requests before the server sees their head. entry/proxy's tests serve through framing.Listener, as the daemon does. TestSmuggledRequestIsNotRun stated that the outer request runs and the inner one doesn't; now the outer one must be answered 400 and neither may run.

--- a/entry/proxy/fleet_test.go
+++ b/entry/proxy/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
@@ -127,7 +128,7 @@
 		panic(err)
 	}
 	v.servers = append(v.servers, server)
-	go func() { _ = server.Serve(listener) }()
+	go func() { _ = server.Serve(framing.Listener(listener, framing.Options{})) }()
 }
 
 // kill stops a VM abruptly, like a power failure.
--- a/entry/proxy/proxy_test.go
+++ b/entry/proxy/proxy_test.go
@@ -216,6 +216,8 @@
 	})
 }
 
+// TestSmuggledRequestIsNotRun guards against a request in the body of one that names both a length and
+// chunks, which runs since a proxy before the VM has taken the length; the outer one doesn't run either.
 func TestSmuggledRequestIsNotRun(t *testing.T) {
 	withFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
 		var paths []string
@@ -225,10 +227,10 @@
 			return completeResponse
 		})
 		smuggled := "GET /smuggled HTTP/1.1\r\nHost: booking.test\r\nPrimroseloom-Credential: secret-a\r\n\r\n"
-		f.send(0, "POST", "/outer", "", "Content-Length: 4", "Transfer-Encoding: chunked", "\r\n0\r\n\r\n"+smuggled)
+		got := f.send(0, "POST", "/outer", "", "Content-Length: 4", "Transfer-Encoding: chunked", "\r\n0\r\n\r\n"+smuggled)
 		time.Sleep(time.Second)
-		if len(paths) != 1 || paths[0] != "/outer" {
-			t.Errorf("the target saw %v", paths)
+		if got.status != http.StatusBadRequest || len(paths) != 0 {
+			t.Errorf("status %d, %v; the target saw %v", got.status, got.err, paths)
 		}
 	})
 }
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -49,13 +49,15 @@
 	return len(line), nil
 }
 
-// NewServer returns a server of HTTP/1.1 and HTTP/2 over plain TCP.
+// NewServer returns a server of HTTP/1.1 and HTTP/2 over plain TCP. Its listener is to be one of
+// entry/framing or entry/readahead: net/http serves requests that have both a Content-Length and a
+// Transfer-Encoding.
 func NewServer(handler http.Handler, limits ServerLimits) *http.Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           closeAfterChunkedRequest(handler),
+		Handler:           handler,
 		Protocols:         protocols,
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
 		MaxHeaderBytes:    limits.HeaderBytes,
@@ -65,18 +67,6 @@
 	}
 }
 
-// closeAfterChunkedRequest closes an HTTP/1 connection after a chunked request.
-// net/http silently drops a contradicting Content-Length, so a request could be
-// smuggled behind the body; on a closed connection it is never read.
-func closeAfterChunkedRequest(next http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.ProtoMajor == 1 && len(r.TransferEncoding) > 0 {
-			w.Header().Set("Connection", "close")
-		}
-		next.ServeHTTP(w, r)
-	})
-}
-
 // Drain stops the server. For the linger time it still accepts connections,
 // from callers with an outdated directory response; then it closes the listener
 // and finishes every request in progress, those forwarded by other VMs included.
