--- a/entry/frontend/drain_listener_test.go
+++ b/entry/frontend/drain_listener_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 )
@@ -48,7 +49,7 @@
 		handler := &countingHandler{}
 		server := &http.Server{Handler: handler}
 		connections := readahead.Watch(server)
-		go func() { _ = server.Serve(readahead.Listener(listener)) }()
+		go func() { _ = server.Serve(readahead.Listener(listener, framing.Options{})) }()
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
