primroseloomd: the tests of signals use addresses of their own

Cause: with 16 test processes at once, daemons in 23 of 80 runs failed a test: mostly by the exit code 1 that mends, and in some by a daemon that did not get ready within 20 s. The tests' ports on 127.0.0.1 were free when they were drawn, but another process could take them before the daemon did. Change: an IP address by the test's process and ports by a counter. A daemon that doesn't get ready shows its log.

--- a/cmd/primroseloomd/signals_test.go
+++ b/cmd/primroseloomd/signals_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -14,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -56,24 +56,24 @@
 	arrived, release chan struct{}
 }
 
-// freeAddress returns a loopback address with a port that nothing listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+// lastPort is the port that freeAddress returned last.
+var lastPort atomic.Int32
+
+// freeAddress returns an address that nothing listens on. Its IP address is one that other processes
+// hardly use; their connections take any port of 127.0.0.1.
+func freeAddress() string {
+	const firstPort, hosts = 18000, 250
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+pid/hosts%hosts, 1+pid%hosts, firstPort+lastPort.Add(1))
 }
 
 // frontSettings returns the settings of a VM before a store at an address.
-func frontSettings(t *testing.T, store string) settings.Frontend {
+func frontSettings(store string) settings.Frontend {
 	set := settings.DefaultFrontend()
 	set.VM, set.Zone, set.Region, set.Store = "vm-1", "zone-a", "local", store
 	set.Listen = settings.FrontendListen{
-		Callers: freeAddress(t), Readiness: freeAddress(t), Directory: freeAddress(t),
-		Peers: freeAddress(t), Evidence: freeAddress(t), Admin: freeAddress(t),
+		Callers: freeAddress(), Readiness: freeAddress(), Directory: freeAddress(),
+		Peers: freeAddress(), Evidence: freeAddress(), Admin: freeAddress(),
 	}
 	set.Stop = settings.Stop{Grace: document.Duration(signalTestGrace), Linger: document.Duration(100 * time.Millisecond)}
 	return set
@@ -85,11 +85,11 @@
 	ctx, cancel := context.WithTimeout(t.Context(), signalTestTimeout)
 	t.Cleanup(cancel)
 	p := &frontProcess{t: t, ctx: ctx, lines: make(chan string, 1000), arrived: make(chan struct{}, 1), release: make(chan struct{})}
-	store := freeAddress(t)
+	store := freeAddress()
 	if servedStore {
 		store = p.startStore()
 	}
-	p.settings = frontSettings(t, store)
+	p.settings = frontSettings(store)
 	content, err := json.Marshal(p.settings)
 	if err != nil {
 		t.Fatal(err)
@@ -288,7 +288,7 @@
 func TestStopBeforeTheStartIsAProperEnd(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
-	if err := front(ctx, filepath.Join(t.TempDir(), "none.json"), frontSettings(t, freeAddress(t)), &signals.Handler{}); err != nil {
+	if err := front(ctx, filepath.Join(t.TempDir(), "none.json"), frontSettings(freeAddress()), &signals.Handler{}); err != nil {
 		t.Error(err)
 	}
 }
@@ -306,5 +306,9 @@
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
-	p.t.Fatal("the daemon did not get ready")
+	var read []string
+	for line := range p.lines { // the context has ended the process
+		read = append(read, line)
+	}
+	p.t.Fatalf("the daemon did not get ready:\n%s", strings.Join(read, "\n"))
 }
