soak: a response counts as lost only while its daemon and its time limit last

Cause: the new findings for a response that the target had given took the end of the target's work as the end of the request. Change: for such a request, the daemons must be undisturbed and its time limit not reached up to the end of its connection. Result: go test -run Checker ./operator/soak passes.

--- a/operator/soak/checker_stops.go
+++ b/operator/soak/checker_stops.go
@@ -125,14 +125,18 @@
 // answered meanwhile. A caller
 // that leaves by itself does so after the time limit.
 func (c *checker) mustFinish(request callerRequest, e execution) bool {
-	if !e.undisturbed || e.endedAt.Sub(request.startedAt) >= request.limit-timeLimitSlack {
+	until := e.endedAt
+	if !e.senderLeft && request.endedAt.After(until) {
+		until = request.endedAt // the target's response was still on its way to the caller
+	}
+	if !e.undisturbed || until.Sub(request.startedAt) >= request.limit-timeLimitSlack {
 		return false
 	}
 	for _, vm := range []int{request.vm, e.vm} {
 		if slices.ContainsFunc(c.stopsAt(vm, e.endedAt), func(stop interval) bool { return mayBeCut(stop, request.startedAt, e.endedAt) }) {
 			return false
 		}
-		if vm < 0 || !c.daemonUndisturbed(vm, request.startedAt, e.endedAt) || c.heldUp(vm, request.startedAt) || c.heldUp(vm, e.endedAt) {
+		if vm < 0 || !c.daemonUndisturbed(vm, request.startedAt, until) || c.heldUp(vm, request.startedAt) || c.heldUp(vm, e.endedAt) {
 			return false
 		}
 	}
--- a/operator/soak/checker_stops_test.go
+++ b/operator/soak/checker_stops_test.go
@@ -105,6 +105,17 @@
 		{"time limit is reached", func(request *callerRequest, _ *execution, _ *checker) { request.limit = time.Second }, false},
 		{"target was disturbed", func(_ *callerRequest, e *execution, _ *checker) { e.undisturbed = false }, false},
 		{"daemon was disturbed", func(_ *callerRequest, _ *execution, k *checker) { k.recordDisturbance(0, at(18), at(19)) }, false},
+		{"daemon is killed before the caller has the response", func(_ *callerRequest, e *execution, k *checker) {
+			e.senderLeft, e.endedAt = false, at(20.9)
+			k.recordInterruption(0, at(20.95), at(23))
+		}, false},
+		{"caller leaves after the time limit, the target had answered", func(request *callerRequest, e *execution, _ *checker) {
+			e.senderLeft, request.endedAt = false, request.startedAt.Add(reserveTimeout)
+		}, false},
+		{"daemon is killed afterwards", func(_ *callerRequest, e *execution, k *checker) {
+			e.senderLeft, e.endedAt = false, at(20.9)
+			k.recordInterruption(0, at(21), at(23))
+		}, true},
 		{"planned stop that has begun long ago", func(_ *callerRequest, _ *execution, k *checker) { k.recordStop(0, at(10), at(22)) }, false},
 	} {
 		k := newChecker(start)
