targetconn, gateway, proxy: the head of a response is held within the memory

What another operator saw: a faulty target sent bytes without end in a head, and the VM ran out of memory. It can happen here, when many ask at once. Only the bytes of a head were bounded (64 KB, by net/http). None of it was counted in the budget of machine.memory_mb.

Now a connection to a target follows the lines of the head as it arrives. A head ends its attempt as a wrong answer when it has over 1000 lines (those of interim responses included), or when it needs more than a usual one and there is no memory for it: front reserves it in the budget of large responses, of which heads may use half, serve in the memory of its held responses. A reservation that has been released takes nothing more, since an attempt that has lost may outlast its request.

Both programs read targets over this one pool of connections, for attempts, status checks and probes of load, so that the bounds hold for all of them.

--- a/entry/contract/roundtrip.go
+++ b/entry/contract/roundtrip.go
@@ -27,6 +27,10 @@
 	// connection on which a request with the same identifier was refused is used: the target
 	// may write that refusal once more, which then looks like one of this attempt.
 	RequestID string
+	// HoldHead reserves memory for the head of a response that is larger than a usual one. It is
+	// called with the bytes that the head needs so far, possibly several times, and reports whether
+	// there is room for them; otherwise the attempt ends. Nil means that there always is.
+	HoldHead func(bytes int64) bool
 	// StallLimit limits the time from the write of the request to the first byte
 	// of the response on a new connection; zero means no limit but the context.
 	StallLimit time.Duration
--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -14,6 +14,9 @@
 // goroutines and buffers of two connections, and one part of a streamed response.
 const requestBytes = 32 << 10
 
+// headShare is the part of the budget beyond which nothing is reserved for large heads.
+const headShare = 0.5
+
 // memory bounds the bytes that are held for requests and responses, and the part of the link
 // that large responses use. A nil memory sets no bound.
 type memory struct {
@@ -109,6 +112,9 @@
 type hold struct {
 	memory *memory
 	bytes  int64
+	// isReleased is true once nothing more may be reserved: an attempt that has lost against
+	// another one may outlast its request.
+	isReleased bool
 }
 
 // grow reserves further bytes, all of them or none.
@@ -118,7 +124,12 @@
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	if !h.memory.budget.Reserve(h.bytes, bytes) {
+	return h.growLocked(bytes)
+}
+
+// growLocked is grow while the memory's lock is held.
+func (h *hold) growLocked(bytes int64) bool {
+	if h.isReleased || !h.memory.budget.Reserve(h.bytes, bytes) {
 		return false
 	}
 	h.bytes += bytes
@@ -130,19 +141,54 @@
 func (h *hold) isReserved() bool { return h != nil && h.bytes > 0 }
 
 // cover makes sure that at least the given bytes are reserved.
-func (h *hold) cover(bytes int64) bool { return h == nil || h.bytes >= bytes || h.grow(bytes-h.bytes) }
+func (h *hold) cover(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	return h.bytes >= bytes || h.growLocked(bytes-h.bytes)
+}
+
+// coverHead is cover for the large head of a response, which may use only headShare of the budget: it
+// is rare, and other requests must be served meanwhile.
+func (h *hold) coverHead(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	budget, further := h.memory.budget, bytes-h.bytes
+	return further <= 0 || float64(budget.Held()+further) <= headShare*float64(budget.Limit()) && h.growLocked(further)
+}
 
 // shrink releases what is reserved beyond the given bytes.
 func (h *hold) shrink(bytes int64) {
-	if h == nil || h.bytes <= bytes {
+	if h == nil {
 		return
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
+	h.shrinkLocked(bytes)
+}
+
+// shrinkLocked is shrink while the memory's lock is held.
+func (h *hold) shrinkLocked(bytes int64) {
+	if h.bytes <= bytes {
+		return
+	}
 	h.memory.budget.Release(h.bytes - bytes)
 	h.bytes = bytes
 	h.memory.gauge.Update(float64(h.memory.budget.Held()))
 }
 
-// release releases all of it; further calls have no effect.
-func (h *hold) release() { h.shrink(0) }
+// release releases all of it; nothing can be reserved afterwards.
+func (h *hold) release() {
+	if h == nil {
+		return
+	}
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	h.isReleased = true
+	h.shrinkLocked(0)
+}
--- a/entry/gateway/memory_test.go
+++ b/entry/gateway/memory_test.go
@@ -324,3 +324,28 @@
 		t.Errorf("a closed connection is told as %v", err)
 	}
 }
+
+// TestNothingIsReservedAfterTheEndOfARequest guards against memory that is never released, since an
+// attempt that has lost against another one reserves it after the end of its request.
+func TestNothingIsReservedAfterTheEndOfARequest(t *testing.T) {
+	m := newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
+	part := m.newHold()
+	if !part.cover(1000) || !part.coverHead(2000) {
+		t.Fatal("nothing was reserved")
+	}
+	part.release()
+	if part.cover(1000) || part.coverHead(2000) || part.grow(1) || m.held() != 0 {
+		t.Errorf("%d bytes are held after the end", m.held())
+	}
+}
+
+// TestLargeHeadsLeaveRoom guards against heads that fill the budget, so that other requests are refused.
+func TestLargeHeadsLeaveRoom(t *testing.T) {
+	m := newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
+	for m.newHold().coverHead(bytebudget.SmallBytes) {
+		continue
+	}
+	if limit := m.budget.Limit(); float64(m.held()) > headShare*float64(limit) || m.held() < limit/4 {
+		t.Errorf("heads hold %d of %d bytes", m.held(), limit)
+	}
+}
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -71,6 +71,14 @@
 	return q.holds.spare.isReserved() || q.holds.spare.grow(max(q.gateway.memory.estimate(q.route), largePart))
 }
 
+// holdHead returns the reservation of an attempt for a large head of its response, which is released
+// with the request's.
+func (q *request) holdHead() func(bytes int64) bool {
+	q.holds.mu.Lock()
+	defer q.holds.mu.Unlock()
+	return q.holds.add(q.gateway.memory).coverHead
+}
+
 // takeSpare returns the reservation for the next response, an empty one if there is none.
 func (q *request) takeSpare() *hold {
 	q.holds.mu.Lock()
--- a/entry/gateway/run.go
+++ b/entry/gateway/run.go
@@ -239,7 +239,7 @@
 // attempt.
 func (q *request) runAttempt(ctx context.Context, attempt *targetset.Attempt, body *bodyReader) decision {
 	q.moveTo(attempt.ID())
-	trip := &contract.RoundTrip{RequestID: q.metadata.AttemptID}
+	trip := &contract.RoundTrip{RequestID: q.metadata.AttemptID, HoldHead: q.holdHead()}
 	if !q.route.Kind.Idempotent() {
 		trip.MaxIdle = onceMaxIdle
 	}
--- a/entry/gateway/slow_readers_test.go
+++ b/entry/gateway/slow_readers_test.go
@@ -43,6 +43,8 @@
 	downloadPath = "/download/"
 	// targetsVariable names the targets to a process that plays the VM.
 	targetsVariable = "PRIMROSELOOM_TEST_TARGETS"
+	// slotsVariable sets the slots of each of these targets; without it they have slowTargetSlots.
+	slotsVariable = "PRIMROSELOOM_TEST_SLOTS"
 )
 
 // slowTable returns routes for downloads and for small requests.
@@ -81,9 +83,13 @@
 	})
 	targets.UseNotifier(discardNotifier{})
 	targets.RoutesChanged(table)
+	slots := slowTargetSlots
+	if set, err := strconv.Atoi(os.Getenv(slotsVariable)); err == nil {
+		slots = set
+	}
 	var published []roster.Target
 	for i, address := range strings.Split(addresses, ",") {
-		published = append(published, roster.Target{ID: "t" + strconv.Itoa(i), Service: "s", Address: address, Zone: "z", Slots: slowTargetSlots, State: roster.StateReady, StartedAt: start})
+		published = append(published, roster.Target{ID: "t" + strconv.Itoa(i), Service: "s", Address: address, Zone: "z", Slots: slots, State: roster.StateReady, StartedAt: start})
 	}
 	targets.TargetsChanged(published)
 	g := New(Options{
@@ -177,19 +183,25 @@
 func startSlowTargets(t *testing.T) (addresses []string) {
 	t.Helper()
 	small, large := servesBytes(2000, true), servesBytes(slowReaderBytes, true)
+	return startRealTargets(t, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(10 * time.Millisecond)
+		if strings.HasPrefix(r.URL.Path, downloadPath) {
+			large(w, r)
+			return
+		}
+		small(w, r)
+	})
+}
+
+// startRealTargets starts slowTargets targets with a behavior and returns their addresses.
+func startRealTargets(t *testing.T, responds behavior) (addresses []string) {
+	t.Helper()
 	for range slowTargets {
 		listener, err := network.OS{}.Listen(t.Context(), "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			time.Sleep(10 * time.Millisecond)
-			if strings.HasPrefix(r.URL.Path, downloadPath) {
-				large(w, r)
-				return
-			}
-			small(w, r)
-		})}
+		server := &http.Server{ReadHeaderTimeout: time.Second, Handler: http.HandlerFunc(responds)}
 		go func() { _ = server.Serve(listener) }()
 		t.Cleanup(func() { _ = server.Close() })
 		addresses = append(addresses, listener.Addr().String())
--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -88,7 +88,7 @@
 		return nil, failed
 	}
 	a.result.Kind = attemptKindOf(response, a.call.service)
-	buffered, err := a.proxy.bufferOrStream(w, response, a.call.request.Method)
+	buffered, err := a.proxy.bufferOrStream(w, response, a.call)
 	if err != nil {
 		return nil, a.classifyDelivery(err)
 	}
@@ -98,7 +98,7 @@
 // prepare sets the round trip's write check and stall limits.
 func (a *attempt) prepare() {
 	c := a.call
-	a.roundTrip = &contract.RoundTrip{NewConnection: a.freshConnection}
+	a.roundTrip = &contract.RoundTrip{NewConnection: a.freshConnection, HoldHead: c.held.holdHead()}
 	a.roundTrip.BeforeWrite = func() error {
 		return a.proxy.deciders.Writes.CheckWrite(c.key, c.expiresAtUptime, a.proxy.options.Clock.Uptime())
 	}
--- a/entry/proxy/forward.go
+++ b/entry/proxy/forward.go
@@ -119,7 +119,7 @@
 		return p.forwardFailure(c, err, vm)
 	}
 	reported := outcome.Outcome(response.Header.Get(OutcomeHeader))
-	buffered, err := p.bufferOrStream(w, response, c.request.Method)
+	buffered, err := p.bufferOrStream(w, response, c)
 	if err != nil {
 		return contract.NewRefusal(outcome.MayHaveRun, outcome.ReasonDispatcherUnreached, outcome.StepForward, vm, err)
 	}
--- a/entry/proxy/forwarded.go
+++ b/entry/proxy/forwarded.go
@@ -63,6 +63,7 @@
 		return uncertainIfKeyed(r, err)
 	}
 	defer c.cancel()
+	defer c.held.release()
 	defer c.upload.stop()
 	if body, ok := r.Body.(*forwarding.RequestBody); ok {
 		defer body.CancelReads()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -77,15 +77,15 @@
 
 // Proxy serves callers' requests by sending them to targets.
 type Proxy struct {
-	options       Options
-	limits        Limits
-	deciders      Deciders
-	dispatcher    *dispatcher
-	suspects      *suspects
-	silent        *silentTargets
-	counters      counters
-	bufferedBytes atomic.Int64
-	draining      atomic.Bool
+	options    Options
+	limits     Limits
+	deciders   Deciders
+	dispatcher *dispatcher
+	suspects   *suspects
+	silent     *silentTargets
+	counters   counters
+	buffers    bufferBudget
+	draining   atomic.Bool
 	// stopBy is when the grace period of a planned stop ends; nil before it.
 	stopBy atomic.Pointer[time.Time]
 	pauses pauseMonitor
@@ -106,7 +106,7 @@
 	if deciders.Records == nil {
 		deciders.Records = dispatch.NewRecords(dispatch.DefaultLimits())
 	}
-	p := &Proxy{options: options, limits: options.Limits, deciders: deciders}
+	p := &Proxy{options: options, limits: options.Limits, deciders: deciders, buffers: bufferBudget{limit: options.Limits.MaxBufferedBytes}}
 	p.counters = newCounters(options.Scope)
 	p.dispatcher = newDispatcher(deciders.Records, options.Clock)
 	p.suspects = newSuspects(options, deciders.Quarantine)
@@ -138,6 +138,7 @@
 		return uncertainIfKeyed(r, err)
 	}
 	defer call.cancel()
+	defer call.held.release()
 	defer call.upload.stop()
 	writer.maxWriteDeadline = call.deadline.Add(replyGrace)
 	call.upload.attach(writer)
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -44,6 +44,8 @@
 	upload      *upload
 	identity    quarantine.Identity
 	fingerprint quarantine.Fingerprint
+	// held is what the request has reserved for its response; it is released at the request's end.
+	held *bufferHold
 	// suspect is true when the request may have crashed a target before.
 	suspect bool
 }
@@ -73,7 +75,7 @@
 	if p.limits.MaxBodyBytes > 0 && r.ContentLength > p.limits.MaxBodyBytes {
 		return nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonBodyTooLarge, outcome.StepParse, r.RemoteAddr, nil)
 	}
-	c := &call{request: r, customer: customer, service: service, idempotent: isIdempotent(service, r)}
+	c := &call{request: r, customer: customer, service: service, idempotent: isIdempotent(service, r), held: &bufferHold{budget: &p.buffers}}
 	if text := r.Header.Get(KeyHeader); text != "" && !c.idempotent {
 		key, err := dispatch.ParseKey(text)
 		if err != nil {
--- a/entry/proxy/response.go
+++ b/entry/proxy/response.go
@@ -31,7 +31,8 @@
 // bufferOrStream reads a response. One up to the buffer limit is read completely
 // and returned before the caller gets its first byte; a longer one is streamed
 // to the caller and nil is returned.
-func (p *Proxy) bufferOrStream(w *replyWriter, response *http.Response, method string) (*dispatch.Response, error) {
+func (p *Proxy) bufferOrStream(w *replyWriter, response *http.Response, c *call) (*dispatch.Response, error) {
+	method := c.request.Method
 	if !bodyAllowed(response.StatusCode, method) {
 		buffered := &dispatch.Response{Status: response.StatusCode, Header: responseHeader(response.Header)}
 		setHeadLength(buffered.Header, response, method)
@@ -40,8 +41,8 @@
 	if response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") {
 		return nil, errUnknownEnd
 	}
-	limit := p.reserveBuffer(response.ContentLength)
-	defer p.bufferedBytes.Add(-limit)
+	limit := p.reserveBuffer(c, response.ContentLength)
+	defer c.held.shrink(limit)
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, response.Body, limit+1)
 	if errors.Is(err, io.EOF) {
@@ -64,7 +65,7 @@
 
 // reserveBuffer reserves buffer memory for a response of the given length,
 // negative if unknown, and returns how many bytes of it may be buffered.
-func (p *Proxy) reserveBuffer(length int64) int64 {
+func (p *Proxy) reserveBuffer(c *call, length int64) int64 {
 	limit := p.limits.MaxBufferedResponseBytes
 	if length > limit {
 		return 0
@@ -72,8 +73,7 @@
 	if length >= 0 {
 		limit = length
 	}
-	if p.bufferedBytes.Add(limit) > p.limits.MaxBufferedBytes {
-		p.bufferedBytes.Add(-limit)
+	if !c.held.grow(limit) {
 		return 0
 	}
 	return limit
--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -49,6 +49,9 @@
 	responseBegun bool
 	// http10 is the head of the response if that is of HTTP/1.0.
 	http10 http10Head
+	// head measures the head of the response; headErr is why it is not read any further.
+	head    headSize
+	headErr error
 }
 
 // startAttempt starts observing an attempt. If limit is positive, cancel is
@@ -57,6 +60,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.trip, w.stallLimit, w.writeErr, w.responseBegun, w.http10 = trip, limit, nil, false, http10Head{}
+	w.head, w.headErr = headSize{}, nil
 	if limit > 0 {
 		w.stallTimer = time.AfterFunc(limit, func() { cancel(errStalled) })
 		w.stallTimer.Stop()
@@ -85,11 +89,16 @@
 	return n, err
 }
 
-// Read records when the first byte of the response arrives, and the head of one of HTTP/1.0.
+// Read records when the first byte of the response arrives, and the head of one of HTTP/1.0. It fails
+// when the head has too many fields or the VM has no memory for it.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
-	if n > 0 {
-		w.observeResponse(p[:n])
+	if n == 0 {
+		return n, err
+	}
+	w.observeResponse(p[:n])
+	if fault := w.limitHead(p[:n]); fault != nil {
+		return 0, fault
 	}
 	return n, err
 }
@@ -147,6 +156,32 @@
 	}
 }
 
+// limitHead returns an error when the head of the response, of which further bytes have arrived, has
+// become too large.
+func (w *watchedConn) limitHead(p []byte) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.trip == nil || w.head.isDone {
+		return w.headErr
+	}
+	w.head.observe(p)
+	switch needed := w.head.memory(); {
+	case w.head.lines > maxHeadLines:
+		w.headErr = errHeadTooLong
+	case needed > usualHeadBytes && w.trip.HoldHead != nil && !w.trip.HoldHead(needed):
+		w.headErr = errNoHeadMemory
+	}
+	return w.headErr
+}
+
+// headFault returns why the head of the response was not read completely, if that was this VM's
+// decision.
+func (w *watchedConn) headFault() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.headErr
+}
+
 // writeRefusal returns the error with which BeforeWrite prevented the request,
 // if any.
 func (w *watchedConn) writeRefusal() error {
--- a/entry/targetconn/roundtrip.go
+++ b/entry/targetconn/roundtrip.go
@@ -89,7 +89,7 @@
 		failure.Kind, failure.Cause = contract.AttemptCanceled, cause
 	case headRead:
 		failure.Kind = contract.AttemptTruncated
-	case isMalformed(err):
+	case x.conn.watch.headFault() != nil, isMalformed(err):
 		failure.Kind = contract.AttemptWrong
 	}
 	return failure
