signals, frontend, daemon: a signal that is handled late was sent before

What callers would see: requests that a stopping VM takes and that run are cut without an answer when the platform ends the process by SIGKILL, a grace period after it sent SIGTERM.

Cause: the grace period was counted from when the process handled the signal. A process that did not run at that moment, since its VM was suspended or starved of processor time by other work, took requests for as much longer, and the platform ended it before they could be answered. The log did not tell that a signal was handled late.

Now the handler of signals observes a clock that includes suspension, each 100 ms. A signal that comes after a gap of 0.3 s or more may have been sent at its begin: what can't be finished by the earliest end of the grace period is refused at once as not run. What has begun goes on as before. Gaps below 0.3 s are within the 0.4 s that a stop keeps for its last steps. Event 1103 has late_ms. serve refuses in the same way.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -24,6 +24,7 @@
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/signals"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targets"
 	"github.com/primroseloom/primroseloom/entry/uptime"
@@ -73,6 +74,7 @@
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
 
 	<-ctx.Done()
+	d.proxy.StopBy(signals.StopOf(ctx).Sent().Add(d.settings.Stop.Grace.Std()))
 	return d.stop(context.WithoutCancel(ctx), callers, operators)
 }
 
--- a/entry/events/frontend.go
+++ b/entry/events/frontend.go
@@ -9,7 +9,7 @@
 	FrontendReady = define(1102, log.InfoLevel, "front-end instance ready",
 		"The routes and targets were read; the instance accepts callers.")
 	FrontendStopping = define(1103, log.InfoLevel, "front-end instance stopping",
-		"A planned stop began: the instance leaves the directory and finishes the requests in progress.")
+		"A planned stop began: the instance leaves the directory and finishes the requests in progress. late_ms is how much earlier the signal may have been sent, since the process did not run.")
 	FrontendStopped = define(1104, log.InfoLevel, "front-end instance stopped",
 		"The listeners are closed; requests_cut tells whether requests were still in progress, cut how many. latest_request_ms is the time from the beginning of the stop to the arrival of the latest request.")
 	SettingsReloaded = define(1105, log.InfoLevel, "settings reloaded",
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -27,6 +27,7 @@
 	"github.com/primroseloom/primroseloom/entry/quotas"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/entry/signals"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/entry/uptime"
@@ -115,6 +116,7 @@
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
 
 	<-ctx.Done()
+	f.beginStop(signals.StopOf(ctx))
 	return f.stop(context.WithoutCancel(ctx), callers, listeners.callers, connections, pages)
 }
 
@@ -171,15 +173,21 @@
 	return tree.Start(context.WithoutCancel(ctx))
 }
 
+// beginStop makes the gateway refuse what it can't finish before the platform ends the process, which
+// counts from when the signal was sent. What has begun may go on for as long as the process does.
+func (f *Frontend) beginStop(stop signals.Stop) {
+	set := f.settings.Load()
+	events.FrontendStopping.Log(f.options.Logger, "vm", set.VM, "grace", set.Stop.Grace.Std(), "late_ms", stop.Late.Milliseconds())
+	f.gateway.StopBy(stop.Sent().Add(set.Stop.Grace.Std() - stopMargin))
+}
+
 // stop performs a planned stop: it takes this VM out of the directory, for a
 // while still serves callers that hold an older directory response, and finishes
 // the requests in progress.
 func (f *Frontend) stop(ctx context.Context, callers *http.Server, listener net.Listener, connections *readahead.Watcher, pages []*http.Server) error {
 	set := f.settings.Load()
-	events.FrontendStopping.Log(f.options.Logger, "vm", set.VM, "grace", set.Stop.Grace.Std())
 	began := time.Now()
 	end := began.Add(set.Stop.Grace.Std() - stopMargin)
-	f.gateway.StopBy(end)
 	f.stopping.Store(true)
 	f.peers.Leave()
 	f.fleet.updateView()
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -70,13 +70,14 @@
 // Drain stops the server. For the linger time it still accepts connections,
 // from callers with an outdated directory response; then it closes the listener
 // and finishes every request in progress, those forwarded by other VMs included.
-// An error means that the context ended first.
+// An error means that the context ended first. Requests are refused that may not end by its deadline,
+// or by the time that StopBy set before.
 func (p *Proxy) Drain(ctx context.Context, server *http.Server, linger time.Duration) error {
 	if p.options.Logger != nil {
 		events.ProxyDraining.Log(p.options.Logger, "linger", linger)
 	}
 	if end, ok := ctx.Deadline(); ok {
-		p.stopBy.Store(&end)
+		p.stopBy.CompareAndSwap(nil, &end)
 	}
 	p.draining.Store(true)
 	timer := time.NewTimer(linger)
--- a/entry/proxy/stop.go
+++ b/entry/proxy/stop.go
@@ -7,6 +7,10 @@
 	"github.com/primroseloom/primroseloom/policy/outcome"
 )
 
+// StopBy makes the proxy refuse, from now on, each request that may not end before a time, at which the
+// platform ends the process.
+func (p *Proxy) StopBy(end time.Time) { p.stopBy.Store(&end) }
+
 // refuseAtStop returns the refusal of a request with a deadline that ends after the grace period of
 // a planned stop, or nil. The request would be cut without a response, and might have run.
 func (p *Proxy) refuseAtStop(deadline time.Time, peer string) error {
--- a/entry/signals/signals_test.go
+++ b/entry/signals/signals_test.go
@@ -1,10 +1,15 @@
 package signals
 
 import (
+	"context"
+	"io"
 	"os"
 	"slices"
 	"syscall"
 	"testing"
+	"time"
+
+	"github.com/charmbracelet/log"
 )
 
 // TestOnlyASecondInterruptEndsAtOnce guards against a planned stop that a repeated SIGTERM cuts
@@ -32,3 +37,41 @@
 		}
 	}
 }
+
+// manualClock is a clock that a test sets.
+type manualClock struct{ now time.Duration }
+
+func (c *manualClock) Uptime() time.Duration { return c.now }
+
+// TestSignalOfAPauseWasSentDuringIt guards against a planned stop that counts its grace period from when
+// a process handled its signal, though it did not run when the signal was sent.
+func TestSignalOfAPauseWasSentDuringIt(t *testing.T) {
+	for _, c := range []struct {
+		// gaps are the times between observations; the last one is that before the signal.
+		gaps []time.Duration
+		want time.Duration
+	}{
+		{[]time.Duration{observeInterval, observeInterval}, 0},
+		{[]time.Duration{observeInterval, 200 * time.Millisecond}, 0},
+		{[]time.Duration{observeInterval, 2 * time.Second}, 2 * time.Second},
+		{[]time.Duration{2 * time.Second, 10 * time.Millisecond}, 2 * time.Second},
+		{[]time.Duration{2 * time.Second, observeInterval, 3 * time.Second}, 3 * time.Second},
+	} {
+		clock := &manualClock{now: time.Hour}
+		h := newHandler(clock)
+		last := len(c.gaps) - 1
+		for _, gap := range c.gaps[:last] {
+			clock.now += gap
+			h.pauses.Observe(clock.now)
+		}
+		clock.now += c.gaps[last]
+		ctx, cancel := context.WithCancelCause(t.Context())
+		h.handle(syscall.SIGTERM, cancel, log.New(io.Discard))
+		if got := StopOf(ctx); got.Late != c.want || got.Handled.Sub(got.Sent()) != c.want {
+			t.Errorf("after gaps of %v the stop is %v late, want %v", c.gaps, got.Late, c.want)
+		}
+	}
+	if got := StopOf(t.Context()); got.Late != 0 {
+		t.Errorf("a stop without a signal is %v late", got.Late)
+	}
+}
--- a/policy/dispatch/pause.go
+++ b/policy/dispatch/pause.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Bounds of the pause detector.
 const (
@@ -17,6 +20,10 @@
 // that is read right after a pause may have waited in the socket buffer
 // throughout, so the pause counts against its deadline.
 type PauseDetector struct {
+	// Threshold is the minimum gap between observations that counts as a pause; zero means
+	// PauseThreshold.
+	Threshold time.Duration
+
 	started      bool
 	lastObserved time.Duration
 	resumedAt    time.Duration
@@ -27,7 +34,7 @@
 // long a request that is read now may have waited in the socket buffer.
 func (d *PauseDetector) Observe(uptime time.Duration) time.Duration {
 	gap := uptime - d.lastObserved
-	if d.started && gap >= PauseThreshold {
+	if d.started && gap >= cmp.Or(d.Threshold, PauseThreshold) {
 		d.resumedAt, d.pauseLength = uptime, gap
 	}
 	d.started, d.lastObserved = true, uptime
