proxy: a held response is counted until its caller has it

What could happen: callers of serve that ask for responses of up to 256 KB and don't read them use up the VM's memory. limits.MaxBufferedBytes (64 MB) bounded only the responses that were just being read from targets; while a response was written to its caller, for up to 10 s without progress, nothing counted it.

Found in the search for bytes without end: serve streams longer bodies, and their beginning was counted all the while, so that an endless one couldn't do it, but many that end could.

Now the reservation of a response that is held lasts until its request ends. Without room, a response is streamed, as before.

TestHeldResponseIsCountedUntilTheRequestEnds failed before (0 bytes counted).

--- a/entry/proxy/buffers_test.go
+++ b/entry/proxy/buffers_test.go
@@ -1,6 +1,12 @@
 package proxy
 
-import "testing"
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
 
 // TestBuffersStayWithinTheBudget guards against requests that hold more for responses and heads
 // together than the budget has, that reserve after their end, or that release too much.
@@ -31,3 +37,30 @@
 		t.Errorf("%d bytes are held after the end", budget.held)
 	}
 }
+
+// TestHeldResponseIsCountedUntilTheRequestEnds guards against callers that don't read: their responses
+// stay in memory while they are written, without being counted, so that nothing bounds them.
+func TestHeldResponseIsCountedUntilTheRequestEnds(t *testing.T) {
+	const size = 1000
+	for name, length := range map[string]int64{"length": size, "chunks": -1} {
+		p := &Proxy{limits: DefaultLimits(), buffers: bufferBudget{limit: DefaultLimits().MaxBufferedBytes}}
+		c := &call{request: httptest.NewRequest(http.MethodGet, "/", nil), held: &bufferHold{budget: &p.buffers}}
+		response := &http.Response{
+			StatusCode: http.StatusOK, ContentLength: length, Header: make(http.Header),
+			Body: io.NopCloser(strings.NewReader(strings.Repeat("x", size))),
+		}
+		if length < 0 {
+			response.TransferEncoding = []string{"chunked"}
+		}
+		if buffered, err := p.bufferOrStream(nil, response, c); err != nil || len(buffered.Body) != size {
+			t.Fatalf("%s: the response is not held: %v", name, err)
+		}
+		if p.buffers.held != size {
+			t.Errorf("%s: %d bytes are counted while the response is held, want %d", name, p.buffers.held, size)
+		}
+		c.held.release()
+		if p.buffers.held != 0 {
+			t.Errorf("%s: %d bytes are counted after the end", name, p.buffers.held)
+		}
+	}
+}
--- a/entry/proxy/response.go
+++ b/entry/proxy/response.go
@@ -30,7 +30,8 @@
 
 // bufferOrStream reads a response. One up to the buffer limit is read completely
 // and returned before the caller gets its first byte; a longer one is streamed
-// to the caller and nil is returned.
+// to the caller and nil is returned. What is returned stays reserved until the request ends, as its
+// caller may read slowly.
 func (p *Proxy) bufferOrStream(w *replyWriter, response *http.Response, c *call) (*dispatch.Response, error) {
 	method := c.request.Method
 	if !bodyAllowed(response.StatusCode, method) {
@@ -42,10 +43,12 @@
 		return nil, errUnknownEnd
 	}
 	limit := p.reserveBuffer(c, response.ContentLength)
-	defer c.held.shrink(limit)
+	unused := limit
+	defer func() { c.held.shrink(unused) }()
 	var body bytes.Buffer
 	_, err := io.CopyN(&body, response.Body, limit+1)
 	if errors.Is(err, io.EOF) {
+		unused = limit - int64(body.Len())
 		buffered := &dispatch.Response{
 			Status:  response.StatusCode,
 			Header:  responseHeader(response.Header),
