draining, proxy: serve answers what it has read when it stops

What callers saw: a VM of serve that stops as planned closes a connection behind the first response although further whole requests of a row have arrived on it, and closes one that it accepted last without a response to its first request (LOST).

Cause: serve announced the close with each response during a stop, whatever waited behind it, and called net/http's Shutdown as soon as the linger was over, which closes connections after the request in progress and reads the first requests of new ones without a response.

Now the drain of front is a package of its own, entry/draining, which both programs use: the listener closes, first requests of new connections and requests in a row are awaited, and then the server shuts down. serve counts its requests in progress for that, and reads ahead as front does.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -18,11 +18,13 @@
 	"github.com/primroseloom/primroseloom/entry/config"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/directory"
+	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/signals"
 	"github.com/primroseloom/primroseloom/entry/supervisor"
@@ -68,14 +70,15 @@
 	callers := d.callerServer()
 	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
 	limited := proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections)
-	go serve(callers, framing.Listener(limited, framing.Options{Logger: d.logger, Scope: d.metrics.Scope()}))
+	connections := readahead.Watch(callers)
+	go serve(callers, readahead.Listener(limited, framing.Options{Logger: d.logger, Scope: d.metrics.Scope()}))
 	go serve(operators, listeners.admin)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
 
 	<-ctx.Done()
 	d.proxy.StopBy(signals.StopOf(ctx).Sent().Add(d.settings.Stop.Grace.Std()))
-	return d.stop(context.WithoutCancel(ctx), callers, operators)
+	return d.stop(context.WithoutCancel(ctx), draining.Server{HTTP: callers, Listener: listeners.callers, Connections: connections}, operators)
 }
 
 // connectChildren gives children the other children that they call but are not constructed with.
@@ -103,7 +106,7 @@
 // stop performs a planned stop: it takes this VM out of directory responses,
 // for a while still serves callers that hold an older directory response, finishes
 // the requests in progress and tells the peers that this instance departs.
-func (d *Daemon) stop(ctx context.Context, callers, operators *http.Server) error {
+func (d *Daemon) stop(ctx context.Context, callers draining.Server, operators *http.Server) error {
 	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
 	d.peers.Leave()
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Grace.Std())
--- a/entry/frontend/drain.go
+++ b/entry/draining/drain.go
@@ -1,4 +1,4 @@
-package frontend
+package draining
 
 import (
 	"context"
@@ -20,21 +20,30 @@
 	maxNewWait = 300 * time.Millisecond
 )
 
-// requestHandler serves the requests of a VM that stops.
-type requestHandler interface {
+// Handler serves the requests of a VM that stops.
+type Handler interface {
 	// InProgress returns the number of requests that are being served.
 	InProgress() int
 	// AwaitForwarded waits for the requests of other VMs, and then lets none begin.
 	AwaitForwarded(ctx context.Context) error
 }
 
-// drain closes the listener of callers and waits until the requests in progress and those that have
-// arrived behind them on the same connections are answered, or until the context ends. Only then may
-// the server shut down, since it closes a connection after the request in progress.
-func drain(ctx context.Context, server *http.Server, listener net.Listener, connections *readahead.Watcher, handler requestHandler) error {
-	_ = listener.Close() // the process ends; nothing is left to do for a listener that fails to close
-	awaitFirstRequests(ctx, connections)
-	return errors.Join(awaitAnswered(ctx, connections, handler), shutdown(ctx, server), handler.AwaitForwarded(ctx))
+// Server is a server of callers' requests with its listener and its open connections.
+type Server struct {
+	HTTP     *http.Server
+	Listener net.Listener
+	// Connections is what readahead.Watch has returned for the server, whose connections come from
+	// readahead.Listener.
+	Connections *readahead.Watcher
+}
+
+// Drain closes the listener and waits until the requests in progress and those that have arrived behind
+// them on the same connections are answered, or until the context ends. Only then may the server shut
+// down, since it closes a connection after the request in progress.
+func (s Server) Drain(ctx context.Context, handler Handler) error {
+	_ = s.Listener.Close() // the process ends; nothing is left to do for a listener that fails to close
+	awaitFirstRequests(ctx, s.Connections)
+	return errors.Join(awaitAnswered(ctx, s.Connections, handler), shutdown(ctx, s.HTTP), handler.AwaitForwarded(ctx))
 }
 
 // shutdown shuts a server down whose listener is closed. The server closes the listener once more if it
@@ -57,7 +66,7 @@
 }
 
 // awaitAnswered waits until no request is in progress or has arrived behind one.
-func awaitAnswered(ctx context.Context, connections *readahead.Watcher, handler requestHandler) error {
+func awaitAnswered(ctx context.Context, connections *readahead.Watcher, handler Handler) error {
 	for handler.InProgress() > 0 || connections.Pending() {
 		if !pause.For(ctx, drainPollInterval) {
 			return fmt.Errorf("finish %d requests: %w", handler.InProgress(), ctx.Err())
--- a/entry/frontend/drain_listener_test.go
+++ b/entry/draining/drain_listener_test.go
@@ -1,4 +1,4 @@
-package frontend
+package draining
 
 import (
 	"context"
@@ -53,7 +53,8 @@
 		synctest.Wait()
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
 		defer cancel()
-		if err := drain(ctx, server, listener, connections, handler); err != nil {
+		callers := Server{HTTP: server, Listener: listener, Connections: connections}
+		if err := callers.Drain(ctx, handler); err != nil {
 			t.Errorf("drain: %v", err)
 		}
 	})
--- a/entry/frontend/drain_test.go
+++ b/entry/draining/drain_test.go
@@ -1,4 +1,4 @@
-package frontend
+package draining
 
 import (
 	"context"
@@ -65,7 +65,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(t.Context(), bound)
 	defer cancel()
-	err := drain(ctx, d.server, d.listener, d.connections, d.handler)
+	err := Server{HTTP: d.server, Listener: d.listener, Connections: d.connections}.Drain(ctx, d.handler)
 	return time.Since(began), err
 }
 
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -15,6 +15,7 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
@@ -117,7 +118,7 @@
 
 	<-ctx.Done()
 	f.beginStop(signals.StopOf(ctx))
-	return f.stop(context.WithoutCancel(ctx), callers, listeners.callers, connections, pages)
+	return f.stop(context.WithoutCancel(ctx), draining.Server{HTTP: callers, Listener: listeners.callers, Connections: connections}, pages)
 }
 
 // servePage starts to serve the readiness, directory or admin interface.
@@ -184,7 +185,7 @@
 // stop performs a planned stop: it takes this VM out of the directory, for a
 // while still serves callers that hold an older directory response, and finishes
 // the requests in progress.
-func (f *Frontend) stop(ctx context.Context, callers *http.Server, listener net.Listener, connections *readahead.Watcher, pages []*http.Server) error {
+func (f *Frontend) stop(ctx context.Context, callers draining.Server, pages []*http.Server) error {
 	set := f.settings.Load()
 	began := time.Now()
 	end := began.Add(set.Stop.Grace.Std() - stopMargin)
@@ -194,7 +195,7 @@
 	ctx, cancel := context.WithDeadline(ctx, end)
 	defer cancel()
 	pause.For(ctx, set.Stop.Linger.Std())
-	err := drain(ctx, callers, listener, connections, f.gateway)
+	err := callers.Drain(ctx, f.gateway)
 	cut, latest := f.gateway.LogCut(began)
 	events.FrontendStopped.Log(f.options.Logger, "vm", set.VM, "requests_cut", err != nil, "cut", cut,
 		"after_ms", time.Since(began).Milliseconds(), "latest_request_ms", latest.Milliseconds())
--- a/entry/proxy/fleet_test.go
+++ b/entry/proxy/fleet_test.go
@@ -16,7 +16,9 @@
 	"github.com/primroseloom/primroseloom/config/document"
 	"github.com/primroseloom/primroseloom/config/snapshot"
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/framing"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/standin/memnet"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
@@ -53,7 +55,7 @@
 	clock      *fakeClock
 	proxy      *Proxy
 	targets    *fakeTargets
-	servers    []*http.Server
+	servers    []draining.Server
 	handleNews func(*primroseloomv1.NewsItem)
 	alive      atomic.Bool
 	stop       context.CancelFunc
@@ -127,8 +129,8 @@
 	if err != nil {
 		panic(err)
 	}
-	v.servers = append(v.servers, server)
-	go func() { _ = server.Serve(framing.Listener(listener, framing.Options{})) }()
+	v.servers = append(v.servers, draining.Server{HTTP: server, Listener: listener, Connections: readahead.Watch(server)})
+	go func() { _ = server.Serve(readahead.Listener(listener, framing.Options{})) }()
 }
 
 // kill stops a VM abruptly, like a power failure.
@@ -137,7 +139,7 @@
 	v.alive.Store(false)
 	v.stop()
 	for _, server := range v.servers {
-		_ = server.Close()
+		_ = server.HTTP.Close()
 	}
 	f.network.Kill(vmIP(index))
 	v.targets.close()
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -12,6 +12,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/forwarding"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/uptime"
 	"github.com/primroseloom/primroseloom/policy/dispatch"
 	"github.com/primroseloom/primroseloom/policy/outcome"
@@ -86,6 +87,8 @@
 	counters   counters
 	buffers    bufferBudget
 	draining   atomic.Bool
+	// inProgress is the number of callers' requests that are being served.
+	inProgress atomic.Int64
 	// stopBy is when the grace period of a planned stop ends; nil before it.
 	stopBy atomic.Pointer[time.Time]
 	pauses pauseMonitor
@@ -119,7 +122,9 @@
 
 // ServeHTTP serves one request.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if p.draining.Load() && r.ProtoMajor == 1 {
+	p.inProgress.Add(1)
+	defer p.inProgress.Add(-1)
+	if p.draining.Load() && r.ProtoMajor == 1 && !readahead.HasPipelined(r) { // those behind it would get no response
 		w.Header().Set("Connection", "close")
 	}
 	writer := &replyWriter{ResponseWriter: w, stallTimeout: p.limits.StallTimeout, noChunkedEncoding: !r.ProtoAtLeast(1, 1)}
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/charmbracelet/log"
 
+	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
@@ -69,10 +70,11 @@
 
 // Drain stops the server. For the linger time it still accepts connections,
 // from callers with an outdated directory response; then it closes the listener
-// and finishes every request in progress, those forwarded by other VMs included.
+// and finishes every request in progress, those forwarded by other VMs included, and those that
+// have arrived behind them on the same connections.
 // An error means that the context ended first. Requests are refused that may not end by its deadline,
 // or by the time that StopBy set before.
-func (p *Proxy) Drain(ctx context.Context, server *http.Server, linger time.Duration) error {
+func (p *Proxy) Drain(ctx context.Context, server draining.Server, linger time.Duration) error {
 	if p.options.Logger != nil {
 		events.ProxyDraining.Log(p.options.Logger, "linger", linger)
 	}
@@ -86,12 +88,18 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	if err := server.Shutdown(ctx); err != nil {
+	if err := server.Drain(ctx, p); err != nil {
 		return fmt.Errorf("finish requests in progress: %w", err)
 	}
-	return p.forwardedRequests.Await(ctx)
+	return nil
 }
 
+// InProgress returns the number of callers' requests that are being served.
+func (p *Proxy) InProgress() int { return int(p.inProgress.Load()) }
+
+// AwaitForwarded waits for the requests of other VMs, and then lets none begin.
+func (p *Proxy) AwaitForwarded(ctx context.Context) error { return p.forwardedRequests.Await(ctx) }
+
 // LimitListener returns a listener that keeps at most limit connections open and
 // closes further ones at once.
 func LimitListener(inner net.Listener, limit int) net.Listener {
--- a/entry/proxy/stop_test.go
+++ b/entry/proxy/stop_test.go
@@ -1,8 +1,11 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 )
@@ -46,3 +49,62 @@
 		})
 	}
 }
+
+// TestDrainAnswersRequestsInARow guards against a stopping VM that closes a connection behind the first
+// response although it has read further whole requests on it, and against one that closes a
+// connection that it accepted last without a response to its first request.
+func TestDrainAnswersRequestsInARow(t *testing.T) {
+	const linger = time.Second
+	for name, sendAfter := range map[string]time.Duration{
+		"arrived before the stop":               -300 * time.Millisecond,
+		"arrive during the linger":              300 * time.Millisecond,
+		"arrive on a connection accepted last":  linger + 50*time.Millisecond,
+		"arrive at the same moment as the stop": 0,
+	} {
+		t.Run(name, func(t *testing.T) {
+			withFleet(t, 1, oneTarget(), func(t *testing.T, f *fleet) {
+				startScriptedTargets(t, f, func(*http.Request) string {
+					time.Sleep(time.Second)
+					return completeResponse
+				})
+				const inRow = 3
+				one := "GET / HTTP/1.1\r\nHost: booking.test\r\n" + CredentialHeader + ": secret-a\r\n" + TimeoutHeader + ": 20000\r\n\r\n"
+				stopAt := time.Now().Add(max(-sendAfter, 0))
+				sendAt := stopAt.Add(sendAfter)
+				stopped := make(chan error, 1)
+				time.AfterFunc(time.Until(stopAt), func() {
+					ctx, cancel := context.WithTimeout(f.ctx, 30*time.Second)
+					defer cancel()
+					stopped <- f.vms[0].proxy.Drain(ctx, f.vms[0].servers[0], linger)
+				})
+				time.Sleep(time.Until(sendAt) - 100*time.Millisecond)
+				conn, err := f.network.Host("10.0.0.8").DialContext(f.ctx, "tcp", vmIP(0)+":80")
+				if err != nil {
+					t.Fatal(err)
+				}
+				time.Sleep(time.Until(sendAt))
+				if _, err := conn.Write([]byte(strings.Repeat(one, inRow))); err != nil {
+					t.Fatal(err)
+				}
+				reader, answered := bufio.NewReader(conn), 0
+				for answered < inRow {
+					response, err := http.ReadResponse(reader, nil)
+					if err != nil {
+						break
+					}
+					if _, err := io.Copy(io.Discard, response.Body); err != nil || response.StatusCode != http.StatusOK {
+						t.Errorf("status %d, %v", response.StatusCode, err)
+					}
+					answered++
+				}
+				if answered != inRow {
+					t.Errorf("%d of %d requests in a row were answered", answered, inRow)
+				}
+				_ = conn.Close()
+				if err := <-stopped; err != nil {
+					t.Error(err)
+				}
+			})
+		})
+	}
+}
