targetconn: one follower of a response's head

Two parts of a connection followed the head of a response: one kept all of it, up to 64 KB, to find a Transfer-Encoding in a response of HTTP/1.0, and searched what it had kept for the end at each read; the other one counted lines. A target of HTTP/1.0 that sends its head a byte at a time made the first one scan 64 KB at each byte, and its copy was in no budget.

Now one type follows the lines, keeps 18 bytes of the current one and tells both. No change for callers.

--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -47,10 +47,8 @@
 	writeErr error
 	// responseBegun is true once a byte of the response has been read.
 	responseBegun bool
-	// http10 is the head of the response if that is of HTTP/1.0.
-	http10 http10Head
-	// head measures the head of the response; headErr is why it is not read any further.
-	head    headSize
+	// head follows the head of the response; headErr is why it is not read any further.
+	head    responseHead
 	headErr error
 }
 
@@ -59,8 +57,8 @@
 func (w *watchedConn) startAttempt(trip *contract.RoundTrip, limit time.Duration, cancel context.CancelCauseFunc) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.trip, w.stallLimit, w.writeErr, w.responseBegun, w.http10 = trip, limit, nil, false, http10Head{}
-	w.head, w.headErr = headSize{}, nil
+	w.trip, w.stallLimit, w.writeErr, w.responseBegun = trip, limit, nil, false
+	w.head, w.headErr = responseHead{}, nil
 	if limit > 0 {
 		w.stallTimer = time.AfterFunc(limit, func() { cancel(errStalled) })
 		w.stallTimer.Stop()
@@ -89,15 +87,15 @@
 	return n, err
 }
 
-// Read records when the first byte of the response arrives, and the head of one of HTTP/1.0. It fails
-// when the head has too many fields or the VM has no memory for it.
+// Read records when the first byte of the response arrives and follows its head. It fails when the head
+// has too many fields or the VM has no memory for it.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
 	if n == 0 {
 		return n, err
 	}
-	w.observeResponse(p[:n])
-	if fault := w.limitHead(p[:n]); fault != nil {
+	w.endStall()
+	if fault := w.followHead(p[:n]); fault != nil {
 		return 0, fault
 	}
 	return n, err
@@ -138,15 +136,13 @@
 func (w *watchedConn) hasHTTP10TransferEncoding() bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.http10.hasTransferEncoding()
+	return w.head.hasFaultyEncoding
 }
 
-// observeResponse records the next bytes of the response. The first ones end the detection of a
-// stall.
-func (w *watchedConn) observeResponse(p []byte) {
+// endStall ends the detection of a stall, since bytes of the response have arrived.
+func (w *watchedConn) endStall() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.http10.observe(p)
 	if w.responseBegun {
 		return
 	}
@@ -156,9 +152,9 @@
 	}
 }
 
-// limitHead returns an error when the head of the response, of which further bytes have arrived, has
-// become too large.
-func (w *watchedConn) limitHead(p []byte) error {
+// followHead follows the head of the response, of which further bytes have arrived, and returns an error
+// when it has become too large.
+func (w *watchedConn) followHead(p []byte) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if w.trip == nil || w.head.isDone {
--- a/entry/targetconn/headsize_test.go
+++ b/entry/targetconn/responsehead_test.go
@@ -16,10 +16,10 @@
 	"github.com/primroseloom/primroseloom/entry/network"
 )
 
-// TestHeadSizeCountsLinesUpToTheBody guards against a head whose size depends on how it arrives, that
+// TestHeadsAreFollowedUpToTheBody guards against a head whose size depends on how it arrives, that
 // ends at an interim response, or that includes a part of the body.
-func TestHeadSizeCountsLinesUpToTheBody(t *testing.T) {
-	for text, want := range map[string]headSize{
+func TestHeadsAreFollowedUpToTheBody(t *testing.T) {
+	for text, want := range map[string]responseHead{
 		"HTTP/1.1 200 OK\r\nX: y\r\n\r\nbody\r\n":                       {lines: 3, isDone: true},
 		"HTTP/1.0 200 OK\nX: y\n\nbody\n":                               {lines: 3, isDone: true},
 		"HTTP/1.1 200 OK\r\nX: y\r\n":                                   {lines: 2},
@@ -29,7 +29,7 @@
 		"noise without an end":                                          {},
 	} {
 		for size := 1; size <= len(text); size++ {
-			var head headSize
+			var head responseHead
 			for at := 0; at < len(text); at += size {
 				head.observe([]byte(text[at:min(at+size, len(text))]))
 			}
@@ -153,3 +153,28 @@
 		})
 	}
 }
+
+// TestChunksOfHTTP10AreFound guards against the framing of chunks that is taken for content, however
+// the head arrives, and against responses of other versions that are taken for faulty.
+func TestChunksOfHTTP10AreFound(t *testing.T) {
+	for text, want := range map[string]bool{
+		"HTTP/1.0 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n0":                     true,
+		"HTTP/1.0 200 OK\ntransfer-encoding: chunked\n\n0":                                   true,
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0":                             false,
+		"HTTP/1.0 200 OK\r\n\r\nTransfer-Encoding: chunked\r\n\r\n":                          false,
+		"HTTP/1.0 200 OK\r\nX: y\r\nTRANSFER-ENCODING:chunked\r\n\r\n":                       true,
+		"HTTP/1.0 200 OK\r\nTransfer-Encodings: chunked\r\n\r\n":                             false,
+		"HTTP/1.0 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n": false,
+		"HTTP/1.0 200 OK\r\nX: Transfer-Encoding: chunked\r\n\r\n":                           false,
+	} {
+		for size := 1; size <= len(text); size++ {
+			var head responseHead
+			for at := 0; at < len(text); at += size {
+				head.observe([]byte(text[at:min(at+size, len(text))]))
+			}
+			if got := head.hasFaultyEncoding; got != want {
+				t.Errorf("%q in parts of %d: %v, want %v", text, size, got, want)
+			}
+		}
+	}
+}
