gateway: what exceeds a reservation uses at most half of the budget

Cause: a response grows beyond the reservation that its attempt began with, up to a megabyte, for as long as seven eighths of the budget have room. Responses without end filled it beside each other; then the small reservations of further requests, theirs included, met a full budget.

Now growth is granted only while at most half of the budget is held, as for large heads; beyond, the response is streamed, which was the way without room before. The other half is for further requests.

--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -14,8 +14,9 @@
 // goroutines and buffers of two connections, and one part of a streamed response.
 const requestBytes = 32 << 10
 
-// headShare is the part of the budget beyond which nothing is reserved for large heads.
-const headShare = 0.5
+// growthShare is the part of the budget that may be used for what exceeds the reservation before an
+// attempt: large heads, and responses larger than usual. The rest is for further requests.
+const growthShare = 0.5
 
 // memory bounds the bytes that are held for requests and responses, and the part of the link
 // that large responses use. A nil memory sets no bound.
@@ -150,16 +151,16 @@
 	return h.bytes >= bytes || h.growLocked(bytes-h.bytes)
 }
 
-// coverHead is cover for the large head of a response, which may use only headShare of the budget: it
-// is rare, and other requests must be served meanwhile.
-func (h *hold) coverHead(bytes int64) bool {
+// coverGrowth is cover for what was not reserved before the attempt, as long as no more than growthShare of
+// the budget is held: other requests must be served meanwhile.
+func (h *hold) coverGrowth(bytes int64) bool {
 	if h == nil {
 		return true
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
 	budget, further := h.memory.budget, bytes-h.bytes
-	return further <= 0 || float64(budget.Held()+further) <= headShare*float64(budget.Limit()) && h.growLocked(further)
+	return further <= 0 || float64(budget.Held()+further) <= growthShare*float64(budget.Limit()) && h.growLocked(further)
 }
 
 // shrink releases what is reserved beyond the given bytes.
