--- a/entry/gateway/deliver.go
+++ b/entry/gateway/deliver.go
@@ -59,9 +59,9 @@
 	err := got.held.deliver(d.write)
 	if got.rest != nil {
 		err = d.stream(got, err)
-	}
-	if got.rest != nil && err == nil { // one that broke off doesn't tell what the route's responses need
-		g.memory.observe(q.route.Name, got.needed)
+		if err == nil { // one that broke off doesn't tell what the route's responses need
+			g.memory.observe(q.route.Name, got.needed)
+		}
 	}
 	err = d.end(err)
 	g.metrics.answered(q.route.Kind, got.status, q.start)
--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -141,26 +141,22 @@
 // isReserved reports whether anything is reserved.
 func (h *hold) isReserved() bool { return h != nil && h.bytes > 0 }
 
-// cover makes sure that at least the given bytes are reserved.
+// cover makes sure that at least the given bytes are reserved. Beyond the first part of a response, it
+// reserves further ones only while no more than growthShare of the budget is held: other requests must be
+// served meanwhile.
 func (h *hold) cover(bytes int64) bool {
 	if h == nil {
 		return true
 	}
 	h.memory.mu.Lock()
 	defer h.memory.mu.Unlock()
-	return h.bytes >= bytes || h.growLocked(bytes-h.bytes)
-}
-
-// coverGrowth is cover for what was not reserved before the attempt, as long as no more than growthShare of
-// the budget is held: other requests must be served meanwhile.
-func (h *hold) coverGrowth(bytes int64) bool {
-	if h == nil {
+	further := bytes - h.bytes
+	if further <= 0 {
 		return true
 	}
-	h.memory.mu.Lock()
-	defer h.memory.mu.Unlock()
-	budget, further := h.memory.budget, bytes-h.bytes
-	return further <= 0 || float64(budget.Held()+further) <= growthShare*float64(budget.Limit()) && h.growLocked(further)
+	budget := h.memory.budget
+	mayGrow := bytes <= largePart || float64(budget.Held()+further) <= growthShare*float64(budget.Limit())
+	return mayGrow && h.growLocked(further)
 }
 
 // shrink releases what is reserved beyond the given bytes.
--- a/entry/gateway/memory_test.go
+++ b/entry/gateway/memory_test.go
@@ -362,11 +362,11 @@
 func TestNothingIsReservedAfterTheEndOfARequest(t *testing.T) {
 	m := newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
 	part := m.newHold()
-	if !part.cover(1000) || !part.coverGrowth(2000) {
+	if !part.cover(1000) || !part.grow(1000) {
 		t.Fatal("nothing was reserved")
 	}
 	part.release()
-	if part.cover(1000) || part.coverGrowth(2000) || part.grow(1) || m.held() != 0 {
+	if part.cover(1000) || part.grow(1) || m.held() != 0 {
 		t.Errorf("%d bytes are held after the end", m.held())
 	}
 }
@@ -374,7 +374,7 @@
 // TestLargeHeadsLeaveRoom guards against heads that fill the budget, so that other requests are refused.
 func TestLargeHeadsLeaveRoom(t *testing.T) {
 	m := newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
-	for m.newHold().coverGrowth(bytebudget.SmallBytes) {
+	for m.newHold().cover(bytebudget.SmallBytes) {
 		continue
 	}
 	if limit := m.budget.Limit(); float64(m.held()) > growthShare*float64(limit) || m.held() < limit/4 {
@@ -395,6 +395,10 @@
 		if err != nil || complete || part.held > largePart {
 			t.Errorf("expected %d: %d bytes are held beside others, complete %v, %v", expected, part.held, complete, err)
 		}
+		unreserved := parts{hold: m.newHold()}
+		if complete, err := unreserved.read(bytes.NewReader(pattern(2000)), -1, maxBufferedResponseBytes); err != nil || !complete {
+			t.Errorf("a small response without a reservation is not held, complete %v, %v", complete, err)
+		}
 		m = newMemory(testMemoryMB, testLinkMbps, tally.NoopScope)
 		part = parts{hold: m.newHold()}
 		if complete, err := part.read(bytes.NewReader(pattern(200_000)), expected, maxBufferedResponseBytes); err != nil || !complete {
--- a/entry/gateway/parts.go
+++ b/entry/gateway/parts.go
@@ -60,7 +60,7 @@
 		return true
 	}
 	buffers := (expected + largePart - 1) / largePart
-	if p.hold.coverGrowth(buffers * largePart) {
+	if p.hold.cover(buffers * largePart) {
 		return true
 	}
 	p.hold.shrink(largePart)
@@ -83,7 +83,7 @@
 	if len(p.list) == 0 && expected < smallPart {
 		size = smallPart
 	}
-	if !p.hold.coverGrowth(p.held + size) {
+	if !p.hold.cover(p.held + size) {
 		return nil, false
 	}
 	if size == smallPart || p.hold == nil {
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -76,7 +76,7 @@
 func (q *request) holdHead() func(bytes int64) bool {
 	q.holds.mu.Lock()
 	defer q.holds.mu.Unlock()
-	return q.holds.add(q.gateway.memory).coverGrowth
+	return q.holds.add(q.gateway.memory).cover
 }
 
 // takeSpare returns the reservation for the next response, an empty one if there is none.
