gateway: bodies without end come with pauses in their test

At full speed, 300 bodies without end took so much processor time that beside other work (load 25) only 18 to 37 other requests were asked in 6 s, too few to see a refusal. With 2 ms between parts of 4 KB, a megabyte still comes within half a second. Bounds unchanged.

--- a/entry/gateway/endless_many_test.go
+++ b/entry/gateway/endless_many_test.go
@@ -23,6 +23,8 @@
 	// endlessHeadBytes is the part of a head without end that a target sends at once, a little less
 	// than the bound on a head; then it sends a little each headPause.
 	endlessHeadBytes, headPause = 60 << 10, 50 * time.Millisecond
+	// bodyPause is the time between two parts of 4 KB of a body without end.
+	bodyPause = 2 * time.Millisecond
 	// endlessPath is the part of a path for which a target responds without end.
 	endlessPath = "endless"
 )
@@ -162,11 +164,11 @@
 		name    string
 		endless behavior
 	}{
-		{"chunked", endlessAtOnce(head+"Transfer-Encoding: chunked\r\n\r\n", chunk, 0)},
-		{"until the connection ends", endlessAtOnce(head+"\r\n", chunk, 0)},
-		{"length", endlessAtOnce(head+"Content-Length: 9000000000000000000\r\n\r\n", chunk, 0)},
+		{"chunked", endlessAtOnce(head+"Transfer-Encoding: chunked\r\n\r\n", chunk, bodyPause)},
+		{"until the connection ends", endlessAtOnce(head+"\r\n", chunk, bodyPause)},
+		{"length", endlessAtOnce(head+"Content-Length: 9000000000000000000\r\n\r\n", chunk, bodyPause)},
 		{"slow", endlessAtOnce(head+"Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n", headPause)},
-		{"behind a response", endlessAtOnce(head+"Content-Length: 1\r\n\r\n", chunk, 0)},
+		{"behind a response", endlessAtOnce(head+"Content-Length: 1\r\n\r\n", chunk, bodyPause)},
 	} {
 		t.Run(c.name, func(t *testing.T) { checkEndless(t, c.endless) })
 	}
