gateway: the VM of the tests of memory connects again to its targets

Traced with its log: all refusals were cut_off. Beside other work some connections to targets ran into their timeout, so that targets counted as unreachable; the process of the test did not run what connects to them again (targetset.Manager.Run), as the daemon does, so that it stayed cut off to its end.

Bounds unchanged.

--- a/entry/gateway/slow_readers_test.go
+++ b/entry/gateway/slow_readers_test.go
@@ -94,6 +94,7 @@
 		published = append(published, roster.Target{ID: "t" + strconv.Itoa(i), Service: "s", Address: address, Zone: "z", Slots: slots, State: roster.StateReady, StartedAt: start})
 	}
 	targets.TargetsChanged(published)
+	go func() { _ = targets.Run(t.Context()) }() // it connects again to targets that seemed unreachable
 	g := New(Options{
 		Dialect: plainDialect{}, Table: func() *routing.Table { return table }, Targets: targets, Crashes: &reportedCrashes{refuseAfter: -1}, Carriers: noCarriers{},
 		Stopping: func() bool { return false }, MemoryMB: testMemoryMB, LinkMbps: testLinkMbps, Logger: logger, Scope: tally.NoopScope,
