--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -14,6 +14,9 @@
 // maxPageItems is the number of items on one page of a listing.
 const maxPageItems = 500
 
+// maxPageBytes is the size of the values on one page, unless it has only one.
+const maxPageBytes = 1_000_000
+
 // item is one item or event of the store.
 type item struct {
 	Key       string `json:"key"`
@@ -36,6 +39,8 @@
 	changed  chan struct{}
 	// cut is closed and replaced when the waiting watches are cut.
 	cut chan struct{}
+	// historyFrom is the first revision of which the history is known.
+	historyFrom uint64
 	// waiting is the number of watches that wait.
 	waiting int
 	calls   int
@@ -70,9 +75,27 @@
 // remove removes a key and returns the time of the confirmation.
 func (s *store) remove(key string) time.Time { return s.write(item{Key: key, Tombstone: true}) }
 
+// putAndDiscard writes a value and discards the history up to and with it, so that a watch from an earlier
+// revision is answered 410.
+func (s *store) putAndDiscard(key string, value any) time.Time {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // every value of a case can be encoded
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	at := s.writeLocked(item{Key: key, Value: content})
+	s.events, s.historyFrom = nil, s.revision
+	return at
+}
+
 func (s *store) write(one item) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.writeLocked(one)
+}
+
+func (s *store) writeLocked(one item) time.Time {
 	s.revision++
 	one.Revision, one.Created = s.revision, s.revision
 	if old, ok := s.items[one.Key]; ok {
@@ -134,6 +157,11 @@
 	if len(page.Items) > maxPageItems {
 		page.Items, page.More = page.Items[:maxPageItems], true
 	}
+	for i, bytes := 0, 0; i < len(page.Items); i++ {
+		if bytes += len(page.Items[i].Value); bytes > maxPageBytes && i > 0 {
+			page.Items, page.More = page.Items[:i], true
+		}
+	}
 	answer(w, page)
 }
 
@@ -158,11 +186,16 @@
 			}
 		}
 		page.At = s.revision
+		isGone := after < s.historyFrom
 		changed, cut := s.changed, s.cut
-		if len(page.Events) == 0 {
+		if len(page.Events) == 0 && !isGone {
 			s.waiting++
 		}
 		s.mu.Unlock()
+		if isGone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		if len(page.Events) > 0 {
 			answer(w, page)
 			return
