--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -44,10 +44,12 @@
 	// waiting is the number of watches that wait.
 	waiting int
 	calls   int
+	// watchers holds, by address, when a watch last arrived.
+	watchers map[string]time.Time
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{items: make(map[string]item), revision: 100, changed: make(chan struct{}), cut: make(chan struct{}), address: address}
+	s := &store{items: make(map[string]item), revision: 100, changed: make(chan struct{}), cut: make(chan struct{}), watchers: make(map[string]time.Time), address: address}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -120,6 +122,19 @@
 	return s.waiting
 }
 
+// watching returns the addresses from which a watch has arrived within a time.
+func (s *store) watching(within time.Duration) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sources []string
+	for source, at := range s.watchers {
+		if time.Since(at) < within {
+			sources = append(sources, source)
+		}
+	}
+	return sources
+}
+
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	one, ok := s.items[r.URL.Query().Get("key")]
@@ -173,6 +188,7 @@
 	defer timer.Stop()
 	s.mu.Lock()
 	s.calls++
+	s.watchers[r.RemoteAddr] = time.Now()
 	s.mu.Unlock()
 	for {
 		page := struct {
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -21,12 +22,11 @@
 	born                       int64
 	seq                        int
 
-	// before is called before a request runs, and may answer in its place; nil for nothing.
-	before func(w http.ResponseWriter, r *http.Request) (answered bool)
-
 	mu      sync.Mutex
 	running int
-	runs    []run
+	// loses decides for a request that has run whether its answer is lost; nil for never.
+	loses func() bool
+	runs  []run
 }
 
 // run is one request that reached an upstream.
@@ -100,12 +100,14 @@
 		u.running--
 		u.mu.Unlock()
 	}()
-	if u.before != nil && u.before(w, r) {
+	if !u.pace(arrived, r) {
+		w.Header().Set("X-Response-Seal", "sealed."+u.id+"."+id)
+		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	select {
-	case <-time.After(u.work):
-	case <-r.Context().Done():
+	if u.losesAnswer() {
+		u.record.line("%s has run %s, and its answer is lost", u.id, id)
+		<-r.Context().Done() // nothing more arrives on the connection
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set("X-Response-Seal", "sealed."+u.id+"."+id)
@@ -115,6 +117,43 @@
 	u.mu.Unlock()
 }
 
+// pace works on a request until it is done, or returns false once its time limit has passed.
+func (u *upstream) pace(arrived time.Time, r *http.Request) bool {
+	u.mu.Lock()
+	work := u.work
+	u.mu.Unlock()
+	limit := 30 * time.Second
+	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
+		limit = time.Until(arrived.Add(time.Duration(ms * float64(time.Millisecond))))
+	}
+	select {
+	case <-time.After(min(work, limit)):
+		return work <= limit
+	case <-r.Context().Done():
+		panic(http.ErrAbortHandler) // the connection has closed
+	}
+}
+
+func (u *upstream) losesAnswer() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.loses != nil && u.loses()
+}
+
+// setLoses changes which answers are lost.
+func (u *upstream) setLoses(loses func() bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.loses = loses
+}
+
+// setWork changes how long a request takes.
+func (u *upstream) setWork(work time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work = work
+}
+
 // arrivals returns the requests that have reached the upstream.
 func (u *upstream) arrivals() []run {
 	u.mu.Lock()
