--- a/review/standins-2/case_drain.go
+++ b/review/standins-2/case_drain.go
@@ -39,7 +39,7 @@
 // later than drainTime after the store confirmed the removal.
 func playDrain(c *testcase) error {
 	const network = "127.91.0"
-	storePort, err := freePorts(network+".100", 1)
+	storePort, err := freePorts(1, network+".100")
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/case_feed.go
+++ b/review/standins-2/case_feed.go
@@ -69,7 +69,7 @@
 // daemon later than configApply after the confirmation, that are handled as only an older version allows.
 func playFeed(c *testcase) error {
 	const network = "127.92.0"
-	free, err := freePorts(network+".100", 1)
+	free, err := freePorts(1, network+".100")
 	if err != nil {
 		return err
 	}
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -2,12 +2,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -35,23 +38,43 @@
 // ports are the ports of all daemons; each has an IP address of its own.
 type ports struct{ callers, ready, directory, peers, evidence, admin int }
 
-// freePorts returns ports that are free on an IP address.
-func freePorts(ip string, count int) ([]int, error) {
+// Bounds of the ports that are chosen. They lie below those that the operating system gives to outgoing
+// connections, which stay in use for a minute after a run.
+const firstPort, lastPort = 15_000, 30_000
+
+// freePorts returns ports that are free on all IP addresses.
+func freePorts(count int, ips ...string) ([]int, error) {
 	var free []int
-	for range count {
-		listener, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return nil, err
+	for tries := 0; len(free) < count; tries++ {
+		if tries > 1000 {
+			return nil, errors.New("no free ports")
+		}
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if !slices.Contains(free, port) && isFree(port, ips) {
+			free = append(free, port)
 		}
-		defer func() { _ = listener.Close() }()
-		free = append(free, listener.Addr().(*net.TCPAddr).Port)
 	}
 	return free, nil
 }
 
+func isFree(port int, ips []string) bool {
+	for _, ip := range ips {
+		listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
+
 // newFleet writes the settings of daemons, one for each zone given.
 func newFleet(dir, network, store string, zones []string) (*fleet, error) {
-	free, err := freePorts(network+".1", 6)
+	var ips []string
+	for i := range zones {
+		ips = append(ips, fmt.Sprintf("%s.%d", network, i+1))
+	}
+	free, err := freePorts(6, ips...)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +87,7 @@
 		}
 	}
 	for i, zone := range zones {
-		ip := fmt.Sprintf("%s.%d", network, i+1)
+		ip := ips[i]
 		at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
 		v := &vm{name: fmt.Sprintf("front-%s-%d", zone, i+1), zone: zone, ip: ip, callers: at(p.callers), ready: at(p.ready), directory: at(p.directory)}
 		v.settings = map[string]any{
@@ -119,16 +142,6 @@
 // signal sends a signal to the daemon.
 func (v *vm) signal(number syscall.Signal) { _ = v.process.Process.Signal(number) }
 
-// hasEnded reports whether the daemon's process has ended.
-func (v *vm) hasEnded() bool {
-	select {
-	case <-v.ended:
-		return true
-	default:
-		return false
-	}
-}
-
 // startAll starts all daemons and waits until each is ready.
 func (f *fleet) startAll(within time.Duration) error {
 	for _, v := range f.vms {
--- a/review/standins-2/requester.go
+++ b/review/standins-2/requester.go
@@ -39,20 +39,10 @@
 	return &requesters{record: record, prefix: fmt.Sprintf("%08x", rand.Uint32())}
 }
 
-// newTransport returns a requester's connections.
-func newTransport(keeps bool) *http.Transport {
-	return &http.Transport{DisableKeepAlives: !keeps, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
-}
-
 // send sends a request on a new connection and waits for its answer.
 func (q *requesters) send(v *vm, r request) *request {
-	transport := newTransport(false)
+	transport := &http.Transport{DisableKeepAlives: true, DialContext: (&net.Dialer{Timeout: time.Second}).DialContext, DisableCompression: true}
 	defer transport.CloseIdleConnections()
-	return q.sendOn(transport, v, r)
-}
-
-// sendOn sends a request over a requester's connections and waits for its answer.
-func (q *requesters) sendOn(transport *http.Transport, v *vm, r request) *request {
 	r.id, r.vm = fmt.Sprintf("%s%06x", q.prefix, q.count.Add(1)), v.name
 	ctx, cancel := context.WithTimeout(context.Background(), r.limit)
 	defer cancel()
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -43,13 +43,10 @@
 	historyFrom uint64
 	// waiting is the number of watches that wait.
 	waiting int
-	calls   int
-	// watchers holds, by address, when a watch last arrived.
-	watchers map[string]time.Time
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{items: make(map[string]item), revision: 100, changed: make(chan struct{}), cut: make(chan struct{}), watchers: make(map[string]time.Time), address: address}
+	s := &store{items: make(map[string]item), revision: 100, changed: make(chan struct{}), cut: make(chan struct{}), address: address}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -122,24 +119,10 @@
 	return s.waiting
 }
 
-// watching returns the addresses from which a watch has arrived within a time.
-func (s *store) watching(within time.Duration) []string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var sources []string
-	for source, at := range s.watchers {
-		if time.Since(at) < within {
-			sources = append(sources, source)
-		}
-	}
-	return sources
-}
-
 func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
 	one, ok := s.items[r.URL.Query().Get("key")]
 	at := s.revision
-	s.calls++
 	s.mu.Unlock()
 	if !ok {
 		w.WriteHeader(http.StatusNotFound)
@@ -166,7 +149,6 @@
 		}
 	}
 	page.At = s.revision
-	s.calls++
 	s.mu.Unlock()
 	slices.SortFunc(page.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
 	if len(page.Items) > maxPageItems {
@@ -186,10 +168,6 @@
 	ms, _ := strconv.Atoi(query.Get("wait_ms"))
 	timer := time.NewTimer(time.Duration(min(ms, 30_000)) * time.Millisecond)
 	defer timer.Stop()
-	s.mu.Lock()
-	s.calls++
-	s.watchers[r.RemoteAddr] = time.Now()
-	s.mu.Unlock()
 	for {
 		page := struct {
 			Events []item `json:"events"`
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -24,17 +24,20 @@
 
 	mu      sync.Mutex
 	running int
-	// loses decides for a request that has run whether its answer is lost; nil for never.
-	loses func() bool
-	runs  []run
+	// office is an answer's further header, in the bytes that are sent; empty for none.
+	office string
+	// partitioned holds the IP addresses from which no connection is taken.
+	partitioned map[string]bool
+	conns       map[net.Conn]bool
+	runs        []run
 }
 
 // run is one request that reached an upstream.
 type run struct {
 	id string
 	at time.Time
-	// ran is whether it began to run, ended whether its answer was written.
-	ran, ended bool
+	// ran is whether it began to run.
+	ran bool
 }
 
 func newUpstream(record *record, id, service, address, zone string, slots int, work time.Duration) (*upstream, error) {
@@ -44,7 +47,7 @@
 		return nil, err
 	}
 	u.address = listener.Addr().String()
-	u.server = &http.Server{Handler: u}
+	u.server = &http.Server{Handler: u, ConnState: u.follow}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
 }
@@ -59,6 +62,52 @@
 	}
 }
 
+// follow keeps the open connections, and resets a new one from an address that is partitioned.
+func (u *upstream) follow(conn net.Conn, state http.ConnState) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.conns == nil {
+		u.conns = make(map[net.Conn]bool)
+	}
+	switch state {
+	case http.StateNew:
+		u.conns[conn] = true
+		if u.partitioned[ipOf(conn)] {
+			reset(conn)
+		}
+	case http.StateClosed, http.StateHijacked:
+		delete(u.conns, conn)
+	}
+}
+
+// partition resets the connections from IP addresses, and all new ones until it is called again.
+func (u *upstream) partition(addresses map[string]bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.partitioned = addresses
+	for conn := range u.conns {
+		if addresses[ipOf(conn)] {
+			reset(conn)
+		}
+	}
+}
+
+func ipOf(conn net.Conn) string {
+	ip, _, err := net.SplitHostPort(conn.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return ip
+}
+
+// reset ends a connection with a reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // end ends the upstream as the end of its process does.
 func (u *upstream) end() { _ = u.server.Close() }
 
@@ -81,7 +130,6 @@
 	}
 	u.mu.Lock()
 	isFull := u.running >= u.slots
-	number := len(u.runs)
 	u.runs = append(u.runs, run{id: id, at: arrived, ran: !isFull})
 	if !isFull {
 		u.running++
@@ -105,55 +153,27 @@
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	if u.losesAnswer() {
-		u.record.line("%s has run %s, and its answer is lost", u.id, id)
-		<-r.Context().Done() // nothing more arrives on the connection
-		panic(http.ErrAbortHandler)
-	}
 	w.Header().Set("X-Response-Seal", "sealed."+u.id+"."+id)
+	if u.office != "" {
+		w.Header().Set("X-Office", u.office)
+	}
 	_, _ = fmt.Fprintf(w, "%s answers %s\n", u.id, id)
-	u.mu.Lock()
-	u.runs[number].ended = true
-	u.mu.Unlock()
 }
 
 // pace works on a request until it is done, or returns false once its time limit has passed.
 func (u *upstream) pace(arrived time.Time, r *http.Request) bool {
-	u.mu.Lock()
-	work := u.work
-	u.mu.Unlock()
 	limit := 30 * time.Second
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
 		limit = time.Until(arrived.Add(time.Duration(ms * float64(time.Millisecond))))
 	}
 	select {
-	case <-time.After(min(work, limit)):
-		return work <= limit
+	case <-time.After(min(u.work, limit)):
+		return u.work <= limit
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler) // the connection has closed
 	}
 }
 
-func (u *upstream) losesAnswer() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.loses != nil && u.loses()
-}
-
-// setLoses changes which answers are lost.
-func (u *upstream) setLoses(loses func() bool) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.loses = loses
-}
-
-// setWork changes how long a request takes.
-func (u *upstream) setWork(work time.Duration) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.work = work
-}
-
 // arrivals returns the requests that have reached the upstream.
 func (u *upstream) arrivals() []run {
 	u.mu.Lock()
