--- a/review/standins-2/case_drain.go
+++ b/review/standins-2/case_drain.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"sync"
 	"time"
+
+	"github.com/primroseloom/primroseloom/config/routing"
 )
 
 func init() { cases["drain"] = playDrain }
@@ -20,18 +22,27 @@
 
 const host = "booking.example"
 
-// configuration returns a configuration with one service and one unsafe route.
-func configuration(version int) map[string]any {
-	return map[string]any{
-		"version":  version,
-		"services": []any{map[string]any{"name": "booking", "health_path": "/health", "max_connections": 330, "protocol": "h1", "tls": false}},
-		"limits":   map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-		"hosts": []any{map[string]any{"host": host, "paths": []any{map[string]any{
-			"name": "r-book", "path_prefix": "/book/", "service": "booking", "kind": "unsafe", "timeout_ms": 2500, "target_latency_ms": 600, "max_attempts": 2, "priority": 1,
-		}}}},
+// route returns a route of the host to a service.
+func route(name, prefix, service string, kind routing.Kind) routing.Route {
+	return routing.Route{
+		Name: name, Host: host, Prefix: prefix, Kind: kind, Timeout: 2500 * time.Millisecond, Objective: 600 * time.Millisecond,
+		Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
 	}
 }
 
+// configuration returns a configuration with the service booking, and one unsafe route to it.
+func configuration(version uint64) routing.Document {
+	return routing.Document{
+		Version:  version,
+		Services: []routing.Service{{Name: "booking", HealthPath: healthPath, MaxConnections: 330}},
+		Routes:   []routing.Route{route("r-book", "/book/", "booking", routing.KindOnce)},
+		Limits:   limits,
+	}
+}
+
+// limits are those of the sites.
+var limits = routing.Limits{HeaderBytes: 16 << 10, BodyBytes: 64 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second}
+
 var zones = []string{"ee-north-a", "ee-north-b", "ee-north-c"}
 
 // playDrain lets upstreams leave whose entry the store removes without a report of draining, while it
@@ -48,7 +59,7 @@
 		return err
 	}
 	defer s.close()
-	s.put("op/config", configuration(3))
+	s.publish(configuration(3))
 	var upstreams []*upstream
 	add := func() error {
 		n := len(upstreams)
@@ -57,7 +68,7 @@
 			return err
 		}
 		upstreams = append(upstreams, u)
-		s.put("servers/"+u.id, u.entry("ready"))
+		s.put(u.entry())
 		return nil
 	}
 	for range 6 {
@@ -101,7 +112,7 @@
 			time.Sleep(30 * time.Millisecond)
 		}
 		u := upstreams[round]
-		gone := s.remove("servers/" + u.id)
+		gone := s.remove(u.id)
 		c.record.line("the store confirms that %s is gone", u.id)
 		left = append(left, leaving{u, gone})
 		time.Sleep(time.Until(gone.Add(drainTime + servesOn)))
--- a/review/standins-2/case_feed.go
+++ b/review/standins-2/case_feed.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/primroseloom/primroseloom/config/routing"
 )
 
 func init() { cases["feed"] = playFeed }
@@ -29,39 +30,22 @@
 	feedBooking, feedRecords = 402, 78
 )
 
-// largeConfiguration returns a configuration of feedRoutes routes and about feedBytes bytes. Its unsafe
-// route /book/ goes to the service bookTo; with added, it has one route more.
-func largeConfiguration(version int, bookTo, added string) map[string]any {
-	route := func(name, prefix, service, kind string) map[string]any {
-		return map[string]any{"name": name, "path_prefix": prefix, "service": service, "kind": kind, "timeout_ms": 2500, "target_latency_ms": 600, "max_attempts": 2, "priority": 1}
+// largeConfiguration returns a configuration of feedRoutes routes, most with prefixes that are longer by
+// padding bytes. Its unsafe route /book/ goes to the service bookTo; with added, one of its routes is /added/.
+func largeConfiguration(version uint64, padding int, bookTo, added string) routing.Document {
+	routes := configuration(version)
+	routes.Services = []routing.Service{
+		{Name: "booking", HealthPath: healthPath, MaxConnections: 3600}, {Name: "records", HealthPath: healthPath, MaxConnections: 3600},
 	}
-	service := func(name string) map[string]any {
-		return map[string]any{"name": name, "health_path": "/health", "max_connections": 3600, "protocol": "h1", "tls": false}
+	routes.Routes = []routing.Route{route("r-book", "/book/", bookTo, routing.KindOnce)}
+	if added != "" {
+		routes.Routes = append(routes.Routes, route("r-"+added, "/"+added+"/", "booking", routing.KindIdempotent))
 	}
-	build := func(padding int) map[string]any {
-		paths := []any{route("r-book", "/book/", bookTo, "unsafe")}
-		if added != "" {
-			paths = append(paths, route("r-"+added, "/"+added+"/", "booking", "safe"))
-		}
-		for i := len(paths); i < feedRoutes; i++ {
-			paths = append(paths, route(fmt.Sprintf("r-partner-%04d", i), fmt.Sprintf("/packages/partner-%04d/%s/", i, strings.Repeat("s", padding)), "booking", "safe"))
-		}
-		return map[string]any{
-			"version": version, "services": []any{service("booking"), service("records")},
-			"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 67108864, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-			"hosts":  []any{map[string]any{"host": host, "paths": paths}},
-		}
-	}
-	padding := max((feedBytes-sizeOf(build(0)))/feedRoutes, 0)
-	return build(padding)
-}
-
-func sizeOf(value any) int {
-	content, err := json.Marshal(value)
-	if err != nil {
-		panic(err) // every value of a case can be encoded
+	for i := len(routes.Routes); i < feedRoutes; i++ {
+		prefix := fmt.Sprintf("/packages/partner-%04d/%s/", i, strings.Repeat("s", padding))
+		routes.Routes = append(routes.Routes, route(fmt.Sprintf("r-partner-%04d", i), prefix, "booking", routing.KindIdempotent))
 	}
-	return len(content)
+	return routes
 }
 
 // playFeed lets the store discard its history right after a version of the configuration. After a calm
@@ -78,9 +62,13 @@
 		return err
 	}
 	defer s.close()
-	s.put("op/config", largeConfiguration(3, "booking", ""))
-	c.record.say("the configuration has %d bytes", sizeOf(largeConfiguration(3, "booking", "")))
-	entries := 0
+	s.publish(largeConfiguration(2, 1, "booking", ""))
+	shortest, _, err := s.sizes()
+	if err != nil {
+		return err
+	}
+	padding := 1 + max((feedBytes-shortest)/feedRoutes, 0)
+	s.publish(largeConfiguration(3, padding, "booking", ""))
 	for i := range feedBooking + feedRecords {
 		service := "booking"
 		if i >= feedBooking {
@@ -90,11 +78,13 @@
 		if err != nil {
 			return err
 		}
-		entry := u.entry("ready")
-		entries += sizeOf(entry)
-		s.put("servers/"+u.id, entry)
+		s.put(u.entry())
+	}
+	routes, entries, err := s.sizes()
+	if err != nil {
+		return err
 	}
-	c.record.say("the entries of %d upstreams have %d bytes", feedBooking+feedRecords, entries)
+	c.record.say("the configuration has %d bytes, the entries of %d upstreams have %d", routes, feedBooking+feedRecords, entries)
 	f, err := newFleet(c.dir, network, s.address, append(zones, zones...))
 	if err != nil {
 		return err
@@ -119,14 +109,14 @@
 	})
 	time.Sleep(8 * time.Second)
 	if c.trouble {
-		s.putAndDiscard("op/config", largeConfiguration(5, "booking", "early"))
+		s.publishAndDiscard(largeConfiguration(5, padding, "booking", "early"))
 		c.record.say("the store confirms version 5 and discards its history")
 	} else {
-		s.put("op/config", largeConfiguration(5, "booking", "early"))
+		s.publish(largeConfiguration(5, padding, "booking", "early"))
 		c.record.say("the store confirms version 5")
 	}
 	time.Sleep(20 * time.Second)
-	confirmed := s.put("op/config", largeConfiguration(8, "records", "late"))
+	confirmed := s.publish(largeConfiguration(8, padding, "records", "late"))
 	c.record.say("the store confirms version 8, which adds the route /late/ and moves /book/ to the service records")
 	time.Sleep(20 * time.Second)
 	stop()
--- a/review/standins-2/case_header.go
+++ b/review/standins-2/case_header.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	defer s.close()
-	s.put("op/config", configuration(3))
+	s.publish(configuration(3))
 	var upstreams []*upstream
 	for i := range 9 {
 		u, err := newUpstream(c.record, fmt.Sprintf("i-%d", i+1), "booking", network+".101:0", zones[i%len(zones)], 3, 50*time.Millisecond)
@@ -45,7 +45,7 @@
 		}
 		u.office = office
 		upstreams = append(upstreams, u)
-		s.put("servers/"+u.id, u.entry("ready"))
+		s.put(u.entry())
 	}
 	f, err := newFleet(c.dir, network, s.address, append(zones, zones...))
 	if err != nil {
--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -13,6 +13,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"github.com/primroseloom/primroseloom/platform"
 )
 
 // daemonPath is the program of the deploy file, from the root of the repository.
@@ -167,7 +169,7 @@
 
 func (v *vm) isReady() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + v.ready + "/readiness")
+	response, err := client.Get("http://" + v.ready + platform.DirectoryPages{}.ReadinessPath())
 	if err != nil {
 		return false
 	}
--- a/review/standins-2/requester.go
+++ b/review/standins-2/requester.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/primroseloom/primroseloom/entry/dialect"
 )
 
 // request is one request of a requester, and how it ended.
@@ -51,8 +53,7 @@
 		panic(err) // the requests of a case are well-formed
 	}
 	out.Host = r.host
-	out.Header.Set("X-Attempt-Id", r.id)
-	out.Header.Set("X-Deadline-Ms", fmt.Sprint(r.limit.Milliseconds()))
+	headers.WriteRequest(out.Header, dialect.Request{AttemptID: r.id, Remaining: r.limit})
 	r.sent = time.Now()
 	response, err := transport.RoundTrip(out)
 	r.err = err
@@ -60,7 +61,7 @@
 		content, err := io.ReadAll(response.Body)
 		_ = response.Body.Close()
 		r.status, r.answer, r.err = response.StatusCode, string(content), err
-		r.sealed = response.Header.Get("X-Response-Seal") != ""
+		r.sealed = headers.ReadResponse(response).Signed
 	}
 	r.ended = time.Now()
 	q.record.line("%s %s %s to %s: %d after %d ms, error %v", r.id, r.method, r.path, v.name, r.status, r.ended.Sub(r.sent).Milliseconds(), r.err)
--- a/review/standins-2/store.go
+++ b/review/standins-2/store.go
@@ -1,113 +1,87 @@
 package main
 
 import (
-	"encoding/json"
+	"context"
 	"net"
 	"net/http"
-	"slices"
+	"net/http/httptest"
 	"strconv"
-	"strings"
 	"sync"
 	"time"
-)
-
-// maxPageItems is the number of items on one page of a listing.
-const maxPageItems = 500
-
-// maxPageBytes is the size of the values on one page, unless it has only one.
-const maxPageBytes = 1_000_000
 
-// item is one item or event of the store.
-type item struct {
-	Key       string `json:"key"`
-	Value     []byte `json:"value,omitempty"`
-	Revision  uint64 `json:"revision"`
-	Created   uint64 `json:"created,omitempty"`
-	Lease     uint64 `json:"lease"`
-	Tombstone bool   `json:"tombstone,omitempty"`
-}
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
 
-// store stands in for the platform's metadata store.
+// store is the project's stand-in of the platform's store. It can cut the watches that wait, and discard
+// its history.
 type store struct {
+	inner   *platform.StandInStore
 	server  *http.Server
 	address string
 
-	mu       sync.Mutex
-	items    map[string]item
-	events   []item
+	mu sync.Mutex
+	// revision is that of the latest write; each write here takes one.
 	revision uint64
-	changed  chan struct{}
-	// cut is closed and replaced when the waiting watches are cut.
-	cut chan struct{}
 	// historyFrom is the first revision of which the history is known.
 	historyFrom uint64
-	// waiting is the number of watches that wait.
+	// cut is closed and replaced when the waiting watches are cut; waiting is their number.
+	cut     chan struct{}
 	waiting int
 }
 
 func newStore(address string) (*store, error) {
-	s := &store{items: make(map[string]item), revision: 100, changed: make(chan struct{}), cut: make(chan struct{}), address: address}
+	s := &store{inner: platform.NewStandInStore(), cut: make(chan struct{}), address: address}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.serveKey)
-	mux.HandleFunc("GET /kv-range", s.serveRange)
-	mux.HandleFunc("GET /kv-watch", s.serveWatch)
-	s.server = &http.Server{Handler: mux}
+	s.server = &http.Server{Handler: s}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
 }
 
 func (s *store) close() { _ = s.server.Close() }
 
-// put writes a value as JSON and returns the time of the confirmation.
-func (s *store) put(key string, value any) time.Time {
-	content, err := json.Marshal(value)
-	if err != nil {
-		panic(err) // every value of a case can be encoded
-	}
-	return s.write(item{Key: key, Value: content})
-}
-
-// remove removes a key and returns the time of the confirmation.
-func (s *store) remove(key string) time.Time { return s.write(item{Key: key, Tombstone: true}) }
-
-// putAndDiscard writes a value and discards the history up to and with it, so that a watch from an earlier
-// revision is answered 410.
-func (s *store) putAndDiscard(key string, value any) time.Time {
-	content, err := json.Marshal(value)
-	if err != nil {
-		panic(err) // every value of a case can be encoded
-	}
+// write does one write and returns the time of its confirmation.
+func (s *store) write(change func()) time.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at := s.writeLocked(item{Key: key, Value: content})
-	s.events, s.historyFrom = nil, s.revision
-	return at
+	change()
+	s.revision++
+	return time.Now()
 }
 
-func (s *store) write(one item) time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.writeLocked(one)
+func (s *store) publish(routes routing.Document) time.Time {
+	return s.write(func() { s.inner.PublishRoutes(routes) })
 }
 
-func (s *store) writeLocked(one item) time.Time {
-	s.revision++
-	one.Revision, one.Created = s.revision, s.revision
-	if old, ok := s.items[one.Key]; ok {
-		one.Created = old.Created
-	}
-	s.items[one.Key] = one
-	if one.Tombstone {
-		delete(s.items, one.Key)
+func (s *store) put(target roster.Target) { s.write(func() { s.inner.PublishTarget(target) }) }
+
+func (s *store) remove(id string) time.Time { return s.write(func() { s.inner.RemoveTarget(id) }) }
+
+// publishAndDiscard writes routes and discards the history up to and with them, so that a watch from an
+// earlier revision is answered 410.
+func (s *store) publishAndDiscard(routes routing.Document) time.Time {
+	return s.write(func() {
+		s.inner.PublishRoutes(routes)
+		s.historyFrom = s.revision + 1
+	})
+}
+
+// sizes returns the sizes of the published routes and of all entries of targets together, in bytes.
+func (s *store) sizes() (routes, targets int, err error) {
+	listing, err := platform.NewStore(s.address, (&net.Dialer{}).DialContext).List(context.Background())
+	for _, item := range listing.Items {
+		entry, decodeErr := platform.Decoder{}.Decode(item, 0)
+		if decodeErr == nil && entry.Routes != nil {
+			routes += len(item.Value)
+			continue
+		}
+		targets += len(item.Value)
 	}
-	s.events = append(s.events, one)
-	close(s.changed)
-	s.changed = make(chan struct{})
-	return time.Now()
+	return routes, targets, err
 }
 
 // cutWatches closes the connections of the watches that wait, and returns their number.
@@ -119,105 +93,50 @@
 	return s.waiting
 }
 
-func (s *store) serveKey(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	one, ok := s.items[r.URL.Query().Get("key")]
-	at := s.revision
-	s.mu.Unlock()
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
+// ServeHTTP serves the calls. Only a watch says how long it waits.
+func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Query().Get("wait_ms") == "" {
+		s.inner.ServeHTTP(w, r)
 		return
 	}
-	answer(w, struct {
-		item
-		At uint64 `json:"at"`
-	}{one, at})
-}
-
-func (s *store) serveRange(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	prefix, after := query.Get("path_prefix"), query.Get("after")
-	page := struct {
-		Items []item `json:"items"`
-		More  bool   `json:"has_more"`
-		At    uint64 `json:"at"`
-	}{Items: []item{}}
 	s.mu.Lock()
-	for key, one := range s.items {
-		if strings.HasPrefix(key, prefix) && key > after {
-			page.Items = append(page.Items, one)
-		}
-	}
-	page.At = s.revision
+	cut := s.cut
+	s.waiting++
 	s.mu.Unlock()
-	slices.SortFunc(page.Items, func(a, b item) int { return strings.Compare(a.Key, b.Key) })
-	if len(page.Items) > maxPageItems {
-		page.Items, page.More = page.Items[:maxPageItems], true
+	answer, isCut := s.watch(r, cut)
+	s.mu.Lock()
+	s.waiting--
+	historyFrom := s.historyFrom
+	s.mu.Unlock()
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	switch {
+	case isCut:
+		panic(http.ErrAbortHandler)
+	case after < historyFrom:
+		w.WriteHeader(http.StatusGone)
+		return
 	}
-	for i, bytes := 0, 0; i < len(page.Items); i++ {
-		if bytes += len(page.Items[i].Value); bytes > maxPageBytes && i > 0 {
-			page.Items, page.More = page.Items[:i], true
-		}
+	for name, values := range answer.Header() {
+		w.Header()[name] = values
 	}
-	answer(w, page)
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes()) // fails only when the caller has left
 }
 
-func (s *store) serveWatch(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
-	ms, _ := strconv.Atoi(query.Get("wait_ms"))
-	timer := time.NewTimer(time.Duration(min(ms, 30_000)) * time.Millisecond)
-	defer timer.Stop()
-	for {
-		page := struct {
-			Events []item `json:"events"`
-			At     uint64 `json:"at"`
-		}{Events: []item{}}
-		s.mu.Lock()
-		for _, event := range s.events {
-			if event.Revision > after && strings.HasPrefix(event.Key, query.Get("path_prefix")) {
-				page.Events = append(page.Events, event)
-			}
-		}
-		page.At = s.revision
-		isGone := after < s.historyFrom
-		changed, cut := s.changed, s.cut
-		if len(page.Events) == 0 && !isGone {
-			s.waiting++
-		}
-		s.mu.Unlock()
-		if isGone {
-			w.WriteHeader(http.StatusGone)
-			return
-		}
-		if len(page.Events) > 0 {
-			answer(w, page)
-			return
-		}
-		isCut, isOver := false, false
-		select {
-		case <-changed:
-		case <-cut:
-			isCut = true
-		case <-timer.C:
-			isOver = true
-		case <-r.Context().Done():
-			isOver = true
-		}
-		s.mu.Lock()
-		s.waiting--
-		s.mu.Unlock()
-		if isCut {
-			panic(http.ErrAbortHandler)
-		}
-		if isOver {
-			answer(w, page)
-			return
-		}
+// watch waits for the answer of a watch, or until it is cut.
+func (s *store) watch(r *http.Request, cut <-chan struct{}) (answer *httptest.ResponseRecorder, isCut bool) {
+	ctx, cancel := context.WithCancel(r.Context())
+	defer cancel()
+	answer = httptest.NewRecorder()
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		s.inner.ServeHTTP(answer, r.WithContext(ctx))
+	}()
+	select {
+	case <-answered:
+		return answer, false
+	case <-cut:
+		return nil, true
 	}
 }
-
-func answer(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(value) // fails only when the caller has left
-}
--- a/review/standins-2/upstream.go
+++ b/review/standins-2/upstream.go
@@ -5,11 +5,20 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
+
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/roster"
 )
 
+// headers has the names of the platform's headers.
+var headers platform.Headers
+
+// healthPath is the services' path of status checks.
+const healthPath = "/health"
+
 // upstream stands in for one upstream of a service. It follows PROTOCOL.md: it echoes the id of an
 // attempt, seals its answers, rejects what it has no room for, and drops a request when its connection
 // closes.
@@ -19,8 +28,7 @@
 	work                       time.Duration
 	record                     *record
 	server                     *http.Server
-	born                       int64
-	seq                        int
+	born                       time.Time
 
 	mu      sync.Mutex
 	running int
@@ -41,7 +49,7 @@
 }
 
 func newUpstream(record *record, id, service, address, zone string, slots int, work time.Duration) (*upstream, error) {
-	u := &upstream{id: id, service: service, address: address, zone: zone, slots: slots, work: work, record: record, born: time.Now().UnixMilli()}
+	u := &upstream{id: id, service: service, address: address, zone: zone, slots: slots, work: work, record: record, born: time.Now()}
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
@@ -52,13 +60,11 @@
 	return u, nil
 }
 
-// entry is what the upstream says of itself in the store.
-func (u *upstream) entry(state string) map[string]any {
-	u.seq++
-	return map[string]any{
-		"address": u.address, "born": u.born,
-		"info":   map[string]any{"service": u.service, "version": "v1", "zone": u.zone, "slots": u.slots},
-		"status": map[string]any{"state": state, "seq": u.seq, "cold_left_ms": 0},
+// entry is what the upstream says of itself in the store while it is ready.
+func (u *upstream) entry() roster.Target {
+	return roster.Target{
+		ID: u.id, Service: u.service, Address: u.address, Zone: u.zone, SoftwareVersion: "v1", Slots: u.slots,
+		State: roster.StateReady, StartedAt: u.born, Sequence: 1,
 	}
 }
 
@@ -112,14 +118,13 @@
 func (u *upstream) end() { _ = u.server.Close() }
 
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == "/health" {
-		w.Header().Set("X-Instance-Id", u.id)
+	asked := headers.ReadAttempt(r.Header)
+	w.Header().Set("X-Instance-Id", u.id)
+	if r.URL.Path == healthPath {
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
-	w.Header().Set("X-Attempt-Id", id)
-	w.Header().Set("X-Instance-Id", u.id)
-	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != u.id {
+	if asked.TargetID != "" && asked.TargetID != u.id {
+		headers.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: asked.AttemptID})
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -130,45 +135,47 @@
 	}
 	u.mu.Lock()
 	isFull := u.running >= u.slots
-	u.runs = append(u.runs, run{id: id, at: arrived, ran: !isFull})
+	others := u.running
+	u.runs = append(u.runs, run{id: asked.AttemptID, at: arrived, ran: !isFull})
 	if !isFull {
 		u.running++
 	}
-	load := fmt.Sprintf("%d,0,%d", u.running, u.slots)
 	u.mu.Unlock()
-	w.Header().Set("X-Server-Load", load)
+	answer := dialect.ResponseMetadata{AttemptID: asked.AttemptID, Load: &dialect.Load{Running: others, Slots: u.slots}}
 	if isFull {
-		w.Header().Set("X-Not-Executed", "1")
+		answer.NotRun = true
+		headers.WriteResponse(w.Header(), answer)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	u.record.line("%s runs %s (%s %s, %d bytes)", u.id, id, r.Method, r.URL.Path, len(body))
+	u.record.line("%s runs %s (%s %s, %d bytes)", u.id, asked.AttemptID, r.Method, r.URL.Path, len(body))
 	defer func() {
 		u.mu.Lock()
 		u.running--
 		u.mu.Unlock()
 	}()
-	if !u.pace(arrived, r) {
-		w.Header().Set("X-Response-Seal", "sealed."+u.id+"."+id)
+	isDone := u.pace(arrived, asked.Remaining, r)
+	answer.Signed = true
+	headers.WriteResponse(w.Header(), answer)
+	if !isDone {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
-	w.Header().Set("X-Response-Seal", "sealed."+u.id+"."+id)
 	if u.office != "" {
 		w.Header().Set("X-Office", u.office)
 	}
-	_, _ = fmt.Fprintf(w, "%s answers %s\n", u.id, id)
+	_, _ = fmt.Fprintf(w, "%s answers %s\n", u.id, asked.AttemptID)
 }
 
 // pace works on a request until it is done, or returns false once its time limit has passed.
-func (u *upstream) pace(arrived time.Time, r *http.Request) bool {
-	limit := 30 * time.Second
-	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && ms > 0 {
-		limit = time.Until(arrived.Add(time.Duration(ms * float64(time.Millisecond))))
+func (u *upstream) pace(arrived time.Time, limit time.Duration, r *http.Request) bool {
+	left := time.Until(arrived.Add(limit))
+	if limit <= 0 {
+		left = u.work
 	}
 	select {
-	case <-time.After(min(u.work, limit)):
-		return u.work <= limit
+	case <-time.After(min(u.work, left)):
+		return u.work <= left
 	case <-r.Context().Done():
 		panic(http.ErrAbortHandler) // the connection has closed
 	}
