--- a/review/standins-2/case_feed.go
+++ b/review/standins-2/case_feed.go
@@ -10,7 +10,11 @@
 	"github.com/primroseloom/primroseloom/config/routing"
 )
 
-func init() { cases["feed"] = playFeed }
+func init() {
+	cases["feed"] = func(c *testcase) error { return playFeed(c, feedBytes) }
+	// The same with a configuration of less than half the size, for comparison.
+	cases["feed-small"] = func(c *testcase) error { return playFeed(c, 0) }
+}
 
 // Bounds of the site.
 const (
@@ -51,7 +55,7 @@
 // playFeed lets the store discard its history right after a version of the configuration. After a calm
 // time, another version moves an unsafe route and adds one. It counts the requests, sent to each ready
 // daemon later than configApply after the confirmation, that are handled as only an older version allows.
-func playFeed(c *testcase) error {
+func playFeed(c *testcase, feedBytes int) error {
 	const network = "127.92.0"
 	free, err := freePorts(1, network+".100")
 	if err != nil {
