primroseloomd: tests of crowds of callers outside the limits

Each kind of client comes to each door of front and serve, with 600 connections to a process that has 100 MB, the sockets' bytes included, and 700 descriptors, of which 200 are for files. Checked are only that the process lives, its peak of memory and descriptors, and that ordinary requests are answered while the crowd holds on and afterwards.

--- /dev/null
+++ b/cmd/primroseloomd/crowd_test.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/primroseloom/primroseloom/config/routing"
+)
+
+// program is one of the daemon's commands before stand-ins.
+type program struct {
+	name  string
+	start func(t *testing.T) *crowdVM
+	// doors are those to which crowds come.
+	doors []string
+}
+
+var (
+	frontProgram = program{"front", startCrowdFront, []string{"route", "route that must not run twice", "no route", "unknown host", "readiness", "directory", "admin"}}
+	serveProgram = program{"serve", startCrowdServe, []string{"route", "route that must not run twice", "unknown customer", "unknown host", "directory", "admin"}}
+)
+
+// startMeasured starts a VM whose process is measured.
+func (p program) startMeasured(t *testing.T) *crowdVM {
+	t.Helper()
+	if raceDetector {
+		t.Skip("measures a process's memory; scripts/test.sh runs it without the race detector")
+	}
+	return p.start(t)
+}
+
+// testCrowds lets each kind of client come to each door.
+func testCrowds(t *testing.T, p program) {
+	for _, name := range p.doors {
+		for _, c := range clients() {
+			t.Run(strings.ReplaceAll(name+"/"+c.name, " ", "_"), func(t *testing.T) {
+				vm := p.startMeasured(t)
+				crowd := startCrowd(t.Context(), vm.door(name), func(int) client { return c })
+				vm.checkAnswers("while the crowd holds on")
+				crowd.stop()
+				vm.checkAnswers("after the crowd")
+				vm.check()
+			})
+		}
+	}
+}
+
+// TestFrontOutlivesCrowds guards against a front-end process that callers outside the limits end, hang or
+// make run out of memory or descriptors, whatever they send and at whichever door.
+func TestFrontOutlivesCrowds(t *testing.T) { testCrowds(t, frontProgram) }
+
+// TestServeOutlivesCrowds is TestFrontOutlivesCrowds for the serve process.
+func TestServeOutlivesCrowds(t *testing.T) { testCrowds(t, serveProgram) }
+
+// mixed returns the client of each caller of a crowd of all kinds.
+func mixed() func(i int) client {
+	all := clients()
+	return func(i int) client { return all[i%len(all)] }
+}
+
+// TestMixedCrowdsAreOutlived guards against limits that each hold for one kind of client, or at one door,
+// and not for all at once, and against a crowd that keeps a planned stop from ending.
+func TestMixedCrowdsAreOutlived(t *testing.T) {
+	for _, p := range []program{frontProgram, serveProgram} {
+		t.Run(p.name, func(t *testing.T) {
+			vm := p.startMeasured(t)
+			var crowds []*crowd
+			for _, name := range []string{"route", "unknown host", "directory", "admin"} {
+				crowds = append(crowds, startCrowd(t.Context(), vm.door(name), mixed()))
+			}
+			vm.checkAnswers("while the crowds hold on")
+			vm.check()
+			if !vm.endsOnSignal() {
+				t.Error("the stop did not end within its grace period")
+			}
+			for _, crowd := range crowds {
+				crowd.stop()
+			}
+		})
+	}
+}
+
+// TestLowerLimitsDuringACrowd guards against a version of the routes with lower limits that a crowd keeps
+// from being served.
+func TestLowerLimitsDuringACrowd(t *testing.T) {
+	vm := frontProgram.startMeasured(t)
+	crowd := startCrowd(t.Context(), vm.door("route"), mixed())
+	vm.publish(routing.Limits{HeaderBytes: crowdHeaderBytes / 4, BodyBytes: crowdBodyBytes / 16})
+	second := startCrowd(t.Context(), vm.door("route that must not run twice"), mixed())
+	vm.checkAnswers("while the crowds hold on")
+	crowd.stop()
+	second.stop()
+	vm.checkAnswers("after the crowds")
+	vm.check()
+}
--- /dev/null
+++ b/cmd/primroseloomd/crowd_vm_test.go
@@ -0,0 +1,436 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"github.com/primroseloom/primroseloom/config/document"
+	"github.com/primroseloom/primroseloom/config/examples"
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/dialect"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/operator/localfleet"
+	"github.com/primroseloom/primroseloom/platform"
+	"github.com/primroseloom/primroseloom/policy/roster"
+)
+
+// The machine of the VMs of these tests. A crowd must leave them within it.
+const (
+	// crowdMemoryMB is the machine's memory in megabytes, the bytes in its sockets included.
+	crowdMemoryMB = 100
+	// crowdDescriptors is the number of descriptors of the VM's process, of which
+	// reservedDescriptors are for files.
+	crowdDescriptors, reservedDescriptors = 700, 200
+	// crowdBodyBytes and crowdHeaderBytes are the routes' limits on a request.
+	crowdBodyBytes, crowdHeaderBytes = 1 << 20, 16 << 10
+	// crowdGrace is the grace period of a planned stop.
+	crowdGrace = 6 * time.Second
+	// crowdRouteTimeout is the timeout of the routes.
+	crowdRouteTimeout = 10 * time.Second
+	// descriptorsVariable is the number of descriptors of a daemon's process.
+	descriptorsVariable = "PRIMROSELOOMD_TEST_DESCRIPTORS"
+	// measurePause is the time between two measurements of a VM.
+	measurePause = 20 * time.Millisecond
+	// answerTimeout bounds the wait for an ordinary request that is not answered at all.
+	answerTimeout = 20 * time.Second
+	// slowPath is the part of a path that makes a target of the tests work until its caller leaves.
+	slowPath = "slow"
+)
+
+// limitDescriptors bounds the descriptors of this process, if a number is given.
+func limitDescriptors(number string) {
+	if number == "" {
+		return
+	}
+	limit, err := strconv.ParseUint(number, 10, 64)
+	if err == nil {
+		err = unix.Setrlimit(unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: limit, Max: limit})
+	}
+	if err != nil {
+		panic(fmt.Sprintf("descriptors %q: %v", number, err))
+	}
+}
+
+// door is one way to reach a VM from outside.
+type door struct {
+	name string
+	// address is where the door listens.
+	address string
+	// host, path and header are those of a request at this door; header holds whole lines.
+	host, path, header string
+	// status is the one that an ordinary request at this door gets.
+	status int
+}
+
+// head returns the beginning of a request at the door, without the end of its head.
+func (d door) head(method, path string) string {
+	return method + " " + d.path + path + " HTTP/1.1\r\nHost: " + d.host + "\r\n" + d.header
+}
+
+// crowdVM is a real process of one of the daemon's commands, on a small machine.
+type crowdVM struct {
+	t       *testing.T
+	command *exec.Cmd
+	doors   []door
+	// peers are the addresses that the VM connects to.
+	peers []string
+	ended chan struct{}
+	// publish publishes a further version of a front-end VM's routes, with limits on requests.
+	publish func(limits routing.Limits)
+
+	mu   sync.Mutex
+	tail []string
+	// lines is the number of lines that the process has logged.
+	lines int
+	// peakBytes and peakDescriptors are the most that were measured.
+	peakBytes       int64
+	peakDescriptors int
+}
+
+// startCrowdVM starts a command with settings and measures its process until the test ends.
+func startCrowdVM(t *testing.T, command string, set any, doors []door, peers ...string) *crowdVM {
+	t.Helper()
+	content, err := json.Marshal(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "vm-1.json")
+	if err := os.WriteFile(file, content, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	vm := &crowdVM{t: t, doors: doors, peers: peers, ended: make(chan struct{})}
+	vm.command = exec.CommandContext(t.Context(), os.Args[0], command, "--settings", file)
+	vm.command.Env = append(os.Environ(), commandVariable+"=1", descriptorsVariable+"="+strconv.Itoa(crowdDescriptors))
+	out, err := vm.command.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	vm.command.Stderr = vm.command.Stdout
+	if err := vm.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	go vm.follow(out)
+	go vm.measure(t.Context())
+	t.Cleanup(func() {
+		_ = vm.command.Process.Kill()
+		<-vm.ended
+	})
+	return vm
+}
+
+// follow keeps the last lines that the process logs, until it ends.
+func (vm *crowdVM) follow(out io.Reader) {
+	const kept = 30
+	defer close(vm.ended)
+	for scanner := bufio.NewScanner(out); scanner.Scan(); {
+		vm.mu.Lock()
+		vm.tail = append(vm.tail[max(0, len(vm.tail)+1-kept):], scanner.Text())
+		vm.lines++
+		vm.mu.Unlock()
+	}
+	_ = vm.command.Wait()
+}
+
+// measure records what the process and its sockets hold until the context ends.
+func (vm *crowdVM) measure(ctx context.Context) {
+	for ctx.Err() == nil && vm.isAlive() {
+		bytes := vm.residentBytes() + vm.socketBytes()
+		entries, _ := os.ReadDir(vm.proc("fd")) // none once the process has ended
+		vm.mu.Lock()
+		vm.peakBytes, vm.peakDescriptors = max(vm.peakBytes, bytes), max(vm.peakDescriptors, len(entries))
+		vm.mu.Unlock()
+		time.Sleep(measurePause)
+	}
+}
+
+func (vm *crowdVM) proc(file string) string {
+	return filepath.Join("/proc", strconv.Itoa(vm.command.Process.Pid), file)
+}
+
+// residentBytes returns the memory that the process has resident, 0 once it has ended.
+func (vm *crowdVM) residentBytes() int64 {
+	content, err := os.ReadFile(vm.proc("statm"))
+	fields := strings.Fields(string(content))
+	if err != nil || len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64) // always a number
+	return pages * int64(os.Getpagesize())
+}
+
+// socketBytes returns the bytes in the VM's sockets: received and not read, or written and not
+// delivered.
+func (vm *crowdVM) socketBytes() int64 {
+	local, remote := make(map[string]bool), make(map[string]bool)
+	for _, d := range vm.doors {
+		local[kernelAddress(d.address)] = true
+	}
+	for _, peer := range vm.peers {
+		remote[kernelAddress(peer)] = true
+	}
+	content, _ := os.ReadFile("/proc/net/tcp") // always there on Linux
+	sum := int64(0)
+	for line := range strings.Lines(string(content)) {
+		fields := strings.Fields(line)
+		if len(fields) < 5 || !local[fields[1]] && !remote[fields[2]] || fields[3] == "0A" { // a listener's are connections
+			continue
+		}
+		sent, received, _ := strings.Cut(fields[4], ":")
+		for _, queue := range []string{sent, received} {
+			bytes, _ := strconv.ParseInt(queue, 16, 64) // always a number
+			sum += bytes
+		}
+	}
+	return sum
+}
+
+// kernelAddress returns an address as /proc/net/tcp writes it.
+func kernelAddress(address string) string {
+	at := netip.MustParseAddrPort(address)
+	ip := at.Addr().As4()
+	return fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], at.Port())
+}
+
+func (vm *crowdVM) isAlive() bool {
+	select {
+	case <-vm.ended:
+		return false
+	default:
+		return true
+	}
+}
+
+// door returns the door with a name.
+func (vm *crowdVM) door(name string) door {
+	for _, d := range vm.doors {
+		if d.name == name {
+			return d
+		}
+	}
+	vm.t.Fatalf("no door %q", name)
+	return door{}
+}
+
+// check fails the test if the process has ended, or held more than its machine has.
+func (vm *crowdVM) check() {
+	vm.t.Helper()
+	vm.mu.Lock()
+	defer vm.mu.Unlock()
+	vm.t.Logf("peak of memory and sockets %.1f MB of %d; %d descriptors of %d; %d log lines", float64(vm.peakBytes)/1e6, crowdMemoryMB, vm.peakDescriptors, crowdDescriptors-reservedDescriptors, vm.lines)
+	if !vm.isAlive() {
+		vm.t.Errorf("the process has ended:\n%s", strings.Join(vm.tail, "\n"))
+	}
+	if vm.peakBytes >= crowdMemoryMB*1e6 {
+		vm.t.Errorf("the process and its sockets held %d bytes, want less than %d MB", vm.peakBytes, crowdMemoryMB)
+	}
+	if vm.peakDescriptors >= crowdDescriptors-reservedDescriptors {
+		vm.t.Errorf("the process had %d descriptors, want less than %d", vm.peakDescriptors, crowdDescriptors-reservedDescriptors)
+	}
+}
+
+// checkAnswers fails the test unless one ordinary request is answered at each door.
+func (vm *crowdVM) checkAnswers(when string) {
+	vm.t.Helper()
+	for _, d := range vm.doors {
+		if err := vm.awaitAnswer(d, answerTimeout); err != nil {
+			vm.t.Errorf("%s: an ordinary request at %s was not answered: %v", when, d.name, err)
+		}
+	}
+}
+
+// awaitAnswer sends an ordinary request, again as often as it is not served, as callers do.
+func (vm *crowdVM) awaitAnswer(d door, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(vm.t.Context(), timeout)
+	defer cancel()
+	for {
+		status, err := ask(ctx, d)
+		if err == nil && status == d.status {
+			return nil
+		}
+		if ctx.Err() != nil || !vm.isAlive() {
+			return fmt.Errorf("status %d, want %d: %w", status, d.status, errors.Join(err, ctx.Err()))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// ask sends one ordinary request on a connection of its own.
+func ask(ctx context.Context, d door) (status int, err error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", d.address)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	_ = conn.SetDeadline(time.Now().Add(2 * time.Second)) // then it is asked again
+	if _, err := io.WriteString(conn, d.head(http.MethodGet, "1")+"Connection: close\r\n\r\n"); err != nil {
+		return 0, err
+	}
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0, err
+	}
+	_, err = io.Copy(io.Discard, response.Body)
+	return response.StatusCode, err
+}
+
+// headerLines returns header fields as lines.
+func headerLines(header http.Header) string {
+	var lines strings.Builder
+	_ = header.Write(&lines) // never fails
+	return lines.String()
+}
+
+// startCrowdFront starts a front process before a store and a target, and returns once it serves.
+func startCrowdFront(t *testing.T) *crowdVM {
+	t.Helper()
+	target := httptest.NewServer(http.HandlerFunc(serveCrowdTarget))
+	t.Cleanup(target.Close)
+	t.Cleanup(target.CloseClientConnections)
+	store := platform.NewStandInStore()
+	one := func(name string, kind routing.Kind) routing.Route {
+		return routing.Route{
+			Name: name, Host: "booking.example", Prefix: "/" + name + "/", Kind: kind, Timeout: crowdRouteTimeout, Objective: crowdRouteTimeout,
+			Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: "booking", Weight: 1}}, Public: true,
+		}
+	}
+	version := uint64(0)
+	publish := func(limits routing.Limits) {
+		version++
+		limits.HeaderTimeout, limits.IdleTimeout = 3*time.Second, 15*time.Second
+		store.PublishRoutes(routing.Document{
+			Version: version, Services: []routing.Service{{Name: "booking", MaxConnections: 300}}, Limits: limits,
+			Routes: []routing.Route{one("look", routing.KindIdempotent), one("book", routing.KindOnce), one("load", routing.KindDownload)},
+		})
+	}
+	publish(routing.Limits{HeaderBytes: crowdHeaderBytes, BodyBytes: crowdBodyBytes})
+	store.PublishTarget(roster.Target{
+		ID: "t1", Service: "booking", Address: target.Listener.Addr().String(), Zone: "zone-a", SoftwareVersion: "v1",
+		Slots: 100, State: roster.StateReady, StartedAt: time.Now().Add(-time.Hour),
+	})
+	server := httptest.NewServer(store)
+	t.Cleanup(server.CloseClientConnections) // ends the daemon's watches
+	set := frontSettings(server.Listener.Addr().String())
+	set.Machine = settings.Machine{CPUShare: 1, Cores: 1, LinkMbps: 10000, MemoryMB: crowdMemoryMB}
+	set.Stop = settings.Stop{Grace: document.Duration(crowdGrace), Linger: document.Duration(200 * time.Millisecond)}
+	header := make(http.Header)
+	platform.Headers{}.WriteRequest(header, dialect.Request{AttemptID: "a1", Remaining: crowdRouteTimeout})
+	pages := platform.DirectoryPages{}
+	callers := func(name, host, path string, status int) door {
+		return door{name: name, address: set.Listen.Callers, host: host, path: path, header: headerLines(header), status: status}
+	}
+	vm := startCrowdVM(t, "front", set, []door{
+		callers("route", "booking.example", "/look/", http.StatusOK),
+		callers("route that must not run twice", "booking.example", "/book/", http.StatusOK),
+		callers("no route", "booking.example", "/none/", http.StatusNotFound),
+		callers("unknown host", "nobody.example", "/look/", http.StatusNotFound),
+		{name: "readiness", address: set.Listen.Readiness, host: set.Listen.Readiness, path: pages.ReadinessPath() + "?", status: http.StatusOK},
+		{name: "directory", address: set.Listen.Directory, host: set.Listen.Directory, path: pages.DirectoryPath() + "?name=booking.example&zone=zone-a&region=local&n=", status: http.StatusOK},
+		{name: "admin", address: set.Listen.Admin, host: set.Listen.Admin, path: "/metrics?", status: http.StatusOK},
+	}, target.Listener.Addr().String(), server.Listener.Addr().String())
+	vm.publish = publish
+	vm.awaitServing()
+	return vm
+}
+
+// serveCrowdTarget is a target that answers each request with a few bytes, or works on it until its
+// caller leaves.
+func serveCrowdTarget(w http.ResponseWriter, r *http.Request) {
+	attempt := platform.Headers{}.ReadAttempt(r.Header)
+	if attempt.AttemptID == "" {
+		return // a health check
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	if strings.Contains(r.URL.Path, slowPath) {
+		<-r.Context().Done()
+	}
+	platform.Headers{}.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: attempt.AttemptID, Signed: true, Load: &dialect.Load{Slots: 100}})
+	content := make([]byte, 2000)
+	if strings.HasPrefix(r.URL.Path, "/load/") {
+		content = make([]byte, 200_000)
+	}
+	_, _ = w.Write(content)
+}
+
+// startCrowdServe starts a serve process before stand-ins of the platform and of targets, and returns
+// once it serves.
+func startCrowdServe(t *testing.T) *crowdVM {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	fleet, err := localfleet.Start(ctx, localfleet.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(fleet.Stop)
+	set := settings.Default()
+	set.Fleet, set.VM, set.Zone, set.Region = "crowd", "vm-1", localfleet.Zones()[0], "ee"
+	set.Listen = settings.Listen{Callers: freeAddress(), Peers: freeAddress(), Admin: freeAddress()}
+	set.Platform = []string{fleet.PlatformAddress}
+	set.TLS.Off = true
+	set.Limits.BodyBytes = crowdBodyBytes
+	set.Stop = settings.Stop{Grace: document.Duration(crowdGrace), Linger: document.Duration(200 * time.Millisecond)}
+	const host, customer = "booking.soojavee.example", "portal"
+	credential := func(secret string) string {
+		return "Primroseloom-Credential: " + secret + "\r\nPrimroseloom-Timeout-Ms: " + strconv.FormatInt(crowdRouteTimeout.Milliseconds(), 10) + "\r\n"
+	}
+	callers := func(name, host, path, secret string, status int) door {
+		return door{name: name, address: set.Listen.Callers, host: host, path: path, header: credential(secret), status: status}
+	}
+	peers := []string{fleet.PlatformAddress}
+	for _, one := range fleet.Targets {
+		peers = append(peers, one.Address)
+	}
+	vm := startCrowdVM(t, "serve", set, []door{
+		callers("route", host, "/availability?", examples.Credential(customer), http.StatusOK),
+		callers("route that must not run twice", host, "/bookings/", examples.Credential(customer), http.StatusOK),
+		callers("unknown customer", host, "/availability/", "nobody", http.StatusUnauthorized),
+		callers("unknown host", "nobody.example", "/", examples.Credential(customer), http.StatusNotFound),
+		{name: "directory", address: set.Listen.Callers, host: set.Listen.Callers, path: "/v1/directory?service=booking&customer=" + customer + "&n=", status: http.StatusOK},
+		{name: "admin", address: set.Listen.Admin, host: set.Listen.Admin, path: "/metrics?", status: http.StatusOK},
+	}, peers...)
+	vm.awaitServing()
+	return vm
+}
+
+// awaitServing waits until an ordinary request is answered at each door.
+func (vm *crowdVM) awaitServing() {
+	vm.t.Helper()
+	for _, d := range vm.doors {
+		if err := vm.awaitAnswer(d, signalTestTimeout); err != nil {
+			vm.mu.Lock()
+			defer vm.mu.Unlock()
+			vm.t.Fatalf("the VM does not serve at %s: %v\n%s", d.name, err, strings.Join(vm.tail, "\n"))
+		}
+	}
+}
+
+// endsOnSignal sends SIGTERM and reports whether the process ends by itself within its grace period.
+func (vm *crowdVM) endsOnSignal() bool {
+	_ = vm.command.Process.Signal(syscall.SIGTERM) // fails only when the process has ended
+	select {
+	case <-vm.ended:
+		return vm.command.ProcessState.Exited()
+	case <-time.After(crowdGrace):
+		return false
+	}
+}
--- a/cmd/primroseloomd/signals_test.go
+++ b/cmd/primroseloomd/signals_test.go
@@ -38,6 +38,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(commandVariable) != "" {
+		limitDescriptors(os.Getenv(descriptorsVariable))
 		main()
 	}
 	os.Exit(m.Run())
