readahead: a refusal reaches a caller that still sends

Cause, by a trace of the connection: net/http ends the read in progress of a body that is refused; its close of that body then returns the read's timeout at once, so that it closes the connection without the wait of 500 ms that it otherwise makes, with bytes that were not read, and the kernel drops the response with the reset. It reads nothing in those 500 ms either, and before it writes a head it waits for up to 256 KB of the body without a time limit.

A connection that the server closes after a response, while its request has arrived in part, now closes its sending direction and reads on for at most 1 s and 1 MB; a planned stop waits for these. Before a refusal, LeaveBody bounds what net/http awaits to a body of 64 KB and 1 s. Refusals have a write deadline.

--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 )
 
 type listenerSet struct {
@@ -62,6 +63,7 @@
 	proxied.NoRoute(d.proxy.Handle)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if isIPHost(r.Host) {
+			readahead.LeaveBody(w, r) // the directory reads none
 			own.ServeHTTP(w, r)
 			return
 		}
--- a/entry/draining/drain.go
+++ b/entry/draining/drain.go
@@ -65,9 +65,10 @@
 	}
 }
 
-// awaitAnswered waits until no request is in progress or has arrived behind one.
+// awaitAnswered waits until no request is in progress or has arrived behind one, and no caller still sends
+// after its response, which would be lost.
 func awaitAnswered(ctx context.Context, connections *readahead.Watcher, handler Handler) error {
-	for handler.InProgress() > 0 || connections.Pending() {
+	for handler.InProgress() > 0 || connections.Pending() || connections.HasLingering() {
 		if !pause.For(ctx, drainPollInterval) {
 			return fmt.Errorf("finish %d requests: %w", handler.InProgress(), ctx.Err())
 		}
--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -32,6 +32,8 @@
 	framer  framer
 	// whole is the number of whole requests, for other goroutines than that which reads.
 	whole atomic.Int64
+	// partial is true while a request has arrived in part, or was refused.
+	partial atomic.Bool
 	// refusal is the rest of malformedLine, once a request is refused.
 	refusal string
 }
@@ -52,6 +54,7 @@
 		}
 		followed := c.framer.add(p[:n])
 		c.whole.Store(int64(c.framer.whole))
+		c.partial.Store(c.framer.isPartial())
 		if c.framer.state != refused {
 			return n, err
 		}
@@ -71,6 +74,9 @@
 // is safe for concurrent use.
 func (c *Conn) WholeRequests() int { return int(c.whole.Load()) }
 
+// IsPartial reports whether a part of a request has arrived and not all of it. It is safe for concurrent use.
+func (c *Conn) IsPartial() bool { return c.partial.Load() }
+
 // report logs and counts the refused request.
 func (c *Conn) report() {
 	if c.options.Logger != nil {
@@ -85,6 +91,9 @@
 // SetLinger sets the linger time, in seconds.
 func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
 
+// CloseWrite closes the sending direction.
+func (c *Conn) CloseWrite() error { return linger.CloseWrite(c.Conn) }
+
 // Listener returns a listener of connections whose server refuses requests with two lengths.
 func Listener(inner net.Listener, options Options) net.Listener {
 	return connwrap.Listener(inner, func(conn net.Conn) net.Conn { return NewConn(conn, options) })
--- a/entry/framing/framer.go
+++ b/entry/framing/framer.go
@@ -88,6 +88,11 @@
 	return len(content)
 }
 
+// isPartial reports whether a part of a request has arrived and not all of it, as far as it is followed.
+func (f *framer) isPartial() bool {
+	return f.state != ignored && (f.state != inRequestLine || len(f.line.content) > 0)
+}
+
 // refuse ends the following of a request that is refused for a reason.
 func (f *framer) refuse(reason Reason) { f.state, f.reason = refused, reason }
 
--- a/entry/gateway/refuse.go
+++ b/entry/gateway/refuse.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/events"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/policy/placement"
@@ -69,6 +70,8 @@
 	}
 	g.options.Dialect.WriteRefusal(w.Header(), retryAfter)
 	q.leaveBody(w)
+	readahead.LeaveBody(w, q.caller)
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(minProgressTimeout)) // not supported: the caller is another VM, which reads
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(status)
 }
--- a/entry/gateway/upload_test.go
+++ b/entry/gateway/upload_test.go
@@ -18,6 +18,8 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/forwarding"
+	"github.com/primroseloom/primroseloom/entry/framing"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/targetset"
 	"github.com/primroseloom/primroseloom/policy/outcome"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
@@ -59,7 +61,7 @@
 		h.harness = inner
 		h.table = tableWithBodies(t, maxUploadBytes)
 		h.targets.RoutesChanged(h.table)
-		h.address = h.serveOver(func(l net.Listener) net.Listener { return l })
+		h.address = h.serveOver(func(l net.Listener) net.Listener { return readahead.Listener(l, framing.Options{}) }) // as the daemon
 		test(h)
 		time.Sleep(10 * time.Second) // what is still read ends
 	})
--- a/entry/internal/linger/linger.go
+++ b/entry/internal/linger/linger.go
@@ -1,4 +1,5 @@
-// Package linger sets what closing a connection does with bytes that were not delivered yet.
+// Package linger sets what closing a connection does with bytes that were not delivered yet, and closes
+// one direction of it.
 package linger
 
 import (
@@ -15,3 +16,12 @@
 	}
 	return errors.ErrUnsupported
 }
+
+// CloseWrite closes the sending direction of a connection, as net.TCPConn.CloseWrite does. Connections
+// that wrap another one pass it on. The error is errors.ErrUnsupported for those that can't.
+func CloseWrite(conn net.Conn) error {
+	if closer, ok := conn.(interface{ CloseWrite() error }); ok {
+		return closer.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -187,6 +187,7 @@
 	if w.started {
 		panic(http.ErrAbortHandler)
 	}
+	readahead.LeaveBody(w, r)
 	writeRefusal(w, refusal)
 }
 
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -135,6 +135,9 @@
 // SetLinger sets the linger time, in seconds.
 func (c *limitedConn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
 
+// CloseWrite closes the sending direction.
+func (c *limitedConn) CloseWrite() error { return linger.CloseWrite(c.Conn) }
+
 // Close closes the connection and makes room for another one.
 func (c *limitedConn) Close() error {
 	c.release()
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/framing"
@@ -40,6 +41,11 @@
 	// without it; isHandled is true once the one in progress was passed to the handler.
 	begun     int
 	isHandled bool
+	// responded is true once a response to the request in progress was begun.
+	responded atomic.Bool
+	// watcher is that of the server; nil for none. isReset is true if closing resets the connection.
+	watcher *Watcher
+	isReset bool
 	// onEnd are the functions to be called when the caller has closed the connection.
 	onEnd   map[int]func()
 	nextKey int
@@ -186,16 +192,35 @@
 	return c.SetReadDeadline(at)
 }
 
-// Close closes the connection.
+// Close closes the connection. After a response to a request that has not arrived whole, the rest of it is
+// read first, within bounds and in the background; a second call ends that.
 func (c *Conn) Close() error {
+	if c.setClosed() {
+		go c.discardRest()
+		return nil
+	}
+	return c.Conn.Close()
+}
+
+// setClosed ends the reading ahead and reports whether the rest of a request is to be discarded.
+func (c *Conn) setClosed() (lingers bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
+	lingers = !c.closed && !c.ahead && !c.isReset && c.responded.Load() && c.IsPartial()
 	c.closed = true
 	if c.timer != nil {
 		c.timer.Stop()
 	}
 	c.changed.Broadcast()
+	return lingers
+}
+
+// SetLinger sets the linger time, in seconds; with 0, closing resets the connection.
+func (c *Conn) SetLinger(seconds int) error {
+	c.mu.Lock()
+	c.isReset = seconds == 0
 	c.mu.Unlock()
-	return c.Conn.Close()
+	return c.Conn.SetLinger(seconds)
 }
 
 // Listener returns a listener whose connections are read ahead, and whose server refuses requests with
@@ -220,7 +245,7 @@
 // returns a Watcher of its connections. These must come from Listener. The server's Handler and
 // ConnState are to be set before.
 func Watch(server *http.Server) *Watcher {
-	watcher := &Watcher{conns: make(map[*Conn]bool)}
+	watcher := &Watcher{conns: make(map[*Conn]bool), lingering: make(map[*Conn]bool)}
 	onStateChange := server.ConnState
 	server.ConnState = func(conn net.Conn, state http.ConnState) {
 		watcher.onStateChange(conn, state)
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -19,6 +19,7 @@
 	defer c.mu.Unlock()
 	c.begun++
 	c.isHandled = true
+	c.responded.Store(false)
 }
 
 // endRequest ends a request whose response leaves the connection open. The server answers some by
@@ -30,6 +31,7 @@
 		c.begun++
 	}
 	c.isHandled = false
+	c.responded.Store(false)
 }
 
 // hasPending reports whether a whole request is known to have arrived that has not begun. Those of a
@@ -45,6 +47,8 @@
 	mu sync.Mutex
 	// conns holds whether a connection is new: nothing has arrived on it yet.
 	conns map[*Conn]bool
+	// lingering are the connections that the server has closed while their callers still send.
+	lingering map[*Conn]bool
 }
 
 // onStateChange follows the state of a server's connection.
@@ -55,6 +59,7 @@
 	}
 	switch state {
 	case http.StateNew:
+		c.watcher = w
 		w.set(c, true)
 	case http.StateActive:
 		w.set(c, false)
@@ -101,3 +106,22 @@
 	}
 	return false
 }
+
+func (w *Watcher) beginLingering(c *Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lingering[c] = true
+}
+
+func (w *Watcher) endLingering(c *Conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.lingering, c)
+}
+
+// HasLingering reports whether a connection is open whose caller still sends after its response.
+func (w *Watcher) HasLingering() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.lingering) > 0
+}
--- a/entry/slowreader/conn.go
+++ b/entry/slowreader/conn.go
@@ -40,6 +40,9 @@
 // SetLinger sets the linger time, in seconds.
 func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
 
+// CloseWrite closes the sending direction.
+func (c *Conn) CloseWrite() error { return linger.CloseWrite(c.Conn) }
+
 // checksPerTimeout is how often a write that waits looks for progress within the allowed
 // time, so that a peer is ended at most a quarter of it late.
 const checksPerTimeout = 4
