gateway: a head within the routes' limit is served, whatever its spaces

What callers saw: a request whose head has fewer bytes than the limit of the routes was answered 431 when its fields have no space behind the colon. Cause: the size of a head is calculated from its parsed fields, and counted that space for each, 1 byte for each short field. It now counts the bytes that a head has at least.

--- a/entry/gateway/headers.go
+++ b/entry/gateway/headers.go
@@ -27,9 +27,10 @@
 	}
 }
 
-// headerBytes returns the size of a request's first line and headers.
+// headerBytes returns the size of a request's first line and headers. Spaces around values, which callers
+// may leave out, don't count.
 func headerBytes(r *http.Request) int {
-	const separators = len(": \r\n")
+	const separators = len(":\r\n")
 	size := len(r.Method) + len(r.URL.RequestURI()) + len(r.Proto) + separators + len("Host") + len(r.Host) + separators
 	for name, values := range r.Header {
 		for _, value := range values {
