proxy: a body that grows over the limit is refused with 413

What callers saw: serve answered 503 when a body in chunks went over limits.body_bytes after its attempt had begun. Cause: the refusal took its reason from the attempt that had lost its body, not from why the body ended. The reason is now body_too_large; the outcome stays that of the attempt, since its target may have begun. TestRefusalReachesItsCaller failed in serve and passes now; KNOWN-RED 35 is out.

--- a/entry/proxy/attempt.go
+++ b/entry/proxy/attempt.go
@@ -220,6 +220,9 @@
 	if errors.As(f.cause, &cause) && decision.Outcome == outcome.NotRun {
 		refusal.Reason, refusal.Step = cause.Reason, cause.Step
 	}
+	if errors.Is(c.upload.readError(), errUploadTooLarge) {
+		refusal.Reason, refusal.Step = outcome.ReasonBodyTooLarge, outcome.StepParse
+	}
 	return decision, refusal
 }
 
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -28,7 +28,7 @@
 # crashes are tolerated, and printed.
 long=$(echo "$packages" | grep -E '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
 short=$(echo "$packages" | grep -vE '/entry/(config|daemon|follow|proxy)$|primroseloom/platform$')
-known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow|TestRefusalReachesItsCaller)$'
+known_red='^(TestP99IsHalvedWhileTargetsAreSlow|TestP999IsHalvedWhileTargetsAreSlow)$'
 go test -race -count=1 -timeout 20m -skip "$known_red" $short
 # Bounds of real time and of a process's memory hold for the product, not for code with the
 # race detector, so these tests run without it once more.
@@ -64,4 +64,3 @@
 run_known_red 31 ./cmd/primroseloomd TestServeOutlivesCrowds
 run_known_red 32 ./cmd/primroseloomd TestMixedCrowdsAreOutlived
 run_known_red 33 ./cmd/primroseloomd TestLowerLimitsDuringACrowd
-run_known_red 35 ./cmd/primroseloomd TestRefusalReachesItsCaller
