connlimit: each listener has its part of the descriptors

What callers saw: nothing, until the process had no descriptors left: the readiness, directory and admin listeners took any number of connections, and callers' 3000 (front) or 10,000 (serve) whatever the process may open; then no listener accepts. With as many callers as connections, ordinary ones were closed at once for as long as others held theirs. Heads of a megabyte were read at the pages, bodies without a time limit.

Each listener now has a share of the sockets: callers half (at most 3000, and what memory_mb allows), peers 30%, the directory 8%, readiness and admin 2% (serve: admin 5%). What is full closes the connection that has done least for the longest: callers' that wait for their caller, pages' that were used least recently. Pages have one server (pageserver): heads of 16 KB, 5 s for a request, 10 s for a response. New settings machine.descriptors and limits.descriptors, 0 for the operating system's limit (the users' platform passes max_fds), event 5008 at most once a second and listener, counter connections_over_limit.

TestCrowdDoesNotLockOutOthers and TestConnectionsOverTheLimitAreClosed are new.

--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -12,6 +12,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/entry/config"
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/directory"
 	"github.com/primroseloom/primroseloom/entry/metrics"
@@ -145,6 +146,7 @@
 		CallersAddress: set.Listen.Callers,
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
+		Connections:    connlimit.Share(connlimit.Sockets(set.Limits.Descriptors), peersShare, peer.MaxConnections),
 		Clock:          clock.Uptime,
 		TLS: peer.TLSFiles{
 			Off:             set.TLS.Off,
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -16,12 +16,14 @@
 
 	"github.com/primroseloom/primroseloom/entry/admin"
 	"github.com/primroseloom/primroseloom/entry/config"
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/directory"
 	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/pageserver"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/readahead"
@@ -68,11 +70,11 @@
 	stopTree := d.startTree(ctx)
 	defer stopTree()
 	callers := d.callerServer()
-	operators := &http.Server{Handler: d.adminEngine(), ReadHeaderTimeout: d.settings.Limits.HeaderTimeout.Std()}
-	limited := proxy.LimitListener(listeners.callers, d.settings.Limits.CallerConnections)
+	operators, operatorListener := pageserver.New(listeners.admin, d.adminEngine(), d.adminLimit())
 	connections := readahead.Watch(callers)
+	limited := connlimit.NewListener(listeners.callers, d.callerLimit(connections))
 	go serve(callers, readahead.Listener(limited, framing.Options{Logger: d.logger, Scope: d.metrics.Scope()}))
-	go serve(operators, listeners.admin)
+	go serve(operators, operatorListener)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
 
--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -10,6 +10,7 @@
 
 	"github.com/gin-gonic/gin"
 
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 )
@@ -46,7 +47,6 @@
 func (d *Daemon) callerServer() *http.Server {
 	limits := d.settings.Limits
 	return proxy.NewServer(d.callerHandler(), proxy.ServerLimits{
-		Connections:   limits.CallerConnections,
 		HeaderBytes:   limits.HeaderBytes,
 		HeaderTimeout: limits.HeaderTimeout.Std(),
 		IdleTimeout:   limits.IdleTimeout.Std(),
@@ -54,6 +54,33 @@
 	})
 }
 
+// Shares of the sockets that the process may open. The rest is for connections to targets, other VMs and
+// the platform.
+const (
+	callersShare = 0.5
+	peersShare   = 0.3
+	adminShare   = 0.05
+	// maxAdminConnections bounds the open connections of operators whatever the machine is.
+	maxAdminConnections = 1000
+)
+
+// callerLimit returns the limit on callers' connections.
+func (d *Daemon) callerLimit(connections *readahead.Watcher) connlimit.Options {
+	limit := d.connectionLimit("callers", callersShare, d.settings.Limits.CallerConnections)
+	limit.MakeRoom = connections.CloseWaiting
+	return limit
+}
+
+// adminLimit returns the limit on the connections of operators.
+func (d *Daemon) adminLimit() connlimit.Options {
+	return d.connectionLimit("admin", adminShare, maxAdminConnections)
+}
+
+func (d *Daemon) connectionLimit(name string, share float64, most int) connlimit.Options {
+	limit := connlimit.Share(connlimit.Sockets(d.settings.Limits.Descriptors), share, most)
+	return connlimit.Options{Name: name, Limit: limit, Logger: d.logger, Scope: d.metrics.Scope()}
+}
+
 // callerHandler sends requests for an IP address to the directory and all
 // others to the proxy.
 func (d *Daemon) callerHandler() http.Handler {
--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -34,6 +34,8 @@
 	whole atomic.Int64
 	// partial is true while a request has arrived in part, or was refused.
 	partial atomic.Bool
+	// isHTTP2 is true once the connection is known to be one of HTTP/2.
+	isHTTP2 atomic.Bool
 	// refusal is the rest of malformedLine, once a request is refused.
 	refusal string
 }
@@ -55,6 +57,7 @@
 		followed := c.framer.add(p[:n])
 		c.whole.Store(int64(c.framer.whole))
 		c.partial.Store(c.framer.isPartial())
+		c.isHTTP2.Store(c.framer.isHTTP2Conn())
 		if c.framer.state != refused {
 			return n, err
 		}
@@ -77,6 +80,9 @@
 // IsPartial reports whether a part of a request has arrived and not all of it. It is safe for concurrent use.
 func (c *Conn) IsPartial() bool { return c.partial.Load() }
 
+// IsHTTP2 reports whether the connection is one of HTTP/2. It is safe for concurrent use.
+func (c *Conn) IsHTTP2() bool { return c.isHTTP2.Load() }
+
 // report logs and counts the refused request.
 func (c *Conn) report() {
 	if c.options.Logger != nil {
--- a/entry/framing/framer.go
+++ b/entry/framing/framer.go
@@ -154,6 +154,9 @@
 	}
 }
 
+// isHTTP2Conn reports whether the beginning of a connection of HTTP/2 has arrived.
+func (f *framer) isHTTP2Conn() bool { return f.preface == len(prefaceLines) }
+
 // isHTTP2 reports whether a line is the last one of those by which a connection of HTTP/2 begins.
 func (f *framer) isHTTP2(text []byte) bool {
 	if f.isHTTP1 {
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -11,6 +11,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/fx/fxevent"
 
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/evidence"
@@ -76,6 +77,7 @@
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
 		Capacity:       capacityOf(set.Machine),
+		Connections:    connlimit.Share(connlimit.Sockets(set.Machine.Descriptors), peersShare, peer.MaxConnections),
 		Clock:          f.clock.Uptime,
 		TLS:            peer.TLSFiles{Off: true},
 	}, f.options.VMs, logger, m.Scope())
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -12,6 +12,7 @@
 	"github.com/charmbracelet/log"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/crashes"
 	"github.com/primroseloom/primroseloom/entry/dialect"
@@ -23,6 +24,7 @@
 	"github.com/primroseloom/primroseloom/entry/gateway"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/entry/metrics"
+	"github.com/primroseloom/primroseloom/entry/pageserver"
 	"github.com/primroseloom/primroseloom/entry/peer"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/quotas"
@@ -38,7 +40,6 @@
 
 // Limits on caller connections that apply whatever the routes' own limits are.
 const (
-	maxCallerConnections = 3000
 	maxCallerHeaderBytes = 64 << 10
 	callerHeaderTimeout  = 5 * time.Second
 	// callerIdleTimeout is the idle timeout while the routes set none, and the upper
@@ -106,12 +107,12 @@
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
 	connections := readahead.Watch(callers)
-	limited := f.watchProgress(proxy.LimitListener(listeners.callers, maxConnections(set.Machine)))
+	limited := f.watchProgress(connlimit.NewListener(listeners.callers, f.callerLimit(connections)))
 	go f.serve(callers, readahead.Listener(limited, framing.Options{Logger: f.options.Logger, Scope: f.metrics.Scope()}))
 	pages := []*http.Server{
-		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready)),
-		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor)),
-		f.servePage(listeners.admin, adminEngine(f.metrics.Handler(), f.crashes, f.clock.Uptime)),
+		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready), f.pageLimit("readiness", readinessShare)),
+		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor), f.pageLimit("directory", directoryShare)),
+		f.servePage(listeners.admin, adminEngine(f.metrics.Handler(), f.crashes, f.clock.Uptime), f.pageLimit("admin", adminShare)),
 	}
 	go f.servePeers(listeners.peers)
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
@@ -122,8 +123,8 @@
 }
 
 // servePage starts to serve the readiness, directory or admin interface.
-func (f *Frontend) servePage(listener net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: callerHeaderTimeout, IdleTimeout: callerIdleTimeout}
+func (f *Frontend) servePage(inner net.Listener, handler http.Handler, limits connlimit.Options) *http.Server {
+	server, listener := pageserver.New(inner, handler, limits)
 	go f.serve(server, listener)
 	return server
 }
--- a/entry/frontend/memory.go
+++ b/entry/frontend/memory.go
@@ -15,10 +15,6 @@
 const (
 	collectedShare   = 0.8
 	bytesPerMegabyte = 1e6
-	// connectionBytes is what an idle connection of a caller needs: a goroutine and two buffers.
-	connectionBytes = 16 << 10
-	// connectionsShare is the share of the memory that callers' connections may need.
-	connectionsShare = 0.3
 	// memoryLimitVariable is the runtime's own setting, which goes first.
 	memoryLimitVariable = "GOMEMLIMIT"
 )
@@ -44,14 +40,6 @@
 	return slowreader.Listener(inner)
 }
 
-// maxConnections returns the number of callers' connections that may be open.
-func maxConnections(machine settings.Machine) int {
-	if machine.MemoryMB <= 0 {
-		return maxCallerConnections
-	}
-	return min(max(int(machine.MemoryMB*bytesPerMegabyte*connectionsShare/connectionBytes), 1), maxCallerConnections)
-}
-
 // capacityOf returns the requests a second that a machine can serve.
 func capacityOf(machine settings.Machine) uint32 {
 	return offer.Capacity(machine.CPUShare*machine.Cores, machine.LinkMbps)
--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -81,7 +82,7 @@
 		ErrorLog: stdlog.New(&handshakeErrorWriter{m: m}, "", 0),
 	}
 	m.server.Store(server)
-	limited := netutil.LimitListener(&countingListener{Listener: listener, traffic: m.traffic}, maxConnections)
+	limited := netutil.LimitListener(&countingListener{Listener: listener, traffic: m.traffic}, cmp.Or(m.settings.Connections, MaxConnections))
 	if m.keys.off {
 		server.Protocols.SetUnencryptedHTTP2(true)
 		return server.Serve(limited)
--- a/entry/peer/settings.go
+++ b/entry/peer/settings.go
@@ -26,6 +26,8 @@
 	FirstPeers []string
 	TLS        TLSFiles
 	Membership membership.Settings
+	// Connections is the maximum number of connections accepted from peers; 0 means MaxConnections.
+	Connections int
 	// Clock returns the uptime of the process, including time in which it was
 	// suspended. If nil, the time since New by the monotonic clock is used.
 	Clock func() time.Duration
@@ -54,8 +56,8 @@
 	minCompressedBytes = 16 << 10
 	// maxActions is the maximum number of pings and joins in progress.
 	maxActions = 256
-	// maxConnections is the maximum number of connections accepted from peers.
-	maxConnections = 4096
+	// MaxConnections is the maximum number of connections accepted from peers on any machine.
+	MaxConnections = 4096
 	// maxStreams is the maximum number of calls in progress on one connection.
 	maxStreams = 256
 	// maxViewAge is the age at which the published view is rebuilt.
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -5,16 +5,13 @@
 	"context"
 	"fmt"
 	stdlog "log"
-	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/charmbracelet/log"
 
 	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
-	"github.com/primroseloom/primroseloom/entry/internal/linger"
 )
 
 // maxConcurrentStreams bounds the requests in progress on one HTTP/2 connection.
@@ -22,9 +19,6 @@
 
 // ServerLimits bound callers' connections.
 type ServerLimits struct {
-	// Connections is the maximum number of open connections. NewServer does not
-	// enforce it; it is for the caller to pass to LimitListener.
-	Connections int
 	// HeaderBytes bounds the size of a request's header.
 	HeaderBytes int
 	// HeaderTimeout bounds the time a caller may take to send a header.
@@ -99,47 +93,3 @@
 
 // AwaitForwarded waits for the requests of other VMs, and then lets none begin.
 func (p *Proxy) AwaitForwarded(ctx context.Context) error { return p.forwardedRequests.Await(ctx) }
-
-// LimitListener returns a listener that keeps at most limit connections open and
-// closes further ones at once.
-func LimitListener(inner net.Listener, limit int) net.Listener {
-	return &limitListener{Listener: inner, open: make(chan struct{}, limit)}
-}
-
-type limitListener struct {
-	net.Listener
-	open chan struct{}
-}
-
-// Accept returns the next connection within the limit.
-func (l *limitListener) Accept() (net.Conn, error) {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		select {
-		case l.open <- struct{}{}:
-			return &limitedConn{Conn: conn, release: sync.OnceFunc(func() { <-l.open })}, nil
-		default:
-			_ = conn.Close()
-		}
-	}
-}
-
-type limitedConn struct {
-	net.Conn
-	release func()
-}
-
-// SetLinger sets the linger time, in seconds.
-func (c *limitedConn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
-
-// CloseWrite closes the sending direction.
-func (c *limitedConn) CloseWrite() error { return linger.CloseWrite(c.Conn) }
-
-// Close closes the connection and makes room for another one.
-func (c *limitedConn) Close() error {
-	c.release()
-	return c.Conn.Close()
-}
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -41,6 +41,9 @@
 	// without it; isHandled is true once the one in progress was passed to the handler.
 	begun     int
 	isHandled bool
+	// waitingSince is when the connection was accepted, or the request in progress began, or the last one
+	// ended.
+	waitingSince time.Time
 	// responded is true once a response to the request in progress was begun.
 	responded atomic.Bool
 	// watcher is that of the server; nil for none. isReset is true if closing resets the connection.
@@ -53,7 +56,7 @@
 
 // NewConn returns a connection that is not read ahead yet.
 func NewConn(inner *framing.Conn) *Conn {
-	c := &Conn{Conn: inner, onEnd: make(map[int]func())}
+	c := &Conn{Conn: inner, onEnd: make(map[int]func()), waitingSince: time.Now()}
 	c.changed = sync.NewCond(&c.mu)
 	return c
 }
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
 // HasPipelined reports whether the caller of a request is known to have sent another whole request
@@ -19,6 +20,7 @@
 	defer c.mu.Unlock()
 	c.begun++
 	c.isHandled = true
+	c.waitingSince = time.Now()
 	c.responded.Store(false)
 }
 
@@ -31,6 +33,7 @@
 		c.begun++
 	}
 	c.isHandled = false
+	c.waitingSince = time.Now()
 	c.responded.Store(false)
 }
 
--- a/entry/readahead/reset_test.go
+++ b/entry/readahead/reset_test.go
@@ -8,8 +8,8 @@
 	"syscall"
 	"testing"
 
+	"github.com/primroseloom/primroseloom/entry/connlimit"
 	"github.com/primroseloom/primroseloom/entry/framing"
-	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/slowreader"
 )
@@ -33,7 +33,7 @@
 		})}
 		readahead.Watch(server)
 		go func() {
-			_ = server.Serve(readahead.Listener(slowreader.Listener(proxy.LimitListener(inner, 10)), framing.Options{}))
+			_ = server.Serve(readahead.Listener(slowreader.Listener(connlimit.NewListener(inner, connlimit.Options{Limit: 10})), framing.Options{}))
 		}()
 		conn, err := net.Dial("tcp", inner.Addr().String())
 		if err != nil {
--- a/entry/settings/frontend.go
+++ b/entry/settings/frontend.go
@@ -67,6 +67,8 @@
 	LinkMbps float64 `json:"link_mbps" validate:"min=0.1,max=1000000"`
 	// MemoryMB is the memory that the instance may use, in megabytes; 0 sets no bound on the bytes that are held for requests and responses.
 	MemoryMB float64 `json:"memory_mb,omitzero" validate:"min=0,max=10000000"`
+	// Descriptors is the number of descriptors that the instance may open, of which 200 are not for sockets; 0 means the operating system's limit.
+	Descriptors int `json:"descriptors,omitzero" validate:"min=0,max=100000000"`
 }
 
 // Keys bounds how long a withdrawn key may be served.
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -61,8 +61,10 @@
 
 // Limits bounds what callers may use of one instance.
 type Limits struct {
-	// CallerConnections is the maximum number of open connections from callers.
+	// CallerConnections is the maximum number of open connections from callers; half of the process's descriptors are the upper bound. When there are as many, the connection is closed that has done least for the longest.
 	CallerConnections int `json:"caller_connections" validate:"min=1,max=100000"`
+	// Descriptors is the number of descriptors that the instance may open, of which 200 are not for sockets; 0 means the operating system's limit.
+	Descriptors int `json:"descriptors,omitzero" validate:"min=0,max=100000000"`
 	// HeaderBytes is the maximum size of a request's header.
 	HeaderBytes int `json:"header_bytes" validate:"min=1024,max=1048576"`
 	// BodyBytes is the maximum size of a request's body.
