frontend: the limit of the garbage collector leaves room for the program

What callers saw: nothing, until a process came to its VM's memory with garbage: of 100 MB, the collector let the heap grow to 80, while the program's own pages need some 20 and the sockets have theirs. The limit is now a share of what the program leaves. TestMemoryLimitFollowsTheSetting expects 92.8 MB instead of 108.8 of 136, which is stricter, and has one more VM.

The crowd tests log what the sockets hold.

--- a/cmd/primroseloomd/crowd_vm_test.go
+++ b/cmd/primroseloomd/crowd_vm_test.go
@@ -101,9 +101,10 @@
 	tail []string
 	// lines is the number of lines that the process has logged.
 	lines int
-	// peakBytes and peakDescriptors are the most that were measured.
-	peakBytes       int64
-	peakDescriptors int
+	// peakBytes and peakDescriptors are the most that were measured; peakSockets is the most that the sockets
+	// held.
+	peakBytes, peakSockets int64
+	peakDescriptors        int
 }
 
 // startCrowdVM starts a command with settings and measures its process until the test ends.
@@ -153,10 +154,11 @@
 // measure records what the process and its sockets hold until the context ends.
 func (vm *crowdVM) measure(ctx context.Context) {
 	for ctx.Err() == nil && vm.isAlive() {
-		bytes := vm.residentBytes() + vm.socketBytes()
+		resident, sockets := vm.residentBytes(), vm.socketBytes()
 		entries, _ := os.ReadDir(vm.proc("fd")) // none once the process has ended
 		vm.mu.Lock()
-		vm.peakBytes, vm.peakDescriptors = max(vm.peakBytes, bytes), max(vm.peakDescriptors, len(entries))
+		vm.peakBytes, vm.peakDescriptors = max(vm.peakBytes, resident+sockets), max(vm.peakDescriptors, len(entries))
+		vm.peakSockets = max(vm.peakSockets, sockets)
 		vm.mu.Unlock()
 		time.Sleep(measurePause)
 	}
@@ -235,7 +237,7 @@
 	vm.t.Helper()
 	vm.mu.Lock()
 	defer vm.mu.Unlock()
-	vm.t.Logf("peak of memory and sockets %.1f MB of %d; %d descriptors of %d; %d log lines", float64(vm.peakBytes)/1e6, crowdMemoryMB, vm.peakDescriptors, crowdDescriptors-reservedDescriptors, vm.lines)
+	vm.t.Logf("peak of memory and sockets %.1f MB of %d (sockets %.1f); %d descriptors of %d; %d log lines", float64(vm.peakBytes)/1e6, crowdMemoryMB, float64(vm.peakSockets)/1e6, vm.peakDescriptors, crowdDescriptors-reservedDescriptors, vm.lines)
 	if !vm.isAlive() {
 		vm.t.Errorf("the process has ended:\n%s", strings.Join(vm.tail, "\n"))
 	}
--- a/entry/frontend/memory.go
+++ b/entry/frontend/memory.go
@@ -10,10 +10,12 @@
 	"github.com/primroseloom/primroseloom/policy/offer"
 )
 
-// Share of the VM's memory at which the garbage collector begins to work harder. The rest is
-// for what it doesn't count: the program itself and the kernel's socket buffers.
+// Share of the VM's memory, beside that of the program, at which the garbage collector begins to work
+// harder. The rest is for what it doesn't count: the kernel's socket buffers.
 const (
-	collectedShare   = 0.8
+	collectedShare = 0.8
+	// programBytes is what the program's own pages need.
+	programBytes     = 20e6
 	bytesPerMegabyte = 1e6
 	// memoryLimitVariable is the runtime's own setting, which goes first.
 	memoryLimitVariable = "GOMEMLIMIT"
@@ -26,7 +28,8 @@
 	if machine.MemoryMB <= 0 || os.Getenv(memoryLimitVariable) != "" {
 		return 0
 	}
-	limit := int64(machine.MemoryMB * bytesPerMegabyte * collectedShare)
+	memory := machine.MemoryMB * bytesPerMegabyte
+	limit := int64(max(memory-programBytes, memory/2) * collectedShare)
 	debug.SetMemoryLimit(limit)
 	return limit
 }
--- a/entry/frontend/memory_test.go
+++ b/entry/frontend/memory_test.go
@@ -20,7 +20,8 @@
 	}{
 		{"no setting", "", 0, 0},
 		{"limit of the environment", "1GiB", 136, 0},
-		{"small VM", "", 136, 108_800_000},
+		{"small VM", "", 136, 92_800_000},
+		{"VM with little more than the program needs", "", 30, 12_000_000},
 	} {
 		debug.SetMemoryLimit(before)
 		t.Setenv(memoryLimitVariable, c.environment)
