framing: what a head keeps is reserved before it is parsed

What callers saw: nothing, until a VM was out of memory: 600 heads of 60 KB in short fields, sent but for their end, needed 645 MB, and 600 of 16 KB, which is legal, 199 MB; 700 heads of one field 100 MB. Cause: heads were bounded in bytes that arrived, each connection for itself. A field of five bytes needs some 100 once it is parsed and as much again in an attempt, from the moment it arrives.

The follower of a connection's requests counts the bytes and fields of a head as they arrive, before net/http gets them. Beyond 16 KB of what is kept, they are reserved from the budget that requests and responses have, in steps of 16 KB, until the request ends. Without room, callers' connections that hold memory and have waited for their caller longest, at least 500 ms, are closed; that holds for the reservations of requests and their bodies, too, so that stalled ones don't refuse others. Where that doesn't help, the request is refused with 503, Retry-After and the reason no_memory (event 5007, counter framing_requests_refused), and not run.

--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -22,6 +22,13 @@
 	Logger *log.Logger
 	// Scope counts them by reason; nil for none.
 	Scope tally.Scope
+	// NewHold returns an empty part of the budget of memory for a connection; nil for no bound.
+	NewHold func() Hold
+	// MakeRoom closes a connection that holds memory, if there is one to close, and reports whether it has;
+	// nil for never.
+	MakeRoom func() bool
+	// RefusalFields are header fields, as whole lines, of the refusal of a request for want of memory.
+	RefusalFields string
 }
 
 // Conn is a caller's connection whose whole requests are counted, and whose server refuses requests with
@@ -34,18 +41,34 @@
 	whole atomic.Int64
 	// partial is true while a request has arrived in part, or was refused.
 	partial atomic.Bool
+	// keptPartial is what the head keeps that has arrived in part, in bytes.
+	keptPartial atomic.Int64
 	// isHTTP2 is true once the connection is known to be one of HTTP/2.
 	isHTTP2 atomic.Bool
 	// refusal is the rest of malformedLine, once a request is refused.
 	refusal string
+	memory  reservation
+	// mayRespond reports whether no response to an earlier request is due or in progress; nil for never.
+	mayRespond func() bool
+	// failed is why nothing more is read, since there was no memory; nil otherwise.
+	failed error
 }
 
 // NewConn returns a connection whose requests are followed.
-func NewConn(inner net.Conn, options Options) *Conn { return &Conn{Conn: inner, options: options} }
+func NewConn(inner net.Conn, options Options) *Conn {
+	return &Conn{Conn: inner, options: options, memory: reservation{newHold: options.NewHold}}
+}
+
+// RespondIf sets the function that reports whether a refusal may be written now: no response to an earlier
+// request is due or in progress. It is to be set before the first read.
+func (c *Conn) RespondIf(mayRespond func() bool) { c.mayRespond = mayRespond }
 
 // Read reads from the connection. Behind the line for which a request is refused it returns malformedLine
 // and discards what follows, until the connection ends.
 func (c *Conn) Read(p []byte) (int, error) {
+	if c.failed != nil {
+		return 0, c.failed
+	}
 	for c.refusal == "" {
 		n, err := c.Conn.Read(p)
 		if c.framer.state == refused && err == nil && len(p) > 0 {
@@ -58,11 +81,16 @@
 		c.whole.Store(int64(c.framer.whole))
 		c.partial.Store(c.framer.isPartial())
 		c.isHTTP2.Store(c.framer.isHTTP2Conn())
+		c.keptPartial.Store(c.framer.keptBytes())
+		if !WithRoom(func() bool { return c.memory.coverHead(c.framer.keptBytes()) }, c.options.MakeRoom) {
+			c.refuseForMemory()
+			return 0, c.failed
+		}
 		if c.framer.state != refused {
 			return n, err
 		}
 		c.refusal = malformedLine
-		c.report()
+		c.Refused(c.framer.reason)
 		if followed > 0 {
 			return followed, nil
 		}
@@ -83,13 +111,13 @@
 // IsHTTP2 reports whether the connection is one of HTTP/2. It is safe for concurrent use.
 func (c *Conn) IsHTTP2() bool { return c.isHTTP2.Load() }
 
-// report logs and counts the refused request.
-func (c *Conn) report() {
+// Refused logs and counts a refused request.
+func (c *Conn) Refused(reason Reason) {
 	if c.options.Logger != nil {
-		events.FramingRefused.Log(c.options.Logger, "reason", c.framer.reason, "address", c.RemoteAddr())
+		events.FramingRefused.Log(c.options.Logger, "reason", reason, "address", c.RemoteAddr())
 	}
 	if c.options.Scope != nil {
-		scope := c.options.Scope.SubScope("framing").Tagged(map[string]string{"reason": string(c.framer.reason)})
+		scope := c.options.Scope.SubScope("framing").Tagged(map[string]string{"reason": string(reason)})
 		scope.Counter("requests_refused").Inc(1)
 	}
 }
--- a/entry/framing/framer.go
+++ b/entry/framing/framer.go
@@ -33,6 +33,8 @@
 	TwoLengths Reason = "two_lengths"
 	// Malformed means that the end of a request can't be found.
 	Malformed Reason = "malformed"
+	// NoMemory means that there is no memory for what the connection keeps.
+	NoMemory Reason = "no_memory"
 )
 
 const (
@@ -61,6 +63,9 @@
 	reason Reason
 	line   partialLine
 	head   headFraming
+	// headSize is the number of bytes of the head that have arrived, headFields that of its fields; 0 once
+	// the request has arrived.
+	headSize, headFields int
 	// left is the number of bytes of the body or chunk that have not arrived.
 	left int64
 	// emptyBytes is the number of bytes of empty lines that are still ignored before a request line.
@@ -114,9 +119,11 @@
 func (f *framer) readLine(content []byte) (rest []byte) {
 	end := bytes.IndexByte(content, '\n') + 1
 	if end == 0 {
+		f.countHead(content)
 		f.line.add(content)
 		return nil
 	}
+	f.countHead(content[:end])
 	line := content[:end]
 	if len(f.line.content) > 0 || len(line) > maxLine {
 		f.line.add(line)
@@ -127,6 +134,21 @@
 	return content[end:]
 }
 
+// countHead counts bytes of a head.
+func (f *framer) countHead(content []byte) {
+	if f.state == inRequestLine || f.state == inFields {
+		f.headSize += len(content)
+	}
+}
+
+// keptBytes returns what net/http's server keeps of the head that is arriving, or of the connection.
+func (f *framer) keptBytes() int64 {
+	if f.isHTTP2Conn() {
+		return http2Bytes
+	}
+	return HeadBytes(f.headSize, f.headFields)
+}
+
 // endLine interprets a line, given with its end.
 func (f *framer) endLine(line []byte) {
 	text := bytes.TrimSuffix(line, []byte("\n"))
@@ -190,6 +212,7 @@
 // readField reads a line of a head: a field, or the continuation of one.
 func (f *framer) readField(text []byte) {
 	var reason Reason
+	f.headFields++
 	if text[0] == ' ' || text[0] == '\t' {
 		reason = f.head.continueField(text, f.line.isCut)
 	} else {
@@ -242,6 +265,7 @@
 	}
 	f.isUncounted = f.isUncounted || f.head.closes || f.head.isBefore11 && !f.head.keepsAlive
 	f.state, f.emptyBytes = inRequestLine, 0
+	f.headSize, f.headFields = 0, 0
 	if f.head.isPost {
 		f.emptyBytes = maxEmptyBytes
 	}
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -20,7 +20,6 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/entry/evidence"
 	"github.com/primroseloom/primroseloom/entry/follow"
-	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/gateway"
 	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/entry/metrics"
@@ -107,8 +106,9 @@
 	})
 	callers.ConnState = newIdleCloser(func() time.Duration { return routesIdleLimit(f.follower) }).onStateChange
 	connections := readahead.Watch(callers)
+	f.gateway.UseMakeRoom(connections.CloseHolding)
 	limited := f.watchProgress(connlimit.NewListener(listeners.callers, f.callerLimit(connections)))
-	go f.serve(callers, readahead.Listener(limited, framing.Options{Logger: f.options.Logger, Scope: f.metrics.Scope()}))
+	go f.serve(callers, readahead.Listener(limited, f.framingOptions(connections)))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready), f.pageLimit("readiness", readinessShare)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor), f.pageLimit("directory", directoryShare)),
--- a/entry/frontend/memory.go
+++ b/entry/frontend/memory.go
@@ -5,6 +5,8 @@
 	"os"
 	"runtime/debug"
 
+	"github.com/primroseloom/primroseloom/entry/framing"
+	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/slowreader"
 	"github.com/primroseloom/primroseloom/policy/offer"
@@ -43,6 +45,16 @@
 	return slowreader.Listener(inner)
 }
 
+// framingOptions returns the options of callers' connections. What they keep counts toward the same budget
+// as requests and responses.
+func (f *Frontend) framingOptions(connections *readahead.Watcher) framing.Options {
+	options := framing.Options{Logger: f.options.Logger, Scope: f.metrics.Scope()}
+	if f.options.Settings.Machine.MemoryMB > 0 {
+		options.NewHold, options.MakeRoom = f.gateway.NewHold, connections.CloseHolding
+	}
+	return options
+}
+
 // capacityOf returns the requests a second that a machine can serve.
 func capacityOf(machine settings.Machine) uint32 {
 	return offer.Capacity(machine.CPUShare*machine.Cores, machine.LinkMbps)
--- a/entry/gateway/body.go
+++ b/entry/gateway/body.go
@@ -88,7 +88,7 @@
 	if expected >= 0 {
 		size = min(expected, maxBufferedBodyBytes) + 1 // the further byte is where the end is seen
 	}
-	if !b.hold.grow(size) {
+	if !b.hold.growOrMakeRoom(size) {
 		return nil, errNoMemory
 	}
 	buffer, length := make([]byte, size), 0
@@ -110,7 +110,7 @@
 // grow returns a buffer of twice the size with the same content.
 func (b *body) grow(buffer []byte) ([]byte, error) {
 	size := min(2*int64(len(buffer)), maxBufferedBodyBytes+1)
-	if !b.hold.grow(size) {
+	if !b.hold.growOrMakeRoom(size) {
 		return nil, errNoMemory
 	}
 	larger := make([]byte, size)
--- a/entry/gateway/memory.go
+++ b/entry/gateway/memory.go
@@ -2,11 +2,13 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/policy/bytebudget"
 )
 
@@ -21,8 +23,11 @@
 // memory bounds the bytes that are held for requests and responses, and the part of the link
 // that large responses use. A nil memory sets no bound.
 type memory struct {
-	began time.Time
-	gauge tally.Gauge
+	// makeRoom closes a connection of a caller that holds memory, if there is one to close, and reports
+	// whether it has; nil for never.
+	makeRoom atomic.Pointer[func() bool]
+	began    time.Time
+	gauge    tally.Gauge
 	// sent is the average bytes a second that are written to callers.
 	sent rate
 
@@ -138,6 +143,29 @@
 	return true
 }
 
+// growOrMakeRoom is like grow; without room, callers' connections are closed that hold memory and do least.
+func (h *hold) growOrMakeRoom(bytes int64) bool {
+	if h == nil {
+		return true
+	}
+	makeRoom := h.memory.makeRoom.Load()
+	if makeRoom == nil {
+		return h.grow(bytes)
+	}
+	return framing.WithRoom(func() bool { return h.grow(bytes) }, *makeRoom)
+}
+
+// Resize makes the reservation a number of bytes, or leaves it as it is and returns false.
+func (h *hold) Resize(bytes int64) bool {
+	h.memory.mu.Lock()
+	defer h.memory.mu.Unlock()
+	if bytes > h.bytes {
+		return h.growLocked(bytes - h.bytes)
+	}
+	h.shrinkLocked(bytes)
+	return true
+}
+
 // isReserved reports whether anything is reserved.
 func (h *hold) isReserved() bool { return h != nil && h.bytes > 0 }
 
@@ -189,3 +217,19 @@
 	h.isReleased = true
 	h.shrinkLocked(0)
 }
+
+// NewHold returns an empty part of the budget, for a caller's connection; nil when there is no bound.
+func (g *Gateway) NewHold() framing.Hold {
+	if g.memory == nil {
+		return nil
+	}
+	return g.memory.newHold()
+}
+
+// UseMakeRoom sets the function that closes a connection of a caller that holds memory, if there is one to
+// close, and reports whether it has.
+func (g *Gateway) UseMakeRoom(makeRoom func() bool) {
+	if g.memory != nil {
+		g.memory.makeRoom.Store(&makeRoom)
+	}
+}
--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -49,7 +49,7 @@
 	q.holds.mu.Lock()
 	q.body.hold = q.holds.add(q.gateway.memory)
 	q.holds.mu.Unlock()
-	if !q.body.hold.grow(requestBytes) {
+	if !q.body.hold.growOrMakeRoom(requestBytes) {
 		return noMemory()
 	}
 	return nil
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -58,6 +58,7 @@
 func NewConn(inner *framing.Conn) *Conn {
 	c := &Conn{Conn: inner, onEnd: make(map[int]func()), waitingSince: time.Now()}
 	c.changed = sync.NewCond(&c.mu)
+	inner.RespondIf(c.isBetweenRequests)
 	return c
 }
 
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -35,6 +35,7 @@
 	c.isHandled = false
 	c.waitingSince = time.Now()
 	c.responded.Store(false)
+	c.ReleaseHead()
 }
 
 // hasPending reports whether a whole request is known to have arrived that has not begun. Those of a
--- a/entry/readahead/waiting.go
+++ b/entry/readahead/waiting.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// minWait is how long a caller may take to send a request, also while others have no memory.
+const minWait = 500 * time.Millisecond
+
 // waitsForCaller reports whether the connection waits for its caller's bytes, and since when: it is idle,
 // or its request has not arrived whole.
 func (c *Conn) waitsForCaller() (since time.Time, waits bool) {
@@ -14,6 +17,13 @@
 	return c.waitingSince, !c.closed && !arrived && !(c.isHandled && c.IsHTTP2())
 }
 
+// isBetweenRequests reports whether no response is due or in progress.
+func (c *Conn) isBetweenRequests() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.isHandled && !c.ahead && c.WholeRequests() <= c.begun
+}
+
 // abort closes the connection at once.
 func (c *Conn) abort() {
 	c.mu.Lock()
@@ -22,10 +32,33 @@
 	_ = c.Close() // it may have been closed meanwhile
 }
 
+// holdsMemory reports whether memory is reserved for the connection or its request.
+func (c *Conn) holdsMemory() bool {
+	c.mu.Lock()
+	isHandled := c.isHandled
+	c.mu.Unlock()
+	return isHandled || c.HoldsMemory()
+}
+
 // CloseWaiting closes the connection that has waited for its caller for the longest, and reports whether
 // there was one. Those whose callers still send after their last response come first.
 func (w *Watcher) CloseWaiting() bool {
-	conn := w.longestWaiting()
+	if conn := w.takeLingering(); conn != nil {
+		conn.abort()
+		return true
+	}
+	return w.closeLongest(func(*Conn, time.Time) bool { return true })
+}
+
+// CloseHolding is like CloseWaiting, among the connections for which memory is reserved and whose callers have
+// had some time.
+func (w *Watcher) CloseHolding() bool {
+	return w.closeLongest(func(c *Conn, since time.Time) bool { return time.Since(since) >= minWait && c.holdsMemory() })
+}
+
+// closeLongest closes the connection that has waited for its caller for the longest, among the eligible ones.
+func (w *Watcher) closeLongest(isEligible func(c *Conn, since time.Time) bool) bool {
+	conn := w.takeLongest(isEligible)
 	if conn == nil {
 		return false
 	}
@@ -33,19 +66,26 @@
 	return true
 }
 
-// longestWaiting returns the connection that has waited for its caller for the longest, nil if none waits,
-// and takes it for closed.
-func (w *Watcher) longestWaiting() *Conn {
+// takeLingering returns a connection whose caller still sends after its last response, or nil, and forgets it.
+func (w *Watcher) takeLingering() *Conn {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c := range w.lingering {
 		delete(w.lingering, c)
 		return c
 	}
+	return nil
+}
+
+// takeLongest returns the eligible connection that has waited for the longest, or nil, and forgets it.
+func (w *Watcher) takeLongest(isEligible func(c *Conn, since time.Time) bool) *Conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	var longest *Conn
 	var began time.Time
 	for c := range w.conns {
-		if since, waits := c.waitsForCaller(); waits && (longest == nil || since.Before(began)) {
+		since, waits := c.waitsForCaller()
+		if waits && (longest == nil || since.Before(began)) && isEligible(c, since) {
 			longest, began = c, since
 		}
 	}
