readahead: what is read ahead is reserved

What callers saw: nothing, until the memory was used up: 600 connections with 2000 requests each, sent behind a slow one without reading a response, needed 169 MB in front and 508 to 577 in serve. Cause: each connection may read 64 KB ahead, uncounted, and the kernel keeps what is not read beyond that. Both are now reserved as they grow. Without room the connection is closed; those behind the request in progress have not run.

--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"os"
@@ -11,6 +12,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/internal/connwrap"
+	"github.com/primroseloom/primroseloom/entry/network"
 )
 
 const (
@@ -19,8 +21,15 @@
 	maxAhead = 64 << 10
 	// readSize is the size of one read.
 	readSize = 4 << 10
+	// keptPerByte is what a byte that is read ahead needs: a buffer that grows is copied.
+	keptPerByte = 2
+	// receiveBytes is what the kernel keeps of a connection that is not read.
+	receiveBytes = 2 * network.CallersReceiveBytes
 )
 
+// errNoMemory ends a connection for which there is no memory.
+var errNoMemory = errors.New("no memory for what is read ahead")
+
 // Conn is a caller's connection that is read ahead once a further request has arrived behind
 // one in progress.
 type Conn struct {
@@ -91,6 +100,10 @@
 		case len(c.buffer) > 0:
 			n := copy(p, c.buffer)
 			c.buffer = append(c.buffer[:0], c.buffer[n:]...)
+			if len(c.buffer) == 0 {
+				c.buffer = nil
+				c.CoverAhead(0)
+			}
 			c.changed.Broadcast()
 			return n, nil
 		case !c.deadline.IsZero() && !time.Now().Before(c.deadline):
@@ -112,15 +125,16 @@
 	go c.readAhead()
 }
 
-// readAhead reads until the connection ends.
+// readAhead reads until the connection ends. Without memory for what the caller sends, it closes the
+// connection: the kernel would keep it instead.
 func (c *Conn) readAhead() {
 	content := make([]byte, readSize)
 	for c.awaitRoom() {
 		n, err := c.Conn.Read(content)
-		c.mu.Lock()
-		c.buffer = append(c.buffer, content[:n]...)
-		c.changed.Broadcast()
-		c.mu.Unlock()
+		if err == nil && !c.keep(content[:n]) {
+			err = errNoMemory
+			c.abort()
+		}
 		if err != nil {
 			c.end(err)
 			return
@@ -128,6 +142,26 @@
 	}
 }
 
+// keep appends to the buffer and reports whether there was memory for it.
+func (c *Conn) keep(content []byte) bool {
+	return framing.WithRoom(func() bool { return c.tryKeep(content) }, c.MakeRoom)
+}
+
+func (c *Conn) tryKeep(content []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	size := int64(len(c.buffer) + len(content))
+	if size > maxAhead-readSize {
+		size += receiveBytes // no more is read, so that the kernel keeps what follows
+	}
+	if !c.CoverAhead(keptPerByte * size) {
+		return false
+	}
+	c.buffer = append(c.buffer, content...)
+	c.changed.Broadcast()
+	return true
+}
+
 // awaitRoom waits until the buffer has room and reports whether the connection is open.
 func (c *Conn) awaitRoom() bool {
 	c.mu.Lock()
--- a/entry/readahead/memory_test.go
+++ b/entry/readahead/memory_test.go
@@ -191,3 +191,30 @@
 		}
 	})
 }
+
+// TestWhatIsReadAheadIsReserved guards against requests that are sent ahead of a slow one, on many
+// connections, and kept without being counted.
+func TestWhatIsReadAheadIsReserved(t *testing.T) {
+	ahead := strings.Repeat(headBegin+"\r\n", 20_000)
+	withBudget(t, 10<<20, func(s *budgetServer) {
+		conn := s.dial()
+		go func() { _, _ = io.WriteString(conn, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n"+ahead) }()
+		time.Sleep(time.Second)
+		if held := s.budget.heldBytes(); held < 64<<10 {
+			t.Errorf("%d bytes are reserved", held)
+		}
+		_ = conn.Close()
+		s.finish()
+		time.Sleep(time.Second)
+		if held := s.budget.heldBytes(); held != 0 {
+			t.Errorf("%d bytes are reserved after the end", held)
+		}
+	})
+	withBudget(t, 32<<10, func(s *budgetServer) {
+		conn := s.dial()
+		s.send(conn, "GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+		if _, err := io.WriteString(conn, ahead); err == nil {
+			t.Error("all was read without memory for it")
+		}
+	})
+}
