HTTP/2: connections and heads of callers are reserved

What callers saw: nothing, until the memory was used up: 600 connections of HTTP/2 with 100 streams each needed 1372 MB in front and 3756 MB in serve. Cause: a connection may have 128 requests in progress and receive a megabyte that no handler reads, and the heads of its requests are not seen by what follows connections of HTTP/1.1. A connection has 32 requests in progress at most and receives 64 KB ahead of its handlers. The reservation for a head is made before the next read rather than after the last one, so that nothing is lost that arrived with it.

--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -66,8 +66,8 @@
 // Read reads from the connection. Behind the line for which a request is refused it returns malformedLine
 // and discards what follows, until the connection ends.
 func (c *Conn) Read(p []byte) (int, error) {
-	if c.failed != nil {
-		return 0, c.failed
+	if err := c.coverHead(); err != nil {
+		return 0, err
 	}
 	for c.refusal == "" {
 		n, err := c.Conn.Read(p)
@@ -82,10 +82,6 @@
 		c.partial.Store(c.framer.isPartial())
 		c.isHTTP2.Store(c.framer.isHTTP2Conn())
 		c.keptPartial.Store(c.framer.keptBytes())
-		if !WithRoom(func() bool { return c.memory.coverHead(c.framer.keptBytes()) }, c.options.MakeRoom) {
-			c.refuseForMemory()
-			return 0, c.failed
-		}
 		if c.framer.state != refused {
 			return n, err
 		}
--- a/entry/framing/memory.go
+++ b/entry/framing/memory.go
@@ -135,6 +135,19 @@
 // roundUp returns the next multiple of holdStep.
 func roundUp(bytes int64) int64 { return (bytes + holdStep - 1) / holdStep * holdStep }
 
+// coverHead reserves what the head that is arriving keeps, before more of it is read. The error is why nothing
+// more may be read.
+func (c *Conn) coverHead() error {
+	if c.failed != nil {
+		return c.failed
+	}
+	kept := c.framer.keptBytes()
+	if !WithRoom(func() bool { return c.memory.coverHead(kept) }, c.options.MakeRoom) {
+		c.refuseForMemory()
+	}
+	return c.failed
+}
+
 // refuseForMemory ends the reading of a connection for which there is no memory. It refuses the request
 // that is arriving, unless the response would come before that of an earlier one.
 func (c *Conn) refuseForMemory() {
--- a/entry/proxy/server.go
+++ b/entry/proxy/server.go
@@ -15,7 +15,11 @@
 )
 
 // maxConcurrentStreams bounds the requests in progress on one HTTP/2 connection.
-const maxConcurrentStreams = 128
+const maxConcurrentStreams = 32
+
+// http2ReceiveBytes is what a connection of HTTP/2 may receive that no handler has read; its reservation
+// covers it.
+const http2ReceiveBytes = 64 << 10
 
 // ServerLimits bound callers' connections.
 type ServerLimits struct {
@@ -52,9 +56,11 @@
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
-		Handler:           handler,
-		Protocols:         protocols,
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxConcurrentStreams},
+		Handler:   handler,
+		Protocols: protocols,
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams: maxConcurrentStreams, MaxReceiveBufferPerConnection: http2ReceiveBytes, MaxReceiveBufferPerStream: http2ReceiveBytes,
+		},
 		MaxHeaderBytes:    limits.HeaderBytes,
 		ReadHeaderTimeout: limits.HeaderTimeout,
 		IdleTimeout:       limits.IdleTimeout,
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -305,6 +305,10 @@
 		defer cancel()
 		defer conn.notify(cancel)()
 		conn.begin()
+		if r.ProtoMajor == 2 {
+			conn.serveStream(next, w, r.WithContext(ctx))
+			return
+		}
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 	return watcher
