serve: what callers send is reserved before it is kept

What callers saw: nothing, until the process was out of memory: serve bounded each connection, none of what all keep together. 600 bodies but for a byte needed 157 MB, in small pieces 166 MB, heads of short fields 139 MB, legal ones 239 MB, requests sent ahead 577 MB, HTTP/2 3756 MB.

limits.memory_mb, by default the machine's memory, bounds the instance as machine.memory_mb does for front: one half of the budget is for heads, the beginnings of bodies and 32 KB for each request in progress, the other one for responses that are held. They are reserved before they are read; without room, callers that hold memory and do least are closed, or the request is refused with 503, not_run, no_memory. Callers' connections are bounded by it, too, and, where the setting is given, the heap and the kernel's buffers.

--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -13,6 +13,7 @@
 	"github.com/spf13/cobra"
 
 	"github.com/primroseloom/primroseloom/entry/daemon"
+	"github.com/primroseloom/primroseloom/entry/frontend"
 	"github.com/primroseloom/primroseloom/entry/logsink"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
@@ -136,7 +137,12 @@
 	}
 	logger := newLogger(os.Stderr, level)
 	logsink.CaptureStandardLog(logger)
-	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: network.OS{}, Logger: logger})
+	frontend.LimitMemory(settings.Machine{MemoryMB: vmSettings.Limits.MemoryMB})
+	sockets, callers := network.OS{}, network.OS{}
+	if vmSettings.Limits.MemoryMB > 0 {
+		callers = callers.WithBuffers(network.CallersBuffers)
+	}
+	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: sockets, Callers: callers, Logger: logger})
 	if err != nil {
 		return err
 	}
--- a/cmd/primroseloomd/crowd_vm_test.go
+++ b/cmd/primroseloomd/crowd_vm_test.go
@@ -389,7 +389,7 @@
 	set.Listen = settings.Listen{Callers: freeAddress(), Peers: freeAddress(), Admin: freeAddress()}
 	set.Platform = []string{fleet.PlatformAddress}
 	set.TLS.Off = true
-	set.Limits.BodyBytes = crowdBodyBytes
+	set.Limits.BodyBytes, set.Limits.MemoryMB = crowdBodyBytes, crowdMemoryMB
 	set.Stop = settings.Stop{Grace: document.Duration(crowdGrace), Linger: document.Duration(200 * time.Millisecond)}
 	const host, customer = "booking.soojavee.example", "portal"
 	credential := func(secret string) string {
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -28,7 +28,10 @@
 // New builds an instance; Run starts it.
 func New(options Options) (*Daemon, error) {
 	set, network, logger := options.Settings, options.Network, options.Logger
-	built := &Daemon{settings: set, network: network, logger: logger}
+	built := &Daemon{settings: set, network: network, callers: network, logger: logger}
+	if options.Callers != nil {
+		built.callers = options.Callers
+	}
 	app := fx.New(
 		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
 		fx.Supply(logger),
@@ -93,6 +96,7 @@
 	limits := proxy.DefaultLimits()
 	limits.MaxBodyBytes = d.settings.Limits.BodyBytes
 	limits.MaxBufferedResponseBytes = d.settings.Limits.BufferedResponseBytes
+	limitMemory(&limits, memoryMB(d.settings.Limits))
 	return proxy.New(proxy.Options{
 		Fleet:         d.settings.Fleet,
 		Configuration: c,
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -21,7 +21,6 @@
 	"github.com/primroseloom/primroseloom/entry/directory"
 	"github.com/primroseloom/primroseloom/entry/draining"
 	"github.com/primroseloom/primroseloom/entry/events"
-	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/pageserver"
 	"github.com/primroseloom/primroseloom/entry/peer"
@@ -39,7 +38,9 @@
 type Options struct {
 	Settings settings.Settings
 	Network  contract.Network
-	Logger   *log.Logger
+	// Callers opens the listener of callers; nil means Network.
+	Callers contract.Network
+	Logger  *log.Logger
 	// Clock includes suspension; nil means the operating system's boot clock.
 	Clock uptime.Clock
 }
@@ -48,6 +49,7 @@
 type Daemon struct {
 	settings  settings.Settings
 	network   contract.Network
+	callers   contract.Network
 	logger    *log.Logger
 	metrics   *metrics.Metrics
 	config    *config.Manager
@@ -72,8 +74,9 @@
 	callers := d.callerServer()
 	operators, operatorListener := pageserver.New(listeners.admin, d.adminEngine(), d.adminLimit())
 	connections := readahead.Watch(callers)
+	d.proxy.UseMakeRoom(connections.CloseHolding)
 	limited := connlimit.NewListener(listeners.callers, d.callerLimit(connections))
-	go serve(callers, readahead.Listener(limited, framing.Options{Logger: d.logger, Scope: d.metrics.Scope()}))
+	go serve(callers, readahead.Listener(limited, d.framingOptions(connections)))
 	go serve(operators, operatorListener)
 	go func() { _ = d.peers.Serve(listeners.peers) }()
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -11,6 +11,7 @@
 	"github.com/gin-gonic/gin"
 
 	"github.com/primroseloom/primroseloom/entry/connlimit"
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 )
@@ -23,14 +24,15 @@
 	var set listenerSet
 	var failures []error
 	for _, entry := range []struct {
+		network contract.Network
 		address string
 		into    *net.Listener
 	}{
-		{d.settings.Listen.Callers, &set.callers},
-		{d.settings.Listen.Peers, &set.peers},
-		{d.settings.Listen.Admin, &set.admin},
+		{d.callers, d.settings.Listen.Callers, &set.callers},
+		{d.network, d.settings.Listen.Peers, &set.peers},
+		{d.network, d.settings.Listen.Admin, &set.admin},
 	} {
-		listener, err := d.network.Listen(ctx, entry.address)
+		listener, err := entry.network.Listen(ctx, entry.address)
 		failures = append(failures, err)
 		*entry.into = listener
 	}
@@ -66,7 +68,11 @@
 
 // callerLimit returns the limit on callers' connections.
 func (d *Daemon) callerLimit(connections *readahead.Watcher) connlimit.Options {
-	limit := d.connectionLimit("callers", callersShare, d.settings.Limits.CallerConnections)
+	most := d.settings.Limits.CallerConnections
+	if memory := memoryMB(d.settings.Limits); memory > 0 {
+		most = min(most, max(int(memory*bytesPerMegabyte*connectionsShare/connectionBytes), 1))
+	}
+	limit := d.connectionLimit("callers", callersShare, most)
 	limit.MakeRoom = connections.CloseWaiting
 	return limit
 }
--- /dev/null
+++ b/entry/daemon/memory.go
@@ -0,0 +1,52 @@
+package daemon
+
+import (
+	"github.com/primroseloom/primroseloom/entry/framing"
+	"github.com/primroseloom/primroseloom/entry/machine"
+	"github.com/primroseloom/primroseloom/entry/network"
+	"github.com/primroseloom/primroseloom/entry/proxy"
+	"github.com/primroseloom/primroseloom/entry/readahead"
+	"github.com/primroseloom/primroseloom/entry/settings"
+	"github.com/primroseloom/primroseloom/policy/bytebudget"
+)
+
+const (
+	bytesPerMegabyte = 1e6
+	// connectionBytes is what a connection of a caller needs: a goroutine, two buffers, and what the kernel
+	// has received of it.
+	connectionBytes = 16<<10 + network.CallersReceiveBytes
+	// connectionsShare is the share of the memory that callers' connections may need.
+	connectionsShare = 0.3
+	// refusalFields are the fields of a refusal by which callers tell that a request has not run.
+	refusalFields = proxy.OutcomeHeader + ": not_run\r\n"
+)
+
+// memoryMB returns the memory in megabytes that the instance may use, 0 if it is not known.
+func memoryMB(limits settings.Limits) float64 {
+	if limits.MemoryMB > 0 {
+		return limits.MemoryMB
+	}
+	memory, err := machine.MemoryMB()
+	if err != nil {
+		return 0
+	}
+	return memory
+}
+
+// limitMemory sets the bounds on what is held for callers: one half is for what they send, the other one
+// for responses.
+func limitMemory(limits *proxy.Limits, memoryMB float64) {
+	if memoryMB <= 0 {
+		return
+	}
+	half := bytebudget.Limit(memoryMB) / 2
+	limits.MaxCallerBytes = half
+	limits.MaxBufferedBytes = min(limits.MaxBufferedBytes, half)
+}
+
+// framingOptions returns the options of callers' connections.
+func (d *Daemon) framingOptions(connections *readahead.Watcher) framing.Options {
+	return framing.Options{
+		Logger: d.logger, Scope: d.metrics.Scope(), NewHold: d.proxy.NewHold, MakeRoom: connections.CloseHolding, RefusalFields: refusalFields,
+	}
+}
--- a/entry/proxy/forwarded.go
+++ b/entry/proxy/forwarded.go
@@ -64,6 +64,7 @@
 	}
 	defer c.cancel()
 	defer c.held.release()
+	defer c.kept.release()
 	defer c.upload.stop()
 	if body, ok := r.Body.(*forwarding.RequestBody); ok {
 		defer body.CancelReads()
@@ -72,6 +73,9 @@
 	if c.key != nil && !p.isDispatcher(c.key) {
 		return contract.NewRefusal(outcome.MayHaveRun, outcome.ReasonDispatcherGone, outcome.StepForward, head.GetFromVm(), nil)
 	}
+	if err := p.reservePrefix(c); err != nil {
+		return uncertainIfKeyed(r, err)
+	}
 	if err := c.upload.readPrefix(); err != nil {
 		return uncertainIfKeyed(r, uploadRefusal(err, head.GetFromVm()))
 	}
--- a/entry/proxy/proxy.go
+++ b/entry/proxy/proxy.go
@@ -37,6 +37,9 @@
 	MaxBufferedResponseBytes int64
 	// MaxBufferedBytes bounds the memory of all responses buffered at a time.
 	MaxBufferedBytes int64
+	// MaxCallerBytes bounds the memory of what callers send that is kept at a time: heads, the beginnings
+	// of bodies, and what requests in progress need beside their responses.
+	MaxCallerBytes int64
 	// StallTimeout is the longest time that a body may go without a byte read
 	// from or written to the caller.
 	StallTimeout time.Duration
@@ -48,6 +51,7 @@
 		MaxBodyBytes:             1 << 30,
 		MaxBufferedResponseBytes: 256 << 10,
 		MaxBufferedBytes:         64 << 20,
+		MaxCallerBytes:           1 << 30,
 		StallTimeout:             10 * time.Second,
 	}
 }
@@ -86,7 +90,12 @@
 	silent     *silentTargets
 	counters   counters
 	buffers    bufferBudget
-	draining   atomic.Bool
+	// callerBytes bounds what is kept of what callers send.
+	callerBytes bufferBudget
+	// makeRoom closes a caller's connection that holds memory, if there is one to close, and reports
+	// whether it has; nil for never.
+	makeRoom func() bool
+	draining atomic.Bool
 	// inProgress is the number of callers' requests that are being served.
 	inProgress atomic.Int64
 	// stopBy is when the grace period of a planned stop ends; nil before it.
@@ -110,6 +119,7 @@
 		deciders.Records = dispatch.NewRecords(dispatch.DefaultLimits())
 	}
 	p := &Proxy{options: options, limits: options.Limits, deciders: deciders, buffers: bufferBudget{limit: options.Limits.MaxBufferedBytes}}
+	p.callerBytes.limit = options.Limits.MaxCallerBytes
 	p.counters = newCounters(options.Scope)
 	p.dispatcher = newDispatcher(deciders.Records, options.Clock)
 	p.suspects = newSuspects(options, deciders.Quarantine)
@@ -144,9 +154,13 @@
 	}
 	defer call.cancel()
 	defer call.held.release()
+	defer call.kept.release()
 	defer call.upload.stop()
 	writer.maxWriteDeadline = call.deadline.Add(replyGrace)
 	call.upload.attach(writer)
+	if err := p.reservePrefix(call); err != nil {
+		return uncertainIfKeyed(r, err)
+	}
 	if err := call.upload.readPrefix(); err != nil {
 		return uncertainIfKeyed(r, uploadRefusal(err, r.RemoteAddr))
 	}
--- a/entry/proxy/request.go
+++ b/entry/proxy/request.go
@@ -46,6 +46,8 @@
 	fingerprint quarantine.Fingerprint
 	// held is what the request has reserved for its response; it is released at the request's end.
 	held *bufferHold
+	// kept is what the request has reserved for what its caller sends, until its end.
+	kept *bufferHold
 	// suspect is true when the request may have crashed a target before.
 	suspect bool
 }
@@ -75,7 +77,7 @@
 	if p.limits.MaxBodyBytes > 0 && r.ContentLength > p.limits.MaxBodyBytes {
 		return nil, contract.NewRefusal(outcome.NotRun, outcome.ReasonBodyTooLarge, outcome.StepParse, r.RemoteAddr, nil)
 	}
-	c := &call{request: r, customer: customer, service: service, idempotent: isIdempotent(service, r), held: &bufferHold{budget: &p.buffers}}
+	c := &call{request: r, customer: customer, service: service, idempotent: isIdempotent(service, r), held: &bufferHold{budget: &p.buffers}, kept: &bufferHold{budget: &p.callerBytes}}
 	if text := r.Header.Get(KeyHeader); text != "" && !c.idempotent {
 		key, err := dispatch.ParseKey(text)
 		if err != nil {
--- a/entry/proxy/upload.go
+++ b/entry/proxy/upload.go
@@ -33,6 +33,8 @@
 type upload struct {
 	body   io.Reader
 	prefix []byte
+	// expected is how long the prefix may become, in bytes.
+	expected int
 	// fullyBuffered is true when prefix holds the complete body.
 	fullyBuffered   bool
 	maxBytes        int64
@@ -54,7 +56,7 @@
 // newUpload wraps a request's body. The digest of the complete body is computed
 // only for a keyed request.
 func newUpload(r *http.Request, limits Limits, deadline time.Time, keyed bool) *upload {
-	u := &upload{body: r.Body, maxBytes: limits.MaxBodyBytes, stallTimeout: limits.StallTimeout, deadline: deadline}
+	u := &upload{body: r.Body, expected: expectedPrefix(r), maxBytes: limits.MaxBodyBytes, stallTimeout: limits.StallTimeout, deadline: deadline}
 	if keyed {
 		u.digest = sha256.New()
 	}
@@ -62,6 +64,17 @@
 	return u
 }
 
+// expectedPrefix returns how long the beginning of a body may become that is kept, in bytes.
+func expectedPrefix(r *http.Request) int {
+	switch {
+	case r.Body == nil || r.Body == http.NoBody:
+		return 0
+	case r.ContentLength >= 0:
+		return int(min(r.ContentLength, maxPrefixBytes))
+	}
+	return maxPrefixBytes
+}
+
 // attach makes the upload set the read deadlines of the caller's connection.
 func (u *upload) attach(w http.ResponseWriter) {
 	controller := http.NewResponseController(w)
@@ -75,6 +88,7 @@
 		return nil
 	}
 	var buffer bytes.Buffer
+	buffer.Grow(u.expected + bytes.MinRead)
 	_, err := io.CopyN(&buffer, remainingBody{u}, maxPrefixBytes)
 	u.prefix = buffer.Bytes()
 	u.consumed = false
--- a/entry/settings/settings.go
+++ b/entry/settings/settings.go
@@ -65,6 +65,8 @@
 	CallerConnections int `json:"caller_connections" validate:"min=1,max=100000"`
 	// Descriptors is the number of descriptors that the instance may open, of which 200 are not for sockets; 0 means the operating system's limit.
 	Descriptors int `json:"descriptors,omitzero" validate:"min=0,max=100000000"`
+	// MemoryMB is the memory that the instance may use, in megabytes; 0 means that of the machine. Half of what the process itself does not need is for what callers send and for responses that are held.
+	MemoryMB float64 `json:"memory_mb,omitzero" validate:"min=0,max=10000000"`
 	// HeaderBytes is the maximum size of a request's header.
 	HeaderBytes int `json:"header_bytes" validate:"min=1024,max=1048576"`
 	// BodyBytes is the maximum size of a request's body.
