network: what a target does not read stays with the caller

What callers saw: nothing, until the sockets to targets held 53 MB of bodies that targets had not read yet, beside 58 MB of the process: the kernel takes megabytes of what is written to a target. A VM with a bound on its memory now lets it keep 64 KB unsent for each connection, in serve, too.

--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -140,7 +140,7 @@
 	frontend.LimitMemory(settings.Machine{MemoryMB: vmSettings.Limits.MemoryMB})
 	sockets, callers := network.OS{}, network.OS{}
 	if vmSettings.Limits.MemoryMB > 0 {
-		callers = callers.WithBuffers(network.CallersBuffers)
+		sockets, callers = sockets.WithBuffers(network.TargetsBuffers), callers.WithBuffers(network.CallersBuffers)
 	}
 	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: sockets, Callers: callers, Logger: logger})
 	if err != nil {
--- a/entry/network/buffers.go
+++ b/entry/network/buffers.go
@@ -25,8 +25,9 @@
 	// CallersBuffers let a caller that does not read, or that is not read, keep one part in the kernel, which
 	// doubles what it is told to receive: that is enough for 2 MB/s on a path of 16 ms.
 	CallersBuffers = Buffers{UnsentBytes: 16 << 10, ReceiveBytes: CallersReceiveBytes}
-	// TargetsBuffers are enough for 45 MB/s at 1.4 ms between zones.
-	TargetsBuffers = Buffers{ReceiveBytes: 64 << 10}
+	// TargetsBuffers are enough for 45 MB/s at 1.4 ms between zones. What a target does not read of a body
+	// stays with its caller, but for one part.
+	TargetsBuffers = Buffers{UnsentBytes: 64 << 10, ReceiveBytes: 64 << 10}
 )
 
 // control sets the options of a socket before it listens or connects; connections of a
