serve: the log is bounded like that of front

What operators saw: a line for each refusal of a crowd, 600 in a second and a half, written by the goroutine that serves the caller. serve now logs through the same sink as front: it never blocks, and drops and counts what exceeds 150 lines a second, 60 of one event.

--- a/cmd/primroseloomd/commands.go
+++ b/cmd/primroseloomd/commands.go
@@ -14,7 +14,7 @@
 
 	"github.com/primroseloom/primroseloom/entry/daemon"
 	"github.com/primroseloom/primroseloom/entry/frontend"
-	"github.com/primroseloom/primroseloom/entry/logsink"
+	"github.com/primroseloom/primroseloom/entry/metrics"
 	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/entry/signals"
@@ -135,14 +135,15 @@
 	if err != nil {
 		return fmt.Errorf("log level: %w", err)
 	}
-	logger := newLogger(os.Stderr, level)
-	logsink.CaptureStandardLog(logger)
+	registry := metrics.New()
+	logger, stopLog := startLog(ctx, os.Stderr, level, registry)
+	defer stopLog()
 	frontend.LimitMemory(settings.Machine{MemoryMB: vmSettings.Limits.MemoryMB})
 	sockets, callers := network.OS{}, network.OS{}
 	if vmSettings.Limits.MemoryMB > 0 {
 		sockets, callers = sockets.WithBuffers(network.TargetsBuffers), callers.WithBuffers(network.CallersBuffers)
 	}
-	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: sockets, Callers: callers, Logger: logger})
+	instance, err := daemon.New(daemon.Options{Settings: vmSettings, Network: sockets, Callers: callers, Logger: logger, Metrics: registry})
 	if err != nil {
 		return err
 	}
--- a/cmd/primroseloomd/front.go
+++ b/cmd/primroseloomd/front.go
@@ -56,19 +56,8 @@
 		return fmt.Errorf("log level: %w", err)
 	}
 	registry := metrics.New()
-	sink := logsink.New(os.Stdout, logsink.DefaultLimits(), func() { registry.Scope().Counter("log_lines_dropped").Inc(1) })
-	logger := newLogger(sink, level)
-	logsink.CaptureStandardLog(logger)
-	sinkContext, stopSink := context.WithCancel(context.WithoutCancel(ctx))
-	sinkDone := make(chan struct{})
-	go func() {
-		defer close(sinkDone)
-		sink.Run(sinkContext)
-	}()
-	defer func() {
-		stopSink()
-		<-sinkDone
-	}()
+	logger, stopLog := startLog(ctx, os.Stdout, level, registry)
+	defer stopLog()
 	packets, err := net.ListenPacket("udp4", vmSettings.Listen.Evidence)
 	if err != nil {
 		return fmt.Errorf("listen for evidence on %s: %w", vmSettings.Listen.Evidence, err)
@@ -105,6 +94,24 @@
 	return nil
 }
 
+// startLog returns a logger that never blocks and writes a bounded number of lines, whatever callers do. The
+// returned function writes what is left.
+func startLog(ctx context.Context, out io.Writer, level log.Level, registry *metrics.Metrics) (logger *log.Logger, stop func()) {
+	sink := logsink.New(out, logsink.DefaultLimits(), func() { registry.Scope().Counter("log_lines_dropped").Inc(1) })
+	logger = newLogger(sink, level)
+	logsink.CaptureStandardLog(logger)
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		sink.Run(ctx)
+	}()
+	return logger, func() {
+		cancel()
+		<-done
+	}
+}
+
 func newLogger(out io.Writer, level log.Level) *log.Logger {
 	return log.NewWithOptions(out, log.Options{Level: level, ReportTimestamp: true, Formatter: log.LogfmtFormatter})
 }
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -39,7 +39,7 @@
 			func() contract.Network { return network },
 			func() *platform.Client { return platform.New(set.Platform, network) },
 			func(c *platform.Client) contract.Platform { return c },
-			metrics.New,
+			func() *metrics.Metrics { return metricsOrNew(options) },
 			func(m *metrics.Metrics, source *platform.Client, peers *peer.Manager) *config.Manager {
 				return newConfig(set, source, peers, logger, m)
 			},
@@ -68,6 +68,14 @@
 	return built, nil
 }
 
+// metricsOrNew returns the registry of the options, or a new one if there is none.
+func metricsOrNew(options Options) *metrics.Metrics {
+	if options.Metrics != nil {
+		return options.Metrics
+	}
+	return metrics.New()
+}
+
 // clockOrDefault returns the clock of the options, or the boot clock if there is none.
 func clockOrDefault(options Options) uptime.Clock {
 	if options.Clock != nil {
--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -41,6 +41,8 @@
 	// Callers opens the listener of callers; nil means Network.
 	Callers contract.Network
 	Logger  *log.Logger
+	// Metrics is the registry of the metrics; nil means one of its own.
+	Metrics *metrics.Metrics
 	// Clock includes suspension; nil means the operating system's boot clock.
 	Clock uptime.Clock
 }
