serve: a planned stop ends within its grace period

What callers saw: requests that a crowd does not finish keep a stop of serve for all of its grace period; the process ended later than that, when the platform kills it, before it had told the others that it leaves. The last 400 ms of the period (a tenth of a short one) are now for the last steps, as in front.

--- a/entry/daemon/daemon.go
+++ b/entry/daemon/daemon.go
@@ -34,6 +34,9 @@
 	"github.com/primroseloom/primroseloom/entry/vmlist"
 )
 
+// stopMargin is the part of a planned stop's grace period that is kept for its last steps.
+const stopMargin = 400 * time.Millisecond
+
 // Options configures a Daemon.
 type Options struct {
 	Settings settings.Settings
@@ -84,7 +87,7 @@
 	events.DaemonStarted.Log(d.logger, "vm", d.settings.VM, "callers", d.settings.Listen.Callers)
 
 	<-ctx.Done()
-	d.proxy.StopBy(signals.StopOf(ctx).Sent().Add(d.settings.Stop.Grace.Std()))
+	d.proxy.StopBy(signals.StopOf(ctx).Sent().Add(drainTime(d.settings.Stop)))
 	return d.stop(context.WithoutCancel(ctx), draining.Server{HTTP: callers, Listener: listeners.callers, Connections: connections}, operators)
 }
 
@@ -116,7 +119,7 @@
 func (d *Daemon) stop(ctx context.Context, callers draining.Server, operators *http.Server) error {
 	events.DaemonStopping.Log(d.logger, "vm", d.settings.VM)
 	d.peers.Leave()
-	ctx, cancel := context.WithTimeout(ctx, d.settings.Stop.Grace.Std())
+	ctx, cancel := context.WithTimeout(ctx, drainTime(d.settings.Stop))
 	defer cancel()
 	err := d.proxy.Drain(ctx, callers, d.settings.Stop.Linger.Std())
 	d.targets.StopLeases()
@@ -126,6 +129,13 @@
 	return err
 }
 
+// drainTime is how long requests in progress may take during a planned stop. The rest of the grace period is
+// for the stop's last steps: callers that hold their connections must not make it longer.
+func drainTime(stop settings.Stop) time.Duration {
+	grace := stop.Grace.Std()
+	return grace - min(stopMargin, grace/10)
+}
+
 // announceDeparture tells the other instances that this one has departed.
 func (d *Daemon) announceDeparture(ctx context.Context) {
 	const departTimeout = time.Second
