readahead: closes for want of memory have an event and a counter

What operators saw: a connection that was closed since others needed its memory left no trace. Event 5009 names the reason (memory, read_ahead) and how long the connection had waited for its caller; the counter connections_closed{reason} counts them, the gauge connections_lingering those that are read after their last response. Calls of other VMs have heads of 64 KB instead of a megabyte.

--- a/entry/connlimit/listener_test.go
+++ b/entry/connlimit/listener_test.go
@@ -49,6 +49,7 @@
 func isAnswered(conn net.Conn) bool {
 	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
 	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	time.Sleep(time.Millisecond) // the server takes the connection for idle a little later
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
--- a/entry/events/proxy.go
+++ b/entry/events/proxy.go
@@ -20,4 +20,6 @@
 		"A request names two lengths (two_lengths), or its end can't be found (malformed). It is answered 400 and its connection is closed; address is where it came from. Another request may have been hidden in its body.")
 	ConnectionsLimited = define(5008, log.WarnLevel, "connections limited",
 		"A listener had no room for further connections (limit). closed counts those that it closed to make room, of callers that had done least for the longest, refused the new ones that it closed at once. Logged at most once a second for each listener. Look for callers that hold connections open.")
+	ConnectionClosed = define(5009, log.InfoLevel, "connection closed for want of memory",
+		"A caller's connection was closed. reason is memory when others needed what it held while it waited for its caller (waited_ms), read_ahead when there was no memory for requests that its caller sent ahead of one in progress.")
 )
--- a/entry/framing/conn.go
+++ b/entry/framing/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync/atomic"
+	"time"
 
 	"github.com/charmbracelet/log"
 	"github.com/uber-go/tally/v4"
@@ -16,6 +17,17 @@
 // trailers, for whose end net/http's server waits.
 const malformedLine = "contradictory length\r\n\r\n"
 
+// CloseReason is why a connection is closed for want of memory.
+type CloseReason string
+
+// The reasons.
+const (
+	// ClosedForMemory means that others needed the memory that it held.
+	ClosedForMemory CloseReason = "memory"
+	// ClosedForReadAhead means that there was no memory for what its caller sent ahead.
+	ClosedForReadAhead CloseReason = "read_ahead"
+)
+
 // Options are where refusals are reported.
 type Options struct {
 	// Logger receives an event for each refused request; nil for none.
@@ -118,6 +130,24 @@
 	}
 }
 
+// Closed logs and counts that the connection is closed for want of memory, after a time in which it waited for
+// its caller.
+func (c *Conn) Closed(reason CloseReason, waited time.Duration) {
+	if c.options.Logger != nil {
+		events.ConnectionClosed.Log(c.options.Logger, "reason", reason, "address", c.RemoteAddr(), "waited_ms", waited.Milliseconds())
+	}
+	if c.options.Scope != nil {
+		c.options.Scope.SubScope("connections").Tagged(map[string]string{"reason": string(reason)}).Counter("closed").Inc(1)
+	}
+}
+
+// Lingering updates the number of connections that are read after their last response.
+func (c *Conn) Lingering(connections int) {
+	if c.options.Scope != nil {
+		c.options.Scope.SubScope("connections").Gauge("lingering").Update(float64(connections))
+	}
+}
+
 // SetLinger sets the linger time, in seconds.
 func (c *Conn) SetLinger(seconds int) error { return linger.Set(c.Conn, seconds) }
 
--- a/entry/peer/handler.go
+++ b/entry/peer/handler.go
@@ -76,6 +76,7 @@
 		Handler:           mux,
 		Protocols:         new(http.Protocols),
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		IdleTimeout:       2 * idleTimeout,
 		HTTP2: &http.HTTP2Config{MaxConcurrentStreams: maxStreams,
 			SendPingTimeout: 2 * pingAfterSilence, PingTimeout: pingTimeout},
--- a/entry/peer/settings.go
+++ b/entry/peer/settings.go
@@ -58,6 +58,8 @@
 	maxActions = 256
 	// MaxConnections is the maximum number of connections accepted from peers on any machine.
 	MaxConnections = 4096
+	// maxHeaderBytes is the maximum size of a call's header.
+	maxHeaderBytes = 64 << 10
 	// maxStreams is the maximum number of calls in progress on one connection.
 	maxStreams = 256
 	// maxViewAge is the age at which the published view is rebuilt.
--- a/entry/readahead/conn.go
+++ b/entry/readahead/conn.go
@@ -133,6 +133,7 @@
 		n, err := c.Conn.Read(content)
 		if err == nil && !c.keep(content[:n]) {
 			err = errNoMemory
+			c.Closed(framing.ClosedForReadAhead, 0)
 			c.abort()
 		}
 		if err != nil {
--- a/entry/readahead/pipelined.go
+++ b/entry/readahead/pipelined.go
@@ -115,12 +115,14 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lingering[c] = true
+	c.Lingering(len(w.lingering))
 }
 
 func (w *Watcher) endLingering(c *Conn) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	delete(w.lingering, c)
+	c.Lingering(len(w.lingering))
 }
 
 // HasLingering reports whether a connection is open whose caller still sends after its response.
--- a/entry/readahead/waiting.go
+++ b/entry/readahead/waiting.go
@@ -1,6 +1,10 @@
 package readahead
 
-import "time"
+import (
+	"time"
+
+	"github.com/primroseloom/primroseloom/entry/framing"
+)
 
 // minWait is how long a caller may take to send a request, also while others have no memory.
 const minWait = 500 * time.Millisecond
@@ -47,21 +51,22 @@
 		conn.abort()
 		return true
 	}
-	return w.closeLongest(func(*Conn, time.Time) bool { return true })
+	conn, _ := w.takeLongest(func(*Conn, time.Time) bool { return true })
+	if conn == nil {
+		return false
+	}
+	conn.abort()
+	return true
 }
 
 // CloseHolding is like CloseWaiting, among the connections for which memory is reserved and whose callers have
 // had some time.
 func (w *Watcher) CloseHolding() bool {
-	return w.closeLongest(func(c *Conn, since time.Time) bool { return time.Since(since) >= minWait && c.holdsMemory() })
-}
-
-// closeLongest closes the connection that has waited for its caller for the longest, among the eligible ones.
-func (w *Watcher) closeLongest(isEligible func(c *Conn, since time.Time) bool) bool {
-	conn := w.takeLongest(isEligible)
+	conn, since := w.takeLongest(func(c *Conn, since time.Time) bool { return time.Since(since) >= minWait && c.holdsMemory() })
 	if conn == nil {
 		return false
 	}
+	conn.Closed(framing.ClosedForMemory, time.Since(since))
 	conn.abort()
 	return true
 }
@@ -77,12 +82,11 @@
 	return nil
 }
 
-// takeLongest returns the eligible connection that has waited for the longest, or nil, and forgets it.
-func (w *Watcher) takeLongest(isEligible func(c *Conn, since time.Time) bool) *Conn {
+// takeLongest returns the eligible connection that has waited for the longest, or nil, and since when; it
+// forgets the connection.
+func (w *Watcher) takeLongest(isEligible func(c *Conn, since time.Time) bool) (longest *Conn, began time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	var longest *Conn
-	var began time.Time
 	for c := range w.conns {
 		since, waits := c.waitsForCaller()
 		if waits && (longest == nil || since.Before(began)) && isEligible(c, since) {
@@ -90,5 +94,5 @@
 		}
 	}
 	delete(w.conns, longest)
-	return longest
+	return longest, began
 }
