logsink: long lines are cut

What operators saw: nothing, yet: a refused request's path is quoted in its log line, so that a crowd with paths of 60 KB could have the sink hold 1024 lines of that size, 60 MB beside all budgets. A line has 4 KB at most. TestLongLinesAreCut fails before.

--- a/entry/logsink/logsink.go
+++ b/entry/logsink/logsink.go
@@ -5,7 +5,7 @@
 // dropped and counted when the queue is full or a limit of lines a second is
 // reached; the counts by event are written as a line of its own in a later second.
 // Warnings and errors have a separate limit, and one event gets a part of its limit
-// only, so that a flood of lines of one kind does not displace the others.
+// only, so that a flood of lines of one kind does not displace the others. Long lines are cut.
 package logsink
 
 import (
@@ -22,6 +22,13 @@
 	"github.com/primroseloom/primroseloom/entry/events"
 )
 
+// MaxLineBytes is the maximum length of a line, with its end: callers choose the length of what lines quote, such
+// as paths.
+const MaxLineBytes = 4 << 10
+
+// cutMark ends a line that was cut.
+const cutMark = "...\n"
+
 // Limits bounds what a Sink accepts.
 type Limits struct {
 	// Queue is the maximum number of lines that wait to be written.
@@ -68,13 +75,21 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.startSecond(s.now().Unix())
-	if !s.withinAllowance(line) || !s.enqueue(bytes.Clone(line)) {
+	if !s.withinAllowance(line) || !s.enqueue(shorten(line)) {
 		s.droppedCounts[eventOf(line)]++
 		s.onDrop()
 	}
 	return len(line), nil
 }
 
+// shorten returns a copy of a line of at most MaxLineBytes, which then ends with cutMark.
+func shorten(line []byte) []byte {
+	if len(line) <= MaxLineBytes {
+		return bytes.Clone(line)
+	}
+	return append(bytes.Clone(line[:MaxLineBytes-len(cutMark)]), cutMark...)
+}
+
 // startSecond reports the dropped lines and resets the counts when a new second
 // has begun. The caller holds the lock.
 func (s *Sink) startSecond(second int64) {
--- a/entry/logsink/logsink_test.go
+++ b/entry/logsink/logsink_test.go
@@ -94,3 +94,18 @@
 		}
 	})
 }
+
+// TestLongLinesAreCut guards against callers that use up the memory with lines that quote what they sent.
+func TestLongLinesAreCut(t *testing.T) {
+	var out bytes.Buffer
+	sink := New(&out, DefaultLimits(), func() { t.Error("a line was dropped") })
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	short := "event=1 " + strings.Repeat("x", 1000) + "\n"
+	_, _ = sink.Write([]byte("event=1 " + strings.Repeat("x", 60<<10) + "\n"))
+	_, _ = sink.Write([]byte(short))
+	sink.Run(ctx)
+	if got := out.String(); !strings.HasSuffix(got, "x...\n"+short) || len(got) != MaxLineBytes+len(short) {
+		t.Errorf("%d bytes were written, ending with %q", len(got), got[len(got)-20:])
+	}
+}
