readahead: connections of HTTP/2 make room for others

What callers saw: refusals for want of memory for as long as a few connections of HTTP/2 keep requests unfinished; each reserves a megabyte, and only connections of HTTP/1.1 are known to wait for their caller. When none of those can make room, the one of HTTP/2 is closed on which no request has begun for longest, at least 500 ms. TestStreamsMakeRoomForOthers gets 503 without it.

--- a/entry/readahead/streams_test.go
+++ b/entry/readahead/streams_test.go
@@ -1,6 +1,7 @@
 package readahead_test
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"testing"
@@ -47,3 +48,34 @@
 		})
 	}
 }
+
+// TestStreamsMakeRoomForOthers guards against few connections of HTTP/2 that hold the whole budget while their
+// requests wait for their caller.
+func TestStreamsMakeRoomForOthers(t *testing.T) {
+	withBudget(t, 1<<20+64<<10, func(s *budgetServer) {
+		protocols := new(http.Protocols)
+		protocols.SetUnencryptedHTTP2(true)
+		transport := &http.Transport{DialContext: s.network.Host("10.0.0.2").DialContext, Protocols: protocols}
+		body, unfinished := io.Pipe()
+		request, err := http.NewRequestWithContext(s.t.Context(), http.MethodPost, "http://10.0.0.1:80/", body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			if response, err := transport.RoundTrip(request); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+		time.Sleep(time.Second)
+		conn := s.dial()
+		s.send(conn, headBegin+shortFields(1000)+"\r\n")
+		if got := status(conn); got != http.StatusOK {
+			t.Errorf("status %d beside a connection of HTTP/2 that waits for its caller", got)
+		}
+		_ = unfinished.Close()
+		<-ended
+		transport.CloseIdleConnections()
+	})
+}
--- a/entry/readahead/waiting.go
+++ b/entry/readahead/waiting.go
@@ -21,6 +21,14 @@
 	return c.waitingSince, !c.closed && !arrived && !(c.isHandled && c.IsHTTP2())
 }
 
+// hasOldStreams reports whether the connection is one of HTTP/2 on which requests are in progress, and since when
+// none has begun. Whether they wait for their caller isn't known.
+func (c *Conn) hasOldStreams() (since time.Time, has bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waitingSince, !c.closed && c.isHandled && c.IsHTTP2()
+}
+
 // isBetweenRequests reports whether no response is due or in progress.
 func (c *Conn) isBetweenRequests() bool {
 	c.mu.Lock()
@@ -51,7 +59,7 @@
 		conn.abort()
 		return true
 	}
-	conn, _ := w.takeLongest(func(*Conn, time.Time) bool { return true })
+	conn, _ := w.takeLongest((*Conn).waitsForCaller, func(*Conn, time.Time) bool { return true })
 	if conn == nil {
 		return false
 	}
@@ -60,9 +68,13 @@
 }
 
 // CloseHolding is like CloseWaiting, among the connections for which memory is reserved and whose callers have
-// had some time.
+// had some time. If there is none, it closes a connection of HTTP/2 on which no request has begun for as long: one
+// may hold as much as many others.
 func (w *Watcher) CloseHolding() bool {
-	conn, since := w.takeLongest(func(c *Conn, since time.Time) bool { return time.Since(since) >= minWait && c.holdsMemory() })
+	conn, since := w.takeLongest((*Conn).waitsForCaller, func(c *Conn, since time.Time) bool { return time.Since(since) >= minWait && c.holdsMemory() })
+	if conn == nil {
+		conn, since = w.takeLongest((*Conn).hasOldStreams, func(_ *Conn, since time.Time) bool { return time.Since(since) >= minWait })
+	}
 	if conn == nil {
 		return false
 	}
@@ -84,12 +96,12 @@
 
 // takeLongest returns the eligible connection that has waited for the longest, or nil, and since when; it
 // forgets the connection.
-func (w *Watcher) takeLongest(isEligible func(c *Conn, since time.Time) bool) (longest *Conn, began time.Time) {
+func (w *Watcher) takeLongest(waits func(c *Conn) (since time.Time, waits bool), isEligible func(c *Conn, since time.Time) bool) (longest *Conn, began time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for c := range w.conns {
-		since, waits := c.waitsForCaller()
-		if waits && (longest == nil || since.Before(began)) && isEligible(c, since) {
+		since, does := waits(c)
+		if does && (longest == nil || since.Before(began)) && isEligible(c, since) {
 			longest, began = c, since
 		}
 	}
