gateway: the reservation for a response makes room, too

What callers saw: a request that had got its own reservation from a stalled caller could still be refused for that of its response. Both now close connections that hold memory and do least. The tests of memory have nothing to close and are unchanged.

--- a/entry/gateway/reserve.go
+++ b/entry/gateway/reserve.go
@@ -68,7 +68,7 @@
 	if q.holds.spare == nil {
 		q.holds.spare = q.holds.add(q.gateway.memory)
 	}
-	return q.holds.spare.isReserved() || q.holds.spare.grow(max(q.gateway.memory.estimate(q.route), largePart))
+	return q.holds.spare.isReserved() || q.holds.spare.growOrMakeRoom(max(q.gateway.memory.estimate(q.route), largePart))
 }
 
 // holdHead returns the reservation of an attempt for a large head of its response, which is released
