--- a/cmd/primroseloom/pages_test.go
+++ b/cmd/primroseloom/pages_test.go
@@ -94,3 +94,34 @@
 		}
 	}
 }
+
+// TestCallerLimitsTableIsComplete guards against a limit on callers that is missing at one of the doors.
+func TestCallerLimitsTableIsComplete(t *testing.T) {
+	content, err := os.ReadFile(filepath.Join(repositoryRoot, "docs", "CALLER-LIMITS.md"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	const doors = 5
+	rows := make(map[string]bool)
+	for line := range strings.Lines(string(content)) {
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		if len(cells) != 1+doors {
+			continue
+		}
+		for _, cell := range cells {
+			if strings.TrimSpace(cell) == "" {
+				t.Errorf("empty cell in %q", line)
+			}
+		}
+		rows[strings.TrimSpace(cells[0])] = true
+	}
+	for _, limit := range []string{
+		"open connections", "when they are used up", "head as it arrives", "head as it is kept", "bodies kept, in all", "requests in progress",
+		"connection of HTTP/2", "read ahead of a request in progress", "received and not read", "responses not read", "time to a whole head",
+		"time to a body's end", "idle", "after a refusal", "log lines",
+	} {
+		if !rows[limit] {
+			t.Errorf("no row for %q", limit)
+		}
+	}
+}
--- a/cmd/primroseloomd/crowd_test.go
+++ b/cmd/primroseloomd/crowd_test.go
@@ -93,3 +93,24 @@
 	vm.checkAnswers("after the crowds")
 	vm.check()
 }
+
+// TestCrowdsAtAVMThatIsCutOff guards against a VM that is cut off from its targets and keeps more of what a
+// crowd sends, or ends the VM to which it forwards.
+func TestCrowdsAtAVMThatIsCutOff(t *testing.T) {
+	if raceDetector {
+		t.Skip("measures a process's memory; scripts/test.sh runs it without the race detector")
+	}
+	const source = "127.0.0.77"
+	standIns := startCrowdStandIns(t, source)
+	first, second := standIns.settings("vm-1"), standIns.settings("vm-2")
+	first.SourceAddress = source
+	first.FirstPeers, second.FirstPeers = []string{second.Listen.Peers}, []string{first.Listen.Peers}
+	reached := standIns.start(second)
+	cutOff := standIns.start(first)
+	crowd := startCrowd(t.Context(), cutOff.door("route that must not run twice"), mixed())
+	for _, vm := range []*crowdVM{cutOff, reached} {
+		vm.checkAnswers("while the crowd holds on")
+		vm.check()
+	}
+	crowd.stop()
+}
--- a/cmd/primroseloomd/crowd_vm_test.go
+++ b/cmd/primroseloomd/crowd_vm_test.go
@@ -302,10 +302,19 @@
 	return lines.String()
 }
 
-// startCrowdFront starts a front process before a store and a target, and returns once it serves.
-func startCrowdFront(t *testing.T) *crowdVM {
+// crowdStandIns are the store and the target of front-end VMs.
+type crowdStandIns struct {
+	t              *testing.T
+	store, target  string
+	publishVersion func(limits routing.Limits)
+}
+
+// startCrowdStandIns starts a store and a target, which accepts no connections from one IP address.
+func startCrowdStandIns(t *testing.T, refused string) crowdStandIns {
 	t.Helper()
-	target := httptest.NewServer(http.HandlerFunc(serveCrowdTarget))
+	target := httptest.NewUnstartedServer(http.HandlerFunc(serveCrowdTarget))
+	target.Listener = refusingListener{target.Listener, refused}
+	target.Start()
 	t.Cleanup(target.Close)
 	t.Cleanup(target.CloseClientConnections)
 	store := platform.NewStandInStore()
@@ -331,16 +340,48 @@
 	})
 	server := httptest.NewServer(store)
 	t.Cleanup(server.CloseClientConnections) // ends the daemon's watches
-	set := frontSettings(server.Listener.Addr().String())
+	return crowdStandIns{t: t, store: server.Listener.Addr().String(), target: target.Listener.Addr().String(), publishVersion: publish}
+}
+
+// refusingListener closes the connections from one IP address.
+type refusingListener struct {
+	net.Listener
+	refused string
+}
+
+// Accept returns the next connection from another address.
+func (l refusingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if ip, _, _ := net.SplitHostPort(conn.RemoteAddr().String()); ip != l.refused {
+			return conn, nil
+		}
+		_ = conn.Close()
+	}
+}
+
+// settings returns those of a VM before the stand-ins.
+func (s crowdStandIns) settings(vm string) settings.Frontend {
+	set := frontSettings(s.store)
+	set.VM = vm
 	set.Machine = settings.Machine{CPUShare: 1, Cores: 1, LinkMbps: 10000, MemoryMB: crowdMemoryMB}
 	set.Stop = settings.Stop{Grace: document.Duration(crowdGrace), Linger: document.Duration(200 * time.Millisecond)}
+	return set
+}
+
+// start starts a front process, and returns once it serves.
+func (s crowdStandIns) start(set settings.Frontend) *crowdVM {
+	s.t.Helper()
 	header := make(http.Header)
 	platform.Headers{}.WriteRequest(header, dialect.Request{AttemptID: "a1", Remaining: crowdRouteTimeout})
 	pages := platform.DirectoryPages{}
 	callers := func(name, host, path string, status int) door {
 		return door{name: name, address: set.Listen.Callers, host: host, path: path, header: headerLines(header), status: status}
 	}
-	vm := startCrowdVM(t, "front", set, []door{
+	vm := startCrowdVM(s.t, "front", set, []door{
 		callers("route", "booking.example", "/look/", http.StatusOK),
 		callers("route that must not run twice", "booking.example", "/book/", http.StatusOK),
 		callers("no route", "booking.example", "/none/", http.StatusNotFound),
@@ -348,12 +389,19 @@
 		{name: "readiness", address: set.Listen.Readiness, host: set.Listen.Readiness, path: pages.ReadinessPath() + "?", status: http.StatusOK},
 		{name: "directory", address: set.Listen.Directory, host: set.Listen.Directory, path: pages.DirectoryPath() + "?name=booking.example&zone=zone-a&region=local&n=", status: http.StatusOK},
 		{name: "admin", address: set.Listen.Admin, host: set.Listen.Admin, path: "/metrics?", status: http.StatusOK},
-	}, target.Listener.Addr().String(), server.Listener.Addr().String())
-	vm.publish = publish
+	}, s.target, s.store)
+	vm.publish = s.publishVersion
 	vm.awaitServing()
 	return vm
 }
 
+// startCrowdFront starts a front process before a store and a target, and returns once it serves.
+func startCrowdFront(t *testing.T) *crowdVM {
+	t.Helper()
+	standIns := startCrowdStandIns(t, "")
+	return standIns.start(standIns.settings("vm-1"))
+}
+
 // serveCrowdTarget is a target that answers each request with a few bytes, or works on it until its
 // caller leaves.
 func serveCrowdTarget(w http.ResponseWriter, r *http.Request) {
