--- a/entry/connlimit/descriptors.go
+++ b/entry/connlimit/descriptors.go
@@ -30,8 +30,3 @@
 	}
 	return int(limit.Cur)
 }
-
-// Share returns a share of the sockets, at least one and at most most.
-func Share(sockets int, share float64, most int) int {
-	return min(max(int(float64(sockets)*share), 1), most)
-}
--- a/entry/daemon/assemble.go
+++ b/entry/daemon/assemble.go
@@ -158,7 +158,7 @@
 		CallersAddress: set.Listen.Callers,
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
-		Connections:    connlimit.Share(connlimit.Sockets(set.Limits.Descriptors), peersShare, peer.MaxConnections),
+		Connections:    connlimit.Share(connlimit.Sockets(set.Limits.Descriptors), connlimit.PeersShare, peer.MaxConnections),
 		Clock:          clock.Uptime,
 		TLS: peer.TLSFiles{
 			Off:             set.TLS.Off,
--- a/entry/daemon/listen.go
+++ b/entry/daemon/listen.go
@@ -56,34 +56,21 @@
 	})
 }
 
-// Shares of the sockets that the process may open. The rest is for connections to targets, other VMs and
-// the platform.
-const (
-	callersShare = 0.5
-	peersShare   = 0.3
-	adminShare   = 0.05
-	// maxAdminConnections bounds the open connections of operators whatever the machine is.
-	maxAdminConnections = 1000
-)
-
 // callerLimit returns the limit on callers' connections.
 func (d *Daemon) callerLimit(connections *readahead.Watcher) connlimit.Options {
-	most := d.settings.Limits.CallerConnections
-	if memory := memoryMB(d.settings.Limits); memory > 0 {
-		most = min(most, max(int(memory*bytesPerMegabyte*connectionsShare/connectionBytes), 1))
-	}
-	limit := d.connectionLimit("callers", callersShare, most)
+	limits := d.settings.Limits
+	limit := d.connectionLimit("callers", connlimit.Callers(connlimit.Sockets(limits.Descriptors), memoryMB(limits), limits.CallerConnections))
 	limit.MakeRoom = connections.CloseWaiting
 	return limit
 }
 
 // adminLimit returns the limit on the connections of operators.
 func (d *Daemon) adminLimit() connlimit.Options {
-	return d.connectionLimit("admin", adminShare, maxAdminConnections)
+	sockets := connlimit.Sockets(d.settings.Limits.Descriptors)
+	return d.connectionLimit("admin", connlimit.Share(sockets, connlimit.AdminShare, connlimit.MaxPageConnections))
 }
 
-func (d *Daemon) connectionLimit(name string, share float64, most int) connlimit.Options {
-	limit := connlimit.Share(connlimit.Sockets(d.settings.Limits.Descriptors), share, most)
+func (d *Daemon) connectionLimit(name string, limit int) connlimit.Options {
 	return connlimit.Options{Name: name, Limit: limit, Logger: d.logger, Scope: d.metrics.Scope()}
 }
 
--- a/entry/daemon/memory.go
+++ b/entry/daemon/memory.go
@@ -3,23 +3,14 @@
 import (
 	"github.com/primroseloom/primroseloom/entry/framing"
 	"github.com/primroseloom/primroseloom/entry/machine"
-	"github.com/primroseloom/primroseloom/entry/network"
 	"github.com/primroseloom/primroseloom/entry/proxy"
 	"github.com/primroseloom/primroseloom/entry/readahead"
 	"github.com/primroseloom/primroseloom/entry/settings"
 	"github.com/primroseloom/primroseloom/policy/bytebudget"
 )
 
-const (
-	bytesPerMegabyte = 1e6
-	// connectionBytes is what a connection of a caller needs: a goroutine, two buffers, and what the kernel
-	// has received of it.
-	connectionBytes = 16<<10 + network.CallersReceiveBytes
-	// connectionsShare is the share of the memory that callers' connections may need.
-	connectionsShare = 0.3
-	// refusalFields are the fields of a refusal by which callers tell that a request has not run.
-	refusalFields = proxy.OutcomeHeader + ": not_run\r\n"
-)
+// refusalFields are the fields of a refusal by which callers tell that a request has not run.
+const refusalFields = proxy.OutcomeHeader + ": not_run\r\n"
 
 // memoryMB returns the memory in megabytes that the instance may use, 0 if it is not known.
 func memoryMB(limits settings.Limits) float64 {
--- a/entry/events/proxy.go
+++ b/entry/events/proxy.go
@@ -17,7 +17,7 @@
 	RequestPanicked = define(5006, log.ErrorLevel, "request panicked",
 		"A bug in the daemon ended one request; others continue. Report it with the cause.")
 	FramingRefused = define(5007, log.InfoLevel, "request framing refused",
-		"A request names two lengths (two_lengths), or its end can't be found (malformed). It is answered 400 and its connection is closed; address is where it came from. Another request may have been hidden in its body.")
+		"A request names two lengths (two_lengths), or its end can't be found (malformed). It is answered 400 and its connection is closed; address is where it came from. Another request may have been hidden in its body. no_memory: there was no memory for its head; it is answered 503 and has not run.")
 	ConnectionsLimited = define(5008, log.WarnLevel, "connections limited",
 		"A listener had no room for further connections (limit). closed counts those that it closed to make room, of callers that had done least for the longest, refused the new ones that it closed at once. Logged at most once a second for each listener. Look for callers that hold connections open.")
 	ConnectionClosed = define(5009, log.InfoLevel, "connection closed for want of memory",
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -77,7 +77,7 @@
 		PeersAddress:   set.Listen.Peers,
 		FirstPeers:     set.FirstPeers,
 		Capacity:       capacityOf(set.Machine),
-		Connections:    connlimit.Share(connlimit.Sockets(set.Machine.Descriptors), peersShare, peer.MaxConnections),
+		Connections:    connlimit.Share(connlimit.Sockets(set.Machine.Descriptors), connlimit.PeersShare, peer.MaxConnections),
 		Clock:          f.clock.Uptime,
 		TLS:            peer.TLSFiles{Off: true},
 	}, f.options.VMs, logger, m.Scope())
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -110,9 +110,9 @@
 	limited := f.watchProgress(connlimit.NewListener(listeners.callers, f.callerLimit(connections)))
 	go f.serve(callers, readahead.Listener(limited, f.framingOptions(connections)))
 	pages := []*http.Server{
-		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready), f.pageLimit("readiness", readinessShare)),
-		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor), f.pageLimit("directory", directoryShare)),
-		f.servePage(listeners.admin, adminEngine(f.metrics.Handler(), f.crashes, f.clock.Uptime), f.pageLimit("admin", adminShare)),
+		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready), f.pageLimit("readiness", connlimit.ReadinessShare)),
+		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor), f.pageLimit("directory", connlimit.DirectoryShare)),
+		f.servePage(listeners.admin, adminEngine(f.metrics.Handler(), f.crashes, f.clock.Uptime), f.pageLimit("admin", connlimit.AdminShare)),
 	}
 	go f.servePeers(listeners.peers)
 	events.FrontendStarted.Log(f.options.Logger, "vm", set.VM, "zone", set.Zone, "callers", set.Listen.Callers)
