pageserver: what pages' callers keep is reserved, too

What callers saw: nothing, until the directory's 8% of the sockets, 213 on a VM of 136 MB, each held a head of 16 KB in short fields: 300 KB each, 64 MB beside all budgets (calculated from the 100 bytes a field that were measured). The heads of pages count toward the same budget as callers' now; without room the connection is closed that was used least recently.

--- a/cmd/primroseloom/pages_test.go
+++ b/cmd/primroseloom/pages_test.go
@@ -95,17 +95,17 @@
 	}
 }
 
-// TestCallerLimitsTableIsComplete guards against a limit on callers that is missing at one of the doors.
+// TestCallerLimitsTableIsComplete guards against a limit on callers that is missing at one of the endpoints.
 func TestCallerLimitsTableIsComplete(t *testing.T) {
 	content, err := os.ReadFile(filepath.Join(repositoryRoot, "docs", "CALLER-LIMITS.md"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	const doors = 5
+	const endpoints = 5
 	rows := make(map[string]bool)
 	for line := range strings.Lines(string(content)) {
 		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
-		if len(cells) != 1+doors {
+		if len(cells) != 1+endpoints {
 			continue
 		}
 		for _, cell := range cells {
--- a/cmd/primroseloomd/calm_test.go
+++ b/cmd/primroseloomd/calm_test.go
@@ -14,7 +14,7 @@
 
 // exchange sends text on a connection of its own, all of it before it reads, and returns the statuses of
 // the given number of responses, those of the interim ones left out.
-func exchange(t *testing.T, d door, text string, responses int) (statuses []int, err error) {
+func exchange(t *testing.T, d endpoint, text string, responses int) (statuses []int, err error) {
 	t.Helper()
 	conn, err := net.Dial("tcp", d.address)
 	if err != nil {
@@ -42,7 +42,7 @@
 }
 
 // checkExchange fails the test unless the responses have the wanted statuses.
-func checkExchange(t *testing.T, name string, d door, text string, want ...int) {
+func checkExchange(t *testing.T, name string, d endpoint, text string, want ...int) {
 	t.Helper()
 	got, err := exchange(t, d, text, len(want))
 	if err != nil || !slices.Equal(got, want) {
@@ -57,7 +57,7 @@
 	for _, p := range []program{frontProgram, serveProgram} {
 		t.Run(p.name, func(t *testing.T) {
 			vm := p.start(t)
-			d := vm.door("route that must not run twice")
+			d := vm.endpoint("route that must not run twice")
 			length := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 			checkExchange(t, "many short fields", d, d.head(http.MethodGet, "1")+fieldsOf(crowdHeaderBytes-600)+"\r\n", d.status)
 			checkExchange(t, "a large field", d, d.head(http.MethodGet, "1")+"Field: "+body[:crowdHeaderBytes-600]+"\r\n\r\n", d.status)
@@ -81,8 +81,8 @@
 			vm := p.start(t)
 			length := "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
 			chunks := "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("10000\r\n"+body[:64<<10]+"\r\n", 16)
-			for _, name := range p.doors {
-				d, status := vm.door(name), 0
+			for _, name := range p.endpoints {
+				d, status := vm.endpoint(name), 0
 				switch name {
 				case "route", "route that must not run twice", "directory", "readiness", "admin":
 					continue
@@ -94,7 +94,7 @@
 				small := d.head(http.MethodPost, "1") + "Content-Length: 1000\r\n\r\n" + body[:1000]
 				checkExchange(t, "small bodies in a row", d, small+small+small, status, status, status)
 			}
-			d := vm.door("route that must not run twice")
+			d := vm.endpoint("route that must not run twice")
 			tooLarge := http.StatusRequestEntityTooLarge
 			checkExchange(t, "a body over the limit", d, d.head(http.MethodPost, "1")+"Content-Length: 1500000\r\n\r\n"+body, tooLarge)
 			checkExchange(t, "chunks over the limit", d, d.head(http.MethodPost, "1")+chunks+"10000\r\n"+body[:64<<10]+"\r\n0\r\n\r\n", tooLarge)
--- a/cmd/primroseloomd/crowd_clients_test.go
+++ b/cmd/primroseloomd/crowd_clients_test.go
@@ -32,8 +32,8 @@
 // sends; its connection then stays open until the crowd leaves.
 type client struct {
 	name string
-	// act sends to a door; i numbers the callers.
-	act func(ctx context.Context, conn net.Conn, d door, i int)
+	// act sends to a endpoint; i numbers the callers.
+	act func(ctx context.Context, conn net.Conn, d endpoint, i int)
 }
 
 // send writes text; the VM may have closed the connection, which is allowed.
@@ -62,12 +62,12 @@
 }
 
 // withLength returns the head of a request with a body of a length.
-func withLength(d door, i int, length int64) string {
+func withLength(d endpoint, i int, length int64) string {
 	return d.head(http.MethodPost, strconv.Itoa(i)) + "Content-Length: " + strconv.FormatInt(length, 10) + "\r\n\r\n"
 }
 
 // withChunks returns the head of a request with a body in chunks.
-func withChunks(d door, i int) string {
+func withChunks(d endpoint, i int) string {
 	return d.head(http.MethodPost, strconv.Itoa(i)) + "Transfer-Encoding: chunked\r\n\r\n"
 }
 
@@ -90,22 +90,22 @@
 	manyFields := fieldsOf(60 << 10)
 	chunk := "400;extension=1\r\n" + body[:1<<10] + "\r\n"
 	return []client{
-		{"bodies but for a byte", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"bodies but for a byte", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, withLength(d, i, crowdBodyBytes)+body[1:])
 		}},
-		{"small bodies but for a byte", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"small bodies but for a byte", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, withLength(d, i, 10)+body[:9])
 		}},
-		{"bodies in small pieces", func(ctx context.Context, conn net.Conn, d door, i int) {
+		{"bodies in small pieces", func(ctx context.Context, conn net.Conn, d endpoint, i int) {
 			sendSlowly(ctx, conn, withLength(d, i, int64(len(small)))+small[1:], pieceBytes, piecePause)
 		}},
-		{"bodies in chunks", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"bodies in chunks", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, withChunks(d, i)+strings.Repeat(chunk, 500)+"1")
 		}},
-		{"chunks of a byte", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"chunks of a byte", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, withChunks(d, i)+strings.Repeat("1\r\nx\r\n", 10_000))
 		}},
-		{"bodies far over the limit", func(ctx context.Context, conn net.Conn, d door, i int) {
+		{"bodies far over the limit", func(ctx context.Context, conn net.Conn, d endpoint, i int) {
 			if i%2 == 0 {
 				send(conn, withLength(d, i, 1<<40))
 				sendWithoutEnd(ctx, conn, small)
@@ -114,38 +114,38 @@
 			send(conn, withChunks(d, i))
 			sendWithoutEnd(ctx, conn, "10000\r\n"+small+"\r\n")
 		}},
-		{"bodies after Expect", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"bodies after Expect", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, d.head(http.MethodPost, strconv.Itoa(i))+"Expect: 100-continue\r\nContent-Length: 1000000\r\n\r\n")
 		}},
-		{"short fields", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"short fields", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, d.head(http.MethodPost, strconv.Itoa(i))+legalFields+"Content-Length: 10\r\n\r\n123456789")
 		}},
-		{"heads of short fields without their end", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"heads of short fields without their end", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, d.head(http.MethodGet, strconv.Itoa(i))+manyFields)
 		}},
-		{"heads of one field without their end", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"heads of one field without their end", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, d.head(http.MethodGet, strconv.Itoa(i))+"Field: "+body[:60<<10])
 		}},
-		{"heads a byte at a time", func(ctx context.Context, conn net.Conn, d door, i int) {
+		{"heads a byte at a time", func(ctx context.Context, conn net.Conn, d endpoint, i int) {
 			sendSlowly(ctx, conn, d.head(http.MethodGet, strconv.Itoa(i)), 1, 30*time.Millisecond)
 		}},
-		{"nothing", func(context.Context, net.Conn, door, int) {}},
-		{"requests sent ahead", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"nothing", func(context.Context, net.Conn, endpoint, int) {}},
+		{"requests sent ahead", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, d.head(http.MethodGet, slowPath)+"\r\n"+strings.Repeat(d.head(http.MethodGet, strconv.Itoa(i))+"\r\n", aheadRequests))
 		}},
-		{"responses not read", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"responses not read", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			send(conn, strings.Repeat(d.head(http.MethodGet, strconv.Itoa(i))+"\r\n", aheadRequests))
 		}},
-		{"HTTP/1.0", func(_ context.Context, conn net.Conn, d door, i int) {
+		{"HTTP/1.0", func(_ context.Context, conn net.Conn, d endpoint, i int) {
 			old := strings.Replace(withLength(d, i, 1000), "HTTP/1.1", "HTTP/1.0", 1)
 			send(conn, old+body[:999])
 		}},
-		{"HTTP/2", func(_ context.Context, conn net.Conn, d door, _ int) { sendStreams(conn, d) }},
+		{"HTTP/2", func(_ context.Context, conn net.Conn, d endpoint, _ int) { sendStreams(conn, d) }},
 	}
 }
 
 // sendStreams opens a connection of HTTP/2 with many streams, whose bodies do not end.
-func sendStreams(conn net.Conn, d door) {
+func sendStreams(conn net.Conn, d endpoint) {
 	const streams, fields = 100, 100
 	if !send(conn, http2.ClientPreface) {
 		return
@@ -184,9 +184,9 @@
 	callers sync.WaitGroup
 }
 
-// startCrowd lets callers come to a door, each on a connection of its own, and returns once they have had
+// startCrowd lets callers come to a endpoint, each on a connection of its own, and returns once they have had
 // time to send. A connection that the VM closes stays closed.
-func startCrowd(ctx context.Context, d door, clientOf func(i int) client) *crowd {
+func startCrowd(ctx context.Context, d endpoint, clientOf func(i int) client) *crowd {
 	ctx, leave := context.WithCancel(ctx)
 	c := &crowd{leave: leave}
 	for i := range crowdSize {
--- a/cmd/primroseloomd/crowd_standins_test.go
+++ b/cmd/primroseloomd/crowd_standins_test.go
@@ -97,10 +97,10 @@
 	header := make(http.Header)
 	platform.Headers{}.WriteRequest(header, dialect.Request{AttemptID: "a1", Remaining: crowdRouteTimeout})
 	pages := platform.DirectoryPages{}
-	callers := func(name, host, path string, status int) door {
-		return door{name: name, address: set.Listen.Callers, host: host, path: path, header: headerLines(header), status: status}
+	callers := func(name, host, path string, status int) endpoint {
+		return endpoint{name: name, address: set.Listen.Callers, host: host, path: path, header: headerLines(header), status: status}
 	}
-	vm := startCrowdVM(s.t, "front", set, []door{
+	vm := startCrowdVM(s.t, "front", set, []endpoint{
 		callers("route", "booking.example", "/look/", http.StatusOK),
 		callers("route that must not run twice", "booking.example", "/book/", http.StatusOK),
 		callers("no route", "booking.example", "/none/", http.StatusNotFound),
@@ -162,14 +162,14 @@
 	credential := func(secret string) string {
 		return "Primroseloom-Credential: " + secret + "\r\nPrimroseloom-Timeout-Ms: " + strconv.FormatInt(crowdRouteTimeout.Milliseconds(), 10) + "\r\n"
 	}
-	callers := func(name, host, path, secret string, status int) door {
-		return door{name: name, address: set.Listen.Callers, host: host, path: path, header: credential(secret), status: status}
+	callers := func(name, host, path, secret string, status int) endpoint {
+		return endpoint{name: name, address: set.Listen.Callers, host: host, path: path, header: credential(secret), status: status}
 	}
 	peers := []string{fleet.PlatformAddress}
 	for _, one := range fleet.Targets {
 		peers = append(peers, one.Address)
 	}
-	vm := startCrowdVM(t, "serve", set, []door{
+	vm := startCrowdVM(t, "serve", set, []endpoint{
 		callers("route", host, "/availability?", examples.Credential(customer), http.StatusOK),
 		callers("route that must not run twice", host, "/bookings/", examples.Credential(customer), http.StatusOK),
 		callers("unknown customer", host, "/availability/", "nobody", http.StatusUnauthorized),
--- a/cmd/primroseloomd/crowd_test.go
+++ b/cmd/primroseloomd/crowd_test.go
@@ -11,8 +11,8 @@
 type program struct {
 	name  string
 	start func(t *testing.T) *crowdVM
-	// doors are those to which crowds come.
-	doors []string
+	// endpoints are those to which crowds come.
+	endpoints []string
 }
 
 var (
@@ -29,13 +29,13 @@
 	return p.start(t)
 }
 
-// testCrowds lets each kind of client come to each door.
+// testCrowds lets each kind of client come to each endpoint.
 func testCrowds(t *testing.T, p program) {
-	for _, name := range p.doors {
+	for _, name := range p.endpoints {
 		for _, c := range clients() {
 			t.Run(strings.ReplaceAll(name+"/"+c.name, " ", "_"), func(t *testing.T) {
 				vm := p.startMeasured(t)
-				crowd := startCrowd(t.Context(), vm.door(name), func(int) client { return c })
+				crowd := startCrowd(t.Context(), vm.endpoint(name), func(int) client { return c })
 				vm.checkAnswers("while the crowd holds on")
 				crowd.stop()
 				vm.checkAnswers("after the crowd")
@@ -46,7 +46,7 @@
 }
 
 // TestFrontOutlivesCrowds guards against a front-end process that callers outside the limits end, hang or
-// make run out of memory or descriptors, whatever they send and at whichever door.
+// make run out of memory or descriptors, whatever they send and at whichever endpoint.
 func TestFrontOutlivesCrowds(t *testing.T) { testCrowds(t, frontProgram) }
 
 // TestServeOutlivesCrowds is TestFrontOutlivesCrowds for the serve process.
@@ -58,7 +58,7 @@
 	return func(i int) client { return all[i%len(all)] }
 }
 
-// TestMixedCrowdsAreOutlived guards against limits that each hold for one kind of client, or at one door,
+// TestMixedCrowdsAreOutlived guards against limits that each hold for one kind of client, or at one endpoint,
 // and not for all at once, and against a crowd that keeps a planned stop from ending.
 func TestMixedCrowdsAreOutlived(t *testing.T) {
 	for _, p := range []program{frontProgram, serveProgram} {
@@ -66,7 +66,7 @@
 			vm := p.startMeasured(t)
 			var crowds []*crowd
 			for _, name := range []string{"route", "unknown host", "directory", "admin"} {
-				crowds = append(crowds, startCrowd(t.Context(), vm.door(name), mixed()))
+				crowds = append(crowds, startCrowd(t.Context(), vm.endpoint(name), mixed()))
 			}
 			vm.checkAnswers("while the crowds hold on")
 			vm.check()
@@ -84,9 +84,9 @@
 // from being served.
 func TestLowerLimitsDuringACrowd(t *testing.T) {
 	vm := frontProgram.startMeasured(t)
-	crowd := startCrowd(t.Context(), vm.door("route"), mixed())
+	crowd := startCrowd(t.Context(), vm.endpoint("route"), mixed())
 	vm.publish(routing.Limits{HeaderBytes: crowdHeaderBytes / 4, BodyBytes: crowdBodyBytes / 16})
-	second := startCrowd(t.Context(), vm.door("route that must not run twice"), mixed())
+	second := startCrowd(t.Context(), vm.endpoint("route that must not run twice"), mixed())
 	vm.checkAnswers("while the crowds hold on")
 	crowd.stop()
 	second.stop()
@@ -107,7 +107,7 @@
 	first.FirstPeers, second.FirstPeers = []string{second.Listen.Peers}, []string{first.Listen.Peers}
 	reached := standIns.start(second)
 	cutOff := standIns.start(first)
-	crowd := startCrowd(t.Context(), cutOff.door("route that must not run twice"), mixed())
+	crowd := startCrowd(t.Context(), cutOff.endpoint("route that must not run twice"), mixed())
 	for _, vm := range []*crowdVM{cutOff, reached} {
 		vm.checkAnswers("while the crowd holds on")
 		vm.check()
--- a/cmd/primroseloomd/crowd_vm_test.go
+++ b/cmd/primroseloomd/crowd_vm_test.go
@@ -62,27 +62,27 @@
 	}
 }
 
-// door is one way to reach a VM from outside.
-type door struct {
+// endpoint is one way to reach a VM from outside.
+type endpoint struct {
 	name string
-	// address is where the door listens.
+	// address is where the endpoint listens.
 	address string
-	// host, path and header are those of a request at this door; header holds whole lines.
+	// host, path and header are those of a request at this endpoint; header holds whole lines.
 	host, path, header string
-	// status is the one that an ordinary request at this door gets.
+	// status is the one that an ordinary request at this endpoint gets.
 	status int
 }
 
-// head returns the beginning of a request at the door, without the end of its head.
-func (d door) head(method, path string) string {
+// head returns the beginning of a request at the endpoint, without the end of its head.
+func (d endpoint) head(method, path string) string {
 	return method + " " + d.path + path + " HTTP/1.1\r\nHost: " + d.host + "\r\n" + d.header
 }
 
 // crowdVM is a real process of one of the daemon's commands, on a small machine.
 type crowdVM struct {
-	t       *testing.T
-	command *exec.Cmd
-	doors   []door
+	t         *testing.T
+	command   *exec.Cmd
+	endpoints []endpoint
 	// peers are the addresses that the VM connects to.
 	peers []string
 	ended chan struct{}
@@ -100,7 +100,7 @@
 }
 
 // startCrowdVM starts a command with settings and measures its process until the test ends.
-func startCrowdVM(t *testing.T, command string, set any, doors []door, peers ...string) *crowdVM {
+func startCrowdVM(t *testing.T, command string, set any, endpoints []endpoint, peers ...string) *crowdVM {
 	t.Helper()
 	content, err := json.Marshal(set)
 	if err != nil {
@@ -110,7 +110,7 @@
 	if err := os.WriteFile(file, content, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	vm := &crowdVM{t: t, doors: doors, peers: peers, ended: make(chan struct{})}
+	vm := &crowdVM{t: t, endpoints: endpoints, peers: peers, ended: make(chan struct{})}
 	vm.command = exec.CommandContext(t.Context(), os.Args[0], command, "--settings", file)
 	vm.command.Env = append(os.Environ(), commandVariable+"=1", descriptorsVariable+"="+strconv.Itoa(crowdDescriptors))
 	out, err := vm.command.StdoutPipe()
@@ -175,7 +175,7 @@
 // delivered.
 func (vm *crowdVM) socketBytes() int64 {
 	local, remote := make(map[string]bool), make(map[string]bool)
-	for _, d := range vm.doors {
+	for _, d := range vm.endpoints {
 		local[kernelAddress(d.address)] = true
 	}
 	for _, peer := range vm.peers {
@@ -213,15 +213,15 @@
 	}
 }
 
-// door returns the door with a name.
-func (vm *crowdVM) door(name string) door {
-	for _, d := range vm.doors {
+// endpoint returns the endpoint with a name.
+func (vm *crowdVM) endpoint(name string) endpoint {
+	for _, d := range vm.endpoints {
 		if d.name == name {
 			return d
 		}
 	}
-	vm.t.Fatalf("no door %q", name)
-	return door{}
+	vm.t.Fatalf("no endpoint %q", name)
+	return endpoint{}
 }
 
 // check fails the test if the process has ended, or held more than its machine has.
@@ -241,10 +241,10 @@
 	}
 }
 
-// checkAnswers fails the test unless one ordinary request is answered at each door.
+// checkAnswers fails the test unless one ordinary request is answered at each endpoint.
 func (vm *crowdVM) checkAnswers(when string) {
 	vm.t.Helper()
-	for _, d := range vm.doors {
+	for _, d := range vm.endpoints {
 		if err := vm.awaitAnswer(d, answerTimeout); err != nil {
 			vm.t.Errorf("%s: an ordinary request at %s was not answered: %v", when, d.name, err)
 		}
@@ -252,7 +252,7 @@
 }
 
 // awaitAnswer sends an ordinary request, again as often as it is not served, as callers do.
-func (vm *crowdVM) awaitAnswer(d door, timeout time.Duration) error {
+func (vm *crowdVM) awaitAnswer(d endpoint, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(vm.t.Context(), timeout)
 	defer cancel()
 	for {
@@ -268,7 +268,7 @@
 }
 
 // ask sends one ordinary request on a connection of its own.
-func ask(ctx context.Context, d door) (status int, err error) {
+func ask(ctx context.Context, d endpoint) (status int, err error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", d.address)
 	if err != nil {
 		return 0, err
@@ -294,10 +294,10 @@
 	return lines.String()
 }
 
-// awaitServing waits until an ordinary request is answered at each door.
+// awaitServing waits until an ordinary request is answered at each endpoint.
 func (vm *crowdVM) awaitServing() {
 	vm.t.Helper()
-	for _, d := range vm.doors {
+	for _, d := range vm.endpoints {
 		if err := vm.awaitAnswer(d, signalTestTimeout); err != nil {
 			vm.mu.Lock()
 			defer vm.mu.Unlock()
--- a/entry/daemon/memory.go
+++ b/entry/daemon/memory.go
@@ -35,9 +35,15 @@
 	limits.MaxBufferedBytes = min(limits.MaxBufferedBytes, half)
 }
 
-// framingOptions returns the options of callers' connections.
-func (d *Daemon) framingOptions(connections *readahead.Watcher) framing.Options {
-	return framing.Options{
-		Logger: d.logger, Scope: d.metrics.Scope(), NewHold: d.proxy.NewHold, MakeRoom: connections.CloseHolding, RefusalFields: refusalFields,
-	}
+// framingOptions returns the options of connections. What they keep counts toward the budget of what callers
+// send.
+func (d *Daemon) framingOptions() framing.Options {
+	return framing.Options{Logger: d.logger, Scope: d.metrics.Scope(), NewHold: d.proxy.NewHold, RefusalFields: refusalFields}
+}
+
+// callerFraming returns the options of callers' connections, which make room for others.
+func (d *Daemon) callerFraming(connections *readahead.Watcher) framing.Options {
+	options := d.framingOptions()
+	options.MakeRoom = connections.CloseHolding
+	return options
 }
--- a/entry/frontend/frontend.go
+++ b/entry/frontend/frontend.go
@@ -108,7 +108,7 @@
 	connections := readahead.Watch(callers)
 	f.gateway.UseMakeRoom(connections.CloseHolding)
 	limited := f.watchProgress(connlimit.NewListener(listeners.callers, f.callerLimit(connections)))
-	go f.serve(callers, readahead.Listener(limited, f.framingOptions(connections)))
+	go f.serve(callers, readahead.Listener(limited, f.callerFraming(connections)))
 	pages := []*http.Server{
 		f.servePage(listeners.readiness, readinessEngine(f.options.Adapter.Directory, f.ready), f.pageLimit("readiness", connlimit.ReadinessShare)),
 		f.servePage(listeners.directory, directoryEngine(f.options.Adapter.Directory, f.fleet.advertised, f.keepFor), f.pageLimit("directory", connlimit.DirectoryShare)),
@@ -124,7 +124,7 @@
 
 // servePage starts to serve the readiness, directory or admin interface.
 func (f *Frontend) servePage(inner net.Listener, handler http.Handler, limits connlimit.Options) *http.Server {
-	server, listener := pageserver.New(inner, handler, limits)
+	server, listener := pageserver.New(inner, handler, limits, f.framingOptions())
 	go f.serve(server, listener)
 	return server
 }
--- a/entry/frontend/memory.go
+++ b/entry/frontend/memory.go
@@ -45,16 +45,23 @@
 	return slowreader.Listener(inner)
 }
 
-// framingOptions returns the options of callers' connections. What they keep counts toward the same budget
-// as requests and responses.
-func (f *Frontend) framingOptions(connections *readahead.Watcher) framing.Options {
+// framingOptions returns the options of connections. What they keep counts toward the same budget as requests
+// and responses.
+func (f *Frontend) framingOptions() framing.Options {
 	options := framing.Options{Logger: f.options.Logger, Scope: f.metrics.Scope()}
 	if f.options.Settings.Machine.MemoryMB > 0 {
-		options.NewHold, options.MakeRoom = f.gateway.NewHold, connections.CloseHolding
+		options.NewHold = f.gateway.NewHold
 	}
 	return options
 }
 
+// callerFraming returns the options of callers' connections, which make room for others.
+func (f *Frontend) callerFraming(connections *readahead.Watcher) framing.Options {
+	options := f.framingOptions()
+	options.MakeRoom = connections.CloseHolding
+	return options
+}
+
 // capacityOf returns the requests a second that a machine can serve.
 func capacityOf(machine settings.Machine) uint32 {
 	return offer.Capacity(machine.CPUShare*machine.Cores, machine.LinkMbps)
--- a/entry/pageserver/pageserver.go
+++ b/entry/pageserver/pageserver.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/connlimit"
+	"github.com/primroseloom/primroseloom/entry/framing"
 )
 
 // Limits on a caller of a page.
@@ -21,10 +22,11 @@
 	idleTimeout     = 75 * time.Second
 )
 
-// New returns a server of a page and the listener that it is to serve.
-func New(inner net.Listener, handler http.Handler, limits connlimit.Options) (*http.Server, net.Listener) {
+// New returns a server of a page and the listener that it is to serve. What its connections keep is reserved as
+// heads says.
+func New(inner net.Listener, handler http.Handler, limits connlimit.Options, heads framing.Options) (*http.Server, net.Listener) {
 	recent := connlimit.NewRecent()
-	limits.MakeRoom = recent.CloseOldest
+	limits.MakeRoom, heads.MakeRoom = recent.CloseOldest, recent.CloseOldest
 	server := &http.Server{
 		Handler:        handler,
 		ConnState:      recent.OnStateChange,
@@ -33,5 +35,5 @@
 		WriteTimeout:   responseTimeout,
 		IdleTimeout:    idleTimeout,
 	}
-	return server, connlimit.NewListener(inner, limits)
+	return server, framing.Listener(connlimit.NewListener(inner, limits), heads)
 }
