--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -34,6 +34,8 @@
 # race detector, so these tests run without it once more.
 go test -count=1 -timeout 20m -run '^(TestReviewOfLargeRoutesIsFast|FuzzReviewRoutes)$' ./platform
 go test -count=1 -timeout 20m -run '^(TestSlowReadersStayWithinTheMemory|TestHeadsWithoutEndStayWithinTheMemory|TestBodiesWithoutEndRefuseNoOthers)$' ./entry/gateway
+# One crowd at a time, apart from the other tests.
+go test -count=1 -timeout 40m -run '^(TestFrontOutlivesCrowds|TestServeOutlivesCrowds|TestMixedCrowdsAreOutlived|TestLowerLimitsDuringACrowd|TestCrowdsAtAVMThatIsCutOff)$' ./cmd/primroseloomd
 go test -count=1 -timeout 20m $long
 for package in $long; do
   if go test -race -count=1 -timeout 20m "$package" >"$bin/race.log" 2>&1; then
@@ -60,7 +62,3 @@
 }
 run_known_red 10 ./policy/hedge TestP99IsHalvedWhileTargetsAreSlow
 run_known_red 11 ./policy/hedge TestP999IsHalvedWhileTargetsAreSlow
-run_known_red 30 ./cmd/primroseloomd TestFrontOutlivesCrowds
-run_known_red 31 ./cmd/primroseloomd TestServeOutlivesCrowds
-run_known_red 32 ./cmd/primroseloomd TestMixedCrowdsAreOutlived
-run_known_red 33 ./cmd/primroseloomd TestLowerLimitsDuringACrowd
