--- a/entry/framing/doc.go
+++ b/entry/framing/doc.go
@@ -8,5 +8,8 @@
 // the two fields, a Conn hands a malformed line to the server, which then answers 400 and closes the
 // connection. The same is done where the end of a request can't be found.
 //
-// Connections of HTTP/2 pass unchanged.
+// A Conn also reserves what net/http keeps of a head, by its bytes and fields as they arrive, before the server
+// gets them (memory.go). Without room, the request is refused with 503 or the connection ends.
+//
+// Connections of HTTP/2 pass unchanged, once they have reserved a fixed amount.
 package framing
--- a/entry/readahead/doc.go
+++ b/entry/readahead/doc.go
@@ -9,4 +9,9 @@
 // It also compares the whole requests that have arrived, with or without a body (entry/framing counts
 // them), with those that have begun, so that a server that stops can answer pipelined requests before it
 // closes their connection.
+//
+// A connection that the server closes after a response, while its caller still sends, is read on for a bounded
+// time first (linger.go): otherwise the response is lost with it. When connections or memory are used up, a
+// Watcher closes the connection that has waited for its caller for the longest (waiting.go), never one whose
+// request is being served. What is read ahead, and the heads of HTTP/2, are reserved before they are kept.
 package readahead
