follow: what VMs hand on to one another goes in parts of bounded size

Cause: a listing, or the changes after a revision, went in one message. It grows with the deployment, and the bound of a message does not; the call failed with resource_exhausted and was made again for ever.

Change: Follow gives parts of 256 KiB (or of one item). A part ends at a cursor of position and key. The feeder keeps nothing for it: the next part begins with what changed since under the keys before, so that all parts are of one revision, that of the last; if these changes are no longer known or fill a part, it begins anew. The follower applies nothing until the last part, keeps at most 24 MB, continues a listing that broke off for 5 s, at any VM, and refuses parts that are of another era, older, without progress or without end (event 2108, counter peer_feeds_failed). Newer routes go in a message of their own. Builds of before get, and send, one message.

--- a/entry/follow/confirm_rpc.go
+++ b/entry/follow/confirm_rpc.go
@@ -46,7 +46,7 @@
 	message := &primroseloomv1.ConfirmRoutesResponse{
 		RoutesVersion: answer.Version, Confirmed: answer.Confirmed, ConfirmedAgeMs: ageToWire(answer.Age),
 	}
-	if newest := s.follower.routesNewerThan(request.Msg.GetRoutesVersion(), Listing{}); newest != nil {
+	if newest := s.follower.newestRoutesFor(request.Msg.GetRoutesVersion()); newest != nil {
 		message.NewestRoutes = itemToWire(*newest)
 	}
 	return connect.NewResponse(message), nil
--- a/entry/follow/history.go
+++ b/entry/follow/history.go
@@ -53,6 +53,13 @@
 	}
 }
 
+// nextChange returns a channel that is closed when something is added.
+func (h *history) nextChange() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.changed
+}
+
 // dropRemovals drops the items of removed keys; the lock is held.
 func (h *history) dropRemovals() {
 	maps.DeleteFunc(h.items, func(_ string, item Item) bool { return item.Removed })
@@ -69,7 +76,7 @@
 		return Listing{}, h.changed, false
 	}
 	revision := position.Revision
-	full := position.Era != h.position.Era || revision < h.since
+	full := h.isFullFor(position)
 	listing = Listing{Position: h.position, Full: full}
 	for _, key := range slices.Sorted(maps.Keys(h.items)) {
 		item := h.items[key]
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -16,8 +16,10 @@
 )
 
 const (
-	// peerTimeout bounds a call to another instance, in addition to its wait.
+	// peerTimeout bounds one call to another instance, in addition to its wait.
 	peerTimeout = time.Second
+	// listingTimeout bounds all parts of a listing, in addition to the wait.
+	listingTimeout = 10 * time.Second
 	// maxPeerWait bounds how long a call of another instance waits for changes.
 	maxPeerWait = 30 * time.Second
 	// maxPeerAttempts is the number of instances called before a fetch fails.
@@ -36,6 +38,8 @@
 		contract.Members
 		Feed(vm string) (primroseloomv1connect.FeedServiceClient, bool)
 	}
+
+	unfinished unfinished
 }
 
 // Fetch returns what is newer than what this instance knows, or everything, from the named
@@ -63,34 +67,81 @@
 	return Listing{}, errors.Join(failures...)
 }
 
+// fetchFrom fetches from one instance, in parts that are applied together. A listing that breaks off is
+// continued by the next fetch, from whichever instance.
 func (p *Peers) fetchFrom(ctx context.Context, vm string, known contract.Announcement, wait time.Duration) (Listing, error) {
 	client, ok := p.Members.Feed(vm)
 	if !ok {
 		return Listing{}, errNoPeer
 	}
+	ctx, cancel := context.WithTimeout(ctx, wait+listingTimeout)
+	defer cancel()
+	whole := p.unfinished.take(known.Position)
+	var newest *Item
+	for {
+		got, err := p.fetchPart(ctx, client, known, whole.next, wait)
+		if err != nil {
+			p.unfinished.keep(whole)
+			return Listing{}, err
+		}
+		if err := whole.add(got); err != nil {
+			return Listing{}, fmt.Errorf("listing of instance %s: %w", vm, err)
+		}
+		if got.NewestRoutes != nil {
+			newest = got.NewestRoutes
+		}
+		if got.next == nil {
+			listing := whole.listing(got)
+			listing.NewestRoutes = newest
+			return listing, nil
+		}
+	}
+}
+
+// fetchPart fetches the part that follows a cursor, nil for the first.
+func (p *Peers) fetchPart(ctx context.Context, client primroseloomv1connect.FeedServiceClient, known contract.Announcement, from *cursor, wait time.Duration) (part, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	response, err := client.Follow(ctx, connect.NewRequest(&primroseloomv1.FollowRequest{
 		Fleet: p.Fleet, After: known.Position.Revision, Era: known.Position.Era, RoutesVersion: known.RoutesVersion,
-		WaitMs: uint32(wait.Milliseconds()),
+		WaitMs: uint32(wait.Milliseconds()), PartBytes: partBytes, Cursor: cursorToWire(from),
 	}))
 	if err != nil {
-		return Listing{}, err
-	}
-	message := response.Msg
-	listing := Listing{
-		Position: contract.StorePosition{Era: message.GetEra(), Revision: message.GetRevision()},
-		Full:     message.GetWhole(),
-		StoreAge: time.Duration(message.GetStoreAgeMs()) * time.Millisecond,
+		return part{}, err
 	}
+	return partFromWire(response.Msg), nil
+}
+
+// partFromWire returns the part in a message.
+func partFromWire(message *primroseloomv1.FollowResponse) part {
+	p := part{continued: message.GetContinued(), next: cursorFromWire(message.GetNext())}
+	p.Position = contract.StorePosition{Era: message.GetEra(), Revision: message.GetRevision()}
+	p.Full = message.GetWhole()
+	p.StoreAge = time.Duration(message.GetStoreAgeMs()) * time.Millisecond
 	for _, item := range message.GetItems() {
-		listing.Items = append(listing.Items, itemFromWire(item))
+		p.Items = append(p.Items, itemFromWire(item))
 	}
 	if newest := message.GetNewestRoutes(); newest != nil {
 		item := itemFromWire(newest)
-		listing.NewestRoutes = &item
+		p.NewestRoutes = &item
 	}
-	return listing, nil
+	return p
+}
+
+func cursorFromWire(message *primroseloomv1.FeedCursor) *cursor {
+	if message == nil {
+		return nil
+	}
+	return &cursor{
+		position: contract.StorePosition{Era: message.GetEra(), Revision: message.GetRevision()}, key: message.GetKey(), full: message.GetWhole(),
+	}
+}
+
+func cursorToWire(at *cursor) *primroseloomv1.FeedCursor {
+	if at == nil {
+		return nil
+	}
+	return &primroseloomv1.FeedCursor{Era: at.position.Era, Revision: at.position.Revision, Key: at.key, Whole: at.full}
 }
 
 func itemFromWire(item *primroseloomv1.FeedItem) Item {
@@ -115,7 +166,8 @@
 
 // Follow waits for items newer than a position. An instance whose position is older than
 // the known history, or of an older era of the store, gets a full listing; one of a later
-// era gets only newer routes, if this instance has them.
+// era gets only newer routes, if this instance has them. An instance that takes parts gets
+// at most one.
 func (s *feed) Follow(ctx context.Context, request *connect.Request[primroseloomv1.FollowRequest]) (*connect.Response[primroseloomv1.FollowResponse], error) {
 	if request.Msg.GetFleet() != s.fleet {
 		return nil, connect.NewError(connect.CodePermissionDenied, fmt.Errorf("this is fleet %s", s.fleet))
@@ -123,38 +175,60 @@
 	wait := min(time.Duration(request.Msg.GetWaitMs())*time.Millisecond, maxPeerWait)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
-	after := contract.StorePosition{Era: request.Msg.GetEra(), Revision: request.Msg.GetAfter()}
 	for {
-		listing, changed, ok := s.follower.history.after(after)
-		listing.NewestRoutes = s.follower.routesNewerThan(request.Msg.GetRoutesVersion(), listing)
-		if !ok && listing.NewestRoutes == nil {
+		found, changed, ok := s.newer(request.Msg)
+		if !ok && found.NewestRoutes == nil {
 			return nil, connect.NewError(connect.CodeUnavailable, errors.New("nothing was read yet, or only an older era of the store"))
 		}
-		if len(listing.Items) > 0 || listing.Full || listing.NewestRoutes != nil {
-			return connect.NewResponse(s.response(listing)), nil
+		if len(found.Items) > 0 || found.Full || found.continued || found.NewestRoutes != nil {
+			return connect.NewResponse(s.response(found)), nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return connect.NewResponse(s.response(listing)), nil
+			return connect.NewResponse(s.response(found)), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
-func (s *feed) response(listing Listing) *primroseloomv1.FollowResponse {
+// newer returns what is newer than the requesting instance has, at most a part of it if that
+// takes parts, and a channel that is closed at the next change; ok is false when there is only
+// NewestRoutes, or nothing.
+func (s *feed) newer(request *primroseloomv1.FollowRequest) (found part, changed <-chan struct{}, ok bool) {
+	after := contract.StorePosition{Era: request.GetEra(), Revision: request.GetAfter()}
+	if request.GetPartBytes() == 0 {
+		found.Listing, changed, ok = s.follower.history.after(after)
+		found.NewestRoutes = s.follower.routesNewerThan(request.GetRoutesVersion(), after)
+		return found, changed, ok
+	}
+	changed = s.follower.history.nextChange()
+	found, ok = s.follower.history.nextPart(after, cursorFromWire(request.GetCursor()), int(min(request.GetPartBytes(), partBytes)))
+	if !found.continued {
+		found.NewestRoutes = s.follower.routesNewerThan(request.GetRoutesVersion(), after)
+	}
+	if found.NewestRoutes != nil && ok && len(found.Items) > 0 { // each may fill a message
+		first := cursor{position: found.Position, full: found.Full}
+		found.Items, found.next = nil, &first
+	}
+	return found, changed, ok
+}
+
+func (s *feed) response(found part) *primroseloomv1.FollowResponse {
 	message := &primroseloomv1.FollowResponse{
-		Revision:   listing.Position.Revision,
-		Era:        listing.Position.Era,
-		Whole:      listing.Full,
+		Revision:   found.Position.Revision,
+		Era:        found.Position.Era,
+		Whole:      found.Full,
 		StoreAgeMs: uint32(s.follower.storeAge().Milliseconds()),
+		Continued:  found.continued,
+		Next:       cursorToWire(found.next),
 	}
-	for _, item := range listing.Items {
+	for _, item := range found.Items {
 		message.Items = append(message.Items, itemToWire(item))
 	}
-	if listing.NewestRoutes != nil {
-		message.NewestRoutes = itemToWire(*listing.NewestRoutes)
+	if found.NewestRoutes != nil {
+		message.NewestRoutes = itemToWire(*found.NewestRoutes)
 	}
 	return message
 }
--- a/entry/follow/routes.go
+++ b/entry/follow/routes.go
@@ -1,12 +1,11 @@
 package follow
 
 import (
-	"bytes"
 	"errors"
-	"slices"
 	"time"
 
 	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/entry/events"
 	"github.com/primroseloom/primroseloom/policy/freshness"
 )
@@ -64,24 +63,27 @@
 	f.applyRoutes(entry.Routes, item)
 }
 
-// routesNewerThan returns the item with the routes in force if their version is higher
-// and a listing does not hold them.
-func (f *Follower) routesNewerThan(version uint64, listing Listing) *Item {
+// newestRoutesFor returns the item with the routes in force if their version is higher; nil for none.
+func (f *Follower) newestRoutesFor(version uint64) *Item {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.RoutesVersion() <= version {
 		return nil
 	}
-	isNewest := func(item Item) bool {
-		return item.Key == f.newestRoutes.Key && bytes.Equal(item.Value, f.newestRoutes.Value)
-	}
-	if slices.ContainsFunc(listing.Items, isNewest) {
-		return nil
-	}
 	newest := f.newestRoutes
 	return &newest
 }
 
+// routesNewerThan returns the item with the routes in force if their version is higher
+// and the listing for a position does not hold them.
+func (f *Follower) routesNewerThan(version uint64, after contract.StorePosition) *Item {
+	newest := f.newestRoutesFor(version)
+	if newest == nil || f.history.sends(after, *newest) {
+		return nil
+	}
+	return newest
+}
+
 // tellNewerRoutes announces this instance's routes to an instance that has announced
 // older ones. An instance that has started while the store had only a copy cannot learn
 // of them otherwise, if this one sends it no heartbeats.
--- a/entry/follow/unusable.go
+++ b/entry/follow/unusable.go
@@ -12,8 +12,8 @@
 
 const (
 	// maxUnusableBytes is the largest value in bytes that is passed on to other instances although
-	// this one cannot use it; an instance of another build may. Larger ones would soon fill the
-	// messages between instances, and then no change would get through.
+	// this one cannot use it; an instance of another build may. Larger ones would be kept and sent
+	// for nothing.
 	maxUnusableBytes = 1 << 10
 	// maxLoggedBytes is the part of a key, or of the reason why an entry cannot be used, that is
 	// logged. Both may hold what the entry's writer chose.
