follow: a VM that is not given what others announce asks the others, then the store

Cause: an announcement counted as a feed. While a VM that watches the store announced revisions, a fed VM neither asked another one nor the store, whether or not it got what was announced.

Change: progress counts. Whoever announces more is asked in turn (up to 4). A VM that hasn't reached an announced position 0.4 to 1.3 s later, whatever the reason, asks the store itself, once (event 2116, counter follow_left_behind); each draws its own time. If the store doesn't have it either, announcements count for nothing for 6 s, so that a wrong claim costs few calls.

--- a/entry/events/follow.go
+++ b/entry/events/follow.go
@@ -32,6 +32,8 @@
 		"Another instance did not confirm the routes; the next one is asked. Logged once until one answers.")
 	PeerFeedFailed = define(2108, log.InfoLevel, "fetch of published items from another instance failed",
 		"No other instance returned the items that the store publishes; the fetch is retried.")
+	LeftBehind = define(2116, log.WarnLevel, "not fed with what other instances announce",
+		"Other instances announce a revision that none of them has given to this one in time; 2108 tells why. It asks the store itself. Logged once until it has caught up.")
 	TargetsExpired = define(2107, log.WarnLevel, "targets expired",
 		"The entries of these targets did not reappear after the store became reachable again; they are treated as removed.")
 )
--- a/entry/follow/apply.go
+++ b/entry/follow/apply.go
@@ -27,6 +27,7 @@
 		f.recordRestoredStore(listing, now)
 	}
 	f.position = listing.Position
+	f.progress.reached(f.position)
 	f.options.Scope.Gauge("store_era").Update(float64(f.position.Era))
 	decoded := f.decode(listing, now)
 	f.history.add(forPeers(listing, decoded))
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
@@ -20,9 +21,10 @@
 		f.announcedAt = f.options.Uptime()
 	}
 	behind := other.Position.Compare(f.position) > 0 || other.RoutesVersion > f.RoutesVersion()
-	if behind {
-		f.aheadVM = vm
+	if behind && !slices.Contains(f.aheadVMs, vm) && len(f.aheadVMs) < maxAheadVMs {
+		f.aheadVMs = append(f.aheadVMs, vm)
 	}
+	f.progress.announced(other.Position, f.position, f.options.Uptime())
 	f.mu.Unlock()
 	if !behind {
 		return
@@ -34,8 +36,10 @@
 }
 
 // isFedByPeer reports whether another instance watches the store in place of this
-// one.
-func (f *Follower) isFedByPeer() bool { return f.hasFeeder() && !f.needsStore() }
+// one, and brings what it announces.
+func (f *Follower) isFedByPeer() bool {
+	return f.hasFeeder() && !f.needsStore() && !f.isLeftBehind()
+}
 
 // hasFeeder reports whether another instance that watches the store feeds this one.
 func (f *Follower) hasFeeder() bool {
@@ -47,7 +51,8 @@
 	return f.listed && f.announcedAt > 0 && f.options.Uptime()-f.announcedAt < announcementTTL
 }
 
-// catchUp fetches missing changes from an instance with a newer position or newer routes.
+// catchUp fetches missing changes from the instances with a newer position or newer routes, in
+// turn until one gives them.
 func (f *Follower) catchUp(ctx context.Context) {
 	for {
 		select {
@@ -57,11 +62,13 @@
 		}
 		pause.For(ctx, catchUpDelay)
 		f.mu.Lock()
-		vm := f.aheadVM
-		f.aheadVM = ""
+		vms := f.aheadVMs
+		f.aheadVMs = nil
 		f.mu.Unlock()
-		if vm != "" {
-			f.fetchFromPeers(ctx, vm)
+		for _, vm := range vms {
+			if f.fetchFromPeers(ctx, vm) {
+				break
+			}
 		}
 	}
 }
@@ -82,10 +89,10 @@
 }
 
 // fetchFromPeers fetches and applies changes from the named instance, or from any
-// if the name is empty.
-func (f *Follower) fetchFromPeers(ctx context.Context, vm string) {
+// if the name is empty. It reports whether one responded.
+func (f *Follower) fetchFromPeers(ctx context.Context, vm string) bool {
 	if f.options.Peers == nil {
-		return
+		return false
 	}
 	f.mu.Lock()
 	known := contract.Announcement{Position: f.position, RoutesVersion: f.RoutesVersion()}
@@ -94,7 +101,7 @@
 	if err != nil {
 		f.options.Scope.Counter("peer_feeds_failed").Inc(1)
 		events.PeerFeedFailed.Log(f.options.Logger, "after_revision", known.Position.Revision, "era", known.Position.Era, "peer", vm, "cause", err)
-		return
+		return false
 	}
 	f.options.Scope.Counter("peer_feeds_taken").Inc(1)
 	if listing.NewestRoutes != nil {
@@ -103,4 +110,5 @@
 	if !listing.Position.IsZero() {
 		f.apply(listing, known.Position)
 	}
+	return true
 }
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -111,8 +111,9 @@
 	newestRoutes Item
 	// routesToldAt is when other instances were last told of newer routes than theirs.
 	routesToldAt time.Duration
-	// aheadVM is the VM of an instance with a newer position or newer routes.
-	aheadVM         string
+	// aheadVMs are the VMs of instances with a newer position or newer routes.
+	aheadVMs        []string
+	progress        progress
 	catchUpRequests chan struct{}
 
 	keys *keys
@@ -203,7 +204,7 @@
 	if lost {
 		wait = firstWatchWait // the store may have come back from a copy, and have no change to tell
 	}
-	if f.takePromptWatch() {
+	if f.takePromptWatch() || f.isLeftBehind() {
 		wait = firstWatchWait
 	}
 	sent := f.options.Uptime()
@@ -222,6 +223,7 @@
 	if f.apply(changes, after) {
 		f.confirmedByStore(sent)
 	}
+	f.storeAnswered()
 	return nil
 }
 
@@ -241,6 +243,7 @@
 	if f.apply(listing, contract.StorePosition{}) {
 		f.confirmedByStore(sent)
 	}
+	f.storeAnswered()
 	return nil
 }
 
--- a/entry/follow/keys_fleet_test.go
+++ b/entry/follow/keys_fleet_test.go
@@ -38,8 +38,10 @@
 	mu        sync.Mutex
 	down      map[string]bool
 	// cut holds pairs of instances, from and to, between which nothing passes.
-	cut      map[[2]int]bool
-	confirms atomic.Int64
+	cut map[[2]int]bool
+	// feedsFail is true while no instance gives another what the store publishes.
+	feedsFail bool
+	confirms  atomic.Int64
 }
 
 // linkTo calls an instance of a fleet over the network.
@@ -72,6 +74,12 @@
 		return nil, ctx.Err()
 	}
 	time.Sleep(2 * hop)
+	l.fleet.mu.Lock()
+	fails := l.fleet.feedsFail
+	l.fleet.mu.Unlock()
+	if fails {
+		return nil, errNoPeer
+	}
 	return (&feed{follower: l.fleet.instances[l.to], fleet: "f"}).Follow(ctx, request)
 }
 
