follow: removals are kept by their own number, not by that of all entries

Cause: the bound of the history counted live entries, too, so that all removals were dropped with each change and no revision but the newest could be continued.

Change: at most 4,096 removals are kept, however many entries live; above that the older half goes, and who lacks one of these gets a listing.

Measured: TestRemovalsAreKeptBesideManyItems (9,300 targets, of which 9,000 leave in 30 rounds) failed before: one that lacked 300 removals got all 9,001 items; now it gets the 300, and one that lacks more than are kept has what the feeder has.

--- a/entry/follow/history.go
+++ b/entry/follow/history.go
@@ -8,16 +8,17 @@
 	"github.com/primroseloom/primroseloom/entry/contract"
 )
 
-// maxHistory is the number of items above which the removals are dropped. The
-// number of live items is not bounded.
-const maxHistory = 4096
+// maxRemovals is the number of removals that are kept; above it, the older half of them is dropped. It
+// doesn't depend on the number of live items, so that a large deployment keeps as many.
+const maxRemovals = 4096
 
 // history holds the newest item under each key, including removals, so that other
 // instances can fetch the changes after a revision.
 type history struct {
 	mu    sync.Mutex
 	items map[string]Item
-	// since is the revision from which removals are known.
+	// removals is the number of items that are removals; since is the revision from which all are known.
+	removals int
 	since    uint64
 	position contract.StorePosition
 	listed   bool
@@ -36,16 +37,17 @@
 	defer h.mu.Unlock()
 	if listing.Full {
 		h.items = make(map[string]Item, len(listing.Items))
-		h.since, h.listed = listing.Position.Revision, true
+		h.since, h.listed, h.removals = listing.Position.Revision, true, 0
 	}
 	for _, item := range listing.Items {
 		if old, ok := h.items[item.Key]; !ok || old.Revision <= item.Revision {
+			h.removals += countRemoval(item) - countRemoval(old)
 			h.items[item.Key] = item
 		}
 	}
 	h.position = listing.Position
-	if len(h.items) > maxHistory {
-		h.dropRemovals()
+	if h.removals > maxRemovals {
+		h.dropOldRemovals()
 	}
 	if len(listing.Items) > 0 || listing.Full {
 		close(h.changed)
@@ -60,10 +62,29 @@
 	return h.changed
 }
 
-// dropRemovals drops the items of removed keys; the lock is held.
-func (h *history) dropRemovals() {
-	maps.DeleteFunc(h.items, func(_ string, item Item) bool { return item.Removed })
-	h.since = h.position.Revision
+// countRemoval returns 1 for a removal and 0 for any other item.
+func countRemoval(item Item) int {
+	if item.Removed {
+		return 1
+	}
+	return 0
+}
+
+// dropOldRemovals drops the older half of the removals; the lock is held.
+func (h *history) dropOldRemovals() {
+	revisions := make([]uint64, 0, h.removals)
+	for _, item := range h.items {
+		if item.Removed {
+			revisions = append(revisions, item.Revision)
+		}
+	}
+	slices.Sort(revisions)
+	h.since = max(h.since, revisions[len(revisions)/2])
+	maps.DeleteFunc(h.items, func(_ string, item Item) bool { return item.Removed && item.Revision <= h.since })
+	h.removals = 0
+	for _, item := range h.items {
+		h.removals += countRemoval(item)
+	}
 }
 
 // after returns the changes after a position, or everything for the zero position and
--- a/entry/follow/parts_test.go
+++ b/entry/follow/parts_test.go
@@ -279,3 +279,33 @@
 		t.Errorf("%d calls to an instance that sends no parts, want 1", link.calls)
 	}
 }
+
+// TestRemovalsAreKeptBesideManyItems guards against a large deployment in which each change costs every
+// instance a whole listing, since its removals are dropped, and against removals that are lost.
+func TestRemovalsAreKeptBesideManyItems(t *testing.T) {
+	feeder := newFed(nil)
+	feeder.apply(largeListing(), contract.StorePosition{})
+	f, late := newFed(nil), newFed(nil)
+	f.options.Peers.Members, late.options.Peers.Members = linkView{"vm-2": {to: feeder}}, linkView{"vm-2": {to: feeder}}
+	late.fetchFromPeers(t.Context(), "vm-2")
+	for round := range 30 {
+		f.fetchFromPeers(t.Context(), "vm-2")
+		sameItems(t, f, feeder)
+		changes := Listing{Position: contract.StorePosition{Revision: feeder.Position().Revision}}
+		for i := range 300 {
+			changes.Position.Revision++
+			key := targetItem(round*300+i, 0).Key
+			changes.Items = append(changes.Items, Item{Key: key, Revision: changes.Position.Revision, Removed: true})
+		}
+		after := feeder.Position()
+		feeder.apply(changes, after)
+		if listing, _, _ := feeder.history.after(after); listing.Full || len(listing.Items) != 300 {
+			t.Fatalf("round %d: %d items, full %t, to one that lacks 300 removals", round, len(listing.Items), listing.Full)
+		}
+	}
+	if kept := feeder.history.removals; kept > maxRemovals {
+		t.Errorf("%d removals are kept, want at most %d", kept, maxRemovals)
+	}
+	late.fetchFromPeers(t.Context(), "vm-2")
+	sameItems(t, late, feeder)
+}
