forwarding: what HTTP allows crosses between VMs as bytes

Requests with such a value, or such a byte in the query, could not be forwarded.

Cause: names and values of headers, method, host and path with query crossed as strings of protobuf, which have to be UTF-8; HTTP/1.1 allows any byte above 0x7F in a value (obs-text). The head of the answer could not be encoded, and the rest came without one.

Change: these fields are bytes, which have the same form on the wire: a build of before takes and sends what is UTF-8 as it did.

--- a/entry/forwarding/client_test.go
+++ b/entry/forwarding/client_test.go
@@ -48,7 +48,7 @@
 	transport.Protocols.SetUnencryptedHTTP2(true)
 	defer transport.CloseIdleConnections()
 	client := primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, url)
-	x, err := Start(context.Background(), client, &primroseloomv1.ForwardHead{Method: http.MethodGet}, io.NopCloser(strings.NewReader("")))
+	x, err := Start(context.Background(), client, &primroseloomv1.ForwardHead{Method: []byte(http.MethodGet)}, io.NopCloser(strings.NewReader("")))
 	if err != nil {
 		return err
 	}
--- a/entry/forwarding/header.go
+++ b/entry/forwarding/header.go
@@ -11,7 +11,7 @@
 	var fields []*primroseloomv1.HeaderField
 	for name, values := range header {
 		for _, value := range values {
-			fields = append(fields, &primroseloomv1.HeaderField{Name: name, Value: value})
+			fields = append(fields, &primroseloomv1.HeaderField{Name: []byte(name), Value: []byte(value)})
 		}
 	}
 	return fields
@@ -21,7 +21,7 @@
 func HeaderOf(fields []*primroseloomv1.HeaderField) http.Header {
 	header := make(http.Header)
 	for _, field := range fields {
-		header.Add(field.GetName(), field.GetValue())
+		header.Add(string(field.GetName()), string(field.GetValue()))
 	}
 	return header
 }
--- a/entry/forwarding/request.go
+++ b/entry/forwarding/request.go
@@ -38,15 +38,16 @@
 // NewRequest rebuilds the caller's request from the stream. Its body is a *RequestBody unless
 // it is empty.
 func NewRequest(ctx context.Context, head *primroseloomv1.ForwardHead, stream *Stream) (*http.Request, error) {
-	target, err := url.ParseRequestURI(head.GetRequestUri())
+	uri := string(head.GetRequestUri())
+	target, err := url.ParseRequestURI(uri)
 	if err != nil {
 		return nil, fmt.Errorf("request target of VM %s: %w", head.GetFromVm(), err)
 	}
 	request := &http.Request{
-		Method:        head.GetMethod(),
+		Method:        string(head.GetMethod()),
 		URL:           target,
-		RequestURI:    head.GetRequestUri(),
-		Host:          head.GetHost(),
+		RequestURI:    uri,
+		Host:          string(head.GetHost()),
 		Header:        HeaderOf(head.GetHeaders()),
 		ContentLength: head.GetContentLength(),
 		RemoteAddr:    remoteAddress(head),
--- a/entry/proxy/forward.go
+++ b/entry/proxy/forward.go
@@ -98,9 +98,9 @@
 		Instance:      instance,
 		Service:       c.service.Name,
 		Customer:      c.customer,
-		Method:        r.Method,
-		Host:          r.Host,
-		RequestUri:    r.URL.RequestURI(),
+		Method:        []byte(r.Method),
+		Host:          []byte(r.Host),
+		RequestUri:    []byte(r.URL.RequestURI()),
 		DeadlineMs:    uint32(max(1, time.Until(c.deadline).Milliseconds())),
 		ContentLength: r.ContentLength,
 	}
