--- a/operator/soak/callers.go
+++ b/operator/soak/callers.go
@@ -164,5 +164,5 @@
 	if response.StatusCode != statusServed {
 		return response.StatusCode, false
 	}
-	return statusServed, string(body) != want
+	return statusServed, string(body) != want || response.Header.Get(placeHeader) != placeValue
 }
--- a/operator/soak/callers_test.go
+++ b/operator/soak/callers_test.go
@@ -56,16 +56,21 @@
 func TestResponseOfAnotherRequestInARowIsNoticed(t *testing.T) {
 	response := func(id string) string {
 		body := expectedBody(id, nil)
-		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body
+		return "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n" + placeHeader + ": " + placeValue + "\r\n\r\n" + body
 	}
-	reader := bufio.NewReader(strings.NewReader(response("a") + response("c") + response("b")[:40]))
+	withoutHeader := strings.Replace(response("d"), placeValue, "Johvi", 1)
+	truncated := response("b")[:len(response("b"))-10]
+	reader := bufio.NewReader(strings.NewReader(response("a") + response("c") + withoutHeader + truncated))
 	if status, wrong := readInRow(reader, "a"); status != statusServed || wrong {
 		t.Errorf("the first: status %d, wrong %v", status, wrong)
 	}
 	if status, wrong := readInRow(reader, "b"); status != statusServed || !wrong {
 		t.Errorf("another one's: status %d, wrong %v", status, wrong)
 	}
-	if status, _ := readInRow(reader, "c"); status != 0 {
+	if status, wrong := readInRow(reader, "d"); status != statusServed || !wrong {
+		t.Errorf("one with another header: status %d, wrong %v", status, wrong)
+	}
+	if status, _ := readInRow(reader, "b"); status != 0 {
 		t.Errorf("a truncated one: status %d", status)
 	}
 }
--- a/operator/soak/doc.go
+++ b/operator/soak/doc.go
@@ -16,7 +16,8 @@
 // each time, and beside them, rarely, sound requests on their paths; a crashed target closes
 // its connections or falls silent, and starts anew after a while. Targets also limit their requests, ask for pauses and say that
 // they leave in their responses, and the store comes back from copies that are some seconds
-// old. Some lookups and bookings ask their targets to work for long; at most planned stops several
+// old. The store holds more entries than fit into a message between daemons, discards its history and changes
+// entries in bulk; the targets' responses have a header that isn't UTF-8. Some lookups and bookings ask their targets to work for long; at most planned stops several
 // of them are in progress at the daemon that stops, and the targets record whether the sender
 // leaves while they work. At each planned stop, callers with old directory responses send requests
 // whose targets work for nearly the time limit, and rows of lookups, until the daemon's process has
--- a/operator/soak/row_callers.go
+++ b/operator/soak/row_callers.go
@@ -149,5 +149,5 @@
 	if err != nil {
 		return 0, false // visibly truncated
 	}
-	return response.StatusCode, response.StatusCode == statusServed && string(body) != expectedBody(id, nil)
+	return response.StatusCode, response.StatusCode == statusServed && (string(body) != expectedBody(id, nil) || response.Header.Get(placeHeader) != placeValue)
 }
--- a/operator/soak/soak.go
+++ b/operator/soak/soak.go
@@ -177,6 +177,7 @@
 			return err
 		}
 	}
+	s.publishOthers()
 	s.publish()
 	s.fleet, err = newFleet(ctx, s.options, listener.Addr().String(), s.checker)
 	return err
@@ -228,6 +229,7 @@
 	start(8, func(faults *series) func() { return faults.restoreStore })
 	start(9, func(faults *series) func() { return faults.limitTargets })
 	start(10, func(faults *series) func() { return faults.pauseTarget })
+	start(historyStream, func(faults *series) func() { return faults.discardHistory })
 	start(partitionStream, func(faults *series) func() { return faults.partitionDaemons })
 	running.Wait()
 }
--- a/operator/soak/targets.go
+++ b/operator/soak/targets.go
@@ -188,6 +188,7 @@
 // respond writes the response, or fails as the fault demands.
 func (t *target) respond(ctx context.Context, w http.ResponseWriter, metadata dialect.ResponseMetadata, fault targetFault, body string) {
 	platform.Headers{}.WriteResponse(w.Header(), metadata)
+	w.Header().Set(placeHeader, placeValue)
 	switch fault {
 	case targetFails:
 		w.WriteHeader(http.StatusInternalServerError)
@@ -205,6 +206,9 @@
 	}
 }
 
+// placeHeader is a header of each served response; its value is in ISO 8859-1, as HTTP allows.
+const placeHeader, placeValue = "X-Place", "J\xf5hvi"
+
 // expectedBody returns the response body that a target sends for a request.
 func expectedBody(requestID string, body []byte) string {
 	return fmt.Sprintf("answer to %s of %d bytes", requestID, len(body))
