follow: a listing that begins anew again and again is given up

Cause: a VM that lists the store while much changes has newer items than its position says, until its next watch. With each part, a follower got all of these under the keys before once more, and once they filled a part the listing began anew, as fast as the two could go, for up to 10 s (found by reading).

Change: a listing begins anew twice within a fetch; then another VM is asked, or the store.

Measured: TestListingThatBeginsAnewIsGivenUp: given up after at most 10 calls, and taken once the feeder's position has caught up.

--- a/entry/follow/assembly.go
+++ b/entry/follow/assembly.go
@@ -15,6 +15,10 @@
 	maxListingBytes = 24 << 20
 	// maxUnfinishedAge is how long a listing that broke off is kept, so that another fetch continues it.
 	maxUnfinishedAge = 5 * time.Second
+	// maxRestarts is how often a listing may begin anew within a fetch, as more has changed than fits into
+	// a part. An instance that lists while much changes has newer items than its position says, until
+	// its next watch.
+	maxRestarts = 2
 )
 
 // Errors of a part that another instance sent.
@@ -32,6 +36,8 @@
 	next  *cursor
 	items map[string]Item
 	bytes int
+	// restarts is the number of first parts that came instead of the next one.
+	restarts int
 	// changedAt is when the latest part arrived.
 	changedAt time.Time
 }
@@ -41,6 +47,12 @@
 func (a *assembly) add(p part) error {
 	switch {
 	case !p.continued:
+		if a.next != nil {
+			a.restarts++
+		}
+		if a.restarts > maxRestarts {
+			return errPartWithoutProgress
+		}
 		a.items, a.bytes = make(map[string]Item), 0
 	case a.next == nil || p.Position.Era != a.next.position.Era || p.Position.Revision < a.next.position.Revision || p.Full != a.next.full:
 		return errPartOfAnother
--- a/entry/follow/parts_test.go
+++ b/entry/follow/parts_test.go
@@ -309,3 +309,20 @@
 	late.fetchFromPeers(t.Context(), "vm-2")
 	sameItems(t, late, feeder)
 }
+
+// TestListingThatBeginsAnewIsGivenUp guards against an instance that asks one for the same parts as fast as it
+// can, as that one has newer items than its position says.
+func TestListingThatBeginsAnewIsGivenUp(t *testing.T) {
+	feeder := newFed(nil)
+	listing := largeListing()
+	listing.Position.Revision = 1
+	feeder.apply(listing, contract.StorePosition{})
+	link := &boundedLink{to: feeder}
+	f := newFed(linkView{"vm-2": link})
+	if _, err := f.options.Peers.Fetch(t.Context(), "vm-2", contract.Announcement{}); !errors.Is(err, errPartWithoutProgress) || link.calls > 10 {
+		t.Errorf("error %v after %d calls", err, link.calls)
+	}
+	feeder.apply(Listing{Position: contract.StorePosition{Revision: 10_000}}, feeder.Position())
+	f.fetchFromPeers(t.Context(), "vm-2")
+	sameItems(t, f, feeder)
+}
