follow: a listing of changes begins anew once removals since its position are dropped

Cause: a cursor was continued while the removals since the cursor were known. Of a listing of changes, those since the follower's own position have to be: removals that were dropped between two parts were lost, and their entries stayed for ever.

Change: the position is asked for as well. after() of the history is gone: a build that takes no parts gets one part without a limit.

Measured: TestRemovalsDroppedDuringAListingOfChanges failed before, with 2,501 entries too many.

--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"strconv"
 	"strings"
 	"sync"
@@ -332,16 +333,16 @@
 	h := newHistory()
 	h.add(Listing{Full: true, Position: at(5), Items: []Item{{Key: "a", Revision: 2}, {Key: "b", Revision: 5}}})
 	h.add(Listing{Position: at(7), Items: []Item{{Key: "a", Revision: 7, Removed: true}}})
-	changes, _, ok := h.after(at(5))
+	changes, ok := h.nextPart(at(5), nil, math.MaxInt)
 	if !ok || changes.Full || len(changes.Items) != 1 || !changes.Items[0].Removed {
 		t.Errorf("after 5: %+v", changes)
 	}
 	for _, from := range []contract.StorePosition{at(3), {}, {Era: 1, Revision: 6}} {
-		if all, _, ok := h.after(from); !ok || !all.Full || len(all.Items) != 1 {
+		if all, ok := h.nextPart(from, nil, math.MaxInt); !ok || !all.Full || len(all.Items) != 1 {
 			t.Errorf("after %v, from where removals are unknown: %+v, want everything", from, all)
 		}
 	}
-	if later, _, ok := h.after(contract.StorePosition{Era: 3, Revision: 6}); ok {
+	if later, ok := h.nextPart(contract.StorePosition{Era: 3, Revision: 6}, nil, math.MaxInt); ok {
 		t.Errorf("after a position of a later era: %+v, want nothing", later)
 	}
 }
--- a/entry/follow/history.go
+++ b/entry/follow/history.go
@@ -86,24 +86,3 @@
 		h.removals += countRemoval(item)
 	}
 }
-
-// after returns the changes after a position, or everything for the zero position and
-// for one whose later changes are not known; ok is false when the history holds nothing
-// or is itself of an older era than the position.
-func (h *history) after(position contract.StorePosition) (listing Listing, changed <-chan struct{}, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !h.listed || position.Era > h.position.Era {
-		return Listing{}, h.changed, false
-	}
-	revision := position.Revision
-	full := h.isFullFor(position)
-	listing = Listing{Position: h.position, Full: full}
-	for _, key := range slices.Sorted(maps.Keys(h.items)) {
-		item := h.items[key]
-		if (full && !item.Removed) || (!full && item.Revision > revision) {
-			listing.Items = append(listing.Items, item)
-		}
-	}
-	return listing, h.changed, true
-}
--- a/entry/follow/parts.go
+++ b/entry/follow/parts.go
@@ -37,8 +37,9 @@
 	next *cursor
 }
 
-// nextPart returns the part that follows a cursor, nil for the first part, of what after returns for
-// a position. It keeps nothing for the requesting instance: what changed meanwhile under the
+// nextPart returns the part that follows a cursor, nil for the first, of the changes after a position, or of
+// everything for the zero position and for one whose later changes are not known; ok is false when the history
+// holds nothing or is itself of an older era than the position. It keeps nothing for the requesting instance: what changed meanwhile under the
 // keys of the parts before comes first, so that all parts together are of the revision of the last
 // one, and any instance that has read as far can continue for another. Where the removals since
 // the cursor are no longer known, or don't fit into a part, it begins anew. The limit is in bytes of items.
@@ -49,7 +50,7 @@
 		return part{}, false
 	}
 	keys := slices.Sorted(maps.Keys(h.items))
-	if from != nil && h.continues(*from) {
+	if from != nil && h.continues(*from, position) {
 		if p, ok := h.partAfter(keys, *from, position.Revision, limit); ok {
 			p.continued = true
 			return p, true
@@ -65,9 +66,11 @@
 	return position.Era != h.position.Era || position.Revision < h.since
 }
 
-// continues reports whether all changes since a cursor are known; the lock is held.
-func (h *history) continues(from cursor) bool {
-	return from.position.Era == h.position.Era && from.position.Revision >= h.since && from.position.Revision <= h.position.Revision
+// continues reports whether all changes since a cursor are known, and, of a listing of changes, those since its
+// position; the lock is held.
+func (h *history) continues(from cursor, position contract.StorePosition) bool {
+	return from.position.Era == h.position.Era && from.position.Revision <= h.position.Revision &&
+		from.position.Revision >= h.since && (from.full || !h.isFullFor(position))
 }
 
 // partAfter returns the items of a part, given the keys in order; changes are those after a revision.
--- a/entry/follow/parts_test.go
+++ b/entry/follow/parts_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"strings"
@@ -299,7 +300,7 @@
 		}
 		after := feeder.Position()
 		feeder.apply(changes, after)
-		if listing, _, _ := feeder.history.after(after); listing.Full || len(listing.Items) != 300 {
+		if listing, _ := feeder.history.nextPart(after, nil, math.MaxInt); listing.Full || len(listing.Items) != 300 {
 			t.Fatalf("round %d: %d items, full %t, to one that lacks 300 removals", round, len(listing.Items), listing.Full)
 		}
 	}
@@ -326,3 +327,41 @@
 	f.fetchFromPeers(t.Context(), "vm-2")
 	sameItems(t, f, feeder)
 }
+
+// TestRemovalsDroppedDuringAListingOfChanges guards against entries that stay for ever, as their removals were
+// dropped between two parts.
+func TestRemovalsDroppedDuringAListingOfChanges(t *testing.T) {
+	feeder := newFed(nil)
+	feeder.apply(largeListing(), contract.StorePosition{})
+	link := &boundedLink{to: feeder}
+	f := newFed(linkView{"vm-2": link})
+	f.fetchFromPeers(t.Context(), "vm-2")
+	change := func(removals, changes []int) {
+		listing := Listing{Position: feeder.Position()}
+		for _, key := range removals {
+			listing.Position.Revision++
+			listing.Items = append(listing.Items, Item{Key: targetItem(key, 0).Key, Revision: listing.Position.Revision, Removed: true})
+		}
+		for _, key := range changes {
+			listing.Position.Revision++
+			listing.Items = append(listing.Items, targetItem(key, listing.Position.Revision))
+		}
+		feeder.apply(listing, feeder.Position())
+	}
+	keys := func(from, to int) (keys []int) {
+		for key := from; key < to; key++ {
+			keys = append(keys, key)
+		}
+		return keys
+	}
+	change(keys(6_300, 9_300), keys(0, 6_300))
+	link.calls = 0
+	link.before = func(call int) error {
+		if call == 3 {
+			change(keys(4_000, 6_000), nil)
+		}
+		return nil
+	}
+	f.fetchFromPeers(t.Context(), "vm-2")
+	sameItems(t, f, feeder)
+}
--- a/entry/follow/peers.go
+++ b/entry/follow/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -198,17 +199,17 @@
 // NewestRoutes, or nothing.
 func (s *feed) newer(request *primroseloomv1.FollowRequest) (found part, changed <-chan struct{}, ok bool) {
 	after := contract.StorePosition{Era: request.GetEra(), Revision: request.GetAfter()}
-	if request.GetPartBytes() == 0 {
-		found.Listing, changed, ok = s.follower.history.after(after)
-		found.NewestRoutes = s.follower.routesNewerThan(request.GetRoutesVersion(), after)
-		return found, changed, ok
+	limit := math.MaxInt
+	takesParts := request.GetPartBytes() > 0
+	if takesParts {
+		limit = int(min(request.GetPartBytes(), partBytes))
 	}
 	changed = s.follower.history.nextChange()
-	found, ok = s.follower.history.nextPart(after, cursorFromWire(request.GetCursor()), int(min(request.GetPartBytes(), partBytes)))
+	found, ok = s.follower.history.nextPart(after, cursorFromWire(request.GetCursor()), limit)
 	if !found.continued {
 		found.NewestRoutes = s.follower.routesNewerThan(request.GetRoutesVersion(), after)
 	}
-	if found.NewestRoutes != nil && ok && len(found.Items) > 0 { // each may fill a message
+	if takesParts && ok && found.NewestRoutes != nil && len(found.Items) > 0 { // each may fill a message
 		first := cursor{position: found.Position, full: found.Full}
 		found.Items, found.next = nil, &first
 	}
--- a/entry/follow/progress.go
+++ b/entry/follow/progress.go
@@ -60,7 +60,7 @@
 }
 
 // isLeftBehind reports whether this instance asks the store since others don't bring what they announce,
-// for whatever reason.
+// for whatever reason. It logs and counts the first time.
 func (f *Follower) isLeftBehind() bool {
 	now := f.options.Uptime()
 	f.mu.Lock()
--- a/entry/follow/unusable_test.go
+++ b/entry/follow/unusable_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -135,7 +136,7 @@
 	l := newListed()
 	large, small := strings.Repeat("x", 1_000_000), strings.Repeat("x", 500)
 	l.list(true, "routes", "routes 4", "t/a", "target "+large, "t/large", large, "t/small", small)
-	passed, _, ok := l.history.after(contract.StorePosition{})
+	passed, ok := l.history.nextPart(contract.StorePosition{}, nil, math.MaxInt)
 	if !ok || len(passed.Items) != 4 {
 		t.Fatalf("%d items, %v", len(passed.Items), ok)
 	}
@@ -146,7 +147,7 @@
 	}
 	reader := newListed()
 	reader.list(true, "t/large", "target 10.0.0.9:80")
-	reader.apply(passed, contract.StorePosition{})
+	reader.apply(passed.Listing, contract.StorePosition{})
 	if !reader.listener.has(4, "a") {
 		t.Errorf("an instance that is fed has targets %.200v", reader.listener.targets)
 	}
