--- a/entry/follow/assembly.go
+++ b/entry/follow/assembly.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// maxListingBytes bounds the items of a listing that comes in parts, as they are kept, in bytes.
-	// At the size to design for a listing has about 4 MB.
+	// maxListingBytes bounds the keys and values of a listing that comes in parts, in bytes. At the
+	// size to design for a listing has about 4 MB. In memory, each item takes some 100 bytes more.
 	maxListingBytes = 24 << 20
 	// maxUnfinishedAge is how long a listing that broke off is kept, so that another fetch continues it.
 	maxUnfinishedAge = 5 * time.Second
--- a/entry/follow/parts.go
+++ b/entry/follow/parts.go
@@ -39,10 +39,12 @@
 
 // nextPart returns the part that follows a cursor, nil for the first, of the changes after a position, or of
 // everything for the zero position and for one whose later changes are not known; ok is false when the history
-// holds nothing or is itself of an older era than the position. It keeps nothing for the requesting instance: what changed meanwhile under the
-// keys of the parts before comes first, so that all parts together are of the revision of the last
-// one, and any instance that has read as far can continue for another. Where the removals since
-// the cursor are no longer known, or don't fit into a part, it begins anew. The limit is in bytes of items.
+// holds nothing or is itself of an older era than the position. The limit is in bytes of items.
+//
+// It keeps nothing for the requesting instance: what changed meanwhile under the keys of the parts before comes
+// first, so that all parts together are of the revision of the last one, and any instance that has read as far
+// can continue for another. Where the changes since the cursor are no longer known, or don't fit into a part,
+// it begins anew.
 func (h *history) nextPart(position contract.StorePosition, from *cursor, limit int) (p part, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
