follow: an announcement replaces a watch for as long as the store's last response to its sender is young

Cause: an announcement counted for 1.5 s from its arrival. A watcher that hears nothing goes on announcing what it had for 3 s, so that the others called the store after 3 to 4.4 s.

Change: datagrams tell the time since the store last responded to their sender. That response replaces a watch for 1.2 to 1.4 s, drawn by each VM, and 0.35 s longer at VMs that serve no callers, which the others then feed. Watches last 0.7 to 1.2 s instead of 1.7 s, so that a calm watcher's response stays younger than that. A VM whose feeders hear nothing calls the store by 1.75 s after their last response, which is no later than the version that it lacks.

--- a/entry/contract/position.go
+++ b/entry/contract/position.go
@@ -1,6 +1,9 @@
 package contract
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // StorePosition is a point in the histories of the store that publishes routes and
 // targets. Each time the store comes back from a copy, a new era begins, in which
@@ -22,6 +25,8 @@
 	// Position is the position up to which it has read the store itself; zero while it
 	// does not read the store.
 	Position StorePosition
+	// StoreAge is the time since the store last responded to the instance.
+	StoreAge time.Duration
 	// RoutesVersion is the version of the routes in force; zero before the first.
 	RoutesVersion uint64
 }
--- a/entry/evidence/exchange_test.go
+++ b/entry/evidence/exchange_test.go
@@ -30,7 +30,7 @@
 }
 
 // announced is what the sending VM has of the published items.
-var announced = contract.Announcement{Position: contract.StorePosition{Era: 3, Revision: 42}, RoutesVersion: 9}
+var announced = contract.Announcement{Position: contract.StorePosition{Era: 3, Revision: 42}, StoreAge: 300 * time.Millisecond, RoutesVersion: 9}
 
 // received records what a receiver gets.
 type received struct {
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -91,6 +91,7 @@
 		x.options.Receiver.SetInProgress(message.GetVm(), attempts)
 		x.options.Receiver.Announced(message.GetVm(), contract.Announcement{
 			Position:      contract.StorePosition{Era: message.GetStoreEra(), Revision: message.GetRevision()},
+			StoreAge:      time.Duration(message.GetStoreAgeMs()) * time.Millisecond,
 			RoutesVersion: message.GetRoutesVersion(),
 		})
 		x.receiveAdmissions(&message)
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -112,6 +112,7 @@
 		Notices:       notices,
 		Revision:      announced.Position.Revision,
 		StoreEra:      announced.Position.Era,
+		StoreAgeMs:    uint32(announced.StoreAge.Milliseconds()),
 		RoutesVersion: announced.RoutesVersion,
 		Rate:          uint32(rate + 0.5),
 
--- a/entry/follow/catchup.go
+++ b/entry/follow/catchup.go
@@ -11,14 +11,14 @@
 )
 
 // Announced records what another instance has. With replacesWatch, this instance needs
-// no watch of its own for a while, unless the other one has not noticed yet that the store
-// was restored from a copy.
+// no watch of its own for a while after the store has last responded to the other one, unless that
+// has not noticed yet that the store was restored from a copy.
 func (f *Follower) Announced(vm string, other contract.Announcement, replacesWatch bool) {
 	f.tellNewerRoutes(other.RoutesVersion)
 	f.heardOf(vm, other.RoutesVersion, !other.Position.IsZero())
 	f.mu.Lock()
 	if replacesWatch && !other.Position.IsZero() && other.Position.Era >= f.position.Era {
-		f.announcedAt = f.options.Uptime()
+		f.fedAt = max(f.fedAt, f.options.Uptime()-other.StoreAge)
 	}
 	behind := other.Position.Compare(f.position) > 0 || other.RoutesVersion > f.RoutesVersion()
 	if behind && !slices.Contains(f.aheadVMs, vm) && len(f.aheadVMs) < maxAheadVMs {
@@ -46,9 +46,23 @@
 	if f.options.WatchesStore() {
 		return false
 	}
+	return f.feedLeft() > 0
+}
+
+// feedLeft returns for how long what others announce replaces a watch, unless they announce more; zero
+// or less if it doesn't.
+func (f *Follower) feedLeft() time.Duration {
+	isPrimary := f.options.IsPrimary == nil || f.options.IsPrimary()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.listed && f.announcedAt > 0 && f.options.Uptime()-f.announcedAt < announcementTTL
+	if !f.listed || f.fedAt == 0 {
+		return 0
+	}
+	ttl := f.feedTTL
+	if !isPrimary {
+		ttl += secondaryDelay
+	}
+	return f.fedAt + ttl - f.options.Uptime()
 }
 
 // catchUp fetches missing changes from the instances with a newer position or newer routes, in
--- a/entry/follow/follow_test.go
+++ b/entry/follow/follow_test.go
@@ -299,7 +299,7 @@
 			t.Errorf("%d calls to the store while fed by a peer", store.calls)
 		}
 		store.put("routes", "routes 8")
-		time.Sleep(announcementTTL + maxWatchWait)
+		time.Sleep(maxFeedTTL + maxWatchWait)
 		if !l.has(8, "a") {
 			t.Errorf("after the announcements stopped: %+v", l)
 		}
--- a/entry/follow/follower.go
+++ b/entry/follow/follower.go
@@ -24,17 +24,22 @@
 	// minWatchWait and maxWatchWait bound how long a watch waits when nothing
 	// changes. A watch that the store has silently dropped is noticed only at its
 	// end, so the wait is short. It is random because one change wakes the watches
-	// of all instances together, and they would otherwise end together.
+	// of all instances together, and they would otherwise end together. The longest one, with
+	// the pause after it, ends before the feed's TTL, as a rule.
 	minWatchWait = 700 * time.Millisecond
-	maxWatchWait = 1700 * time.Millisecond
+	maxWatchWait = 1200 * time.Millisecond
 	// firstWatchWait is the wait of the first watch after the store was lost.
 	firstWatchWait = 50 * time.Millisecond
 	// maxReadAge is how long after the store's last response an instance still
 	// announces its revision to others; it exceeds the longest watch.
 	maxReadAge = 3 * time.Second
-	// announcementTTL is how long an announced revision of another instance
-	// replaces a watch.
-	announcementTTL = 1500 * time.Millisecond
+	// minFeedTTL and maxFeedTTL bound how long the store's last response to another instance, as that
+	// one announces it, replaces a watch of this one. What the store has published since may be unknown
+	// to both; it has to be in force 2 s after its confirmation. Each instance draws its own.
+	minFeedTTL, maxFeedTTL = 1200 * time.Millisecond, 1400 * time.Millisecond
+	// secondaryDelay is how much longer an instance that serves no callers waits, so that those that do
+	// read the store for it.
+	secondaryDelay = 350 * time.Millisecond
 	// catchUpDelay gives this instance's own watch time to bring the same changes
 	// before they are fetched from another instance.
 	catchUpDelay = 50 * time.Millisecond
@@ -69,6 +74,8 @@
 	// WatchesStore reports whether this instance is among the store watchers; the
 	// other instances are fed by them.
 	WatchesStore func() bool
+	// IsPrimary reports whether this instance serves callers; nil if it always does.
+	IsPrimary func() bool
 	// Announce makes the other instances learn soon what this one has.
 	Announce func()
 	// Unreachable records that an instance did not answer a call; nil for nobody.
@@ -105,8 +112,9 @@
 	dropsListings bool
 	// unusable holds the keys whose values cannot be used.
 	unusable map[string]bool
-	// announcedAt is when an announcement last replaced a watch.
-	announcedAt time.Duration
+	// fedAt is when the store last responded to an instance whose announcements replace a watch; feedTTL
+	// is how long that holds for a primary.
+	fedAt, feedTTL time.Duration
 	// newestRoutes is the item with the routes in force.
 	newestRoutes Item
 	// routesToldAt is when other instances were last told of newer routes than theirs.
@@ -125,6 +133,7 @@
 	return &Follower{
 		options: options, targets: roster.New(), history: newHistory(), catchUpRequests: make(chan struct{}, 1),
 		unusable: make(map[string]bool), keys: newKeys(options.KeysBound, options.Uptime()),
+		feedTTL: randomBetween(minFeedTTL, maxFeedTTL),
 	}
 }
 
@@ -155,8 +164,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	own := contract.Announcement{RoutesVersion: f.RoutesVersion()}
-	if !f.storeLost && f.listed && f.options.Uptime()-f.storeReadAt <= maxReadAge {
-		own.Position = f.position
+	age := f.options.Uptime() - f.storeReadAt
+	if !f.storeLost && f.listed && age <= maxReadAge {
+		own.Position, own.StoreAge = f.position, age
 	}
 	return own
 }
@@ -169,7 +179,7 @@
 	backoff := minRetryDelay
 	for ctx.Err() == nil {
 		if f.isFedByPeer() {
-			pause.For(ctx, fedCheckInterval)
+			pause.For(ctx, min(fedCheckInterval, f.feedLeft()))
 			continue
 		}
 		err := f.listOrWatch(ctx, f.options.Store)
@@ -200,7 +210,7 @@
 		return f.list(ctx, source)
 	}
 	f.options.Scope.Counter("watches").Inc(1)
-	wait := watchWait()
+	wait := randomBetween(minWatchWait, maxWatchWait)
 	if lost {
 		wait = firstWatchWait // the store may have come back from a copy, and have no change to tell
 	}
@@ -227,9 +237,9 @@
 	return nil
 }
 
-// watchWait returns a random wait for the next watch.
-func watchWait() time.Duration {
-	return minWatchWait + time.Duration(rand.Int64N(int64(maxWatchWait-minWatchWait)))
+// randomBetween returns a random duration of at least shortest and less than longest.
+func randomBetween(shortest, longest time.Duration) time.Duration {
+	return shortest + time.Duration(rand.Int64N(int64(longest-shortest)))
 }
 
 func (f *Follower) list(ctx context.Context, source Source) error {
--- a/entry/follow/keys_fleet_test.go
+++ b/entry/follow/keys_fleet_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
+	"github.com/primroseloom/primroseloom/entry/internal/pause"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
 )
@@ -41,7 +42,12 @@
 	cut map[[2]int]bool
 	// feedsFail is true while no instance gives another what the store publishes.
 	feedsFail bool
-	confirms  atomic.Int64
+	// primaries is the number of instances that serve callers, among them those that watch the store. They
+	// rely on the watchers only, all others on any primary. Zero means that all are.
+	primaries atomic.Int64
+	// silent holds the instances to which the store gives no response.
+	silent   map[int]bool
+	confirms atomic.Int64
 }
 
 // linkTo calls an instance of a fleet over the network.
@@ -104,7 +110,13 @@
 	if s.fleet.isCut(s.instance, storeIndex) {
 		return Listing{}, errUnavailable
 	}
-	return s.fakeStore.Watch(ctx, after, wait)
+	sent := time.Now()
+	listing, err := s.fakeStore.Watch(ctx, after, wait)
+	if s.fleet.isSilent(s.instance) {
+		pause.For(ctx, wait+dropSlack-time.Since(sent))
+		return Listing{}, errUnavailable
+	}
+	return listing, err
 }
 
 // fleetView is one instance's membership of a fleet.
@@ -130,6 +142,11 @@
 	return linkTo{fleet: v.fleet, from: v.self, to: to}, err == nil
 }
 
+func (k *keyFleet) isPrimary(i int) bool {
+	primaries := int(k.primaries.Load())
+	return primaries == 0 || i < primaries
+}
+
 func (k *keyFleet) isDown(i int) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -156,16 +173,16 @@
 	}
 }
 
-// announce sends what each watcher has to all instances.
+// announce sends what each watcher and each other primary has to all instances.
 func (k *keyFleet) announce() {
-	for w := range fleetWatchers {
+	for w := range max(fleetWatchers, int(k.primaries.Load())) {
 		if k.isDown(w) {
 			continue
 		}
 		told := k.instances[w].Announcement()
 		for i, f := range k.instances {
 			if i != w && !k.isDown(i) && !k.isCut(w, i) {
-				f.Announced(vmName(w), told, true)
+				f.Announced(vmName(w), told, w < fleetWatchers || !k.isPrimary(i))
 			}
 		}
 	}
@@ -206,12 +223,12 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
-		k := &keyFleet{store: newStore(), down: make(map[string]bool), cut: make(map[[2]int]bool)}
+		k := &keyFleet{store: newStore(), down: make(map[string]bool), cut: make(map[[2]int]bool), silent: make(map[int]bool)}
 		k.store.put("routes", "routes 4")
 		for i := range size {
 			k.members = append(k.members, &primroseloomv1.Member{Vm: vmName(i)})
 			k.instances = append(k.instances, New(Options{
-				Store: storeOf{fakeStore: k.store, fleet: k, instance: i}, Decoder: keyedDecoder{}, WatchesStore: func() bool { return i < fleetWatchers }, Listener: &recordingListener{},
+				Store: storeOf{fakeStore: k.store, fleet: k, instance: i}, Decoder: keyedDecoder{}, WatchesStore: func() bool { return i < fleetWatchers }, IsPrimary: func() bool { return k.isPrimary(i) }, Listener: &recordingListener{},
 				Peers: &Peers{Fleet: "f", Members: fleetView{fleet: k, self: i}}, KeysBound: keysBound,
 				Uptime: func() time.Duration { return time.Since(start) + time.Minute }, Logger: log.New(io.Discard), Scope: tally.NoopScope,
 			}))
--- a/entry/follow/progress.go
+++ b/entry/follow/progress.go
@@ -1,7 +1,6 @@
 package follow
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
@@ -36,7 +35,7 @@
 func (p *progress) announced(position, own contract.StorePosition, now time.Duration) {
 	if p.lacking.IsZero() && position.Compare(own) > 0 && now >= p.disprovedUntil {
 		p.lacking, p.isReported = position, false
-		p.patienceEnds = now + minPatience + time.Duration(rand.Int64N(int64(maxPatience-minPatience)))
+		p.patienceEnds = now + randomBetween(minPatience, maxPatience)
 	}
 }
 
--- a/entry/frontend/assemble.go
+++ b/entry/frontend/assemble.go
@@ -89,6 +89,7 @@
 		Peers:        &follow.Peers{Fleet: set.Fleet, Members: peers},
 		Decoder:      f.options.Adapter.Decoder,
 		WatchesStore: func() bool { return f.fleet == nil || f.fleet.watchesStore() },
+		IsPrimary:    func() bool { return f.fleet == nil || f.fleet.isPrimary() },
 		Announce:     func() { f.evidence.AnnouncementChanged() },
 		Unreachable:  func(vm string) { f.fleet.CarrierUnreachable(vm) },
 		KeysBound:    set.Keys.RevokedWithin.Std(),
--- a/entry/frontend/fleet.go
+++ b/entry/frontend/fleet.go
@@ -294,6 +294,7 @@
 }
 
 func (f *fleet) watchesStore() bool            { return f.view.Load().watchesStore }
+func (f *fleet) isPrimary() bool               { return f.view.Load().isPrimary }
 func (f *fleet) currentPeers() []evidence.Peer { return f.view.Load().peers }
 
 func (f *fleet) currentHeartbeatSources() []crashes.Peer { return f.view.Load().heartbeatSources }
