targetconn: a read finds no ordinary end once a write of its connection has failed

Cause: the kernel tells of a reset once. The write of the upload took the error, so that the read behind it found an ordinary end, which is the end of an answer without a length. A peer that has gone silent (TCP_USER_TIMEOUT) is the same case.

Change: a connection remembers why its latest write failed. A read that finds the end of the stream ends a write in progress and returns that error in place of the end. Both programs and all ways of an answer read through it. The network of the tests told of a reset as often as it was asked, and so hid this; it now tells once, as Linux does, and keeps what arrived before.

What was ruled out: that the library or the transport hides the error; a connection whose write fails and whose read finds an end shows it alone.

--- a/entry/targetconn/conn.go
+++ b/entry/targetconn/conn.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"sync"
 	"time"
@@ -50,6 +53,10 @@
 	// head follows the head of the response; headErr is why it is not read any further.
 	head    responseHead
 	headErr error
+
+	// writing is held during a write. writeFault is why the latest one failed.
+	writing    sync.Mutex
+	writeFault error
 }
 
 // startAttempt starts observing an attempt. If limit is positive, cancel is
@@ -82,7 +89,10 @@
 	if err := w.beforeWrite(); err != nil {
 		return 0, err
 	}
+	w.writing.Lock()
+	defer w.writing.Unlock()
 	n, err := w.Conn.Write(p)
+	w.writeFault = err
 	w.recordWrite()
 	return n, err
 }
@@ -91,6 +101,9 @@
 // has too many fields or the VM has no memory for it.
 func (w *watchedConn) Read(p []byte) (int, error) {
 	n, err := w.Conn.Read(p)
+	if n == 0 && errors.Is(err, io.EOF) {
+		return 0, w.endOfStream()
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -101,6 +114,21 @@
 	return n, err
 }
 
+// endOfStream returns the error of a read that has found the end of the stream: io.EOF, or why the
+// connection broke. The kernel tells of a reset, or of a peer that has gone, once: a write that gets that
+// error leaves an ordinary end to the read, and a response without a length would seem complete.
+//
+// It ends a write in progress, as no connection carries a request beyond the end of its responses.
+func (w *watchedConn) endOfStream() error {
+	_ = w.Conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	w.writing.Lock()
+	defer w.writing.Unlock()
+	if w.writeFault != nil && !errors.Is(w.writeFault, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("the connection broke before its end: %w", w.writeFault)
+	}
+	return io.EOF
+}
+
 func (w *watchedConn) beforeWrite() error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/standin/memnet/conn.go
+++ b/standin/memnet/conn.go
@@ -35,6 +35,8 @@
 	peer          *Conn
 	closed        bool
 	reset         bool
+	// resetTold is true once a read or a write has returned the error of the reset.
+	resetTold     bool
 	stalled       bool
 	resetOnClose  bool
 	readDeadline  deadline
@@ -54,7 +56,9 @@
 	return client, server
 }
 
-// Read blocks until there is data, the end of the stream, a reset or the deadline.
+// Read blocks until there is data, the end of the stream, a reset or the deadline. As on Linux, data that
+// arrived before a reset can be read, and the error of the reset comes once, from a read or a write; later
+// reads find the end of the stream.
 func (c *Conn) Read(p []byte) (int, error) {
 	n := c.network
 	n.mu.Lock()
@@ -63,12 +67,12 @@
 		switch {
 		case c.closed:
 			return 0, c.opError("read", net.ErrClosed)
-		case c.reset:
-			return 0, c.opError("read", syscall.ECONNRESET)
 		case c.readDeadline.passed:
 			return 0, c.opError("read", os.ErrDeadlineExceeded)
 		case len(p) == 0:
 			return 0, nil
+		case c.reset && !c.hasArrivedData():
+			return 0, c.tellReset("read", io.EOF)
 		}
 		if c.hasArrivedData() {
 			return c.consume(p), nil
@@ -80,6 +84,16 @@
 	}
 }
 
+// tellReset returns the error of a reset the first time, and then another one. The caller holds the
+// network's lock.
+func (c *Conn) tellReset(op string, later error) error {
+	if c.resetTold {
+		return later
+	}
+	c.resetTold = true
+	return c.opError(op, syscall.ECONNRESET)
+}
+
 // hasArrivedData reports whether this end has data to read now.
 func (c *Conn) hasArrivedData() bool {
 	if c.cutOff() || len(c.in.segments) == 0 {
@@ -121,7 +135,7 @@
 		case c.closed:
 			return written, c.opError("write", net.ErrClosed)
 		case c.reset:
-			return written, c.opError("write", syscall.ECONNRESET)
+			return written, c.tellReset("write", c.opError("write", syscall.EPIPE))
 		case c.writeDeadline.passed:
 			return written, c.opError("write", os.ErrDeadlineExceeded)
 		case c.peer.closed && !c.stalled && !n.blocked[c.out.direction]:
