A status that HTTP does not have is no response

Statuses below 200 were 502 before. A VM that another one forwards to could send any number as the status; net/http's server panics on 0 or 5000.

Cause: net/http takes any three digits for a status; only those below 200 were refused.

Change: a target's head with a status outside 100 to 599 (RFC 9110, section 15) is a wrong answer, as other malformed heads; one of another VM outside 200 to 599 is ErrStatus. One check in each of the two places that read heads, for both programs.

--- a/entry/forwarding/bytes_test.go
+++ b/entry/forwarding/bytes_test.go
@@ -40,6 +40,22 @@
 	return w.Finish()
 }
 
+// startCarrier starts a VM that serves forwarded requests with a handler, and returns a client of it.
+func startCarrier(t *testing.T, handler http.Handler) primroseloomv1connect.PeerServiceClient {
+	t.Helper()
+	mux := http.NewServeMux()
+	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(carrier{Handler: handler}))
+	carrying := httptest.NewUnstartedServer(mux)
+	carrying.Config.Protocols = new(http.Protocols)
+	carrying.Config.Protocols.SetUnencryptedHTTP2(true)
+	carrying.Start()
+	t.Cleanup(carrying.Close)
+	transport := &http.Transport{Protocols: new(http.Protocols)}
+	transport.Protocols.SetUnencryptedHTTP2(true)
+	t.Cleanup(transport.CloseIdleConnections)
+	return primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, carrying.URL)
+}
+
 // message is a request or a response in all that has to arrive as it was sent.
 type message struct {
 	method, host, uri string
@@ -130,19 +146,9 @@
 		_, _ = w.Write(reply.body)
 		maps.Copy(w.Header(), reply.trailer.Clone())
 	})
-	mux := http.NewServeMux()
-	mux.Handle(primroseloomv1connect.NewPeerServiceHandler(carrier{Handler: handler}))
-	carrying := httptest.NewUnstartedServer(mux)
-	carrying.Config.Protocols = new(http.Protocols)
-	carrying.Config.Protocols.SetUnencryptedHTTP2(true)
-	carrying.Start()
-	defer carrying.Close()
 	direct := httptest.NewServer(handler)
 	defer direct.Close()
-	transport := &http.Transport{Protocols: new(http.Protocols)}
-	transport.Protocols.SetUnencryptedHTTP2(true)
-	defer transport.CloseIdleConnections()
-	client := primroseloomv1connect.NewPeerServiceClient(&http.Client{Transport: transport}, carrying.URL)
+	client := startCarrier(t, handler)
 
 	for seed := range uint64(300) {
 		g := generator{rand.New(rand.NewPCG(seed, 0))}
--- a/entry/forwarding/client.go
+++ b/entry/forwarding/client.go
@@ -17,8 +17,16 @@
 // maxMessageBytes is the largest part of a body in one message.
 const maxMessageBytes = 32 << 10
 
-// ErrNoHead is the error of a response that does not begin with a head.
-var ErrNoHead = errors.New("the response does not begin with a head")
+// Errors of a response.
+var (
+	// ErrNoHead means that it does not begin with a head.
+	ErrNoHead = errors.New("the response does not begin with a head")
+	// ErrStatus means that its status is none of a final response of HTTP, which are 200 to 599.
+	ErrStatus = errors.New("the status of the response is outside 200 to 599")
+)
+
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
 
 type clientStream = connect.BidiStreamForClient[primroseloomv1.ForwardRequest, primroseloomv1.ForwardResponse]
 
@@ -89,6 +97,9 @@
 	if head == nil {
 		return nil, nil, ErrNoHead
 	}
+	if isFinal := head.GetStatus() >= http.StatusOK && head.GetStatus() <= maxStatus; !isFinal && head.GetRefusal() == nil {
+		return nil, nil, ErrStatus
+	}
 	response := &http.Response{
 		StatusCode:       int(head.GetStatus()),
 		Header:           HeaderOf(head.GetHeaders()),
--- a/entry/targetconn/head.go
+++ b/entry/targetconn/head.go
@@ -13,12 +13,17 @@
 var (
 	// errNotFinal means that the target switched protocols, which no request asks for.
 	errNotFinal = errors.New("the response is not final")
+	// errNoStatus means that the status is none of HTTP, which has 100 to 599 (RFC 9110, section 15).
+	errNoStatus = errors.New("the status of the response is outside 100 to 599")
 	// errTwoHeads means that the target wrote its response within the head of an earlier one.
 	errTwoHeads = errors.New("the head of the response holds a second status line")
 	// errFraming means that the end of the response is unknown, since its framing is faulty.
 	errFraming = errors.New("the response is of HTTP/1.0 and has a Transfer-Encoding")
 )
 
+// maxStatus is the highest status code of HTTP.
+const maxStatus = 599
+
 // statusLineStart is how each status line begins; statusLine matches one at the end of a text.
 const statusLineStart = "HTTP/1."
 
@@ -28,6 +33,8 @@
 // reused connection it also returns one when an earlier response is mixed into the head.
 func checkHead(response *http.Response, trip *contract.RoundTrip, watch *watchedConn) error {
 	switch {
+	case response.StatusCode < http.StatusContinue || response.StatusCode > maxStatus:
+		return errNoStatus
 	case response.StatusCode < http.StatusOK:
 		return errNotFinal
 	case trip.Reused() && hasTwoHeads(response):
