evidence: a VM that uses many targets tells its outcomes

What callers see: while a VM has some 60 attempts in progress at different targets, it tells the other VMs nothing of what its attempts showed, so that each finds slow and failing targets by itself, at its own callers' cost; from 512 waiting outcomes on, the oldest are dropped.

Cause (found by reading the table of design 26): outcomes are added while the datagram is below 1,400 bytes, in which the targets in use count; 60 of these fill it. A part without a bound of its own takes the room of another.

Change: the outcomes have a bound of their own, 1,100 bytes and 24. A datagram above one network packet is sent in fragments, as it was before without any outcome.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -26,9 +26,9 @@
 	// pauseThreshold is the time between two heartbeats of this VM that counts as a pause of its
 	// process.
 	pauseThreshold = silenceTimeout / 2
-	// maxDatagramBytes is the size from which no further outcome is added to a
-	// datagram, so that it usually fits into one network packet.
-	maxDatagramBytes = 1400
+	// maxOutcomeBytes is the size of the outcomes from which no further one is added to a datagram, so that
+	// the datagram of a VM that uses few targets fits into one network packet.
+	maxOutcomeBytes = 1100
 	// maxOutcomesPerDatagram bounds the outcomes of one datagram.
 	maxOutcomesPerDatagram = 24
 	// maxPendingOutcomes bounds the outcomes that are still to be sent; the oldest
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -137,12 +137,12 @@
 // appendOutcomes adds pending outcomes to a datagram and drops those without
 // sends left; the lock is held.
 func (x *Exchange) appendOutcomes(message *primroseloomv1.EvidenceDatagram, far bool) {
-	size := proto.Size(message)
+	size := 0
 	kept := x.pending[:0]
 	for i := range x.pending {
 		entry := &x.pending[i]
 		isDue := entry.nearLeft > 0 || far && entry.farLeft > 0
-		if isDue && len(message.Outcomes) < maxOutcomesPerDatagram && size < maxDatagramBytes {
+		if isDue && len(message.Outcomes) < maxOutcomesPerDatagram && size < maxOutcomeBytes {
 			size += proto.Size(entry.message)
 			message.Outcomes = append(message.Outcomes, entry.message)
 			entry.nearLeft = max(entry.nearLeft-1, 0)
