evidence: all parts of a datagram have a bound in bytes

What callers would see: a VM that uses some 3,000 targets at once (with names of 256 bytes, some 250), or that is cut off from as many services, or hears of some 1,400 targets that leave within 0.3 s, is not heard of any more: a datagram above 65,507 bytes is not sent. The others take the VM for gone, its attempts for ended, and send its callers elsewhere.

Change: 24 KB for targets in use, those with the most attempts first; 6 KB for services; 64 changed notices in a datagram, in turn. What is left out of the targets in use is counted (uses_left_out) and seems free to others.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -29,6 +29,14 @@
 	// maxOutcomeBytes is the size of the outcomes from which no further one is added to a datagram, so that
 	// the datagram of a VM that uses few targets fits into one network packet.
 	maxOutcomeBytes = 1100
+	// maxContentBytes bounds a datagram, in bytes. UDP has at most 65,507; one that is too large is not sent, and
+	// its sender seems to have ended.
+	maxContentBytes = 62_000
+	// maxUsesBytes and maxServicesBytes bound the targets in use and the services that are not reached in one
+	// datagram, in bytes.
+	maxUsesBytes, maxServicesBytes = 24 << 10, 6 << 10
+	// nameOverhead is the most that a name, with a number, has in a datagram beyond its own bytes.
+	nameOverhead = 12
 	// maxOutcomesPerDatagram bounds the outcomes of one datagram.
 	maxOutcomesPerDatagram = 24
 	// maxPendingOutcomes bounds the outcomes that are still to be sent; the oldest
--- a/entry/evidence/send.go
+++ b/entry/evidence/send.go
@@ -1,7 +1,10 @@
 package evidence
 
 import (
+	"cmp"
+	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -116,15 +119,14 @@
 		RoutesVersion: announced.RoutesVersion,
 		Rate:          uint32(rate + 0.5),
 
-		CutOffServices:     cutOff,
+		CutOffServices:     withinBytes(cutOff, maxServicesBytes),
 		PathInDoubt:        inDoubt,
 		RequestsDigest:     digest,
 		KeysNotCurrent:     keysNotCurrent,
 		CustomerAdmissions: admissions,
 	}
-	for target, count := range uses {
-		message.Uses = append(message.Uses, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(count)})
-	}
+	message.Uses = usesToWire(uses, min(maxUsesBytes, maxContentBytes-proto.Size(message)))
+	x.options.Scope.Counter("uses_left_out").Inc(int64(len(uses) - len(message.Uses)))
 	x.appendOutcomes(message, far)
 	content, err := proto.Marshal(message)
 	if err != nil {
@@ -134,6 +136,27 @@
 	return content
 }
 
+// usesToWire returns the attempts in progress by target, up to a limit in bytes. Beyond it, those with the
+// fewest attempts are left out, so that they seem free to others.
+func usesToWire(uses map[string]int, limit int) []*primroseloomv1.TargetUse {
+	most := slices.SortedFunc(maps.Keys(uses), func(a, b string) int { return cmp.Or(cmp.Compare(uses[b], uses[a]), cmp.Compare(a, b)) })
+	messages := make([]*primroseloomv1.TargetUse, 0, len(uses))
+	for _, target := range withinBytes(most, limit) {
+		messages = append(messages, &primroseloomv1.TargetUse{Target: target, InProgress: uint32(uses[target])})
+	}
+	return messages
+}
+
+// withinBytes returns as many of the first names as fit into an amount of bytes of a message.
+func withinBytes(names []string, limit int) []string {
+	for i, name := range names {
+		if limit -= len(name) + nameOverhead; limit < 0 {
+			return names[:i]
+		}
+	}
+	return names
+}
+
 // appendOutcomes adds pending outcomes to a datagram and drops those without
 // sends left; the lock is held.
 func (x *Exchange) appendOutcomes(message *primroseloomv1.EvidenceDatagram, far bool) {
--- a/entry/targetset/manager.go
+++ b/entry/targetset/manager.go
@@ -99,6 +99,8 @@
 	notices *notice.Table
 	// repeated is the position in the notices from which the next heartbeat repeats them.
 	repeated cursor.Cursor
+	// told is the position in the changed notices from which the next datagram tells them.
+	told cursor.Cursor
 	// answeredAt is when this VM last got a complete response of any target.
 	answeredAt time.Duration
 	// inProgressByVM counts the attempts in progress of other VMs, by VM and target.
--- a/entry/targetset/notices.go
+++ b/entry/targetset/notices.go
@@ -15,6 +15,8 @@
 	noticeNewTime = 300 * time.Millisecond
 	// maxNoticesPerHeartbeat bounds the notices that a heartbeat repeats.
 	maxNoticesPerHeartbeat = 12
+	// maxNewNotices bounds the changed notices in one datagram; as many targets may leave at once as a zone has.
+	maxNewNotices = 64
 )
 
 // processOf returns the process that an entry describes.
@@ -65,13 +67,13 @@
 }
 
 // NextNotices returns the notices for the next datagram: those that have changed lately
-// or, for a heartbeat, the next part of all.
+// or, for a heartbeat, the next part of all, each a part in turn.
 func (m *Manager) NextNotices(isHeartbeat bool) []notice.Report {
 	now := m.options.Uptime()
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if !isHeartbeat {
-		return m.notices.Reports(now-noticeNewTime, now)
+		return cursor.Take(&m.told, m.notices.Reports(now-noticeNewTime, now), maxNewNotices)
 	}
 	return cursor.Take(&m.repeated, m.notices.Reports(0, now), maxNoticesPerHeartbeat)
 }
--- a/entry/targetset/targetset_test.go
+++ b/entry/targetset/targetset_test.go
@@ -326,3 +326,26 @@
 		t.Errorf("heartbeats told of %d targets, want %d", len(told), targets)
 	}
 }
+
+// TestManyNewNoticesAreToldInTurn guards against a datagram that grows with the targets that leave at once, and that
+// is not sent when it is too large.
+func TestManyNewNoticesAreToldInTurn(t *testing.T) {
+	const targets = 2*maxNewNotices + 1
+	f := newFixture(targets)
+	for _, info := range published(targets) {
+		f.MergeNotice("vm-2", notice.Report{Process: notice.Process{Target: info.ID}, IsLeaving: true, LeavingAt: f.now})
+	}
+	told := make(map[string]bool)
+	for range 3 {
+		reports := f.NextNotices(false)
+		if len(reports) > maxNewNotices {
+			t.Errorf("%d new notices in one datagram, want at most %d", len(reports), maxNewNotices)
+		}
+		for _, report := range reports {
+			told[report.Process.Target] = true
+		}
+	}
+	if len(told) != targets {
+		t.Errorf("three datagrams told of %d targets, want %d", len(told), targets)
+	}
+}
