evidence: nothing is kept of VMs that have long fallen silent

Change: a VM is forgotten a minute after its last datagram, and the one heard longest ago when there are more than 4,096. Its state counts for nothing from a second of silence on, so that only the numbers of its outcomes are lost.

--- a/entry/evidence/exchange.go
+++ b/entry/evidence/exchange.go
@@ -49,6 +49,9 @@
 	// against their targets to other zones. The first goes at once; while many targets fail,
 	// each datagram would otherwise go everywhere.
 	maxFarFailureDelay = 100 * time.Millisecond
+	// forgetTime is the time since the last datagram of a VM after which nothing is kept of it, maxSenders the
+	// number of VMs of which something is kept.
+	forgetTime, maxSenders = time.Minute, 4096
 	// sendsPerOutcome is the number of datagrams that carry an outcome, since a
 	// datagram may be lost.
 	sendsPerOutcome = 2
@@ -93,6 +96,8 @@
 	failurePending   bool
 	farFailureSentAt time.Duration
 	senders          map[string]*sender
+	// evicted are the VMs that were forgotten although they may have attempts in progress.
+	evicted []string
 	// expiredAt is when silent senders were last looked for, zero before the first time;
 	// resumedAt is when this process last ran again after a pause.
 	expiredAt, resumedAt time.Duration
--- a/entry/evidence/receive.go
+++ b/entry/evidence/receive.go
@@ -117,8 +117,9 @@
 	defer x.mu.Unlock()
 	from := x.senders[message.GetVm()]
 	if from == nil || from.instance != message.GetInstance() {
-		from = &sender{instance: message.GetInstance()}
+		from = &sender{instance: message.GetInstance(), lastReceived: x.options.Uptime()}
 		x.senders[message.GetVm()] = from
+		x.limitSenders()
 	}
 	from.lastReceived, from.silent = x.options.Uptime(), false
 	for _, outcome := range message.GetOutcomes() {
@@ -136,6 +137,21 @@
 	return outcomes, newest
 }
 
+// limitSenders forgets the sender that was heard longest ago when there are too many; the lock is held.
+func (x *Exchange) limitSenders() {
+	if len(x.senders) <= maxSenders {
+		return
+	}
+	oldest := ""
+	for vm, from := range x.senders {
+		if oldest == "" || from.lastReceived < x.senders[oldest].lastReceived {
+			oldest = vm
+		}
+	}
+	delete(x.senders, oldest)
+	x.evicted = append(x.evicted, oldest)
+}
+
 func outcomeFromWire(message *primroseloomv1.AttemptOutcome) AttemptEvidence {
 	outcome := AttemptEvidence{
 		Target:      message.GetTarget(),
@@ -154,17 +170,22 @@
 // this process did not run is no silence of others.
 func (x *Exchange) expireSilentSenders() {
 	now := x.options.Uptime()
-	var silent []string
 	x.mu.Lock()
+	silent := x.evicted
+	x.evicted = nil
 	if x.expiredAt > 0 && now-x.expiredAt >= pauseThreshold {
 		x.resumedAt = now
 	}
 	x.expiredAt = now
 	for vm, from := range x.senders {
-		if !from.silent && now-max(from.lastReceived, x.resumedAt) >= silenceTimeout {
+		age := now - max(from.lastReceived, x.resumedAt)
+		if !from.silent && age >= silenceTimeout {
 			from.silent = true
 			silent = append(silent, vm)
 		}
+		if age >= forgetTime {
+			delete(x.senders, vm)
+		}
 	}
 	x.mu.Unlock()
 	for _, vm := range silent {
