primroseloom propagation: how soon what the store publishes is in force, and at what cost

Change: a command that runs front daemons as processes before a store of 9,300 targets in 260 services, 3,800 routes and as many customers as fit beside them into a value, and plays nine cases: start, calm, a version, a history that is discarded, a store from a copy, 10,000 entries at once, a feeder that ends or stalls while others need a whole listing, a VM that starts meanwhile. A version is in force once its path is no longer 404.

--- a/cmd/primroseloom/root.go
+++ b/cmd/primroseloom/root.go
@@ -26,6 +26,7 @@
 		newStandin(),
 		newDemo(),
 		newSoak(),
+		newPropagation(),
 		newTrace(),
 		newQuarantine(),
 		newVersion(),
