follow: the keys of what is published are kept in order

Cause: each part of a listing sorted all keys anew, 9 times for a listing of 9,300 targets, for each VM that is fed (a quarter of what a feeder does for a listing, by the same profile).

Change: the history keeps its keys in order until one comes or goes.

Measured: BenchmarkListingInParts 32.9 ms and 15.3 MB before, 9.4 ms and 9.3 MB now, both ends, at load 7.

--- a/entry/follow/history.go
+++ b/entry/follow/history.go
@@ -17,6 +17,8 @@
 type history struct {
 	mu    sync.Mutex
 	items map[string]Item
+	// keys are those of the items in order; nil once a key has come or gone since they were sorted.
+	keys []string
 	// removals is the number of items that are removals; since is the revision from which all are known.
 	removals int
 	since    uint64
@@ -37,12 +39,15 @@
 	defer h.mu.Unlock()
 	if listing.Full {
 		h.items = make(map[string]Item, len(listing.Items))
-		h.since, h.listed, h.removals = listing.Position.Revision, true, 0
+		h.since, h.listed, h.removals, h.keys = listing.Position.Revision, true, 0, nil
 	}
 	for _, item := range listing.Items {
 		if old, ok := h.items[item.Key]; !ok || old.Revision <= item.Revision {
 			h.removals += countRemoval(item) - countRemoval(old)
 			h.items[item.Key] = item
+			if !ok {
+				h.keys = nil
+			}
 		}
 	}
 	h.position = listing.Position
@@ -55,6 +60,14 @@
 	}
 }
 
+// sortedKeys returns the keys of the items in order; the lock is held.
+func (h *history) sortedKeys() []string {
+	if h.keys == nil {
+		h.keys = slices.Sorted(maps.Keys(h.items))
+	}
+	return h.keys
+}
+
 // nextChange returns a channel that is closed when something is added.
 func (h *history) nextChange() <-chan struct{} {
 	h.mu.Lock()
@@ -81,6 +94,7 @@
 	slices.Sort(revisions)
 	h.since = max(h.since, revisions[len(revisions)/2])
 	maps.DeleteFunc(h.items, func(_ string, item Item) bool { return item.Removed && item.Revision <= h.since })
+	h.keys = nil
 	h.removals = 0
 	for _, item := range h.items {
 		h.removals += countRemoval(item)
--- a/entry/follow/parts.go
+++ b/entry/follow/parts.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"maps"
-	"slices"
 
 	"github.com/primroseloom/primroseloom/entry/contract"
 )
@@ -51,7 +49,7 @@
 	if !h.listed || position.Era > h.position.Era {
 		return part{}, false
 	}
-	keys := slices.Sorted(maps.Keys(h.items))
+	keys := h.sortedKeys()
 	if from != nil && h.continues(*from, position) {
 		if p, ok := h.partAfter(keys, *from, position.Revision, limit); ok {
 			p.continued = true
