--- a/cmd/primroseloom/propagation.go
+++ b/cmd/primroseloom/propagation.go
@@ -46,6 +46,7 @@
 	flags := command.Flags()
 	flags.StringVar(&options.DaemonPath, "daemon", "", "path of the daemon binary")
 	flags.IntSliceVar(&sizes, "vms", []int{12, 36}, "fleet sizes to measure")
+	flags.Float64Var(&options.MemoryMB, "memory-mb", 0, "memory of a VM; 0 sets no bound")
 	flags.IntVar(&options.Deployment.Targets, "targets", options.Deployment.Targets, "number of targets")
 	flags.IntVar(&options.Deployment.Services, "services", options.Deployment.Services, "number of services")
 	flags.IntVar(&options.Deployment.Routes, "routes", options.Deployment.Routes, "number of routes")
--- a/operator/propagation/fleet.go
+++ b/operator/propagation/fleet.go
@@ -75,6 +75,7 @@
 			Callers: at(i, portCallers), Readiness: at(i, portReadiness), Directory: at(i, portDirectory),
 			Peers: at(i, portPeers), Evidence: at(i, portEvidence), Admin: at(i, portAdmin),
 		}
+		set.Machine.MemoryMB = options.MemoryMB
 		set.SourceAddress = addressIP(options.AddressBase, i)
 		set.FirstPeers = []string{at(0, portPeers), at(1, portPeers)}
 		content, err := json.Marshal(set)
--- a/operator/propagation/propagation.go
+++ b/operator/propagation/propagation.go
@@ -20,7 +20,9 @@
 	// DaemonPath is the daemon's program, Directory where settings and logs go.
 	DaemonPath, Directory string
 	VMs                   int
-	Deployment            Deployment
+	// MemoryMB is the memory of a VM, in MiB; 0 sets no bound.
+	MemoryMB   float64
+	Deployment Deployment
 	// AddressBase is the second byte of the loopback addresses.
 	AddressBase int
 	// Progress is called before each case, when set.
