--- a/entry/targetconn/brokenend_test.go
+++ b/entry/targetconn/brokenend_test.go
@@ -34,9 +34,8 @@
 	return n, nil
 }
 
-// startRawTarget starts a target over TCP that answers each connection by a function, after it has read the
-// head and some bytes of the body of one request.
-func startRawTarget(t *testing.T, bodyBytes int64, answer func(conn *net.TCPConn, body io.Reader)) (address string) {
+// startTCPTarget starts a target over TCP that handles each connection by a function.
+func startTCPTarget(t *testing.T, handle func(conn *net.TCPConn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -49,20 +48,26 @@
 			if err != nil {
 				return
 			}
-			go func() {
-				reader := bufio.NewReader(conn)
-				request, err := http.ReadRequest(reader)
-				if err != nil {
-					return
-				}
-				_, _ = io.CopyN(io.Discard, request.Body, bodyBytes)
-				answer(conn.(*net.TCPConn), request.Body)
-			}()
+			go handle(conn.(*net.TCPConn))
 		}
 	}()
 	return listener.Addr().String()
 }
 
+// startRawTarget starts a target over TCP that answers each connection by a function, after it has read the
+// head and some bytes of the body of one request.
+func startRawTarget(t *testing.T, bodyBytes int64, answer func(conn *net.TCPConn, body io.Reader)) (address string) {
+	t.Helper()
+	return startTCPTarget(t, func(conn *net.TCPConn) {
+		request, err := http.ReadRequest(bufio.NewReader(conn))
+		if err != nil {
+			return
+		}
+		_, _ = io.CopyN(io.Discard, request.Body, bodyBytes)
+		answer(conn, request.Body)
+	})
+}
+
 // upload sends a PUT over a new connection and returns what was read of its response, and why it ended.
 func upload(t *testing.T, address string, body io.Reader, length int64) ([]byte, error) {
 	t.Helper()
--- a/entry/targetconn/responsehead_test.go
+++ b/entry/targetconn/responsehead_test.go
@@ -44,25 +44,11 @@
 // silent.
 func startEndlessHead(t *testing.T, begin string) (address string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			go func() {
-				_, _ = conn.Read(make([]byte, 4<<10))
-				_, _ = conn.Write([]byte(begin))
-			}()
-		}
-	}()
-	return listener.Addr().String()
+	return startTCPTarget(t, func(conn *net.TCPConn) {
+		t.Cleanup(func() { _ = conn.Close() })
+		_, _ = conn.Read(make([]byte, 4<<10))
+		_, _ = conn.Write([]byte(begin))
+	})
 }
 
 // fieldsOf returns a head's begin with short fields of different names.
