--- a/entry/follow/parts_test.go
+++ b/entry/follow/parts_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"google.golang.org/protobuf/proto"
 
+	"github.com/primroseloom/primroseloom/config/routing"
 	"github.com/primroseloom/primroseloom/entry/contract"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1"
 	"github.com/primroseloom/primroseloom/wire/primroseloomv1/primroseloomv1connect"
@@ -365,3 +366,23 @@
 	f.fetchFromPeers(t.Context(), "vm-2")
 	sameItems(t, f, feeder)
 }
+
+// TestConfirmedRoutesOfAnySizeFitAMessage checks that routes as large as a value of the store may be fit into the answer
+// of an instance that is asked to confirm older ones.
+func TestConfirmedRoutesOfAnySizeFitAMessage(t *testing.T) {
+	const valueBytes = 1 << 20
+	f := newFed(nil)
+	f.newestRoutes = Item{Key: strings.Repeat("k", 100), Value: make([]byte, valueBytes), Revision: 1 << 60}
+	table, err := routing.Compile(routing.Document{Version: 1 << 60})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.table.Store(table)
+	response, err := (&feed{follower: f, fleet: "f"}).ConfirmRoutes(t.Context(), connect.NewRequest(&primroseloomv1.ConfirmRoutesRequest{Fleet: "f"}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if size := proto.Size(response.Msg); size < valueBytes || size > testMessageBytes {
+		t.Errorf("an answer of %d bytes, want at most %d", size, testMessageBytes)
+	}
+}
