--- a/operator/propagation/propagation_test.go
+++ b/operator/propagation/propagation_test.go
@@ -1,15 +1,18 @@
 package propagation
 
 import (
-	"encoding/json"
-	"net/http"
-	"net/http/httptest"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
+
+	"github.com/primroseloom/primroseloom/platform"
 )
 
+// addressBase returns a base of addresses that another run of the tests on this machine at the same time hardly uses.
+func addressBase() int { return 40 + os.Getpid()%50 }
+
 // TestDesignSizeFillsAValue checks that the routes of DesignSize have about as many bytes as a value of the store
 // may have, and no more.
 func TestDesignSizeFillsAValue(t *testing.T) {
@@ -17,18 +20,16 @@
 	deployment.Targets = 0
 	s := newMeteredStore(deployment)
 	s.publish()
-	recorder := httptest.NewRecorder()
-	s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/kv-range?path_prefix=", nil))
-	var page struct {
-		Items []struct {
-			Value []byte `json:"value"`
-		} `json:"items"`
+	address, err := s.serve(t.Context(), addressBase())
+	if err != nil {
+		t.Fatal(err)
 	}
-	if err := json.Unmarshal(recorder.Body.Bytes(), &page); err != nil || len(page.Items) != 1 {
-		t.Fatalf("%d items, %v", len(page.Items), err)
+	listing, err := platform.NewStore(address, (&net.Dialer{}).DialContext).List(t.Context())
+	if err != nil || len(listing.Items) != 1 {
+		t.Fatalf("%d items, %v", len(listing.Items), err)
 	}
 	const valueBytes = 1 << 20
-	if size := len(page.Items[0].Value); size > valueBytes || size < valueBytes*19/20 {
+	if size := len(listing.Items[0].Value); size > valueBytes || size < valueBytes*19/20 {
 		t.Errorf("the routes have %d bytes, want %d to %d", size, valueBytes*19/20, valueBytes)
 	}
 }
@@ -41,7 +42,7 @@
 		t.Fatalf("build the daemon: %v\n%s", err, out)
 	}
 	results, err := Run(t.Context(), Options{
-		DaemonPath: daemon, Directory: t.TempDir(), VMs: 4, AddressBase: 40 + os.Getpid()%50,
+		DaemonPath: daemon, Directory: t.TempDir(), VMs: 4, AddressBase: addressBase(),
 		Deployment: Deployment{Targets: 50, Services: 5, Routes: 20, Customers: 3},
 	})
 	if err != nil {
