--- a/review/rig-3/case_unanswered.go
+++ b/review/rig-3/case_unanswered.go
@@ -50,7 +50,7 @@
 				id := fmt.Sprintf("long-%d-%d", k, n)
 				path := "/forms/" + id + "?work_ms=20"
 				if hasTrouble {
-					path += "&slow_read=1"
+					path += "&slow_read=5"
 				}
 				a = c.ask(sent{id: id, method: http.MethodPost, path: path, host: "h.example", limitMs: int(formLimit.Milliseconds()), body: bytes.Repeat([]byte("x"), formBytes)})
 				c.close()
--- a/review/rig-3/target.go
+++ b/review/rig-3/target.go
@@ -11,7 +11,8 @@
 	"time"
 )
 
-// target is a stand-in of an upstream. A request works for the milliseconds of its query work_ms.
+// target is a stand-in of an upstream. A request works for the milliseconds of its query work_ms, and its body is
+// read in parts, each after the milliseconds of slow_read.
 type target struct {
 	id, address, service string
 	// size is the length of a response in bytes; 0 for a short one.
@@ -61,8 +62,8 @@
 	t.mu.Unlock()
 	note("%s runs %s: %s %s, time left %s ms", t.id, id, r.Method, r.RequestURI, r.Header.Get("X-Deadline-Ms"))
 	body := io.Reader(r.Body)
-	if r.URL.Query().Get("slow_read") != "" {
-		body = slowly{r.Body}
+	if pause, _ := strconv.Atoi(r.URL.Query().Get("slow_read")); pause > 0 {
+		body = slowly{r.Body, time.Duration(pause) * time.Millisecond}
 	}
 	n, err := io.Copy(io.Discard, body)
 	t.mu.Lock()
@@ -168,10 +169,13 @@
 }
 
 // slowly reads a body slowly.
-type slowly struct{ io.Reader }
+type slowly struct {
+	io.Reader
+	pause time.Duration
+}
 
-// Read reads at most 32 KiB each 5 ms.
+// Read reads at most 32 KiB after each pause.
 func (s slowly) Read(p []byte) (int, error) {
-	time.Sleep(5 * time.Millisecond)
+	time.Sleep(s.pause)
 	return s.Reader.Read(p[:min(len(p), 32<<10)])
 }
