--- a/review/rig-3/case_burst.go
+++ b/review/rig-3/case_burst.go
@@ -14,7 +14,7 @@
 	// photoBytes is the size of an upload. Its upstream reads a part of 32 KiB each photoPause, and photoBuffer
 	// bytes of it wait there to be read.
 	photoBytes, photoPause, photoBuffer = 2_000_000, 30 * time.Millisecond, 64 << 10
-	photoTimeout, photoLimit            = 8 * time.Second, 10 * time.Second
+	photoTimeout, photoLimit            = 10 * time.Second, 10 * time.Second
 	// photoRate is the uploads a second without the burst, at all VMs together; burstFactor times as many come
 	// during the burst.
 	photoRate, burstFactor = 24, 2.5
