--- a/review/rig-3/vm.go
+++ b/review/rig-3/vm.go
@@ -33,7 +33,7 @@
 // on all machines.
 func commonPorts(number int) []int {
 	var ports []int
-	for port := 21000 + os.Getpid()%20000; len(ports) < 6; port++ {
+	for port := 15000 + os.Getpid()%15000; len(ports) < 6; port++ {
 		isFree := true
 		for i := range number {
 			address := fmt.Sprintf("%s:%d", ipOfVM(i), port)
