--- a/review/rig-3/case_burst.go
+++ b/review/rig-3/case_burst.go
@@ -10,6 +10,9 @@
 
 func init() { cases["burst"] = burst }
 
+// mayBeCut is how many requests of kept connections the rule LOST lets end without an answer.
+const mayBeCut = 3
+
 const (
 	// photoBytes is the size of an upload. Its upstream reads a part of 32 KiB each photoPause, and photoBuffer
 	// bytes of it wait there to be read.
@@ -50,7 +53,7 @@
 			lost++
 		}
 	}
-	var shown []string
+	callers := &directory{vms: vms}
 	for n := 0; time.Since(began) < 2*calmLength+burstLength; n++ {
 		phase, rate := "calm", float64(photoRate)
 		if since := time.Since(began); since >= calmLength && since < calmLength+burstLength {
@@ -59,13 +62,7 @@
 				rate *= burstFactor
 			}
 		}
-		if n%photoRate == 0 {
-			if now := resolve(vms[0]); len(now) > 0 {
-				shown = now
-			}
-			note("callers are shown %v", shown)
-		}
-		address := shown[n%len(shown)]
+		address := callers.pick(n / 2)
 		wait.Go(func() {
 			c, err := tryCaller(address)
 			if err != nil {
@@ -94,3 +91,14 @@
 	note("LOST: %d requests of kept connections were passed on to sound upstreams, and their connections closed without an answer; the rule allows %d", lost, mayBeCut)
 	return lost <= mayBeCut
 }
+
+// runsOf returns how often a request began to run.
+func runsOf(targets []*target, id string) int {
+	runs := 0
+	for _, t := range targets {
+		t.mu.Lock()
+		runs += t.runs[id]
+		t.mu.Unlock()
+	}
+	return runs
+}
--- a/review/rig-3/case_memory.go
+++ b/review/rig-3/case_memory.go
@@ -87,8 +87,8 @@
 		settings["machine"] = map[string]any{"cpu_share": 0.32, "cores": 1, "link_mbps": 1000, "memory_mb": memoryMB, "descriptors": 4100}
 	})
 	time.Sleep(3 * time.Second)
-	shown := resolve(vms[0])
-	note("callers are shown %v, and keep that", shown)
+	shown, _ := resolve(vms[0])
+	callers := &directory{vms: vms}
 	k := &keeper{dir: dir, ends: make(map[string]int), peak: make(map[string]int64)}
 	end := time.Now().Add(2*time.Second + cutNumber*(cutLength+cutPause))
 	var shownVMs []*vm
@@ -128,7 +128,7 @@
 		if n%packsPerSecond == 0 {
 			note("%v; memory %s", counts, memoryOf(shownVMs))
 		}
-		address := shown[rand.IntN(len(shown))]
+		address := callers.pick(rand.IntN(1000))
 		wait.Go(func() { counts.load(address, n) })
 		time.Sleep(time.Second / packsPerSecond)
 	}
--- a/review/rig-3/case_stalled.go
+++ b/review/rig-3/case_stalled.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -40,7 +41,7 @@
 		settings["source_address"] = strings.Split(settings["listen"].(map[string]any)["callers"].(string), ":")[0]
 	})
 	time.Sleep(3 * time.Second)
-	shown := resolve(vms[0])
+	shown, _ := resolve(vms[0])
 	var shownVMs []*vm
 	for _, v := range vms {
 		if slices.Contains(shown, v.callers) {
@@ -61,13 +62,20 @@
 	var mu sync.Mutex
 	tallies := map[*vm]*tally{}
 	byKind := map[string]*tally{}
-	for _, v := range shownVMs {
+	for _, v := range vms {
 		tallies[v] = &tally{}
 	}
-	ask := func(v *vm, kind string, r sent) {
+	callers := &directory{vms: vms}
+	ask := func(kind string, r sent) {
 		first := time.Now()
 		isServed := false
-		if c, err := tryCaller(v.callers); err == nil {
+		address := callers.pick(rand.IntN(1000))
+		at := slices.IndexFunc(vms, func(v *vm) bool { return v.callers == address })
+		if at < 0 {
+			return
+		}
+		v := vms[at]
+		if c, err := tryCaller(address); err == nil {
 			isServed = c.ask(r).status == http.StatusOK
 			c.close()
 		}
@@ -92,7 +100,7 @@
 			for n := 0; time.Now().Before(end); n++ {
 				r := request(fmt.Sprintf("%s-%s-%d", kind, v.name, n))
 				r.host = "h.example"
-				wait.Go(func() { ask(v, kind, r) })
+				wait.Go(func() { ask(kind, r) })
 				time.Sleep(time.Duration(float64(time.Second) / perSecond))
 			}
 		})
@@ -113,7 +121,7 @@
 	}
 	wait.Wait()
 	tries, failed, other := 0, 0, tally{}
-	for _, v := range shownVMs {
+	for _, v := range vms {
 		t := tallies[v]
 		note("%s: %d of %d first tries served", v.name, t.served, t.tries)
 		fmt.Printf("%s: %d of %d first tries served\n", v.name, t.served, t.tries)
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -42,7 +42,11 @@
 	mux.HandleFunc("GET /kv-watch", s.watch)
 	listener := listen(loopback(200))
 	s.address = listener.Addr().String()
-	go func() { _ = http.Serve(listener, mux) }()
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Store-Era", "1")
+		mux.ServeHTTP(w, r)
+	})
+	go func() { _ = http.Serve(listener, handler) }()
 	return s
 }
 
--- a/review/rig-3/vm.go
+++ b/review/rig-3/vm.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -33,7 +34,7 @@
 // on all machines.
 func commonPorts(number int) []int {
 	var ports []int
-	for port := 15000 + os.Getpid()%15000; len(ports) < 6; port++ {
+	for port := 15000 + rand.IntN(15000); len(ports) < 6; port++ {
 		isFree := true
 		for i := range number {
 			address := fmt.Sprintf("%s:%d", ipOfVM(i), port)
@@ -178,17 +179,56 @@
 	}
 }
 
-// resolve returns the addresses that a VM shows a caller.
-func resolve(v *vm) []string {
+// resolve returns the addresses that a VM shows a caller, and how long they may be kept.
+func resolve(v *vm) ([]string, time.Duration) {
 	client := &http.Client{Timeout: time.Second}
 	response, err := client.Get("http://" + v.directory + "/resolve?name=h.example&region=region-a&zone=zone-a")
 	if err != nil {
-		return nil
+		return nil, 0
 	}
 	defer func() { _ = response.Body.Close() }()
 	var body struct {
 		Addresses []string `json:"addresses"`
+		TTL       float64  `json:"ttl_s"`
 	}
 	_ = json.NewDecoder(response.Body).Decode(&body)
-	return body.Addresses
+	return body.Addresses, time.Duration(min(body.TTL, maxTTL.Seconds()) * float64(time.Second))
+}
+
+const (
+	// maxTTL is ttl_max_s. Some callers keep a response keptTimes as long as it says.
+	maxTTL    = 5 * time.Second
+	keptTimes = 3
+)
+
+// directory keeps responses as callers do: half of the callers keep one for its time, the others for keptTimes as long.
+type directory struct {
+	vms []*vm
+
+	mu    sync.Mutex
+	kept  [2][]string
+	until [2]time.Time
+	asked int
+}
+
+// pick returns the address for a caller's new connection, of the n-th caller; empty for none.
+func (d *directory) pick(n int) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	i := n % 2
+	if time.Now().After(d.until[i]) {
+		for range 3 { // up to three machines are asked
+			d.asked++
+			shown, ttl := resolve(d.vms[d.asked%len(d.vms)])
+			if len(shown) > 0 {
+				d.kept[i], d.until[i] = shown, time.Now().Add(time.Duration(1+i*(keptTimes-1))*ttl)
+				note("callers of kind %d are shown %v for %v", i, shown, ttl)
+				break
+			}
+		}
+	}
+	if len(d.kept[i]) == 0 {
+		return ""
+	}
+	return d.kept[i][rand.IntN(len(d.kept[i]))]
 }
