--- a/review/rig-3/case_burst.go
+++ b/review/rig-3/case_burst.go
@@ -20,9 +20,9 @@
 	photoTimeout, photoLimit            = 10 * time.Second, 10 * time.Second
 	// photoRate is the uploads a second without the burst, at all VMs together; burstFactor times as many come
 	// during the burst.
-	photoRate, burstFactor = 24, 1.7
+	photoRate, burstFactor = 24, 2.5
 	calmLength             = 6 * time.Second
-	burstLength            = 3 * time.Second
+	burstLength            = 5800 * time.Millisecond
 )
 
 // burst sends uploads, each on a connection that has carried a short one before; for a while more of them come.
