--- a/review/rig-3/case_burst.go
+++ b/review/rig-3/case_burst.go
@@ -14,10 +14,9 @@
 const mayBeCut = 3
 
 const (
-	// photoBytes is the size of an upload. Its upstream reads a part of 32 KiB each photoPause, and photoBuffer
-	// bytes of it wait there to be read.
-	photoBytes, photoPause, photoBuffer = 2_000_000, 30 * time.Millisecond, 64 << 10
-	photoTimeout, photoLimit            = 10 * time.Second, 10 * time.Second
+	// photoBytes is the size of an upload. Its upstream reads a part of 32 KiB each photoPause.
+	photoBytes, photoPause   = 2_000_000, 30 * time.Millisecond
+	photoTimeout, photoLimit = 10 * time.Second, 10 * time.Second
 	// photoRate is the uploads a second without the burst, at all VMs together; burstFactor times as many come
 	// during the burst.
 	photoRate, burstFactor = 24, 2.5
@@ -27,14 +26,13 @@
 
 // burst sends uploads, each on a connection that has carried a short one before; for a while more of them come.
 func burst(dir string, hasTrouble bool) bool {
-	receiveBuffer = photoBuffer
 	s := newStore()
-	s.put("op/config", configuration(7, "h.example", route{"form-upload", "/forms/", "upload", "records", int(photoTimeout.Milliseconds())}))
+	s.PublishRoutes(configuration(7, "/forms/", photoTimeout))
 	var targets []*target
 	for i := range 12 {
-		targets = append(targets, s.newTarget(fmt.Sprintf("i-%d", i+1), "records", 50+i))
+		targets = append(targets, s.newTarget(fmt.Sprintf("i-%d", i+1), 50+i))
 	}
-	vms := newFleet(dir, 4, s, nil)
+	vms := newFleet(dir, 4, s)
 	time.Sleep(3 * time.Second)
 	began := time.Now()
 	var wait sync.WaitGroup
@@ -64,21 +62,20 @@
 		}
 		address := callers.pick(n / 2)
 		wait.Go(func() {
-			c, err := tryCaller(address)
+			c, err := newCaller(address)
 			if err != nil {
 				count(phase, answer{err: err}, 0)
 				return
 			}
 			defer c.close()
-			limit := int(photoLimit.Milliseconds())
 			short := fmt.Sprintf("short-%d", n)
-			if a := c.ask(sent{id: short, method: http.MethodPost, path: "/forms/" + short, host: "h.example", limitMs: limit, body: []byte("form")}); a.status != http.StatusOK {
+			if a := c.ask(sent{id: short, path: "/forms/" + short, limit: photoLimit, body: []byte("form")}); a.status != http.StatusOK {
 				count(phase+", short", a, runsOf(targets, short))
 				return
 			}
 			long := fmt.Sprintf("long-%d", n)
 			path := fmt.Sprintf("/forms/%s?work_ms=20&slow_read=%d", long, photoPause.Milliseconds())
-			a := c.ask(sent{id: long, method: http.MethodPost, path: path, host: "h.example", limitMs: limit, body: bytes.Repeat([]byte("x"), photoBytes)})
+			a := c.ask(sent{id: long, path: path, limit: photoLimit, body: bytes.Repeat([]byte("x"), photoBytes)})
 			count(phase, a, runsOf(targets, long))
 		})
 		time.Sleep(time.Duration(float64(time.Second) / rate))
--- a/review/rig-3/store.go
+++ b/review/rig-3/store.go
@@ -1,141 +1,48 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"maps"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
-	"sync"
 	"time"
-)
 
-// item is an item or an event of the store, as PROTOCOL.md has it.
-type item struct {
-	Key       string `json:"key"`
-	Value     []byte `json:"value,omitempty"`
-	Revision  uint64 `json:"revision"`
-	Created   uint64 `json:"created,omitempty"`
-	Lease     uint64 `json:"lease"`
-	Tombstone bool   `json:"tombstone,omitempty"`
-}
+	"github.com/primroseloom/primroseloom/config/routing"
+	"github.com/primroseloom/primroseloom/platform"
+)
 
-// store is a stand-in of the platform's store: linearizable, with one revision counter and its whole history.
+// store is the project's stand-in of the platform's store.
 type store struct {
-	address string
+	*platform.StandInStore
 
-	mu      sync.Mutex
-	at      uint64
-	items   map[string]item
-	events  []item
-	changed chan struct{}
+	address string
 }
 
 func newStore() *store {
-	s := &store{at: 100, items: make(map[string]item), changed: make(chan struct{})}
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /kv-key", s.key)
-	mux.HandleFunc("GET /kv-range", s.list)
-	mux.HandleFunc("GET /kv-watch", s.watch)
 	listener := listen(loopback(200))
-	s.address = listener.Addr().String()
-	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set("Store-Era", "1")
-		mux.ServeHTTP(w, r)
-	})
-	go func() { _ = http.Serve(listener, handler) }()
+	s := &store{StandInStore: platform.NewStandInStore(), address: listener.Addr().String()}
+	go func() { _ = http.Serve(listener, s) }()
 	return s
 }
 
-// put writes a value as JSON; nil removes the key.
-func (s *store) put(key string, value any) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.at++
-	event := item{Key: key, Revision: s.at, Tombstone: value == nil}
-	if value != nil {
-		content, err := json.Marshal(value)
-		must(err)
-		event.Value, event.Created = content, s.at
-		if old, ok := s.items[key]; ok {
-			event.Created = old.Created
-		}
-		s.items[key] = event
-	} else {
-		delete(s.items, key)
-	}
-	s.events = append(s.events, event)
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-func (s *store) key(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	found, ok := s.items[r.URL.Query().Get("key")]
-	if !ok {
-		w.WriteHeader(http.StatusNotFound)
-		return
-	}
-	reply(w, found)
-}
-
-// list returns a page of at most 500 items.
-func (s *store) list(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	items, more := []item{}, false
-	for _, key := range slices.Sorted(maps.Keys(s.items)) {
-		if !strings.HasPrefix(key, r.URL.Query().Get("path_prefix")) || key <= r.URL.Query().Get("after") {
-			continue
-		}
-		if len(items) == 500 {
-			more = true
-			break
-		}
-		items = append(items, s.items[key])
-	}
-	reply(w, map[string]any{"items": items, "has_more": more, "at": s.at})
-}
+const (
+	callerHost = "h.example"
+	service    = "records"
+	healthPath = "/health"
+)
 
-func (s *store) watch(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	after, _ := strconv.ParseUint(query.Get("after"), 10, 64)
-	wait, _ := strconv.Atoi(query.Get("wait_ms"))
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond)
-	defer timer.Stop()
-	for {
-		s.mu.Lock()
-		events, at, changed := []item{}, s.at, s.changed
-		for _, event := range s.events {
-			if event.Revision > after && strings.HasPrefix(event.Key, query.Get("path_prefix")) {
-				events = append(events, event)
-			}
-		}
-		s.mu.Unlock()
-		if len(events) > 0 {
-			reply(w, map[string]any{"events": events, "at": at})
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			reply(w, map[string]any{"events": events, "at": at})
-			return
-		case <-r.Context().Done():
-			return
-		}
+// configuration returns a version of the configuration with one route of uploads.
+func configuration(version uint64, prefix string, timeout time.Duration) routing.Document {
+	return routing.Document{
+		Version:  version,
+		Services: []routing.Service{{Name: service, HealthPath: healthPath, MaxConnections: 330}},
+		Limits:   routing.Limits{HeaderBytes: 16384, BodyBytes: 67108864, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+		Routes: []routing.Route{{
+			Name: "form-upload", Host: callerHost, Prefix: prefix, Kind: routing.KindUpload, Timeout: timeout,
+			Objective: 600 * time.Millisecond, Priority: 1, MaxAttempts: 2, Split: []routing.Share{{Service: service, Weight: 1}},
+		}},
 	}
 }
 
-func reply(w http.ResponseWriter, body any) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(body)
-}
-
 // loopback returns an address of the loopback network, with a free port.
 func loopback(host int) string { return fmt.Sprintf("127.0.0.%d:0", host) }
 
--- a/review/rig-3/vm.go
+++ b/review/rig-3/vm.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +15,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/primroseloom/primroseloom/platform"
 )
 
 // vm is one process of the fleet, started with the command of the deploy file.
@@ -59,7 +63,7 @@
 }
 
 // newFleet writes the settings of VMs, as deploy/settings.json.tmpl renders them, and starts them.
-func newFleet(dir string, number int, s *store, change func(settings map[string]any)) []*vm {
+func newFleet(dir string, number int, s *store) []*vm {
 	var vms []*vm
 	var seeds []string
 	ports := commonPorts(number)
@@ -87,9 +91,6 @@
 	}
 	for _, v := range vms {
 		v.content["first_peers"] = seeds
-		if change != nil {
-			change(v.content)
-		}
 		v.writeSettings()
 		v.start(dir)
 	}
@@ -131,7 +132,7 @@
 func (v *vm) awaitReady() {
 	client := &http.Client{Timeout: time.Second}
 	for range 200 {
-		response, err := client.Get("http://" + v.ready + "/readiness")
+		response, err := client.Get("http://" + v.ready + platform.DirectoryPages{}.ReadinessPath())
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
@@ -145,12 +146,6 @@
 
 func (v *vm) signal(number syscall.Signal) { _ = v.command.Process.Signal(number) }
 
-// kill ends the process at once and waits for its end.
-func (v *vm) kill() {
-	v.signal(syscall.SIGKILL)
-	<-v.ended
-}
-
 // hasEnded reports whether the process has ended.
 func (v *vm) hasEnded() bool {
 	select {
@@ -179,25 +174,33 @@
 	}
 }
 
-// resolve returns the addresses that a VM shows a caller, and how long they may be kept.
-func resolve(v *vm) ([]string, time.Duration) {
+// resolve returns the addresses that a VM shows a caller, which may be kept for keepFor.
+func resolve(v *vm) []string {
 	client := &http.Client{Timeout: time.Second}
-	response, err := client.Get("http://" + v.directory + "/resolve?name=h.example&region=region-a&zone=zone-a")
+	pages := platform.DirectoryPages{}
+	response, err := client.Get("http://" + v.directory + pages.DirectoryPath() + "?name=" + callerHost + "&region=region-a&zone=zone-a")
 	if err != nil {
-		return nil, 0
+		return nil
 	}
 	defer func() { _ = response.Body.Close() }()
-	var body struct {
-		Addresses []string `json:"addresses"`
-		TTL       float64  `json:"ttl_s"`
+	content, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return nil
+	}
+	var body struct{ Addresses []string }
+	must(json.Unmarshal(content, &body))
+	expected, err := pages.RenderDirectoryResponse(body.Addresses, keepFor)
+	must(err)
+	if !bytes.Equal(bytes.TrimSpace(content), expected) {
+		fail("%s answers %s, want %s", v.name, content, expected)
 	}
-	_ = json.NewDecoder(response.Body).Decode(&body)
-	return body.Addresses, time.Duration(min(body.TTL, maxTTL.Seconds()) * float64(time.Second))
+	return body.Addresses
 }
 
 const (
-	// maxTTL is ttl_max_s. Some callers keep a response keptTimes as long as it says.
-	maxTTL    = 5 * time.Second
+	// keepFor is how long a caller may keep a response of the directory, as each response says; resolve checks that.
+	// Some callers keep it keptTimes as long.
+	keepFor   = 500 * time.Millisecond
 	keptTimes = 3
 )
 
@@ -219,10 +222,9 @@
 	if time.Now().After(d.until[i]) {
 		for range 3 { // up to three machines are asked
 			d.asked++
-			shown, ttl := resolve(d.vms[d.asked%len(d.vms)])
-			if len(shown) > 0 {
-				d.kept[i], d.until[i] = shown, time.Now().Add(time.Duration(1+i*(keptTimes-1))*ttl)
-				note("callers of kind %d are shown %v for %v", i, shown, ttl)
+			if shown := resolve(d.vms[d.asked%len(d.vms)]); len(shown) > 0 {
+				d.kept[i], d.until[i] = shown, time.Now().Add(time.Duration(1+i*(keptTimes-1))*keepFor)
+				note("callers of kind %d are shown %v", i, shown)
 				break
 			}
 		}
