Review: case 11 with the slots, queue and load of its site's sheet

50 slots were more than any sheet has, a comment named 32 KiB where 8 KiB are read, and at 24 uploads a second one run with TROUBLE=0 failed. SIGTERM to the rig ends its processes and removes its folder.

--- a/review/rig-3/case_burst.go
+++ b/review/rig-3/case_burst.go
@@ -14,13 +14,14 @@
 const mayBeCut = 3
 
 const (
-	// photoBytes is the size of an upload. Its upstream reads a part of 32 KiB each photoPause.
+	// photoBytes is the size of an upload. Its upstream reads a part of readBytes each photoPause.
 	photoBytes, photoPause   = 2_000_000, 30 * time.Millisecond
 	photoTimeout, photoLimit = 10 * time.Second, 10 * time.Second
 	// photoRate is the uploads a second without the burst, at all VMs together; burstFactor times as many come
 	// during the burst.
-	photoRate, burstFactor = 24, 2.5
+	photoRate, burstFactor = 20, 2.5
 	calmLength             = 6 * time.Second
+	targetNumber           = 140
 	burstLength            = 5800 * time.Millisecond
 )
 
@@ -29,7 +30,7 @@
 	s := newStore()
 	s.PublishRoutes(configuration(7, "/forms/", photoTimeout))
 	var targets []*target
-	for i := range 12 {
+	for i := range targetNumber {
 		targets = append(targets, s.newTarget(fmt.Sprintf("i-%d", i+1), 50+i))
 	}
 	vms := newFleet(dir, 4, s)
--- a/review/rig-3/main.go
+++ b/review/rig-3/main.go
@@ -5,8 +5,10 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -66,10 +68,16 @@
 			status = 2
 		}
 	}()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		time.Sleep(110 * time.Second)
-		note("could not run: out of time")
+		select {
+		case <-time.After(110 * time.Second):
+		case <-stopped:
+		}
+		note("could not run: out of time, or stopped")
 		endAll()
+		_ = os.RemoveAll(dir)
 		os.Exit(2)
 	}()
 	held := cases[name](dir, os.Getenv("TROUBLE") != "0")
--- a/review/rig-3/target.go
+++ b/review/rig-3/target.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -32,7 +31,7 @@
 // newTarget starts an upstream and publishes it.
 func (s *store) newTarget(id string, host int) *target {
 	t := &target{id: id, slots: make(chan struct{}, slotNumber), runs: make(map[string]int)}
-	listener := smallBuffers{listen(loopback(host))}
+	listener := listen(loopback(host))
 	t.address = listener.Addr().String()
 	server := &http.Server{Handler: t, IdleTimeout: idleTime}
 	go func() { _ = server.Serve(listener) }()
@@ -43,27 +42,16 @@
 	return t
 }
 
-// Limits of a target. Its queue holds queueLength requests beside those in its slots. It cuts off a response of which
-// nothing was taken for unreadTime, and closes a connection that was idle for idleTime. receiveBuffer bytes of a
-// connection wait at it to be read.
+// Limits of a target, as the sheet of the site has them. Its queue holds queueLength requests beside those in its
+// slots. It cuts off a response of which nothing was taken for unreadTime, and closes a connection that was idle for
+// idleTime.
 const (
-	slotNumber, queueLength = 50, 12
+	slotNumber, queueLength = 4, 16
 	unreadTime, idleTime    = 5 * time.Second, 10 * time.Second
-	receiveBuffer           = 64 << 10
+	// readBytes is how much of a body is read after each pause.
+	readBytes = 8 << 10
 )
 
-// smallBuffers is a listener whose connections hold receiveBuffer bytes.
-type smallBuffers struct{ net.Listener }
-
-// Accept returns the next connection.
-func (l smallBuffers) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err == nil {
-		_ = conn.(*net.TCPConn).SetReadBuffer(receiveBuffer)
-	}
-	return conn, err
-}
-
 // enter waits for a slot until the time limit; false means that the request is not run.
 func (t *target) enter(until time.Time) bool {
 	if t.present.Add(1) > slotNumber+queueLength {
@@ -79,6 +67,16 @@
 	}
 }
 
+// load counts the requests beside the caller's own.
+func (t *target) load(isRunning bool) *dialect.Load {
+	running, present := len(t.slots), int(t.present.Load())
+	waiting := max(present-running, 0)
+	if isRunning {
+		running = max(running-1, 0)
+	}
+	return &dialect.Load{Running: running, Waiting: waiting, Slots: slotNumber}
+}
+
 func (t *target) leave() {
 	<-t.slots
 	t.present.Add(-1)
@@ -103,12 +101,19 @@
 		status = http.StatusServiceUnavailable
 	}
 	if status != 0 {
-		platform.Headers{}.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: attempt.AttemptID, NotRun: true})
+		platform.Headers{}.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: attempt.AttemptID, NotRun: true, Load: t.load(false)})
 		w.WriteHeader(status)
 		return
 	}
 	defer t.leave()
 	if isHealth {
+		said := make(http.Header)
+		platform.Headers{}.WriteResponse(said, dialect.ResponseMetadata{Load: t.load(true)})
+		for name, values := range said {
+			if values[0] != "" { // a check has no identifier of an attempt to echo
+				w.Header()[name] = values
+			}
+		}
 		w.Header().Set("X-Instance-Id", t.id)
 		w.WriteHeader(http.StatusOK)
 		return
@@ -150,7 +155,7 @@
 		}
 	}
 	text := fmt.Sprintf("done %s by %s\n", id, t.id)
-	platform.Headers{}.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: id, Signed: true})
+	platform.Headers{}.WriteResponse(w.Header(), dialect.ResponseMetadata{AttemptID: id, Signed: true, Load: t.load(true)})
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 	if isLate {
 		w.Header().Set("Connection", "close")
@@ -173,11 +178,11 @@
 	until time.Time
 }
 
-// Read reads at most 32 KiB after each pause.
+// Read reads at most readBytes after each pause.
 func (s slowly) Read(p []byte) (int, error) {
 	time.Sleep(min(s.pause, time.Until(s.until)))
 	if !time.Now().Before(s.until) {
 		return 0, os.ErrDeadlineExceeded
 	}
-	return s.Reader.Read(p[:min(len(p), 32<<10)])
+	return s.Reader.Read(p[:min(len(p), readBytes)])
 }
